Serve one request end to end through every package

Cause: nothing shows yet that the parts fit together. Change: settings and documents checked by pydantic, the inner protocol with its codec and links, a control process with a log in memory, entry processes that follow it, limits, placement and the request lifecycle as decisions without I/O, clients of engines and plain services, stand-ins, the command line, and a script that starts all of it as separate processes. Not there yet: durable state, fenced limits, calls that run at most once, placement under load, resume and retries.

--- /dev/null
+++ b/bulrushrudder/commands/service.py
@@ -0,0 +1,60 @@
+"""What the commands that run a process share."""
+
+import asyncio
+import signal
+
+from returns import result
+
+from bulrushrudder.commands import errors
+from bulrushrudder.config import settings
+from bulrushrudder.events import log
+
+
+def load_settings(file):
+    """Return the Settings in a file.
+
+    :raises CommandError: where the file has mistakes.
+    """
+    match settings.load(file):
+        case result.Success(found):
+            return found
+        case result.Failure(problems):
+            raise errors.CommandError(
+                errors.ExitCode.INVALID_FILE, *map(str, problems)
+            )
+
+
+def require(section, name, file):
+    """Check that a section of the settings is there.
+
+    :raises CommandError: where it is missing.
+    """
+    if section is None:
+        raise errors.CommandError(
+            errors.ExitCode.INVALID_FILE,
+            f'{file}:0: {name}: required section is missing',
+        )
+
+
+def serve(run, found, log_format='json'):
+    """Run a process until SIGTERM or SIGINT.
+
+    :param run: coroutine function of (settings, stopping).
+    :param found: the Settings.
+    :param log_format: json or human.
+    """
+    if log_format not in ('json', 'human'):
+        raise errors.CommandError(
+            errors.ExitCode.USAGE, '--log-format is json or human'
+        )
+    make = log.json_handler if log_format == 'json' else log.human_handler
+    with make().applicationbound():
+        asyncio.run(_until_signal(run, found))
+
+
+async def _until_signal(run, found):
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await run(found, stopping)
--- /dev/null
+++ b/bulrushrudder/engines/services.py
@@ -0,0 +1,102 @@
+"""Speaks to plain services over HTTP."""
+
+import dataclasses
+
+import aiohttp
+from returns import result
+
+from bulrushrudder.core import outcomes
+
+CONNECT_S = 2.0
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+NOT_FORWARDED = HOP_BY_HOP | {'authorization', 'host', 'content-length'}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call to a plain service.
+
+    :param headers: pairs as the caller sent them.
+    :param timeout_s: the bound on the whole call in seconds.
+    """
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What a plain service answered."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class ServiceClient:
+    """Passes calls to plain services.
+
+    :param session: an aiohttp client session; its owner closes it.
+    """
+
+    def __init__(self, session):
+        self._session = session
+
+    async def call(self, server, call):
+        """Pass one call.
+
+        :returns: a Reply, or a Refusal that says whether it ran.
+        """
+        host = f'[{server.host}]' if ':' in server.host else server.host
+        url = f'http://{host}:{server.port}{call.path}'
+        timeout = aiohttp.ClientTimeout(
+            total=call.timeout_s, sock_connect=CONNECT_S
+        )
+        try:
+            async with self._session.request(
+                call.method,
+                url,
+                headers=_forwarded(call.headers, NOT_FORWARDED),
+                data=call.body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return result.Failure(_refusal(error, False))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return result.Failure(_refusal(error, True))
+        headers = _forwarded(
+            response.headers.items(), HOP_BY_HOP | {'content-length'}
+        )
+        return result.Success(Reply(response.status, tuple(headers), body))
+
+
+def _forwarded(headers, left_out):
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in left_out
+    ]
+
+
+def _refusal(error, sent):
+    execution = (
+        outcomes.Execution.UNKNOWN if sent else outcomes.Execution.NOT_RUN
+    )
+    reason = outcomes.Reason.BACKEND_FAILED
+    return outcomes.Refusal(reason, execution, type(error).__name__)
--- /dev/null
+++ b/bulrushrudder/engines/wire.py
@@ -0,0 +1,76 @@
+"""JSON that engines and the system exchange, checked by pydantic."""
+
+import typing
+
+import pydantic
+
+
+class _Model(pydantic.BaseModel):
+    """Engines may add fields; those we know are checked."""
+
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+
+class PrefillOrder(_Model):
+    """Computes the KV cache of a prompt."""
+
+    attempt: str
+    model: str
+    prompt: str
+    priority: int
+
+
+class PrefillReply(_Model):
+    """The KV cache is ready to be fetched."""
+
+    attempt: str
+    handle: str
+    prompt_tokens: int = pydantic.Field(ge=0)
+
+
+class DecodeOrder(_Model):
+    """Fetches a KV cache and produces tokens after those produced."""
+
+    attempt: str
+    model: str
+    prompt: str
+    kv_host: str
+    kv_port: int
+    kv_handle: str
+    produced: list[str]
+    max_tokens: int
+    priority: int
+
+
+class DecodeItem(_Model):
+    """One event of a decode stream: a token or the end."""
+
+    attempt: str
+    index: int = pydantic.Field(ge=0)
+    text: str = ''
+    finish_reason: str | None = None
+
+
+class CancelOrder(_Model):
+    """Frees what an attempt holds."""
+
+    attempt: str
+
+
+class Announcement(_Model):
+    """A backend server announces or renews itself."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    id: str = pydantic.Field(min_length=1, max_length=128)
+    incarnation: int = pydantic.Field(ge=0)
+    kind: typing.Literal['prefill', 'decode', 'service']
+    host: str
+    port: int = pydantic.Field(ge=1, le=65535)
+    zone: str
+    serves: list[str] = pydantic.Field(max_length=256)
+    places: int = pydantic.Field(ge=1, le=100000)
+    memory_tokens: int = pydantic.Field(default=0, ge=0)
+    link_tokens_per_s: float = pydantic.Field(default=1e6, gt=0)
+    checks_fencing: bool = False
+    leaving: bool = False
--- /dev/null
+++ b/bulrushrudder/entry/admission.py
@@ -0,0 +1,64 @@
+"""Decides whether a call may enter, and for which client account."""
+
+import dataclasses
+
+from returns import result
+
+from bulrushrudder.core import keys
+from bulrushrudder.core import outcomes
+from bulrushrudder.documents import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A call that may enter.
+
+    :param account: the client account; None on an open route.
+    """
+
+    route: types.Route
+    account: types.ClientAccount | None
+
+
+def admit(view, now_s, draining, method, path, key):
+    """Check a call against the document in force.
+
+    :param view: the View of the log.
+    :param draining: whether the process takes no new work.
+    :param key: the caller's key, or None.
+    :returns: an Admitted, or a Refusal.
+    """
+    if draining:
+        return _refuse(
+            outcomes.Reason.SHUTTING_DOWN, 'this VM shuts down', 1.0
+        )
+    route = view.lookups.route_of(method, path)
+    if route is None:
+        return _refuse(
+            outcomes.Reason.ROUTE_UNKNOWN, f'no route for {method} {path}'
+        )
+    if route.open:
+        return result.Success(Admitted(route, None))
+    if not view.fresh(now_s):
+        return _refuse(
+            outcomes.Reason.VIEW_STALE, 'keys cannot be checked now', 1.0
+        )
+    return _check_key(view, route, key)
+
+
+def _check_key(view, route, key):
+    if key is None:
+        return _refuse(outcomes.Reason.KEY_MISSING, 'no key was presented')
+    account = view.lookups.account_of(keys.digest(key))
+    if account is None:
+        return _refuse(outcomes.Reason.KEY_UNKNOWN, 'the key is not valid')
+    if route.accounts and account.id not in route.accounts:
+        return _refuse(
+            outcomes.Reason.ROUTE_FORBIDDEN,
+            'the client account may not use this route',
+        )
+    return result.Success(Admitted(route, account))
+
+
+def _refuse(reason, detail, retry_after_s=None):
+    return result.Failure(outcomes.not_run(reason, detail, retry_after_s))
--- /dev/null
+++ b/bulrushrudder/entry/completions.py
@@ -0,0 +1,147 @@
+"""The common completions form that callers speak."""
+
+import json
+
+import pydantic
+from returns import result
+
+from bulrushrudder.core import outcomes
+
+STATUS_BY_REASON = {
+    outcomes.Reason.MALFORMED_REQUEST: 400,
+    outcomes.Reason.BODY_TOO_LARGE: 413,
+    outcomes.Reason.ROUTE_UNKNOWN: 404,
+    outcomes.Reason.MODEL_UNKNOWN: 404,
+    outcomes.Reason.KEY_MISSING: 401,
+    outcomes.Reason.KEY_UNKNOWN: 401,
+    outcomes.Reason.ROUTE_FORBIDDEN: 403,
+    outcomes.Reason.COST_ABOVE_BURST: 429,
+    outcomes.Reason.OVER_RATE: 429,
+    outcomes.Reason.INSIDE_RATE: 429,
+    outcomes.Reason.BACKEND_FAILED: 502,
+    outcomes.Reason.BACKEND_SILENT: 504,
+    outcomes.Reason.REQUEST_QUARANTINED: 422,
+    outcomes.Reason.ID_REUSED: 422,
+    outcomes.Reason.ID_TOO_OLD: 422,
+    outcomes.Reason.ID_RUNNING: 409,
+    outcomes.Reason.OUTCOME_UNKNOWN: 504,
+    outcomes.Reason.ANSWER_NOT_KEPT: 409,
+    outcomes.Reason.CALLER_GONE: 499,
+}
+DEFAULT_STATUS = 503
+
+
+class CompletionRequest(pydantic.BaseModel):
+    """What a caller sends."""
+
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+    prompt: str = pydantic.Field(min_length=1)
+    model: str | None = None
+    max_tokens: int | None = pydantic.Field(default=None, ge=1)
+    stream: bool = False
+
+
+def parse(body):
+    """Read a completions request.
+
+    :param body: bytes of the request's body.
+    :returns: the request, or a Refusal.
+    """
+    try:
+        return result.Success(CompletionRequest.model_validate_json(body))
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+    field = '.'.join(map(str, first['loc']))
+    detail = f'{field}: {first["msg"]}' if field else first['msg']
+    reason = outcomes.Reason.MALFORMED_REQUEST
+    return result.Failure(outcomes.not_run(reason, detail))
+
+
+def status_of(refusal):
+    """Return the HTTP status of a refusal."""
+    return STATUS_BY_REASON.get(refusal.reason, DEFAULT_STATUS)
+
+
+def refusal_body(refusal, request_id):
+    """Return the JSON text of a refusal."""
+    return json.dumps(
+        {
+            'error': {
+                'type': refusal.reason.name.lower(),
+                'code': int(refusal.reason),
+                'message': refusal.detail,
+                'execution': refusal.execution.value,
+                'request_id': request_id,
+            }
+        }
+    )
+
+
+def chunk(request_id, model, index, text):
+    """Return the server-sent event of a token."""
+    choice = {'index': 0, 'text': text, 'finish_reason': None}
+    return _event(
+        {
+            'id': request_id,
+            'object': 'text_completion',
+            'model': model,
+            'token_index': index,
+            'choices': [choice],
+        }
+    )
+
+
+def last_chunk(request_id, model, complete):
+    """Return the events that end a whole answer."""
+    choice = {
+        'index': 0,
+        'text': '',
+        'finish_reason': complete.finish_reason,
+    }
+    event = _event(
+        {
+            'id': request_id,
+            'object': 'text_completion',
+            'model': model,
+            'choices': [choice],
+            'usage': _usage(complete),
+        }
+    )
+    return event + b'data: [DONE]\n\n'
+
+
+def failure_chunk(refusal, request_id):
+    """Return the event that ends an incomplete stream."""
+    text = refusal_body(refusal, request_id)
+    return b'event: error\ndata: ' + text.encode() + b'\n\n'
+
+
+def whole(request_id, model, texts, complete):
+    """Return the JSON text of a whole answer."""
+    choice = {
+        'index': 0,
+        'text': ''.join(texts),
+        'finish_reason': complete.finish_reason,
+    }
+    return json.dumps(
+        {
+            'id': request_id,
+            'object': 'text_completion',
+            'model': model,
+            'choices': [choice],
+            'usage': _usage(complete),
+        }
+    )
+
+
+def _usage(complete):
+    return {
+        'prompt_tokens': complete.prompt_tokens,
+        'completion_tokens': complete.tokens,
+        'total_tokens': complete.prompt_tokens + complete.tokens,
+    }
+
+
+def _event(content):
+    return b'data: ' + json.dumps(content).encode() + b'\n\n'
--- /dev/null
+++ b/bulrushrudder/entry/observing.py
@@ -0,0 +1,121 @@
+"""Follows the log through any control process."""
+
+import asyncio
+
+from returns import result
+
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import errors
+from bulrushrudder.protocol import link
+from bulrushrudder.protocol import messages
+from bulrushrudder.state import results
+
+REDIAL_S = 0.2
+ROUND_S = 0.5
+PROPOSE_S = 3.0
+
+
+class Observing:
+    """Keeps a View up to date.
+
+    :param view: the View.
+    :param controls: addresses of the control processes.
+    """
+
+    def __init__(self, view, owner, secret, controls):
+        self._view = view
+        self._owner = owner
+        self._secret = secret
+        self._controls = controls
+        self._link = None
+        self._was_fresh = False
+        self.changed = asyncio.Event()
+
+    async def run(self):
+        """Follow one control process after the other, until cancelled."""
+        while True:
+            for address in self._controls:
+                await self._follow(address)
+                await asyncio.sleep(REDIAL_S)
+
+    async def propose(self, command):
+        """Ask the control process to commit a command.
+
+        :returns: the Outcome.
+        """
+        if self._link is None:
+            return results.Unavailable('no control process is linked')
+        question = messages.Propose(codec.encode(command))
+        match await self._link.ask(question, PROPOSE_S):
+            case result.Success(messages.Proposed(outcome=data)):
+                return codec.decode(data).value_or(
+                    results.Unavailable('an invalid answer')
+                )
+            case result.Failure(errors.LinkError(detail=detail)):
+                return results.Unavailable(detail)
+        return results.Unavailable('an unexpected answer')
+
+    async def announce(self, command, leaving):
+        """Pass on a backend server's announcement.
+
+        :returns: whether a control process took it in.
+        """
+        if self._link is None:
+            return False
+        question = messages.Announce(codec.encode(command), leaving)
+        answer = await self._link.ask(question, PROPOSE_S)
+        return isinstance(answer, result.Success)
+
+    async def wait_for(self, index):
+        """Wait until the view has reached an index."""
+        while self._view.index < index:
+            self.changed.clear()
+            await self.changed.wait()
+
+    async def _follow(self, address):
+        dialled = await link.dial(
+            address, self._owner, self._secret, self._handle
+        )
+        match dialled:
+            case result.Success(found):
+                await self._serve(found)
+
+    async def _serve(self, found):
+        self._link = found
+        found.tell(messages.Observe(self._owner, self._view.index))
+        rounds = asyncio.create_task(self._ask_rounds(found))
+        try:
+            await found.run()
+        finally:
+            self._link = None
+            rounds.cancel()
+
+    async def _ask_rounds(self, found):
+        loop = asyncio.get_running_loop()
+        while True:
+            number = self._view.begin_round(loop.time())
+            found.tell(messages.AskVouch(number))
+            await asyncio.sleep(ROUND_S)
+            self._report_freshness(loop.time())
+
+    def _report_freshness(self, now_s):
+        fresh = self._view.fresh(now_s)
+        if fresh != self._was_fresh:
+            event = catalogue.VIEW_FRESH if fresh else catalogue.VIEW_STALE
+            log.emit(event, index=self._view.index)
+        self._was_fresh = fresh
+
+    async def _handle(self, found, message):
+        match message:
+            case messages.Entries(first=first, commands=commands):
+                self._apply(first, commands)
+            case messages.Vouch(round=number, index=index):
+                self._view.vouched(number, index)
+
+    def _apply(self, first, commands):
+        for offset, data in enumerate(commands):
+            command = codec.decode(data).unwrap()
+            self._view.apply(first + offset, command)
+        self.changed.set()
--- /dev/null
+++ b/bulrushrudder/entry/operations.py
@@ -0,0 +1,62 @@
+"""Where backend servers announce themselves to an entry process."""
+
+import hmac
+
+from aiohttp import web
+import pydantic
+
+from bulrushrudder.core import ids
+from bulrushrudder.engines import wire
+from bulrushrudder.state import commands
+
+
+class Operations:
+    """Handlers of the operations interface.
+
+    :param observing: the Observing of this process.
+    :param secret: what backend servers present.
+    """
+
+    def __init__(self, observing, secret):
+        self._observing = observing
+        self._secret = secret
+
+    def application(self):
+        """Return the aiohttp application."""
+        app = web.Application()
+        app.router.add_post('/announce', self._announce)
+        return app
+
+    async def _announce(self, request):
+        given = request.headers.get('Authorization', '').encode()
+        if not hmac.compare_digest(given, b'Bearer ' + self._secret):
+            return _problem(401, 'the backends secret is wrong')
+        try:
+            found = wire.Announcement.model_validate_json(await request.read())
+        except pydantic.ValidationError as error:
+            return _problem(422, str(error))
+        command = commands.JoinServer(_server(found))
+        taken = await self._observing.announce(command, found.leaving)
+        if not taken:
+            return _problem(503, 'no control process can be reached')
+        return web.json_response({'renewed': not found.leaving})
+
+
+def _problem(status, problem):
+    return web.json_response({'problem': problem}, status=status)
+
+
+def _server(found):
+    return commands.BackendServer(
+        id=ids.ServerId(found.id),
+        incarnation=found.incarnation,
+        kind=found.kind,
+        host=found.host,
+        port=found.port,
+        zone=ids.Zone(found.zone),
+        serves=tuple(found.serves),
+        places=found.places,
+        memory_tokens=found.memory_tokens,
+        link_tokens_per_s=found.link_tokens_per_s,
+        checks_fencing=found.checks_fencing,
+    )
--- /dev/null
+++ b/bulrushrudder/entry/process.py
@@ -0,0 +1,127 @@
+"""Starts and stops the entry process."""
+
+import asyncio
+import contextlib
+import time
+
+import aiohttp
+
+from bulrushrudder.core import ids
+from bulrushrudder.engines import client
+from bulrushrudder.engines import services as plain_services
+from bulrushrudder.entry import frontend
+from bulrushrudder.entry import observing
+from bulrushrudder.entry import operations
+from bulrushrudder.entry import roles
+from bulrushrudder.entry import services
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.metrics import listener as metrics_listener
+from bulrushrudder.metrics import registry
+from bulrushrudder.observers import view
+from bulrushrudder.protocol import link
+from bulrushrudder.protocol import peers
+from bulrushrudder.state import commands
+from bulrushrudder.state import results
+from bulrushrudder.utils import tasks
+from bulrushrudder.utils import web
+
+SESSION_RETRY_S = 0.2
+
+
+class Entry:
+    """The entry process.
+
+    :param settings: the VM's Settings.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._owner = ids.Owner(settings.vm, time.time_ns())
+        secret = settings.secrets.cluster
+        self.view = view.View(settings.environment)
+        self.observing = observing.Observing(
+            self.view, self._owner, secret, settings.controls
+        )
+        self._peers = peers.Peers(self._owner, secret, _ignore)
+        self._roles = roles.Roles(self.view, self._owner, self._peers)
+        self.metrics = registry.Metrics()
+        self.services = None
+
+    async def start(self, stack):
+        """Open all that the process needs.
+
+        :param stack: an AsyncExitStack that owns what is opened.
+        """
+        settings = self._settings
+        stack.callback(self._peers.close)
+        connector = aiohttp.TCPConnector(limit=0)
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        )
+        self.services = services.Services(
+            self._owner,
+            self.view,
+            self._roles,
+            client.EngineClient(session),
+            plain_services.ServiceClient(session),
+            self.metrics,
+        )
+        inner = await link.listen(
+            settings.entry.inner,
+            self._owner,
+            settings.secrets.cluster,
+            self._roles.handle,
+        )
+        stack.callback(inner.close)
+        await self._listen(stack)
+        tasks.spawn(stack, self.observing.run())
+        tasks.spawn(stack, self._roles.run())
+        tasks.spawn(stack, self._open_session())
+        log.emit(catalogue.ENTRY_STARTED, callers=str(settings.entry.callers))
+
+    async def stop(self):
+        """Take no new work and finish what is in flight."""
+        self.services.draining = True
+        log.emit(catalogue.ENTRY_STOPPING)
+        await self.services.finish()
+        await self.observing.propose(commands.CloseSession(self._owner))
+        log.emit(catalogue.ENTRY_STOPPED)
+
+    async def _listen(self, stack):
+        settings = self._settings
+        front = frontend.Frontend(self.services)
+        await web.listen(
+            stack, front.application(), settings.entry.callers, True
+        )
+        back = operations.Operations(self.observing, settings.secrets.backends)
+        await web.listen(stack, back.application(), settings.entry.backends)
+        app = metrics_listener.application(self.metrics)
+        await web.listen(stack, app, settings.entry.metrics)
+
+    async def _open_session(self):
+        inner = self._settings.entry.inner
+        command = commands.OpenSession(
+            self._owner, self._settings.zone, inner.host, inner.port
+        )
+        while True:
+            outcome = await self.observing.propose(command)
+            if isinstance(outcome, results.Accepted):
+                return
+            await asyncio.sleep(SESSION_RETRY_S)
+
+
+async def _ignore(link_, message):
+    """Peers send nothing unasked on links that this process dialled."""
+
+
+async def run(settings, stopping):
+    """Run the entry process until the event is set.
+
+    :param stopping: an asyncio Event.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        entry = Entry(settings)
+        await entry.start(stack)
+        await stopping.wait()
+        await entry.stop()
--- /dev/null
+++ b/bulrushrudder/entry/services.py
@@ -0,0 +1,53 @@
+"""What all requests of an entry process share."""
+
+import asyncio
+
+from bulrushrudder.utils import tasks
+
+
+class Services:
+    """Clients, roles and counters of an entry process.
+
+    :param owner: this process.
+    :param view: the View of the log.
+    :param roles: the Roles.
+    :param engines: an EngineClient.
+    :param plain: a ServiceClient.
+    :param metrics: the Metrics.
+    """
+
+    def __init__(self, owner, view, roles, engines, plain, metrics):
+        self.owner = owner
+        self.view = view
+        self.roles = roles
+        self.engines = engines
+        self.plain = plain
+        self.metrics = metrics
+        self.draining = False
+        self._tasks = set()
+        self._last_request = 0
+
+    def server(self, server_id):
+        """Return a backend server by id, or None."""
+        return self.view.state.servers_by_id.get(server_id)
+
+    def next_request(self):
+        """Return a number that no other request of this run has."""
+        self._last_request += 1
+        return self._last_request
+
+    def spawn(self, coroutine):
+        """Run a coroutine that outlives its request.
+
+        :returns: the task.
+        """
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(tasks.report)
+        return task
+
+    async def finish(self):
+        """Wait for all that was spawned."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
--- /dev/null
+++ b/bulrushrudder/events/catalogue.py
@@ -0,0 +1,128 @@
+"""Every log event, with its number and what it means."""
+
+import dataclasses
+import enum
+
+
+class Level(enum.Enum):
+    """How urgent an event is."""
+
+    DEBUG = 'DEBUG'
+    INFO = 'INFO'
+    WARNING = 'WARNING'
+    ERROR = 'ERROR'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of log event.
+
+    :param number: never changes and is never used again.
+    :param meaning: what happened and, where needed, what to do.
+    """
+
+    number: int
+    level: Level
+    name: str
+    meaning: str
+
+
+ENTRY_STARTED = Event(
+    1001, Level.INFO, 'entry started', 'The entry process listens.'
+)
+ENTRY_STOPPING = Event(
+    1002,
+    Level.INFO,
+    'entry stopping',
+    'The entry takes no new work and finishes what is in flight.',
+)
+ENTRY_STOPPED = Event(
+    1003, Level.INFO, 'entry stopped', 'The entry has finished all work.'
+)
+REQUEST_REFUSED = Event(
+    1101,
+    Level.INFO,
+    'request refused',
+    'A caller was refused; the reason is numbered in docs/CALLERS.md.',
+)
+REQUEST_FAILED = Event(
+    1102,
+    Level.WARNING,
+    'request failed',
+    'A request that had started got no whole answer.',
+)
+ATTEMPT_FAILED = Event(
+    1103,
+    Level.WARNING,
+    'attempt failed',
+    'A backend server did not finish an attempt.',
+)
+CONTROL_STARTED = Event(
+    2001, Level.INFO, 'control started', 'The control process listens.'
+)
+CONTROL_STOPPED = Event(
+    2002, Level.INFO, 'control stopped', 'The control process has ended.'
+)
+DOCUMENT_ACCEPTED = Event(
+    2101,
+    Level.INFO,
+    'document accepted',
+    'A document is committed and on its way to every VM.',
+)
+DOCUMENT_REFUSED = Event(
+    2102,
+    Level.INFO,
+    'document refused',
+    'A submission or promotion was refused; the detail says why.',
+)
+LINK_OPENED = Event(
+    3001, Level.DEBUG, 'link opened', 'A link to another process is up.'
+)
+LINK_CLOSED = Event(
+    3002, Level.INFO, 'link closed', 'A link to another process ended.'
+)
+LINK_REFUSED = Event(
+    3003,
+    Level.WARNING,
+    'link refused',
+    'The peer speaks another version or lacks the cluster secret.',
+)
+MESSAGE_INVALID = Event(
+    3004,
+    Level.WARNING,
+    'message invalid',
+    'A message could not be decoded; the link is closed.',
+)
+VIEW_STALE = Event(
+    3101,
+    Level.WARNING,
+    'view stale',
+    'No control VM vouches for this view; keyed routes are refused.',
+)
+VIEW_FRESH = Event(
+    3102, Level.INFO, 'view fresh', 'The view of the log is fresh again.'
+)
+SERVER_JOINED = Event(
+    4001,
+    Level.INFO,
+    'server joined',
+    'A backend server announced itself.',
+)
+SERVER_LEFT = Event(
+    4002,
+    Level.INFO,
+    'server left',
+    'A backend server left or went silent; it gets no new work.',
+)
+UNEXPECTED = Event(
+    9001,
+    Level.ERROR,
+    'unexpected error',
+    'An invariant broke; report the event with its detail.',
+)
+
+
+def all_events():
+    """Return every event of the catalogue in the order of numbers."""
+    found = [v for v in globals().values() if isinstance(v, Event)]
+    return tuple(sorted(found, key=lambda event: event.number))
--- /dev/null
+++ b/bulrushrudder/events/log.py
@@ -0,0 +1,58 @@
+"""Structured logging of numbered events."""
+
+import datetime
+import json
+import sys
+
+import logbook
+
+_LOGGER = logbook.Logger('bulrushrudder')
+
+
+def emit(event, **fields):
+    """Log an event of the catalogue.
+
+    :param event: an Event of the catalogue.
+    :param fields: what is known of this occurrence, free of secrets.
+    """
+    level = logbook.lookup_level(event.level.value)
+    _LOGGER.log(level, event.name, extra={'event': event, 'fields': fields})
+
+
+def json_handler(stream=None, level='INFO'):
+    """Return a handler that writes one JSON object a line."""
+    return _handler(stream, level, _as_json)
+
+
+def human_handler(stream=None, level='INFO'):
+    """Return a handler that writes lines for people."""
+    return _handler(stream, level, _as_text)
+
+
+def _handler(stream, level, formatter):
+    handler = logbook.StreamHandler(stream or sys.stderr, level=level)
+    handler.formatter = formatter
+    return handler
+
+
+def _time_of(record):
+    return record.time.replace(tzinfo=datetime.UTC).isoformat()
+
+
+def _as_json(record, handler):
+    event = record.extra['event']
+    content = {
+        'time': _time_of(record),
+        'level': event.level.value,
+        'event': event.number,
+        'name': event.name,
+        **record.extra['fields'],
+    }
+    return json.dumps(content, default=str)
+
+
+def _as_text(record, handler):
+    event = record.extra['event']
+    pairs = [f'{k}={v}' for k, v in record.extra['fields'].items()]
+    head = f'{_time_of(record)} {event.level.value} {event.number}'
+    return ' '.join([head, event.name, *pairs])
--- /dev/null
+++ b/bulrushrudder/lifecycle/events.py
@@ -0,0 +1,90 @@
+"""What happens to a request."""
+
+import dataclasses
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import outcomes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokensGranted:
+    """The account's authority granted the cost."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepRefused:
+    """Tokens or servers cannot be had."""
+
+    refusal: outcomes.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceGranted:
+    """The coordinator chose the servers."""
+
+    prefill: ids.ServerId
+    decode: ids.ServerId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefillDone:
+    """The KV cache of the prompt is ready.
+
+    :param handle: names the KV cache at the prefill server.
+    :param prompt_tokens: as the engine counted them.
+    """
+
+    attempt: ids.AttemptId
+    handle: str
+    prompt_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenArrived:
+    """A decode server produced a token.
+
+    :param index: counts the output tokens of the request from 0.
+    """
+
+    attempt: ids.AttemptId
+    index: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecodeDone:
+    """A decode server produced the last token.
+
+    :param tokens: output tokens of the whole request.
+    """
+
+    attempt: ids.AttemptId
+    tokens: int
+    finish_reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """A backend server did not finish an attempt."""
+
+    attempt: ids.AttemptId
+    server: ids.ServerId
+    reason: outcomes.Reason
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """Nobody waits for the answer any more."""
+
+
+Event = (
+    TokensGranted
+    | StepRefused
+    | PlaceGranted
+    | PrefillDone
+    | TokenArrived
+    | DecodeDone
+    | AttemptFailed
+    | CallerGone
+)
--- /dev/null
+++ b/bulrushrudder/metrics/registry.py
@@ -0,0 +1,98 @@
+"""Counters and histograms of one process."""
+
+import aioprometheus
+
+SECONDS_BUCKETS = (
+    0.005,
+    0.01,
+    0.02,
+    0.04,
+    0.061,
+    0.1,
+    0.25,
+    0.5,
+    1.1,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    120.0,
+)
+MAX_LABEL_VALUES = 1000
+OTHER_LABEL = 'other'
+
+
+class Metrics:
+    """The metrics of one process; label values are bounded."""
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self._label_values = set()
+        self.refusals = self._counter(
+            'bulrushrudder_refusals_total', 'Refusals by reason.'
+        )
+        self.retries = self._counter(
+            'bulrushrudder_retries_total', 'Retries by reason.'
+        )
+        self.answers = self._counter(
+            'bulrushrudder_answers_total', 'Whole answers by route.'
+        )
+        self.first_token = self._histogram(
+            'bulrushrudder_first_token_seconds',
+            'Seconds to the first token by route and client account.',
+        )
+        self.between_tokens = self._histogram(
+            'bulrushrudder_between_tokens_seconds',
+            'Seconds between tokens by route and client account.',
+        )
+
+    def count_refusal(self, reason, route):
+        """Count a refusal by its numbered reason."""
+        self.refusals.inc(
+            {'reason': reason.name, 'route': self._bounded(route)}
+        )
+
+    def count_retry(self, reason):
+        """Count a retry by its numbered reason."""
+        self.retries.inc({'reason': reason.name})
+
+    def count_answer(self, route):
+        """Count a whole answer."""
+        self.answers.inc({'route': self._bounded(route)})
+
+    def observe_first_token(self, route, account, seconds):
+        """Record the time to a first token in seconds."""
+        self.first_token.observe(self._labels(route, account), seconds)
+
+    def observe_between_tokens(self, route, account, seconds):
+        """Record the time between two tokens in seconds."""
+        self.between_tokens.observe(self._labels(route, account), seconds)
+
+    def render(self, accept):
+        """Return the content and headers of an exposition.
+
+        :param accept: values of the Accept header.
+        """
+        return aioprometheus.render(self.registry, accept)
+
+    def _labels(self, route, account):
+        return {
+            'route': self._bounded(route),
+            'account': self._bounded(account or 'none'),
+        }
+
+    def _bounded(self, value):
+        if value in self._label_values:
+            return value
+        if len(self._label_values) >= MAX_LABEL_VALUES:
+            return OTHER_LABEL
+        self._label_values.add(value)
+        return value
+
+    def _counter(self, name, text):
+        return aioprometheus.Counter(name, text, registry=self.registry)
+
+    def _histogram(self, name, text):
+        return aioprometheus.Histogram(
+            name, text, buckets=SECONDS_BUCKETS, registry=self.registry
+        )
--- /dev/null
+++ b/bulrushrudder/observers/view.py
@@ -0,0 +1,85 @@
+"""What an entry process knows of the log, and whether it is fresh."""
+
+import dataclasses
+
+from bulrushrudder.documents import lookups
+from bulrushrudder.state import machine
+
+FRESHNESS_BOUND_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Round:
+    """A question for freshness that is under way."""
+
+    number: int
+    sent_s: float
+
+
+class View:
+    """The observed state; its index never goes back.
+
+    :param environment: whose document the VM serves.
+    """
+
+    def __init__(self, environment):
+        self.state = machine.State()
+        self.lookups = lookups.Lookups(lookups.EMPTY)
+        self._environment = environment
+        self._rounds_by_number = {}
+        self._last_round = 0
+        self._fresh_s = None
+
+    @property
+    def index(self):
+        """Return the index up to which the log is known."""
+        return self.state.index
+
+    def apply(self, index, command):
+        """Apply a command of the log.
+
+        :returns: whether it was new; earlier ones are left out.
+        """
+        if index <= self.state.index:
+            return False
+        if index != self.state.index + 1:
+            raise AssertionError(f'gap before index {index}')
+        self.state.apply(index, command)
+        document = self.state.document(self._environment)
+        if document is not self.lookups.document:
+            self.lookups = lookups.Lookups(document)
+        return True
+
+    def begin_round(self, now_s):
+        """Note that a question for freshness is sent.
+
+        :returns: the number of the round.
+        """
+        self._last_round += 1
+        number = self._last_round
+        self._rounds_by_number[number] = Round(number, now_s)
+        return number
+
+    def vouched(self, number, index):
+        """Take note of the answer to a question for freshness.
+
+        Freshness counts from when the question was sent.
+        """
+        found = self._rounds_by_number.pop(number, None)
+        if found is None or index > self.state.index:
+            return
+        self._rounds_by_number = {
+            n: r for n, r in self._rounds_by_number.items() if n > number
+        }
+        if self._fresh_s is None or found.sent_s > self._fresh_s:
+            self._fresh_s = found.sent_s
+
+    def age_s(self, now_s):
+        """Return seconds since the view was known to be current."""
+        if self._fresh_s is None:
+            return float('inf')
+        return now_s - self._fresh_s
+
+    def fresh(self, now_s):
+        """Return whether keyed routes may be served."""
+        return self.age_s(now_s) <= FRESHNESS_BOUND_S
--- /dev/null
+++ b/bulrushrudder/protocol/codec.py
@@ -0,0 +1,169 @@
+"""Encodes data classes as MessagePack arrays with a numeric tag.
+
+Each data class gets a mirror struct of msgspec; decoding checks types.
+"""
+
+import dataclasses
+import enum
+import functools
+import operator
+import types as python_types
+import typing
+
+import msgspec
+from returns import result
+
+from bulrushrudder.protocol import registry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CodecError:
+    """Bytes that are no valid message."""
+
+    problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Mirror:
+    """How a data class travels."""
+
+    struct: type
+    to_wire: typing.Callable
+    from_wire: typing.Callable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shape:
+    """How an annotation travels; None where values pass unchanged."""
+
+    annotation: object
+    to_wire: typing.Callable | None
+    from_wire: typing.Callable | None
+
+
+def encode(message):
+    """Return the bytes of a registered data class."""
+    return _ENCODER.encode(_mirror(type(message)).to_wire(message))
+
+
+def decode(data):
+    """Return the data class in some bytes.
+
+    :returns: the message, or a CodecError; nothing is raised.
+    """
+    try:
+        struct = _decoder().decode(data)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        return result.Failure(CodecError(str(error)))
+    return result.Success(_class_of(type(struct)).from_wire(struct))
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+@functools.cache
+def _decoder():
+    structs = [_mirror(cls).struct for cls in registry.NUMBER_BY_TYPE]
+    return msgspec.msgpack.Decoder(functools.reduce(operator.or_, structs))
+
+
+@functools.cache
+def _class_of(struct):
+    return _MIRRORS_BY_STRUCT[struct]
+
+
+_MIRRORS_BY_STRUCT = {}
+
+
+@functools.cache
+def _mirror(cls):
+    hints = typing.get_type_hints(cls)
+    fields = dataclasses.fields(cls)
+    shapes = [(f.name, _shape(hints[f.name])) for f in fields]
+    number = registry.NUMBER_BY_TYPE.get(cls)
+    struct = msgspec.defstruct(
+        cls.__name__,
+        [(name, shape.annotation) for name, shape in shapes],
+        tag=number,
+        array_like=True,
+        frozen=True,
+    )
+    mirror = _Mirror(struct, _to_wire(struct, shapes), _from_wire(cls, shapes))
+    _MIRRORS_BY_STRUCT[struct] = mirror
+    return mirror
+
+
+def _to_wire(struct, shapes):
+    steps = [(name, shape.to_wire) for name, shape in shapes]
+
+    def convert(value):
+        return struct(*[_read(value, name, step) for name, step in steps])
+
+    return convert
+
+
+def _from_wire(cls, shapes):
+    steps = [(name, shape.from_wire) for name, shape in shapes]
+
+    def convert(value):
+        return cls(*[_read(value, name, step) for name, step in steps])
+
+    return convert
+
+
+def _read(value, name, step):
+    found = getattr(value, name)
+    return found if step is None else step(found)
+
+
+def _shape(annotation):
+    """Return how values of an annotation travel."""
+    origin = typing.get_origin(annotation)
+    if dataclasses.is_dataclass(annotation):
+        mirror = _mirror(annotation)
+        return _Shape(mirror.struct, mirror.to_wire, mirror.from_wire)
+    if origin in (typing.Union, python_types.UnionType):
+        return _union_shape(typing.get_args(annotation))
+    if origin is tuple:
+        return _tuple_shape(typing.get_args(annotation))
+    if isinstance(annotation, type) and issubclass(annotation, enum.Enum):
+        return _Shape(annotation, None, None)
+    return _Shape(annotation, None, None)
+
+
+def _tuple_shape(arguments):
+    element, *rest = arguments
+    if rest != [Ellipsis]:
+        raise TypeError('only tuples of any length travel')
+    shape = _shape(element)
+    annotation = tuple[shape.annotation, ...]
+    if shape.to_wire is None:
+        return _Shape(annotation, None, None)
+    return _Shape(
+        annotation,
+        lambda values: tuple(map(shape.to_wire, values)),
+        lambda values: tuple(map(shape.from_wire, values)),
+    )
+
+
+def _union_shape(members):
+    classes = [m for m in members if dataclasses.is_dataclass(m)]
+    shapes = [_shape(member) for member in members]
+    annotation = functools.reduce(
+        operator.or_, [shape.annotation for shape in shapes]
+    )
+    if not classes:
+        return _Shape(annotation, None, None)
+    return _Shape(annotation, _union_to_wire, _union_from_wire)
+
+
+def _union_to_wire(value):
+    if dataclasses.is_dataclass(value):
+        return _mirror(type(value)).to_wire(value)
+    return value
+
+
+def _union_from_wire(value):
+    if isinstance(value, msgspec.Struct):
+        return _class_of(type(value)).from_wire(value)
+    return value
--- /dev/null
+++ b/bulrushrudder/protocol/link.py
@@ -0,0 +1,268 @@
+"""Links between processes: framed messages over TCP.
+
+Both ends prove that they hold the cluster secret. Heartbeats show that
+a link is alive; a silent link is closed though its socket looks alive.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import hmac
+import secrets
+import struct
+
+from returns import result
+
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import errors
+from bulrushrudder.protocol import messages
+
+HEARTBEAT_S = 0.5
+SILENCE_S = 2.0
+HANDSHAKE_S = 2.0
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+NONCE_BYTES = 16
+
+_LENGTH = struct.Struct('>I')
+
+
+class Link:
+    """One connection to another process.
+
+    :param owner: this process.
+    :param handler: coroutine function of (link, message); what it
+        returns answers an Ask.
+    """
+
+    def __init__(self, reader, writer, owner, handler):
+        self._reader = reader
+        self._writer = writer
+        self._owner = owner
+        self._handler = handler
+        self._calls_by_number = {}
+        self._last_call = 0
+        self._tasks = set()
+        self._heard_s = 0.0
+        self.peer = None
+        self.closed = asyncio.Event()
+
+    async def handshake(self, secret, dialled):
+        """Check version and cluster secret of the peer.
+
+        :param dialled: whether this end dialled.
+        :returns: the link, or a LinkError.
+        """
+        try:
+            async with asyncio.timeout(HANDSHAKE_S):
+                problem = await self._shake_hands(secret, dialled)
+        except (TimeoutError, OSError, EOFError) as error:
+            problem = f'no handshake: {error!r}'
+        if problem is None:
+            return result.Success(self)
+        log.emit(catalogue.LINK_REFUSED, detail=problem)
+        self.close()
+        return result.Failure(
+            errors.LinkError(errors.LinkProblem.REFUSED, problem, False)
+        )
+
+    async def _shake_hands(self, secret, dialled):
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        self.tell(messages.Hello(messages.VERSION, self._owner, nonce))
+        hello = await self._read_message()
+        if not isinstance(hello, messages.Hello):
+            return 'the peer sent no hello'
+        if hello.version != messages.VERSION:
+            return f'the peer speaks version {hello.version}'
+        signature = _signature(secret, hello.nonce, dialled)
+        self.tell(messages.Proof(signature))
+        proof = await self._read_message()
+        expected = _signature(secret, nonce, not dialled)
+        if not isinstance(proof, messages.Proof):
+            return 'the peer sent no proof'
+        if not hmac.compare_digest(proof.signature, expected):
+            return 'the peer lacks the cluster secret'
+        self.peer = hello.owner
+        return None
+
+    def tell(self, message):
+        """Send a message that wants no answer.
+
+        :returns: whether it was put on the link.
+        """
+        if self.closed.is_set():
+            return False
+        transport = self._writer.transport
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.close()
+            return False
+        body = codec.encode(message)
+        self._writer.write(_LENGTH.pack(len(body)) + body)
+        return True
+
+    async def ask(self, message, timeout_s):
+        """Send a message and wait for its answer.
+
+        :param timeout_s: seconds to wait.
+        :returns: the answer, or a LinkError.
+        """
+        self._last_call += 1
+        call = self._last_call
+        future = asyncio.get_running_loop().create_future()
+        self._calls_by_number[call] = future
+        sent = self.tell(messages.Ask(call, codec.encode(message)))
+        if not sent:
+            self._calls_by_number.pop(call, None)
+            return _failure(errors.LinkProblem.CLOSED, 'closed', False)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            return _failure(errors.LinkProblem.TIMEOUT, 'timeout', True)
+        finally:
+            self._calls_by_number.pop(call, None)
+
+    async def run(self):
+        """Serve the link until it ends."""
+        loop = asyncio.get_running_loop()
+        self._heard_s = loop.time()
+        beat = asyncio.create_task(self._beat())
+        log.emit(catalogue.LINK_OPENED, peer=str(self.peer))
+        reason = 'the peer closed'
+        try:
+            while True:
+                message = await self._read_message()
+                self._heard_s = loop.time()
+                self._dispatch(message)
+        except _InvalidMessageError as error:
+            reason = f'invalid message: {error}'
+            log.emit(catalogue.MESSAGE_INVALID, detail=str(error))
+        except (OSError, EOFError) as error:
+            reason = reason if self.closed.is_set() else repr(error)
+        finally:
+            beat.cancel()
+            self.close()
+            log.emit(catalogue.LINK_CLOSED, peer=str(self.peer), detail=reason)
+
+    def close(self):
+        """Close the link; every open question gets an error."""
+        if self.closed.is_set():
+            return
+        self.closed.set()
+        for future in self._calls_by_number.values():
+            if not future.done():
+                future.set_result(
+                    _failure(errors.LinkProblem.CLOSED, 'closed', True)
+                )
+        for task in self._tasks:
+            task.cancel()
+        with contextlib.suppress(OSError):
+            self._writer.transport.abort()
+
+    def _dispatch(self, message):
+        match message:
+            case messages.Heartbeat():
+                return
+            case messages.Answer(call=call, body=body):
+                self._resolve(call, body)
+            case messages.Ask(call=call, body=body):
+                self._start(self._answer(call, _decoded(body)))
+            case _:
+                self._start(self._handler(self, message))
+
+    def _resolve(self, call, body):
+        future = self._calls_by_number.get(call)
+        if future is None or future.done():
+            return
+        future.set_result(result.Success(_decoded(body)))
+
+    async def _answer(self, call, question):
+        answer = await self._handler(self, question)
+        if answer is not None:
+            self.tell(messages.Answer(call, codec.encode(answer)))
+
+    def _start(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            log.emit(catalogue.UNEXPECTED, detail=repr(task.exception()))
+
+    async def _beat(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if loop.time() - self._heard_s > SILENCE_S:
+                self.close()
+                return
+            self.tell(messages.Heartbeat())
+
+    async def _read_message(self):
+        head = await self._reader.readexactly(_LENGTH.size)
+        (length,) = _LENGTH.unpack(head)
+        if length > MAX_FRAME_BYTES:
+            raise _InvalidMessageError(f'a frame of {length} bytes')
+        return _decoded(await self._reader.readexactly(length))
+
+
+class _InvalidMessageError(Exception):
+    """The peer sent bytes that are no message."""
+
+
+def _decoded(data):
+    match codec.decode(data):
+        case result.Success(message):
+            return message
+        case result.Failure(error):
+            raise _InvalidMessageError(error.problem)
+
+
+def _signature(secret, nonce, dialled):
+    role = b'dialled' if dialled else b'accepted'
+    return hmac.digest(secret, role + nonce, hashlib.sha256)
+
+
+def _failure(problem, detail, sent):
+    return result.Failure(errors.LinkError(problem, detail, sent))
+
+
+async def dial(address, owner, secret, handler):
+    """Open a link to another process.
+
+    :param address: a config Address.
+    :returns: the link after its handshake, or a LinkError; the caller
+        runs it.
+    """
+    try:
+        async with asyncio.timeout(HANDSHAKE_S):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+    except (TimeoutError, OSError) as error:
+        return _failure(errors.LinkProblem.UNREACHABLE, repr(error), False)
+    link = Link(reader, writer, owner, handler)
+    return await link.handshake(secret, True)
+
+
+async def listen(address, owner, secret, handler, on_closed=None):
+    """Accept links from other processes.
+
+    :param on_closed: called with each accepted link when it ends.
+    :returns: the asyncio server.
+    """
+
+    async def accept(reader, writer):
+        link = Link(reader, writer, owner, handler)
+        shaken = await link.handshake(secret, False)
+        if isinstance(shaken, result.Failure):
+            return
+        await link.run()
+        if on_closed is not None:
+            on_closed(link)
+
+    return await asyncio.start_server(accept, address.host, address.port)
--- /dev/null
+++ b/bulrushrudder/standins/fleet.py
@@ -0,0 +1,57 @@
+"""A set of stand-in backend servers that announce themselves."""
+
+import dataclasses
+import time
+
+from bulrushrudder.config import settings
+from bulrushrudder.standins import announcer
+from bulrushrudder.standins import engine
+from bulrushrudder.standins import service
+from bulrushrudder.utils import ports
+from bulrushrudder.utils import tasks
+from bulrushrudder.utils import web
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """The stand-ins that run."""
+
+    prefill: engine.Engine
+    decode: engine.Engine
+    service: service.Service
+
+
+async def start(stack, session, backends_url, secret, model, service_id):
+    """Start one prefill, one decode and one plain-service stand-in.
+
+    :param stack: an AsyncExitStack that owns them.
+    :param backends_url: where they announce themselves.
+    :param secret: the backends secret as text.
+    """
+    fleet = Fleet(engine.Engine(), engine.Engine(), service.Service())
+    kinds = (
+        ('prefill', fleet.prefill, model),
+        ('decode', fleet.decode, model),
+        ('service', fleet.service, service_id),
+    )
+    for kind, standin, serves in kinds:
+        address = settings.Address(ports.LOOPBACK, 0)
+        port = await web.listen(stack, standin.application(), address)
+        content = _announcement(kind, port, serves)
+        renewing = announcer.Announcer(session, backends_url, secret, content)
+        tasks.spawn(stack, renewing.run())
+    return fleet
+
+
+def _announcement(kind, port, serves):
+    return {
+        'id': f'{kind}-1',
+        'incarnation': time.time_ns(),
+        'kind': kind,
+        'host': ports.LOOPBACK,
+        'port': port,
+        'zone': 'a',
+        'serves': [serves],
+        'places': 20,
+        'memory_tokens': 400000,
+    }
--- /dev/null
+++ b/bulrushrudder/standins/service.py
@@ -0,0 +1,42 @@
+"""A stand-in for a plain service, for trials and tests."""
+
+import dataclasses
+
+from aiohttp import web
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """A call as the service saw it."""
+
+    method: str
+    path: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...]
+
+
+class Service:
+    """Answers each call with its number and remembers it."""
+
+    def __init__(self):
+        self.calls: list[Seen] = []
+
+    def application(self):
+        """Return the aiohttp application."""
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', self._answer)
+        return app
+
+    async def _answer(self, request):
+        body = await request.read()
+        self.calls.append(
+            Seen(
+                request.method,
+                request.path_qs,
+                body,
+                tuple(request.headers.items()),
+            )
+        )
+        return web.json_response(
+            {'call': len(self.calls), 'body': body.decode()}, status=201
+        )
--- /dev/null
+++ b/bulrushrudder/tests/commands/demo_tests.py
@@ -0,0 +1,16 @@
+import contextlib
+import io
+import unittest
+
+from bulrushrudder.commands import demo
+
+
+class DemoTests(unittest.TestCase):
+    def test_serves_the_whole_path(self):
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            demo.demo()
+        text = output.getvalue()
+        self.assertIn('completion: 200', text)
+        self.assertIn('filing: 201', text)
+        self.assertIn('without a key: 401', text)
--- /dev/null
+++ b/bulrushrudder/tests/protocol/codec_tests.py
@@ -0,0 +1,38 @@
+import unittest
+
+from returns import result
+
+from bulrushrudder.documents import types
+from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import messages
+from bulrushrudder.protocol import registry
+from bulrushrudder.state import commands
+from bulrushrudder.tests.builders import documents
+from bulrushrudder.tests.builders import fleet
+
+
+class CodecTests(unittest.TestCase):
+    def test_round_trip(self):
+        for message in (
+            messages.Heartbeat(),
+            messages.Observe(fleet.owner(), 7),
+            messages.Entries(3, (b'a', b'')),
+            commands.JoinServer(fleet.server()),
+            commands.SubmitDocument(
+                types.Environment.TRIAL, documents.document(), 'd', 'ana'
+            ),
+        ):
+            with self.subTest(type(message).__name__):
+                data = codec.encode(message)
+                self.assertEqual(codec.decode(data).unwrap(), message)
+
+    def test_bad_bytes_are_an_error(self):
+        whole = codec.encode(messages.Observe(fleet.owner(), 7))
+        wrong_type = whole[:-1] + b'\xa1x'
+        for data in (b'', b'\xff', whole[:-1], wrong_type, b'\x91\x7f'):
+            with self.subTest(data):
+                self.assertIsInstance(codec.decode(data), result.Failure)
+
+    def test_numbers_are_unique(self):
+        numbers = list(registry.NUMBER_BY_TYPE.values())
+        self.assertEqual(len(numbers), len(set(numbers)))
--- /dev/null
+++ b/bulrushrudder/utils/ports.py
@@ -0,0 +1,15 @@
+"""Free ports on the loopback interface."""
+
+import contextlib
+import socket
+
+LOOPBACK = '127.0.0.1'
+
+
+def free_ports(count):
+    """Return port numbers that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for found in sockets:
+            found.bind((LOOPBACK, 0))
+        return [found.getsockname()[1] for found in sockets]
