Split state, messages and roles by concern

Cause: commands, messages and roles of all parts stood in one module each, where parts that grow side by side would collide.

--- a/bulrushrudder/commands/demo.py
+++ b/bulrushrudder/commands/demo.py
@@ -135,8 +135,8 @@
     return (
         entry.view.fresh(now_s)
         and entry.view.lookups.routes_by_path
-        and len(state.servers_by_id) == 3
-        and state.sessions_by_vm
+        and len(state.servers.by_id) == 3
+        and state.sessions.by_vm
     )
 
 
--- a/bulrushrudder/control/operators.py
+++ b/bulrushrudder/control/operators.py
@@ -10,7 +10,7 @@
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
-from bulrushrudder.state import commands
+from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import results
 
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
@@ -64,7 +64,7 @@
                 problems = [str(error) for error in errors]
                 return web.json_response({'problems': problems}, status=422)
             case result.Success(document):
-                command = commands.SubmitDocument(
+                command = state_documents.SubmitDocument(
                     types.Environment.TRIAL,
                     document,
                     digest(source),
@@ -74,7 +74,7 @@
 
     async def _promote(self, request):
         body = await request.json()
-        command = commands.PromoteDocument(
+        command = state_documents.PromoteDocument(
             body['version'],
             body['digest'],
             request.headers.get('X-Operator', 'unnamed'),
@@ -98,7 +98,7 @@
 
     async def _history(self, request):
         environment = types.Environment(request.match_info['environment'])
-        history = self._control.node.state.history_by_environment
+        history = self._control.node.state.documents.history_by_environment
         return web.json_response(
             [
                 {
@@ -116,7 +116,7 @@
         return web.json_response(
             {
                 'index': state.index,
-                'vms': sorted(state.sessions_by_vm),
-                'servers': sorted(state.servers_by_id),
+                'vms': sorted(state.sessions.by_vm),
+                'servers': sorted(state.servers.by_id),
             }
         )
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -10,9 +10,10 @@
 from bulrushrudder.events import log
 from bulrushrudder.membership import tracker
 from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
-from bulrushrudder.state import commands
 from bulrushrudder.state import results
+from bulrushrudder.state import servers
 
 MAX_ENTRIES_A_MESSAGE = 200
 TICK_S = 0.5
@@ -37,16 +38,16 @@
     async def handle(self, link, message):
         """Serve a message of another process."""
         match message:
-            case messages.Observe(index=index):
+            case log_messages.Observe(index=index):
                 self._observers.append(_Observer(link, index))
                 self._push_all()
-            case messages.AskVouch(round=number):
+            case log_messages.AskVouch(round=number):
                 index = await self.node.confirm()
-                link.tell(messages.Vouch(number, index))
-            case messages.Propose(command=data):
+                link.tell(log_messages.Vouch(number, index))
+            case log_messages.Propose(command=data):
                 outcome = await self._propose(data)
-                return messages.Proposed(codec.encode(outcome))
-            case messages.Announce(server=data, leaving=leaving):
+                return log_messages.Proposed(codec.encode(outcome))
+            case log_messages.Announce(server=data, leaving=leaving):
                 await self._announced(data, leaving)
                 return messages.Noted()
         return None
@@ -66,12 +67,12 @@
 
     async def _announced(self, data, leaving):
         match codec.decode(data):
-            case result.Success(commands.JoinServer(server=server)):
+            case result.Success(servers.JoinServer(server=server)):
                 await self._track(tracker.Announced(server, leaving))
 
     async def _track(self, event):
         now_s = asyncio.get_running_loop().time()
-        servers_by_id = self.node.state.servers_by_id
+        servers_by_id = self.node.state.servers.by_id
         actions = self._tracker.handle(event, servers_by_id, now_s)
         for action in actions:
             await self.node.propose(action.command)
@@ -79,9 +80,9 @@
 
     def _log_change(self, command):
         match command:
-            case commands.JoinServer(server=server):
+            case servers.JoinServer(server=server):
                 log.emit(catalogue.SERVER_JOINED, server=server.id)
-            case commands.LeaveServer(id=server_id):
+            case servers.LeaveServer(id=server_id):
                 log.emit(catalogue.SERVER_LEFT, server=server_id)
 
     def _push_all(self):
@@ -96,7 +97,7 @@
             found = self.node.commands_after(
                 observer.index, MAX_ENTRIES_A_MESSAGE
             )
-            entries = messages.Entries(observer.index + 1, found)
+            entries = log_messages.Entries(observer.index + 1, found)
             if not observer.link.tell(entries):
                 return
             observer.index += len(found)
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -9,7 +9,7 @@
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import request as lifecycle
-from bulrushrudder.protocol import messages
+from bulrushrudder.protocol import place_messages
 from bulrushrudder.utils import tasks
 
 MAX_WAITING_EVENTS = 64
@@ -83,12 +83,12 @@
                 self._services.spawn(self._cancel(action))
             case actions.ReturnTokens(account=account, tokens=tokens):
                 self._services.spawn(
-                    self._services.roles.return_tokens(account, tokens)
+                    self._services.authorities.give_back(account, tokens)
                 )
             case actions.ReleasePlace():
                 job = self._job
                 self._services.spawn(
-                    self._services.roles.release_place(
+                    self._services.coordinators.release(
                         job.request, job.owner, job.model
                     )
                 )
@@ -105,7 +105,7 @@
             self._gone.set()
 
     async def _ask_tokens(self, action):
-        answer = await self._services.roles.ask_tokens(
+        answer = await self._services.authorities.ask(
             action.account, action.tokens, action.patience_s
         )
         match answer:
@@ -116,7 +116,7 @@
 
     async def _ask_place(self, action):
         job = self._job
-        question = messages.AskPlace(
+        question = place_messages.AskPlace(
             request=job.request,
             owner=job.owner,
             account=job.account or '',
@@ -126,7 +126,7 @@
             interactive=job.interactive,
             patience_s=action.patience_s,
         )
-        match await self._services.roles.ask_place(question):
+        match await self._services.coordinators.ask(question):
             case result.Success(granted):
                 await self._events.put(
                     events.PlaceGranted(granted.prefill, granted.decode)
--- /dev/null
+++ b/bulrushrudder/entry/model_calls.py
@@ -0,0 +1,78 @@
+"""Calls of routes that lead to a model."""
+
+import asyncio
+
+from returns import result
+
+from bulrushrudder.core import ids
+from bulrushrudder.documents import types
+from bulrushrudder.entry import answers
+from bulrushrudder.entry import completions
+from bulrushrudder.entry import execution
+from bulrushrudder.entry import refusals
+from bulrushrudder.lifecycle import request as lifecycle
+
+BYTES_A_TOKEN = 4
+
+
+class ModelCalls:
+    """Serves calls to models.
+
+    :param services: the Services of this process.
+    """
+
+    def __init__(self, services):
+        self._services = services
+
+    async def serve(self, http_request, request_id, admitted, body):
+        """Serve one call and return its HTTP response."""
+        match completions.parse(body):
+            case result.Failure(refusal):
+                return refusals.refuse(
+                    self._services.metrics,
+                    refusal,
+                    request_id,
+                    admitted.route.id,
+                )
+            case result.Success(asked):
+                pass
+        job = self._job(request_id, admitted, asked)
+        if asked.stream:
+            sink = answers.StreamedAnswer(http_request, request_id, job.model)
+        else:
+            sink = answers.WholeAnswer(request_id, job.model)
+        running = execution.Execution(job, self._services, sink)
+        task = self._services.spawn(running.run())
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            running.caller_gone()
+            raise
+        self._count(sink, admitted.route.id, request_id)
+        return sink.response
+
+    def _job(self, request_id, admitted, asked):
+        target = admitted.route.target
+        model = self._services.view.lookups.models_by_id[target.model]
+        most = model.max_output_tokens
+        output_tokens = min(asked.max_tokens or most, most)
+        prompt_tokens = -(-len(asked.prompt.encode()) // BYTES_A_TOKEN)
+        account = admitted.account
+        return lifecycle.Job(
+            request=ids.RequestId(str(self._services.next_request())),
+            owner=self._services.owner,
+            account=account.id if account else None,
+            model=target.model,
+            prompt=asked.prompt,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            cost=prompt_tokens + output_tokens,
+            interactive=(admitted.route.urgency is types.Urgency.INTERACTIVE),
+            patience_s=admitted.route.patience_s,
+        )
+
+    def _count(self, sink, route, request_id):
+        if sink.refusal is None:
+            self._services.metrics.count_answer(route)
+            return
+        refusals.note(self._services.metrics, sink.refusal, request_id, route)
--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -9,7 +9,7 @@
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import link
-from bulrushrudder.protocol import messages
+from bulrushrudder.protocol import log_messages
 from bulrushrudder.state import results
 
 REDIAL_S = 0.2
@@ -47,9 +47,9 @@
         """
         if self._link is None:
             return results.Unavailable('no control process is linked')
-        question = messages.Propose(codec.encode(command))
+        question = log_messages.Propose(codec.encode(command))
         match await self._link.ask(question, PROPOSE_S):
-            case result.Success(messages.Proposed(outcome=data)):
+            case result.Success(log_messages.Proposed(outcome=data)):
                 return codec.decode(data).value_or(
                     results.Unavailable('an invalid answer')
                 )
@@ -64,7 +64,7 @@
         """
         if self._link is None:
             return False
-        question = messages.Announce(codec.encode(command), leaving)
+        question = log_messages.Announce(codec.encode(command), leaving)
         answer = await self._link.ask(question, PROPOSE_S)
         return isinstance(answer, result.Success)
 
@@ -84,7 +84,7 @@
 
     async def _serve(self, found):
         self._link = found
-        found.tell(messages.Observe(self._owner, self._view.index))
+        found.tell(log_messages.Observe(self._owner, self._view.index))
         rounds = asyncio.create_task(self._ask_rounds(found))
         try:
             await found.run()
@@ -96,7 +96,7 @@
         loop = asyncio.get_running_loop()
         while True:
             number = self._view.begin_round(loop.time())
-            found.tell(messages.AskVouch(number))
+            found.tell(log_messages.AskVouch(number))
             await asyncio.sleep(ROUND_S)
             self._report_freshness(loop.time())
 
@@ -109,9 +109,9 @@
 
     async def _handle(self, found, message):
         match message:
-            case messages.Entries(first=first, commands=commands):
+            case log_messages.Entries(first=first, commands=commands):
                 self._apply(first, commands)
-            case messages.Vouch(round=number, index=index):
+            case log_messages.Vouch(round=number, index=index):
                 self._view.vouched(number, index)
 
     def _apply(self, first, commands):
--- a/bulrushrudder/entry/operations.py
+++ b/bulrushrudder/entry/operations.py
@@ -7,7 +7,7 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.engines import wire
-from bulrushrudder.state import commands
+from bulrushrudder.state import servers
 
 
 class Operations:
@@ -35,7 +35,7 @@
             found = wire.Announcement.model_validate_json(await request.read())
         except pydantic.ValidationError as error:
             return _problem(422, str(error))
-        command = commands.JoinServer(_server(found))
+        command = servers.JoinServer(_server(found))
         taken = await self._observing.announce(command, found.leaving)
         if not taken:
             return _problem(503, 'no control process can be reached')
@@ -47,7 +47,7 @@
 
 
 def _server(found):
-    return commands.BackendServer(
+    return servers.BackendServer(
         id=ids.ServerId(found.id),
         incarnation=found.incarnation,
         kind=found.kind,
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -9,10 +9,12 @@
 from bulrushrudder.core import ids
 from bulrushrudder.engines import client
 from bulrushrudder.engines import services as plain_services
+from bulrushrudder.entry import authorities
+from bulrushrudder.entry import coordinators
+from bulrushrudder.entry import directory
 from bulrushrudder.entry import frontend
 from bulrushrudder.entry import observing
 from bulrushrudder.entry import operations
-from bulrushrudder.entry import roles
 from bulrushrudder.entry import services
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -21,8 +23,10 @@
 from bulrushrudder.observers import view
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import peers
-from bulrushrudder.state import commands
+from bulrushrudder.protocol import place_messages
+from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import results
+from bulrushrudder.state import sessions
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
 
@@ -44,7 +48,9 @@
             self.view, self._owner, secret, settings.controls
         )
         self._peers = peers.Peers(self._owner, secret, _ignore)
-        self._roles = roles.Roles(self.view, self._owner, self._peers)
+        found = directory.Directory(self.view, self._owner, self._peers)
+        self._authorities = authorities.Authorities(self.view, found)
+        self._coordinators = coordinators.Coordinators(self.view, found)
         self.metrics = registry.Metrics()
         self.services = None
 
@@ -62,7 +68,8 @@
         self.services = services.Services(
             self._owner,
             self.view,
-            self._roles,
+            self._authorities,
+            self._coordinators,
             client.EngineClient(session),
             plain_services.ServiceClient(session),
             self.metrics,
@@ -71,12 +78,13 @@
             settings.entry.inner,
             self._owner,
             settings.secrets.cluster,
-            self._roles.handle,
+            self._handle,
         )
         stack.callback(inner.close)
         await self._listen(stack)
         tasks.spawn(stack, self.observing.run())
-        tasks.spawn(stack, self._roles.run())
+        tasks.spawn(stack, self._authorities.run())
+        tasks.spawn(stack, self._coordinators.run())
         tasks.spawn(stack, self._open_session())
         log.emit(catalogue.ENTRY_STARTED, callers=str(settings.entry.callers))
 
@@ -85,7 +93,7 @@
         self.services.draining = True
         log.emit(catalogue.ENTRY_STOPPING)
         await self.services.finish()
-        await self.observing.propose(commands.CloseSession(self._owner))
+        await self.observing.propose(sessions.CloseSession(self._owner))
         log.emit(catalogue.ENTRY_STOPPED)
 
     async def _listen(self, stack):
@@ -99,9 +107,18 @@
         app = metrics_listener.application(self.metrics)
         await web.listen(stack, app, settings.entry.metrics)
 
+    async def _handle(self, link_, message):
+        """Serve a message of another process."""
+        match message:
+            case token_messages.AskTokens() | token_messages.ReturnTokens():
+                return await self._authorities.serve(message)
+            case place_messages.AskPlace() | place_messages.ReleasePlace():
+                return await self._coordinators.serve(message)
+        return None
+
     async def _open_session(self):
         inner = self._settings.entry.inner
-        command = commands.OpenSession(
+        command = sessions.OpenSession(
             self._owner, self._settings.zone, inner.host, inner.port
         )
         while True:
--- a/bulrushrudder/entry/services.py
+++ b/bulrushrudder/entry/services.py
@@ -10,16 +10,27 @@
 
     :param owner: this process.
     :param view: the View of the log.
-    :param roles: the Roles.
+    :param authorities: the Authorities.
+    :param coordinators: the Coordinators.
     :param engines: an EngineClient.
     :param plain: a ServiceClient.
     :param metrics: the Metrics.
     """
 
-    def __init__(self, owner, view, roles, engines, plain, metrics):
+    def __init__(
+        self,
+        owner,
+        view,
+        authorities,
+        coordinators,
+        engines,
+        plain,
+        metrics,
+    ):
         self.owner = owner
         self.view = view
-        self.roles = roles
+        self.authorities = authorities
+        self.coordinators = coordinators
         self.engines = engines
         self.plain = plain
         self.metrics = metrics
@@ -29,7 +40,7 @@
 
     def server(self, server_id):
         """Return a backend server by id, or None."""
-        return self.view.state.servers_by_id.get(server_id)
+        return self.view.state.servers.by_id.get(server_id)
 
     def next_request(self):
         """Return a number that no other request of this run has."""
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from bulrushrudder.core import ids
-from bulrushrudder.state import commands
+from bulrushrudder.state import servers
 
 LEASE_S = 3.0
 
@@ -12,7 +12,7 @@
 class Announced:
     """A backend server announced or renewed itself."""
 
-    server: commands.BackendServer
+    server: servers.BackendServer
     leaving: bool
 
 
@@ -25,7 +25,7 @@
 class ProposeCommand:
     """Asks that a command is committed."""
 
-    command: commands.JoinServer | commands.LeaveServer
+    command: servers.JoinServer | servers.LeaveServer
 
 
 class Tracker:
@@ -56,7 +56,7 @@
         known = servers_by_id.get(server.id)
         if known is None or known.incarnation > server.incarnation:
             return []
-        leave = commands.LeaveServer(server.id, server.incarnation)
+        leave = servers.LeaveServer(server.id, server.incarnation)
         return [ProposeCommand(leave)]
 
     def _renew(self, server, servers_by_id, now_s):
@@ -66,13 +66,13 @@
         self._renewed_s_by_id[server.id] = now_s
         if known == server:
             return []
-        return [ProposeCommand(commands.JoinServer(server))]
+        return [ProposeCommand(servers.JoinServer(server))]
 
     def _expire(self, servers_by_id, now_s):
         found = []
         for server in servers_by_id.values():
             renewed_s = self._renewed_s_by_id.setdefault(server.id, now_s)
             if now_s - renewed_s > LEASE_S:
-                leave = commands.LeaveServer(server.id, server.incarnation)
+                leave = servers.LeaveServer(server.id, server.incarnation)
                 found.append(ProposeCommand(leave))
         return found
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -45,7 +45,7 @@
         if index != self.state.index + 1:
             raise AssertionError(f'gap before index {index}')
         self.state.apply(index, command)
-        document = self.state.document(self._environment)
+        document = self.state.documents.in_force(self._environment)
         if document is not self.lookups.document:
             self.lookups = lookups.Lookups(document)
         return True
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -3,9 +3,14 @@
 import types as python_types
 
 from bulrushrudder.documents import types
+from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
-from bulrushrudder.state import commands
+from bulrushrudder.protocol import place_messages
+from bulrushrudder.protocol import token_messages
+from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import results
+from bulrushrudder.state import servers
+from bulrushrudder.state import sessions
 
 NUMBER_BY_TYPE = python_types.MappingProxyType(
     {
@@ -14,28 +19,28 @@
         messages.Heartbeat: 3,
         messages.Ask: 4,
         messages.Answer: 5,
-        messages.Observe: 20,
-        messages.Entries: 21,
-        messages.Vouch: 22,
-        messages.AskVouch: 23,
-        messages.Propose: 24,
-        messages.Proposed: 25,
-        messages.Announce: 26,
+        log_messages.Observe: 20,
+        log_messages.Entries: 21,
+        log_messages.Vouch: 22,
+        log_messages.AskVouch: 23,
+        log_messages.Propose: 24,
+        log_messages.Proposed: 25,
+        log_messages.Announce: 26,
         messages.Noted: 27,
-        messages.AskTokens: 40,
-        messages.TokensGranted: 41,
-        messages.TokensRefused: 42,
-        messages.ReturnTokens: 43,
-        messages.AskPlace: 60,
-        messages.PlaceGranted: 61,
-        messages.PlaceRefused: 62,
-        messages.ReleasePlace: 63,
-        commands.SubmitDocument: 200,
-        commands.PromoteDocument: 201,
-        commands.OpenSession: 202,
-        commands.CloseSession: 203,
-        commands.JoinServer: 204,
-        commands.LeaveServer: 205,
+        token_messages.AskTokens: 40,
+        token_messages.TokensGranted: 41,
+        token_messages.TokensRefused: 42,
+        token_messages.ReturnTokens: 43,
+        place_messages.AskPlace: 60,
+        place_messages.PlaceGranted: 61,
+        place_messages.PlaceRefused: 62,
+        place_messages.ReleasePlace: 63,
+        state_documents.SubmitDocument: 200,
+        state_documents.PromoteDocument: 201,
+        sessions.OpenSession: 202,
+        sessions.CloseSession: 203,
+        servers.JoinServer: 204,
+        servers.LeaveServer: 205,
         results.Accepted: 300,
         results.Rejected: 301,
         results.Unavailable: 302,
--- /dev/null
+++ b/bulrushrudder/state/servers.py
@@ -0,0 +1,85 @@
+"""Backend servers in the replicated state."""
+
+import dataclasses
+
+from bulrushrudder.core import ids
+from bulrushrudder.state import results
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendServer:
+    """A backend server as it announces itself.
+
+    :param kind: prefill, decode or service.
+    :param serves: the models or the services it serves.
+    :param places: requests that it can hold at once.
+    :param memory_tokens: tokens of KV cache that it can hold.
+    :param link_tokens_per_s: rate of its link, in tokens of KV cache.
+    :param checks_fencing: whether it refuses old fencing numbers.
+    """
+
+    id: ids.ServerId
+    incarnation: int
+    kind: str
+    host: str
+    port: int
+    zone: ids.Zone
+    serves: tuple[str, ...]
+    places: int
+    memory_tokens: int
+    link_tokens_per_s: float
+    checks_fencing: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinServer:
+    """A backend server announced itself or changed."""
+
+    server: BackendServer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveServer:
+    """A backend server leaves or went silent."""
+
+    id: ids.ServerId
+    incarnation: int
+
+
+class Servers:
+    """The backend servers that may get new work.
+
+    :ivar by_id: servers that have joined and not left.
+    """
+
+    def __init__(self):
+        self.by_id: dict[ids.ServerId, BackendServer] = {}
+        self._last_incarnations_by_id: dict[ids.ServerId, int] = {}
+
+    def apply(self, index, command):
+        """Apply a committed command and return its result."""
+        match command:
+            case JoinServer(server=server):
+                return self._join(index, server)
+            case LeaveServer():
+                return self._leave(index, command)
+        raise AssertionError(f'unknown command {command!r}')
+
+    def _join(self, index, server):
+        last = self._last_incarnations_by_id.get(server.id, -1)
+        present = server.id in self.by_id
+        if server.incarnation < last:
+            return results.Rejected('a later incarnation is known')
+        if server.incarnation == last and not present:
+            return results.Rejected('this incarnation has left')
+        self.by_id[server.id] = server
+        self._last_incarnations_by_id[server.id] = server.incarnation
+        return results.Accepted(index)
+
+    def _leave(self, index, command):
+        last = self._last_incarnations_by_id.get(command.id, -1)
+        if command.incarnation < last:
+            return results.Rejected('a later incarnation is known')
+        self.by_id.pop(command.id, None)
+        self._last_incarnations_by_id[command.id] = command.incarnation
+        return results.Accepted(index)
--- a/bulrushrudder/tests/builders/fleet.py
+++ b/bulrushrudder/tests/builders/fleet.py
@@ -1,7 +1,7 @@
 """Builders of VMs and backend servers."""
 
 from bulrushrudder.core import ids
-from bulrushrudder.state import commands
+from bulrushrudder.state import servers
 
 
 def owner(vm='vm1', incarnation=1):
@@ -24,4 +24,4 @@
         'link_tokens_per_s': 1e6,
         'checks_fencing': True,
     }
-    return commands.BackendServer(**{**fields, **changes})
+    return servers.BackendServer(**{**fields, **changes})
--- a/bulrushrudder/tests/protocol/codec_tests.py
+++ b/bulrushrudder/tests/protocol/codec_tests.py
@@ -4,9 +4,11 @@
 
 from bulrushrudder.documents import types
 from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import registry
-from bulrushrudder.state import commands
+from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import documents
 from bulrushrudder.tests.builders import fleet
 
@@ -15,10 +17,10 @@
     def test_round_trip(self):
         for message in (
             messages.Heartbeat(),
-            messages.Observe(fleet.owner(), 7),
-            messages.Entries(3, (b'a', b'')),
-            commands.JoinServer(fleet.server()),
-            commands.SubmitDocument(
+            log_messages.Observe(fleet.owner(), 7),
+            log_messages.Entries(3, (b'a', b'')),
+            servers.JoinServer(fleet.server()),
+            state_documents.SubmitDocument(
                 types.Environment.TRIAL, documents.document(), 'd', 'ana'
             ),
         ):
@@ -27,7 +29,7 @@
                 self.assertEqual(codec.decode(data).unwrap(), message)
 
     def test_bad_bytes_are_an_error(self):
-        whole = codec.encode(messages.Observe(fleet.owner(), 7))
+        whole = codec.encode(log_messages.Observe(fleet.owner(), 7))
         wrong_type = whole[:-1] + b'\xa1x'
         for data in (b'', b'\xff', whole[:-1], wrong_type, b'\x91\x7f'):
             with self.subTest(data):
