--- /dev/null
+++ b/bulrushrudder/benchmarks/report.py
@@ -0,0 +1,79 @@
+"""Prints measurements as a table or as JSON."""
+
+import argparse
+import dataclasses
+import json
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Column:
+    """A column of a table.
+
+    :param unit: the unit of its values, empty without one.
+    """
+
+    name: str
+    unit: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Table:
+    """Measurements, a row each, with cells in the columns' order."""
+
+    title: str
+    columns: tuple[Column, ...]
+    rows: tuple[tuple[object, ...], ...]
+
+
+def arguments(description, given=None):
+    """Return a parser of the flags that every benchmark takes.
+
+    :param given: words after the program's name.
+    """
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument(
+        '--json', action='store_true', help='print JSON instead of tables'
+    )
+    return parser.parse_args(given)
+
+
+def show(tables, as_json):
+    """Print tables.
+
+    :param as_json: whether to print JSON.
+    """
+    if as_json:
+        print(json.dumps([_plain(table) for table in tables], indent=1))
+        return
+    for table in tables:
+        print(_text(table))
+
+
+def _plain(table):
+    names = [column.name for column in table.columns]
+    return {
+        'title': table.title,
+        'units': [column.unit for column in table.columns],
+        'rows': [dict(zip(names, row, strict=True)) for row in table.rows],
+    }
+
+
+def _text(table):
+    heads = [_head(column) for column in table.columns]
+    lines = [heads, *([_cell(c) for c in row] for row in table.rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    texts = [
+        '  '.join(
+            cell.rjust(width) for cell, width in zip(line, widths, strict=True)
+        )
+        for line in lines
+    ]
+    return '\n'.join([table.title, *texts, ''])
+
+
+def _head(column):
+    return f'{column.name} [{column.unit}]' if column.unit else column.name
+
+
+def _cell(value):
+    return f'{value:.4g}' if isinstance(value, float) else str(value)
