--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -8,6 +8,7 @@
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import machine
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
@@ -41,6 +42,10 @@
         sessions.CloseSession: 203,
         servers.JoinServer: 204,
         servers.LeaveServer: 205,
+        machine.StateSnapshot: 270,
+        state_documents.DocumentsSnapshot: 271,
+        sessions.SessionsSnapshot: 272,
+        servers.ServersSnapshot: 273,
         results.Accepted: 300,
         results.Rejected: 301,
         results.Unavailable: 302,
--- a/bulrushrudder/state/documents.py
+++ b/bulrushrudder/state/documents.py
@@ -40,6 +40,21 @@
     index: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class History:
+    """The accepted versions of one environment, oldest first."""
+
+    environment: types.Environment
+    versions: tuple[Version, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentsSnapshot:
+    """The histories of all environments."""
+
+    histories: tuple[History, ...]
+
+
 class Documents:
     """Accepted documents of each environment.
 
@@ -54,6 +69,20 @@
         history = self.history_by_environment[environment]
         return history[-1].document if history else lookups.EMPTY
 
+    def snapshot(self):
+        """Return the table as a DocumentsSnapshot."""
+        histories = self.history_by_environment.items()
+        return DocumentsSnapshot(
+            tuple(History(key, tuple(found)) for key, found in histories)
+        )
+
+    def restore(self, snapshot):
+        """Put a DocumentsSnapshot in the place of the table."""
+        self.history_by_environment = {
+            history.environment: list(history.versions)
+            for history in snapshot.histories
+        }
+
     def apply(self, index, command):
         """Apply a committed command and return its result."""
         match command:
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -1,10 +1,29 @@
-"""The replicated state machine: the same commands, the same state."""
+"""The replicated state machine: the same commands, the same state.
+
+Each table offers ``snapshot()``, which returns a frozen data class that
+is registered for the codec, and ``restore(snapshot)``, which takes it.
+"""
+
+import dataclasses
 
 from bulrushrudder.state import documents
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateSnapshot:
+    """The whole state at a place in the log.
+
+    :param index: the place in the log of the last command in it.
+    """
+
+    index: int
+    documents: documents.DocumentsSnapshot
+    sessions: sessions.SessionsSnapshot
+    servers: servers.ServersSnapshot
+
+
 class State:
     """What every replica and every observer knows.
 
@@ -17,6 +36,22 @@
         self.sessions = sessions.Sessions()
         self.servers = servers.Servers()
 
+    def snapshot(self):
+        """Return the state as a StateSnapshot."""
+        return StateSnapshot(
+            index=self.index,
+            documents=self.documents.snapshot(),
+            sessions=self.sessions.snapshot(),
+            servers=self.servers.snapshot(),
+        )
+
+    def restore(self, snapshot):
+        """Put a StateSnapshot in the place of the state."""
+        self.index = snapshot.index
+        self.documents.restore(snapshot.documents)
+        self.sessions.restore(snapshot.sessions)
+        self.servers.restore(snapshot.servers)
+
     def apply(self, index, command):
         """Apply a committed command.
 
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -46,6 +46,22 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownIncarnation:
+    """The last incarnation of a backend server that was heard of."""
+
+    id: ids.ServerId
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersSnapshot:
+    """All backend servers, present and past."""
+
+    present: tuple[BackendServer, ...]
+    incarnations: tuple[KnownIncarnation, ...]
+
+
 class Servers:
     """The backend servers that may get new work.
 
@@ -56,6 +72,21 @@
         self.by_id: dict[ids.ServerId, BackendServer] = {}
         self._last_incarnations_by_id: dict[ids.ServerId, int] = {}
 
+    def snapshot(self):
+        """Return the table as a ServersSnapshot."""
+        known = self._last_incarnations_by_id.items()
+        return ServersSnapshot(
+            tuple(self.by_id.values()),
+            tuple(KnownIncarnation(id_, last) for id_, last in known),
+        )
+
+    def restore(self, snapshot):
+        """Put a ServersSnapshot in the place of the table."""
+        self.by_id = {server.id: server for server in snapshot.present}
+        self._last_incarnations_by_id = {
+            known.id: known.incarnation for known in snapshot.incarnations
+        }
+
     def apply(self, index, command):
         """Apply a committed command and return its result."""
         match command:
--- a/bulrushrudder/state/sessions.py
+++ b/bulrushrudder/state/sessions.py
@@ -27,6 +27,13 @@
     owner: ids.Owner
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionsSnapshot:
+    """All open sessions."""
+
+    open: tuple[OpenSession, ...]
+
+
 class Sessions:
     """The open session of each VM.
 
@@ -36,6 +43,14 @@
     def __init__(self):
         self.by_vm: dict[ids.VmId, OpenSession] = {}
 
+    def snapshot(self):
+        """Return the table as a SessionsSnapshot."""
+        return SessionsSnapshot(tuple(self.by_vm.values()))
+
+    def restore(self, snapshot):
+        """Put a SessionsSnapshot in the place of the table."""
+        self.by_vm = {held.owner.vm: held for held in snapshot.open}
+
     def apply(self, index, command):
         """Apply a committed command and return its result."""
         match command:
--- /dev/null
+++ b/bulrushrudder/tests/state/snapshot_tests.py
@@ -0,0 +1,44 @@
+import unittest
+
+from bulrushrudder.core import ids
+from bulrushrudder.documents import types
+from bulrushrudder.protocol import codec
+from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import machine
+from bulrushrudder.state import servers
+from bulrushrudder.state import sessions
+from bulrushrudder.tests.builders import documents
+from bulrushrudder.tests.builders import fleet
+
+COMMANDS = (
+    state_documents.SubmitDocument(
+        types.Environment.TRIAL, documents.document(), 'd1', 'ana'
+    ),
+    state_documents.PromoteDocument(1, 'd1', 'ana'),
+    sessions.OpenSession(fleet.owner(), ids.Zone('a'), '127.0.0.1', 1),
+    servers.JoinServer(fleet.server()),
+    servers.JoinServer(fleet.server('decode-2')),
+    servers.LeaveServer(ids.ServerId('decode-2'), 1),
+    servers.JoinServer(fleet.server('decode-2')),
+    sessions.CloseSession(fleet.owner()),
+    state_documents.PromoteDocument(1, 'd2', 'iva'),
+)
+
+
+class SnapshotTests(unittest.TestCase):
+    def test_restored_state_goes_on_like_the_first(self):
+        for cut in range(len(COMMANDS)):
+            with self.subTest(cut):
+                self._check(cut)
+
+    def _check(self, cut):
+        first = machine.State()
+        for index, command in enumerate(COMMANDS[:cut], 1):
+            first.apply(index, command)
+        data = codec.encode(first.snapshot())
+        second = machine.State()
+        second.restore(codec.decode(data).unwrap())
+        for index, command in enumerate(COMMANDS[cut:], cut + 1):
+            outcome = first.apply(index, command)
+            self.assertEqual(second.apply(index, command), outcome)
+        self.assertEqual(second.snapshot(), first.snapshot())
