Break things in a fleet of processes and check the promises

Cause: no command shows what happens to callers, filings and keys when processes die, freeze or are cut off. Change: a script runs control and entry processes with stand-ins under load, with one scenario for each fault, and checks answers, filings, engine memory, withdrawn keys and racing operators; relays can be cut or go silent.

--- a/Makefile
+++ b/Makefile
@@ -15,13 +15,13 @@
 test: check unit
 
 check: $(VENV)/.installed
-	$(BIN)/ruff format --check bulrushrudder
-	$(BIN)/ruff check bulrushrudder
-	$(BIN)/flake8 bulrushrudder
+	$(BIN)/ruff format --check bulrushrudder scripts
+	$(BIN)/ruff check bulrushrudder scripts
+	$(BIN)/flake8 bulrushrudder scripts
 
 unit: $(VENV)/.installed
 	$(BIN)/python -m bulrushrudder.tests
 
 format: $(VENV)/.installed
-	$(BIN)/ruff format bulrushrudder
-	$(BIN)/ruff check --fix bulrushrudder
+	$(BIN)/ruff format bulrushrudder scripts
+	$(BIN)/ruff check --fix bulrushrudder scripts
--- /dev/null
+++ b/scripts/fault_run.py
@@ -0,0 +1,447 @@
+"""Runs control and entry processes with stand-ins under load, breaks
+things, and checks what must always hold.
+
+Usage: python scripts/fault_run.py [--seed N] [SCENARIO ...]
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import hashlib
+import pathlib
+import sys
+import tempfile
+
+import aiohttp
+import backends
+import callers
+import processes
+
+from bulrushrudder.core import keys
+
+START_S = 30.0
+WITHIN_SECONDS_S = 8.0
+SETTLE_S = 3.0
+CONTROLS = 3
+ENTRIES = 3
+DRAFTERS = 8
+FILERS = 4
+
+DOCUMENT = """\
+version: {version}
+accounts:
+  - id: consultants
+    rate: 100000
+    burst: 1000000
+    keys: [{digests}]
+models:
+  - id: drafting
+    max_output_tokens: 64
+routes:
+  - id: drafts
+    path: /v1/completions
+    model: drafting
+  - id: filings
+    path: /filings
+    service: portal
+    repeatable: false
+# {remark}
+"""
+
+
+class Trial:
+    """A fleet under load.
+
+    :param fleet: the processes.
+    :param found: the stand-ins.
+    """
+
+    def __init__(self, fleet, session, found, seed):
+        self.fleet = fleet
+        self.session = session
+        self.backends = found
+        self.key = keys.new_key()
+        self.other_key = keys.new_key()
+        self.version = 0
+        urls = [entry.url('callers') for entry in fleet.entries]
+        self.callers = callers.Callers(session, urls, self.key, seed)
+        self.problems = []
+        self.notes = []
+        self._tasks = []
+
+    def check(self, holds, promise):
+        """Note a promise that does not hold."""
+        if not holds:
+            self.problems.append(promise)
+
+    def source(self, version, remark='', withdrawn=False):
+        """Return the bytes of a document."""
+        found = [keys.digest(self.other_key)]
+        if not withdrawn:
+            found.append(keys.digest(self.key))
+        digests = ', '.join(f'"{digest}"' for digest in found)
+        return DOCUMENT.format(
+            version=version, digests=digests, remark=remark
+        ).encode()
+
+    async def submit(self, source, control, operator='script'):
+        """Submit a document to trial once.
+
+        :returns: status and content; status 0 where nobody answered.
+        """
+        return await self._post(control, 'trial', source, operator)
+
+    async def put_in_force(self, source):
+        """Submit and promote a document, resending until accepted."""
+        digest = 'sha256:' + hashlib.sha256(source).hexdigest()
+        self.version += 1
+        promotion = f'{{"version": {self.version}, "digest": "{digest}"}}'
+        for step, data in (
+            ('trial', source),
+            ('production', promotion.encode()),
+        ):
+            await self._resend(step, data)
+
+    async def start_load(self):
+        """Start the callers."""
+        for number in range(DRAFTERS):
+            task = self.callers.draft_until_stopped(number)
+            self._tasks.append(asyncio.create_task(task))
+        for number in range(FILERS):
+            task = self.callers.file_until_stopped(number)
+            self._tasks.append(asyncio.create_task(task))
+
+    async def stop_load(self):
+        """Stop the callers and check what they saw."""
+        self.callers.stopping.set()
+        await asyncio.gather(*self._tasks)
+        await asyncio.sleep(SETTLE_S)
+        self.problems += self.callers.seen.problems
+        self._check_filings()
+        self._check_engines()
+
+    async def refused_everywhere_s(self, key):
+        """Return seconds until every live entry refuses a key."""
+        return await self._until(
+            lambda: self._all_status(key, 401), WITHIN_SECONDS_S
+        )
+
+    async def ready_s(self, name):
+        """Return seconds until an entry is ready."""
+        url = self.fleet.by_name[name].url('callers')
+        return await self._until(lambda: self._is_ready(url), START_S)
+
+    async def _until(self, condition, bound_s):
+        loop = asyncio.get_running_loop()
+        begin_s = loop.time()
+        while loop.time() - begin_s < bound_s:
+            if await condition():
+                return loop.time() - begin_s
+            await asyncio.sleep(0.05)
+        return float('inf')
+
+    async def _is_ready(self, url):
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                async with self.session.get(f'{url}/-/ready') as response:
+                    return response.status == 200
+        return False
+
+    async def _all_status(self, key, status):
+        headers = {'Authorization': f'Bearer {key}'}
+        content = {'prompt': 'x', 'max_tokens': 1}
+        for entry in self.fleet.entries:
+            if entry.running is None or entry.running.poll() is not None:
+                continue
+            url = f'{entry.url("callers")}/v1/completions'
+            async with self.session.post(
+                url, json=content, headers=headers
+            ) as response:
+                if response.status != status:
+                    return False
+        return True
+
+    async def _resend(self, step, data):
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + START_S
+        number = 0
+        while loop.time() < end_s:
+            control = self.fleet.controls[number % len(self.fleet.controls)]
+            number += 1
+            status, content = await self._post(control, step, data, 'script')
+            if status == 200:
+                return
+            if status == 409:
+                self.problems.append(f'{step} refused: {content}')
+                return
+            await asyncio.sleep(0.2)
+        self.problems.append(f'{step}: nobody answered in {START_S} s')
+
+    async def _post(self, control, step, data, operator):
+        url = f'{control.url("operators")}/documents/{step}'
+        headers = {
+            'Authorization': f'Bearer {self.fleet.secrets["operators"]}',
+            'X-Operator': operator,
+        }
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(5.0):
+                async with self.session.post(
+                    url, data=data, headers=headers
+                ) as response:
+                    return response.status, await response.json()
+        return 0, None
+
+    def _check_filings(self):
+        standin = self.backends.by_id['portal-1'].standin
+        runs = collections.Counter(
+            call.body.decode() for call in standin.calls
+        )
+        twice = [filing for filing, count in runs.items() if count > 1]
+        self.check(not twice, f'filings ran twice: {twice}')
+        for filing, ending in self.callers.seen.filed.items():
+            if ending == 'answered':
+                self.check(runs[filing] == 1, f'{filing} answered, not run')
+
+    def _check_engines(self):
+        for server_id, backend in self.backends.by_id.items():
+            held = getattr(backend.standin, 'held_by_attempt', {})
+            self.check(not held, f'{server_id} still holds {list(held)}')
+
+
+async def calm(trial):
+    """Nothing breaks."""
+    await asyncio.sleep(3)
+
+
+async def entry_killed(trial):
+    """An entry process dies under load and comes back."""
+    await asyncio.sleep(1)
+    trial.fleet.kill('vm2')
+    await asyncio.sleep(4)
+    trial.fleet.start('vm2')
+    trial.notes.append(f'ready after {await trial.ready_s("vm2"):.1f} s')
+
+
+async def control_killed(trial):
+    """Each control process dies in turn and comes back."""
+    for control in trial.fleet.controls:
+        trial.fleet.kill(control.name)
+        await asyncio.sleep(3)
+        trial.fleet.start(control.name)
+        await asyncio.sleep(3)
+
+
+async def control_frozen(trial):
+    """Each control process stands still for 5 s; changes go on."""
+    for control in trial.fleet.controls:
+        trial.fleet.freeze(control.name)
+        source = trial.source(trial.version + 1)
+        await trial.put_in_force(source)
+        await asyncio.sleep(3)
+        trial.fleet.thaw(control.name)
+        await asyncio.sleep(1)
+
+
+async def disk_lost(trial):
+    """A control VM's disk is wiped, it rejoins, then another dies."""
+    trial.fleet.kill('control1')
+    trial.fleet.wipe('control1')
+    trial.fleet.start('control1')
+    await asyncio.sleep(8)
+    trial.fleet.kill('control2')
+    await trial.put_in_force(trial.source(trial.version + 1))
+    trial.fleet.start('control2')
+    await asyncio.sleep(2)
+
+
+async def key_withdrawn(trial):
+    """A key is withdrawn while its holder is connected."""
+    await asyncio.sleep(1)
+    source = trial.source(trial.version + 1, withdrawn=True)
+    await trial.put_in_force(source)
+    seconds = await trial.refused_everywhere_s(trial.key)
+    trial.notes.append(f'refused everywhere after {seconds:.2f} s')
+    trial.check(
+        seconds < WITHIN_SECONDS_S, 'a withdrawn key still works after 8 s'
+    )
+
+
+async def operators_race(trial):
+    """Operators submit different bytes under the same version."""
+    for _ in range(5):
+        version = trial.version + 1
+        sources = [
+            trial.source(version, remark=f'operator {number}')
+            for number in range(len(trial.fleet.controls))
+        ]
+        answers = await asyncio.gather(
+            *[
+                trial.submit(source, control, f'operator {number}')
+                for number, (source, control) in enumerate(
+                    zip(sources, trial.fleet.controls, strict=True)
+                )
+            ]
+        )
+        won = [n for n, (status, _) in enumerate(answers) if status == 200]
+        trial.check(len(won) == 1, f'version {version}: winners {won}')
+        if len(won) == 1:
+            await trial.put_in_force(sources[won[0]])
+
+
+async def entry_cut_off(trial):
+    """An entry loses every control VM; its keyed routes must refuse."""
+    found = trial.fleet.relays_by_name['vm1']
+    for relay in found:
+        relay.cut()
+    url = trial.fleet.by_name['vm1'].url('callers')
+
+    async def unready():
+        return not await trial._is_ready(url)
+
+    seconds = await trial._until(unready, WITHIN_SECONDS_S)
+    trial.check(seconds < WITHIN_SECONDS_S, 'a cut-off entry stays ready')
+    source = trial.source(trial.version + 1, withdrawn=True)
+    await trial.put_in_force(source)
+    refused = await trial._until(
+        lambda: trial._all_status(trial.key, 503), 0.1
+    )
+    del refused
+    trial.notes.append(f'unready after {seconds:.1f} s')
+    for relay in found:
+        relay.heal()
+    trial.notes.append(f'ready after {await trial.ready_s("vm1"):.1f} s')
+
+
+async def links_silent(trial):
+    """Open connections to control go silent for good; new ones work."""
+    for found in trial.fleet.relays_by_name.values():
+        for relay in found:
+            relay.silence_open()
+    await asyncio.sleep(6)
+    for entry in trial.fleet.entries:
+        seconds = await trial.ready_s(entry.name)
+        trial.check(seconds < WITHIN_SECONDS_S, f'{entry.name} not ready')
+
+
+async def decode_crashed(trial):
+    """A decode server dies mid-stream and comes back."""
+    await asyncio.sleep(1)
+    for _ in range(3):
+        await trial.backends.crash('decode-1')
+        await asyncio.sleep(2)
+        await trial.backends.start('decode-1', 'decode', 'drafting')
+        await asyncio.sleep(2)
+
+
+async def server_leaves(trial):
+    """A leaving decode server gets no new work after a few seconds."""
+    await trial.backends.leave('decode-1')
+    await asyncio.sleep(3)
+    standin = trial.backends.by_id['decode-1'].standin
+    before = standin.runs
+    await asyncio.sleep(3)
+    trial.check(standin.runs == before, 'a leaving server got new work')
+
+
+async def entry_drained(trial):
+    """An entry is asked to shut down under load; nothing is cut."""
+    await asyncio.sleep(1)
+    code = await asyncio.to_thread(trial.fleet.terminate, 'vm2')
+    trial.check(code == 0, f'exit code {code}')
+    cut = trial.callers.seen.counts['visibly incomplete']
+    trial.check(cut == 0, f'{cut} answers were cut')
+
+
+SCENARIOS = (
+    calm,
+    entry_killed,
+    control_killed,
+    control_frozen,
+    disk_lost,
+    key_withdrawn,
+    operators_race,
+    entry_cut_off,
+    links_silent,
+    decode_crashed,
+    server_leaves,
+    entry_drained,
+)
+
+
+async def run(scenario, seed):
+    """Run one scenario in a fleet of its own.
+
+    :returns: whether every promise held.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        folder = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        fleet = processes.Fleet(folder, CONTROLS, ENTRIES, cuttable=True)
+        trial = await start(stack, fleet, seed)
+        if not trial.problems:
+            await trial.start_load()
+            await scenario(trial)
+            await trial.stop_load()
+        report(scenario, trial)
+        return not trial.problems
+
+
+async def start(stack, fleet, seed):
+    """Start a fleet with stand-ins and bring it to where it serves.
+
+    :param stack: an AsyncExitStack that owns all of it.
+    :returns: the Trial.
+    """
+    await fleet.start_relays(stack)
+    stack.callback(fleet.stop_all)
+    fleet.start_all()
+    connector = aiohttp.TCPConnector(limit=0)
+    session = await stack.enter_async_context(
+        aiohttp.ClientSession(connector=connector)
+    )
+    urls = [entry.url('backends') for entry in fleet.entries]
+    found = backends.Backends(session, urls, fleet.secrets['backends'])
+    stack.push_async_callback(found.stop_all)
+    trial = Trial(fleet, session, found, seed)
+    await prepare(trial)
+    return trial
+
+
+async def prepare(trial):
+    """Bring a fleet to where it serves requests."""
+    await trial.put_in_force(trial.source(1))
+    for entry in trial.fleet.entries:
+        await trial.ready_s(entry.name)
+    for number in (1, 2):
+        await trial.backends.start(f'prefill-{number}', 'prefill', 'drafting')
+        await trial.backends.start(f'decode-{number}', 'decode', 'drafting')
+    await trial.backends.start('portal-1', 'service', 'portal')
+    await asyncio.sleep(2)
+
+
+def report(scenario, trial):
+    """Print what a scenario showed."""
+    verdict = 'FAILED' if trial.problems else 'held'
+    print(f'{scenario.__name__}: {verdict}', *trial.notes)
+    for kind, count in sorted(trial.callers.seen.counts.items()):
+        print(f'  {kind}: {count}')
+    for problem in trial.problems:
+        print(f'  PROBLEM: {problem}')
+
+
+async def main(names, seed):
+    """Run the named scenarios, or all of them."""
+    chosen = [s for s in SCENARIOS if not names or s.__name__ in names]
+    verdicts = [await run(scenario, seed) for scenario in chosen]
+    print(f'{sum(verdicts)} of {len(verdicts)} scenarios held')
+    return 0 if all(verdicts) else 1
+
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('scenario', nargs='*')
+    given = parser.parse_args()
+    sys.exit(asyncio.run(main(given.scenario, given.seed)))
--- /dev/null
+++ b/scripts/processes.py
@@ -0,0 +1,157 @@
+"""Control and entry processes on the loopback interface."""
+
+import dataclasses
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+
+import relays
+import yaml
+
+from bulrushrudder.core import keys
+from bulrushrudder.utils import ports
+
+STOP_S = 15
+SECRET_KINDS = ('cluster', 'operators', 'backends')
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """One process of the fleet.
+
+    :param command: entry or control.
+    :param addresses: host and port of each listener, by name.
+    """
+
+    name: str
+    command: str
+    settings: pathlib.Path
+    addresses: dict[str, dict]
+    running: subprocess.Popen | None = None
+
+    def url(self, listener):
+        """Return the URL of a listener."""
+        address = self.addresses[listener]
+        return f'http://{address["host"]}:{address["port"]}'
+
+
+class Fleet:
+    """Starts, kills, freezes and stops processes.
+
+    :param folder: holds settings, secrets, logs and data.
+    :param cuttable: whether each process reaches the control
+        processes through relays of its own, which can be cut.
+    """
+
+    def __init__(self, folder, controls, entries, cuttable=False):
+        self.folder = folder
+        self.secrets = {kind: keys.new_key() for kind in SECRET_KINDS}
+        for kind, secret in self.secrets.items():
+            (folder / f'{kind}.secret').write_text(secret)
+        self.controls = [
+            self._plan(f'control{n + 1}', 'control') for n in range(controls)
+        ]
+        self.entries = [
+            self._plan(f'vm{n + 1}', 'entry') for n in range(entries)
+        ]
+        self.by_name = {p.name: p for p in (*self.controls, *self.entries)}
+        self.relays_by_name = {}
+        for process in self.by_name.values():
+            self._write_settings(process, cuttable)
+
+    async def start_relays(self, stack):
+        """Open the relays of all processes.
+
+        :param stack: an AsyncExitStack that owns them.
+        """
+        for found in self.relays_by_name.values():
+            for relay in found:
+                await relay.start(stack)
+
+    def start(self, name):
+        """Start a process."""
+        process = self.by_name[name]
+        words = ['-m', 'bulrushrudder', process.command]
+        with open(process.settings.with_suffix('.log'), 'ab') as log:
+            process.running = subprocess.Popen(
+                [sys.executable, *words, str(process.settings)],
+                stderr=log,
+                stdout=log,
+            )
+
+    def start_all(self):
+        """Start every process."""
+        for name in self.by_name:
+            self.start(name)
+
+    def kill(self, name):
+        """Kill a process without warning."""
+        running = self.by_name[name].running
+        running.kill()
+        running.wait()
+
+    def freeze(self, name):
+        """Stop a process's time until it is thawed."""
+        self.by_name[name].running.send_signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        """Let a frozen process go on."""
+        self.by_name[name].running.send_signal(signal.SIGCONT)
+
+    def wipe(self, name):
+        """Remove a dead process's data folder."""
+        shutil.rmtree(self.folder / f'data-{name}')
+
+    def terminate(self, name):
+        """Ask a process to shut down and return its exit code."""
+        running = self.by_name[name].running
+        running.send_signal(signal.SIGTERM)
+        return running.wait(STOP_S)
+
+    def stop_all(self):
+        """End every process that still runs."""
+        for process in self.by_name.values():
+            running = process.running
+            if running is not None and running.poll() is None:
+                running.send_signal(signal.SIGCONT)
+                running.kill()
+                running.wait()
+
+    def _plan(self, name, command):
+        listeners = {
+            'control': ('operators', 'metrics', 'inner'),
+            'entry': ('callers', 'backends', 'metrics', 'inner'),
+        }[command]
+        numbers = ports.free_ports(len(listeners))
+        addresses = {
+            listener: {'host': ports.LOOPBACK, 'port': port}
+            for listener, port in zip(listeners, numbers, strict=True)
+        }
+        path = self.folder / f'{name}.yaml'
+        return Process(name, command, path, addresses)
+
+    def _write_settings(self, process, cuttable):
+        section = dict(process.addresses)
+        if process.command == 'control':
+            section['data_folder'] = f'data-{process.name}'
+        content = {
+            'vm': process.name,
+            'zone': 'a',
+            'controls': self._controls_of(process, cuttable),
+            'secrets': {
+                kind: str(self.folder / f'{kind}.secret')
+                for kind in SECRET_KINDS
+            },
+            process.command: section,
+        }
+        process.settings.write_text(yaml.safe_dump(content))
+
+    def _controls_of(self, process, cuttable):
+        inner = [control.addresses['inner'] for control in self.controls]
+        if not cuttable or process.command == 'control':
+            return inner
+        found = [relays.Relay(address) for address in inner]
+        self.relays_by_name[process.name] = found
+        return [relay.address for relay in found]
--- /dev/null
+++ b/scripts/relays.py
@@ -0,0 +1,77 @@
+"""TCP relays that can go silent or be cut."""
+
+import asyncio
+import contextlib
+
+from bulrushrudder.utils import ports
+
+CHUNK_BYTES = 65536
+
+
+class Relay:
+    """Passes bytes to an address, until it is silenced.
+
+    :param target: host and port to pass bytes to.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self.address = {
+            'host': ports.LOOPBACK,
+            'port': ports.free_ports(1)[0],
+        }
+        self._open = asyncio.Event()
+        self._open.set()
+        self._silent_tasks = set()
+        self._tasks = set()
+
+    async def start(self, stack):
+        """Listen until the exit stack closes."""
+        server = await asyncio.start_server(
+            self._accept, self.address['host'], self.address['port']
+        )
+        stack.callback(server.close)
+        stack.callback(self._cancel)
+
+    def cut(self):
+        """Pass nothing on, on open and new connections."""
+        self._open.clear()
+
+    def heal(self):
+        """Pass bytes on again."""
+        self._open.set()
+
+    def silence_open(self):
+        """Pass nothing on for good on the connections now open."""
+        self._silent_tasks |= self._tasks
+
+    def _cancel(self):
+        for task in self._tasks:
+            task.cancel()
+
+    async def _accept(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            far_reader, far_writer = await asyncio.open_connection(
+                self._target['host'], self._target['port']
+            )
+            async with asyncio.TaskGroup() as group:
+                for source, sink in (
+                    (reader, far_writer),
+                    (far_reader, writer),
+                ):
+                    task = group.create_task(self._pump(source, sink))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+
+    async def _pump(self, source, sink):
+        try:
+            while data := await source.read(CHUNK_BYTES):
+                await self._open.wait()
+                if asyncio.current_task() in self._silent_tasks:
+                    await asyncio.Event().wait()
+                sink.write(data)
+                await sink.drain()
+        except OSError:
+            return
+        finally:
+            sink.close()
