Let one account send several times its rate while entries die

Cause: the limit over the whole fleet had no trial with processes. Change: a scenario that adds up what the account's whole answers cost and compares it with rate times time plus burst.

--- a/scripts/callers.py
+++ b/scripts/callers.py
@@ -22,12 +22,14 @@
     """What the callers saw.
 
     :ivar counts: endings of drafts, by kind.
+    :ivar tokens: prompt and output tokens of whole answers.
     :ivar problems: broken promises, as sentences.
     """
 
     counts: collections.Counter
     problems: list[str]
     filed: dict[str, str]
+    tokens: int = 0
 
 
 def nothing_seen():
@@ -95,6 +97,9 @@
         expected = ''.join(engine.expected_tokens(prompt, TOKENS))
         if whole and text == expected:
             self.seen.counts['whole'] += 1
+            prompt_bytes = len(prompt.encode())
+            prompt_tokens = -(-prompt_bytes // engine.BYTES_A_TOKEN)
+            self.seen.tokens += prompt_tokens + TOKENS
         elif not whole and expected.startswith(text):
             self.seen.counts['visibly incomplete'] += 1
         else:
--- a/scripts/fault_run.py
+++ b/scripts/fault_run.py
@@ -35,6 +35,10 @@
     rate: 100000
     burst: 1000000
     keys: [{digests}]
+  - id: spender
+    rate: {rate}
+    burst: {burst}
+    keys: ["{spender}"]
 models:
   - id: drafting
     max_output_tokens: 64
@@ -48,6 +52,10 @@
     repeatable: false
 # {remark}
 """
+SPENDER_RATE = 400
+SPENDER_BURST = 800
+SPENDERS = 24
+SPENDING_S = 12.0
 
 
 class Trial:
@@ -63,6 +71,7 @@
         self.backends = found
         self.key = keys.new_key()
         self.other_key = keys.new_key()
+        self.spender_key = keys.new_key()
         self.version = 0
         urls = [entry.url('callers') for entry in fleet.entries]
         self.callers = callers.Callers(session, urls, self.key, seed)
@@ -82,7 +91,12 @@
             found.append(keys.digest(self.key))
         digests = ', '.join(f'"{digest}"' for digest in found)
         return DOCUMENT.format(
-            version=version, digests=digests, remark=remark
+            version=version,
+            digests=digests,
+            remark=remark,
+            rate=SPENDER_RATE,
+            burst=SPENDER_BURST,
+            spender=keys.digest(self.spender_key),
         ).encode()
 
     async def submit(self, source, control, operator='script'):
@@ -353,6 +367,32 @@
     trial.check(cut == 0, f'{cut} answers were cut')
 
 
+async def over_rate(trial):
+    """An account sends several times its rate; entries die meanwhile."""
+    loop = asyncio.get_running_loop()
+    urls = [entry.url('callers') for entry in trial.fleet.entries]
+    spending = callers.Callers(trial.session, urls, trial.spender_key, 2)
+    begin_s = loop.time()
+    tasks = [
+        asyncio.create_task(spending.draft_until_stopped(f'spender {n}'))
+        for n in range(SPENDERS)
+    ]
+    await asyncio.sleep(SPENDING_S / 3)
+    trial.fleet.kill('vm2')
+    await asyncio.sleep(SPENDING_S / 3)
+    trial.fleet.start('vm2')
+    await asyncio.sleep(SPENDING_S / 3)
+    spending.stopping.set()
+    await asyncio.gather(*tasks)
+    seconds = loop.time() - begin_s
+    grant = SPENDER_RATE * seconds + SPENDER_BURST
+    spent = spending.seen.tokens
+    trial.notes.append(f'spent {spent} of {grant:.0f} tokens')
+    trial.check(spent <= grant, f'spent {spent}, granted {grant:.0f}')
+    trial.check(spent > grant / 4, f'only {spent} of {grant:.0f} spent')
+    trial.problems += spending.seen.problems
+
+
 SCENARIOS = (
     calm,
     entry_killed,
@@ -366,6 +406,7 @@
     decode_crashed,
     server_leaves,
     entry_drained,
+    over_rate,
 )
 
 
