Read YAML in steps with the C parser

Cause: a document of 17,000 client accounts (2.3 MB) took 12.6 s to check and held the control process's loop for all of it. Change: events of libyaml are turned into plain values in steps that other tasks run between; lines are found in a second pass, only for errors; anchors, aliases, non-text keys and deep nesting are refused.

--- a/bulrushrudder/config/document.py
+++ b/bulrushrudder/config/document.py
@@ -1,5 +1,6 @@
 """The environment document in YAML."""
 
+import hashlib
 import typing
 
 import pydantic
@@ -139,6 +140,11 @@
         )
 
 
+def digest(source):
+    """Return the digest of a document's bytes."""
+    return 'sha256:' + hashlib.sha256(source).hexdigest()
+
+
 def load(file, source):
     """Check a document and turn it into data classes.
 
@@ -150,6 +156,12 @@
     return model.bind(lambda found: _cross_check(file, found.build()))
 
 
+async def load_in_steps(file, source):
+    """Check a document as load does, and let other tasks run between."""
+    model = await loader.load_in_steps(file, source, DocumentModel)
+    return model.bind(lambda found: _cross_check(file, found.build()))
+
+
 def _cross_check(file, document):
     problems = (
         *_duplicates(document),
--- /dev/null
+++ b/bulrushrudder/config/yaml_parser.py
@@ -0,0 +1,224 @@
+"""Turns YAML into plain values, in steps, with the line of each field.
+
+Anchors, aliases and duplicate keys are errors. A large document takes
+more than a second, so that the parser can pause for other tasks.
+"""
+
+import asyncio
+
+from returns import result
+import yaml
+
+from bulrushrudder.config import errors
+
+STEP_EVENTS = 500
+MAX_DEPTH = 16
+
+
+class _ParseError(Exception):
+    """The text is YAML of a kind that is not taken."""
+
+    def __init__(self, line, path, problem):
+        super().__init__(line, path, problem)
+        self.line = line
+        self.path = path
+        self.problem = problem
+
+
+class _Mapping:
+    """A mapping that is being read."""
+
+    def __init__(self, path):
+        self.path = path
+        self.value = {}
+        self._key = None
+
+    def take(self, line, value):
+        """Take a key or a value."""
+        if self._key is None:
+            self._take_key(line, value)
+            return
+        self.value[self._key] = value
+        self._key = None
+
+    def next_path(self):
+        """Return the path of the next value, or None before a key."""
+        return None if self._key is None else (*self.path, self._key)
+
+    def _take_key(self, line, key):
+        path = (*self.path, str(key))
+        if not isinstance(key, str):
+            problem = f'expected text as a key, found {key!r}'
+            raise _ParseError(line, path, problem)
+        if key in self.value:
+            raise _ParseError(line, path, 'the key stands twice')
+        self._key = key
+
+
+class _Sequence:
+    """A sequence that is being read."""
+
+    def __init__(self, path):
+        self.path = path
+        self.value = []
+
+    def take(self, line, value):
+        """Take the next value."""
+        self.value.append(value)
+
+    def next_path(self):
+        """Return the path of the next value."""
+        return (*self.path, len(self.value))
+
+
+class _Parser:
+    """Reads one text.
+
+    :param line_by_path: takes the line of each field; None to leave
+        them out.
+    """
+
+    def __init__(self, source, line_by_path=None):
+        self._source = source
+        self._line_by_path = line_by_path
+        self._scalars = yaml.constructor.SafeConstructor()
+        self._frames = [_Sequence(())]
+
+    def steps(self):
+        """Yield now and then; return the value at the end."""
+        loader = yaml.CSafeLoader(self._source)
+        try:
+            count = 0
+            while loader.check_event():
+                self._take(loader, loader.get_event())
+                count += 1
+                if count % STEP_EVENTS == 0:
+                    yield
+        finally:
+            loader.dispose()
+        documents = self._frames[0].value
+        if len(documents) > 1:
+            raise _ParseError(0, (), 'expected one YAML document in the file')
+        return documents[0] if documents else None
+
+    def _take(self, loader, event):
+        line = event.start_mark.line + 1
+        frame = self._frames[-1]
+        if getattr(event, 'anchor', None) is not None:
+            problem = 'anchors and aliases are not taken'
+            raise _ParseError(line, frame.path, problem)
+        match event:
+            case yaml.MappingStartEvent():
+                self._open(line, _Mapping)
+            case yaml.SequenceStartEvent():
+                self._open(line, _Sequence)
+            case yaml.MappingEndEvent() | yaml.SequenceEndEvent():
+                self._frames.pop()
+                self._frames[-1].take(line, frame.value)
+            case yaml.ScalarEvent():
+                self._note(line, frame)
+                frame.take(line, self._scalar(loader, event, frame))
+
+    def _open(self, line, kind):
+        frame = self._frames[-1]
+        self._note(line, frame)
+        path = frame.next_path()
+        if path is None:
+            problem = 'expected text as a key'
+            raise _ParseError(line, frame.path, problem)
+        if len(self._frames) > MAX_DEPTH:
+            raise _ParseError(line, frame.path, 'nested too deeply')
+        self._frames.append(kind(() if len(self._frames) == 1 else path))
+
+    def _note(self, line, frame):
+        path = frame.next_path()
+        if self._line_by_path is not None and path is not None:
+            self._line_by_path[path] = line
+
+    def _scalar(self, loader, event, frame):
+        tag = event.tag
+        if tag is None or tag == '!':
+            tag = loader.resolve(yaml.ScalarNode, event.value, event.implicit)
+        node = yaml.ScalarNode(
+            tag, event.value, event.start_mark, event.end_mark, event.style
+        )
+        try:
+            return self._scalars.construct_object(node)
+        except (ValueError, OverflowError) as error:
+            line = event.start_mark.line + 1
+            path = frame.next_path() or frame.path
+            raise _ParseError(line, path, f'not YAML: {error}') from error
+
+
+def parse(file, source):
+    """Return the plain values of a YAML text.
+
+    :param file: the name that errors carry.
+    :returns: the values, or a tuple with one FileError.
+    """
+    return _outcome(file, source, _finish, _Parser(source))
+
+
+async def parse_in_steps(file, source):
+    """Parse as parse does, and let other tasks run between steps."""
+    steps = _Parser(source).steps()
+    while True:
+        advanced = _outcome(file, source, _advance, steps)
+        match advanced:
+            case result.Success(_Paused()):
+                await asyncio.sleep(0)
+            case _:
+                return advanced
+
+
+def lines(source):
+    """Return the line of each field of a text that parse took."""
+    line_by_path = {}
+    _finish(_Parser(source, line_by_path))
+    return line_by_path
+
+
+def dotted(path):
+    """Return the usual text form of the path of a field."""
+    text = ''
+    for part in path:
+        text += f'[{part}]' if isinstance(part, int) else f'.{part}'
+    return text.lstrip('.')
+
+
+class _Paused:
+    """The parser has more to read."""
+
+
+def _advance(steps):
+    try:
+        next(steps)
+    except StopIteration as stop:
+        return stop.value
+    return _Paused()
+
+
+def _finish(parser):
+    steps = parser.steps()
+    while True:
+        value = _advance(steps)
+        if not isinstance(value, _Paused):
+            return value
+
+
+def _outcome(file, source, function, argument):
+    try:
+        return result.Success(function(argument))
+    except _ParseError as error:
+        return _failure(file, error.line, dotted(error.path), error.problem)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        last = source.rstrip().count(b'\n') + 1
+        line = min(mark.line + 1, last) if mark else 0
+        return _failure(file, line, '', f'not YAML: {error.problem}')
+    except (yaml.YAMLError, UnicodeDecodeError, ValueError) as error:
+        return _failure(file, 0, '', f'not YAML: {error}')
+
+
+def _failure(file, line, field, problem):
+    return result.Failure((errors.FileError(file, line, field, problem),))
