Send documents as differences with compare-and-set

Cause: each submission carried the whole document, and the state kept every version whole, without a bound. Change: the control process that checked the bytes makes a difference against the version in force, and the command applies only to that version; history keeps version, digest, operator and index; trial is production plus pending differences, merged where they pass a bound. Same version and digest again is answered as before, other bytes under a taken version are refused with the winner's name, versions never go back. Operators' mistakes get JSON errors; secrets are compared in constant time.

--- /dev/null
+++ b/bulrushrudder/control/changes.py
@@ -0,0 +1,55 @@
+"""Turns what operators send into commands, made against the log."""
+
+from bulrushrudder.documents import differences
+from bulrushrudder.documents import types
+from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import results
+
+MAX_TRIES = 5
+
+
+class Changes:
+    """Submits and promotes documents.
+
+    :param node: the log of this control process.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def submit(self, document, digest, operator):
+        """Submit a document to trial as a difference.
+
+        The difference is made anew where another change came first.
+
+        :param digest: the digest of the bytes that were checked.
+        :returns: the Outcome.
+        """
+        for _ in range(MAX_TRIES):
+            await self._node.confirm()
+            command = self._submission(document, digest, operator)
+            outcome = await self._node.propose(command)
+            if not isinstance(outcome, results.Outdated):
+                return outcome
+        return results.Unavailable('other changes came first each time')
+
+    async def promote(self, version, digest, operator):
+        """Put a version that trial accepted in force in production.
+
+        :returns: the Outcome.
+        """
+        return await self._node.propose(
+            state_documents.PromoteDocument(version, digest, operator)
+        )
+
+    def _submission(self, document, digest, operator):
+        table = self._node.state.documents
+        last = table.last(types.Environment.TRIAL)
+        before = table.in_force(types.Environment.TRIAL)
+        return state_documents.SubmitDocument(
+            base_version=last.version if last else 0,
+            base_digest=last.digest if last else '',
+            difference=differences.between(before, document),
+            digest=digest,
+            operator=operator,
+        )
--- a/bulrushrudder/control/operators.py
+++ b/bulrushrudder/control/operators.py
@@ -1,24 +1,33 @@
 """The operators' HTTP interface of a control process."""
 
-import hashlib
-import hmac
+import asyncio
 
 from aiohttp import web
+import pydantic
 from returns import result
 
 from bulrushrudder.config import document as document_config
+from bulrushrudder.config import models
+from bulrushrudder.config import rendering
+from bulrushrudder.control import changes
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
-from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import results
+from bulrushrudder.utils import authentication
+from bulrushrudder.utils import web as web_utils
 
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+MAX_OPERATOR_CHARACTERS = 64
+UNNAMED = 'unnamed'
+RETRY_AFTER_S = '1'
 
 
-def digest(source):
-    """Return the digest of a document's bytes."""
-    return 'sha256:' + hashlib.sha256(source).hexdigest()
+class PromotionModel(models.Model):
+    """What an operator sends to promote a version."""
+
+    version: int = pydantic.Field(ge=1)
+    digest: document_config.KeyDigest
 
 
 class Operators:
@@ -31,18 +40,20 @@
     def __init__(self, control, secret):
         self._control = control
         self._secret = secret
+        self._changes = changes.Changes(control.node)
 
     def application(self):
         """Return the aiohttp application."""
         app = web.Application(
             client_max_size=MAX_DOCUMENT_BYTES,
-            middlewares=[self._authenticate],
+            middlewares=[web_utils.json_errors, self._authenticate],
         )
         app.add_routes(
             [
                 web.post('/documents/trial', self._submit),
                 web.post('/documents/production', self._promote),
                 web.get('/documents/{environment}', self._history),
+                web.get('/documents/{environment}/content', self._content),
                 web.get('/status', self._status),
             ]
         )
@@ -50,67 +61,76 @@
 
     @web.middleware
     async def _authenticate(self, request, handler):
-        given = request.headers.get('Authorization', '')
-        expected = b'Bearer ' + self._secret
-        if not hmac.compare_digest(given.encode(), expected):
-            problem = 'the operators secret is wrong'
-            return web.json_response({'problem': problem}, status=401)
+        if not authentication.holds(request, self._secret):
+            log.emit(catalogue.OPERATOR_DENIED, peer=str(request.remote))
+            return _problem(401, 'the operators secret is wrong')
         return await handler(request)
 
     async def _submit(self, request):
+        operator = _operator_of(request)
         source = await request.read()
-        match document_config.load('document', source):
+        found = await document_config.load_in_steps('document', source)
+        match found:
             case result.Failure(errors):
                 problems = [str(error) for error in errors]
-                return web.json_response({'problems': problems}, status=422)
+                return web.json_response(
+                    {'problem': problems[0], 'problems': problems}, status=422
+                )
             case result.Success(document):
-                command = state_documents.SubmitDocument(
-                    types.Environment.TRIAL,
-                    document,
-                    digest(source),
-                    request.headers.get('X-Operator', 'unnamed'),
+                outcome = await self._changes.submit(
+                    document, document_config.digest(source), operator
                 )
-        return await self._propose(command)
+                return _respond(outcome, document.version, operator)
+        raise AssertionError('unreachable')
 
     async def _promote(self, request):
-        body = await request.json()
-        command = state_documents.PromoteDocument(
-            body['version'],
-            body['digest'],
-            request.headers.get('X-Operator', 'unnamed'),
+        operator = _operator_of(request)
+        try:
+            found = PromotionModel.model_validate_json(await request.read())
+        except pydantic.ValidationError as error:
+            return _problem(422, web_utils.first_error(error))
+        outcome = await self._changes.promote(
+            found.version, found.digest, operator
         )
-        return await self._propose(command)
-
-    async def _propose(self, command):
-        match await self._control.node.propose(command):
-            case results.Accepted(index=index, repeated=repeated):
-                log.emit(catalogue.DOCUMENT_ACCEPTED, index=index)
-                return web.json_response(
-                    {'index': index, 'repeated': repeated}
-                )
-            case results.Rejected(problem=problem, winner=winner):
-                log.emit(catalogue.DOCUMENT_REFUSED, detail=problem)
-                return web.json_response(
-                    {'problem': problem, 'winner': winner}, status=409
-                )
-            case results.Unavailable(problem=problem):
-                return web.json_response({'problem': problem}, status=503)
+        return _respond(outcome, found.version, operator)
 
     async def _history(self, request):
-        environment = types.Environment(request.match_info['environment'])
-        history = self._control.node.state.documents.history_by_environment
+        environment = _environment_of(request)
+        await self._control.node.confirm()
+        table = self._control.node.state.documents
         return web.json_response(
             [
                 {
-                    'version': version.document.version,
-                    'digest': version.digest,
-                    'operator': version.operator,
-                    'index': version.index,
+                    'version': record.version,
+                    'digest': record.digest,
+                    'operator': record.operator,
+                    'index': record.index,
                 }
-                for version in history[environment]
+                for record in table.history_by_environment[environment]
             ]
         )
 
+    async def _content(self, request):
+        environment = _environment_of(request)
+        await self._control.node.confirm()
+        table = self._control.node.state.documents
+        last = table.last(environment)
+        if last is None:
+            return _problem(404, f'{environment.value} has no document yet')
+        document = table.in_force(environment)
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'application/yaml; charset=utf-8',
+                'X-Document-Digest': last.digest,
+            }
+        )
+        await response.prepare(request)
+        for piece in rendering.pieces(document):
+            await response.write(piece.encode())
+            await asyncio.sleep(0)
+        await response.write_eof()
+        return response
+
     async def _status(self, request):
         state = self._control.node.state
         return web.json_response(
@@ -120,3 +140,59 @@
                 'servers': sorted(state.servers.by_id),
             }
         )
+
+
+def _respond(outcome, version, operator):
+    match outcome:
+        case results.Accepted(index=index, repeated=repeated):
+            log.emit(
+                catalogue.DOCUMENT_ACCEPTED,
+                version=version,
+                index=index,
+                operator=operator,
+            )
+            return web.json_response({'index': index, 'repeated': repeated})
+        case results.Rejected(problem=problem, winner=winner):
+            log.emit(
+                catalogue.DOCUMENT_REFUSED, detail=problem, operator=operator
+            )
+            return web.json_response(
+                {'problem': problem, 'winner': winner}, status=409
+            )
+        case results.Unavailable(problem=problem):
+            return _problem(503, problem, {'Retry-After': RETRY_AFTER_S})
+    raise AssertionError(f'unknown outcome {outcome!r}')
+
+
+def _problem(status, problem, headers=None):
+    return web.json_response(
+        {'problem': problem}, status=status, headers=headers
+    )
+
+
+def _operator_of(request):
+    """Return the operator's name.
+
+    :raises HTTPUnprocessableEntity: where the name cannot be shown.
+    """
+    name = request.headers.get('X-Operator', UNNAMED)
+    if not name.isprintable() or not 0 < len(name) <= MAX_OPERATOR_CHARACTERS:
+        raise web.HTTPUnprocessableEntity(
+            text='X-Operator: expected a name of 1 to '
+            f'{MAX_OPERATOR_CHARACTERS} printable characters'
+        )
+    return name
+
+
+def _environment_of(request):
+    """Return the environment in the path.
+
+    :raises HTTPNotFound: where there is none of that name.
+    """
+    name = request.match_info['environment']
+    try:
+        return types.Environment(name)
+    except ValueError as error:
+        raise web.HTTPNotFound(
+            text='the environments are trial and production'
+        ) from error
--- /dev/null
+++ b/bulrushrudder/documents/comparison.py
@@ -0,0 +1,106 @@
+"""Says in detail what differs between two documents, for operators."""
+
+import dataclasses
+import enum
+
+from bulrushrudder.documents import differences
+
+
+class ChangeKind(enum.Enum):
+    """What happened to a part of the document."""
+
+    ADDED = 'added'
+    CHANGED = 'changed'
+    REMOVED = 'removed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldChange:
+    """One field that differs."""
+
+    name: str
+    before: object
+    after: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartChange:
+    """One client account, model, route or section that differs.
+
+    :param part: account, model, route, at_most_once or document.
+    :param id: empty where there is only one of its kind.
+    :param fields: the fields that differ, for a changed part.
+    """
+
+    kind: ChangeKind
+    part: str
+    id: str
+    fields: tuple[FieldChange, ...] = ()
+
+
+def compare(before, after):
+    """Return the PartChanges between two documents, in a fixed order.
+
+    Versions are left out.
+    """
+    difference = differences.between(before, after)
+    return (
+        *_parts(
+            'account',
+            before.accounts,
+            difference.accounts,
+            difference.removed_accounts,
+        ),
+        *_parts(
+            'model',
+            before.models,
+            difference.models,
+            difference.removed_models,
+        ),
+        *_parts(
+            'route',
+            before.routes,
+            difference.routes,
+            difference.removed_routes,
+        ),
+        *_changed('at_most_once', '', before.register, after.register),
+        *_changed('document', '', _Switches(before), _Switches(after)),
+    )
+
+
+def _parts(part, before, changed, removed):
+    before_by_id = {item.id: item for item in before}
+    for item in changed:
+        earlier = before_by_id.get(item.id)
+        if earlier is None:
+            yield PartChange(ChangeKind.ADDED, part, item.id)
+        else:
+            yield from _changed(part, item.id, earlier, item)
+    for key in removed:
+        yield PartChange(ChangeKind.REMOVED, part, key)
+
+
+def _changed(part, key, before, after):
+    fields = tuple(_fields(before, after))
+    if fields:
+        yield PartChange(ChangeKind.CHANGED, part, key, fields)
+
+
+def _fields(before, after):
+    for field in dataclasses.fields(after):
+        old = getattr(before, field.name)
+        new = getattr(after, field.name)
+        if old != new:
+            yield FieldChange(field.name, old, new)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, init=False)
+class _Switches:
+    """The settings that stand at the top of a document."""
+
+    cut_on_withdrawal: bool
+
+    def __init__(self, document):
+        object.__setattr__(
+            self, 'cut_on_withdrawal', document.cut_on_withdrawal
+        )
--- /dev/null
+++ b/bulrushrudder/documents/differences.py
@@ -0,0 +1,154 @@
+"""What changes between two documents, so that only changes travel."""
+
+import dataclasses
+
+from bulrushrudder.core import ids
+from bulrushrudder.documents import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """What turns one document into another.
+
+    :param version: the version of the document that results.
+    :param accounts: client accounts that are new or changed.
+    :param removed_accounts: client accounts that are gone.
+    :param register: None where the bounds are unchanged.
+    """
+
+    version: int
+    accounts: tuple[types.ClientAccount, ...]
+    removed_accounts: tuple[ids.AccountId, ...]
+    models: tuple[types.Model, ...]
+    removed_models: tuple[ids.ModelId, ...]
+    routes: tuple[types.Route, ...]
+    removed_routes: tuple[ids.RouteId, ...]
+    register: types.Register | None
+    cut_on_withdrawal: bool
+
+    @property
+    def size(self):
+        """Return the number of things that are changed or removed."""
+        return (
+            len(self.accounts)
+            + len(self.removed_accounts)
+            + len(self.models)
+            + len(self.removed_models)
+            + len(self.routes)
+            + len(self.removed_routes)
+        )
+
+
+def canonical(document):
+    """Return the same document with everything in the order of ids."""
+    return dataclasses.replace(
+        document,
+        accounts=_ordered(_by_id(document.accounts)),
+        models=_ordered(_by_id(document.models)),
+        routes=_ordered(_by_id(document.routes)),
+    )
+
+
+def between(before, after):
+    """Return the Difference that turns one document into another."""
+    accounts, removed_accounts = _changes(before.accounts, after.accounts)
+    models, removed_models = _changes(before.models, after.models)
+    routes, removed_routes = _changes(before.routes, after.routes)
+    same_register = before.register == after.register
+    return Difference(
+        version=after.version,
+        accounts=accounts,
+        removed_accounts=removed_accounts,
+        models=models,
+        removed_models=removed_models,
+        routes=routes,
+        removed_routes=removed_routes,
+        register=None if same_register else after.register,
+        cut_on_withdrawal=after.cut_on_withdrawal,
+    )
+
+
+def apply(document, difference):
+    """Return the document that a Difference leads to."""
+    return types.Document(
+        version=difference.version,
+        accounts=_applied(
+            document.accounts, difference.accounts, difference.removed_accounts
+        ),
+        models=_applied(
+            document.models, difference.models, difference.removed_models
+        ),
+        routes=_applied(
+            document.routes, difference.routes, difference.removed_routes
+        ),
+        register=difference.register or document.register,
+        cut_on_withdrawal=difference.cut_on_withdrawal,
+    )
+
+
+def merge(first, second):
+    """Return one Difference with the effect of two in a row."""
+    accounts, removed_accounts = _merged(
+        (first.accounts, first.removed_accounts),
+        (second.accounts, second.removed_accounts),
+    )
+    models, removed_models = _merged(
+        (first.models, first.removed_models),
+        (second.models, second.removed_models),
+    )
+    routes, removed_routes = _merged(
+        (first.routes, first.removed_routes),
+        (second.routes, second.removed_routes),
+    )
+    return Difference(
+        version=second.version,
+        accounts=accounts,
+        removed_accounts=removed_accounts,
+        models=models,
+        removed_models=removed_models,
+        routes=routes,
+        removed_routes=removed_routes,
+        register=second.register or first.register,
+        cut_on_withdrawal=second.cut_on_withdrawal,
+    )
+
+
+def _by_id(items):
+    return {item.id: item for item in items}
+
+
+def _ordered(items_by_id):
+    return tuple(items_by_id[key] for key in sorted(items_by_id))
+
+
+def _changes(before, after):
+    """Return the items that are new or changed, and the ids removed."""
+    before_by_id = _by_id(before)
+    after_by_id = _by_id(after)
+    changed = {
+        key: item
+        for key, item in after_by_id.items()
+        if before_by_id.get(key) != item
+    }
+    removed = sorted(before_by_id.keys() - after_by_id.keys())
+    return _ordered(changed), tuple(removed)
+
+
+def _applied(items, changed, removed):
+    if not changed and not removed:
+        return items
+    found = {**_by_id(items), **_by_id(changed)}
+    for key in removed:
+        found.pop(key, None)
+    return _ordered(found)
+
+
+def _merged(first, second):
+    """Merge two pairs of changed items and removed ids."""
+    first_changed, first_removed = first
+    second_changed, second_removed = second
+    changed = {**_by_id(first_changed), **_by_id(second_changed)}
+    for key in second_removed:
+        changed.pop(key, None)
+    removed = {*first_removed, *second_removed} - changed.keys()
+    return _ordered(changed), tuple(sorted(removed))
--- a/bulrushrudder/entry/operations.py
+++ b/bulrushrudder/entry/operations.py
@@ -1,13 +1,17 @@
 """Where backend servers announce themselves to an entry process."""
 
-import hmac
-
 from aiohttp import web
 import pydantic
 
 from bulrushrudder.core import ids
 from bulrushrudder.engines import wire
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.state import servers
+from bulrushrudder.utils import authentication
+from bulrushrudder.utils import web as web_utils
+
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 
 
 class Operations:
@@ -23,18 +27,21 @@
 
     def application(self):
         """Return the aiohttp application."""
-        app = web.Application()
+        app = web.Application(
+            client_max_size=MAX_ANNOUNCEMENT_BYTES,
+            middlewares=[web_utils.json_errors],
+        )
         app.router.add_post('/announce', self._announce)
         return app
 
     async def _announce(self, request):
-        given = request.headers.get('Authorization', '').encode()
-        if not hmac.compare_digest(given, b'Bearer ' + self._secret):
+        if not authentication.holds(request, self._secret):
+            log.emit(catalogue.BACKEND_DENIED, peer=str(request.remote))
             return _problem(401, 'the backends secret is wrong')
         try:
             found = wire.Announcement.model_validate_json(await request.read())
         except pydantic.ValidationError as error:
-            return _problem(422, str(error))
+            return _problem(422, web_utils.first_error(error))
         command = servers.JoinServer(_server(found))
         taken = await self._observing.announce(command, found.leaving)
         if not taken:
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -57,6 +57,12 @@
     'attempt failed',
     'A backend server did not finish an attempt.',
 )
+BACKEND_DENIED = Event(
+    1501,
+    Level.WARNING,
+    'backend denied',
+    'A call to the backends listener came without its secret.',
+)
 CONTROL_STARTED = Event(
     2001, Level.INFO, 'control started', 'The control process listens.'
 )
@@ -75,6 +81,12 @@
     'document refused',
     'A submission or promotion was refused; the detail says why.',
 )
+OPERATOR_DENIED = Event(
+    2501,
+    Level.WARNING,
+    'operator denied',
+    'A call to the operators listener came without its secret.',
+)
 LINK_OPENED = Event(
     3001, Level.DEBUG, 'link opened', 'A link to another process is up.'
 )
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -49,6 +49,7 @@
         results.Accepted: 300,
         results.Rejected: 301,
         results.Unavailable: 302,
+        results.Outdated: 303,
         types.ModelTarget: 400,
         types.ServiceTarget: 401,
     }
--- a/bulrushrudder/state/documents.py
+++ b/bulrushrudder/state/documents.py
@@ -2,21 +2,30 @@
 
 import dataclasses
 
+from bulrushrudder.documents import differences
 from bulrushrudder.documents import lookups
 from bulrushrudder.documents import types
 from bulrushrudder.state import results
 
+MAX_HISTORY = 1000
+MAX_PENDING = 200
+MAX_PENDING_ITEMS = 20_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmitDocument:
-    """Offer a document to an environment.
+    """Offer a document to the trial environment.
 
+    :param base_version: the version that the difference was made
+        against; 0 before the first.
+    :param base_digest: the digest of that version.
     :param digest: the digest of the bytes that the operator sent.
     :param operator: who submits, for the history.
     """
 
-    environment: types.Environment
-    document: types.Document
+    base_version: int
+    base_digest: str
+    difference: differences.Difference
     digest: str
     operator: str
 
@@ -31,57 +40,70 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Version:
+class Record:
     """One accepted document in an environment's history."""
 
-    document: types.Document
+    version: int
     digest: str
     operator: str
     index: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class History:
-    """The accepted versions of one environment, oldest first."""
+class PendingVersion:
+    """A version that trial accepted after the one in production.
+
+    :param difference: what it changes in the version before it.
+    """
 
-    environment: types.Environment
-    versions: tuple[Version, ...]
+    digest: str
+    difference: differences.Difference
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DocumentsSnapshot:
-    """The histories of all environments."""
+    """All that the table holds; trial's document follows from it."""
 
-    histories: tuple[History, ...]
+    production: types.Document
+    trial_history: tuple[Record, ...]
+    production_history: tuple[Record, ...]
+    pending: tuple[PendingVersion, ...]
 
 
 class Documents:
     """Accepted documents of each environment.
 
+    Production's document is one that trial accepted before, so trial's
+    is production's with the pending differences applied. Memory is
+    bounded: the oldest records are dropped, and the oldest pending
+    versions are merged into one, which ends their chance of promotion.
+
     :ivar history_by_environment: accepted versions, oldest first.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        max_history=MAX_HISTORY,
+        max_pending=MAX_PENDING,
+        max_pending_items=MAX_PENDING_ITEMS,
+    ):
+        self._max_history = max_history
+        self._max_pending = max_pending
+        self._max_pending_items = max_pending_items
+        self._pending = []
+        self._document_by_environment = dict.fromkeys(
+            types.Environment, lookups.EMPTY
+        )
         self.history_by_environment = {e: [] for e in types.Environment}
 
     def in_force(self, environment):
         """Return the document in force in an environment."""
-        history = self.history_by_environment[environment]
-        return history[-1].document if history else lookups.EMPTY
+        return self._document_by_environment[environment]
 
-    def snapshot(self):
-        """Return the table as a DocumentsSnapshot."""
-        histories = self.history_by_environment.items()
-        return DocumentsSnapshot(
-            tuple(History(key, tuple(found)) for key, found in histories)
-        )
-
-    def restore(self, snapshot):
-        """Put a DocumentsSnapshot in the place of the table."""
-        self.history_by_environment = {
-            history.environment: list(history.versions)
-            for history in snapshot.histories
-        }
+    def last(self, environment):
+        """Return the last Record of an environment, or None."""
+        history = self.history_by_environment[environment]
+        return history[-1] if history else None
 
     def apply(self, index, command):
         """Apply a committed command and return its result."""
@@ -92,38 +114,130 @@
                 return self._promote(index, command)
         raise AssertionError(f'unknown command {command!r}')
 
+    def snapshot(self):
+        """Return the DocumentsSnapshot of the table."""
+        environments = types.Environment
+        return DocumentsSnapshot(
+            self.in_force(environments.PRODUCTION),
+            tuple(self.history_by_environment[environments.TRIAL]),
+            tuple(self.history_by_environment[environments.PRODUCTION]),
+            tuple(self._pending),
+        )
+
+    def restore(self, snapshot):
+        """Replace all that the table holds."""
+        environments = types.Environment
+        self._pending = list(snapshot.pending)
+        document = snapshot.production
+        self._document_by_environment[environments.PRODUCTION] = document
+        for pending in self._pending:
+            document = differences.apply(document, pending.difference)
+        self._document_by_environment[environments.TRIAL] = document
+        self.history_by_environment = {
+            environments.TRIAL: list(snapshot.trial_history),
+            environments.PRODUCTION: list(snapshot.production_history),
+        }
+
     def _submit(self, index, command):
-        if command.environment is types.Environment.PRODUCTION:
-            return results.Rejected('production takes only promotions')
-        version = Version(
-            command.document, command.digest, command.operator, index
+        environment = types.Environment.TRIAL
+        version = command.difference.version
+        answer = self._answer_known(environment, version, command.digest)
+        if answer is not None:
+            return answer
+        last = self.last(environment)
+        found = (last.version, last.digest) if last else (0, '')
+        if found != (command.base_version, command.base_digest):
+            return results.Outdated(index)
+        document = differences.apply(
+            self.in_force(environment), command.difference
+        )
+        self._pending.append(
+            PendingVersion(command.digest, command.difference)
+        )
+        self._bound_pending()
+        return self._accept(
+            environment,
+            document,
+            Record(version, command.digest, command.operator, index),
         )
-        return self._append(types.Environment.TRIAL, version)
 
     def _promote(self, index, command):
-        trial = self.history_by_environment[types.Environment.TRIAL]
-        found = [v for v in trial if v.digest == command.digest]
-        if not found:
-            return results.Rejected('trial never accepted these bytes')
-        version = dataclasses.replace(
-            found[-1], operator=command.operator, index=index
+        environment = types.Environment.PRODUCTION
+        answer = self._answer_known(
+            environment, command.version, command.digest
+        )
+        if answer is not None:
+            return answer
+        number = self._find_pending(command)
+        if number is None:
+            return self._refuse_promotion(command)
+        document = self.in_force(environment)
+        for pending in self._pending[: number + 1]:
+            document = differences.apply(document, pending.difference)
+        del self._pending[: number + 1]
+        return self._accept(
+            environment,
+            document,
+            Record(command.version, command.digest, command.operator, index),
         )
-        return self._append(types.Environment.PRODUCTION, version)
 
-    def _append(self, environment, version):
-        history = self.history_by_environment[environment]
-        number = version.document.version
-        known = [v for v in history if v.document.version == number]
-        if known and known[0].digest == version.digest:
-            return results.Accepted(known[0].index, repeated=True)
-        if known:
+    def _find_pending(self, command):
+        wanted = (command.version, command.digest)
+        for number, pending in enumerate(self._pending):
+            if (pending.difference.version, pending.digest) == wanted:
+                return number
+        return None
+
+    def _refuse_promotion(self, command):
+        for record in self.history_by_environment[types.Environment.TRIAL]:
+            if record.version != command.version:
+                continue
+            if record.digest == command.digest:
+                return results.Rejected(
+                    f'version {command.version} is too far behind trial; '
+                    'promote a later one'
+                )
             return results.Rejected(
-                f'version {number} is taken by other bytes',
-                winner=known[0].operator,
+                f'trial accepted other bytes as version {command.version}',
+                winner=record.operator,
             )
-        if history and number < history[-1].document.version:
+        return results.Rejected('trial never accepted these bytes')
+
+    def _answer_known(self, environment, version, digest):
+        """Return the answer to a version that is not a new one."""
+        for record in reversed(self.history_by_environment[environment]):
+            if record.version != version:
+                continue
+            if record.digest == digest:
+                return results.Accepted(record.index, repeated=True)
             return results.Rejected(
-                f'version {history[-1].document.version} is in force'
+                f'version {version} is taken by other bytes',
+                winner=record.operator,
             )
-        history.append(version)
-        return results.Accepted(version.index)
+        last = self.last(environment)
+        if last is None or version > last.version:
+            return None
+        return results.Rejected(
+            f'version {last.version} is in force and versions never go back',
+            winner=last.operator,
+        )
+
+    def _accept(self, environment, document, record):
+        self._document_by_environment[environment] = document
+        history = self.history_by_environment[environment]
+        history.append(record)
+        del history[: -self._max_history]
+        return results.Accepted(record.index)
+
+    def _bound_pending(self):
+        while len(self._pending) > 1 and self._pending_exceeds_bounds():
+            first, second = self._pending[:2]
+            merged = differences.merge(first.difference, second.difference)
+            self._pending[:2] = [PendingVersion(second.digest, merged)]
+
+    def _pending_exceeds_bounds(self):
+        items = sum(pending.difference.size for pending in self._pending)
+        return (
+            len(self._pending) > self._max_pending
+            or items > self._max_pending_items
+        )
--- a/bulrushrudder/state/results.py
+++ b/bulrushrudder/state/results.py
@@ -37,4 +37,14 @@
     problem: str
 
 
-Outcome = Accepted | Rejected | Unavailable
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outdated:
+    """The command was made against a state that has changed since.
+
+    :param index: the place in the log at which that was found.
+    """
+
+    index: int
+
+
+Outcome = Accepted | Rejected | Unavailable | Outdated
--- a/bulrushrudder/tests/builders/documents.py
+++ b/bulrushrudder/tests/builders/documents.py
@@ -2,8 +2,10 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import keys
+from bulrushrudder.documents import differences
 from bulrushrudder.documents import lookups
 from bulrushrudder.documents import types
+from bulrushrudder.state import documents as state_documents
 
 KEY = 'brk_test'
 
@@ -45,3 +47,14 @@
         register=lookups.EMPTY.register,
         cut_on_withdrawal=False,
     )
+
+
+def submission(submitted, digest='d1', operator='ana'):
+    """Return the command that submits a first document to trial."""
+    return state_documents.SubmitDocument(
+        base_version=0,
+        base_digest='',
+        difference=differences.between(lookups.EMPTY, submitted),
+        digest=digest,
+        operator=operator,
+    )
--- /dev/null
+++ b/bulrushrudder/tests/documents/differences_tests.py
@@ -0,0 +1,79 @@
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bulrushrudder.documents import comparison
+from bulrushrudder.documents import differences
+from bulrushrudder.tests.builders import documents as builders
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=300
+)
+
+
+def built(version, rate_by_id, cut):
+    accounts = tuple(
+        builders.account(account_id, rate=float(rate), key=account_id)
+        for account_id, rate in rate_by_id.items()
+    )
+    document = builders.document(version, accounts)
+    return dataclasses.replace(document, cut_on_withdrawal=cut)
+
+
+DOCUMENTS = strategies.builds(
+    built,
+    strategies.integers(1, 9),
+    strategies.dictionaries(
+        strategies.sampled_from('abc'), strategies.integers(1, 2)
+    ),
+    strategies.booleans(),
+)
+
+
+class DifferencesTests(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(DOCUMENTS, DOCUMENTS, DOCUMENTS)
+    def test_merged_differences_lead_where_both_lead(self, a, b, c):
+        first = differences.between(a, b)
+        second = differences.between(b, c)
+        merged = differences.merge(first, second)
+        expected = differences.canonical(c)
+        start = differences.canonical(a)
+        self.assertEqual(differences.apply(start, merged), expected)
+        in_steps = differences.apply(differences.apply(start, first), second)
+        self.assertEqual(in_steps, expected)
+
+
+class ComparisonTests(unittest.TestCase):
+    def test_names_parts_and_fields(self):
+        before = built(1, {'a': 1, 'b': 1}, False)
+        after = built(2, {'a': 2, 'c': 1}, True)
+        self.assertEqual(
+            comparison.compare(before, after),
+            (
+                comparison.PartChange(
+                    comparison.ChangeKind.CHANGED,
+                    'account',
+                    'a',
+                    (comparison.FieldChange('rate', 1.0, 2.0),),
+                ),
+                comparison.PartChange(
+                    comparison.ChangeKind.ADDED, 'account', 'c'
+                ),
+                comparison.PartChange(
+                    comparison.ChangeKind.REMOVED, 'account', 'b'
+                ),
+                comparison.PartChange(
+                    comparison.ChangeKind.CHANGED,
+                    'document',
+                    '',
+                    (
+                        comparison.FieldChange(
+                            'cut_on_withdrawal', False, True
+                        ),
+                    ),
+                ),
+            ),
+        )
--- a/bulrushrudder/tests/protocol/codec_tests.py
+++ b/bulrushrudder/tests/protocol/codec_tests.py
@@ -2,12 +2,10 @@
 
 from returns import result
 
-from bulrushrudder.documents import types
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import registry
-from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import documents
 from bulrushrudder.tests.builders import fleet
@@ -20,9 +18,7 @@
             log_messages.Observe(fleet.owner(), 7),
             log_messages.Entries(3, (b'a', b'')),
             servers.JoinServer(fleet.server()),
-            state_documents.SubmitDocument(
-                types.Environment.TRIAL, documents.document(), 'd', 'ana'
-            ),
+            documents.submission(documents.document()),
         ):
             with self.subTest(type(message).__name__):
                 data = codec.encode(message)
--- a/bulrushrudder/tests/state/snapshot_tests.py
+++ b/bulrushrudder/tests/state/snapshot_tests.py
@@ -1,7 +1,6 @@
 import unittest
 
 from bulrushrudder.core import ids
-from bulrushrudder.documents import types
 from bulrushrudder.protocol import codec
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import machine
@@ -11,9 +10,7 @@
 from bulrushrudder.tests.builders import fleet
 
 COMMANDS = (
-    state_documents.SubmitDocument(
-        types.Environment.TRIAL, documents.document(), 'd1', 'ana'
-    ),
+    documents.submission(documents.document(), 'd1'),
     state_documents.PromoteDocument(1, 'd1', 'ana'),
     sessions.OpenSession(fleet.owner(), ids.Zone('a'), '127.0.0.1', 1),
     servers.JoinServer(fleet.server()),
--- /dev/null
+++ b/bulrushrudder/utils/authentication.py
@@ -0,0 +1,24 @@
+"""Checks the secrets that operators and backend servers present."""
+
+import hmac
+
+_ENCODING_ERRORS = 'surrogateescape'
+
+
+def bearer(request):
+    """Return the bearer token of an HTTP request, or None."""
+    given = request.headers.get('Authorization', '')
+    scheme, _, token = given.partition(' ')
+    if scheme.lower() != 'bearer' or not token.strip():
+        return None
+    return token.strip()
+
+
+def holds(request, secret):
+    """Return whether a request presents a secret, in constant time.
+
+    :param secret: the expected token as bytes.
+    """
+    token = bearer(request) or ''
+    given = token.encode(errors=_ENCODING_ERRORS)
+    return hmac.compare_digest(given, secret)
