Check a command's words before fire calls it

Cause: fire calls a command before it complains about unknown flags, reads a name such as 00123 or 1e3 as a number, and offers attributes of its components as commands. Result: unknown flags, missing files, surplus words and unknown commands end with one line on stderr and exit code 2 or 3, before anything is sent.

--- a/bulrushrudder/commands/client.py
+++ b/bulrushrudder/commands/client.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import dataclasses
+import json
 import pathlib
 
 import aiohttp
 
 from bulrushrudder.commands import errors
 
-TIMEOUT_S = 10.0
+TIMEOUT_S = 30.0
+CONNECT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,46 +18,107 @@
     """What the control process answered."""
 
     status: int
-    content: object
+    body: bytes
 
+    @property
+    def content(self):
+        """Return the JSON content."""
+        return json.loads(self.body)
 
-def call(method, control, secret_file, path, data=None, headers=None):
-    """Call the operators' interface.
+
+class Client:
+    """Calls the operators' interface of one control process.
 
     :param control: host:port of any control process.
     :param secret_file: the file that holds the operators secret.
-    :raises CommandError: where nobody answers or access is denied.
+    :raises CommandError: where the file cannot be read.
     """
-    secret = _secret(secret_file)
-    sent = {'Authorization': f'Bearer {secret}', **(headers or {})}
-    try:
-        reply = asyncio.run(
-            _call(method, f'http://{control}{path}', sent, data)
-        )
-    except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+
+    def __init__(self, control, secret_file):
+        self._control = _checked_address(control)
+        self._secret = _read_secret(secret_file)
+
+    def call(self, method, path, data=None, operator=None):
+        """Call the operators' interface.
+
+        :returns: the Reply to a call that was taken.
+        :raises CommandError: where nobody answers, access is denied or
+            the call is refused.
+        """
+        headers = {'Authorization': f'Bearer {self._secret}'}
+        if operator is not None:
+            headers['X-Operator'] = operator
+        try:
+            reply = asyncio.run(_call(method, self._url(path), headers, data))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            detail = str(error) or type(error).__name__
+            raise errors.CommandError(
+                errors.ExitCode.UNREACHABLE,
+                f'{self._control}: no answer: {detail}',
+            ) from error
+        self._check(reply)
+        return reply
+
+    def _url(self, path):
+        return f'http://{self._control}{path}'
+
+    def _check(self, reply):
+        if reply.status < 400:
+            return
+        lines = _problems(reply)
+        code = errors.ExitCode.REFUSED
+        if reply.status == 503:
+            code = errors.ExitCode.UNREACHABLE
         raise errors.CommandError(
-            errors.ExitCode.UNREACHABLE, f'{control}: {error!r}'
-        ) from error
-    if reply.status == 401:
+            code, *(f'{self._control}: {line}' for line in lines)
+        )
+
+
+def _problems(reply):
+    """Return the problems that a reply names."""
+    try:
+        content = reply.content
+    except ValueError:
+        content = None
+    match content:
+        case {'problems': [*problems]}:
+            return [str(problem) for problem in problems]
+        case {'problem': problem, 'winner': winner} if winner:
+            return [f'{problem}; it was put there by {winner}']
+        case {'problem': problem}:
+            return [str(problem)]
+    return [f'HTTP status {reply.status}']
+
+
+def _checked_address(control):
+    host, colon, port = control.rpartition(':')
+    if not colon or not host or not port.isdecimal():
         raise errors.CommandError(
-            errors.ExitCode.REFUSED, f'{control}: the secret is wrong'
+            errors.ExitCode.USAGE,
+            f'control: expected host:port, found {control!r}',
         )
-    return reply
+    return control
 
 
-def _secret(file):
+def _read_secret(file):
     try:
-        return pathlib.Path(str(file)).read_text().strip()
-    except OSError as error:
+        secret = pathlib.Path(file).read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        detail = getattr(error, 'strerror', None) or 'not text'
         raise errors.CommandError(
-            errors.ExitCode.INVALID_FILE, f'{file}: {error.strerror}'
+            errors.ExitCode.INVALID_FILE, f'{file}: cannot be read: {detail}'
         ) from error
+    if not secret.isprintable():
+        raise errors.CommandError(
+            errors.ExitCode.INVALID_FILE, f'{file}: holds more than one line'
+        )
+    return secret
 
 
 async def _call(method, url, headers, data):
-    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
         async with session.request(
             method, url, headers=headers, data=data
         ) as response:
-            return Reply(response.status, await response.json())
+            return Reply(response.status, await response.read())
--- a/bulrushrudder/commands/document.py
+++ b/bulrushrudder/commands/document.py
@@ -1,107 +1,201 @@
-"""Checks, submits and promotes documents."""
+"""Checks, submits, promotes and compares documents."""
 
+import dataclasses
 import json as json_format
 
 from returns import result
 
 from bulrushrudder.commands import client
 from bulrushrudder.commands import errors
+from bulrushrudder.commands import waiting
 from bulrushrudder.config import document as document_config
 from bulrushrudder.config import loader
-from bulrushrudder.control import operators
-
-
-class Document:
-    """Check, submit and promote environment documents."""
-
-    def check(self, file):
-        """Check a document without sending it anywhere.
-
-        :param file: the document.
-        """
-        found = self._load(file)
-        print(f'{file}: version {found.version} is valid')
-
-    def submit(self, file, control, secret, operator='unnamed', json=False):
-        """Submit a document to the trial environment.
-
-        :param file: the document.
-        :param control: host:port of any control process.
-        :param secret: the file that holds the operators secret.
-        :param operator: your name, for the history.
-        :param json: whether to print JSON.
-        """
-        self._load(file)
-        source = loader.read_bytes(file).unwrap()
-        reply = client.call(
-            'POST',
-            control,
-            secret,
-            '/documents/trial',
-            data=source,
-            headers={'X-Operator': str(operator)},
+from bulrushrudder.documents import comparison
+from bulrushrudder.documents import lookups
+from bulrushrudder.documents import types
+
+ENVIRONMENTS = tuple(environment.value for environment in types.Environment)
+
+
+def check(file, json=False):
+    """Check a document without sending it anywhere.
+
+    :param file: the document.
+    :param json: whether to print JSON.
+    """
+    source, found = _load(file)
+    if json:
+        _print_json(_identity(source, found))
+        return
+    print(f'{file}: version {found.version} is valid')
+
+
+def submit(file, control, secret, operator='unnamed', wait=False, json=False):
+    """Submit a document to the trial environment.
+
+    Submitting the same bytes again gives the first answer again.
+
+    :param file: the document.
+    :param control: host:port of any control process.
+    :param secret: the file that holds the operators secret.
+    :param operator: your name, for the history.
+    :param wait: whether to wait until it is in force on all live VMs.
+    :param json: whether to print JSON.
+    """
+    source, _ = _load(file)
+    found = client.Client(control, secret)
+    reply = found.call(
+        'POST', '/documents/trial', data=source, operator=operator
+    )
+    _report(found, reply, wait, json)
+
+
+def promote(file, control, secret, operator='unnamed', wait=False, json=False):
+    """Put the bytes that trial accepted in force in production.
+
+    :param file: the document that trial accepted, unchanged.
+    :param control: host:port of any control process.
+    :param secret: the file that holds the operators secret.
+    :param operator: your name, for the history.
+    :param wait: whether to wait until it is in force on all live VMs.
+    :param json: whether to print JSON.
+    """
+    source, document = _load(file)
+    found = client.Client(control, secret)
+    reply = found.call(
+        'POST',
+        '/documents/production',
+        data=json_format.dumps(_identity(source, document)),
+        operator=operator,
+    )
+    _report(found, reply, wait, json)
+
+
+def show(environment, control, secret):
+    """Print the document in force in an environment, as YAML.
+
+    The layout and comments of the submitted file are not kept.
+
+    :param environment: trial or production.
+    :param control: host:port of any control process.
+    :param secret: the file that holds the operators secret.
+    """
+    _check_environment(environment)
+    found = client.Client(control, secret)
+    reply = found.call('GET', f'/documents/{environment}/content')
+    print(reply.body.decode(), end='')
+
+
+def history(environment, control, secret, json=False):
+    """Print the accepted versions of an environment, oldest first.
+
+    :param environment: trial or production.
+    :param control: host:port of any control process.
+    :param secret: the file that holds the operators secret.
+    :param json: whether to print JSON.
+    """
+    _check_environment(environment)
+    found = client.Client(control, secret)
+    versions = found.call('GET', f'/documents/{environment}').content
+    if json:
+        _print_json(versions)
+        return
+    for version in versions:
+        print(
+            f'{version["version"]}  {version["digest"]}  {version["operator"]}'
         )
-        self._report(reply, json)
-
-    def promote(self, file, control, secret, operator='unnamed', json=False):
-        """Put the bytes that trial accepted in force in production.
-
-        :param file: the document that trial accepted.
-        :param control: host:port of any control process.
-        :param secret: the file that holds the operators secret.
-        :param operator: your name, for the history.
-        :param json: whether to print JSON.
-        """
-        found = self._load(file)
-        source = loader.read_bytes(file).unwrap()
-        content = {
-            'version': found.version,
-            'digest': operators.digest(source),
-        }
-        reply = client.call(
-            'POST',
-            control,
-            secret,
-            '/documents/production',
-            data=json_format.dumps(content),
-            headers={'X-Operator': str(operator)},
+
+
+def diff(before, after, control, secret, json=False):
+    """Print what differs between two documents.
+
+    :param before: a file, or trial or production for what is in force.
+    :param after: a file, or trial or production for what is in force.
+    :param control: host:port of any control process.
+    :param secret: the file that holds the operators secret.
+    :param json: whether to print JSON.
+    """
+    found = client.Client(control, secret)
+    changes = comparison.compare(_named(found, before), _named(found, after))
+    if json:
+        _print_json([_plain(change) for change in changes])
+        return
+    for change in changes:
+        print(f'{change.kind.value} {change.part} {change.id}'.rstrip())
+        for field in change.fields:
+            print(f'  {field.name}: {field.before} -> {field.after}')
+
+
+def _named(found, name):
+    if name not in ENVIRONMENTS:
+        _, document = _load(name)
+        return document
+    versions = found.call('GET', f'/documents/{name}').content
+    if not versions:
+        return lookups.EMPTY
+    reply = found.call('GET', f'/documents/{name}/content')
+    return _checked(name, reply.body)
+
+
+def _load(file):
+    match loader.read_bytes(file):
+        case result.Success(source):
+            return source, _checked(file, source)
+        case result.Failure(problems):
+            raise _invalid(problems)
+    raise AssertionError('unreachable')
+
+
+def _checked(file, source):
+    match document_config.load(file, source):
+        case result.Success(document):
+            return document
+        case result.Failure(problems):
+            raise _invalid(problems)
+    raise AssertionError('unreachable')
+
+
+def _invalid(problems):
+    return errors.CommandError(
+        errors.ExitCode.INVALID_FILE, *map(str, problems)
+    )
+
+
+def _check_environment(environment):
+    if environment not in ENVIRONMENTS:
+        raise errors.CommandError(
+            errors.ExitCode.USAGE,
+            f'environment: expected trial or production, '
+            f'found {environment!r}',
         )
-        self._report(reply, json)
-
-    def history(self, environment, control, secret, json=False):
-        """Print the accepted versions of an environment.
-
-        :param environment: trial or production.
-        :param control: host:port of any control process.
-        :param secret: the file that holds the operators secret.
-        :param json: whether to print JSON.
-        """
-        path = f'/documents/{environment}'
-        reply = client.call('GET', control, secret, path)
-        if json:
-            print(json_format.dumps(reply.content))
-            return
-        for version in reply.content:
-            print(
-                f'{version["version"]}  {version["digest"]}'
-                f'  {version["operator"]}'
-            )
-
-    def _load(self, file):
-        source = loader.read_bytes(str(file))
-        match source.bind(lambda text: document_config.load(file, text)):
-            case result.Success(found):
-                return found
-            case result.Failure(problems):
-                raise errors.CommandError(
-                    errors.ExitCode.INVALID_FILE, *map(str, problems)
-                )
-
-    def _report(self, reply, json):
-        if json:
-            print(json_format.dumps(reply.content))
-        if reply.status != 200:
-            problem = reply.content.get('problem') or reply.content
-            raise errors.CommandError(errors.ExitCode.REFUSED, problem)
+
+
+def _identity(source, document):
+    return {
+        'version': document.version,
+        'digest': document_config.digest(source),
+    }
+
+
+def _report(found, reply, wait, json):
+    content = reply.content
+    if json:
+        _print_json(content)
+    else:
+        again = ', as answered before' if content['repeated'] else ''
+        print(f'in the log at index {content["index"]}{again}')
+    if wait:
+        waiting.wait_until_in_force(found, content['index'])
         if not json:
-            print(f'in the log at index {reply.content["index"]}')
+            print('in force on all live VMs')
+
+
+def _plain(change):
+    return {
+        **dataclasses.asdict(change),
+        'kind': change.kind.value,
+    }
+
+
+def _print_json(content):
+    print(json_format.dumps(content, default=str))
--- a/bulrushrudder/commands/errors.py
+++ b/bulrushrudder/commands/errors.py
@@ -13,6 +13,8 @@
     INVALID_FILE = 3
     REFUSED = 4
     UNREACHABLE = 5
+    NOT_IN_FORCE = 6
+    INTERRUPTED = 130
 
 
 class CommandError(Exception):
--- a/bulrushrudder/commands/key.py
+++ b/bulrushrudder/commands/key.py
@@ -5,18 +5,15 @@
 from bulrushrudder.core import keys
 
 
-class Key:
-    """Make callers' keys."""
+def new(json=False):
+    """Print a fresh key and the digest that goes into a document.
 
-    def new(self, json=False):
-        """Print a fresh key and the digest that goes into a document.
-
-        :param json: whether to print JSON.
-        """
-        key = keys.new_key()
-        digest = keys.digest(key)
-        if json:
-            print(json_format.dumps({'key': key, 'digest': digest}))
-            return
-        print(f'key:    {key}')
-        print(f'digest: {digest}')
+    :param json: whether to print JSON.
+    """
+    key = keys.new_key()
+    digest = keys.digest(key)
+    if json:
+        print(json_format.dumps({'key': key, 'digest': digest}))
+        return
+    print(f'key:    {key}')
+    print(f'digest: {digest}')
--- a/bulrushrudder/commands/status.py
+++ b/bulrushrudder/commands/status.py
@@ -12,9 +12,21 @@
     :param secret: the file that holds the operators secret.
     :param json: whether to print JSON.
     """
-    reply = client.call('GET', control, secret, '/status')
+    content = client.Client(control, secret).call('GET', '/status').content
     if json:
-        print(json_format.dumps(reply.content))
+        print(json_format.dumps(content))
         return
-    for name, value in reply.content.items():
-        print(f'{name}: {value}')
+    for name, value in content.items():
+        print(f'{name}: {_shown(value)}')
+
+
+def _shown(value):
+    match value:
+        case bool():
+            return 'yes' if value else 'no'
+        case list():
+            return ', '.join(map(str, value)) or 'none'
+        case dict():
+            pairs = [f'{k} {v}' for k, v in value.items()]
+            return ', '.join(pairs) or 'none'
+    return value
--- a/bulrushrudder/commands/version.py
+++ b/bulrushrudder/commands/version.py
@@ -1,8 +1,16 @@
 """Prints the version."""
 
+import json as json_format
+
 import bulrushrudder
 
 
-def version():
-    """Print the version of bulrushrudder."""
+def version(json=False):
+    """Print the version of bulrushrudder.
+
+    :param json: whether to print JSON.
+    """
+    if json:
+        print(json_format.dumps({'version': bulrushrudder.__version__}))
+        return
     print(bulrushrudder.__version__)
--- /dev/null
+++ b/bulrushrudder/commands/waiting.py
@@ -0,0 +1,36 @@
+"""Waits until a change is in force on every VM."""
+
+import time
+
+from bulrushrudder.commands import errors
+
+WAIT_S = 15.0
+POLL_S = 0.2
+
+
+def wait_until_in_force(found, index):
+    """Wait until every live VM has reached an index of the log.
+
+    :param found: a Client.
+    :raises CommandError: names the VMs that have not in time.
+    """
+    deadline_s = time.monotonic() + WAIT_S
+    while True:
+        behind = _behind(found, index)
+        if not behind:
+            return
+        if time.monotonic() > deadline_s:
+            raise errors.CommandError(
+                errors.ExitCode.NOT_IN_FORCE,
+                f'accepted, but after {WAIT_S:g} s not in force on: '
+                + ', '.join(behind),
+            )
+        time.sleep(POLL_S)
+
+
+def _behind(found, index):
+    """Return the VMs with an open session that are behind an index."""
+    content = found.call('GET', '/status').content
+    return sorted(
+        vm for vm, reached in content['index_by_vm'].items() if reached < index
+    )
