Ask whether a link is alive only while somebody waits

Cause: every link sent a heartbeat each way every 0.5 s. At 400 nodes a node with a link to each peer would spend 46 bytes x 2 x 2/s x 399 = 73 kB/s against a budget of 2 kB/s. Change: a decision without I/O says when to ask and when to close; only links to a control process, and links with open questions, are watched; sockets have keep-alive for the rest.

--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -76,7 +76,7 @@
 
     async def _follow(self, address):
         dialled = await link.dial(
-            address, self._owner, self._secret, self._handle
+            address, self._owner, self._secret, self._handle, True
         )
         match dialled:
             case result.Success(found):
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -1,7 +1,8 @@
 """Links between processes: framed messages over TCP.
 
-Both ends prove that they hold the cluster secret. Heartbeats show that
-a link is alive; a silent link is closed though its socket looks alive.
+Both ends prove that they hold the cluster secret. While somebody waits
+for the peer, heartbeats show that the link is alive; a silent link is
+closed though its socket looks alive.
 """
 
 import asyncio
@@ -9,6 +10,7 @@
 import hashlib
 import hmac
 import secrets
+import socket
 import struct
 
 from returns import result
@@ -17,10 +19,11 @@
 from bulrushrudder.events import log
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import errors
+from bulrushrudder.protocol import liveness
 from bulrushrudder.protocol import messages
 
-HEARTBEAT_S = 0.5
-SILENCE_S = 2.0
+CHECK_S = 0.25
+KEEPALIVE_IDLE_S = 30
 HANDSHAKE_S = 2.0
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
@@ -35,9 +38,11 @@
     :param owner: this process.
     :param handler: coroutine function of (link, message); what it
         returns answers an Ask.
+    :param always_alive: whether a silent peer matters also while no
+        question is open.
     """
 
-    def __init__(self, reader, writer, owner, handler):
+    def __init__(self, reader, writer, owner, handler, always_alive=False):
         self._reader = reader
         self._writer = writer
         self._owner = owner
@@ -45,7 +50,7 @@
         self._calls_by_number = {}
         self._last_call = 0
         self._tasks = set()
-        self._heard_s = 0.0
+        self._liveness = liveness.Liveness(always_alive, _now_s())
         self.peer = None
         self.closed = asyncio.Event()
 
@@ -126,15 +131,15 @@
 
     async def run(self):
         """Serve the link until it ends."""
-        loop = asyncio.get_running_loop()
-        self._heard_s = loop.time()
-        beat = asyncio.create_task(self._beat())
+        _watch_idle_socket(self._writer)
+        self._liveness.heard(_now_s())
+        watch = asyncio.create_task(self._watch())
         log.emit(catalogue.LINK_OPENED, peer=str(self.peer))
         reason = 'the peer closed'
         try:
             while True:
                 message = await self._read_message()
-                self._heard_s = loop.time()
+                self._liveness.heard(_now_s())
                 self._dispatch(message)
         except _InvalidMessageError as error:
             reason = f'invalid message: {error}'
@@ -142,7 +147,7 @@
         except (OSError, EOFError) as error:
             reason = reason if self.closed.is_set() else repr(error)
         finally:
-            beat.cancel()
+            watch.cancel()
             self.close()
             log.emit(catalogue.LINK_CLOSED, peer=str(self.peer), detail=reason)
 
@@ -163,6 +168,8 @@
 
     def _dispatch(self, message):
         match message:
+            case messages.Heartbeat(wants_answer=True):
+                self.tell(messages.Heartbeat(False))
             case messages.Heartbeat():
                 return
             case messages.Answer(call=call, body=body):
@@ -193,14 +200,17 @@
         if not task.cancelled() and task.exception():
             log.emit(catalogue.UNEXPECTED, detail=repr(task.exception()))
 
-    async def _beat(self):
-        loop = asyncio.get_running_loop()
+    async def _watch(self):
+        """Close the link when the peer falls silent."""
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
-            if loop.time() - self._heard_s > SILENCE_S:
-                self.close()
-                return
-            self.tell(messages.Heartbeat())
+            await asyncio.sleep(CHECK_S)
+            waiting = bool(self._calls_by_number)
+            match self._liveness.check(waiting, _now_s()):
+                case liveness.Verdict.ASK:
+                    self.tell(messages.Heartbeat(True))
+                case liveness.Verdict.CLOSE:
+                    self.close()
+                    return
 
     async def _read_message(self):
         head = await self._reader.readexactly(_LENGTH.size)
@@ -214,6 +224,17 @@
     """The peer sent bytes that are no message."""
 
 
+def _now_s():
+    return asyncio.get_running_loop().time()
+
+
+def _watch_idle_socket(writer):
+    """Have the system end idle connections whose peer is gone."""
+    found = writer.get_extra_info('socket')
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+
+
 def _decoded(data):
     match codec.decode(data):
         case result.Success(message):
@@ -231,10 +252,12 @@
     return result.Failure(errors.LinkError(problem, detail, sent))
 
 
-async def dial(address, owner, secret, handler):
+async def dial(address, owner, secret, handler, always_alive=False):
     """Open a link to another process.
 
     :param address: a config Address.
+    :param always_alive: whether a silent peer matters also while no
+        question is open.
     :returns: the link after its handshake, or a LinkError; the caller
         runs it.
     """
@@ -245,7 +268,7 @@
             )
     except (TimeoutError, OSError) as error:
         return _failure(errors.LinkProblem.UNREACHABLE, repr(error), False)
-    link = Link(reader, writer, owner, handler)
+    link = Link(reader, writer, owner, handler, always_alive)
     return await link.handshake(secret, True)
 
 
--- a/bulrushrudder/protocol/messages.py
+++ b/bulrushrudder/protocol/messages.py
@@ -28,7 +28,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Says that the link is alive."""
+    """Says that the link is alive.
+
+    :param wants_answer: whether the peer shall say so too.
+    """
+
+    wants_answer: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/tests/protocol/codec_tests.py
+++ b/bulrushrudder/tests/protocol/codec_tests.py
@@ -14,7 +14,7 @@
 class CodecTests(unittest.TestCase):
     def test_round_trip(self):
         for message in (
-            messages.Heartbeat(),
+            messages.Heartbeat(True),
             log_messages.Observe(fleet.owner(), 7),
             log_messages.Entries(3, (b'a', b'')),
             servers.JoinServer(fleet.server()),
