Add commented examples for both firms

Cause: operators had no settings or document to start from. Change: settings for each kind of VM and one document for each firm; a test loads them all and checks that a rendered document loads to the same.

--- /dev/null
+++ b/bulrushrudder/tests/config/examples_tests.py
@@ -0,0 +1,63 @@
+import pathlib
+import tempfile
+import unittest
+
+import bulrushrudder
+from bulrushrudder.config import document
+from bulrushrudder.config import rendering
+from bulrushrudder.config import settings
+from bulrushrudder.documents import differences
+
+EXAMPLES = pathlib.Path(bulrushrudder.__file__).parents[1] / 'examples'
+FIRMS = ('mrezica', 'synigoros')
+SECTIONS_BY_FILE = {
+    'entry.yaml': (True, False),
+    'control.yaml': (False, True),
+    'control-and-entry.yaml': (True, True),
+}
+
+
+def load_document(firm):
+    file = EXAMPLES / firm / 'document.yaml'
+    return document.load(file, file.read_bytes()).unwrap()
+
+
+class ExamplesTests(unittest.TestCase):
+    def test_documents_are_valid(self):
+        for firm in FIRMS:
+            with self.subTest(firm):
+                found = load_document(firm)
+                self.assertEqual(len(found.accounts), 5)
+                self.assertTrue([r for r in found.routes if not r.repeatable])
+
+    def test_settings_are_valid(self):
+        for firm in FIRMS:
+            for name, sections in SECTIONS_BY_FILE.items():
+                with self.subTest(f'{firm}/{name}'):
+                    found = self._load_settings(EXAMPLES / firm / name)
+                    present = (
+                        found.entry is not None,
+                        found.control is not None,
+                    )
+                    self.assertEqual(present, sections)
+                    self.assertEqual(len(found.controls), 3)
+
+    def _load_settings(self, file):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            (folder / 'secrets').mkdir()
+            for kind in ('cluster', 'operators', 'backends'):
+                (folder / 'secrets' / kind).write_text('0123456789abcdef')
+            copy = folder / 'settings.yaml'
+            copy.write_bytes(file.read_bytes())
+            return settings.load(str(copy)).unwrap()
+
+
+class RenderingTests(unittest.TestCase):
+    def test_rendered_document_loads_to_the_same(self):
+        for firm in FIRMS:
+            with self.subTest(firm):
+                expected = differences.canonical(load_document(firm))
+                text = ''.join(rendering.pieces(expected))
+                found = document.load('rendered', text.encode()).unwrap()
+                self.assertEqual(found, expected)
