Bound what callers can send, and say why it is refused

Cause: callers could hold a connection with slow headers or a slow body, a wrong model or bytes in a key ended in an internal error or passed, and aiohttp logged the bytes of malformed requests. Change: bounds on the time for headers and body, numbered reasons for slow bodies and internal errors, the key is checked again once the body is there, the route's model is compared, and the library's complaints become event 1502 without the peer's bytes. Result: the tests found that a key of bytes that are no text gave status 500; it is now 401.

--- a/bulrushrudder/core/keys.py
+++ b/bulrushrudder/core/keys.py
@@ -13,5 +13,10 @@
 
 
 def digest(key):
-    """Return the digest of a key as it stands in documents."""
-    return DIGEST_PREFIX + hashlib.sha256(key.encode()).hexdigest()
+    """Return the digest of a key as it stands in documents.
+
+    :param key: the key; bytes that are no text may stand in it as
+        surrogates, as HTTP headers deliver them.
+    """
+    data = key.encode(errors='surrogateescape')
+    return DIGEST_PREFIX + hashlib.sha256(data).hexdigest()
--- a/bulrushrudder/core/outcomes.py
+++ b/bulrushrudder/core/outcomes.py
@@ -19,6 +19,7 @@
     BODY_TOO_LARGE = 1002
     ROUTE_UNKNOWN = 1003
     MODEL_UNKNOWN = 1004
+    BODY_TOO_SLOW = 1005
     KEY_MISSING = 2001
     KEY_UNKNOWN = 2002
     ROUTE_FORBIDDEN = 2003
@@ -42,6 +43,7 @@
     ANSWER_NOT_KEPT = 7005
     REGISTER_FULL = 7006
     CALLER_GONE = 8001
+    INTERNAL_ERROR = 9001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/entry/completions.py
+++ b/bulrushrudder/entry/completions.py
@@ -6,10 +6,12 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.utils import web
 
 STATUS_BY_REASON = {
     outcomes.Reason.MALFORMED_REQUEST: 400,
     outcomes.Reason.BODY_TOO_LARGE: 413,
+    outcomes.Reason.BODY_TOO_SLOW: 408,
     outcomes.Reason.ROUTE_UNKNOWN: 404,
     outcomes.Reason.MODEL_UNKNOWN: 404,
     outcomes.Reason.KEY_MISSING: 401,
@@ -27,6 +29,7 @@
     outcomes.Reason.OUTCOME_UNKNOWN: 504,
     outcomes.Reason.ANSWER_NOT_KEPT: 409,
     outcomes.Reason.CALLER_GONE: 499,
+    outcomes.Reason.INTERNAL_ERROR: 500,
 }
 DEFAULT_STATUS = 503
 
@@ -42,20 +45,24 @@
     stream: bool = False
 
 
-def parse(body):
+def parse(body, model):
     """Read a completions request.
 
     :param body: bytes of the request's body.
+    :param model: the model that the route leads to.
     :returns: the request, or a Refusal.
     """
     try:
-        return result.Success(CompletionRequest.model_validate_json(body))
+        found = CompletionRequest.model_validate_json(body)
     except pydantic.ValidationError as error:
-        first = error.errors(include_url=False, include_input=False)[0]
-    field = '.'.join(map(str, first['loc']))
-    detail = f'{field}: {first["msg"]}' if field else first['msg']
-    reason = outcomes.Reason.MALFORMED_REQUEST
-    return result.Failure(outcomes.not_run(reason, detail))
+        reason = outcomes.Reason.MALFORMED_REQUEST
+        detail = web.first_error(error)
+        return result.Failure(outcomes.not_run(reason, detail))
+    if found.model not in (None, model):
+        reason = outcomes.Reason.MODEL_UNKNOWN
+        detail = f'this route leads to the model {model}'
+        return result.Failure(outcomes.not_run(reason, detail))
+    return result.Success(found)
 
 
 def status_of(refusal):
--- a/bulrushrudder/entry/frontend.py
+++ b/bulrushrudder/entry/frontend.py
@@ -12,10 +12,23 @@
 from bulrushrudder.entry import model_calls
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.utils import authentication
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
-BYTES_A_TOKEN = 4
-
+BODY_S = 20.0
+
+_TOO_LARGE = outcomes.not_run(
+    outcomes.Reason.BODY_TOO_LARGE,
+    f'a body has at most {MAX_BODY_BYTES} bytes',
+)
+_TOO_SLOW = outcomes.not_run(
+    outcomes.Reason.BODY_TOO_SLOW, 'the body did not come in time'
+)
+_MALFORMED_BODY = outcomes.not_run(
+    outcomes.Reason.MALFORMED_REQUEST, 'the body is cut or malformed'
+)
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._:-]{1,128}')
 
 
@@ -23,10 +36,12 @@
     """Handlers of the callers' interface.
 
     :param services: the Services of this process.
+    :param body_s: seconds that a caller may take to send a body.
     """
 
-    def __init__(self, services):
+    def __init__(self, services, body_s=BODY_S):
         self._services = services
+        self._body_s = body_s
         self._model_calls = model_calls.ModelCalls(services)
         self._service_calls = service_calls.ServiceCalls(services)
 
@@ -51,40 +66,75 @@
 
     async def _call(self, http_request):
         request_id = self._request_id(http_request)
-        admitted = admission.admit(
-            self._services.view,
-            asyncio.get_running_loop().time(),
-            self._services.draining,
-            http_request.method,
-            http_request.path,
-            _key_of(http_request),
-        )
-        match admitted:
-            case result.Failure(refusal):
-                return refusals.refuse(
-                    self._services.metrics, refusal, request_id, 'none'
-                )
-            case result.Success(found):
-                pass
         try:
-            body = await http_request.read()
-        except web.HTTPRequestEntityTooLarge:
-            refusal = outcomes.not_run(
-                outcomes.Reason.BODY_TOO_LARGE,
-                f'a body has at most {MAX_BODY_BYTES} bytes',
-            )
-            return refusals.refuse(
-                self._services.metrics, refusal, request_id, found.route.id
+            return await self._serve(http_request, request_id)
+        except Exception as error:
+            log.emit(catalogue.UNEXPECTED, detail=type(error).__name__)
+            if http_request.writer.output_size > 0:
+                raise ConnectionError('the answer was cut') from error
+            refusal = outcomes.Refusal(
+                outcomes.Reason.INTERNAL_ERROR,
+                outcomes.Execution.UNKNOWN,
+                'an internal error, which is in the log',
             )
-        match found.route.target:
+            return self._refuse(refusal, request_id, 'none')
+
+    async def _serve(self, http_request, request_id):
+        admitted = self._admit(http_request)
+        if isinstance(admitted, result.Failure):
+            return self._refuse(admitted.failure(), request_id, 'none')
+        body = await self._read(http_request)
+        if isinstance(body, result.Failure):
+            route = admitted.unwrap().route.id
+            return self._refuse(body.failure(), request_id, route)
+        # The key may have been withdrawn while the body came in.
+        admitted = self._admit(http_request)
+        if isinstance(admitted, result.Failure):
+            return self._refuse(admitted.failure(), request_id, 'none')
+        return await self._run(
+            http_request, request_id, admitted.unwrap(), body.unwrap()
+        )
+
+    async def _run(self, http_request, request_id, admitted, body):
+        match admitted.route.target:
             case types.ModelTarget():
                 return await self._model_calls.serve(
-                    http_request, request_id, found, body
+                    http_request, request_id, admitted, body
                 )
             case types.ServiceTarget():
                 return await self._service_calls.serve(
-                    http_request, request_id, found, body
+                    http_request, request_id, admitted, body
                 )
+        raise AssertionError('a route has no other targets')
+
+    def _admit(self, http_request):
+        return admission.admit(
+            self._services.view,
+            asyncio.get_running_loop().time(),
+            self._services.draining,
+            http_request.method,
+            http_request.path,
+            authentication.bearer(http_request),
+        )
+
+    async def _read(self, http_request):
+        """Return the body of a call, or a Refusal."""
+        if (http_request.content_length or 0) > MAX_BODY_BYTES:
+            return result.Failure(_TOO_LARGE)
+        try:
+            async with asyncio.timeout(self._body_s):
+                return result.Success(await http_request.read())
+        except web.HTTPRequestEntityTooLarge:
+            return result.Failure(_TOO_LARGE)
+        except TimeoutError:
+            return result.Failure(_TOO_SLOW)
+        except (web.RequestPayloadError, ConnectionError):
+            return result.Failure(_MALFORMED_BODY)
+
+    def _refuse(self, refusal, request_id, route):
+        return refusals.refuse(
+            self._services.metrics, refusal, request_id, route
+        )
 
     def _request_id(self, http_request):
         given = http_request.headers.get('X-Request-Id', '')
@@ -93,11 +143,3 @@
         owner = self._services.owner
         number = self._services.next_request()
         return f'{owner.vm}-{owner.incarnation}-{number}'
-
-
-def _key_of(http_request):
-    given = http_request.headers.get('Authorization', '')
-    scheme, _, key = given.partition(' ')
-    if scheme.lower() != 'bearer' or not key.strip():
-        return None
-    return key.strip()
--- a/bulrushrudder/entry/model_calls.py
+++ b/bulrushrudder/entry/model_calls.py
@@ -26,7 +26,7 @@
 
     async def serve(self, http_request, request_id, admitted, body):
         """Serve one call and return its HTTP response."""
-        match completions.parse(body):
+        match completions.parse(body, admitted.route.target.model):
             case result.Failure(refusal):
                 return refusals.refuse(
                     self._services.metrics,
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -57,6 +57,12 @@
     'attempt failed',
     'A backend server did not finish an attempt.',
 )
+HTTP_INVALID = Event(
+    1502,
+    Level.WARNING,
+    'http invalid',
+    'A peer sent bytes that are no HTTP, or sent its headers too slowly.',
+)
 BACKEND_DENIED = Event(
     1501,
     Level.WARNING,
--- /dev/null
+++ b/bulrushrudder/tests/builders/frontends.py
@@ -0,0 +1,46 @@
+"""Builders of callers' interfaces on the loopback interface."""
+
+import asyncio
+import itertools
+import types
+
+from bulrushrudder.config import settings
+from bulrushrudder.documents import types as document_types
+from bulrushrudder.entry import frontend
+from bulrushrudder.metrics import registry
+from bulrushrudder.observers import view
+from bulrushrudder.state import documents as state_documents
+from bulrushrudder.tests.builders import documents
+from bulrushrudder.tests.builders import fleet
+from bulrushrudder.utils import ports
+from bulrushrudder.utils import web
+
+
+def fresh_view(document, now_s):
+    """Return a view that has just seen a document promoted."""
+    found = view.View(document_types.Environment.PRODUCTION)
+    found.apply(1, documents.submission(document, 'd1'))
+    found.apply(2, state_documents.PromoteDocument(1, 'd1', 'ana'))
+    found.vouched(found.begin_round(now_s), 2)
+    return found
+
+
+async def listen(stack, document, headers_s=60.0, body_s=60.0):
+    """Serve callers without backend servers.
+
+    :returns: the port and the services.
+    """
+    now_s = asyncio.get_running_loop().time()
+    services = types.SimpleNamespace(
+        view=fresh_view(document, now_s),
+        draining=False,
+        owner=fleet.owner(),
+        metrics=registry.Metrics(),
+        next_request=itertools.count(1).__next__,
+    )
+    front = frontend.Frontend(services, body_s)
+    address = settings.Address(ports.LOOPBACK, 0)
+    port = await web.listen(
+        stack, front.application(), address, True, headers_s
+    )
+    return port, services
--- a/bulrushrudder/utils/web.py
+++ b/bulrushrudder/utils/web.py
@@ -1,30 +1,95 @@
 """What all HTTP listeners of a process share."""
 
+import asyncio
+import logging
+
 from aiohttp import web
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 
+HEADERS_S = 10.0
+KEEP_ALIVE_S = 75.0
+
 
-async def listen(stack, application, address, cancel_handlers=False):
+async def listen(
+    stack, application, address, cancel_handlers=False, headers_s=HEADERS_S
+):
     """Serve an application until the exit stack closes.
 
     :param stack: an AsyncExitStack that owns the listener.
     :param address: a config Address; port 0 takes any free one.
     :param cancel_handlers: whether a gone caller cancels its handler.
+    :param headers_s: seconds that a peer may take for the headers of
+        its first request.
     :returns: the port that is listened on.
     """
+    guard = _HeadersGuard(headers_s)
+    application.middlewares.insert(0, guard.note)
     runner = web.AppRunner(
         application,
         access_log=None,
+        logger=_HTTP_LOGGER,
         handler_cancellation=cancel_handlers,
+        keepalive_timeout=KEEP_ALIVE_S,
         shutdown_timeout=1.0,
     )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    site = web.TCPSite(runner, address.host, address.port)
-    await site.start()
-    return runner.addresses[0][1]
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: guard.watch(runner.server()), address.host, address.port
+    )
+    stack.callback(server.close)
+    return server.sockets[0].getsockname()[1]
+
+
+class _HeadersGuard:
+    """Closes connections whose peer does not finish its headers."""
+
+    def __init__(self, headers_s):
+        self._headers_s = headers_s
+        self._timers_by_protocol = {}
+
+    def watch(self, protocol):
+        """Watch a new connection and return its protocol."""
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self._headers_s, self._expire, protocol)
+        self._timers_by_protocol[protocol] = timer
+        return protocol
+
+    @web.middleware
+    async def note(self, request, handler):
+        """Take note that the headers of a request are whole."""
+        timer = self._timers_by_protocol.pop(request.protocol, None)
+        if timer is not None:
+            timer.cancel()
+        return await handler(request)
+
+    def _expire(self, protocol):
+        del self._timers_by_protocol[protocol]
+        if protocol.transport is not None:
+            log.emit(catalogue.HTTP_INVALID, detail='slow headers')
+            protocol.force_close()
+
+
+class _HttpProblems(logging.Handler):
+    """Logs what aiohttp complains of, without the bytes of the peer."""
+
+    def emit(self, record):
+        """Log the kind of one complaint."""
+        found = record.exc_info[1] if record.exc_info else None
+        detail = type(found).__name__ if found else 'complaint'
+        log.emit(catalogue.HTTP_INVALID, detail=detail)
+
+
+def _make_http_logger():
+    logger = logging.Logger('bulrushrudder.http', logging.WARNING)
+    logger.addHandler(_HttpProblems())
+    return logger
+
+
+_HTTP_LOGGER = _make_http_logger()
 
 
 @web.middleware
