Test thirty kinds of bad YAML and name their lines

Cause: only seven kinds of bad YAML were tested, and a mistake in a nested section was shown at its value's line. Change: twenty kinds of bad documents and ten of bad settings, each with the line, field and what was expected; a section is named by the line of its key.

--- a/bulrushrudder/config/yaml_parser.py
+++ b/bulrushrudder/config/yaml_parser.py
@@ -32,6 +32,7 @@
         self.path = path
         self.value = {}
         self._key = None
+        self._key_line = 0
 
     def take(self, line, value):
         """Take a key or a value."""
@@ -45,6 +46,10 @@
         """Return the path of the next value, or None before a key."""
         return None if self._key is None else (*self.path, self._key)
 
+    def line_of_next(self, line):
+        """Return the line of the key of the next value."""
+        return self._key_line
+
     def _take_key(self, line, key):
         path = (*self.path, str(key))
         if not isinstance(key, str):
@@ -53,6 +58,7 @@
         if key in self.value:
             raise _ParseError(line, path, 'the key stands twice')
         self._key = key
+        self._key_line = line
 
 
 class _Sequence:
@@ -70,6 +76,21 @@
         """Return the path of the next value."""
         return (*self.path, len(self.value))
 
+    def line_of_next(self, line):
+        """Return the line of the next value."""
+        return line
+
+
+class _Root(_Sequence):
+    """The YAML documents of a file, of which one is expected."""
+
+    def __init__(self):
+        super().__init__(())
+
+    def next_path(self):
+        """Return the path of a whole document."""
+        return ()
+
 
 class _Parser:
     """Reads one text.
@@ -82,7 +103,7 @@
         self._source = source
         self._line_by_path = line_by_path
         self._scalars = yaml.constructor.SafeConstructor()
-        self._frames = [_Sequence(())]
+        self._frames = [_Root()]
 
     def steps(self):
         """Yield now and then; return the value at the end."""
@@ -128,12 +149,12 @@
             raise _ParseError(line, frame.path, problem)
         if len(self._frames) > MAX_DEPTH:
             raise _ParseError(line, frame.path, 'nested too deeply')
-        self._frames.append(kind(() if len(self._frames) == 1 else path))
+        self._frames.append(kind(path))
 
     def _note(self, line, frame):
         path = frame.next_path()
         if self._line_by_path is not None and path is not None:
-            self._line_by_path[path] = line
+            self._line_by_path[path] = frame.line_of_next(line)
 
     def _scalar(self, loader, event, frame):
         tag = event.tag
@@ -146,7 +167,8 @@
             return self._scalars.construct_object(node)
         except (ValueError, OverflowError) as error:
             line = event.start_mark.line + 1
-            path = frame.next_path() or frame.path
+            path = frame.next_path()
+            path = frame.path if path is None else path
             raise _ParseError(line, path, f'not YAML: {error}') from error
 
 
--- /dev/null
+++ b/bulrushrudder/tests/config/mistakes_tests.py
@@ -0,0 +1,138 @@
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from returns import result
+
+from bulrushrudder.config import document
+from bulrushrudder.config import settings
+
+DOCUMENT = """\
+version: 1
+accounts:
+  - id: acme
+    rate: 10
+    burst: 100
+models:
+  - {id: drafting, max_output_tokens: 8}
+routes:
+  - id: drafts
+    path: /drafts
+    model: drafting
+"""
+SETTINGS = """\
+vm: vm1
+zone: a
+controls:
+  - {host: 127.0.0.1, port: 7300}
+entry:
+  callers: {host: 127.0.0.1, port: 1}
+  backends: {host: 127.0.0.1, port: 2}
+  metrics: {host: 127.0.0.1, port: 3}
+  inner: {host: 127.0.0.1, port: 4}
+secrets: {cluster: secret, operators: secret, backends: secret}
+"""
+
+
+def problems_of(found):
+    match found:
+        case result.Failure(problems):
+            return [str(problem) for problem in problems]
+    return []
+
+
+class DocumentMistakesTests(unittest.TestCase):
+    def test_each_mistake_names_line_field_and_what_was_expected(self):
+        cases = (
+            ('path: /drafts', 'path: drafts', 'd:10: routes[0].path: String'),
+            (
+                'model: drafting\n',
+                'model: other\n',
+                'd:0: routes[0].model: no',
+            ),
+            (
+                '    model: drafting\n',
+                '',
+                'd:9: routes[0]: Value error, a rou',
+            ),
+            ('burst: 100', 'burst: 0', 'd:5: accounts[0].burst: Input should'),
+            ('burst: 100', 'burst: 1e400', 'd:5: accounts[0].burst: '),
+            ('rate: 10', 'rate: .nan', 'd:4: accounts[0].rate: '),
+            ('rate: 10', 'rate: "10"', 'd:4: accounts[0].rate: '),
+            ('id: acme', 'id: 00123', 'd:3: accounts[0].id: expected text'),
+            ('id: acme', 'id: no', 'd:3: accounts[0].id: expected text'),
+            ('id: acme', 'id: 2026-12-04', 'd:3: accounts[0].id: expected'),
+            ('id: acme', 'id: 2026-99-99', 'd:3: accounts[0].id: not YAML'),
+            ('id: acme', 'id: &a acme', 'd:3: accounts[0]: anchors and al'),
+            ('id: acme', 'id: *a', 'd:3: accounts[0]: anchors and aliases'),
+            ('id: acme', '1: acme', 'd:3: accounts[0].1: expected text as'),
+            ('id: acme', '[a]: acme', 'd:3: accounts[0]: expected text as'),
+            ('id: acme', 'id: ' + '[' * 99, 'd:3: accounts[0].id'),
+            (
+                'id: acme',
+                'id: !!python/name:os.system',
+                'd:3: not YAML: could',
+            ),
+            ('version: 1', '--- 1\n--- 2\n---', 'd:0: expected one YAML doc'),
+            ('version: 1', 'version: 1\n\tx: 2', 'd:2: not YAML: '),
+            ('version: 1', 'version: "\x00"', 'd:0: not YAML: '),
+        )
+        for before, after, expected in cases:
+            with self.subTest(after[:30]):
+                source = DOCUMENT.replace(before, after, 1).encode()
+                found = problems_of(document.load('d', source))
+                self.assertTrue(found)
+                self.assertEqual(found[0][: len(expected)], expected)
+                self.assertLess(len(found[0]), 300)
+                in_steps = asyncio.run(document.load_in_steps('d', source))
+                self.assertEqual(problems_of(in_steps), found)
+
+    def test_valid_document(self):
+        source = DOCUMENT.encode()
+        found = document.load('d', source)
+        self.assertEqual(problems_of(found), [])
+        in_steps = asyncio.run(document.load_in_steps('d', source))
+        self.assertEqual(in_steps, found)
+
+    def test_errors_are_bounded(self):
+        wrong = ''.join(f'  - {{id: {n}}}\n' for n in range(500))
+        source = f'version: 1\nroutes: []\naccounts:\n{wrong}'.encode()
+        self.assertEqual(len(problems_of(document.load('d', source))), 20)
+
+
+class SettingsMistakesTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        (self.folder / 'secret').write_text('0123456789abcdef')
+        (self.folder / 'short').write_text('0123')
+
+    def load(self, before='', after=''):
+        file = self.folder / 's'
+        file.write_text(SETTINGS.replace(before, after, 1))
+        found = problems_of(settings.load(str(file)))
+        return [text.removeprefix(f'{self.folder}/') for text in found]
+
+    def test_each_mistake_names_line_field_and_what_was_expected(self):
+        cases = (
+            ('vm: vm1', 'vm: 1', 's:1: vm: expected text, found 1; put it'),
+            ('zone: a\n', '', 's:1: zone: required field is missing'),
+            ('port: 7300', 'port: 70000', 's:4: controls[0].port: Input sho'),
+            ('127.0.0.1', 'localhost', 's:4: controls[0].host: Value error'),
+            ('controls:', 'control:', 's:3: '),
+            ('  inner:', '  iner:', 's:5: entry.inner: required field is mis'),
+            ('cluster: secret', 'cluster: none', 's:0: secrets.cluster: '),
+            ('cluster: secret', 'cluster: short', 's:0: secrets.cluster: '),
+            ('zone: a', 'zone: a\nzone: b', 's:3: zone: the key stands twice'),
+            ('zone: a', 'zone: a\nregion: b', 's:3: region: unknown field'),
+        )
+        for before, after, expected in cases:
+            with self.subTest(after):
+                found = self.load(before, after)
+                self.assertTrue(found)
+                self.assertEqual(found[0][: len(expected)], expected)
+
+    def test_valid_settings(self):
+        self.assertEqual(self.load(), [])
--- /dev/null
+++ b/bulrushrudder/tests/utils/authentication_tests.py
@@ -0,0 +1,32 @@
+import types
+import unittest
+
+from bulrushrudder.utils import authentication
+
+SECRET = b'0123456789abcdef'
+
+
+def request(authorization):
+    """Return a request with one header, as aiohttp delivers it."""
+    return types.SimpleNamespace(headers={'Authorization': authorization})
+
+
+class AuthenticationTests(unittest.TestCase):
+    def test_only_the_secret_itself_passes(self):
+        cases = (
+            ('Bearer 0123456789abcdef', True),
+            ('bearer  0123456789abcdef ', True),
+            ('Bearer 0123456789abcde', False),
+            ('Bearer 0123456789abcdef0', False),
+            ('0123456789abcdef', False),
+            ('Bearer \udcff\udcfe', False),
+            ('Bearer \u20ac', False),
+            ('', False),
+        )
+        for given, expected in cases:
+            with self.subTest(given.encode(errors='backslashreplace')):
+                found = authentication.holds(request(given), SECRET)
+                self.assertEqual(found, expected)
+
+    def test_no_bearer_is_no_secret(self):
+        self.assertIsNone(authentication.bearer(request('Basic x')))
