--- a/bulrushrudder/control/operators.py
+++ b/bulrushrudder/control/operators.py
@@ -13,6 +13,7 @@
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.metrics import control as metrics_control
 from bulrushrudder.state import results
 from bulrushrudder.utils import authentication
 from bulrushrudder.utils import web as web_utils
@@ -35,11 +36,13 @@
 
     :param control: the Control process.
     :param secret: what operators present.
+    :param metrics: the ControlMetrics.
     """
 
-    def __init__(self, control, secret):
+    def __init__(self, control, secret, metrics):
         self._control = control
         self._secret = secret
+        self._metrics = metrics
         self._changes = changes.Changes(control.node)
 
     def application(self):
@@ -62,6 +65,7 @@
     @web.middleware
     async def _authenticate(self, request, handler):
         if not authentication.holds(request, self._secret):
+            self._metrics.count_denied()
             log.emit(catalogue.OPERATOR_DENIED, peer=str(request.remote))
             return _problem(401, 'the operators secret is wrong')
         return await handler(request)
@@ -73,6 +77,9 @@
         match found:
             case result.Failure(errors):
                 problems = [str(error) for error in errors]
+                self._metrics.count_submission(
+                    types.Environment.TRIAL, metrics_control.Submission.INVALID
+                )
                 return web.json_response(
                     {'problem': problems[0], 'problems': problems}, status=422
                 )
@@ -80,7 +87,12 @@
                 outcome = await self._changes.submit(
                     document, document_config.digest(source), operator
                 )
-                return _respond(outcome, document.version, operator)
+                return self._respond(
+                    types.Environment.TRIAL,
+                    outcome,
+                    document.version,
+                    operator,
+                )
         raise AssertionError('unreachable')
 
     async def _promote(self, request):
@@ -92,7 +104,13 @@
         outcome = await self._changes.promote(
             found.version, found.digest, operator
         )
-        return _respond(outcome, found.version, operator)
+        return self._respond(
+            types.Environment.PRODUCTION, outcome, found.version, operator
+        )
+
+    def _respond(self, environment, outcome, version, operator):
+        self._metrics.count_submission(environment, _kind_of(outcome))
+        return _respond(outcome, version, operator)
 
     async def _history(self, request):
         environment = _environment_of(request)
@@ -164,6 +182,17 @@
     raise AssertionError(f'unknown outcome {outcome!r}')
 
 
+def _kind_of(outcome):
+    match outcome:
+        case results.Accepted(repeated=True):
+            return metrics_control.Submission.REPEATED
+        case results.Accepted():
+            return metrics_control.Submission.ACCEPTED
+        case results.Rejected():
+            return metrics_control.Submission.REJECTED
+    return metrics_control.Submission.UNAVAILABLE
+
+
 def _problem(status, problem, headers=None):
     return web.json_response(
         {'problem': problem}, status=status, headers=headers
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -9,6 +9,8 @@
 from bulrushrudder.core import ids
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.metrics import control as metrics_control
+from bulrushrudder.metrics import listener as metrics_listener
 from bulrushrudder.protocol import link
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
@@ -27,8 +29,11 @@
         settings.control.inner, owner, settings.secrets.cluster, control.handle
     )
     stack.callback(listener.close)
-    front = operators.Operators(control, settings.secrets.operators)
+    metrics = metrics_control.ControlMetrics()
+    front = operators.Operators(control, settings.secrets.operators, metrics)
     await web.listen(stack, front.application(), settings.control.operators)
+    shown = metrics_listener.application(metrics)
+    await web.listen(stack, shown, settings.control.metrics)
     tasks.spawn(stack, control.run())
     log.emit(catalogue.CONTROL_STARTED, inner=str(settings.control.inner))
     stack.callback(log.emit, catalogue.CONTROL_STOPPED)
--- /dev/null
+++ b/bulrushrudder/metrics/control.py
@@ -0,0 +1,53 @@
+"""Counters of the control process."""
+
+import enum
+
+import aioprometheus
+
+
+class Submission(enum.Enum):
+    """How a submission or promotion ended."""
+
+    ACCEPTED = 'accepted'
+    REPEATED = 'repeated'
+    REJECTED = 'rejected'
+    INVALID = 'invalid'
+    UNAVAILABLE = 'unavailable'
+
+
+class ControlMetrics:
+    """The metrics of one control process."""
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self._submissions = aioprometheus.Counter(
+            'bulrushrudder_submissions_total',
+            'Submissions and promotions by environment and outcome.',
+            registry=self.registry,
+        )
+        self._denied = aioprometheus.Counter(
+            'bulrushrudder_operators_denied_total',
+            'Calls to the operators listener without its secret.',
+            registry=self.registry,
+        )
+
+    def count_submission(self, environment, outcome):
+        """Count a submission or promotion.
+
+        :param environment: a documents Environment.
+        :param outcome: a Submission.
+        """
+        self._submissions.inc(
+            {'environment': environment.value, 'outcome': outcome.value}
+        )
+
+    def count_denied(self):
+        """Count a call without the operators secret."""
+        self._denied.inc({})
+
+    def render(self, accept):
+        """Return the content and headers of an exposition.
+
+        :param accept: values of the Accept header.
+        """
+        return aioprometheus.render(self.registry, accept)
