Keep requests that crash servers in the replicated state

Cause: a request that crashes each backend server that runs it comes again through other VMs, so that what is known of it has to be known to all of them.

Change: a table of suspects by fingerprint with the crashes that are their own; two of them are a quarantine.

--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -9,6 +9,7 @@
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import machine
+from bulrushrudder.state import quarantine
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
@@ -46,6 +47,9 @@
         state_documents.DocumentsSnapshot: 271,
         sessions.SessionsSnapshot: 272,
         servers.ServersSnapshot: 273,
+        quarantine.ReportCrash: 260,
+        quarantine.ClearSuspect: 261,
+        quarantine.QuarantineSnapshot: 262,
         results.Accepted: 300,
         results.Rejected: 301,
         results.Unavailable: 302,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from bulrushrudder.state import documents
+from bulrushrudder.state import quarantine
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
 
@@ -22,6 +23,7 @@
     documents: documents.DocumentsSnapshot
     sessions: sessions.SessionsSnapshot
     servers: servers.ServersSnapshot
+    quarantine: quarantine.QuarantineSnapshot
 
 
 class State:
@@ -35,6 +37,7 @@
         self.documents = documents.Documents()
         self.sessions = sessions.Sessions()
         self.servers = servers.Servers()
+        self.quarantine = quarantine.Quarantine()
 
     def snapshot(self):
         """Return the state as a StateSnapshot."""
@@ -43,6 +46,7 @@
             documents=self.documents.snapshot(),
             sessions=self.sessions.snapshot(),
             servers=self.servers.snapshot(),
+            quarantine=self.quarantine.snapshot(),
         )
 
     def restore(self, snapshot):
@@ -51,6 +55,7 @@
         self.documents.restore(snapshot.documents)
         self.sessions.restore(snapshot.sessions)
         self.servers.restore(snapshot.servers)
+        self.quarantine.restore(snapshot.quarantine)
 
     def apply(self, index, command):
         """Apply a committed command.
@@ -66,4 +71,6 @@
                 return self.sessions.apply(index, command)
             case servers.JoinServer() | servers.LeaveServer():
                 return self.servers.apply(index, command)
+            case quarantine.ReportCrash() | quarantine.ClearSuspect():
+                return self.quarantine.apply(index, command)
         raise AssertionError(f'unknown command {command!r}')
--- a/bulrushrudder/tests/state/snapshot_tests.py
+++ b/bulrushrudder/tests/state/snapshot_tests.py
@@ -4,6 +4,7 @@
 from bulrushrudder.protocol import codec
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import machine
+from bulrushrudder.state import quarantine
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
 from bulrushrudder.tests.builders import documents
@@ -19,6 +20,12 @@
     servers.JoinServer(fleet.server('decode-2')),
     sessions.CloseSession(fleet.owner()),
     state_documents.PromoteDocument(1, 'd2', 'iva'),
+    quarantine.ReportCrash('f1', ids.ServerId('decode-2'), 1, True),
+    quarantine.ReportCrash('f1', ids.ServerId('decode-2'), 1, True),
+    quarantine.ReportCrash('f1', ids.ServerId('decode-2'), 2, True),
+    quarantine.ReportCrash('f2', ids.ServerId('decode-2'), 2, False),
+    quarantine.ClearSuspect('f1'),
+    quarantine.ClearSuspect('f2'),
 )
 
 
