--- a/bulrushrudder/engines/client.py
+++ b/bulrushrudder/engines/client.py
@@ -1,23 +1,45 @@
-"""Speaks to model engines over HTTP."""
+"""Speaks to model engines over HTTP.
+
+Every order has a connection of its own, so that none waits on an idle
+connection that something between the two ends has forgotten.
+"""
+
+import asyncio
 
 import aiohttp
 import pydantic
 from returns import result
 
+from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
+from bulrushrudder.engines import lines
 from bulrushrudder.engines import wire
 from bulrushrudder.lifecycle import events
 
-CONNECT_S = 2.0
-SILENCE_S = 10.0
+CONNECT_S = 1.0
+PREFILL_BASE_S = 5.0
+PREFILL_TOKENS_PER_S = 500.0
+TRANSFER_S = 5.0
+FIRST_TOKEN_S = 5.0
+BETWEEN_TOKENS_S = 3.0
 CANCEL_S = 2.0
-MAX_LINE_BYTES = 256 * 1024
+INSPECT_S = 1.0
+READ_BUFFER_BYTES = 8 * 1024
+MAX_REPLY_BYTES = 64 * 1024
 
-_FAILURES = (aiohttp.ClientError, OSError, pydantic.ValidationError)
+_FULL = frozenset({429, 503})
+_TRANSFER_FAILED = 424
+_FAILURES = (
+    aiohttp.ClientError,
+    OSError,
+    pydantic.ValidationError,
+    ValueError,
+)
+_PREFIX = b'data: '
 
 
 class EngineClient:
-    """Starts, follows and cancels attempts on engines.
+    """Starts, follows, inspects and cancels attempts on engines.
 
     :param session: an aiohttp client session; its owner closes it.
     """
@@ -25,25 +47,25 @@
     def __init__(self, session):
         self._session = session
 
-    async def prefill(self, server, attempt, order):
+    async def prefill(self, server, attempt, order, prompt_tokens):
         """Run a prefill.
 
         :param server: the BackendServer.
+        :param prompt_tokens: widens the bound on the engine's silence.
         :returns: a PrefillDone or an AttemptFailed event.
         """
-        url = _url(server, 'prefill')
-        timeout = aiohttp.ClientTimeout(
-            sock_connect=CONNECT_S, sock_read=SILENCE_S
-        )
+        bound_s = PREFILL_BASE_S + prompt_tokens / PREFILL_TOKENS_PER_S
         try:
-            async with self._session.post(
-                url, json=order.model_dump(), timeout=timeout
-            ) as response:
-                response.raise_for_status()
-                text = await response.read()
+            async with self._post(server, 'prefill', order, bound_s) as found:
+                refused = _refused(attempt, server, found.status)
+                if refused is not None:
+                    return refused
+                text = await _read_reply(found)
             reply = wire.PrefillReply.model_validate_json(text)
-        except TimeoutError:
-            return _silent(attempt, server)
+        except aiohttp.ClientConnectorError as error:
+            return _failed(attempt, server, error, sent=False)
+        except TimeoutError as error:
+            return _silent(attempt, server, error)
         except _FAILURES as error:
             return _failed(attempt, server, error)
         if reply.attempt != str(attempt):
@@ -51,71 +73,179 @@
         return events.PrefillDone(attempt, reply.handle, reply.prompt_tokens)
 
     async def decode(self, server, attempt, order):
-        """Run a decode and yield its events; the last one ends it."""
-        url = _url(server, 'decode')
-        timeout = aiohttp.ClientTimeout(
-            sock_connect=CONNECT_S, sock_read=SILENCE_S
-        )
+        """Run a decode and yield lists of its events.
+
+        The last event of the last list ends the attempt. The engine is
+        read only as fast as the lists are taken.
+        """
+        try:
+            async with self._post(server, 'decode', order, None) as found:
+                refused = _refused(attempt, server, found.status)
+                if refused is not None:
+                    yield [refused]
+                    return
+                yield [events.TransferDone(attempt)]
+                async for batch in _follow(found.content, attempt, server):
+                    yield batch
+        except aiohttp.ClientConnectorError as error:
+            yield [_failed(attempt, server, error, sent=False)]
+        except TimeoutError as error:
+            yield [_silent(attempt, server, error)]
+        except _FAILURES as error:
+            yield [_failed(attempt, server, error)]
+
+    async def inspect(self, server, attempt):
+        """Find out what is left of an attempt.
+
+        :returns: an Inspected event; a server that is only silent has
+            not crashed as far as is known.
+        """
+        order = wire.ExportOrder(attempt=str(attempt))
         try:
-            async with self._session.post(
-                url, json=order.model_dump(), timeout=timeout
+            async with self._post(
+                server, 'export', order, INSPECT_S
             ) as response:
                 response.raise_for_status()
-                async for line in response.content:
-                    if not line.startswith(b'data: '):
-                        continue
-                    event = _decode_event(attempt, server, line[6:])
-                    yield event
-                    if not isinstance(event, events.TokenArrived):
-                        return
+                text = await _read_reply(response)
+            reply = wire.ExportReply.model_validate_json(text)
         except TimeoutError:
-            yield _silent(attempt, server)
-            return
-        except (*_FAILURES, ValueError) as error:
-            yield _failed(attempt, server, error)
-            return
-        yield _failed(attempt, server, 'the stream ended early')
-
-    async def cancel(self, server, attempt):
-        """Free what an attempt holds on a server.
-
-        :returns: None, or the error as text.
+            return events.Inspected(attempt, False, None)
+        except (aiohttp.ClientConnectionError, OSError):
+            return events.Inspected(attempt, True, None)
+        except _FAILURES:
+            return events.Inspected(attempt, False, None)
+        return events.Inspected(attempt, not reply.known, reply.handle)
+
+    async def cancel(self, server, targets):
+        """Free what attempts hold, or all attempts of owners.
+
+        :param targets: AttemptIds and Owners.
+        :returns: the frozen set of targets that held something, or the
+            error as text.
         """
-        order = wire.CancelOrder(attempt=str(attempt))
-        timeout = aiohttp.ClientTimeout(total=CANCEL_S)
+        by_text = {str(t): t for t in targets if isinstance(t, ids.AttemptId)}
+        by_vm = {t.vm: t for t in targets if isinstance(t, ids.Owner)}
+        order = wire.CancelOrder(
+            attempts=list(by_text),
+            owners=[
+                wire.OwnerItem(vm=owner.vm, incarnation=owner.incarnation)
+                for owner in by_vm.values()
+            ],
+        )
         try:
-            async with self._session.post(
-                _url(server, 'cancel'),
-                json=order.model_dump(),
-                timeout=timeout,
+            async with self._post(
+                server, 'cancel', order, CANCEL_S
             ) as response:
                 response.raise_for_status()
+                text = await _read_reply(response)
+            reply = wire.CancelReply.model_validate_json(text)
         except (*_FAILURES, TimeoutError) as error:
             return result.Failure(repr(error))
-        return result.Success(None)
+        held = {by_text[text] for text in reply.attempts if text in by_text}
+        held |= {by_vm[vm] for vm in reply.vms if vm in by_vm}
+        return result.Success(frozenset(held))
+
+    def _post(self, server, path, order, total_s):
+        host = f'[{server.host}]' if ':' in server.host else server.host
+        return self._session.post(
+            f'http://{host}:{server.port}/{path}',
+            data=order.model_dump_json(),
+            headers={'Content-Type': 'application/json'},
+            timeout=aiohttp.ClientTimeout(
+                total=total_s,
+                sock_connect=CONNECT_S,
+                sock_read=TRANSFER_S if total_s is None else None,
+            ),
+            read_bufsize=READ_BUFFER_BYTES,
+            allow_redirects=False,
+        )
 
 
-def _url(server, path):
-    host = f'[{server.host}]' if ':' in server.host else server.host
-    return f'http://{host}:{server.port}/{path}'
+async def _read_reply(response):
+    """Return the body of a reply of bounded length."""
+    text = await response.content.read(MAX_REPLY_BYTES)
+    while len(text) < MAX_REPLY_BYTES:
+        more = await response.content.read(MAX_REPLY_BYTES - len(text))
+        if not more:
+            return text
+        text += more
+    raise ValueError('the reply is too long')
+
+
+async def _follow(content, attempt, server):
+    """Yield lists of the events of a decode stream."""
+    splitter = lines.LineSplitter()
+    expected = str(attempt)
+    bound_s = FIRST_TOKEN_S
+    while True:
+        batch = await _next_batch(content, splitter, expected, bound_s)
+        if not batch:
+            yield [_failed(attempt, server, 'the stream ended early')]
+            return
+        found = [_event(attempt, server, expected, item) for item in batch]
+        yield found
+        if not isinstance(found[-1], events.TokenArrived):
+            return
+        bound_s = BETWEEN_TOKENS_S
+
 
+async def _next_batch(content, splitter, expected, bound_s):
+    """Return the next items; the bound holds until one is whole.
 
-def _decode_event(attempt, server, text):
-    item = wire.DecodeItem.model_validate_json(text)
-    if item.attempt != str(attempt):
+    :returns: nothing where the stream has ended.
+    """
+    async with asyncio.timeout(bound_s):
+        while True:
+            data = await content.readany()
+            if not data:
+                return []
+            batch = [
+                wire.DecodeItem.model_validate_json(line[len(_PREFIX) :])
+                for line in splitter.feed(data)
+                if line.startswith(_PREFIX)
+            ]
+            if batch:
+                return _until_end(batch, expected)
+
+
+def _until_end(batch, expected):
+    """Return the items up to the first one that ends the attempt."""
+    for number, item in enumerate(batch):
+        if item.finish_reason is not None or item.attempt != expected:
+            return batch[: number + 1]
+    return batch
+
+
+def _event(attempt, server, expected, item):
+    if item.attempt != expected:
         return _failed(attempt, server, 'item of another attempt')
     if item.finish_reason is not None:
         return events.DecodeDone(attempt, item.index, item.finish_reason)
     return events.TokenArrived(attempt, item.index, item.text)
 
 
-def _failed(attempt, server, error):
-    return events.AttemptFailed(
-        attempt, server.id, outcomes.Reason.BACKEND_FAILED, str(error)
-    )
+def _refused(attempt, server, status):
+    """Return the failure that a status means, or None."""
+    if status == 200:
+        return None
+    reason = outcomes.Reason.BACKEND_FAILED
+    sent = True
+    if status in _FULL:
+        reason = outcomes.Reason.BACKEND_FULL
+        sent = False
+    elif status == _TRANSFER_FAILED:
+        reason = outcomes.Reason.TRANSFER_FAILED
+    detail = f'status {status}'
+    return events.AttemptFailed(attempt, server.id, reason, detail, sent)
+
+
+def _failed(attempt, server, error, sent=True):
+    reason = outcomes.Reason.BACKEND_FAILED
+    return events.AttemptFailed(attempt, server.id, reason, str(error), sent)
 
 
-def _silent(attempt, server):
-    return events.AttemptFailed(
-        attempt, server.id, outcomes.Reason.BACKEND_SILENT, 'no bytes came'
-    )
+def _silent(attempt, server, error):
+    reason = outcomes.Reason.BACKEND_SILENT
+    sent = not isinstance(error, aiohttp.ConnectionTimeoutError)
+    detail = 'no bytes came'
+    return events.AttemptFailed(attempt, server.id, reason, detail, sent)
--- /dev/null
+++ b/bulrushrudder/engines/lines.py
@@ -0,0 +1,29 @@
+"""Splits a byte stream into lines of bounded length."""
+
+MAX_LINE_BYTES = 256 * 1024
+
+
+class LineTooLongError(ValueError):
+    """A line exceeds the bound."""
+
+
+class LineSplitter:
+    """Cuts what arrives into whole lines.
+
+    :param max_bytes: the bound on a line.
+    """
+
+    def __init__(self, max_bytes=MAX_LINE_BYTES):
+        self._max_bytes = max_bytes
+        self._rest = b''
+
+    def feed(self, data):
+        """Take bytes and return the lines that they complete.
+
+        :raises LineTooLongError: where a line exceeds the bound.
+        """
+        lines = (self._rest + data).split(b'\n')
+        self._rest = lines.pop()
+        if len(self._rest) > self._max_bytes:
+            raise LineTooLongError(f'a line exceeds {self._max_bytes} bytes')
+        return lines
--- a/bulrushrudder/engines/wire.py
+++ b/bulrushrudder/engines/wire.py
@@ -12,11 +12,18 @@
 
 
 class PrefillOrder(_Model):
-    """Computes the KV cache of a prompt."""
+    """Computes the KV cache of a prompt and of tokens produced.
+
+    An order says whose attempt it is, so that an engine can free all
+    attempts of an owner at once.
+    """
 
     attempt: str
+    vm: str
+    incarnation: int
     model: str
     prompt: str
+    produced: list[str]
     priority: int
 
 
@@ -32,6 +39,8 @@
     """Fetches a KV cache and produces tokens after those produced."""
 
     attempt: str
+    vm: str
+    incarnation: int
     model: str
     prompt: str
     kv_host: str
@@ -51,12 +60,47 @@
     finish_reason: str | None = None
 
 
+class OwnerItem(_Model):
+    """All attempts of a VM's runs up to an incarnation."""
+
+    vm: str
+    incarnation: int
+
+
 class CancelOrder(_Model):
-    """Frees what an attempt holds."""
+    """Frees what attempts hold, or all attempts of owners.
+
+    An engine that takes the order also refuses those that come later.
+    """
+
+    attempts: list[str]
+    owners: list[OwnerItem]
+
+
+class CancelReply(_Model):
+    """Says of which attempts and owners something was held."""
+
+    attempts: list[str]
+    vms: list[str]
+
+
+class ExportOrder(_Model):
+    """Stops an attempt and keeps its KV cache for another server."""
 
     attempt: str
 
 
+class ExportReply(_Model):
+    """Says what is left of an attempt.
+
+    :ivar known: whether the engine remembers the attempt at all.
+    :ivar handle: names the KV cache, if it is still there.
+    """
+
+    known: bool
+    handle: str | None = None
+
+
 class Announcement(_Model):
     """A backend server announces or renews itself."""
 
--- /dev/null
+++ b/bulrushrudder/entry/access.py
@@ -0,0 +1,49 @@
+"""Ends requests whose callers have lost their access."""
+
+import asyncio
+
+from returns import result
+
+from bulrushrudder.core import outcomes
+from bulrushrudder.entry import admission
+from bulrushrudder.lifecycle import events
+
+TICK_S = 0.25
+
+
+class Access:
+    """Checks the requests in flight when the document changes.
+
+    :param services: the Services of this process.
+    """
+
+    def __init__(self, services):
+        self._services = services
+        self._checked = None
+        self._was_fresh = True
+
+    async def run(self):
+        """Watch the view of the log until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._check()
+
+    def _check(self):
+        view = self._services.view
+        now_s = asyncio.get_running_loop().time()
+        fresh = view.fresh(now_s)
+        if view.lookups is self._checked and fresh == self._was_fresh:
+            return
+        self._checked = view.lookups
+        self._was_fresh = fresh
+        for running in tuple(self._services.running):
+            self._check_one(running, view, now_s)
+
+    def _check_one(self, running, view, now_s):
+        match admission.check_again(view, now_s, running.admitted):
+            case result.Failure(refusal):
+                stale = refusal.reason is outcomes.Reason.VIEW_STALE
+                cut = view.lookups.document.cut_on_withdrawal and not stale
+                running.interrupt(
+                    events.AccessLost(refusal.reason, refusal.detail, cut)
+                )
--- a/bulrushrudder/entry/admission.py
+++ b/bulrushrudder/entry/admission.py
@@ -14,10 +14,12 @@
     """A call that may enter.
 
     :param account: the client account; None on an open route.
+    :param key_digest: of the caller's key; None on an open route.
     """
 
     route: types.Route
     account: types.ClientAccount | None
+    key_digest: str | None = None
 
 
 def admit(view, now_s, draining, method, path, key):
@@ -39,17 +41,27 @@
         )
     if route.open:
         return result.Success(Admitted(route, None))
+    if key is None:
+        return _refuse(outcomes.Reason.KEY_MISSING, 'no key was presented')
+    return _check_key(view, now_s, route, keys.digest(key))
+
+
+def check_again(view, now_s, admitted):
+    """Check a call that was admitted against the document in force now.
+
+    :returns: an Admitted, or a Refusal.
+    """
+    if admitted.key_digest is None:
+        return result.Success(admitted)
+    return _check_key(view, now_s, admitted.route, admitted.key_digest)
+
+
+def _check_key(view, now_s, route, key_digest):
     if not view.fresh(now_s):
         return _refuse(
             outcomes.Reason.VIEW_STALE, 'keys cannot be checked now', 1.0
         )
-    return _check_key(view, route, key)
-
-
-def _check_key(view, route, key):
-    if key is None:
-        return _refuse(outcomes.Reason.KEY_MISSING, 'no key was presented')
-    account = view.lookups.account_of(keys.digest(key))
+    account = view.lookups.account_of(key_digest)
     if account is None:
         return _refuse(outcomes.Reason.KEY_UNKNOWN, 'the key is not valid')
     if route.accounts and account.id not in route.accounts:
@@ -57,7 +69,7 @@
             outcomes.Reason.ROUTE_FORBIDDEN,
             'the client account may not use this route',
         )
-    return result.Success(Admitted(route, account))
+    return result.Success(Admitted(route, account, key_digest))
 
 
 def _refuse(reason, detail, retry_after_s=None):
--- a/bulrushrudder/entry/answers.py
+++ b/bulrushrudder/entry/answers.py
@@ -7,6 +7,9 @@
 from bulrushrudder.entry import completions
 from bulrushrudder.lifecycle import actions
 
+CALLER_STALL_S = 20.0
+MAX_UNSENT_BYTES = 16 * 1024
+
 
 class WholeAnswer:
     """Collects an answer and sends it as one JSON text.
@@ -21,11 +24,13 @@
         self.response = None
         self.refusal = None
 
-    async def put(self, action):
-        """Take a Relay, Complete or Refuse."""
+    async def relay(self, relayed):
+        """Take Relay actions."""
+        self._texts += [action.text for action in relayed]
+
+    async def end(self, action):
+        """Take a Complete or Refuse."""
         match action:
-            case actions.Relay(text=text):
-                self._texts.append(text)
             case actions.Complete():
                 text = completions.whole(
                     self._request_id, self._model, self._texts, action
@@ -43,25 +48,31 @@
 class StreamedAnswer:
     """Sends an answer token by token as server-sent events.
 
+    Writing waits while the caller does not read, up to a bound.
+
     :param http_request: the aiohttp request.
+    :param on_gone: called when the caller no longer takes the answer.
     """
 
-    def __init__(self, http_request, request_id, model):
+    def __init__(self, http_request, request_id, model, on_gone):
         self._http_request = http_request
         self._request_id = request_id
         self._model = model
+        self._on_gone = on_gone
+        self._chunks = completions.Chunks(request_id, model)
         self.response = None
         self.refusal = None
 
-    async def put(self, action):
-        """Take a Relay, Complete or Refuse."""
+    async def relay(self, relayed):
+        """Take Relay actions."""
+        chunk = self._chunks.chunk
+        await self._write(
+            b''.join([chunk(action.index, action.text) for action in relayed])
+        )
+
+    async def end(self, action):
+        """Take a Complete or Refuse."""
         match action:
-            case actions.Relay(index=index, text=text):
-                await self._write(
-                    completions.chunk(
-                        self._request_id, self._model, index, text
-                    )
-                )
             case actions.Complete():
                 await self._write(
                     completions.last_chunk(
@@ -82,25 +93,32 @@
 
     async def _write(self, data):
         if self.response is None:
-            self.response = web.StreamResponse(
-                headers={
-                    'Content-Type': 'text/event-stream',
-                    'Cache-Control': 'no-store',
-                    'X-Request-Id': self._request_id,
-                }
-            )
-            await self.response.prepare(self._http_request)
+            await self._start()
         try:
-            await self.response.write(data)
-        except ConnectionError:
-            # The handler is cancelled and reports that the caller left.
-            await asyncio.sleep(0)
+            async with asyncio.timeout(CALLER_STALL_S):
+                await self.response.write(data)
+        except (ConnectionError, TimeoutError):
+            self._on_gone()
+
+    async def _start(self):
+        self.response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-store',
+                'X-Request-Id': self._request_id,
+            }
+        )
+        transport = self._http_request.transport
+        if transport is not None:
+            transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        await self.response.prepare(self._http_request)
 
     async def _end(self):
         try:
-            await self.response.write_eof()
-        except ConnectionError:
-            await asyncio.sleep(0)
+            async with asyncio.timeout(CALLER_STALL_S):
+                await self.response.write_eof()
+        except (ConnectionError, TimeoutError):
+            self._on_gone()
 
 
 def refuse(refusal, request_id):
--- a/bulrushrudder/entry/completions.py
+++ b/bulrushrudder/entry/completions.py
@@ -22,6 +22,7 @@
     outcomes.Reason.INSIDE_RATE: 429,
     outcomes.Reason.BACKEND_FAILED: 502,
     outcomes.Reason.BACKEND_SILENT: 504,
+    outcomes.Reason.TRANSFER_FAILED: 502,
     outcomes.Reason.REQUEST_QUARANTINED: 422,
     outcomes.Reason.ID_REUSED: 422,
     outcomes.Reason.ID_TOO_OLD: 422,
@@ -32,6 +33,7 @@
     outcomes.Reason.INTERNAL_ERROR: 500,
 }
 DEFAULT_STATUS = 503
+_quoted = json.encoder.encode_basestring_ascii
 
 
 class CompletionRequest(pydantic.BaseModel):
@@ -85,18 +87,24 @@
     )
 
 
-def chunk(request_id, model, index, text):
-    """Return the server-sent event of a token."""
-    choice = {'index': 0, 'text': text, 'finish_reason': None}
-    return _event(
-        {
+class Chunks:
+    """Writes the server-sent events of a request's tokens."""
+
+    def __init__(self, request_id, model):
+        head = {
             'id': request_id,
             'object': 'text_completion',
             'model': model,
-            'token_index': index,
-            'choices': [choice],
         }
-    )
+        self._head = 'data: ' + json.dumps(head)[:-1] + ', "token_index": '
+        self._middle = ', "choices": [{"index": 0, "text": '
+        self._tail = ', "finish_reason": null}]}\n\n'
+
+    def chunk(self, index, text):
+        """Return the server-sent event of a token."""
+        return (
+            f'{self._head}{index}{self._middle}{_quoted(text)}{self._tail}'
+        ).encode()
 
 
 def last_chunk(request_id, model, complete):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -1,123 +1,180 @@
 """Carries out what the lifecycle of a request decides."""
 
 import asyncio
+import contextlib
 
 from returns import result
 
 from bulrushrudder.core import outcomes
 from bulrushrudder.engines import wire
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import request as lifecycle
 from bulrushrudder.protocol import place_messages
-from bulrushrudder.utils import tasks
+from bulrushrudder.state import quarantine
+from bulrushrudder.state import results
 
-MAX_WAITING_EVENTS = 64
+REPORT_S = 1.0
 
 
 class Execution:
     """One request to a model, from admission to its end.
 
+    One step is under way at a time: a question, a delay or an order to
+    an engine. Its events are handled where they arise, so that a caller
+    who reads slowly holds up the engine and nothing is queued between.
+
     :param job: the lifecycle Job.
+    :param admitted: the Admitted call.
     :param services: a Services with what executions share.
-    :param sink: takes Relay, Complete and Refuse actions.
+    :ivar sink: takes Relay, Complete and Refuse actions; set before
+        the request runs.
     """
 
-    def __init__(self, job, services, sink):
+    def __init__(self, job, admitted, services):
+        self.admitted = admitted
+        self.sink = None
         self._job = job
         self._services = services
-        self._sink = sink
-        self._request = lifecycle.Request(job)
-        self._events = asyncio.Queue(MAX_WAITING_EVENTS)
-        self._gone = asyncio.Event()
-        self._steps = set()
+        self._request = lifecycle.Request(job, services.retries)
+        self._servers_by_id = {}
+        self._next = None
+        self._step = None
+        self._last_actions = []
+        self._loop = asyncio.get_running_loop()
+        self._latency = services.metrics.latency(
+            admitted.route.id, job.account, self._loop.time()
+        )
 
     async def run(self):
         """Run the request to its end."""
+        self._services.retries.admitted()
+        self._services.running.add(self)
         try:
-            await self._perform(self._request.start())
+            await self._perform(self._request.start(self._loop.time()))
             while not self._request.ended:
-                event = await self._next_event()
-                await self._perform(self._request.handle(event))
+                await self._run_step()
+            await self._perform(self._last_actions)
         finally:
-            for step in tuple(self._steps):
-                step.cancel()
+            self._services.running.discard(self)
 
     def caller_gone(self):
-        """Take note that nobody waits for the answer."""
-        self._gone.set()
-
-    async def _next_event(self):
-        if not self._events.empty() and not self._gone.is_set():
-            return self._events.get_nowait()
-        get = asyncio.create_task(self._events.get())
-        gone = asyncio.create_task(self._gone.wait())
+        """Take note that the caller no longer takes the answer."""
+        self.interrupt(events.CallerGone())
+
+    def interrupt(self, event):
+        """Handle an event that does not come from the current step."""
+        if self._request.ended:
+            return
+        found = self._request.handle(event, self._loop.time())
+        if self._request.ended:
+            self._last_actions = found
+            if self._step is not None:
+                self._step.cancel()
+
+    async def _run_step(self):
+        action, self._next = self._next, None
+        self._step = asyncio.create_task(self._take_step(action))
         try:
-            await asyncio.wait(
-                {get, gone}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if gone.done():
-                return events.CallerGone()
-            return get.result()
+            await asyncio.wait({self._step})
         finally:
-            get.cancel()
-            gone.cancel()
+            step, self._step = self._step, None
+            step.cancel()
+        if not step.cancelled():
+            step.result()
 
-    async def _perform(self, found):
-        for action in found:
-            await self._perform_one(action)
-
-    async def _perform_one(self, action):
+    async def _take_step(self, action):
         match action:
-            case actions.Relay() | actions.Complete() | actions.Refuse():
-                await self._sink.put(action)
+            case actions.StartDecode():
+                await self._decode(action)
             case actions.AskTokens():
-                self._start(self._ask_tokens(action))
+                await self._handle(await self._ask_tokens(action))
             case actions.AskPlace():
-                self._start(self._ask_place(action))
+                await self._handle(await self._ask_place(action))
             case actions.StartPrefill():
-                self._start(self._prefill(action))
-            case actions.StartDecode():
-                self._start(self._decode(action))
-            case actions.CancelAttempt():
-                self._services.spawn(self._cancel(action))
+                await self._handle(await self._prefill(action))
+            case actions.Inspect():
+                await self._handle(await self._inspect(action))
+            case actions.ReportCrash():
+                await self._handle(await self._report_crash(action))
+            case actions.BackOff():
+                await asyncio.sleep(action.delay_s)
+                await self._handle(events.BackOffEnded())
+
+    async def _handle(self, event):
+        await self._perform(self._request.handle(event, self._loop.time()))
+
+    async def _perform(self, found):
+        """Carry out actions; those that need no waiting go first."""
+        relayed = []
+        ends = []
+        for action in found:
+            match action:
+                case actions.Relay():
+                    relayed.append(action)
+                case actions.Complete() | actions.Refuse():
+                    ends.append(action)
+                case _:
+                    self._perform_now(action)
+        if relayed:
+            await self.sink.relay(relayed)
+        for action in ends:
+            await self.sink.end(action)
+
+    def _perform_now(self, action):
+        services = self._services
+        match action:
+            case actions.CancelAttempt(attempt=attempt, server=server_id):
+                server = self._servers_by_id.get(server_id)
+                if server is not None:
+                    services.cancelling.cancel(server, attempt)
             case actions.ReturnTokens(account=account, tokens=tokens):
-                self._services.spawn(
-                    self._services.authorities.give_back(account, tokens)
-                )
-            case actions.ReleasePlace():
+                services.spawn(services.authorities.give_back(account, tokens))
+            case actions.ReleasePlace(place=place):
                 job = self._job
-                self._services.spawn(
-                    self._services.coordinators.release(
-                        job.request, job.owner, job.model
-                    )
+                services.spawn(
+                    services.coordinators.release(place, job.owner, job.model)
                 )
+            case actions.ClearSuspect(fingerprint=fingerprint):
+                command = quarantine.ClearSuspect(fingerprint)
+                services.spawn(services.observing.propose(command))
+            case actions.Drop(kind=kind):
+                services.metrics.count_dropped(kind)
+            case _:
+                self._set_step(action)
 
-    def _start(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._steps.add(task)
-        task.add_done_callback(self._steps.discard)
-        task.add_done_callback(self._check)
+    def _set_step(self, action):
+        if isinstance(action, actions.BackOff):
+            self._services.metrics.count_retry(action.reason)
+        self._next = action
 
-    def _check(self, task):
-        tasks.report(task)
-        if not task.cancelled() and task.exception():
-            self._gone.set()
+    # Questions.
 
     async def _ask_tokens(self, action):
-        answer = await self._services.authorities.ask(
-            action.account, action.tokens, action.patience_s
+        asking = self._services.spawn(
+            self._services.authorities.ask(
+                action.account, action.tokens, action.patience_s
+            )
         )
-        match answer:
-            case result.Success(_):
-                await self._events.put(events.TokensGranted())
-            case result.Failure(refusal):
-                await self._events.put(events.StepRefused(refusal))
+        try:
+            return _tokens_event(await asyncio.shield(asking))
+        except asyncio.CancelledError:
+            asking.add_done_callback(self._tokens_came_late)
+            raise
+
+    def _tokens_came_late(self, asking):
+        if asking.cancelled() or asking.exception():
+            return
+        event = _tokens_event(asking.result())
+        for action in self._request.handle(event, self._loop.time()):
+            self._perform_now(action)
 
     async def _ask_place(self, action):
         job = self._job
         question = place_messages.AskPlace(
-            request=job.request,
+            request=action.place,
             owner=job.owner,
             account=job.account or '',
             model=job.model,
@@ -125,62 +182,130 @@
             output_tokens=job.output_tokens,
             interactive=job.interactive,
             patience_s=action.patience_s,
+            excluded=action.excluded,
+            isolation=int(action.isolation),
         )
         match await self._services.coordinators.ask(question):
             case result.Success(granted):
-                await self._events.put(
-                    events.PlaceGranted(granted.prefill, granted.decode)
+                self._remember(granted.prefill)
+                self._remember(granted.decode)
+                return events.PlaceGranted(
+                    action.place, granted.prefill, granted.decode
                 )
             case result.Failure(refusal):
-                await self._events.put(events.StepRefused(refusal))
+                return events.StepRefused(refusal)
+
+    def _remember(self, server_id):
+        """Keep a server's address, as it may leave while it drains."""
+        server = self._services.server(server_id)
+        if server is not None:
+            self._servers_by_id[server_id] = server
+
+    async def _report_crash(self, action):
+        server = self._servers_by_id[action.server]
+        command = quarantine.ReportCrash(
+            action.fingerprint,
+            action.server,
+            server.incarnation,
+            action.isolated,
+        )
+        log.emit(
+            catalogue.SUSPECT_REPORTED,
+            fingerprint=action.fingerprint,
+            server=action.server,
+            isolated=action.isolated,
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REPORT_S):
+                outcome = await self._services.observing.propose(command)
+                if isinstance(outcome, results.Accepted):
+                    await self._services.observing.wait_for(outcome.index)
+        table = self._services.view.state.quarantine
+        suspect = table.by_fingerprint.get(action.fingerprint)
+        quarantined = suspect is not None and suspect.quarantined
+        return events.CrashReported(quarantined)
+
+    # Orders to engines.
 
     async def _prefill(self, action):
-        server = self._services.server(action.server)
+        server = self._servers_by_id.get(action.server)
         if server is None:
-            await self._missing(action)
-            return
+            return _missing(action)
+        attempt = action.attempt
         order = wire.PrefillOrder(
-            attempt=str(action.attempt),
+            attempt=str(attempt),
+            vm=attempt.owner.vm,
+            incarnation=attempt.owner.incarnation,
             model=self._job.model,
             prompt=self._job.prompt,
+            produced=list(action.produced),
             priority=int(self._job.interactive),
         )
-        event = await self._services.engines.prefill(
-            server, action.attempt, order
+        return await self._services.engines.prefill(
+            server, attempt, order, self._job.prompt_tokens
         )
-        await self._events.put(event)
 
     async def _decode(self, action):
-        server = self._services.server(action.server)
-        prefill = self._services.server(action.prefill)
-        if server is None or prefill is None:
-            await self._missing(action)
+        server = self._servers_by_id.get(action.server)
+        source = self._servers_by_id.get(action.source)
+        if server is None or source is None:
+            await self._handle(_missing(action))
             return
-        order = wire.DecodeOrder(
-            attempt=str(action.attempt),
+        order = self._decode_order(action, source)
+        stream = self._services.engines.decode(server, action.attempt, order)
+        async with contextlib.aclosing(stream):
+            async for batch in stream:
+                await self._take_batch(batch)
+                if self._next is not None or self._request.ended:
+                    return
+
+    def _decode_order(self, action, source):
+        attempt = action.attempt
+        return wire.DecodeOrder(
+            attempt=str(attempt),
+            vm=attempt.owner.vm,
+            incarnation=attempt.owner.incarnation,
             model=self._job.model,
             prompt=self._job.prompt,
-            kv_host=prefill.host,
-            kv_port=prefill.port,
+            kv_host=source.host,
+            kv_port=source.port,
             kv_handle=action.handle,
             produced=list(action.produced),
             max_tokens=self._job.output_tokens,
             priority=int(self._job.interactive),
         )
-        stream = self._services.engines.decode(server, action.attempt, order)
-        async for event in stream:
-            await self._events.put(event)
 
-    async def _missing(self, action):
-        event = events.AttemptFailed(
-            action.attempt,
-            action.server,
-            outcomes.Reason.BACKEND_FAILED,
-            'the backend server has left',
-        )
-        await self._events.put(event)
+    async def _take_batch(self, batch):
+        now_s = self._loop.time()
+        found = []
+        for event in batch:
+            for action in self._request.handle(event, now_s):
+                found.append(action)
+                if isinstance(action, actions.Relay):
+                    self._latency.token(now_s)
+        await self._perform(found)
 
-    async def _cancel(self, action):
-        server = self._services.server(action.server)
-        if server is not None:
-            await self._services.engines.cancel(server, action.attempt)
+    async def _inspect(self, action):
+        server = self._servers_by_id[action.server]
+        present = self._services.server(action.server)
+        if present and present.incarnation != server.incarnation:
+            return events.Inspected(action.attempt, True, None)
+        return await self._services.engines.inspect(server, action.attempt)
+
+
+def _tokens_event(answer):
+    match answer:
+        case result.Success(_):
+            return events.TokensGranted()
+        case result.Failure(refusal):
+            return events.StepRefused(refusal)
+
+
+def _missing(action):
+    return events.AttemptFailed(
+        action.attempt,
+        action.server,
+        outcomes.Reason.BACKEND_FAILED,
+        'the backend server has left',
+        sent=False,
+    )
--- a/bulrushrudder/entry/model_calls.py
+++ b/bulrushrudder/entry/model_calls.py
@@ -1,6 +1,7 @@
 """Calls of routes that lead to a model."""
 
 import asyncio
+import random
 
 from returns import result
 
@@ -10,9 +11,12 @@
 from bulrushrudder.entry import completions
 from bulrushrudder.entry import execution
 from bulrushrudder.entry import refusals
-from bulrushrudder.lifecycle import request as lifecycle
+from bulrushrudder.lifecycle import fingerprints
+from bulrushrudder.lifecycle import job as jobs
+from bulrushrudder.lifecycle import suspicion
 
 BYTES_A_TOKEN = 4
+MAX_RUN_S = 900.0
 
 
 class ModelCalls:
@@ -36,29 +40,51 @@
                 )
             case result.Success(asked):
                 pass
-        job = self._job(request_id, admitted, asked)
-        if asked.stream:
-            sink = answers.StreamedAnswer(http_request, request_id, job.model)
-        else:
-            sink = answers.WholeAnswer(request_id, job.model)
-        running = execution.Execution(job, self._services, sink)
+        isolation = self._isolation(asked, admitted.route.target.model)
+        if isolation is None:
+            return refusals.refuse(
+                self._services.metrics,
+                suspicion.QUARANTINED,
+                request_id,
+                admitted.route.id,
+            )
+        running = self._start(
+            http_request, request_id, admitted, asked, isolation
+        )
         task = self._services.spawn(running.run())
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
             running.caller_gone()
             raise
-        self._count(sink, admitted.route.id, request_id)
-        return sink.response
+        self._count(running.sink, admitted.route.id, request_id)
+        return running.sink.response
+
+    def _isolation(self, asked, model):
+        """Return the Isolation of a request; None in quarantine."""
+        table = self._services.view.state.quarantine
+        fingerprint = fingerprints.of(model, asked.prompt)
+        return suspicion.isolation_of(table.by_fingerprint.get(fingerprint))
+
+    def _start(self, http_request, request_id, admitted, asked, isolation):
+        job = self._job(request_id, admitted, asked, isolation)
+        running = execution.Execution(job, admitted, self._services)
+        if asked.stream:
+            running.sink = answers.StreamedAnswer(
+                http_request, request_id, job.model, running.caller_gone
+            )
+        else:
+            running.sink = answers.WholeAnswer(request_id, job.model)
+        return running
 
-    def _job(self, request_id, admitted, asked):
+    def _job(self, request_id, admitted, asked, isolation):
         target = admitted.route.target
         model = self._services.view.lookups.models_by_id[target.model]
         most = model.max_output_tokens
         output_tokens = min(asked.max_tokens or most, most)
         prompt_tokens = -(-len(asked.prompt.encode()) // BYTES_A_TOKEN)
         account = admitted.account
-        return lifecycle.Job(
+        return jobs.Job(
             request=ids.RequestId(str(self._services.next_request())),
             owner=self._services.owner,
             account=account.id if account else None,
@@ -69,6 +95,11 @@
             cost=prompt_tokens + output_tokens,
             interactive=(admitted.route.urgency is types.Urgency.INTERACTIVE),
             patience_s=admitted.route.patience_s,
+            repeatable=admitted.route.repeatable,
+            fingerprint=fingerprints.of(target.model, asked.prompt),
+            isolation=isolation,
+            deadline_s=asyncio.get_running_loop().time() + MAX_RUN_S,
+            jitter=random.random(),
         )
 
     def _count(self, sink, route, request_id):
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -9,7 +9,9 @@
 from bulrushrudder.core import ids
 from bulrushrudder.engines import client
 from bulrushrudder.engines import services as plain_services
+from bulrushrudder.entry import access
 from bulrushrudder.entry import authorities
+from bulrushrudder.entry import cancelling
 from bulrushrudder.entry import coordinators
 from bulrushrudder.entry import directory
 from bulrushrudder.entry import frontend
@@ -27,6 +29,7 @@
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import results
 from bulrushrudder.state import sessions
+from bulrushrudder.utils import sockets
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
 
@@ -61,18 +64,26 @@
         """
         settings = self._settings
         stack.callback(self._peers.close)
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=sockets.dialling
+        )
         session = await stack.enter_async_context(
             aiohttp.ClientSession(connector=connector, auto_decompress=False)
         )
+        engines = client.EngineClient(session)
+        self._cancelling = cancelling.Cancelling(
+            settings.vm, self.view, engines, self.metrics
+        )
         self.services = services.Services(
             self._owner,
             self.view,
             self._authorities,
             self._coordinators,
-            client.EngineClient(session),
+            engines,
             plain_services.ServiceClient(session),
             self.metrics,
+            self.observing,
+            self._cancelling,
         )
         inner = await link.listen(
             settings.entry.inner,
@@ -85,6 +96,8 @@
         tasks.spawn(stack, self.observing.run())
         tasks.spawn(stack, self._authorities.run())
         tasks.spawn(stack, self._coordinators.run())
+        tasks.spawn(stack, self._cancelling.run())
+        tasks.spawn(stack, access.Access(self.services).run())
         tasks.spawn(stack, self._open_session())
         log.emit(catalogue.ENTRY_STARTED, callers=str(settings.entry.callers))
 
--- a/bulrushrudder/entry/services.py
+++ b/bulrushrudder/entry/services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bulrushrudder.lifecycle import retries
 from bulrushrudder.utils import tasks
 
 
@@ -15,6 +16,8 @@
     :param engines: an EngineClient.
     :param plain: a ServiceClient.
     :param metrics: the Metrics.
+    :param observing: the Observing, which proposes commands.
+    :param cancelling: the Cancelling.
     """
 
     def __init__(
@@ -26,6 +29,8 @@
         engines,
         plain,
         metrics,
+        observing,
+        cancelling,
     ):
         self.owner = owner
         self.view = view
@@ -34,6 +39,10 @@
         self.engines = engines
         self.plain = plain
         self.metrics = metrics
+        self.observing = observing
+        self.cancelling = cancelling
+        self.retries = retries.RetryPolicy()
+        self.running = set()
         self.draining = False
         self._tasks = set()
         self._last_request = 0
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -57,6 +57,27 @@
     'attempt failed',
     'A backend server did not finish an attempt.',
 )
+ORPHANS_CANCELLED = Event(
+    1104,
+    Level.INFO,
+    'orphans cancelled',
+    'A backend server is told to free all attempts of an entry process '
+    'that is gone.',
+)
+SUSPECT_REPORTED = Event(
+    1105,
+    Level.WARNING,
+    'suspect reported',
+    'A backend server crashed while it ran a request; after two crashes '
+    'of its own the request is quarantined.',
+)
+STOP_WAITS = Event(
+    1106,
+    Level.WARNING,
+    'stop waits',
+    'A second signal came; the process goes on until these requests are '
+    'whole. A kill would cut them.',
+)
 HTTP_INVALID = Event(
     1502,
     Level.WARNING,
--- a/bulrushrudder/lifecycle/actions.py
+++ b/bulrushrudder/lifecycle/actions.py
@@ -4,6 +4,7 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
+from bulrushrudder.lifecycle import job
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,38 +26,92 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskPlace:
-    """Ask the coordinator for servers."""
+    """Ask the coordinator for servers.
 
+    :param place: names the question and what it grants.
+    :param excluded: servers that failed the request.
+    :param isolation: which requests may share the servers.
+    """
+
+    place: ids.RequestId
     patience_s: float
+    excluded: tuple[ids.ServerId, ...]
+    isolation: job.Isolation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleasePlace:
-    """Tell the coordinator that the servers are free again."""
+    """Tell the coordinator that the place is free or not wanted."""
+
+    place: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartPrefill:
-    """Send the prompt to a prefill server."""
+    """Send the prompt to a prefill server.
+
+    :param produced: texts of the tokens that the caller already has.
+    """
 
     attempt: ids.AttemptId
     server: ids.ServerId
+    produced: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartDecode:
     """Have a decode server take the KV cache and produce tokens.
 
+    :param source: the server that holds the KV cache.
+    :param handle: names the KV cache at the source.
     :param produced: texts of the tokens that the caller already has.
     """
 
     attempt: ids.AttemptId
     server: ids.ServerId
-    prefill: ids.ServerId
+    source: ids.ServerId
     handle: str
     produced: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inspect:
+    """Find out whether a server is up and still has the KV cache."""
+
+    attempt: ids.AttemptId
+    server: ids.ServerId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportCrash:
+    """Have the crash of a server committed to the log.
+
+    :param isolated: whether the request was the server's only suspect.
+    """
+
+    fingerprint: str
+    server: ids.ServerId
+    isolated: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearSuspect:
+    """Have the log say that a suspect request finished."""
+
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackOff:
+    """Wait before the next attempt.
+
+    :param reason: why the last attempt failed.
+    """
+
+    delay_s: float
+    reason: outcomes.Reason
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelAttempt:
     """Free what an attempt may hold on a server."""
@@ -89,6 +144,16 @@
     refusal: outcomes.Refusal
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drop:
+    """An answer came late, crossed or twice and is left out.
+
+    :param kind: name of the event's class.
+    """
+
+    kind: str
+
+
 Action = (
     AskTokens
     | ReturnTokens
@@ -96,8 +161,13 @@
     | ReleasePlace
     | StartPrefill
     | StartDecode
+    | Inspect
+    | ReportCrash
+    | ClearSuspect
+    | BackOff
     | CancelAttempt
     | Relay
     | Complete
     | Refuse
+    | Drop
 )
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -20,8 +20,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceGranted:
-    """The coordinator chose the servers."""
+    """The coordinator chose the servers.
 
+    :param place: names the question that this answers.
+    """
+
+    place: ids.RequestId
     prefill: ids.ServerId
     decode: ids.ServerId
 
@@ -39,6 +43,13 @@
     prompt_tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransferDone:
+    """A decode server has taken the KV cache."""
+
+    attempt: ids.AttemptId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenArrived:
     """A decode server produced a token.
@@ -65,12 +76,56 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """A backend server did not finish an attempt."""
+    """A backend server did not finish an attempt.
+
+    :param sent: whether the server may have run any of it.
+    """
 
     attempt: ids.AttemptId
     server: ids.ServerId
     reason: outcomes.Reason
     detail: str
+    sent: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inspected:
+    """What became of a server that failed an attempt.
+
+    :param crashed: whether the server lost what it held.
+    :param handle: names the KV cache there, if it survives.
+    """
+
+    attempt: ids.AttemptId
+    crashed: bool
+    handle: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReported:
+    """The log has the crash, or cannot be reached now.
+
+    :param quarantined: whether the fingerprint may not run again.
+    """
+
+    quarantined: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackOffEnded:
+    """The delay before the next attempt is over."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccessLost:
+    """The call would be refused if it came now.
+
+    :param cut: whether a request that runs is ended too.
+    """
+
+    reason: outcomes.Reason
+    detail: str
+    cut: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,8 +138,13 @@
     | StepRefused
     | PlaceGranted
     | PrefillDone
+    | TransferDone
     | TokenArrived
     | DecodeDone
     | AttemptFailed
+    | Inspected
+    | CrashReported
+    | BackOffEnded
+    | AccessLost
     | CallerGone
 )
--- /dev/null
+++ b/bulrushrudder/lifecycle/orphans.py
@@ -0,0 +1,145 @@
+"""Finds attempts whose owner is gone and who is to cancel them.
+
+Every entry process watches the sessions in the log. For each backend
+server one live VM sends one order for all attempts of a gone owner, so
+that no process needs to tell others what it runs. All VMs rank the live
+ones alike by highest random weight for the owner and give each server
+to one of them by its hash. Orders are paced to bound the bytes that a
+VM sends.
+"""
+
+import collections
+import dataclasses
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import ranking
+from bulrushrudder.lifecycle import cancellations
+
+ORDERS_PER_S = 4.0
+MEMORY_S = 120.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionsSeen:
+    """The sessions that are open now.
+
+    :param index: the place in the log up to which this holds.
+    :param owners_by_vm: the owner of each open session.
+    """
+
+    index: int
+    owners_by_vm: dict[ids.VmId, ids.Owner]
+
+
+@dataclasses.dataclass(slots=True)
+class _Gone:
+    """An owner that is gone and the servers that were told so."""
+
+    owner: ids.Owner
+    until_s: float
+    told: set = dataclasses.field(default_factory=set)
+
+
+class Orphans:
+    """Decides which orphans this VM has cancelled.
+
+    :param vm: this VM.
+    """
+
+    def __init__(self, vm):
+        self._vm = vm
+        self._owners_by_vm = None
+        self._gone_by_vm = {}
+        self._waiting = collections.deque()
+        self._later = collections.deque()
+        self._starting = False
+        self._next_s = 0.0
+        self._index = None
+
+    def handle(self, event, servers_by_id, now_s):
+        """Take the open sessions and return the cancellations wanted.
+
+        :param servers_by_id: the servers that announce themselves.
+        :param now_s: monotonic seconds.
+        """
+        match event:
+            case SessionsSeen(index=index, owners_by_vm=owners_by_vm):
+                if index != self._index:
+                    self._see(owners_by_vm, now_s)
+                    self._choose(servers_by_id, now_s)
+                self._index = index
+            case _:
+                raise AssertionError(f'unknown event {event!r}')
+        return list(self._paced(now_s))
+
+    def _see(self, owners_by_vm, now_s):
+        before = self._owners_by_vm
+        self._owners_by_vm = dict(owners_by_vm)
+        if before is None:
+            self._starting = True
+            return
+        for vm, owner in before.items():
+            if owners_by_vm.get(vm) != owner:
+                self._note_gone(owner, now_s)
+        for vm, owner in owners_by_vm.items():
+            if vm not in before:
+                earlier = ids.Owner(vm, owner.incarnation - 1)
+                self._note_gone(earlier, now_s)
+
+    def _note_gone(self, owner, now_s):
+        known = self._gone_by_vm.get(owner.vm)
+        if known is None or known.owner.incarnation < owner.incarnation:
+            self._gone_by_vm[owner.vm] = _Gone(owner, now_s + MEMORY_S)
+
+    def _choose(self, servers_by_id, now_s):
+        self._gone_by_vm = {
+            vm: gone
+            for vm, gone in self._gone_by_vm.items()
+            if now_s < gone.until_s
+        }
+        for gone in self._gone_by_vm.values():
+            self._choose_servers(gone, servers_by_id)
+        if self._starting and servers_by_id:
+            self._starting = False
+            self._choose_own_earlier_runs(servers_by_id)
+
+    def _choose_own_earlier_runs(self, servers_by_id):
+        """Tell all servers, after all else, of earlier runs on this VM.
+
+        The peers do so at once if they saw this process start.
+        """
+        owner = self._owners_by_vm.get(self._vm)
+        if owner is None:
+            return
+        earlier = ids.Owner(owner.vm, owner.incarnation - 1)
+        for server in servers_by_id.values():
+            if server.kind != 'service':
+                wanted = cancellations.CancelWanted(server, earlier)
+                self._later.append(wanted)
+
+    def _choose_servers(self, gone, servers_by_id):
+        ranked = _ranked(gone.owner.vm, self._owners_by_vm)
+        for server in servers_by_id.values():
+            run = (server.id, server.incarnation)
+            if server.kind == 'service' or run in gone.told:
+                continue
+            slot = ranking.weight(server.id, gone.owner.vm) % len(ranked)
+            if ranked[slot] != self._vm:
+                continue
+            gone.told.add(run)
+            wanted = cancellations.CancelWanted(server, gone.owner)
+            self._waiting.append(wanted)
+
+    def _paced(self, now_s):
+        while (self._waiting or self._later) and now_s >= self._next_s:
+            self._next_s = max(self._next_s, now_s - 1.0) + 1 / ORDERS_PER_S
+            source = self._waiting or self._later
+            yield source.popleft()
+
+
+def _ranked(key, members):
+    return sorted(
+        members,
+        key=lambda member: (ranking.weight(key, member), member),
+        reverse=True,
+    )
--- /dev/null
+++ b/bulrushrudder/lifecycle/suspicion.py
@@ -0,0 +1,24 @@
+"""What the log knows of a request before it runs."""
+
+from bulrushrudder.core import outcomes
+from bulrushrudder.lifecycle import job
+
+QUARANTINED = outcomes.not_run(
+    outcomes.Reason.REQUEST_QUARANTINED,
+    'the request crashed backend servers and is not run again',
+)
+
+
+def isolation_of(suspect):
+    """Return the Isolation in which a request is to run.
+
+    :param suspect: the Suspect of its fingerprint, or None.
+    :returns: None where it may not run at all.
+    """
+    if suspect is None:
+        return job.Isolation.NONE
+    if suspect.quarantined:
+        return None
+    if suspect.own_crashes:
+        return job.Isolation.ALONE
+    return job.Isolation.NO_OTHER_SUSPECT
--- a/bulrushrudder/metrics/registry.py
+++ b/bulrushrudder/metrics/registry.py
@@ -1,6 +1,9 @@
 """Counters and histograms of one process."""
 
 import aioprometheus
+from aioprometheus import histogram
+
+from bulrushrudder.metrics import latency
 
 SECONDS_BUCKETS = (
     0.005,
@@ -37,6 +40,18 @@
         self.answers = self._counter(
             'bulrushrudder_answers_total', 'Whole answers by route.'
         )
+        self.dropped = self._counter(
+            'bulrushrudder_dropped_answers_total',
+            'Answers of engines that came late, crossed or twice.',
+        )
+        self.cancel_retries = self._counter(
+            'bulrushrudder_cancel_retries_total',
+            'Cancellations that an engine did not confirm.',
+        )
+        self.orphan_orders = self._counter(
+            'bulrushrudder_orphan_orders_total',
+            'Orders to free all attempts of an entry that is gone.',
+        )
         self.first_token = self._histogram(
             'bulrushrudder_first_token_seconds',
             'Seconds to the first token by route and client account.',
@@ -60,13 +75,32 @@
         """Count a whole answer."""
         self.answers.inc({'route': self._bounded(route)})
 
-    def observe_first_token(self, route, account, seconds):
-        """Record the time to a first token in seconds."""
-        self.first_token.observe(self._labels(route, account), seconds)
+    def count_dropped(self, kind):
+        """Count an answer that came late, crossed or twice.
+
+        :param kind: name of the event's class.
+        """
+        self.dropped.inc({'kind': kind})
+
+    def count_cancel_retry(self):
+        """Count a cancellation that an engine did not confirm."""
+        self.cancel_retries.inc({})
 
-    def observe_between_tokens(self, route, account, seconds):
-        """Record the time between two tokens in seconds."""
-        self.between_tokens.observe(self._labels(route, account), seconds)
+    def count_orphan_order(self):
+        """Count an order to free all attempts of a gone owner."""
+        self.orphan_orders.inc({})
+
+    def latency(self, route, account, started_s):
+        """Return a recorder of one request's tokens.
+
+        :param started_s: monotonic seconds at which the request came.
+        """
+        labels = self._labels(route, account)
+        return latency.Latency(
+            _child(self.first_token, labels),
+            _child(self.between_tokens, labels),
+            started_s,
+        )
 
     def render(self, accept):
         """Return the content and headers of an exposition.
@@ -96,3 +130,13 @@
         return aioprometheus.Histogram(
             name, text, buckets=SECONDS_BUCKETS, registry=self.registry
         )
+
+
+def _child(collector, labels):
+    """Return the histogram of one set of labels."""
+    try:
+        return collector.get_value(labels)
+    except KeyError:
+        found = histogram.Histogram(*collector.upper_bounds)
+        collector.set_value(labels, found)
+        return found
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -13,6 +13,9 @@
     :param account: whose share of the queue it takes.
     :param tokens: prompt and output bound together.
     :param patience_s: seconds that the request can queue.
+    :param excluded: servers that failed the request.
+    :param isolation: 1 where no other such request may share a server,
+        2 where no other request at all may.
     """
 
     request: ids.RequestId
@@ -23,6 +26,8 @@
     output_tokens: int
     interactive: bool
     patience_s: float
+    excluded: tuple[ids.ServerId, ...] = ()
+    isolation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/bulrushrudder/utils/sockets.py
@@ -0,0 +1,40 @@
+"""Socket options that find connections which have gone silent."""
+
+import socket
+
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_MS = 10_000
+
+
+def watch(found):
+    """Have the kernel end a TCP connection whose peer is silent."""
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    found.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    found.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    found.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    found.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def dialling(address_info):
+    """Return a watched socket for an outgoing connection.
+
+    :param address_info: an entry as getaddrinfo returns it.
+    """
+    family, kind, protocol, _, _ = address_info
+    found = socket.socket(family, kind, protocol)
+    found.setblocking(False)
+    watch(found)
+    return found
+
+
+def listening(host, port):
+    """Return a bound socket whose accepted connections are watched."""
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    found = socket.socket(family, socket.SOCK_STREAM)
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    watch(found)
+    found.bind((host, port))
+    return found
