--- /dev/null
+++ b/bulrushrudder/standins/deployment.py
@@ -0,0 +1,146 @@
+"""One VM with stand-in backend servers, all on one loop."""
+
+import asyncio
+import dataclasses
+import pathlib
+import tempfile
+
+import aiohttp
+
+from bulrushrudder.config import document as document_config
+from bulrushrudder.config import settings
+from bulrushrudder.control import process as control_process
+from bulrushrudder.core import ids
+from bulrushrudder.core import keys
+from bulrushrudder.documents import types
+from bulrushrudder.entry import process as entry_process
+from bulrushrudder.standins import engine
+from bulrushrudder.standins import fleet
+from bulrushrudder.utils import ports
+
+START_S = 10.0
+POLL_S = 0.02
+MODEL = 'drafting'
+SERVICE = 'portal'
+STAND_INS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Control, entry and stand-ins that run.
+
+    :param key: a key of the document's client account.
+    :param index: the place in the log of the document in production.
+    """
+
+    settings: settings.Settings
+    session: aiohttp.ClientSession
+    entry: entry_process.Entry
+    fleet: fleet.Fleet
+    key: str
+    index: int
+
+    @property
+    def callers_url(self):
+        """Return where callers connect."""
+        return f'http://{self.settings.entry.callers}'
+
+    @property
+    def headers(self):
+        """Return the headers that callers with a key send."""
+        return {'Authorization': f'Bearer {self.key}'}
+
+
+async def start(
+    stack, document, token_s=engine.TOKEN_S, prefill_s=engine.PREFILL_S
+):
+    """Start everything and wait until it serves.
+
+    :param stack: an AsyncExitStack that owns what is opened.
+    :param document: text of version 1 of the document, which leads to
+        the model drafting; {digest} stands for a key's digest.
+    :param token_s: seconds between tokens of the stand-ins.
+    :param prefill_s: seconds that a prefill of the stand-ins takes.
+    """
+    folder = stack.enter_context(tempfile.TemporaryDirectory())
+    found = _settings(pathlib.Path(folder))
+    key = keys.new_key()
+    session = await stack.enter_async_context(aiohttp.ClientSession())
+    await control_process.start(stack, found)
+    entry = entry_process.Entry(found)
+    await entry.start(stack)
+    stand_ins = await fleet.start(
+        stack,
+        session,
+        f'http://{found.entry.backends}',
+        found.secrets.backends.decode(),
+        MODEL,
+        SERVICE,
+        token_s=token_s,
+        prefill_s=prefill_s,
+    )
+    source = document.format(digest=keys.digest(key)).encode()
+    index = await _submit(session, found, source)
+    await _wait_until_ready(entry, index)
+    return Deployment(found, session, entry, stand_ins, key, index)
+
+
+def _settings(folder):
+    addresses = [
+        settings.Address(ports.LOOPBACK, port) for port in ports.free_ports(7)
+    ]
+    callers, backends, metrics, inner, operators, shown, control = addresses
+    return settings.Settings(
+        vm=ids.VmId('vm1'),
+        zone=ids.Zone('a'),
+        environment=types.Environment.PRODUCTION,
+        entry=settings.EntrySettings(callers, backends, metrics, inner),
+        control=settings.ControlSettings(operators, shown, control, folder),
+        controls=(control,),
+        secrets=settings.Secrets(
+            cluster=keys.new_key().encode(),
+            operators=keys.new_key().encode(),
+            backends=keys.new_key().encode(),
+        ),
+    )
+
+
+async def _submit(session, found, source):
+    """Submit and promote a document; return its index in production."""
+    url = f'http://{found.control.operators}/documents'
+    secret = found.secrets.operators.decode()
+    headers = {'Authorization': f'Bearer {secret}', 'X-Operator': 'demo'}
+    promotion = {'version': 1, 'digest': document_config.digest(source)}
+    await _post(session, f'{url}/trial', headers, data=source)
+    return await _post(session, f'{url}/production', headers, json=promotion)
+
+
+async def _post(session, url, headers, **content):
+    async with asyncio.timeout(START_S):
+        while True:
+            async with session.post(
+                url, headers=headers, **content
+            ) as response:
+                answer = await response.json()
+            if response.status == 200:
+                return answer['index']
+            if response.status != 503:
+                raise AssertionError(f'{url}: {answer}')
+            await asyncio.sleep(POLL_S)
+
+
+async def _wait_until_ready(entry, index):
+    async with asyncio.timeout(START_S):
+        while not _is_ready(entry, index):
+            await asyncio.sleep(POLL_S)
+
+
+def _is_ready(entry, index):
+    now_s = asyncio.get_running_loop().time()
+    state = entry.view.state
+    return (
+        entry.view.fresh(now_s)
+        and entry.view.index >= index
+        and len(state.servers.by_id) == STAND_INS
+        and state.sessions.by_vm
+    )
--- a/bulrushrudder/standins/fleet.py
+++ b/bulrushrudder/standins/fleet.py
@@ -21,14 +21,29 @@
     service: service.Service
 
 
-async def start(stack, session, backends_url, secret, model, service_id):
+async def start(
+    stack,
+    session,
+    backends_url,
+    secret,
+    model,
+    service_id,
+    token_s=engine.TOKEN_S,
+    prefill_s=engine.PREFILL_S,
+):
     """Start one prefill, one decode and one plain-service stand-in.
 
     :param stack: an AsyncExitStack that owns them.
     :param backends_url: where they announce themselves.
     :param secret: the backends secret as text.
+    :param token_s: seconds between tokens.
+    :param prefill_s: seconds that a prefill takes.
     """
-    fleet = Fleet(engine.Engine(), engine.Engine(), service.Service())
+    fleet = Fleet(
+        engine.Engine(token_s, prefill_s),
+        engine.Engine(token_s, prefill_s),
+        service.Service(),
+    )
     kinds = (
         ('prefill', fleet.prefill, model),
         ('decode', fleet.decode, model),
