--- /dev/null
+++ b/bulrushrudder/benchmarks/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement in virtual time, before small fakes of engines."""
--- /dev/null
+++ b/bulrushrudder/benchmarks/placement/clock.py
@@ -0,0 +1,28 @@
+"""Virtual time."""
+
+import heapq
+import itertools
+
+
+class Clock:
+    """Runs callbacks in the order of virtual time.
+
+    :ivar now_s: virtual seconds since the start.
+    """
+
+    def __init__(self):
+        self.now_s = 0.0
+        self._callbacks = []
+        self._numbers = itertools.count()
+
+    def after(self, delay_s, callback, *args):
+        """Call later, by some virtual seconds."""
+        item = (self.now_s + delay_s, next(self._numbers), callback, args)
+        heapq.heappush(self._callbacks, item)
+
+    def run(self, until_s):
+        """Run callbacks until a virtual time."""
+        while self._callbacks and self._callbacks[0][0] <= until_s:
+            self.now_s, _, callback, args = heapq.heappop(self._callbacks)
+            callback(*args)
+        self.now_s = until_s
--- /dev/null
+++ b/bulrushrudder/benchmarks/placement/policies.py
@@ -0,0 +1,115 @@
+"""Ways to place requests: the system's own and those it is measured by."""
+
+import dataclasses
+import random
+
+from bulrushrudder.benchmarks.placement import workload
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Coordinated:
+    """The coordinator of a cell decides."""
+
+    name: str = 'coordinated'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Random:
+    """Any server."""
+
+    name: str = 'random'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoundRobin:
+    """Each entry takes one server after the other."""
+
+    name: str = 'round robin'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeastLoad:
+    """The least load by the last reports."""
+
+    name: str = 'least load'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PowerOfTwo:
+    """The lesser load of two servers by the last reports."""
+
+    name: str = 'power of two'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefillFirst:
+    """The shortest prefill queue now, a decode server afterwards."""
+
+    name: str = 'prefill first'
+
+
+BASELINES = (
+    Random(),
+    RoundRobin(),
+    LeastLoad(),
+    PowerOfTwo(),
+    PrefillFirst(),
+)
+ENTRIES = len(workload.ZONES)
+
+
+class Chooser:
+    """Chooses servers for the policies without a coordinator.
+
+    :param prefills: the PrefillEngines.
+    :param decodes: the DecodeEngines.
+    """
+
+    def __init__(self, policy, prefills, decodes, seed):
+        self.loads_by_id = {}
+        self._policy = policy
+        self._prefills = prefills
+        self._decodes = decodes
+        self._chance = random.Random(seed)
+        self._turns_by_zone = dict.fromkeys(workload.ZONES, 0)
+
+    def prefill(self, request):
+        """Return a prefill engine."""
+        return self._choose(self._prefills, request)
+
+    def decode(self, request):
+        """Return a decode engine, chosen before the prefill."""
+        if isinstance(self._policy, PrefillFirst):
+            return None
+        return self._choose(self._decodes, request)
+
+    def late_decode(self):
+        """Return a decode engine after the prefill."""
+        return min(
+            self._up(self._decodes),
+            key=lambda engine: (engine.load, engine.server),
+        )
+
+    def _choose(self, engines, request):
+        engines = self._up(engines)
+        match self._policy:
+            case Random():
+                return self._chance.choice(engines)
+            case RoundRobin():
+                turn = self._turns_by_zone[request.zone]
+                self._turns_by_zone[request.zone] += 1
+                return engines[turn // 2 % len(engines)]
+            case LeastLoad():
+                return min(engines, key=self._reported)
+            case PowerOfTwo():
+                two = [self._chance.choice(engines) for _ in range(2)]
+                return min(two, key=self._reported)
+            case PrefillFirst():
+                return min(engines, key=lambda engine: engine.load)
+        raise AssertionError(f'unknown policy {self._policy!r}')
+
+    def _up(self, engines):
+        return [engine for engine in engines if engine.up] or engines
+
+    def _reported(self, engine):
+        return self.loads_by_id.get(engine.server, 0)
--- /dev/null
+++ b/bulrushrudder/benchmarks/placement/runs.py
@@ -0,0 +1,438 @@
+"""One run of a workload before fakes of engines, and what it shows."""
+
+import dataclasses
+import random
+
+from bulrushrudder.benchmarks.placement import bounds
+from bulrushrudder.benchmarks.placement import clock
+from bulrushrudder.benchmarks.placement import engines
+from bulrushrudder.benchmarks.placement import faults
+from bulrushrudder.benchmarks.placement import policies
+from bulrushrudder.benchmarks.placement import workload
+from bulrushrudder.core import ids
+from bulrushrudder.placement import actions
+from bulrushrudder.placement import cell
+from bulrushrudder.placement import events
+from bulrushrudder.state import servers
+
+TICK_S = 0.02
+REPORT_S = 1.0
+LAG_S = 1.0
+CACHE_LAG_S = 1.0
+CACHE_LOST = 0.05
+MESSAGE_S = 0.002
+DRAIN_S = 120.0
+MAX_ATTEMPTS = 3
+DETECT_S = 3.0
+HANDOVER_S = 0.5
+MODEL = ids.ModelId('model')
+OWNER = ids.Owner(ids.VmId('vm'), 1)
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What became of a request."""
+
+    request: workload.Request
+    attempts: int = 0
+    attempt: engines.Attempt | None = None
+    hold: events.HoldId | None = None
+    granted: actions.Grant | None = None
+    first_token_s: float | None = None
+    end_s: float | None = None
+    over: bool = False
+
+    def is_good(self):
+        """Return whether the answer was whole and met both targets."""
+        if self.end_s is None:
+            return False
+        kind = self.request.kind
+        waited_s = self.first_token_s - self.request.arrival_s
+        between_s = self.end_s - self.first_token_s
+        between_s /= max(1, self.request.output_tokens - 1)
+        return (
+            waited_s <= kind.first_token_s
+            and between_s <= kind.between_tokens_s
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a run showed.
+
+    :param goodput: good answers as a part of all requests.
+    :param bound: the most that perfect knowledge could reach.
+    :param wasted: prefill work whose result was never used.
+    :param worst_p99_s: first token, over accounts, in seconds.
+    :param p99_s_by_account: pairs of account and seconds.
+    :param refused_inside: requests inside their rate without answer.
+    :param occupancy: of decode places that targets bear.
+    """
+
+    fleet: str
+    policy: str
+    load: float
+    requests: int
+    goodput: float
+    bound: float
+    wasted: float
+    worst_p99_s: float
+    p99_s_by_account: tuple[tuple[str, float], ...]
+    refused_inside: int
+    occupancy: float
+
+
+class Run:
+    """A fleet under a mix, a policy and faults."""
+
+    def __init__(self, fleet, mix, policy, found_faults=()):
+        self._fleet = fleet
+        self._mix = mix
+        self._policy = policy
+        self._faults = found_faults
+        self._clock = clock.Clock()
+        self._chance = random.Random(mix.seed)
+        self._sequences = {}
+        self._outcomes_by_call = {}
+        self._last_call = 0
+        self._ticking = False
+        self._cell = cell.Cell()
+        self._coordinator_up = True
+        self._computed = 0.0
+        self._used = 0.0
+        self._servers_by_id = {}
+        self._prefills_by_id = {}
+        self._decodes_by_id = {}
+        self._build()
+        self._chooser = policies.Chooser(
+            policy,
+            list(self._prefills_by_id.values()),
+            list(self._decodes_by_id.values()),
+            mix.seed,
+        )
+        found = workload.requests(fleet, mix)
+        self.outcomes = [Outcome(request) for request in found]
+
+    def run(self):
+        """Run to the end and return the Result."""
+        self._decide(self._servers_changed())
+        for outcome in self.outcomes:
+            self._clock.after(outcome.request.arrival_s, self._begin, outcome)
+        self._clock.after(REPORT_S, self._report)
+        for fault in self._faults:
+            self._plan_fault(fault)
+        self._clock.run(self._mix.seconds)
+        busy_s = sum(
+            engine.busy_place_s for engine in self._decodes_by_id.values()
+        )
+        self._clock.run(self._mix.seconds + DRAIN_S)
+        return self._result(busy_s)
+
+    def _build(self):
+        fleet = self._fleet
+        for number in range(fleet.prefills):
+            server = self._server('prefill', number)
+            self._prefills_by_id[server.id] = engines.PrefillEngine(
+                self._clock,
+                server.id,
+                fleet.prefill_tokens_per_s,
+                self._cache_changed,
+            )
+        for number in range(fleet.decodes):
+            server = self._server('decode', number)
+            self._decodes_by_id[server.id] = engines.DecodeEngine(
+                self._clock, server.id, fleet
+            )
+
+    def _server(self, kind, number):
+        fleet = self._fleet
+        server = servers.BackendServer(
+            id=ids.ServerId(f'{kind}-{number:04}'),
+            incarnation=1,
+            kind=kind,
+            host='127.0.0.1',
+            port=9000,
+            zone=ids.Zone(workload.ZONES[number % len(workload.ZONES)]),
+            serves=(MODEL,),
+            places=fleet.places,
+            memory_tokens=fleet.memory_tokens,
+            link_tokens_per_s=fleet.link_tokens_per_s,
+            checks_fencing=True,
+        )
+        self._servers_by_id[server.id] = server
+        return server
+
+    def _servers_changed(self):
+        return events.ServersChanged(tuple(self._servers_by_id.values()))
+
+    def _begin(self, outcome):
+        for fault in self._faults:
+            match fault:
+                case faults.CallersLeave(share=share, after_s=after_s):
+                    if self._chance.random() < share:
+                        wait_s = self._chance.expovariate(1 / after_s)
+                        self._clock.after(wait_s, self._leave, outcome)
+        self._try(outcome)
+
+    def _leave(self, outcome):
+        if outcome.over:
+            return
+        outcome.over = True
+        if outcome.attempt is not None:
+            self._cancel(outcome.attempt)
+        self._release(outcome)
+
+    def _cancel(self, attempt):
+        attempt.cancelled = True
+        self._computed += attempt.computed_tokens
+        if attempt.used:
+            self._used += attempt.computed_tokens
+            attempt.engine.cancel(attempt)
+
+    def _try(self, outcome):
+        if outcome.over:
+            return
+        outcome.attempts += 1
+        if isinstance(self._policy, policies.Coordinated):
+            self._clock.after(MESSAGE_S, self._ask, outcome)
+            return
+        request = outcome.request
+        prefill = self._chooser.prefill(request)
+        self._submit(outcome, prefill, self._chooser.decode(request))
+
+    def _submit(self, outcome, prefill, decode):
+        late = self._chooser.late_decode
+        outcome.attempt = engines.Attempt(
+            request=outcome.request,
+            prefill=prefill,
+            decode=lambda _: late() if decode is None else decode,
+            done=lambda attempt, whole: self._done(outcome, attempt, whole),
+        )
+        prefill.submit(outcome.attempt)
+
+    def _done(self, outcome, attempt, whole):
+        self._computed += attempt.computed_tokens
+        if attempt.used:
+            self._used += attempt.computed_tokens
+        if outcome.attempt is not attempt or outcome.over:
+            return
+        self._release(outcome)
+        if whole:
+            outcome.over = True
+            outcome.first_token_s = attempt.first_token_s
+            outcome.end_s = self._clock.now_s
+        elif outcome.attempts < MAX_ATTEMPTS:
+            self._try(outcome)
+        else:
+            outcome.over = True
+
+    def _ask(self, outcome):
+        if not self._coordinator_up or outcome.over:
+            return
+        request = outcome.request
+        self._last_call += 1
+        call = self._last_call
+        self._outcomes_by_call[call] = outcome
+        outcome.hold = events.HoldId(OWNER, call)
+        waited_s = self._clock.now_s - request.arrival_s
+        asked = events.PlaceAsked(
+            call=call,
+            hold=outcome.hold,
+            account=request.account,
+            weight=request.weight,
+            zone=ids.Zone(request.zone),
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.bound_tokens,
+            interactive=request.kind.interactive,
+            patience_s=request.kind.first_token_s - waited_s,
+            first_token_s=request.kind.first_token_s - waited_s,
+            between_tokens_s=request.kind.between_tokens_s,
+            prefix=request.prefix,
+        )
+        self._decide(asked)
+
+    def _release(self, outcome):
+        if outcome.hold is None:
+            return
+        hold = outcome.hold
+        outcome.hold = None
+        outcome.granted = None
+        released = events.PlaceReleased(hold)
+        self._clock.after(MESSAGE_S, self._decide, released)
+
+    def _decide(self, event):
+        if not self._coordinator_up:
+            return
+        now_s = self._clock.now_s
+        for action in self._cell.handle(event, now_s):
+            self._perform(action)
+        if self._cell.waiting and not self._ticking:
+            self._ticking = True
+            self._clock.after(TICK_S, self._tick)
+
+    def _tick(self):
+        self._ticking = False
+        self._decide(events.Ticked())
+
+    def _perform(self, action):
+        match action:
+            case actions.Grant(call=call):
+                outcome = self._outcomes_by_call.pop(call)
+                outcome.granted = action
+                self._clock.after(MESSAGE_S, self._granted, outcome, action)
+            case actions.Refuse(call=call):
+                outcome = self._outcomes_by_call.pop(call)
+                outcome.over = True
+                outcome.hold = None
+
+    def _granted(self, outcome, grant):
+        if outcome.over:
+            return
+        self._submit(
+            outcome,
+            self._prefills_by_id[grant.prefill],
+            self._decodes_by_id[grant.decode],
+        )
+
+    def _cache_changed(self, server, stored, removed):
+        event = events.CacheChanged(
+            server, 1, self._next_sequence(server, 'cache'), stored, removed
+        )
+        if self._chance.random() >= CACHE_LOST:
+            self._clock.after(CACHE_LAG_S, self._decide, event)
+
+    def _next_sequence(self, server, what):
+        number = self._sequences.get((server, what), 0) + 1
+        self._sequences[server, what] = number
+        return number
+
+    def _report(self):
+        lag_s = LAG_S
+        lost = 0.0
+        for fault in self._faults:
+            match fault:
+                case faults.ReportsLate():
+                    lag_s = fault.lag_s
+                    lost = fault.lost
+        for engine in (
+            *self._prefills_by_id.values(),
+            *self._decodes_by_id.values(),
+        ):
+            if engine.up and self._chance.random() >= lost:
+                self._clock.after(
+                    lag_s, self._reported, *self._measure(engine)
+                )
+        if self._clock.now_s < self._mix.seconds + DRAIN_S:
+            self._clock.after(REPORT_S, self._report)
+
+    def _measure(self, engine):
+        running = 0
+        step_s = 0.0
+        rate = self._fleet.prefill_tokens_per_s
+        if engine.server in self._decodes_by_id:
+            rate = 0.0
+            running = engine.running
+            step_s = self._fleet.step(running)
+        event = events.LoadReported(
+            server=engine.server,
+            incarnation=1,
+            sequence=self._next_sequence(engine.server, 'load'),
+            running=running,
+            step_s=step_s,
+            tokens_per_s=rate,
+        )
+        return event, engine.load
+
+    def _reported(self, event, load):
+        self._chooser.loads_by_id[event.server] = load
+        self._decide(event)
+
+    def _plan_fault(self, fault):
+        coordinated = isinstance(self._policy, policies.Coordinated)
+        match fault:
+            case faults.RunnerLost(at_s=at_s):
+                self._clock.after(at_s, self._lose_runner)
+            case faults.CoordinatorLost(at_s=at_s, away_s=away_s) if (
+                coordinated
+            ):
+                self._clock.after(at_s, self._lose_coordinator)
+                self._clock.after(at_s + away_s, self._take_over)
+
+    def _lose_runner(self):
+        engine = next(iter(self._decodes_by_id.values()))
+        engine.crash()
+        self._clock.after(DETECT_S, self._runner_gone, engine.server)
+
+    def _runner_gone(self, server):
+        self._servers_by_id.pop(server)
+        self._decide(self._servers_changed())
+
+    def _lose_coordinator(self):
+        self._coordinator_up = False
+
+    def _take_over(self):
+        """Rebuild a coordinator from what the entries hold."""
+        self._coordinator_up = True
+        now_s = self._clock.now_s
+        self._cell = cell.Cell(ready_s=now_s + HANDOVER_S)
+        self._outcomes_by_call.clear()
+        self._decide(self._servers_changed())
+        held = [o for o in self.outcomes if o.granted and not o.over]
+        self._decide(events.HoldingsRestored(tuple(map(self._holding, held))))
+        for outcome in self.outcomes:
+            arrived = outcome.request.arrival_s <= now_s
+            if arrived and not outcome.over and not outcome.granted:
+                self._ask(outcome)
+
+    def _holding(self, outcome):
+        request = outcome.request
+        return events.Holding(
+            outcome.hold,
+            request.account,
+            outcome.granted.prefill,
+            outcome.granted.decode,
+            request.prompt_tokens,
+            request.bound_tokens,
+        )
+
+    def _result(self, busy_s):
+        fleet = self._fleet
+        good = sum(outcome.is_good() for outcome in self.outcomes)
+        requests = [outcome.request for outcome in self.outcomes]
+        p99_s_by_account = tuple(self._p99_by_account())
+        inside = [
+            o
+            for o in self.outcomes
+            if o.request.inside_rate and o.end_s is None
+        ]
+        wasted = 0.0
+        if self._computed:
+            wasted = 1 - self._used / self._computed
+        places = fleet.decodes * fleet.bearable()
+        return Result(
+            fleet=fleet.name,
+            policy=self._policy.name,
+            load=self._mix.load,
+            requests=len(requests),
+            goodput=good / len(requests),
+            bound=bounds.most_good(fleet, requests, self._mix.seconds),
+            wasted=wasted,
+            worst_p99_s=max(p99_s for _, p99_s in p99_s_by_account),
+            p99_s_by_account=p99_s_by_account,
+            refused_inside=len(inside),
+            occupancy=busy_s / (places * self._mix.seconds),
+        )
+
+    def _p99_by_account(self):
+        waits_by_account = {name: [] for name, _ in workload.accounts()}
+        for outcome in self.outcomes:
+            request = outcome.request
+            if outcome.first_token_s is None:
+                wait_s = 60.0
+            else:
+                wait_s = outcome.first_token_s - request.arrival_s
+            waits_by_account[request.account].append(wait_s)
+        for account, waits_s in waits_by_account.items():
+            waits_s.sort()
+            if waits_s:
+                yield account, waits_s[int(len(waits_s) * 0.99)]
--- /dev/null
+++ b/bulrushrudder/benchmarks/placement/workload.py
@@ -0,0 +1,210 @@
+"""Fleets and requests of both firms."""
+
+import dataclasses
+import random
+
+from bulrushrudder.placement import prefixes
+
+ACCOUNT_SHARES = (0.4, 0.25, 0.2, 0.1, 0.05)
+ZONES = ('a', 'b', 'c')
+BURST_S = 30.0
+FILES_AN_ACCOUNT = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of call.
+
+    :param share: its part of the calls.
+    :param shared: part of the prompt that other calls have in common.
+    """
+
+    share: float
+    interactive: bool
+    prompt_tokens: tuple[int, int]
+    output_tokens: tuple[int, int]
+    first_token_s: float
+    between_tokens_s: float
+    shared: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """The servers of one model.
+
+    :param step_s: seconds between tokens of an empty decode server.
+    :param step_a_request_s: seconds that each running request adds.
+    """
+
+    name: str
+    prefills: int
+    decodes: int
+    kinds: tuple[Kind, ...]
+    prefill_tokens_per_s: float
+    places: int = 20
+    memory_tokens: int = 480000
+    link_tokens_per_s: float = 150000.0
+    step_s: float = 0.015
+    step_a_request_s: float = 0.0025
+
+    def step(self, running):
+        """Return the seconds between tokens at a number of requests."""
+        return self.step_s + self.step_a_request_s * running
+
+    def bearable(self):
+        """Return the requests that the strictest target bears."""
+        strictest_s = min(kind.between_tokens_s for kind in self.kinds)
+        found = self.places
+        while self.step(found) > strictest_s:
+            found -= 1
+        return found
+
+    def capacity(self):
+        """Return output tokens a second of all decode servers."""
+        running = self.bearable()
+        return self.decodes * running / self.step(running)
+
+    def mean_output_tokens(self):
+        """Return the mean of the output of a request."""
+        return sum(k.share * sum(k.output_tokens) / 2 for k in self.kinds)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One call to a model.
+
+    :param output_tokens: what it produces; unknown to the system.
+    :param bound_tokens: the bound on output that the system knows.
+    :param inside_rate: whether its account keeps to its rate.
+    """
+
+    number: int
+    arrival_s: float
+    account: str
+    weight: float
+    zone: str
+    kind: Kind
+    prompt_tokens: int
+    output_tokens: int
+    bound_tokens: int
+    prefix: tuple[int, ...]
+    inside_rate: bool
+
+
+SHORT = Kind(1.0, True, (200, 1500), (30, 150), 1.1, 0.061, 0.4)
+DRAFT = Kind(1.0, False, (1000, 8000), (150, 600), 10.0, 0.1, 0.5)
+HEARING = Kind(0.6, False, (8000, 36000), (200, 700), 15.0, 0.1, 0.5)
+QUESTION = Kind(0.4, True, (300, 1500), (30, 150), 2.5, 0.1, 0.3)
+
+FLEETS = (
+    Fleet('mrezica-drafting', 2, 4, (DRAFT,), 14000.0),
+    Fleet('mrezica-portal', 1, 2, (SHORT,), 9000.0),
+    Fleet('synigoros-briefing', 2, 3, (HEARING, QUESTION), 29000.0),
+    Fleet('synigoros-roster', 1, 3, (SHORT,), 13000.0),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mix:
+    """How calls come.
+
+    :param load: part of the decode capacity.
+    :param factors_by_account: accounts that send more than their share.
+    """
+
+    load: float
+    seconds: float
+    seed: int
+    factors_by_account: tuple[tuple[str, float], ...] = ()
+
+
+def accounts():
+    """Return names and shares of the client accounts."""
+    return tuple(
+        (f'account-{number}', share)
+        for number, share in enumerate(ACCOUNT_SHARES, 1)
+    )
+
+
+def requests(fleet, mix):
+    """Return the requests of a run, in the order of arrival.
+
+    Each account has its own random numbers, so that its calls are the
+    same whatever the others send.
+    """
+    found = []
+    for account, share in accounts():
+        factor = dict(mix.factors_by_account).get(account, 1.0)
+        found += _of_account(fleet, mix, account, share, factor)
+    found.sort(key=lambda request: (request.arrival_s, request.account))
+    return [
+        dataclasses.replace(request, number=number)
+        for number, request in enumerate(found)
+    ]
+
+
+def _of_account(fleet, mix, account, share, factor):
+    chance = random.Random(f'{mix.seed} {fleet.name} {account}')
+    rate = fleet.capacity() / fleet.mean_output_tokens() * share * mix.load
+    bucket = _Bucket(_mean_cost(fleet) * rate / mix.load)
+    now_s = 0.0
+    while True:
+        now_s += chance.expovariate(rate * factor)
+        if now_s > mix.seconds:
+            return
+        kind = chance.choices(
+            fleet.kinds, [kind.share for kind in fleet.kinds]
+        )[0]
+        prompt_tokens = chance.randint(*kind.prompt_tokens)
+        output_tokens = chance.randint(*kind.output_tokens)
+        bound_tokens = kind.output_tokens[1]
+        cost = prompt_tokens + output_tokens
+        yield Request(
+            number=0,
+            arrival_s=now_s,
+            account=account,
+            weight=share,
+            zone=chance.choice(ZONES),
+            kind=kind,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            bound_tokens=bound_tokens,
+            prefix=_prefix(chance, account, kind, prompt_tokens),
+            inside_rate=bucket.take(cost, now_s),
+        )
+
+
+def _mean_cost(fleet):
+    return sum(
+        k.share * (sum(k.prompt_tokens) + sum(k.output_tokens)) / 2
+        for k in fleet.kinds
+    )
+
+
+def _prefix(chance, account, kind, prompt_tokens):
+    file = chance.randrange(FILES_AN_ACCOUNT)
+    shared = prompt_tokens * kind.shared
+    key = random.Random(f'{account} {kind.interactive} {file}').getrandbits(60)
+    return tuple(
+        key + position
+        for position in range(prefixes.MAX_DIGESTS)
+        if prefixes.tokens_at(position) <= shared
+    )
+
+
+class _Bucket:
+    """Tells which calls are inside an account's rate."""
+
+    def __init__(self, rate):
+        self._rate = rate
+        self._tokens = rate * BURST_S
+        self._last_s = 0.0
+
+    def take(self, tokens, now_s):
+        earned = (now_s - self._last_s) * self._rate
+        self._tokens = min(self._rate * BURST_S, self._tokens + earned)
+        self._last_s = now_s
+        if tokens > self._tokens:
+            return False
+        self._tokens -= tokens
+        return True
--- a/bulrushrudder/entry/coordinators.py
+++ b/bulrushrudder/entry/coordinators.py
@@ -1,100 +1,220 @@
 """Places on backend servers: asking for them and granting them."""
 
 import asyncio
+import dataclasses
 
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.entry import cells
 from bulrushrudder.entry import directory
-from bulrushrudder.entry import questions
-from bulrushrudder.placement import coordinator
+from bulrushrudder.placement import events
+from bulrushrudder.placement import own_holds
 from bulrushrudder.protocol import place_messages
 
 TICK_S = 0.05
+REPORT_S = 10.0
+REPORT_PATIENCE_S = 1.0
+RETRY_S = 0.2
+HAND_OVER_S = 0.2
 
 
 class Coordinators:
     """Asks models' coordinators, and is one for some models.
 
+    :param owner: this process.
     :param view: the View of the log.
     :param found: the Directory.
     """
 
-    def __init__(self, view, found):
+    def __init__(self, owner, view, found):
+        self._owner = owner
         self._view = view
         self._directory = found
-        self._coordinator = coordinator.Coordinator()
-        self._questions = questions.Questions()
+        self._own = own_holds.OwnHolds(owner)
+        self._cells = cells.Cells(view)
+        self._in_charge_by_model = {}
+        self._index = 0
+        self._last_report = 0
+        self._reported_s = 0.0
+        self._tasks = set()
 
     async def run(self):
-        """Serve the queue as time passes, until cancelled."""
+        """Serve the queues as time passes, until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            self._perform(coordinator.Ticked())
+            self._cells.tick()
+            if self._index != self._view.index:
+                self._index = self._view.index
+                self._check_roles()
+            self._report_in_time()
 
     async def ask(self, question):
         """Get servers for a request.
 
+        While the coordinator cannot be reached or has moved, the one
+        that is in charge is asked again until the patience ends.
+
         :param question: an AskPlace message.
         :returns: a PlaceGranted, or a Refusal.
         """
-        answer = await self._directory.ask(
-            f'model/{question.model}',
-            question,
-            question.patience_s,
-            self.serve,
-        )
-        match answer:
-            case result.Success(place_messages.PlaceGranted() as granted):
-                return result.Success(granted)
-            case result.Success(place_messages.PlaceRefused(reason=number)):
-                reason = outcomes.Reason(number)
-                detail = 'no backend server can take the request in time'
-                return result.Failure(outcomes.not_run(reason, detail, 1.0))
-        return directory.unreachable("the model's coordinator")
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + question.patience_s
+        while True:
+            left_s = max(0.0, deadline_s - loop.time())
+            question = dataclasses.replace(question, patience_s=left_s)
+            answer = await self._ask_once(question)
+            match answer:
+                case result.Success(place_messages.PlaceGranted() as granted):
+                    left = self._left_servers(granted)
+                    if not left:
+                        return answer
+                    await self.release(question.request, None, question.model)
+                    question = dataclasses.replace(
+                        question, excluded=(*question.excluded, *left)
+                    )
+                case result.Success(place_messages.PlaceRefused()):
+                    return _refusal(answer.unwrap().reason)
+            if loop.time() + RETRY_S >= deadline_s:
+                return directory.unreachable("the model's coordinator")
+            await asyncio.sleep(RETRY_S)
 
     async def release(self, request, owner, model):
-        """Say that a request's servers are free again."""
-        message = place_messages.ReleasePlace(request, owner, model)
-        await self._directory.tell(f'model/{model}', message, self.serve)
+        """Say that a request's servers are free again.
+
+        What it still asks for is withdrawn.
+        """
+        for held_model, number in self._own.of_request(request):
+            self._own.close(number)
+            message = place_messages.ReleasePlace(
+                self._owner, held_model, number
+            )
+            await self._directory.tell(_role(model), message, self.serve)
+
+    async def report_load(self, models, report):
+        """Pass a LoadReported on to the coordinators of some models."""
+        for model in models:
+            message = place_messages.ReportLoad(model, report)
+            await self._directory.tell(_role(model), message, self.serve)
+
+    async def report_cache(self, models, change):
+        """Pass a CacheChanged on to the coordinators of some models."""
+        for model in models:
+            message = place_messages.ReportCache(model, change)
+            await self._directory.tell(_role(model), message, self.serve)
 
     async def serve(self, message):
         """Serve a message to a coordinator on this VM."""
         match message:
             case place_messages.AskPlace():
-                return await self._grant(message)
-            case place_messages.ReleasePlace(request=request, owner=owner):
-                self._perform(coordinator.PlaceReleased(request, owner))
+                return await self._cells.ask(message)
+            case place_messages.ReleasePlace(model=model):
+                hold = events.HoldId(message.owner, message.number)
+                self._cells.take(model, events.PlaceReleased(hold))
+            case place_messages.ReportHolds():
+                return self._cells.compare(message)
+            case place_messages.RestoreHolds(model=model, holdings=holdings):
+                self._cells.take(model, events.HoldingsRestored(holdings))
+            case place_messages.ReportLoad(model=model, report=report):
+                self._cells.take(model, report)
+            case place_messages.ReportCache(model=model, change=change):
+                self._cells.take(model, change)
         return None
 
-    async def _grant(self, message):
-        call = self._questions.open()
-        now_s = asyncio.get_running_loop().time()
-        self._perform(
-            coordinator.PlaceAsked(
-                call=call,
-                request=message.request,
-                owner=message.owner,
-                account=message.account,
-                model=message.model,
-                prompt_tokens=message.prompt_tokens,
-                output_tokens=message.output_tokens,
-                interactive=message.interactive,
-                deadline_s=now_s + message.patience_s,
+    async def hand_over(self):
+        """Send all that wait here to the VMs that are in charge now."""
+        self._cells.close()
+        await asyncio.sleep(HAND_OVER_S)
+
+    async def _ask_once(self, question):
+        number = self._own.open(question)
+        question = dataclasses.replace(question, number=number)
+        granted = False
+        try:
+            answer = await self._directory.ask(
+                _role(question.model),
+                question,
+                question.patience_s,
+                self.serve,
+            )
+            match answer:
+                case result.Success(place_messages.PlaceGranted() as found):
+                    granted = self._own.granted(
+                        number, found.prefill, found.decode
+                    )
+            return answer
+        finally:
+            if not granted:
+                self._withdraw(question.model, number)
+
+    def _withdraw(self, model, number):
+        """Make sure that a question without a grant holds nothing."""
+        self._own.close(number)
+        message = place_messages.ReleasePlace(self._owner, model, number)
+        self._spawn(self._directory.tell(_role(model), message, self.serve))
+
+    def _left_servers(self, granted):
+        servers_by_id = self._view.state.servers.by_id
+        return tuple(
+            server
+            for server in (granted.prefill, granted.decode)
+            if server not in servers_by_id
+        )
+
+    def _check_roles(self):
+        """Tell coordinators that are new in charge what is held here."""
+        for model in self._own.models:
+            chosen = self._directory.in_charge(_role(model))
+            known = self._in_charge_by_model.setdefault(model, chosen)
+            if chosen != known:
+                self._in_charge_by_model[model] = chosen
+                self._spawn(self._report(model))
+        self._cells.keep(
+            lambda model: (
+                self._directory.in_charge(_role(model)) == self._owner.vm
             )
         )
-        return await self._questions.wait(call)
 
-    def _perform(self, event):
+    def _report_in_time(self):
         now_s = asyncio.get_running_loop().time()
-        servers_by_id = self._view.state.servers.by_id
-        for action in self._coordinator.handle(event, servers_by_id, now_s):
-            match action:
-                case coordinator.Grant(call=call):
-                    granted = place_messages.PlaceGranted(
-                        action.prefill, action.decode
-                    )
-                    self._questions.resolve(call, granted)
-                case coordinator.Refuse(call=call, reason=reason):
-                    refused = place_messages.PlaceRefused(int(reason))
-                    self._questions.resolve(call, refused)
+        if now_s < self._reported_s + REPORT_S:
+            return
+        self._reported_s = now_s
+        for model in {*self._own.models, *self._in_charge_by_model}:
+            self._spawn(self._report(model))
+            if not self._own.numbers(model):
+                self._in_charge_by_model.pop(model, None)
+
+    async def _report(self, model):
+        self._last_report += 1
+        message = place_messages.ReportHolds(
+            self._owner,
+            model,
+            self._last_report,
+            self._own.below,
+            self._own.numbers(model),
+        )
+        answer = await self._directory.ask(
+            _role(model), message, REPORT_PATIENCE_S, self.serve
+        )
+        match answer:
+            case result.Success(place_messages.HoldsWanted(numbers=numbers)):
+                restore = place_messages.RestoreHolds(
+                    model, self._own.holdings(numbers)
+                )
+                await self._directory.tell(_role(model), restore, self.serve)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _role(model):
+    return f'model/{model}'
+
+
+def _refusal(number):
+    reason = outcomes.Reason(number)
+    detail = 'no backend server can take the request in time'
+    return result.Failure(outcomes.not_run(reason, detail, 1.0))
--- a/bulrushrudder/entry/directory.py
+++ b/bulrushrudder/entry/directory.py
@@ -49,10 +49,14 @@
             return
         await self._peers.tell(address, message)
 
+    def in_charge(self, key):
+        """Return the VM that plays a role, or None."""
+        return ranking.choose(key, self._view.state.sessions.by_vm)
+
     def _address_of(self, key):
         """Return the address of the VM in charge, None for this one."""
         sessions_by_vm = self._view.state.sessions.by_vm
-        chosen = ranking.choose(key, sessions_by_vm)
+        chosen = self.in_charge(key)
         if chosen is None or chosen == self._owner.vm:
             return None
         session = sessions_by_vm[chosen]
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -12,6 +12,7 @@
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import request as lifecycle
+from bulrushrudder.placement import prefixes
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.state import quarantine
 from bulrushrudder.state import results
@@ -184,6 +185,7 @@
             patience_s=action.patience_s,
             excluded=action.excluded,
             isolation=int(action.isolation),
+            prefix=prefixes.digests(job.prompt.encode()),
         )
         match await self._services.coordinators.ask(question):
             case result.Success(granted):
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -53,7 +53,9 @@
         self._peers = peers.Peers(self._owner, secret, _ignore)
         found = directory.Directory(self.view, self._owner, self._peers)
         self._authorities = authorities.Authorities(self.view, found)
-        self._coordinators = coordinators.Coordinators(self.view, found)
+        self._coordinators = coordinators.Coordinators(
+            self._owner, self.view, found
+        )
         self.metrics = registry.Metrics()
         self.services = None
 
@@ -107,6 +109,7 @@
         log.emit(catalogue.ENTRY_STOPPING)
         await self.services.finish()
         await self.observing.propose(sessions.CloseSession(self._owner))
+        await self._coordinators.hand_over()
         log.emit(catalogue.ENTRY_STOPPED)
 
     async def _listen(self, stack):
@@ -125,7 +128,7 @@
         match message:
             case token_messages.AskTokens() | token_messages.ReturnTokens():
                 return await self._authorities.serve(message)
-            case place_messages.AskPlace() | place_messages.ReleasePlace():
+            case place_messages.ToCoordinator():
                 return await self._coordinators.serve(message)
         return None
 
--- /dev/null
+++ b/bulrushrudder/placement/decodes.py
@@ -0,0 +1,247 @@
+"""Decode servers of a cell: places and memory that are held."""
+
+import collections
+import dataclasses
+
+from bulrushrudder.placement import events
+from bulrushrudder.placement import fill_index
+from bulrushrudder.placement import step_model
+from bulrushrudder.state import servers
+
+PIECE_TOKENS = 4000
+CANDIDATES_A_ZONE = 3
+START_HOLD_S = 10.0
+HOLD_SHARE = 0.05
+LARGE_DECAY = 0.99
+
+# Expected ends of requests by which the nth place ahead is free in 99
+# of 100 cases, where ends come independently of each other.
+NEEDED_ENDS = (4.61, 6.64, 8.41, 10.05, 11.60, 13.11)
+
+
+@dataclasses.dataclass(slots=True)
+class DecodeServer:
+    """A decode server as the coordinator believes it to be.
+
+    :param held: requests that were granted and not released.
+    :param pieces: pieces of memory that they hold.
+    :param targets_s: how many requests have each between-token target.
+    :param present: whether it gets new work.
+    :param suspects: requests that it holds in isolation.
+    :param alone: whether one of them shares it with nobody.
+    :param limit: requests that it can run within all targets, as they
+        were when it was last changed.
+    """
+
+    server: servers.BackendServer
+    held: int = 0
+    pieces: int = 0
+    targets_s: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    steps: step_model.StepModel = dataclasses.field(
+        default_factory=step_model.StepModel
+    )
+    link_free_s: float = 0.0
+    last_report: int = -1
+    present: bool = True
+    limit: int = 0
+    suspects: int = 0
+    alone: bool = False
+
+    @property
+    def fill(self):
+        """Return the larger part of places and of memory that is held."""
+        fill = self.held / self.server.places
+        memory = self.server.memory_tokens // PIECE_TOKENS
+        return max(fill, self.pieces / memory) if memory else fill
+
+    def is_open_to(self, isolation):
+        """Return whether a request may share the server."""
+        if self.alone:
+            return False
+        match isolation:
+            case events.Isolation.ALONE:
+                return self.held == 0
+            case events.Isolation.NO_OTHER_SUSPECT:
+                return self.suspects == 0
+        return True
+
+    def isolate(self, isolation, change):
+        """Count a request that is held in isolation in or out."""
+        if isolation is events.Isolation.NONE:
+            return
+        self.suspects += change
+        if isolation is events.Isolation.ALONE:
+            self.alone = change > 0
+
+    def has_memory(self, asked, spare):
+        """Return whether memory suffices, with some pieces to spare."""
+        memory = self.server.memory_tokens // PIECE_TOKENS
+        pieces = pieces_of(asked.prompt_tokens + asked.output_tokens)
+        return memory == 0 or self.pieces + pieces + spare <= memory
+
+    def bound(self, between_tokens_s):
+        """Return the requests that it can run within all targets."""
+        strictest_s = min(self.targets_s, default=between_tokens_s)
+        strictest_s = min(strictest_s, between_tokens_s)
+        return self.steps.bound(strictest_s, self.server.places)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecodeHold:
+    """What one request holds on a decode server."""
+
+    server: str
+    incarnation: int
+    pieces: int
+    between_tokens_s: float
+    isolation: events.Isolation
+
+
+def pieces_of(tokens):
+    """Return the pieces of memory that some tokens need."""
+    return -(-tokens // PIECE_TOKENS)
+
+
+class Decodes:
+    """Decode servers by how full they are.
+
+    :param most_ahead: places that may be booked on a server before the
+        requests that hold them have ended.
+    """
+
+    def __init__(self, most_ahead):
+        self.by_id: dict[str, DecodeServer] = {}
+        self.held = 0
+        self.places = 0
+        self.hold_s = START_HOLD_S
+        self.large_pieces = 1.0
+        self._most_ahead = min(most_ahead, len(NEEDED_ENDS))
+        self._index_by_zone = {}
+
+    def join(self, server):
+        """Add a server, or take its changes in."""
+        self.leave(server.id)
+        known = self.by_id.get(server.id)
+        if known is None or known.server.incarnation != server.incarnation:
+            known = DecodeServer(server)
+            self.by_id[server.id] = known
+        known.server = server
+        known.present = True
+        self.held += known.held
+        known.limit = server.places
+        self.places += known.limit
+        self._indexed(known)
+
+    def leave(self, server_id):
+        """Give a server no new work; what is held there stays held."""
+        known = self.by_id.get(server_id)
+        if known is None or not known.present:
+            return
+        known.present = False
+        self.held -= known.held
+        self.places -= known.limit
+        self._index(known.server.zone).remove(server_id)
+        if known.held == 0:
+            del self.by_id[server_id]
+
+    def reported(self, event):
+        """Take a LoadReported event in."""
+        known = self.by_id.get(event.server)
+        if known is None or known.server.incarnation != event.incarnation:
+            return
+        if event.sequence <= known.last_report:
+            return
+        known.last_report = event.sequence
+        if event.running > 0 and event.step_s > 0:
+            known.steps.observe(event.running, event.step_s)
+            self._limit(known)
+
+    def candidates(self, excluded):
+        """Return the emptiest servers of each zone, without a scan."""
+        return [
+            self.by_id[server_id]
+            for index in self._index_by_zone.values()
+            for server_id in index.least(CANDIDATES_A_ZONE)
+            if server_id not in excluded
+        ]
+
+    def fits(self, known, asked, lead_s):
+        """Return whether a place is free when a transfer ends.
+
+        :param lead_s: seconds until its place is needed.
+        """
+        bound = known.bound(asked.between_tokens_s)
+        return known.held < bound + self._ahead(known, lead_s)
+
+    def take(self, known, tokens, between_tokens_s, isolation):
+        """Hold a place, and memory for some tokens.
+
+        :returns: the DecodeHold to be released.
+        """
+        pieces = pieces_of(tokens)
+        self.large_pieces = max(pieces, self.large_pieces * LARGE_DECAY)
+        hold = DecodeHold(
+            known.server.id,
+            known.server.incarnation,
+            pieces,
+            between_tokens_s,
+            isolation,
+        )
+        known.held += 1
+        known.pieces += pieces
+        known.targets_s[hold.between_tokens_s] += 1
+        known.isolate(isolation, 1)
+        if known.present:
+            self.held += 1
+            self._indexed(known)
+        return hold
+
+    def release(self, hold, held_s):
+        """Free what was held.
+
+        :param held_s: seconds that the server ran it, None if unknown.
+        """
+        if held_s is not None:
+            self.hold_s += (held_s - self.hold_s) * HOLD_SHARE
+        known = self.by_id.get(hold.server)
+        if known is None or known.server.incarnation != hold.incarnation:
+            return
+        known.held -= 1
+        known.pieces -= hold.pieces
+        known.isolate(hold.isolation, -1)
+        known.targets_s[hold.between_tokens_s] -= 1
+        if known.targets_s[hold.between_tokens_s] == 0:
+            del known.targets_s[hold.between_tokens_s]
+        if known.present:
+            self.held -= 1
+            self._indexed(known)
+        elif known.held == 0:
+            del self.by_id[hold.server]
+
+    def _ahead(self, known, lead_s):
+        ends = known.held * lead_s / max(self.hold_s, 0.001)
+        found = 0
+        while found < self._most_ahead and NEEDED_ENDS[found] <= ends:
+            found += 1
+        return found
+
+    def _limit(self, known):
+        strictest_s = min(known.targets_s, default=None)
+        if strictest_s is None or not known.present:
+            return
+        self.places -= known.limit
+        known.limit = known.bound(strictest_s)
+        self.places += known.limit
+
+    def _indexed(self, known):
+        server = known.server
+        self._index(server.zone).set(server.id, known.fill)
+
+    def _index(self, zone):
+        found = self._index_by_zone.get(zone)
+        if found is None:
+            found = fill_index.FillIndex()
+            self._index_by_zone[zone] = found
+        return found
--- /dev/null
+++ b/bulrushrudder/placement/events.py
@@ -0,0 +1,151 @@
+"""What happens to the coordinator of a cell."""
+
+import dataclasses
+import enum
+
+from bulrushrudder.core import ids
+from bulrushrudder.state import servers
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class HoldId:
+    """Names what one grant holds.
+
+    :param number: counts the questions of the owner.
+    """
+
+    owner: ids.Owner
+    number: int
+
+
+class Isolation(enum.IntEnum):
+    """Which requests may share servers with a request."""
+
+    NONE = 0
+    NO_OTHER_SUSPECT = 1
+    ALONE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceAsked:
+    """A request wants a prefill and a decode server.
+
+    :param call: names the question in the answer.
+    :param weight: the client account's share of a contended queue.
+    :param zone: of the VM that asks.
+    :param output_tokens: the bound on output.
+    :param patience_s: seconds that the request can queue.
+    :param first_token_s: target for the first token, from now.
+    :param between_tokens_s: target between two tokens.
+    :param prefix: digests of the start of the prompt, shortest first.
+    :param excluded: servers that must not be chosen.
+    :param isolation: which requests may share its decode server.
+    """
+
+    call: int
+    hold: HoldId
+    account: str
+    weight: float
+    zone: ids.Zone
+    prompt_tokens: int
+    output_tokens: int
+    interactive: bool
+    patience_s: float
+    first_token_s: float
+    between_tokens_s: float
+    prefix: tuple[int, ...] = ()
+    excluded: tuple[ids.ServerId, ...] = ()
+    isolation: Isolation = Isolation.NONE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceReleased:
+    """A request holds nothing any more, or no longer wants to."""
+
+    hold: HoldId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersChanged:
+    """The servers of the cell that may get new work."""
+
+    servers: tuple[servers.BackendServer, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReported:
+    """A server reported its load, some time ago.
+
+    :param sequence: grows with each report of an incarnation.
+    :param running: requests that it runs.
+    :param step_s: seconds between tokens on a decode server, else 0.
+    :param tokens_per_s: rate of a prefill server, else 0.
+    """
+
+    server: ids.ServerId
+    incarnation: int
+    sequence: int
+    running: int
+    step_s: float
+    tokens_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheChanged:
+    """A prefill server's prefix cache changed, some time ago.
+
+    :param sequence: counts the events of an incarnation; a missing
+        number is an event that was lost.
+    """
+
+    server: ids.ServerId
+    incarnation: int
+    sequence: int
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """What a request holds on the servers of a cell."""
+
+    hold: HoldId
+    account: str
+    prefill: ids.ServerId
+    decode: ids.ServerId
+    prompt_tokens: int
+    output_tokens: int
+    isolation: Isolation = Isolation.NONE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldsReported:
+    """An owner says which grants it holds or still asks for.
+
+    :param sequence: grows with each report of the owner.
+    :param below: the report covers holds with lower numbers.
+    """
+
+    owner: ids.Owner
+    sequence: int
+    below: int
+    numbers: frozenset[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldingsRestored:
+    """An owner tells what it holds to a coordinator that did not know."""
+
+    holdings: tuple[Holding, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnersChanged:
+    """The processes that have a session open."""
+
+    owners: tuple[ids.Owner, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed."""
--- /dev/null
+++ b/bulrushrudder/placement/prefixes.py
@@ -0,0 +1,138 @@
+"""Which prefill servers hold the start of a prompt in their cache."""
+
+import collections
+import dataclasses
+import itertools
+
+import xxhash
+
+FIRST_BLOCK_BYTES = 1024
+MAX_DIGESTS = 8
+BYTES_A_TOKEN = 4
+MAX_DIGESTS_A_SERVER = 4096
+MAX_CANDIDATES = 4
+TRUST_AFTER_GAP = 0.5
+TRUST_STEP = 0.1
+
+
+def digests(prompt):
+    """Return digests of the starts of a prompt, each twice as long.
+
+    :param prompt: bytes.
+    :returns: numbers, shortest start first; the last is shorter than
+        the prompt.
+    """
+    found = []
+    length = FIRST_BLOCK_BYTES
+    while length <= len(prompt) and len(found) < MAX_DIGESTS:
+        found.append(xxhash.xxh3_64_intdigest(prompt[:length]))
+        length *= 2
+    return tuple(found)
+
+
+def tokens_at(position):
+    """Return the tokens of the start that a digest stands for."""
+    return (FIRST_BLOCK_BYTES << position) // BYTES_A_TOKEN
+
+
+@dataclasses.dataclass(slots=True)
+class _Cache:
+    """What is believed of a server's cache.
+
+    :param trust: how far it is believed, up to 1.
+    """
+
+    incarnation: int
+    sequence: int | None = None
+    trust: float = 1.0
+    digests: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+class Prefixes:
+    """Believed contents of the prefix caches of prefill servers.
+
+    Own grants add to them at once; cache events correct them later.
+    """
+
+    def __init__(self):
+        self._caches_by_server = {}
+        self._servers_by_digest = {}
+
+    def join(self, server, incarnation):
+        """Start with an empty cache where the incarnation is new."""
+        cache = self._caches_by_server.get(server)
+        if cache is not None and cache.incarnation == incarnation:
+            return
+        self.leave(server)
+        self._caches_by_server[server] = _Cache(incarnation)
+
+    def leave(self, server):
+        """Forget a server."""
+        cache = self._caches_by_server.pop(server, None)
+        for digest in cache.digests if cache else ():
+            self._unlink(server, digest)
+
+    def granted(self, server, prefix):
+        """Take note that a prompt goes to a server."""
+        cache = self._caches_by_server.get(server)
+        if cache is not None:
+            self._store(server, cache, prefix)
+
+    def changed(self, event):
+        """Take a CacheChanged event in."""
+        cache = self._caches_by_server.get(event.server)
+        if cache is None or cache.incarnation != event.incarnation:
+            return
+        if cache.sequence is not None and event.sequence <= cache.sequence:
+            return
+        self._judge(cache, event.sequence)
+        cache.sequence = event.sequence
+        for digest in event.removed:
+            if cache.digests.pop(digest, False) is not False:
+                self._unlink(event.server, digest)
+        self._store(event.server, cache, event.stored)
+
+    def matches(self, prefix):
+        """Return up to some servers with the longest known start.
+
+        :returns: pairs of a server and the tokens it is believed to hold.
+        """
+        for position in reversed(range(len(prefix))):
+            servers = self._servers_by_digest.get(prefix[position])
+            if servers:
+                first = itertools.islice(servers, MAX_CANDIDATES)
+                return [(s, self.cached(s, prefix)) for s in first]
+        return []
+
+    def cached(self, server, prefix):
+        """Return the tokens of a prompt that a server is believed to hold."""
+        cache = self._caches_by_server.get(server)
+        if cache is None:
+            return 0.0
+        for position in reversed(range(len(prefix))):
+            if prefix[position] in cache.digests:
+                return tokens_at(position) * cache.trust
+        return 0.0
+
+    def _judge(self, cache, sequence):
+        if cache.sequence is not None and sequence > cache.sequence + 1:
+            cache.trust = TRUST_AFTER_GAP
+        else:
+            cache.trust = min(1.0, cache.trust + TRUST_STEP)
+
+    def _store(self, server, cache, stored):
+        for digest in stored:
+            cache.digests[digest] = None
+            cache.digests.move_to_end(digest)
+            self._servers_by_digest.setdefault(digest, {})[server] = None
+        while len(cache.digests) > MAX_DIGESTS_A_SERVER:
+            digest, _ = cache.digests.popitem(last=False)
+            self._unlink(server, digest)
+
+    def _unlink(self, server, digest):
+        servers = self._servers_by_digest[digest]
+        servers.pop(server, None)
+        if not servers:
+            del self._servers_by_digest[digest]
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bulrushrudder.core import ids
+from bulrushrudder.placement import events
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -11,11 +12,12 @@
 
     :param request: the request that is placed.
     :param account: whose share of the queue it takes.
-    :param tokens: prompt and output bound together.
     :param patience_s: seconds that the request can queue.
-    :param excluded: servers that failed the request.
+    :param excluded: servers that failed the request or have left.
     :param isolation: 1 where no other such request may share a server,
         2 where no other request at all may.
+    :param prefix: digests of the start of the prompt.
+    :param number: names the hold; the Coordinators set it.
     """
 
     request: ids.RequestId
@@ -28,6 +30,8 @@
     patience_s: float
     excluded: tuple[ids.ServerId, ...] = ()
     isolation: int = 0
+    prefix: tuple[int, ...] = ()
+    number: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,10 +49,74 @@
     reason: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceMoved:
+    """Another VM is the coordinator now; it is to be asked."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleasePlace:
-    """The request holds nothing on its servers any more."""
+    """The request holds nothing on its servers any more.
+
+    :param number: of the hold.
+    """
+
+    owner: ids.Owner
+    model: ids.ModelId
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportHolds:
+    """Says which holds an owner has or asks for.
+
+    :param sequence: grows with each report of the owner.
+    :param below: the report covers lower numbers.
+    """
 
-    request: ids.RequestId
     owner: ids.Owner
     model: ids.ModelId
+    sequence: int
+    below: int
+    numbers: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldsWanted:
+    """The coordinator does not know these holds."""
+
+    numbers: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreHolds:
+    """Tells a coordinator what an owner holds."""
+
+    model: ids.ModelId
+    holdings: tuple[events.Holding, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportLoad:
+    """Passes a server's load report to the model's coordinator."""
+
+    model: ids.ModelId
+    report: events.LoadReported
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportCache:
+    """Passes a server's cache event to the model's coordinator."""
+
+    model: ids.ModelId
+    change: events.CacheChanged
+
+
+ToCoordinator = (
+    AskPlace
+    | ReleasePlace
+    | ReportHolds
+    | RestoreHolds
+    | ReportLoad
+    | ReportCache
+)
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -66,10 +66,14 @@
     """The backend servers that may get new work.
 
     :ivar by_id: servers that have joined and not left.
+    :ivar by_served: the same servers by model or service, then by id.
+    :ivar versions_by_served: grow when the servers of one change.
     """
 
     def __init__(self):
         self.by_id: dict[ids.ServerId, BackendServer] = {}
+        self.by_served: dict[str, dict[ids.ServerId, BackendServer]] = {}
+        self.versions_by_served: dict[str, int] = {}
         self._last_incarnations_by_id: dict[ids.ServerId, int] = {}
 
     def snapshot(self):
@@ -82,7 +86,10 @@
 
     def restore(self, snapshot):
         """Put a ServersSnapshot in the place of the table."""
-        self.by_id = {server.id: server for server in snapshot.present}
+        for known in tuple(self.by_id.values()):
+            self._remove(known.id)
+        for server in snapshot.present:
+            self._add(server)
         self._last_incarnations_by_id = {
             known.id: known.incarnation for known in snapshot.incarnations
         }
@@ -103,7 +110,8 @@
             return results.Rejected('a later incarnation is known')
         if server.incarnation == last and not present:
             return results.Rejected('this incarnation has left')
-        self.by_id[server.id] = server
+        self._remove(server.id)
+        self._add(server)
         self._last_incarnations_by_id[server.id] = server.incarnation
         return results.Accepted(index)
 
@@ -111,6 +119,22 @@
         last = self._last_incarnations_by_id.get(command.id, -1)
         if command.incarnation < last:
             return results.Rejected('a later incarnation is known')
-        self.by_id.pop(command.id, None)
+        self._remove(command.id)
         self._last_incarnations_by_id[command.id] = command.incarnation
         return results.Accepted(index)
+
+    def _add(self, server):
+        self.by_id[server.id] = server
+        for served in server.serves:
+            self.by_served.setdefault(served, {})[server.id] = server
+            self._changed(served)
+
+    def _remove(self, server_id):
+        known = self.by_id.pop(server_id, None)
+        for served in known.serves if known else ():
+            self.by_served[served].pop(server_id, None)
+            self._changed(served)
+
+    def _changed(self, served):
+        version = self.versions_by_served.get(served, 0)
+        self.versions_by_served[served] = version + 1
--- /dev/null
+++ b/bulrushrudder/tests/builders/places.py
@@ -0,0 +1,55 @@
+"""Builders of questions for places and of what answers them."""
+
+from bulrushrudder.core import ids
+from bulrushrudder.placement import actions
+from bulrushrudder.placement import events
+from bulrushrudder.tests.builders import fleet
+
+
+def hold(number=1, vm='vm1', incarnation=1):
+    """Return the name of a hold."""
+    return events.HoldId(fleet.owner(vm, incarnation), number)
+
+
+def asked(number=1, vm='vm1', incarnation=1, **changes):
+    """Return a question of an interactive request for places."""
+    fields = {
+        'call': number,
+        'hold': hold(number, vm, incarnation),
+        'account': 'acme',
+        'weight': 1.0,
+        'zone': ids.Zone('a'),
+        'prompt_tokens': 1000,
+        'output_tokens': 200,
+        'interactive': True,
+        'patience_s': 5.0,
+        'first_token_s': 5.0,
+        'between_tokens_s': 0.1,
+    }
+    return events.PlaceAsked(**{**fields, **changes})
+
+
+def servers_changed(prefills=1, decodes=1, **changes):
+    """Return servers of which every second one is in the zone b."""
+    found = []
+    for kind, count in (('prefill', prefills), ('decode', decodes)):
+        for number in range(count):
+            found.append(
+                fleet.server(
+                    f'{kind}-{number}',
+                    kind,
+                    zone=ids.Zone('ab'[number % 2]),
+                    **changes,
+                )
+            )
+    return events.ServersChanged(tuple(found))
+
+
+def grants(found):
+    """Return the grants among actions."""
+    return [a for a in found if isinstance(a, actions.Grant)]
+
+
+def refusals(found):
+    """Return the refusals among actions."""
+    return [a for a in found if isinstance(a, actions.Refuse)]
--- /dev/null
+++ b/bulrushrudder/tests/placement/cell_tests.py
@@ -0,0 +1,112 @@
+import unittest
+
+from bulrushrudder.core import outcomes
+from bulrushrudder.placement import cell
+from bulrushrudder.placement import events
+from bulrushrudder.tests.builders import places
+
+
+class CellTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = cell.Cell(most_ahead=0)
+
+    def handle(self, event, now_s=0.0):
+        return self.cell.handle(event, now_s)
+
+    def test_grants_a_prefill_and_a_decode_server(self):
+        self.handle(places.servers_changed())
+        (grant,) = self.handle(places.asked())
+        self.assertEqual(
+            (grant.prefill, grant.decode), ('prefill-0', 'decode-0')
+        )
+
+    def test_interactive_is_never_behind_deferred(self):
+        self.handle(places.servers_changed(places=1))
+        self.handle(places.asked(1, interactive=False))
+        self.handle(places.asked(2, interactive=False, first_token_s=50.0))
+        self.handle(places.asked(3))
+        (grant,) = self.handle(events.PlaceReleased(places.hold(1)), 1.0)
+        self.assertEqual(grant.call, 3)
+
+    def test_unreachable_target_starts_no_prefill(self):
+        self.handle(places.servers_changed())
+        self.handle(events.LoadReported('prefill-0', 1, 1, 0, 0.0, 1000.0))
+        (refusal,) = self.handle(
+            places.asked(prompt_tokens=2000, first_token_s=1.5)
+        )
+        self.assertEqual(refusal.reason, outcomes.Reason.TARGET_UNREACHABLE)
+        self.assertEqual(self.cell.holdings, ())
+
+    def test_caller_gone_while_queued_starts_no_prefill(self):
+        self.handle(places.servers_changed(places=1))
+        self.handle(places.asked(1))
+        self.handle(places.asked(2))
+        self.handle(events.PlaceReleased(places.hold(2)), 1.0)
+        found = self.handle(events.PlaceReleased(places.hold(1)), 1.0)
+        self.assertEqual(found, [])
+
+    def test_server_that_left_gets_no_queued_grant(self):
+        self.handle(places.servers_changed(places=1))
+        self.handle(places.asked(1))
+        self.handle(places.asked(2))
+        self.handle(events.ServersChanged(()), 1.0)
+        found = self.handle(events.PlaceReleased(places.hold(1)), 1.0)
+        self.assertEqual(found, [])
+
+    def test_holds_outlive_a_short_absence_of_their_server(self):
+        self.handle(places.servers_changed(places=1))
+        self.handle(places.asked(1))
+        self.handle(events.ServersChanged(()), 1.0)
+        self.handle(places.servers_changed(places=1), 1.0)
+        self.assertEqual(self.handle(places.asked(2), 1.0), [])
+
+    def test_same_zone_goes_first(self):
+        self.handle(places.servers_changed(prefills=2, decodes=2))
+        (grant,) = self.handle(places.asked(zone='b'))
+        self.assertEqual(
+            (grant.prefill, grant.decode), ('prefill-1', 'decode-1')
+        )
+
+    def test_prompts_with_a_known_start_go_to_its_cache(self):
+        self.handle(places.servers_changed(prefills=2, decodes=2))
+        prefix = (11, 12, 13)
+        (first,) = self.handle(places.asked(1, zone='b', prefix=prefix))
+        (second,) = self.handle(
+            places.asked(2, zone='a', prefix=prefix, prompt_tokens=1100), 9.0
+        )
+        self.assertEqual(second.prefill, first.prefill)
+
+    def test_between_token_target_bounds_a_decode_server(self):
+        self.handle(places.servers_changed())
+        for sequence, running in enumerate((2, 4, 6, 8)):
+            step_s = 0.01 * running
+            self.handle(
+                events.LoadReported(
+                    'decode-0', 1, sequence, running, step_s, 0.0
+                )
+            )
+        found = []
+        for number in range(1, 12):
+            asked = places.asked(number, between_tokens_s=0.055)
+            found += places.grants(self.handle(asked, number * 2.0))
+        self.assertEqual(len(found), 5)
+
+    def test_alone_waits_for_an_empty_server_and_keeps_it(self):
+        self.handle(places.servers_changed())
+        self.handle(places.asked(1))
+        alone = places.asked(2, isolation=events.Isolation.ALONE)
+        self.assertEqual(self.handle(alone, 1.0), [])
+        self.assertEqual(self.handle(places.asked(3), 1.0), [])
+        found = self.handle(events.PlaceReleased(places.hold(1)), 2.0)
+        self.assertEqual([grant.call for grant in found], [2])
+        self.assertEqual(self.handle(events.Ticked(), 4.0), [])
+
+    def test_new_coordinator_waits_for_reports(self):
+        young = cell.Cell(ready_s=0.5)
+        young.handle(places.servers_changed(), 0.0)
+        self.assertEqual(young.handle(places.asked(), 0.1), [])
+        self.assertEqual(len(young.handle(events.Ticked(), 0.5)), 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
