--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -2,6 +2,8 @@
 
 import types as python_types
 
+from bulrushrudder.consensus import messages as consensus_messages
+from bulrushrudder.consensus import types as consensus_types
 from bulrushrudder.documents import types
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
@@ -13,6 +15,7 @@
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
+from bulrushrudder.storage import records
 
 NUMBER_BY_TYPE = python_types.MappingProxyType(
     {
@@ -43,6 +46,15 @@
         place_messages.RestoreHolds: 67,
         place_messages.ReportLoad: 68,
         place_messages.ReportCache: 69,
+        consensus_messages.AskVote: 100,
+        consensus_messages.Voted: 101,
+        consensus_messages.Append: 102,
+        consensus_messages.Appended: 103,
+        consensus_messages.SnapshotPart: 104,
+        consensus_messages.SnapshotPartTaken: 105,
+        consensus_messages.HandOver: 106,
+        consensus_messages.Discover: 107,
+        consensus_messages.Discovered: 108,
         state_documents.SubmitDocument: 200,
         state_documents.PromoteDocument: 201,
         sessions.OpenSession: 202,
@@ -56,6 +68,11 @@
         quarantine.ReportCrash: 260,
         quarantine.ClearSuspect: 261,
         quarantine.QuarantineSnapshot: 262,
+        consensus_types.Command: 280,
+        consensus_types.Configuration: 281,
+        consensus_types.TermStart: 282,
+        consensus_types.Snapshot: 283,
+        records.Batch: 284,
         results.Accepted: 300,
         results.Rejected: 301,
         results.Unavailable: 302,
