Run the replicated log in the control process

Cause: the control process kept its log in memory and alone.

The node passes proposals and confirmations on to the leader, and calls that come together share a quorum round. Observers that are far behind get the state in parts instead of the entries, whichever is smaller. Status is a typed message.

--- a/bulrushrudder/consensus/discovery.py
+++ b/bulrushrudder/consensus/discovery.py
@@ -95,6 +95,7 @@
         )
         first = types.Entry(1, FOUNDING_TERM, types.Configuration(members))
         core.save([first], cluster=core.id, term=FOUNDING_TERM, vote=core.id)
+        core.deadline_s = core.now_s
 
 
 def _founder(core):
--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -79,10 +79,7 @@
 
 
 def add(core, payloads):
-    """Append entries of this leader.
-
-    :returns: the index of the first one.
-    """
+    """Append entries of this leader."""
     first = core.log.last_index + 1
     core.save(
         [
@@ -92,7 +89,6 @@
     )
     _replicate(core)
     _advance(core)
-    return first
 
 
 def propose(core, event):
@@ -101,8 +97,9 @@
     if not leads or core.leadership.successor is not None:
         core.actions.append(actions.Declined(event.token))
         return
-    first = add(core, [types.Command(data) for data in event.commands])
+    first = core.log.last_index + 1
     core.actions.append(actions.Accepted(event.token, first, core.ballot.term))
+    add(core, [types.Command(data) for data in event.commands])
 
 
 def confirm(core, event):
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -8,6 +8,7 @@
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import place_messages
+from bulrushrudder.protocol import status_messages
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import machine
@@ -32,6 +33,14 @@
         log_messages.Proposed: 25,
         log_messages.Announce: 26,
         messages.Noted: 27,
+        log_messages.StatePart: 28,
+        log_messages.Forward: 29,
+        log_messages.NotLeader: 30,
+        log_messages.AskConfirm: 31,
+        log_messages.ConfirmedAt: 32,
+        log_messages.Heard: 33,
+        status_messages.AskStatus: 34,
+        status_messages.Status: 35,
         token_messages.AskTokens: 40,
         token_messages.TokensGranted: 41,
         token_messages.TokensRefused: 42,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -57,6 +57,10 @@
         self.servers.restore(snapshot.servers)
         self.quarantine.restore(snapshot.quarantine)
 
+    def pass_over(self, index):
+        """Take note of a place in the log that holds no command."""
+        self.index = index
+
     def apply(self, index, command):
         """Apply a committed command.
 
--- a/bulrushrudder/storage/store.py
+++ b/bulrushrudder/storage/store.py
@@ -1,6 +1,7 @@
 """Keeps what a member of the log must not forget."""
 
 import dataclasses
+import os
 
 from returns import result
 
@@ -63,6 +64,11 @@
         reserved = self._file.reserve(size + SPARE_BYTES)
         return isinstance(reserved, result.Success)
 
+    def has_free(self, size):
+        """Return whether the disk has room for a new file."""
+        found = os.statvfs(self._path)
+        return found.f_bavail * found.f_frsize >= size
+
     def save(self, batch):
         """Make SaveEntries and SaveSnapshot actions durable, in order.
 
