Grant tokens by epoch, above a committed floor

Cause: an account's authority was the preferred VM alone, so that two VMs that saw another fleet granted from two full buckets, and a new authority began with a full one.

Change: the log holds for each account its holder, an epoch and a floor. The holder keeps its level above the floor until a lower one is committed; a successor starts from the floor, after the tenure of the holder before it has surely ended. The tenure is the freshness that a quorum vouched for, counted from when the round was sent. Slices live for seconds and count against the burst until they have ended. Returns are numbered, questions keep their id when they are sent again. A prompt is charged by its bytes and settled when the engine has counted. The tables of accounts and of calls that run at most once join the state.

--- a/bulrushrudder/core/ids.py
+++ b/bulrushrudder/core/ids.py
@@ -42,3 +42,15 @@
         """Return the form that backend servers see."""
         owner = self.owner
         return f'{owner.vm}.{owner.incarnation}.{self.request}.{self.number}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class AskId:
+    """A question for tokens.
+
+    :param owner: the process that asks.
+    :param number: counts the questions of the process.
+    """
+
+    owner: Owner
+    number: int
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -44,6 +44,7 @@
         self._next = None
         self._step = None
         self._last_actions = []
+        self._charge = None
         self._loop = asyncio.get_running_loop()
         self._latency = services.metrics.latency(
             admitted.route.id, job.account, self._loop.time()
@@ -131,8 +132,10 @@
                 server = self._servers_by_id.get(server_id)
                 if server is not None:
                     services.cancelling.cancel(server, attempt)
-            case actions.ReturnTokens(account=account, tokens=tokens):
-                services.spawn(services.authorities.give_back(account, tokens))
+            case actions.ReturnTokens(tokens=tokens):
+                services.spawn(
+                    services.authorities.give_back(self._charge, tokens)
+                )
             case actions.ReleasePlace(place=place):
                 job = self._job
                 services.spawn(
@@ -160,15 +163,23 @@
             )
         )
         try:
-            return _tokens_event(await asyncio.shield(asking))
+            return self._tokens_event(await asyncio.shield(asking))
         except asyncio.CancelledError:
             asking.add_done_callback(self._tokens_came_late)
             raise
 
+    def _tokens_event(self, answer):
+        match answer:
+            case result.Success(charge):
+                self._charge = charge
+                return events.TokensGranted()
+            case result.Failure(refusal):
+                return events.StepRefused(refusal)
+
     def _tokens_came_late(self, asking):
         if asking.cancelled() or asking.exception():
             return
-        event = _tokens_event(asking.result())
+        event = self._tokens_event(asking.result())
         for action in self._request.handle(event, self._loop.time()):
             self._perform_now(action)
 
@@ -295,14 +306,6 @@
         return await self._services.engines.inspect(server, action.attempt)
 
 
-def _tokens_event(answer):
-    match answer:
-        case result.Success(_):
-            return events.TokensGranted()
-        case result.Failure(refusal):
-            return events.StepRefused(refusal)
-
-
 def _missing(action):
     return events.AttemptFailed(
         action.attempt,
--- a/bulrushrudder/entry/model_calls.py
+++ b/bulrushrudder/entry/model_calls.py
@@ -14,8 +14,10 @@
 from bulrushrudder.lifecycle import fingerprints
 from bulrushrudder.lifecycle import job as jobs
 from bulrushrudder.lifecycle import suspicion
+from bulrushrudder.limits import costs
 
 BYTES_A_TOKEN = 4
+MAX_BYTES_A_TOKEN = 16
 MAX_RUN_S = 900.0
 
 
@@ -82,8 +84,17 @@
         model = self._services.view.lookups.models_by_id[target.model]
         most = model.max_output_tokens
         output_tokens = min(asked.max_tokens or most, most)
-        prompt_tokens = -(-len(asked.prompt.encode()) // BYTES_A_TOKEN)
+        prompt_bytes = len(asked.prompt.encode())
+        prompt_tokens = -(-prompt_bytes // BYTES_A_TOKEN)
         account = admitted.account
+        cost = 0
+        if account:
+            cost = costs.charge(
+                prompt_bytes,
+                output_tokens,
+                prompt_bytes // MAX_BYTES_A_TOKEN,
+                account.burst,
+            )
         return jobs.Job(
             request=ids.RequestId(str(self._services.next_request())),
             owner=self._services.owner,
@@ -92,7 +103,7 @@
             prompt=asked.prompt,
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            cost=prompt_tokens + output_tokens,
+            cost=cost,
             interactive=(admitted.route.urgency is types.Urgency.INTERACTIVE),
             patience_s=admitted.route.patience_s,
             repeatable=admitted.route.repeatable,
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -52,7 +52,13 @@
         )
         self._peers = peers.Peers(self._owner, secret, _ignore)
         found = directory.Directory(self.view, self._owner, self._peers)
-        self._authorities = authorities.Authorities(self.view, found)
+        self._authorities = authorities.Authorities(
+            self._owner,
+            self.view,
+            found,
+            self.observing,
+            settings.environment,
+        )
         self._coordinators = coordinators.Coordinators(
             self._owner, self.view, found
         )
@@ -108,6 +114,7 @@
         self.services.draining = True
         log.emit(catalogue.ENTRY_STOPPING)
         await self.services.finish()
+        await self._authorities.stop()
         await self.observing.propose(sessions.CloseSession(self._owner))
         await self._coordinators.hand_over()
         log.emit(catalogue.ENTRY_STOPPED)
@@ -126,7 +133,11 @@
     async def _handle(self, link_, message):
         """Serve a message of another process."""
         match message:
-            case token_messages.AskTokens() | token_messages.ReturnTokens():
+            case (
+                token_messages.AskTokens()
+                | token_messages.ReturnTokens()
+                | token_messages.WithdrawAsk()
+            ):
                 return await self._authorities.serve(message)
             case place_messages.ToCoordinator():
                 return await self._coordinators.serve(message)
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -50,6 +50,7 @@
         self._own_crashes = int(job.isolation is jobs.Isolation.ALONE)
         self._sent = False
         self._prompt_tokens = job.prompt_tokens
+        self._charged = job.cost
         self._produced = []
 
     @property
@@ -188,7 +189,13 @@
         self._sent = True
         if not self._produced:
             self._prompt_tokens = event.prompt_tokens
-        return [self._start_decode(self._holding.prefill, event.handle)]
+        if self._exceeds_charge():
+            reason = outcomes.Reason.COST_ABOVE_BURST
+            return self._end(reason, 'the prompt has too many tokens')
+        return [
+            *self._return_excess(),
+            self._start_decode(self._holding.prefill, event.handle),
+        ]
 
     def _transferred(self, event):
         if not self._is_current(event, 'transferring'):
@@ -359,9 +366,21 @@
         self._donor_handle = None
         return found
 
+    def _exceeds_charge(self):
+        """Return whether the counted prompt leaves no room for output."""
+        most = self._prompt_tokens + self.job.output_tokens
+        return self.job.account is not None and most > self._charged
+
+    def _return_excess(self):
+        """Return what was withheld before the prompt was counted."""
+        most = self._prompt_tokens + self.job.output_tokens
+        excess = max(0, self._charged - most)
+        self._charged -= excess
+        return self._return(excess)
+
     def _return_unused(self):
         used = self._prompt_tokens + len(self._produced)
-        return self._return(self.job.cost - used)
+        return self._return(self._charged - used)
 
     def _return(self, tokens):
         if self.job.account is None or tokens <= 0:
--- /dev/null
+++ b/bulrushrudder/limits/ledger.py
@@ -0,0 +1,302 @@
+"""Tokens of one client account that this process answers for.
+
+The log holds a floor that the level never passes before a lower one is
+committed, so that a successor can start from it.
+"""
+
+import collections
+import dataclasses
+
+from bulrushrudder.core import outcomes
+from bulrushrudder.limits import actions
+from bulrushrudder.limits import tokens as account_tokens
+from bulrushrudder.state import accounts
+
+TENURE_S = 3.0
+TENURE_WAIT_S = 3.5
+PROPOSE_AGAIN_S = 0.5
+RAISE_AFTER_S = 5.0
+LENDING_ENDS_S = 15.0
+GRANT_LIFE_S = 300.0
+MAX_GRANTS = 5000
+LENT_SHARE = 0.25
+RAISE_SHARE = 0.25
+LEAST_FLOOR_SHARE = 1 / 16
+_INHERITED = 'inherited'
+
+
+@dataclasses.dataclass(slots=True)
+class _Granted:
+    """A grant of which a part may come back."""
+
+    tokens: int
+    slice_tokens: int
+    returnable: int
+    granted_s: float
+    numbers: set
+
+
+class Ledger:
+    """Level, waiting questions and grants of one account.
+
+    :param row: the AccountRow that names this process as holder.
+    :param limits: the ClientAccount in force.
+    :param now_s: monotonic seconds at which the row was first seen.
+    """
+
+    def __init__(self, row, limits, now_s):
+        self.row = row
+        self.starts_s = now_s if row.clean else now_s + TENURE_WAIT_S
+        self.waiting = collections.deque()
+        self.releasing = None
+        self._tenure_ends_s = now_s
+        self._tokens = account_tokens.Tokens(
+            limits.rate,
+            limits.burst,
+            max(0.0, min(row.floor, limits.burst - row.lent)),
+            self.starts_s,
+        )
+        if row.lent:
+            self._tokens.note_lent(_INHERITED, row.lent, self.starts_s)
+        unclean = 0.0 if row.clean else limits.burst - row.floor
+        self._perhaps_lost = max(0.0, unclean)
+        self._granted_by_ask = {}
+        self._pending = None
+        self._proposed_s = now_s
+        self._hot_s = None
+
+    @property
+    def busy(self):
+        """Return whether something waits for time or the log."""
+        return bool(self.waiting or self._pending or self.releasing)
+
+    def level(self, now_s):
+        """Return the tokens that are left."""
+        return self._tokens.level(now_s)
+
+    def spendable(self, now_s):
+        """Return the tokens that can be granted without the log."""
+        return max(0.0, self._tokens.level(now_s) - self._guard())
+
+    def renew(self, ends_s, now_s):
+        """Take note until when this process may grant.
+
+        Time that no tenure covered earns no refill.
+        """
+        if now_s > self._tenure_ends_s:
+            self._tokens.skip(self._tenure_ends_s, now_s)
+        self._tenure_ends_s = max(self._tenure_ends_s, ends_s)
+
+    def observe(self, row, limits, now_s):
+        """Take in the row and the limits as the view shows them."""
+        self.row = row
+        if self._pending and row.number >= self._pending.number:
+            self._pending = None
+        found = self._tokens
+        if (found.rate, found.burst) != (limits.rate, limits.burst):
+            found.change(limits.rate, limits.burst, now_s)
+
+    def ask(self, event, now_s):
+        """Put a question in line, or refuse what cannot be had in time."""
+        granted = self._granted_by_ask.get(event.ask)
+        if granted is not None:
+            return [self._grant_again(event, granted)]
+        if any(waiting.ask == event.ask for waiting in self.waiting):
+            return []
+        if event.tokens > self._tokens.burst:
+            return [_above_burst(event)]
+        ahead = sum(waiting.tokens for waiting in self.waiting)
+        wait_s = self._tokens.wait_s(event.tokens, now_s)
+        if ahead:
+            wait_s = max(
+                wait_s, self._tokens.wait_s(ahead + event.tokens, now_s)
+            )
+        if now_s + wait_s > event.deadline_s:
+            return [self._refuse(event, wait_s, now_s)]
+        self.waiting.append(event)
+        return []
+
+    def take_back(self, event, now_s):
+        """Take back a part of a grant; each part counts once.
+
+        What was never spent of a slice counts while the slice lives:
+        after that the account has refilled as if it were spent.
+        """
+        granted = self._granted_by_ask.get(event.ask)
+        if granted is None or event.number in granted.numbers:
+            return
+        granted.numbers.add(event.number)
+        if event.closes and not self._tokens.close(event.ask, now_s):
+            return
+        tokens = max(0, min(event.tokens, granted.returnable))
+        granted.returnable -= tokens
+        self._tokens.put_back(tokens, now_s)
+
+    def withdraw(self, ask, now_s):
+        """Forget a question; a grant that nobody got counts as unused."""
+        kept = (waiting for waiting in self.waiting if waiting.ask != ask)
+        self.waiting = collections.deque(kept)
+        granted = self._granted_by_ask.pop(ask, None)
+        if granted is None or granted.numbers:
+            return
+        tokens = granted.tokens
+        if self._tokens.close(ask, now_s):
+            tokens += granted.slice_tokens
+        self._tokens.put_back(tokens, now_s)
+
+    def expire(self, now_s):
+        """Refuse questions whose patience has ended all the same."""
+        late = [w for w in self.waiting if w.deadline_s < now_s]
+        if not late:
+            return []
+        kept = (w for w in self.waiting if w.deadline_s >= now_s)
+        self.waiting = collections.deque(kept)
+        reason = outcomes.Reason.INSIDE_RATE
+        return [
+            actions.Refuse(w.ask, reason, self._tokens.wait_s(w.tokens, now_s))
+            for w in late
+        ]
+
+    def serve(self, now_s):
+        """Grant what waits, in its order, as far as the level allows."""
+        found = []
+        if self._tokens.level(now_s) >= self._tokens.burst:
+            self._perhaps_lost = 0.0
+        while self.waiting and not self.releasing:
+            head = self.waiting[0]
+            if head.tokens > self._tokens.burst:
+                found.append(_above_burst(self.waiting.popleft()))
+                continue
+            level = self._tokens.level(now_s)
+            if level < head.tokens:
+                break
+            if level - head.tokens < self._guard():
+                found += self._lower(level - head.tokens, now_s)
+                break
+            found.append(self._grant(self.waiting.popleft(), now_s))
+        return found
+
+    def tend(self, now_s):
+        """Propose again what is not committed, and better bounds."""
+        if self.releasing or self._pending:
+            if now_s - self._proposed_s < PROPOSE_AGAIN_S:
+                return []
+            self._proposed_s = now_s
+            return [actions.Propose(self.releasing or self._pending)]
+        self._forget_old_grants(now_s)
+        return self._improve(now_s)
+
+    def release(self, now_s):
+        """Grant no more and leave the level to a successor."""
+        if self.releasing:
+            return []
+        self.releasing = accounts.ReleaseAccount(
+            self.row.environment,
+            self.row.account,
+            self.row.epoch,
+            self._tokens.level(now_s),
+            self._tokens.lent,
+        )
+        self._proposed_s = now_s
+        return [actions.Propose(self.releasing)]
+
+    def _improve(self, now_s):
+        level = self._tokens.level(now_s)
+        burst = self._tokens.burst
+        hot = self._hot_s is not None
+        if hot and now_s - self._hot_s > LENDING_ENDS_S:
+            self._hot_s = None
+        if hot and self.row.lent < burst * LENT_SHARE:
+            return self._propose(self._guard(), burst * LENT_SHARE, now_s)
+        if now_s - self._proposed_s < RAISE_AFTER_S:
+            return []
+        lent = self.row.lent if hot else self._tokens.lent
+        raise_by = level / 2 - self.row.floor
+        if raise_by > burst * RAISE_SHARE:
+            return self._propose(level / 2, lent, now_s)
+        if lent < self.row.lent:
+            return self._propose(self.row.floor, lent, now_s)
+        return []
+
+    def _lower(self, level, now_s):
+        floor = level / 2
+        if floor < self._tokens.burst * LEAST_FLOOR_SHARE:
+            floor = 0.0
+        return self._propose(floor, self.row.lent, now_s)
+
+    def _propose(self, floor, lent, now_s):
+        if self._pending:
+            return []
+        self._pending = accounts.SetFloor(
+            self.row.environment,
+            self.row.account,
+            self.row.epoch,
+            self.row.number + 1,
+            floor,
+            lent,
+        )
+        self._proposed_s = now_s
+        return [actions.Propose(self._pending)]
+
+    def _guard(self):
+        """Return the level that no grant may pass now."""
+        if self._pending:
+            return max(self.row.floor, self._pending.floor)
+        return self.row.floor
+
+    def _grant(self, event, now_s):
+        self._tokens.take(event.tokens)
+        slice_tokens = self._slice(event, now_s)
+        if slice_tokens:
+            self._tokens.lend(event.ask, slice_tokens, now_s)
+        tokens = event.tokens + slice_tokens
+        self._granted_by_ask[event.ask] = _Granted(
+            event.tokens, slice_tokens, tokens, now_s, set()
+        )
+        return self._grant_again(event, self._granted_by_ask[event.ask])
+
+    def _grant_again(self, event, granted):
+        return actions.Grant(
+            event.ask,
+            event.account,
+            self.row.epoch,
+            granted.tokens,
+            granted.slice_tokens,
+            self._tokens.rate,
+            self._tokens.burst,
+        )
+
+    def _slice(self, event, now_s):
+        if event.wish <= 0:
+            return 0
+        self._hot_s = now_s
+        if self.waiting:
+            return 0
+        lent = self.row.lent
+        if self._pending:
+            lent = min(lent, self._pending.lent)
+        level = self._tokens.level(now_s)
+        most = min(lent - self._tokens.lent, level - self._guard(), level / 2)
+        found = int(min(event.wish, most))
+        return found if found >= event.tokens else 0
+
+    def _forget_old_grants(self, now_s):
+        grants = self._granted_by_ask
+        while grants:
+            ask = next(iter(grants))
+            young = now_s - grants[ask].granted_s < GRANT_LIFE_S
+            if young and len(grants) <= MAX_GRANTS:
+                return
+            del grants[ask]
+
+    def _refuse(self, event, wait_s, now_s):
+        gained_s = self._perhaps_lost / self._tokens.rate
+        reason = outcomes.Reason.OVER_RATE
+        if gained_s and now_s + wait_s - gained_s <= event.deadline_s:
+            reason = outcomes.Reason.INSIDE_RATE
+        return actions.Refuse(event.ask, reason, wait_s)
+
+
+def _above_burst(event):
+    reason = outcomes.Reason.COST_ABOVE_BURST
+    return actions.Refuse(event.ask, reason, 0.0)
--- a/bulrushrudder/metrics/registry.py
+++ b/bulrushrudder/metrics/registry.py
@@ -3,7 +3,6 @@
 import aioprometheus
 from aioprometheus import histogram
 
-from bulrushrudder.metrics import labels
 from bulrushrudder.metrics import latency
 
 SECONDS_BUCKETS = (
@@ -22,8 +21,8 @@
     30.0,
     120.0,
 )
-MAX_ROUTES = 200
-MAX_PAIRS = 500
+MAX_LABEL_VALUES = 1000
+OTHER_LABEL = 'other'
 
 
 class Metrics:
@@ -31,8 +30,7 @@
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
-        self._routes = labels.BoundedLabels(MAX_ROUTES)
-        self._pairs = labels.BoundedLabels(MAX_PAIRS)
+        self._label_values = set()
         self.refusals = self._counter(
             'bulrushrudder_refusals_total', 'Refusals by reason.'
         )
@@ -65,8 +63,9 @@
 
     def count_refusal(self, reason, route):
         """Count a refusal by its numbered reason."""
-        found = self._routes.bound(route=route)
-        self.refusals.inc({'reason': reason.name, **found})
+        self.refusals.inc(
+            {'reason': reason.name, 'route': self._bounded(route)}
+        )
 
     def count_retry(self, reason):
         """Count a retry by its numbered reason."""
@@ -74,7 +73,7 @@
 
     def count_answer(self, route):
         """Count a whole answer."""
-        self.answers.inc(self._routes.bound(route=route))
+        self.answers.inc({'route': self._bounded(route)})
 
     def count_dropped(self, kind):
         """Count an answer that came late, crossed or twice.
@@ -96,10 +95,10 @@
 
         :param started_s: monotonic seconds at which the request came.
         """
-        found = self._pairs.bound(route=route, account=account or 'none')
+        labels = self._labels(route, account)
         return latency.Latency(
-            _child(self.first_token, found),
-            _child(self.between_tokens, found),
+            _child(self.first_token, labels),
+            _child(self.between_tokens, labels),
             started_s,
         )
 
@@ -110,6 +109,20 @@
         """
         return aioprometheus.render(self.registry, accept)
 
+    def _labels(self, route, account):
+        return {
+            'route': self._bounded(route),
+            'account': self._bounded(account or 'none'),
+        }
+
+    def _bounded(self, value):
+        if value in self._label_values:
+            return value
+        if len(self._label_values) >= MAX_LABEL_VALUES:
+            return OTHER_LABEL
+        self._label_values.add(value)
+        return value
+
     def _counter(self, name, text):
         return aioprometheus.Counter(name, text, registry=self.registry)
 
@@ -119,11 +132,11 @@
         )
 
 
-def _child(collector, label_set):
+def _child(collector, labels):
     """Return the histogram of one set of labels."""
     try:
-        return collector.get_value(label_set)
+        return collector.get_value(labels)
     except KeyError:
         found = histogram.Histogram(*collector.upper_bounds)
-        collector.set_value(label_set, found)
+        collector.set_value(labels, found)
         return found
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -38,36 +38,17 @@
     def apply(self, index, command):
         """Apply a command of the log.
 
-        :param command: None where the place in the log holds none.
         :returns: whether it was new; earlier ones are left out.
         """
         if index <= self.state.index:
             return False
         if index != self.state.index + 1:
             raise AssertionError(f'gap before index {index}')
-        if command is None:
-            self.state.pass_over(index)
-        else:
-            self.state.apply(index, command)
-        self._look_up()
-        return True
-
-    def restore(self, snapshot):
-        """Take the whole state, unless the view is past it.
-
-        :param snapshot: a StateSnapshot.
-        :returns: whether it was new.
-        """
-        if snapshot.index <= self.state.index:
-            return False
-        self.state.restore(snapshot)
-        self._look_up()
-        return True
-
-    def _look_up(self):
+        self.state.apply(index, command)
         document = self.state.documents.in_force(self._environment)
         if document is not self.lookups.document:
             self.lookups = lookups.Lookups(document)
+        return True
 
     def begin_round(self, now_s):
         """Note that a question for freshness is sent.
@@ -93,6 +74,11 @@
         if self._fresh_s is None or found.sent_s > self._fresh_s:
             self._fresh_s = found.sent_s
 
+    @property
+    def vouched_s(self):
+        """Return when the view was surely current, or None."""
+        return self._fresh_s
+
     def age_s(self, now_s):
         """Return seconds since the view was known to be current."""
         if self._fresh_s is None:
--- a/bulrushrudder/protocol/token_messages.py
+++ b/bulrushrudder/protocol/token_messages.py
@@ -9,18 +9,36 @@
 class AskTokens:
     """Asks an account's authority for tokens.
 
+    :param ask: the same when the question is sent again.
     :param tokens: the whole cost of one request.
+    :param wish: tokens that the asker would like to hold beside.
     :param patience_s: seconds that the request can wait.
     """
 
+    ask: ids.AskId
     account: ids.AccountId
     tokens: int
+    wish: int
     patience_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokensGranted:
-    """The tokens are the asker's."""
+    """The tokens are the asker's.
+
+    :param epoch: the epoch of the account; returns name it.
+    :param slice_tokens: tokens that the asker may hold beside.
+    :param rate: the rate under which they were granted.
+    :param burst: the burst under which they were granted.
+    """
+
+    ask: ids.AskId
+    account: ids.AccountId
+    epoch: int
+    tokens: int
+    slice_tokens: int
+    rate: float
+    burst: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,9 +53,32 @@
     retry_after_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskElsewhere:
+    """Another VM answers for the account."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReturnTokens:
-    """Gives back the unused part of a grant."""
+    """Gives back the unused part of a grant.
 
+    :param ask: the question that was granted.
+    :param epoch: the epoch in which it was granted.
+    :param number: counts the returns of one grant.
+    :param closes: whether nothing more is spent from its slice.
+    """
+
+    ask: ids.AskId
     account: ids.AccountId
+    epoch: int
+    number: int
     tokens: int
+    closes: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WithdrawAsk:
+    """Says that nobody waits for a question's tokens any more."""
+
+    ask: ids.AskId
+    account: ids.AccountId
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -6,8 +6,12 @@
 
 import dataclasses
 
+from bulrushrudder.documents import types
+from bulrushrudder.state import accounts
 from bulrushrudder.state import documents
+from bulrushrudder.state import intents
 from bulrushrudder.state import quarantine
+from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
 
@@ -24,6 +28,8 @@
     sessions: sessions.SessionsSnapshot
     servers: servers.ServersSnapshot
     quarantine: quarantine.QuarantineSnapshot
+    accounts: accounts.AccountsSnapshot
+    intents: intents.IntentsSnapshot
 
 
 class State:
@@ -38,6 +44,8 @@
         self.sessions = sessions.Sessions()
         self.servers = servers.Servers()
         self.quarantine = quarantine.Quarantine()
+        self.accounts = accounts.Accounts(self.sessions)
+        self.intents = intents.Intents()
 
     def snapshot(self):
         """Return the state as a StateSnapshot."""
@@ -47,6 +55,8 @@
             sessions=self.sessions.snapshot(),
             servers=self.servers.snapshot(),
             quarantine=self.quarantine.snapshot(),
+            accounts=self.accounts.snapshot(),
+            intents=self.intents.snapshot(),
         )
 
     def restore(self, snapshot):
@@ -56,10 +66,10 @@
         self.sessions.restore(snapshot.sessions)
         self.servers.restore(snapshot.servers)
         self.quarantine.restore(snapshot.quarantine)
-
-    def pass_over(self, index):
-        """Take note of a place in the log that holds no command."""
-        self.index = index
+        self.accounts.restore(snapshot.accounts)
+        self.intents.restore(snapshot.intents)
+        for environment in types.Environment:
+            self._limit(environment)
 
     def apply(self, index, command):
         """Apply a committed command.
@@ -69,12 +79,37 @@
         """
         self.index = index
         match command:
-            case documents.SubmitDocument() | documents.PromoteDocument():
-                return self.documents.apply(index, command)
+            case documents.SubmitDocument():
+                outcome = self.documents.apply(index, command)
+                return self._changed(types.Environment.TRIAL, outcome)
+            case documents.PromoteDocument():
+                outcome = self.documents.apply(index, command)
+                return self._changed(types.Environment.PRODUCTION, outcome)
             case sessions.OpenSession() | sessions.CloseSession():
                 return self.sessions.apply(index, command)
             case servers.JoinServer() | servers.LeaveServer():
                 return self.servers.apply(index, command)
             case quarantine.ReportCrash() | quarantine.ClearSuspect():
                 return self.quarantine.apply(index, command)
+            case (
+                accounts.ClaimAccount()
+                | accounts.SetFloor()
+                | accounts.ReleaseAccount()
+            ):
+                return self.accounts.apply(index, command)
+            case (
+                intents.OpenIntent()
+                | intents.CloseIntent()
+                | intents.PassTime()
+            ):
+                return self.intents.apply(index, command)
         raise AssertionError(f'unknown command {command!r}')
+
+    def _changed(self, environment, outcome):
+        if isinstance(outcome, results.Accepted) and not outcome.repeated:
+            self._limit(environment)
+        return outcome
+
+    def _limit(self, environment):
+        document = self.documents.in_force(environment)
+        self.accounts.limit(environment, document)
--- a/bulrushrudder/storage/__init__.py
+++ b/bulrushrudder/storage/__init__.py
@@ -1,1 +1,1 @@
-"""Durable storage of the log under one data folder."""
+"""The durable log and snapshot in the data folder."""
--- /dev/null
+++ b/bulrushrudder/tests/builders/limits_fleet.py
@@ -0,0 +1,360 @@
+"""Builders of processes that grant tokens, in virtual time.
+
+Packets between them wait until a test delivers, doubles or drops them.
+"""
+
+import dataclasses
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import ranking
+from bulrushrudder.documents import differences
+from bulrushrudder.documents import types
+from bulrushrudder.limits import actions
+from bulrushrudder.limits import authority
+from bulrushrudder.limits import events
+from bulrushrudder.limits import wallet
+from bulrushrudder.observers import view
+from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import machine
+from bulrushrudder.state import sessions
+from bulrushrudder.tests.builders import documents
+from bulrushrudder.tests.builders import fleet
+
+ENVIRONMENT = types.Environment.TRIAL
+SLACK_TOKENS = 1e-6
+
+
+@dataclasses.dataclass(frozen=True)
+class Packet:
+    """A message on its way; None as a target means the log."""
+
+    target: str | None
+    content: object
+
+
+class Oracle:
+    """One token bucket that sees every grant and return.
+
+    An account that was never used is full, whatever its burst was.
+    """
+
+    def __init__(self):
+        self.rate = 0.0
+        self.burst = 0.0
+        self.level = None
+        self.then_s = 0.0
+        self.used = False
+
+    def limit(self, rate, burst, now_s):
+        self.advance(now_s)
+        self.level = min(self.level, burst) if self.used else burst
+        self.rate = rate
+        self.burst = burst
+
+    def advance(self, now_s):
+        if self.level is not None:
+            grown = self.level + (now_s - self.then_s) * self.rate
+            self.level = min(self.burst, grown)
+        self.then_s = now_s
+
+    def take(self, tokens, now_s):
+        self.advance(now_s)
+        self.used = True
+        self.level -= tokens
+        if self.level < -SLACK_TOKENS:
+            raise AssertionError(f'{-self.level} tokens over the limit')
+
+    def put_back(self, tokens, now_s):
+        self.advance(now_s)
+        self.level = min(self.burst, self.level + tokens)
+
+
+class Process:
+    """An entry process without its I/O."""
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.view = view.View(ENVIRONMENT)
+        self.authority = authority.Authority(owner)
+        self.wallet = wallet.Wallet()
+        self.asked = {}
+        self.charges = []
+        self.cut = False
+        self.paused = False
+        self.round = None
+
+    @property
+    def name(self):
+        return self.owner.vm
+
+    def standing(self):
+        return authority.Standing(
+            ENVIRONMENT,
+            self.view.vouched_s,
+            self.view.state.accounts.by_key,
+            self.view.lookups.accounts_by_id,
+            tuple(self.view.state.sessions.by_vm),
+        )
+
+
+class Fleet:
+    """Processes, a log, packets on their way and the oracle."""
+
+    def __init__(self, vms=3, rate=10.0, burst=100, account='acme'):
+        self.now_s = 1000.0
+        self.account = ids.AccountId(account)
+        self.state = machine.State()
+        self.commands = []
+        self.packets = []
+        self.oracle = Oracle()
+        self.by_vm = {}
+        self.refused = []
+        self.granted = {}
+        self.returned = set()
+        self.waited = 0
+        self.incarnation = 0
+        self.numbers = 0
+        self.set_limits(rate, burst)
+        for number in range(vms):
+            self.start(f'vm{number}')
+        for process in self.by_vm.values():
+            self.sync(process)
+
+    def commit(self, command):
+        self.commands.append(command)
+        return self.state.apply(len(self.commands), command)
+
+    def set_limits(self, rate, burst):
+        base = self.state.documents.in_force(ENVIRONMENT)
+        version = base.version + 1
+        account = documents.account(self.account, rate, burst)
+        document = documents.document(version, accounts=(account,))
+        self.commit(
+            state_documents.SubmitDocument(
+                base_version=base.version,
+                base_digest=f'd{base.version}' if base.version else '',
+                difference=differences.between(base, document),
+                digest=f'd{version}',
+                operator='ana',
+            )
+        )
+
+    def start(self, vm):
+        self.incarnation += 1
+        owner = fleet.owner(vm, self.incarnation)
+        self.by_vm[vm] = Process(owner)
+        self.open_session(vm)
+
+    def open_session(self, vm):
+        owner = self.by_vm[vm].owner
+        self.commit(sessions.OpenSession(owner, ids.Zone('a'), '127.0.0.1', 1))
+
+    def close_session(self, vm):
+        self.commit(sessions.CloseSession(self.by_vm[vm].owner))
+
+    def begin_round(self, process):
+        number = process.view.begin_round(self.now_s)
+        process.round = number, len(self.commands)
+
+    def end_round(self, process):
+        if process.round is None or process.cut or process.paused:
+            return
+        number, index = process.round
+        self.catch_up(process)
+        process.view.vouched(number, index)
+        process.round = None
+        self._follow_limits()
+
+    def catch_up(self, process):
+        for index in range(process.view.index, len(self.commands)):
+            process.view.apply(index + 1, self.commands[index])
+
+    def sync(self, process):
+        if process.cut or process.paused:
+            return
+        self.begin_round(process)
+        self.end_round(process)
+
+    def _follow_limits(self):
+        """Hold the oracle to the widest limits that a process can see."""
+        limits = [
+            process.view.lookups.accounts_by_id[self.account]
+            for process in self.by_vm.values()
+            if process.view.age_s(self.now_s) < 10.0
+        ]
+        if limits:
+            rate = max(account.rate for account in limits)
+            burst = max(account.burst for account in limits)
+            self.oracle.limit(rate, burst, self.now_s)
+
+    def spendable(self):
+        """Return what all processes could grant at this instant."""
+        processes = self.by_vm.values()
+        return sum(
+            process.authority.spendable(
+                self.account, process.standing(), self.now_s
+            )
+            + process.wallet.left(self.account, self.now_s)
+            for process in processes
+        )
+
+    def check(self):
+        """Raise where the fleet could grant more than the bucket holds."""
+        self._follow_limits()
+        self.oracle.advance(self.now_s)
+        over = self.spendable() - self.oracle.level
+        if over > SLACK_TOKENS:
+            raise AssertionError(f'{over} tokens too many can be granted')
+
+    def advance(self, seconds, step_s=0.25):
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s = min(end_s, self.now_s + step_s)
+            for process in tuple(self.by_vm.values()):
+                self.sync(process)
+                self.tick(process)
+
+    def tick(self, process):
+        self._follow_limits()
+        if process.paused:
+            return
+        accounts_by_id = process.view.lookups.accounts_by_id
+        for given in process.wallet.sweep(accounts_by_id, self.now_s):
+            self._tell_return(process, given)
+        self.handle(process, events.Ticked())
+
+    def ask(self, process, tokens, patience_s=5.0):
+        """Ask for the tokens of a request; the ask, or None if served."""
+        if process.paused or not process.view.fresh(self.now_s):
+            return None
+        account = process.view.lookups.accounts_by_id[self.account]
+        charge = process.wallet.take(account, tokens, self.now_s)
+        if charge is not None:
+            self.oracle.take(tokens, self.now_s)
+            process.charges.append(charge)
+            return None
+        self.numbers += 1
+        ask = ids.AskId(process.owner, self.numbers)
+        event = events.TokensAsked(
+            ask,
+            self.account,
+            tokens,
+            process.wallet.wish(self.account, tokens, self.now_s),
+            self.now_s + patience_s,
+        )
+        process.asked[ask] = event, self.now_s
+        self.send_ask(process, event)
+        return ask
+
+    def send_ask(self, process, event):
+        vms = tuple(process.view.state.sessions.by_vm)
+        target = ranking.choose(authority.role(self.account), vms)
+        if target is not None:
+            self.packets.append(Packet(target, event))
+
+    def withdraw(self, process, ask):
+        process.asked.pop(ask, None)
+        event = events.AskWithdrawn(ask, self.account)
+        self.send_ask(process, event)
+
+    def give_back(self, process, charge, tokens):
+        """End a request of which some tokens were not used."""
+        process.charges.remove(charge)
+        given = process.wallet.give_back(charge, tokens, self.now_s)
+        if given is None:
+            self.oracle.put_back(tokens, self.now_s)
+            return
+        self._tell_return(process, given)
+
+    def deliver(self, packet):
+        if packet.target is None:
+            self.commit(packet.content)
+            return
+        process = self.by_vm.get(packet.target)
+        if process is None or process.paused or process.cut:
+            return
+        match packet.content:
+            case actions.Grant():
+                self._receive_grant(process, packet.content)
+            case actions.Refuse(ask=ask):
+                if process.asked.pop(ask, None):
+                    self.refused.append(packet.content)
+            case actions.Redirect(ask=ask):
+                if ask in process.asked:
+                    self.send_ask(process, process.asked[ask][0])
+            case events.TokensReturned():
+                self._credit_returned(process, packet.content)
+                self.handle(process, packet.content)
+            case events.AskWithdrawn(ask=ask):
+                self._credit_withdrawn(ask)
+                self.handle(process, packet.content)
+            case _:
+                self.handle(process, packet.content)
+
+    def handle(self, process, event):
+        found = process.authority.handle(event, process.standing(), self.now_s)
+        for action in found:
+            match action:
+                case actions.Propose(command=command):
+                    if not process.cut:
+                        self.packets.append(Packet(None, command))
+                case actions.Grant():
+                    self._count_grant(action)
+                    self._send(process, action)
+                case _:
+                    self._send(process, action)
+
+    def _send(self, process, action):
+        if not process.cut:
+            self.packets.append(Packet(action.ask.owner.vm, action))
+
+    def _count_grant(self, grant):
+        if (grant.ask, grant.epoch) in self.granted:
+            return
+        self.granted[grant.ask, grant.epoch] = grant.tokens
+        self.oracle.take(grant.tokens, self.now_s)
+
+    def _credit_returned(self, process, event):
+        """Count a return once, when the epoch that granted it gets it."""
+        key = (event.ask, event.epoch, event.number)
+        row = self.state.accounts.by_key[ENVIRONMENT, self.account]
+        holds = row.holder == process.owner and row.epoch == event.epoch
+        if event.closes or not holds or key in self.returned:
+            return
+        self.returned.add(key)
+        self.oracle.put_back(event.tokens, self.now_s)
+
+    def _credit_withdrawn(self, ask):
+        for granted in tuple(self.granted):
+            if granted[0] == ask:
+                tokens = self.granted.pop(granted)
+                self.oracle.put_back(tokens, self.now_s)
+
+    def _receive_grant(self, process, grant):
+        asked = process.asked.get(grant.ask)
+        if asked is None or grant.ask.owner != process.owner:
+            return
+        event, asked_s = process.asked.pop(grant.ask)
+        if self.now_s > event.deadline_s:
+            self.withdraw(process, grant.ask)
+            return
+        process.charges.append(
+            wallet.Charge(
+                grant.account, grant.epoch, grant.ask, grant.tokens, False
+            )
+        )
+        if grant.slice_tokens:
+            for given in process.wallet.put(grant, asked_s):
+                self._tell_return(process, given)
+
+    def _tell_return(self, process, given):
+        event = events.TokensReturned(
+            given.ask,
+            given.account,
+            given.epoch,
+            given.number,
+            given.tokens,
+            given.closes,
+        )
+        if not process.cut:
+            self.send_ask(process, event)
--- /dev/null
+++ b/bulrushrudder/tests/limits/fuzz_tests.py
@@ -0,0 +1,183 @@
+"""Grants of a fleet under faults against one token bucket."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bulrushrudder.limits import events
+from bulrushrudder.tests.builders import limits_fleet
+
+VMS = st.sampled_from(('vm0', 'vm1', 'vm2'))
+PLACES = st.integers(0, 1000)
+
+
+class LimitsMachine(stateful.RuleBasedStateMachine):
+    """Every rule may break the promise; the oracle raises if one does."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = limits_fleet.Fleet()
+
+    def process(self, vm):
+        return self.fleet.by_vm[vm]
+
+    def pick(self, place):
+        packets = self.fleet.packets
+        return place % len(packets) if packets else None
+
+    def holder(self):
+        """Return the process that the log names as the holder."""
+        fleet = self.fleet
+        key = (limits_fleet.ENVIRONMENT, fleet.account)
+        row = fleet.state.accounts.by_key.get(key)
+        return fleet.by_vm[row.holder.vm if row else 'vm0']
+
+    @stateful.rule(vm=VMS, tokens=st.integers(5, 60), count=st.integers(1, 9))
+    def ask(self, vm, tokens, count):
+        for _ in range(count):
+            self.fleet.ask(self.process(vm), tokens)
+
+    @stateful.rule(vm=VMS, tokens=st.integers(3, 40))
+    def drain(self, vm, tokens):
+        for _ in range(12):
+            self.fleet.ask(self.process(vm), tokens)
+            self.flow(1)
+
+    @stateful.rule(vm=VMS)
+    def run_hot(self, vm):
+        for _ in range(14):
+            self.fleet.ask(self.process(vm), 1)
+            self.flow(1)
+
+    @stateful.rule(vm=VMS)
+    def spend_slice(self, vm):
+        for tokens in (16, 8, 4, 2, 1) * 4:
+            process = self.process(vm)
+            if process.wallet.left(self.fleet.account, self.fleet.now_s):
+                self.fleet.ask(process, tokens)
+
+    @stateful.rule(
+        kind=st.sampled_from(('pause', 'cut', 'close', 'restart', 'stop')),
+        seconds=st.sampled_from((0.0, 1.0, 3.0, 4.0)),
+    )
+    def lose_holder(self, kind, seconds):
+        fleet = self.fleet
+        process = self.holder()
+        if kind in ('pause', 'cut'):
+            fleet.begin_round(process)
+            process.paused = kind == 'pause'
+            process.cut = kind == 'cut'
+        if kind == 'restart':
+            fleet.start(process.name)
+        if kind == 'stop':
+            fleet.handle(process, events.Stopping())
+            self.flow(1)
+        if kind != 'restart':
+            fleet.close_session(process.name)
+        for _ in range(int(seconds * 2)):
+            fleet.advance(0.5)
+            self.flow(1)
+
+    @stateful.rule()
+    def recover(self):
+        for process in tuple(self.fleet.by_vm.values()):
+            process.cut = False
+            process.paused = False
+            self.fleet.handle(process, events.Ticked())
+            if process.name not in self.fleet.state.sessions.by_vm:
+                self.fleet.start(process.name)
+
+    @stateful.rule(seconds=st.sampled_from((0.1, 0.5, 2.0, 4.0, 8.0, 20.0)))
+    def advance(self, seconds):
+        self.fleet.advance(seconds)
+
+    @stateful.rule(seconds=st.sampled_from((0.5, 2.0, 4.0, 8.0)))
+    def advance_in_calm(self, seconds):
+        for _ in range(int(seconds * 2)):
+            self.fleet.advance(0.5)
+            self.flow(1)
+
+    @stateful.rule(rounds=st.integers(1, 3))
+    def flow(self, rounds):
+        for _ in range(rounds):
+            packets, self.fleet.packets = self.fleet.packets, []
+            for packet in packets:
+                self.fleet.deliver(packet)
+            for process in self.fleet.by_vm.values():
+                self.fleet.sync(process)
+                self.fleet.tick(process)
+
+    @stateful.rule(place=PLACES)
+    def deliver(self, place):
+        found = self.pick(place)
+        if found is not None:
+            self.fleet.deliver(self.fleet.packets.pop(found))
+
+    @stateful.rule(place=PLACES)
+    def double(self, place):
+        found = self.pick(place)
+        if found is not None:
+            self.fleet.packets.append(self.fleet.packets[found])
+
+    @stateful.rule(place=PLACES)
+    def drop(self, place):
+        found = self.pick(place)
+        if found is not None:
+            del self.fleet.packets[found]
+
+    @stateful.rule(vm=VMS, place=PLACES)
+    def resend(self, vm, place):
+        asked = list(self.process(vm).asked.values())
+        if asked:
+            self.fleet.send_ask(self.process(vm), asked[place % len(asked)][0])
+
+    @stateful.rule(vm=VMS, place=PLACES)
+    def withdraw(self, vm, place):
+        asked = list(self.process(vm).asked)
+        if asked:
+            self.fleet.withdraw(self.process(vm), asked[place % len(asked)])
+
+    @stateful.rule(vm=VMS, place=PLACES, share=st.floats(0, 1))
+    def give_back(self, vm, place, share):
+        charges = self.process(vm).charges
+        if charges:
+            charge = charges[place % len(charges)]
+            self.fleet.give_back(
+                self.process(vm), charge, int(charge.tokens * share)
+            )
+
+    @stateful.rule(vm=VMS)
+    def wake(self, vm):
+        process = self.process(vm)
+        process.paused = False
+        self.fleet.handle(process, events.Ticked())
+        self.fleet.end_round(process)
+        self.fleet.tick(process)
+
+    @stateful.rule(vm=VMS)
+    def reopen_session(self, vm):
+        self.fleet.close_session(vm)
+        self.fleet.open_session(vm)
+
+    @stateful.rule(
+        rate=st.sampled_from((5.0, 10.0, 20.0)),
+        burst=st.sampled_from((40, 100, 200)),
+    )
+    def change_limits(self, rate, burst):
+        self.fleet.set_limits(rate, burst)
+
+    @stateful.invariant()
+    def fleet_cannot_grant_too_much(self):
+        self.fleet.check()
+
+
+LimitsFuzzTests = LimitsMachine.TestCase
+LimitsFuzzTests.settings = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=(hypothesis.Phase.generate,),
+    max_examples=150,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
