--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test format check unit binary
+.PHONY: demo test format check unit binary check-binary
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -25,3 +25,14 @@
 format: $(VENV)/.installed
 	$(BIN)/ruff format bulrushrudder scripts
 	$(BIN)/ruff check --fix bulrushrudder scripts
+
+build/venv/.installed: requirements.txt requirements-binary.txt
+	$(PYTHON) -m venv build/venv
+	build/venv/bin/pip install --quiet --requirement requirements-binary.txt
+	touch $@
+
+binary: build/venv/.installed
+	build/venv/bin/python packaging/build.py
+
+check-binary: binary
+	build/venv/bin/python packaging/check_binary.py
--- a/bulrushrudder/benchmarks/overhead.py
+++ b/bulrushrudder/benchmarks/overhead.py
@@ -14,6 +14,7 @@
 import sys
 
 from bulrushrudder.benchmarks import report
+from bulrushrudder.engines import wire
 from bulrushrudder.standins import deployment
 
 REQUESTS = 2000
@@ -100,37 +101,47 @@
     def __init__(self, running):
         self._session = running.session
         servers = running.entry.view.state.servers.by_id.values()
-        self._url_by_kind = {
-            server.kind: f'http://{server.host}:{server.port}'
-            for server in servers
-        }
+        self._server_by_kind = {server.kind: server for server in servers}
 
     async def run(self, mark):
         """Run one request and return its Timing."""
         start_s = _now_s()
-        order = {
-            'attempt': f'straight-{mark}',
-            'model': deployment.MODEL,
-            'prompt': _prompt(mark),
-            'priority': 0,
-        }
+        order = self._prefill_order(mark)
         async with self._session.post(
-            f'{self._url_by_kind["prefill"]}/prefill', json=order
+            self._url('prefill'), json=order.model_dump()
         ) as response:
             handle = (await response.json())['handle']
-        order = {
-            **order,
-            'kv_host': '',
-            'kv_port': 1,
-            'kv_handle': handle,
-            'produced': [],
-            'max_tokens': TOKENS,
-        }
+        order = self._decode_order(order, handle)
         async with self._session.post(
-            f'{self._url_by_kind["decode"]}/decode', json=order
+            self._url('decode'), json=order.model_dump()
         ) as response:
             return await _read(response, start_s)
 
+    def _url(self, kind):
+        server = self._server_by_kind[kind]
+        return f'http://{server.host}:{server.port}/{kind}'
+
+    def _prefill_order(self, mark):
+        return wire.PrefillOrder(
+            attempt=f'straight-{mark}',
+            vm='benchmark',
+            incarnation=1,
+            model=deployment.MODEL,
+            prompt=_prompt(mark),
+            produced=[],
+            priority=0,
+        )
+
+    def _decode_order(self, order, handle):
+        prefill = self._server_by_kind['prefill']
+        return wire.DecodeOrder(
+            **order.model_dump(),
+            kv_host=prefill.host,
+            kv_port=prefill.port,
+            kv_handle=handle,
+            max_tokens=TOKENS,
+        )
+
 
 class _Through:
     """Runs requests through the system."""
--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -30,6 +30,12 @@
         return f'{host}:{self.port}'
 
 
+def parse_address(text):
+    """Return the Address in its usual text form."""
+    host, _, port = text.rpartition(':')
+    return Address(host.strip('[]'), int(port))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Secrets:
     """The secrets of a VM; never logged."""
--- /dev/null
+++ b/bulrushrudder/consensus/core.py
@@ -0,0 +1,136 @@
+"""What the parts of a replica share."""
+
+import dataclasses
+import enum
+
+from bulrushrudder.consensus import actions
+from bulrushrudder.consensus import log
+from bulrushrudder.consensus import messages
+from bulrushrudder.consensus import types
+
+HEARTBEAT_S = 0.15
+ELECTION_S = 0.7
+ELECTION_SPREAD_S = 0.7
+
+
+class Role(enum.Enum):
+    """What a replica does now."""
+
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a replica is.
+
+    :param address: where it listens.
+    :param addresses: all control addresses in the settings.
+    """
+
+    id: types.MemberId
+    address: str
+    addresses: tuple[str, ...]
+
+
+class Core:
+    """State of a replica, with the steps that every part takes.
+
+    :param identity: who the replica is.
+    :param durable: what stood on its disk.
+    :param draw: function that returns a random number from 0 to 1.
+    :param now_s: monotonic seconds.
+    """
+
+    def __init__(self, identity, durable, draw, now_s):
+        self.identity = identity
+        self.ballot = durable.ballot
+        self.log = log.Log(durable.snapshot, durable.entries)
+        self.commit = durable.snapshot.index
+        self.role = Role.FOLLOWER
+        self.leader = None
+        self.leadership = None
+        self.heard_leader_s = None
+        self.votes = set()
+        self.trial = True
+        self.actions = []
+        self.now_s = now_s
+        self.deadline_s = now_s
+        self._draw = draw
+        self.rest()
+
+    @property
+    def id(self):
+        """Return the id of this member."""
+        return self.identity.id
+
+    @property
+    def members(self):
+        """Return the latest configuration, committed or not."""
+        return self.log.members()
+
+    @property
+    def is_voter(self):
+        """Return whether this member counts for a quorum."""
+        return self.id in types.voters(self.members)
+
+    def head(self, term=None, target=''):
+        """Return the Head of a message of this member."""
+        return messages.Head(
+            cluster=self.ballot.cluster,
+            term=self.ballot.term if term is None else term,
+            sender=self.id,
+            address=self.identity.address,
+            target=target,
+        )
+
+    def send(self, address, message):
+        """Add a Send action."""
+        self.actions.append(actions.Send(address, message))
+
+    def save(self, entries=(), **changes):
+        """Append entries and change the ballot, durably."""
+        self.ballot = dataclasses.replace(self.ballot, **changes)
+        self.log.append(entries)
+        self.actions.append(actions.SaveEntries(self.ballot, tuple(entries)))
+
+    def rest(self):
+        """Put the next election off by a random time."""
+        spread_s = ELECTION_SPREAD_S * self._draw()
+        self.deadline_s = self.now_s + ELECTION_S + spread_s
+
+    def follow(self, term, leader):
+        """Become a follower.
+
+        :param leader: the id of the leader, or None.
+        """
+        if term > self.ballot.term:
+            self.save(term=term, vote='')
+        self._end_leadership()
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self.votes = set()
+
+    def hears_leader(self):
+        """Return whether a leader was heard of lately."""
+        if self.role is Role.LEADER:
+            return True
+        if self.heard_leader_s is None:
+            return False
+        return self.now_s - self.heard_leader_s < ELECTION_S
+
+    def commit_to(self, index):
+        """Apply what is newly known as committed."""
+        if index <= self.commit:
+            return
+        entries = self.log.after(self.commit, index - self.commit)
+        self.commit = index
+        self.actions.append(actions.Apply(tuple(entries)))
+
+    def _end_leadership(self):
+        if self.leadership is None:
+            return
+        for question in self.leadership.questions:
+            self.actions.append(actions.Declined(question.token))
+        self.leadership = None
--- /dev/null
+++ b/bulrushrudder/consensus/membership.py
@@ -0,0 +1,126 @@
+"""Changes of members, one at a time, decided by the leader.
+
+Operators only edit the addresses in the settings. A process that asks
+for a leader joins as a learner; one that has caught up is promoted. A
+voter goes when another data folder has come to its address, or when it
+is silent and its address has left the settings.
+"""
+
+import dataclasses
+
+from bulrushrudder.consensus import leadership
+from bulrushrudder.consensus import types
+
+CAUGHT_UP_ENTRIES = 64
+SILENT_S = 10.0
+
+
+def tick(core):
+    """Append the next change of members, if one is due."""
+    if not leadership.settled(core):
+        return
+    if core.commit < core.log.configuration_index():
+        return
+    if core.leadership.successor is not None:
+        return
+    members = _next(core)
+    core.leadership.newcomers_by_id.clear()
+    if members is not None and members != core.members:
+        leadership.add(core, [types.Configuration(members)])
+
+
+def _next(core):
+    """Return the members after one change, or None."""
+    learners = _learners(core)
+    if learners != [m for m in core.members if not m.voter]:
+        return (*_voters(core), *learners)
+    candidate = next((m for m in learners if _is_ready(core, m)), None)
+    gone = next((m for m in _voters(core) if _is_gone(core, m)), None)
+    if gone is not None and (candidate or not _is_wanted(core, gone)):
+        return _if_quorum(
+            core, tuple(m for m in core.members if m.id != gone.id)
+        )
+    if candidate is not None and not _is_taken(core, candidate.address):
+        return _if_quorum(
+            core, tuple(_promoted(m, candidate) for m in core.members)
+        )
+    return None
+
+
+def _if_quorum(core, members):
+    return members if leadership.has_quorum(core, members) else None
+
+
+def _promoted(member, candidate):
+    if member.id != candidate.id:
+        return member
+    return dataclasses.replace(member, voter=True)
+
+
+def _voters(core):
+    newcomers_by_id = core.leadership.newcomers_by_id
+    return [
+        dataclasses.replace(m, address=newcomers_by_id.get(m.id, m.address))
+        for m in core.members
+        if m.voter
+    ]
+
+
+def _learners(core):
+    """Return the learners with newcomers, without those replaced."""
+    newcomers_by_id = core.leadership.newcomers_by_id
+    known = {m.id for m in core.members}
+    taken = set(newcomers_by_id.values())
+    kept = [
+        m
+        for m in core.members
+        if not m.voter
+        and m.address not in taken
+        and (_is_wanted(core, m) or not _is_silent(core, m))
+    ]
+    returned = [
+        types.Member(m.id, newcomers_by_id[m.id], voter=False)
+        for m in core.members
+        if not m.voter and m.id in newcomers_by_id
+    ]
+    joined = [
+        types.Member(id_, address, voter=False)
+        for id_, address in newcomers_by_id.items()
+        if id_ not in known
+    ]
+    return [*kept, *returned, *joined]
+
+
+def _is_taken(core, address):
+    return any(m.voter and m.address == address for m in core.members)
+
+
+def _is_wanted(core, member):
+    return member.address in core.identity.addresses
+
+
+def _is_ready(core, member):
+    if not leadership.has_answered(core, member.id):
+        return False
+    agreed = leadership.agreed_index(core, member.id)
+    caught_up = agreed + CAUGHT_UP_ENTRIES >= core.commit
+    live = leadership.is_live(core, member.id)
+    return caught_up and live and _is_wanted(core, member)
+
+
+def _is_gone(core, member):
+    """Return whether a voter has been replaced or taken away."""
+    if member.id == core.id or leadership.is_live(core, member.id):
+        return False
+    replaced = any(
+        other.address == member.address
+        for other in core.members
+        if other.id != member.id
+    )
+    if replaced:
+        return True
+    return not _is_wanted(core, member) and _is_silent(core, member)
+
+
+def _is_silent(core, member):
+    return leadership.silence_s(core, member.id) >= SILENT_S
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -1,39 +1,355 @@
 """The log of one control process."""
 
+import asyncio
+import dataclasses
+import itertools
+import time
+
+from returns import result
+
+from bulrushrudder.consensus import actions
+from bulrushrudder.consensus import core
+from bulrushrudder.consensus import events
+from bulrushrudder.consensus import types
+from bulrushrudder.control import driver
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import errors
+from bulrushrudder.protocol import log_messages
 from bulrushrudder.state import machine
+from bulrushrudder.state import results
+
+PROPOSE_S = 4.0
+CONFIRM_S = 1.5
+RETRY_S = 0.05
+HAND_OVER_S = 2.0
+CUT_ENTRIES = 4000
+MIN_CUT_ENTRIES = 500
+CUT_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A proposed command whose outcome somebody waits for.
+
+    :param term: the leader's term when it took the command.
+    """
+
+    term: int
+    future: asyncio.Future
 
 
 class Node:
-    """A log of one replica, held in memory.
+    """The log, the state that it adds up to, and the way to the leader.
 
-    :param on_committed: called after each committed command.
+    :param replica: the Replica.
+    :param store: the Store of its data folder.
+    :param peers: Peers, which reach the other control processes.
+    :param address_of: function of a member's address that returns the
+        config Address.
+    :param on_committed: called after each batch of committed commands.
+    :param on_failed: called when the process must stop.
     """
 
-    def __init__(self, on_committed):
+    def __init__(
+        self, replica, store, peers, address_of, on_committed, on_failed
+    ):
+        self.replica = replica
         self.state = machine.State()
-        self._commands = []
+        self._peers = peers
+        self._address_of = address_of
         self._on_committed = on_committed
+        self._driver = driver.Driver(
+            replica, store, self._collect, self._carry_out, on_failed
+        )
+        self._store = store
+        self._tokens = itertools.count(1)
+        self._queue = []
+        self._futures_by_token = {}
+        self._waiting_by_index = {}
+        self._confirm_running = None
+        self._confirm_next = None
+        self._applied = asyncio.Event()
+        self._was_leader = False
+        self._cut_index = replica.log.snapshot.index
+        if replica.log.snapshot.index:
+            self.state.restore(_decoded(replica.log.snapshot.data))
 
     @property
     def index(self):
-        """Return the index of the last committed command."""
-        return len(self._commands)
+        """Return the index of the last committed entry."""
+        return self.state.index
+
+    @property
+    def leads(self):
+        """Return whether this process leads and may decide."""
+        return self.replica.settled
+
+    @property
+    def leader_address(self):
+        """Return the config Address of another leader, or None."""
+        leader = self.replica.leader
+        if leader is None or leader.id == self.replica.id:
+            return None
+        return self._address_of(leader.address)
+
+    async def run(self):
+        """Run until cancelled, or until the disk fails."""
+        await self._driver.run()
+
+    def receive(self, message):
+        """Take a message of another control process."""
+        self._driver.put(events.Received(message))
 
     async def propose(self, command):
-        """Commit a command.
+        """Commit a command; passes it on to the leader.
 
         :returns: the Outcome of the command.
         """
-        self._commands.append(codec.encode(command))
-        outcome = self.state.apply(len(self._commands), command)
-        self._on_committed()
-        return outcome
+        data = codec.encode(command)
+        deadline_s = time.monotonic() + PROPOSE_S
+        while time.monotonic() < deadline_s:
+            outcome = await self._propose_once(data)
+            if outcome is not None:
+                return outcome
+            await asyncio.sleep(RETRY_S)
+        return results.Unavailable('no leader takes changes now')
 
-    def commands_after(self, index, most):
-        """Return encoded commands that follow an index."""
-        return tuple(self._commands[index : index + most])
+    async def propose_here(self, data):
+        """Commit an encoded command if this process leads.
+
+        :returns: its Outcome, or None where it had no effect.
+        """
+        if self.replica.role is not core.Role.LEADER:
+            return None
+        future = asyncio.get_running_loop().create_future()
+        self._queue.append((data, future))
+        self._driver.wake()
+        try:
+            async with asyncio.timeout(PROPOSE_S):
+                return await future
+        except TimeoutError:
+            return results.Unavailable('not committed in time')
 
     async def confirm(self):
-        """Return an index that was current when this call began."""
-        return self.index
+        """Wait until the state is current.
+
+        Calls that come together share a quorum round, which begins
+        after the last of them.
+
+        :returns: an index that was current after this call began, or
+            None where no quorum vouches for one.
+        """
+        if self._confirm_next is None:
+            self._confirm_next = asyncio.create_task(
+                self._confirm_after(self._confirm_running)
+            )
+        return await asyncio.shield(self._confirm_next)
+
+    async def confirm_here(self):
+        """Return an index by a quorum round if this process leads.
+
+        :returns: the index, or None.
+        """
+        if not self.leads:
+            return None
+        token, future = self._new_question()
+        self._driver.put(events.ConfirmAsked(token))
+        return await future
+
+    def commands_after(self, index, most):
+        """Return encoded commands that follow an index.
+
+        Places that hold no command are empty bytes.
+        """
+        most = min(most, self.index - index)
+        entries = self.replica.log.after(index, max(most, 0))
+        return tuple(_command_of(entry) for entry in entries)
+
+    def needs_state(self, index):
+        """Return whether the state is a shorter way than the entries.
+
+        :param index: up to where an observer knows the log.
+        """
+        held = self.replica.log
+        if index >= held.snapshot.index:
+            return False
+        if index + 1 < held.first_index:
+            return True
+        missed = held.after(index, held.snapshot.index - index)
+        size = sum(len(_command_of(entry)) for entry in missed)
+        return size > len(held.snapshot.data)
+
+    async def hand_over(self):
+        """Give leadership away, as far as others can take it."""
+        if self.replica.role is not core.Role.LEADER:
+            return
+        self._driver.put(events.HandOverAsked())
+        until_s = time.monotonic() + HAND_OVER_S
+        while time.monotonic() < until_s:
+            await asyncio.sleep(RETRY_S)
+            alone = len(types.voters(self.replica.members)) == 1
+            if alone or self.replica.role is not core.Role.LEADER:
+                return
+
+    async def _propose_once(self, data):
+        if self.replica.role is core.Role.LEADER:
+            return await self.propose_here(data)
+        address = self.leader_address
+        if address is None:
+            return None
+        answer = await self._peers.ask(
+            address, log_messages.Forward(data), PROPOSE_S
+        )
+        match answer:
+            case result.Success(log_messages.Proposed(outcome=encoded)):
+                return _decoded(encoded)
+            case result.Success(log_messages.NotLeader()):
+                return None
+            case result.Failure(errors.LinkError(sent=False)):
+                return None
+        return results.Unavailable('the leader gave no answer')
+
+    async def _confirm_after(self, running):
+        if running is not None:
+            await asyncio.wait([running])
+        self._confirm_running = self._confirm_next
+        self._confirm_next = None
+        return await self._confirm()
+
+    async def _confirm(self):
+        deadline_s = time.monotonic() + CONFIRM_S
+        while time.monotonic() < deadline_s:
+            index = await self._confirm_once()
+            if index is not None:
+                return await self._reached(index, deadline_s)
+            await asyncio.sleep(RETRY_S)
+        return None
+
+    async def _confirm_once(self):
+        if self.replica.role is core.Role.LEADER:
+            return await self.confirm_here()
+        address = self.leader_address
+        if address is None:
+            return None
+        answer = await self._peers.ask(
+            address, log_messages.AskConfirm(), CONFIRM_S
+        )
+        match answer:
+            case result.Success(log_messages.ConfirmedAt(index=index)):
+                return index
+        return None
+
+    async def _reached(self, index, deadline_s):
+        """Wait until the state holds an index; None where it is late."""
+        try:
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                while self.index < index:
+                    self._applied.clear()
+                    await self._applied.wait()
+        except TimeoutError:
+            return None
+        return index
+
+    def _new_question(self):
+        token = next(self._tokens)
+        future = asyncio.get_running_loop().create_future()
+        self._futures_by_token[token] = [future]
+        return token, future
+
+    def _collect(self):
+        """Return all that waits to be proposed as one event."""
+        self._watch_leadership()
+        self._cut_if_long()
+        if not self._queue:
+            return None
+        token = next(self._tokens)
+        self._futures_by_token[token] = [f for _, f in self._queue]
+        commands = tuple(data for data, _ in self._queue)
+        self._queue = []
+        return events.Proposed(token, commands)
+
+    def _carry_out(self, action):
+        match action:
+            case actions.Send(address=address, message=message):
+                self._peers.post(self._address_of(address), message)
+            case actions.Apply(entries=entries):
+                self._apply(entries)
+            case actions.Restore(snapshot=snapshot):
+                self._restore(snapshot)
+            case actions.Accepted(token=token, first=first, term=term):
+                futures = self._futures_by_token.pop(token)
+                for index, future in enumerate(futures, first):
+                    self._waiting_by_index[index] = Waiting(term, future)
+            case actions.Confirmed(token=token, index=index):
+                self._resolve(token, index)
+            case actions.Declined(token=token):
+                self._resolve(token, None)
+
+    def _resolve(self, token, answer):
+        for future in self._futures_by_token.pop(token, ()):
+            if not future.done():
+                future.set_result(answer)
+
+    def _apply(self, entries):
+        for entry in entries:
+            outcome = self._apply_one(entry)
+            self._answer(entry, outcome)
+        self._applied.set()
+        self._on_committed()
+
+    def _apply_one(self, entry):
+        match entry.payload:
+            case types.Command(data=data):
+                return self.state.apply(entry.index, _decoded(data))
+        self.state.pass_over(entry.index)
+        return None
+
+    def _answer(self, entry, outcome):
+        waiting = self._waiting_by_index.pop(entry.index, None)
+        if waiting is None or waiting.future.done():
+            return
+        if waiting.term != entry.term:
+            outcome = results.Unavailable('another leader took over')
+        waiting.future.set_result(outcome)
+
+    def _restore(self, snapshot):
+        self.state.restore(_decoded(snapshot.data))
+        passed = [i for i in self._waiting_by_index if i <= snapshot.index]
+        for index in passed:
+            future = self._waiting_by_index.pop(index).future
+            if not future.done():
+                future.set_result(
+                    results.Unavailable('another leader took over')
+                )
+        self._applied.set()
+        self._on_committed()
+
+    def _watch_leadership(self):
+        leads = self.leads
+        if leads != self._was_leader:
+            event = catalogue.LEADER_BEGAN if leads else catalogue.LEADER_ENDED
+            log.emit(event, term=self.replica.term)
+        self._was_leader = leads
+
+    def _cut_if_long(self):
+        grown = self.index - max(
+            self._cut_index, self.replica.log.snapshot.index
+        )
+        large = self._store.log_bytes > CUT_BYTES
+        if grown >= CUT_ENTRIES or (large and grown >= MIN_CUT_ENTRIES):
+            self._cut_index = self.index
+            data = codec.encode(self.state.snapshot())
+            self._driver.put(events.StateSaved(self.index, data))
+
+
+def _command_of(entry):
+    match entry.payload:
+        case types.Command(data=data):
+            return data
+    return b''
+
+
+def _decoded(data):
+    return codec.decode(data).unwrap()
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -2,8 +2,15 @@
 
 import asyncio
 import contextlib
+import random
 import time
 
+from returns import result
+
+from bulrushrudder.config import settings as config
+from bulrushrudder.consensus import core
+from bulrushrudder.consensus import replica
+from bulrushrudder.control import node
 from bulrushrudder.control import operators
 from bulrushrudder.control import server
 from bulrushrudder.core import ids
@@ -12,21 +19,41 @@
 from bulrushrudder.metrics import control as metrics_control
 from bulrushrudder.metrics import listener as metrics_listener
 from bulrushrudder.protocol import link
+from bulrushrudder.protocol import peers
+from bulrushrudder.storage import store
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
 
 
-async def start(stack, settings):
+async def start(stack, settings, on_failed=None):
     """Start the control process.
 
     :param stack: an AsyncExitStack that owns all that is opened.
     :param settings: the VM's Settings.
+    :param on_failed: called when the disk fails and the process must
+        stop.
     :returns: the Control.
+    :raises SystemExit: where the data folder cannot be used.
     """
     owner = ids.Owner(ids.VmId(f'{settings.vm}/control'), time.time_ns())
-    control = server.Control()
+    secret = settings.secrets.cluster
+    opened = _open(stack, settings.control.data_folder)
+    others = peers.Peers(owner, secret, _ignore, True)
+    stack.callback(others.close)
+
+    def make_node(on_committed):
+        return node.Node(
+            _replica(settings, opened),
+            opened.store,
+            others,
+            config.parse_address,
+            on_committed,
+            on_failed or _stop,
+        )
+
+    control = server.Control(make_node, others)
     listener = await link.listen(
-        settings.control.inner, owner, settings.secrets.cluster, control.handle
+        settings.control.inner, owner, secret, control.handle
     )
     stack.callback(listener.close)
     metrics = metrics_control.ControlMetrics()
@@ -34,8 +61,14 @@
     await web.listen(stack, front.application(), settings.control.operators)
     shown = metrics_listener.application(metrics)
     await web.listen(stack, shown, settings.control.metrics)
+    tasks.spawn(stack, control.node.run())
     tasks.spawn(stack, control.run())
-    log.emit(catalogue.CONTROL_STARTED, inner=str(settings.control.inner))
+    stack.push_async_callback(control.node.hand_over)
+    log.emit(
+        catalogue.CONTROL_STARTED,
+        inner=str(settings.control.inner),
+        member=opened.id,
+    )
     stack.callback(log.emit, catalogue.CONTROL_STOPPED)
     return control
 
@@ -44,7 +77,46 @@
     """Run the control process until the event is set.
 
     :param stopping: an asyncio Event.
+    :raises SystemExit: where the disk failed.
     """
+    failed = asyncio.Event()
+
+    def on_failed():
+        failed.set()
+        stopping.set()
+
     async with contextlib.AsyncExitStack() as stack:
-        await start(stack, settings)
+        await start(stack, settings, on_failed)
         await asyncio.shield(stopping.wait())
+    if failed.is_set():
+        raise SystemExit(1)
+
+
+def _open(stack, folder):
+    match store.open_store(stack, folder):
+        case result.Success(opened):
+            if opened.torn:
+                log.emit(catalogue.TORN_TAIL_CUT, folder=str(folder))
+            return opened
+        case result.Failure(error):
+            log.emit(catalogue.DATA_FOLDER_UNUSABLE, detail=str(error))
+    raise SystemExit(1)
+
+
+def _replica(settings, opened):
+    identity = core.Identity(
+        opened.id,
+        str(settings.control.inner),
+        tuple(str(address) for address in settings.controls),
+    )
+    return replica.Replica(
+        identity, opened.durable, random.random, time.monotonic()
+    )
+
+
+def _stop():
+    raise SystemExit(1)
+
+
+async def _ignore(link_, message):
+    """Peers send nothing unasked on links that this process dialled."""
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -1,62 +1,146 @@
 """Serves the log to the system's other processes."""
 
 import asyncio
-import dataclasses
 
 from returns import result
 
-from bulrushrudder.control import node
+from bulrushrudder.consensus import messages as consensus_messages
+from bulrushrudder.control import feeds
+from bulrushrudder.control import status
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.membership import tracker
+from bulrushrudder.observers import leases
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
+from bulrushrudder.protocol import status_messages
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 
-MAX_ENTRIES_A_MESSAGE = 200
 TICK_S = 0.5
-
-
-@dataclasses.dataclass(slots=True)
-class _Observer:
-    """A link that follows the log."""
-
-    link: object
-    index: int
+FORWARD_S = 3.0
 
 
 class Control:
-    """The control process without its listeners."""
-
-    def __init__(self):
-        self.node = node.Node(self._push_all)
-        self._observers = []
+    """The control process without its listeners.
+
+    :param make_node: function that makes the Node; it takes what is
+        called after commands were committed.
+    :param peers: Peers, which reach the other control processes.
+    """
+
+    def __init__(self, make_node, peers):
+        self.node = make_node(self._committed)
+        self._peers = peers
+        self._feeds = feeds.Feeds(self.node)
+        self._leases = leases.Leases()
         self._tracker = tracker.Tracker()
+        self._led = False
 
     async def handle(self, link, message):
         """Serve a message of another process."""
         match message:
             case log_messages.Observe(index=index):
-                self._observers.append(_Observer(link, index))
-                self._push_all()
-            case log_messages.AskVouch(round=number):
-                index = await self.node.confirm()
-                link.tell(log_messages.Vouch(number, index))
+                self._feeds.add(link, index)
+            case log_messages.AskVouch(round=number, index=index):
+                self._leases.heard(link.peer, index, _now_s())
+                await self._vouch(link, number)
             case log_messages.Propose(command=data):
                 outcome = await self._propose(data)
                 return log_messages.Proposed(codec.encode(outcome))
-            case log_messages.Announce(server=data, leaving=leaving):
-                await self._announced(data, leaving)
+            case log_messages.Announce():
+                await self._announced(message)
                 return messages.Noted()
+            case status_messages.AskStatus():
+                return self._own_status() or log_messages.NotLeader()
+            case log_messages.Forward() | log_messages.AskConfirm():
+                return await self._lead(message)
+            case log_messages.Heard(observers=observers):
+                self._heard(observers)
+            case _ if isinstance(message, consensus_messages.Message):
+                self.node.receive(message)
         return None
 
     async def run(self):
-        """Let announcements run out until cancelled."""
+        """Let announcements and sessions run out until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            await self._track(tracker.Ticked())
+            if self.node.leads:
+                await self._lead_on()
+            else:
+                self._led = False
+                self._report()
+
+    async def status(self):
+        """Return the leader's Status, or None where there is no leader."""
+        if await self.node.confirm() is None:
+            return None
+        found = self._own_status()
+        address = self.node.leader_address
+        if found is not None or address is None:
+            return found
+        answer = await self._peers.ask(
+            address, status_messages.AskStatus(), FORWARD_S
+        )
+        match answer:
+            case result.Success(status_messages.Status() as found):
+                return found
+        return None
+
+    def _own_status(self):
+        if not self.node.leads:
+            return None
+        return status.of(self.node, self._leases, _now_s())
+
+    def _committed(self):
+        self._feeds.push_all()
+
+    async def _vouch(self, link, number):
+        index = await self.node.confirm()
+        if index is not None:
+            link.tell(log_messages.Vouch(number, index))
+
+    async def _lead(self, message):
+        """Answer another control process that takes this for the leader."""
+        match message:
+            case log_messages.Forward(command=data):
+                outcome = await self.node.propose_here(data)
+                if outcome is not None:
+                    return log_messages.Proposed(codec.encode(outcome))
+            case log_messages.AskConfirm():
+                index = await self.node.confirm_here()
+                if index is not None:
+                    return log_messages.ConfirmedAt(index)
+        return log_messages.NotLeader()
+
+    async def _lead_on(self):
+        if not self._led:
+            self._led = True
+            self._leases.begin(_now_s())
+            self._tracker = tracker.Tracker()
+        await self._track(tracker.Ticked())
+        by_vm = self.node.state.sessions.by_vm
+        for command in self._leases.expire(by_vm, _now_s()):
+            log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
+            await self.node.propose(command)
+
+    def _report(self):
+        """Tell the leader which observers follow this process."""
+        address = self.node.leader_address
+        now_s = _now_s()
+        heard = tuple(
+            log_messages.HeardObserver(owner, sign.index, now_s - sign.heard_s)
+            for owner, sign in self._leases.signs_by_owner.items()
+            if now_s - sign.heard_s < leases.SESSION_LEASE_S
+        )
+        if address is not None and heard:
+            self._peers.post(address, log_messages.Heard(heard))
+
+    def _heard(self, observers):
+        now_s = _now_s()
+        for found in observers:
+            self._leases.heard(found.owner, found.index, now_s - found.age_s)
 
     async def _propose(self, data):
         match codec.decode(data):
@@ -65,15 +149,19 @@
             case result.Failure(error):
                 return results.Rejected(error.problem)
 
-    async def _announced(self, data, leaving):
-        match codec.decode(data):
+    async def _announced(self, message):
+        """Track an announcement where the leader is."""
+        address = self.node.leader_address
+        if address is not None:
+            await self._peers.ask(address, message, FORWARD_S)
+            return
+        match codec.decode(message.server):
             case result.Success(servers.JoinServer(server=server)):
-                await self._track(tracker.Announced(server, leaving))
+                await self._track(tracker.Announced(server, message.leaving))
 
     async def _track(self, event):
-        now_s = asyncio.get_running_loop().time()
         servers_by_id = self.node.state.servers.by_id
-        actions = self._tracker.handle(event, servers_by_id, now_s)
+        actions = self._tracker.handle(event, servers_by_id, _now_s())
         for action in actions:
             await self.node.propose(action.command)
             self._log_change(action.command)
@@ -85,19 +173,6 @@
             case servers.LeaveServer(id=server_id):
                 log.emit(catalogue.SERVER_LEFT, server=server_id)
 
-    def _push_all(self):
-        self._observers = [
-            o for o in self._observers if not o.link.closed.is_set()
-        ]
-        for observer in self._observers:
-            self._push(observer)
-
-    def _push(self, observer):
-        while observer.index < self.node.index:
-            found = self.node.commands_after(
-                observer.index, MAX_ENTRIES_A_MESSAGE
-            )
-            entries = log_messages.Entries(observer.index + 1, found)
-            if not observer.link.tell(entries):
-                return
-            observer.index += len(found)
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/bulrushrudder/control/status.py
@@ -0,0 +1,53 @@
+"""What the leader tells operators about the log."""
+
+from bulrushrudder.consensus import types
+from bulrushrudder.protocol import status_messages
+
+
+def of(node, leases, now_s):
+    """Return the Status; this process leads.
+
+    :param leases: the Leases of observers.
+    """
+    replica = node.replica
+    return status_messages.Status(
+        leader=replica.leader.address,
+        term=replica.term,
+        index=replica.commit,
+        can_lose_one=can_lose_one(replica),
+        members=tuple(_member(replica, m) for m in replica.members),
+        sessions=tuple(
+            _session(session, replica.commit, leases, now_s)
+            for session in node.state.sessions.by_vm.values()
+        ),
+    )
+
+
+def can_lose_one(replica):
+    """Return whether a quorum lives on without any one live voter."""
+    voters = types.voters(replica.members)
+    live = [id_ for id_ in voters if replica.is_live(id_)]
+    return len(live) - 1 >= types.quorum(replica.members)
+
+
+def _member(replica, member):
+    agreed = replica.agreed_index(member.id)
+    return status_messages.MemberStatus(
+        id=member.id,
+        address=member.address,
+        voter=member.voter,
+        live=replica.is_live(member.id),
+        lag=max(replica.log.last_index - agreed, 0),
+    )
+
+
+def _session(session, commit, leases, now_s):
+    sign = leases.signs_by_owner.get(session.owner)
+    index = sign.index if sign else 0
+    return status_messages.SessionStatus(
+        vm=session.owner.vm,
+        incarnation=session.owner.incarnation,
+        index=index,
+        lag=max(commit - index, 0),
+        silent_s=now_s - sign.heard_s if sign else -1.0,
+    )
--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -30,6 +30,7 @@
         self._secret = secret
         self._controls = controls
         self._link = None
+        self._parts = bytearray()
         self._was_fresh = False
         self.changed = asyncio.Event()
 
@@ -96,7 +97,7 @@
         loop = asyncio.get_running_loop()
         while True:
             number = self._view.begin_round(loop.time())
-            found.tell(log_messages.AskVouch(number))
+            found.tell(log_messages.AskVouch(number, self._view.index))
             await asyncio.sleep(ROUND_S)
             self._report_freshness(loop.time())
 
@@ -111,11 +112,23 @@
         match message:
             case log_messages.Entries(first=first, commands=commands):
                 self._apply(first, commands)
+            case log_messages.StatePart():
+                self._take_part(message)
             case log_messages.Vouch(round=number, index=index):
                 self._view.vouched(number, index)
 
     def _apply(self, first, commands):
         for offset, data in enumerate(commands):
-            command = codec.decode(data).unwrap()
+            command = codec.decode(data).unwrap() if data else None
             self._view.apply(first + offset, command)
         self.changed.set()
+
+    def _take_part(self, part):
+        """Collect the parts of a state, then take it."""
+        if part.offset == 0:
+            self._parts = bytearray()
+        self._parts += part.data
+        if len(self._parts) == part.total:
+            self._view.restore(codec.decode(bytes(self._parts)).unwrap())
+            self._parts = bytearray()
+            self.changed.set()
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -96,6 +96,52 @@
 CONTROL_STOPPED = Event(
     2002, Level.INFO, 'control stopped', 'The control process has ended.'
 )
+LEADER_BEGAN = Event(
+    2003, Level.INFO, 'leader began', 'This control process leads the log.'
+)
+LEADER_ENDED = Event(
+    2004,
+    Level.INFO,
+    'leader ended',
+    'This control process no longer leads the log.',
+)
+SESSION_EXPIRED = Event(
+    2005,
+    Level.WARNING,
+    'session expired',
+    'An entry process was silent for its lease; its session is closed.',
+)
+DATA_FOLDER_UNUSABLE = Event(
+    2201,
+    Level.ERROR,
+    'data folder unusable',
+    'The process does not start; the detail says what to do.',
+)
+TORN_TAIL_CUT = Event(
+    2202,
+    Level.INFO,
+    'torn tail cut',
+    'A crash cut off the last write, which nobody had been told of.',
+)
+DISK_FULL = Event(
+    2203,
+    Level.ERROR,
+    'disk full',
+    'Changes are refused until there is room; everything else goes on.',
+)
+DISK_FULL_STOP = Event(
+    2204,
+    Level.ERROR,
+    'disk full stop',
+    'Not even a vote fits; make room and start the process again.',
+)
+SYNC_FAILED = Event(
+    2205,
+    Level.ERROR,
+    'sync failed',
+    'Nobody can say what reached the disk, so the process stops; replace '
+    'the disk, or start the process again if the disk is sound.',
+)
 DOCUMENT_ACCEPTED = Event(
     2101,
     Level.INFO,
--- /dev/null
+++ b/bulrushrudder/metrics/labels.py
@@ -0,0 +1,24 @@
+"""Keeps the number of label sets of a metric within a bound."""
+
+OTHER = 'other'
+
+
+class BoundedLabels:
+    """Lets the first label sets through and folds later ones together.
+
+    :param most: label sets that are told apart.
+    """
+
+    def __init__(self, most):
+        self._most = most
+        self._known = set()
+
+    def bound(self, **labels):
+        """Return the labels, or the same names with the value other."""
+        key = tuple(labels.values())
+        if key in self._known:
+            return labels
+        if len(self._known) >= self._most:
+            return dict.fromkeys(labels, OTHER)
+        self._known.add(key)
+        return labels
--- a/bulrushrudder/metrics/registry.py
+++ b/bulrushrudder/metrics/registry.py
@@ -3,6 +3,7 @@
 import aioprometheus
 from aioprometheus import histogram
 
+from bulrushrudder.metrics import labels
 from bulrushrudder.metrics import latency
 
 SECONDS_BUCKETS = (
@@ -21,8 +22,8 @@
     30.0,
     120.0,
 )
-MAX_LABEL_VALUES = 1000
-OTHER_LABEL = 'other'
+MAX_ROUTES = 200
+MAX_PAIRS = 500
 
 
 class Metrics:
@@ -30,7 +31,8 @@
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
-        self._label_values = set()
+        self._routes = labels.BoundedLabels(MAX_ROUTES)
+        self._pairs = labels.BoundedLabels(MAX_PAIRS)
         self.refusals = self._counter(
             'bulrushrudder_refusals_total', 'Refusals by reason.'
         )
@@ -63,9 +65,8 @@
 
     def count_refusal(self, reason, route):
         """Count a refusal by its numbered reason."""
-        self.refusals.inc(
-            {'reason': reason.name, 'route': self._bounded(route)}
-        )
+        found = self._routes.bound(route=route)
+        self.refusals.inc({'reason': reason.name, **found})
 
     def count_retry(self, reason):
         """Count a retry by its numbered reason."""
@@ -73,7 +74,7 @@
 
     def count_answer(self, route):
         """Count a whole answer."""
-        self.answers.inc({'route': self._bounded(route)})
+        self.answers.inc(self._routes.bound(route=route))
 
     def count_dropped(self, kind):
         """Count an answer that came late, crossed or twice.
@@ -95,10 +96,10 @@
 
         :param started_s: monotonic seconds at which the request came.
         """
-        labels = self._labels(route, account)
+        found = self._pairs.bound(route=route, account=account or 'none')
         return latency.Latency(
-            _child(self.first_token, labels),
-            _child(self.between_tokens, labels),
+            _child(self.first_token, found),
+            _child(self.between_tokens, found),
             started_s,
         )
 
@@ -109,20 +110,6 @@
         """
         return aioprometheus.render(self.registry, accept)
 
-    def _labels(self, route, account):
-        return {
-            'route': self._bounded(route),
-            'account': self._bounded(account or 'none'),
-        }
-
-    def _bounded(self, value):
-        if value in self._label_values:
-            return value
-        if len(self._label_values) >= MAX_LABEL_VALUES:
-            return OTHER_LABEL
-        self._label_values.add(value)
-        return value
-
     def _counter(self, name, text):
         return aioprometheus.Counter(name, text, registry=self.registry)
 
@@ -132,11 +119,11 @@
         )
 
 
-def _child(collector, labels):
+def _child(collector, label_set):
     """Return the histogram of one set of labels."""
     try:
-        return collector.get_value(labels)
+        return collector.get_value(label_set)
     except KeyError:
         found = histogram.Histogram(*collector.upper_bounds)
-        collector.set_value(labels, found)
+        collector.set_value(label_set, found)
         return found
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -38,17 +38,36 @@
     def apply(self, index, command):
         """Apply a command of the log.
 
+        :param command: None where the place in the log holds none.
         :returns: whether it was new; earlier ones are left out.
         """
         if index <= self.state.index:
             return False
         if index != self.state.index + 1:
             raise AssertionError(f'gap before index {index}')
-        self.state.apply(index, command)
+        if command is None:
+            self.state.pass_over(index)
+        else:
+            self.state.apply(index, command)
+        self._look_up()
+        return True
+
+    def restore(self, snapshot):
+        """Take the whole state, unless the view is past it.
+
+        :param snapshot: a StateSnapshot.
+        :returns: whether it was new.
+        """
+        if snapshot.index <= self.state.index:
+            return False
+        self.state.restore(snapshot)
+        self._look_up()
+        return True
+
+    def _look_up(self):
         document = self.state.documents.in_force(self._environment)
         if document is not self.lookups.document:
             self.lookups = lookups.Lookups(document)
-        return True
 
     def begin_round(self, now_s):
         """Note that a question for freshness is sent.
--- a/bulrushrudder/protocol/log_messages.py
+++ b/bulrushrudder/protocol/log_messages.py
@@ -18,7 +18,8 @@
     """Committed commands in the order of the log.
 
     :param first: the index of the first command.
-    :param commands: encoded commands.
+    :param commands: encoded commands; empty bytes at places that hold
+        none.
     """
 
     first: int
@@ -38,9 +39,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskVouch:
-    """Asks for a Vouch; the observer notes when it was sent."""
+    """Asks for a Vouch; the observer notes when it was sent.
+
+    :param index: up to where the log is in force at the observer.
+    """
 
     round: int
+    index: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,3 +71,62 @@
 
     server: bytes
     leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatePart:
+    """A part of the state, for an observer that is far behind.
+
+    :param index: the place in the log that the whole state stands for.
+    :param offset: where in the encoded state this part begins, in bytes.
+    :param total: bytes of the whole encoded state.
+    """
+
+    index: int
+    offset: int
+    total: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """A command that a control process passes on to the leader."""
+
+    command: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotLeader:
+    """The process asked does not lead; the question had no effect."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskConfirm:
+    """Asks the leader for an index that is current."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmedAt:
+    """An index that was current after the question came."""
+
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeardObserver:
+    """When a control process heard of an observer last.
+
+    :param index: up to where the log is in force there.
+    :param age_s: seconds since then.
+    """
+
+    owner: ids.Owner
+    index: int
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """Tells the leader which observers are alive."""
+
+    observers: tuple[HeardObserver, ...]
--- a/bulrushrudder/protocol/peers.py
+++ b/bulrushrudder/protocol/peers.py
@@ -6,6 +6,8 @@
 
 from bulrushrudder.protocol import link
 
+REDIAL_S = 0.2
+
 
 class Peers:
     """Keeps one dialled link to each address.
@@ -13,15 +15,19 @@
     :param owner: this process.
     :param secret: the cluster secret.
     :param handler: serves messages that peers send on these links.
+    :param always_alive: whether silent links are closed also while no
+        question is open.
     """
 
-    def __init__(self, owner, secret, handler):
+    def __init__(self, owner, secret, handler, always_alive=False):
         self._owner = owner
         self._secret = secret
         self._handler = handler
+        self._always_alive = always_alive
         self._links_by_address = {}
         self._locks_by_address = {}
         self._tasks = set()
+        self._dialling = set()
 
     async def ask(self, address, message, timeout_s):
         """Ask a process; dials where no link is open.
@@ -40,6 +46,32 @@
             case result.Success(found):
                 found.tell(message)
 
+    def post(self, address, message):
+        """Send a message at once if a link is open.
+
+        Otherwise the message is lost and a link is dialled.
+        """
+        found = self._links_by_address.get(address)
+        if found is not None and not found.closed.is_set():
+            found.tell(message)
+            return
+        if address in self._dialling:
+            return
+        self._dialling.add(address)
+        self._spawn(self._dial(address))
+
+    async def _dial(self, address):
+        try:
+            await self._open(address)
+            await asyncio.sleep(REDIAL_S)
+        finally:
+            self._dialling.discard(address)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def close(self):
         """Close every link."""
         for found in self._links_by_address.values():
@@ -52,13 +84,15 @@
             if found is not None and not found.closed.is_set():
                 return result.Success(found)
             dialled = await link.dial(
-                address, self._owner, self._secret, self._handler
+                address,
+                self._owner,
+                self._secret,
+                self._handler,
+                self._always_alive,
             )
             return dialled.map(lambda new: self._keep(address, new))
 
     def _keep(self, address, new):
         self._links_by_address[address] = new
-        task = asyncio.create_task(new.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._spawn(new.run())
         return new
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -2,10 +2,13 @@
 
 import types as python_types
 
+from bulrushrudder.consensus import messages as consensus_messages
+from bulrushrudder.consensus import types as consensus_types
 from bulrushrudder.documents import types
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import place_messages
+from bulrushrudder.protocol import status_messages
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import accounts
 from bulrushrudder.state import documents as state_documents
@@ -15,6 +18,7 @@
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
+from bulrushrudder.storage import records
 
 NUMBER_BY_TYPE = python_types.MappingProxyType(
     {
@@ -31,6 +35,14 @@
         log_messages.Proposed: 25,
         log_messages.Announce: 26,
         messages.Noted: 27,
+        log_messages.StatePart: 28,
+        log_messages.Forward: 29,
+        log_messages.NotLeader: 30,
+        log_messages.AskConfirm: 31,
+        log_messages.ConfirmedAt: 32,
+        log_messages.Heard: 33,
+        status_messages.AskStatus: 34,
+        status_messages.Status: 35,
         token_messages.AskTokens: 40,
         token_messages.TokensGranted: 41,
         token_messages.TokensRefused: 42,
@@ -47,6 +59,15 @@
         place_messages.RestoreHolds: 67,
         place_messages.ReportLoad: 68,
         place_messages.ReportCache: 69,
+        consensus_messages.AskVote: 100,
+        consensus_messages.Voted: 101,
+        consensus_messages.Append: 102,
+        consensus_messages.Appended: 103,
+        consensus_messages.SnapshotPart: 104,
+        consensus_messages.SnapshotPartTaken: 105,
+        consensus_messages.HandOver: 106,
+        consensus_messages.Discover: 107,
+        consensus_messages.Discovered: 108,
         state_documents.SubmitDocument: 200,
         state_documents.PromoteDocument: 201,
         sessions.OpenSession: 202,
@@ -71,6 +92,11 @@
         quarantine.ReportCrash: 260,
         quarantine.ClearSuspect: 261,
         quarantine.QuarantineSnapshot: 262,
+        consensus_types.Command: 280,
+        consensus_types.Configuration: 281,
+        consensus_types.TermStart: 282,
+        consensus_types.Snapshot: 283,
+        records.Batch: 284,
         results.Accepted: 300,
         results.Rejected: 301,
         results.Unavailable: 302,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -71,6 +71,10 @@
         for environment in types.Environment:
             self._limit(environment)
 
+    def pass_over(self, index):
+        """Take note of a place in the log that holds no command."""
+        self.index = index
+
     def apply(self, index, command):
         """Apply a committed command.
 
--- a/bulrushrudder/storage/__init__.py
+++ b/bulrushrudder/storage/__init__.py
@@ -1,1 +1,1 @@
-"""The durable log and snapshot in the data folder."""
+"""Durable storage of the log under one data folder."""
--- /dev/null
+++ b/bulrushrudder/storage/folder.py
@@ -0,0 +1,120 @@
+"""The data folder: its lock, its id and whole files."""
+
+import dataclasses
+import errno
+import fcntl
+import os
+import pathlib
+import secrets
+import typing
+
+from returns import result
+
+from bulrushrudder.storage import errors
+
+ID_FILE = 'id'
+LOCK_FILE = 'lock'
+NEW_SUFFIX = '.new'
+ID_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Calls:
+    """The calls to the operating system that a test may let fail."""
+
+    sync_data: typing.Callable = os.fdatasync
+    sync: typing.Callable = os.fsync
+    allocate: typing.Callable = os.posix_fallocate
+
+
+def lock(stack, path):
+    """Make the folder where needed and become its only owner.
+
+    :param stack: an ExitStack that owns the lock.
+    :returns: the path, or an OpenError.
+    """
+    try:
+        pathlib.Path(path).mkdir(parents=True, exist_ok=True)
+        file = stack.enter_context((path / LOCK_FILE).open('a'))
+    except OSError as error:
+        problem = error.strerror or repr(error)
+        return result.Failure(errors.FolderUnusable(str(path), problem))
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        return result.Failure(errors.FolderLocked(str(path)))
+    return result.Success(path)
+
+
+def identity(path):
+    """Return the id of the data folder.
+
+    :returns: the id, or FileDamaged.
+    """
+    file = path / ID_FILE
+    if not file.exists():
+        problem = 'the id is missing, though the folder was in use'
+        return result.Failure(errors.FileDamaged(str(file), 0, problem))
+    found = file.read_text(errors='replace')
+    if len(found) != 2 * ID_BYTES:
+        problem = 'the id is cut off'
+        return result.Failure(errors.FileDamaged(str(file), 0, problem))
+    return result.Success(found)
+
+
+def make_identity(path, calls):
+    """Make an id for the data folder.
+
+    :returns: None, or a WriteError.
+    """
+    fresh = secrets.token_hex(ID_BYTES)
+    return replace(path, ID_FILE, fresh.encode(), calls)
+
+
+def replace(path, name, data, calls):
+    """Put a whole file in place, durably.
+
+    :returns: None, or a WriteError.
+    """
+    fresh = path / (name + NEW_SUFFIX)
+    try:
+        fresh.write_bytes(data)
+        problem = _sync_file(fresh, calls)
+        if problem is not None:
+            return result.Failure(problem)
+        fresh.replace(path / name)
+    except OSError as error:
+        fresh.unlink(missing_ok=True)
+        return result.Failure(write_error(error))
+    return sync_folder(path, calls)
+
+
+def sync_folder(path, calls):
+    """Make names in the folder durable.
+
+    :returns: None, or a SyncFailed.
+    """
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        calls.sync(descriptor)
+    except OSError as error:
+        return result.Failure(errors.SyncFailed(repr(error)))
+    finally:
+        os.close(descriptor)
+    return result.Success(None)
+
+
+def write_error(error):
+    """Return the WriteError of a failed write."""
+    if error.errno in (errno.ENOSPC, errno.EDQUOT):
+        return errors.DiskFull(error.strerror)
+    return errors.SyncFailed(repr(error))
+
+
+def _sync_file(file, calls):
+    with file.open('rb') as opened:
+        try:
+            calls.sync(opened.fileno())
+        except OSError as error:
+            return errors.SyncFailed(repr(error))
+    return None
--- /dev/null
+++ b/bulrushrudder/storage/store.py
@@ -0,0 +1,225 @@
+"""Keeps what a member of the log must not forget."""
+
+import dataclasses
+import os
+
+from returns import result
+
+from bulrushrudder.consensus import actions
+from bulrushrudder.consensus import log
+from bulrushrudder.consensus import types
+from bulrushrudder.protocol import codec
+from bulrushrudder.storage import errors
+from bulrushrudder.storage import folder
+from bulrushrudder.storage import frames
+from bulrushrudder.storage import log_file
+from bulrushrudder.storage import records
+
+SNAPSHOT_FILE = 'snapshot'
+SPARE_BYTES = 256 * 1024
+CALLS = folder.Calls()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """A data folder that is in use.
+
+    :param id: made with the folder.
+    :param torn: whether a torn tail was cut off.
+    """
+
+    id: types.MemberId
+    durable: types.Durable
+    torn: bool
+    store: 'Store'
+
+
+class Store:
+    """Writes batches of consensus actions.
+
+    :param path: the data folder.
+    :param opened_file: the LogFile.
+    """
+
+    def __init__(self, path, opened_file, calls):
+        self._path = path
+        self._file = opened_file
+        self._calls = calls
+
+    @property
+    def log_bytes(self):
+        """Return the size of the log file."""
+        return self._file.end
+
+    def close(self):
+        """Close the files."""
+        self._file.close()
+
+    def has_room(self, size):
+        """Return whether a batch of some bytes surely fits.
+
+        Spare room is kept for ballots, so that a full disk refuses new
+        changes but not elections.
+        """
+        reserved = self._file.reserve(size + SPARE_BYTES)
+        return isinstance(reserved, result.Success)
+
+    def has_free(self, size):
+        """Return whether the disk has room for a new file."""
+        found = os.statvfs(self._path)
+        return found.f_bavail * found.f_frsize >= size
+
+    def save(self, batch):
+        """Make SaveEntries and SaveSnapshot actions durable, in order.
+
+        :returns: None, or a WriteError.
+        """
+        pending = []
+        for action in batch:
+            match action:
+                case actions.SaveEntries():
+                    pending.append(action)
+                case actions.SaveSnapshot():
+                    pending = []
+                    saved = self._save_snapshot(action)
+                    if isinstance(saved, result.Failure):
+                        return saved
+        if not pending:
+            return result.Success(None)
+        entries = tuple(e for action in pending for e in action.entries)
+        record = records.Batch(pending[-1].ballot, entries)
+        return self._file.append(codec.encode(record))
+
+    def _save_snapshot(self, action):
+        data = frames.pack(0, codec.encode(action.snapshot))
+        record = records.Batch(action.ballot, action.entries)
+        first = frames.pack(0, codec.encode(record))
+        saved = folder.replace(self._path, SNAPSHOT_FILE, data, self._calls)
+        if isinstance(saved, result.Success):
+            saved = folder.replace(
+                self._path, log_file.LOG_FILE, first, self._calls
+            )
+        if isinstance(saved, result.Success):
+            self._file.close()
+            self._file = log_file.LogFile(
+                self._path, self._calls, 1, len(first)
+            )
+        return saved
+
+
+def open_store(stack, path, calls=CALLS):
+    """Open a data folder; an empty one becomes a new member.
+
+    :param stack: an ExitStack that owns the files and the lock.
+    :returns: an Opened, or an OpenError.
+    """
+    locked = folder.lock(stack, path)
+    return locked.bind(lambda _: _open(stack, path, calls))
+
+
+def _open(stack, path, calls):
+    try:
+        return _load(stack, path, calls)
+    except OSError as error:
+        problem = error.strerror or repr(error)
+        return result.Failure(errors.FolderUnusable(str(path), problem))
+
+
+def _load(stack, path, calls):
+    made = _make(path, calls)
+    if isinstance(made, result.Failure):
+        problem = made.failure().problem
+        return result.Failure(errors.FolderUnusable(str(path), problem))
+    return _read(stack, path, calls)
+
+
+def _make(path, calls):
+    """Make an id for an empty folder, as the last of its files."""
+    if (path / folder.ID_FILE).exists() or _is_used(path):
+        return result.Success(None)
+    record = codec.encode(records.Batch(types.NO_BALLOT, ()))
+    first = frames.pack(0, record)
+    made = folder.replace(path, log_file.LOG_FILE, first, calls)
+    return made.bind(lambda _: folder.make_identity(path, calls))
+
+
+def _is_used(path):
+    if (path / SNAPSHOT_FILE).exists():
+        return True
+    file = path / log_file.LOG_FILE
+    if not file.exists():
+        return False
+    return len(frames.scan(file.read_bytes()).payloads) > 1
+
+
+def _read(stack, path, calls):
+    named = folder.identity(path)
+    if isinstance(named, result.Failure):
+        return named
+    scanned = log_file.read(path)
+    if isinstance(scanned, result.Failure):
+        return scanned
+    loaded = _read_snapshot(path)
+    if isinstance(loaded, result.Failure):
+        return loaded
+    return _open_file(
+        stack, path, calls, named.unwrap(), scanned.unwrap(), loaded.unwrap()
+    )
+
+
+def _open_file(stack, path, calls, id_, scan, snapshot):
+    replayed = _replay(path, scan.payloads, snapshot)
+    if isinstance(replayed, result.Failure):
+        return replayed
+    if scan.torn:
+        log_file.cut(path, scan.end, calls)
+    opened_file = log_file.LogFile(path, calls, len(scan.payloads), scan.end)
+    store = Store(path, opened_file, calls)
+    stack.callback(store.close)
+    return result.Success(
+        Opened(types.MemberId(id_), replayed.unwrap(), scan.torn, store)
+    )
+
+
+def _read_snapshot(path):
+    file = path / SNAPSHOT_FILE
+    if not file.exists():
+        return result.Success(types.NO_SNAPSHOT)
+    scan = frames.scan(file.read_bytes())
+    if scan.torn or len(scan.payloads) != 1:
+        problem = 'the checksum of the snapshot is wrong'
+        return result.Failure(errors.FileDamaged(str(file), 0, problem))
+    return _decoded(file, scan.payloads[0])
+
+
+def _replay(path, payloads, snapshot):
+    """Return the Durable that batches and a snapshot add up to."""
+    file = path / log_file.LOG_FILE
+    ballot = types.NO_BALLOT
+    held = log.Log(types.NO_SNAPSHOT, ())
+    for payload in payloads:
+        decoded = _decoded(file, payload)
+        if isinstance(decoded, result.Failure):
+            return decoded
+        ballot = decoded.unwrap().ballot
+        for entry in decoded.unwrap().entries:
+            held.append([entry])
+    if held.entries and held.first_index > snapshot.index + 1:
+        problem = 'entries between the snapshot and the log are missing'
+        return result.Failure(errors.FileDamaged(str(file), 0, problem))
+    if held.first_index <= snapshot.index:
+        held = _without_other_log(held, snapshot)
+    return result.Success(types.Durable(ballot, snapshot, tuple(held.entries)))
+
+
+def _without_other_log(held, snapshot):
+    """Drop entries that a leader's snapshot took the place of."""
+    if held.term_at(snapshot.index) == snapshot.term:
+        return held
+    return log.Log(snapshot, ())
+
+
+def _decoded(file, payload):
+    return codec.decode(payload).alt(
+        lambda error: errors.FileDamaged(str(file), 0, error.problem)
+    )
--- /dev/null
+++ b/bulrushrudder/tests/builders/cluster.py
@@ -0,0 +1,318 @@
+"""Members of the log on a small network and disks in virtual time."""
+
+import dataclasses
+import enum
+import heapq
+import itertools
+import json
+import random
+
+from bulrushrudder.consensus import actions
+from bulrushrudder.consensus import core
+from bulrushrudder.consensus import events
+from bulrushrudder.consensus import replica
+from bulrushrudder.consensus import types
+
+STEP_S = 0.05
+ROUNDS_A_STEP = 3
+
+
+class Crash(enum.Enum):
+    """Where the next batch of actions is cut off."""
+
+    BEFORE_SYNC = 'before sync'
+    AFTER_SYNC = 'after sync'
+
+
+class Disk:
+    """What survives a crash: only whole, synced batches."""
+
+    def __init__(self, member_id):
+        self.id = types.MemberId(member_id)
+        self.durable = types.BLANK
+
+    def save(self, action):
+        found = self.durable
+        match action:
+            case actions.SaveEntries(ballot=ballot, entries=entries):
+                kept = list(found.entries)
+                for entry in entries:
+                    kept = [e for e in kept if e.index < entry.index]
+                    kept.append(entry)
+                self.durable = types.Durable(
+                    ballot, found.snapshot, tuple(kept)
+                )
+            case actions.SaveSnapshot():
+                self.durable = types.Durable(
+                    action.ballot, action.snapshot, action.entries
+                )
+
+
+class Oracle:
+    """The list of accepted changes, with what must hold about them."""
+
+    def __init__(self):
+        self.entries_by_index = {}
+        self.accepted = {}
+        self.leaders_by_term = {}
+
+    def applied(self, entry):
+        known = self.entries_by_index.setdefault(entry.index, entry)
+        if known != entry:
+            raise AssertionError(f'{known} was reverted by {entry}')
+
+    def leads(self, cluster, term, member_id):
+        known = self.leaders_by_term.setdefault((cluster, term), member_id)
+        if known != member_id:
+            raise AssertionError(f'{known} and {member_id} lead term {term}')
+
+    @property
+    def last_accepted(self):
+        return max(self.accepted, default=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A proposal whose commands stand in a leader's log."""
+
+    term: int
+    data: bytes
+
+
+class Process:
+    """One run of a member's process."""
+
+    def __init__(self, cluster, address, disk, draw):
+        self.cluster = cluster
+        self.disk = disk
+        self.offset_s = 0.0
+        self.crash = None
+        self.inbox = [events.Ticked()]
+        self.history = history_of(disk.durable.snapshot)
+        self.waiting_by_index = {}
+        self.proposals = {}
+        self.questions = {}
+        identity = core.Identity(disk.id, address, cluster.addresses)
+        self.replica = replica.Replica(
+            identity, disk.durable, draw, cluster.now_s, keep_entries=3
+        )
+
+    def step(self):
+        """Handle all events as one batch: sync first, then the rest."""
+        batch = []
+        for event in self.inbox:
+            now_s = self.cluster.now_s + self.offset_s
+            batch += self.replica.handle(event, now_s)
+        self.inbox = []
+        if self.crash is Crash.BEFORE_SYNC:
+            return False
+        for action in batch:
+            self.disk.save(action)
+        if self.crash is Crash.AFTER_SYNC:
+            return False
+        for action in batch:
+            self._carry_out(action)
+        if self.replica.role is core.Role.LEADER:
+            member = self.replica
+            self.cluster.oracle.leads(member.cluster, member.term, member.id)
+        return True
+
+    def _carry_out(self, action):
+        oracle = self.cluster.oracle
+        match action:
+            case actions.Send(address=address, message=message):
+                self.cluster.post(self, address, message)
+            case actions.Apply(entries=entries):
+                for entry in entries:
+                    self._apply(entry)
+            case actions.Restore(snapshot=snapshot):
+                self._restore(snapshot)
+            case actions.Accepted(token=token, first=first, term=term):
+                waiting = Waiting(term, self.proposals.pop(token))
+                self.waiting_by_index[first] = waiting
+                self._answer(first)
+            case actions.Confirmed(token=token, index=index):
+                if index < self.questions.pop(token):
+                    raise AssertionError(f'{index} was not current')
+                if index > max(oracle.entries_by_index, default=0):
+                    raise AssertionError(f'{index} is not committed')
+
+    def _apply(self, entry):
+        self.cluster.oracle.applied(entry)
+        if entry.index != len(self.history) + 1:
+            raise AssertionError(f'a gap before {entry.index}')
+        self.history.append(label(entry))
+        self._answer(entry.index)
+
+    def _answer(self, index):
+        """Tell the client, where its own entry was committed."""
+        waiting = self.waiting_by_index.get(index)
+        if waiting is None or index > len(self.history):
+            return
+        del self.waiting_by_index[index]
+        entry = self.cluster.oracle.entries_by_index[index]
+        if entry.term == waiting.term:
+            self.cluster.oracle.accepted[index] = waiting.data
+
+    def _restore(self, snapshot):
+        if snapshot.index <= len(self.history):
+            raise AssertionError('the state went back')
+        self.history = history_of(snapshot)
+
+
+def label(entry):
+    match entry.payload:
+        case types.Command(data=data):
+            return data.decode()
+        case types.Configuration():
+            return 'configuration'
+    return 'term start'
+
+
+def history_of(snapshot):
+    return json.loads(snapshot.data) if snapshot.data else []
+
+
+class Cluster:
+    """Processes by address, with a network that may fail them.
+
+    :param addresses: all control addresses of the settings.
+    :param seed: of delays, losses and elections.
+    """
+
+    def __init__(self, addresses, seed):
+        self.addresses = tuple(addresses)
+        self.random = random.Random(seed)
+        self.oracle = Oracle()
+        self.now_s = 0.0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay_s = 0.02
+        self.blocked = set()
+        self.processes_by_address = {}
+        self.disks_by_address = {}
+        self._numbers = itertools.count(1)
+        self._in_flight = []
+        for address in addresses:
+            self.start(address)
+
+    def start(self, address):
+        disk = self.disks_by_address.get(address)
+        if disk is None:
+            disk = Disk(f'disk-{next(self._numbers)}')
+            self.disks_by_address[address] = disk
+        self.processes_by_address[address] = Process(
+            self, address, disk, self.random.random
+        )
+
+    def kill(self, address):
+        self.processes_by_address.pop(address, None)
+
+    def wipe(self, address):
+        self.kill(address)
+        self.disks_by_address.pop(address, None)
+
+    def may_wipe(self, address):
+        """Return whether a majority of disks would live on."""
+        lost = self.disks_by_address.get(address)
+        if lost is None or lost.durable.entries == ():
+            return lost is not None and lost.durable == types.BLANK
+        living = {d.id for d in self.disks_by_address.values()} - {lost.id}
+        durables = [d.durable for d in self.disks_by_address.values()]
+        return all(
+            len(living.intersection(types.voters(members)))
+            >= types.quorum(members)
+            for durable in durables
+            for members in configurations(durable)
+        )
+
+    def post(self, process, address, message):
+        if self.random.random() < self.loss:
+            return
+        copies = 2 if self.random.random() < self.duplication else 1
+        for _ in range(copies):
+            due_s = self.now_s + self.random.random() * self.delay_s
+            sender = process.replica._core.identity.address
+            item = (due_s, next(self._numbers), sender, address, message)
+            heapq.heappush(self._in_flight, item)
+
+    def run(self, seconds):
+        until_s = self.now_s + seconds
+        while self.now_s < until_s:
+            self.now_s += STEP_S
+            for process in self.processes_by_address.values():
+                process.inbox.append(events.Ticked())
+            for _ in range(ROUNDS_A_STEP):
+                self._deliver()
+                self._step_all()
+
+    def _deliver(self):
+        while self._in_flight and self._in_flight[0][0] <= self.now_s:
+            _, _, sender, address, message = heapq.heappop(self._in_flight)
+            process = self.processes_by_address.get(address)
+            if process and (sender, address) not in self.blocked:
+                process.inbox.append(events.Received(message))
+
+    def _step_all(self):
+        for address, process in list(self.processes_by_address.items()):
+            if not process.step():
+                self.kill(address)
+
+    def propose(self, address, data):
+        process = self.processes_by_address[address]
+        token = next(self._numbers)
+        process.proposals[token] = data
+        process.inbox.append(events.Proposed(token, (data,)))
+
+    def confirm(self, address):
+        process = self.processes_by_address[address]
+        token = next(self._numbers)
+        process.questions[token] = self.oracle.last_accepted
+        process.inbox.append(events.ConfirmAsked(token))
+
+    def save_state(self, address):
+        process = self.processes_by_address[address]
+        data = json.dumps(process.history).encode()
+        process.inbox.append(events.StateSaved(len(process.history), data))
+
+    def leaders(self):
+        return [
+            address
+            for address, process in self.processes_by_address.items()
+            if process.replica.settled
+        ]
+
+    def heal(self):
+        self.loss = self.duplication = 0.0
+        self.delay_s = 0.02
+        self.blocked = set()
+        for address in self.addresses:
+            if address not in self.processes_by_address:
+                self.start(address)
+            self.processes_by_address[address].crash = None
+
+    def check_converged(self):
+        """Check that all members hold all accepted changes."""
+        leaders = self.leaders()
+        if len(leaders) != 1:
+            raise AssertionError(f'leaders: {leaders}')
+        leader = self.processes_by_address[leaders[0]]
+        for index, data in self.oracle.accepted.items():
+            if leader.history[index - 1] != data.decode():
+                raise AssertionError(f'{data} at {index} was lost')
+        for address in self.addresses:
+            process = self.processes_by_address[address]
+            if process.history != leader.history:
+                raise AssertionError(f'{address} has another history')
+        ids = {self.disks_by_address[a].id for a in self.addresses}
+        if ids != set(types.voters(leader.replica.members)):
+            raise AssertionError(f'voters: {leader.replica.members}')
+
+
+def configurations(durable):
+    """Return all configurations in a log, with the snapshot's."""
+    found = [durable.snapshot.members] if durable.snapshot.members else []
+    for entry in durable.entries:
+        if isinstance(entry.payload, types.Configuration):
+            found.append(entry.payload.members)
+    return found
--- a/bulrushrudder/tests/commands/arguments_tests.py
+++ b/bulrushrudder/tests/commands/arguments_tests.py
@@ -2,8 +2,8 @@
 import io
 import unittest
 
-from bulrushrudder import __main__ as program
 from bulrushrudder.commands import errors
+from bulrushrudder.commands import program
 
 
 def run(*words):
--- /dev/null
+++ b/bulrushrudder/tests/consensus/fuzz_tests.py
@@ -0,0 +1,255 @@
+import os
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bulrushrudder.consensus import core
+from bulrushrudder.consensus import events
+from bulrushrudder.tests.builders import cluster
+
+EXAMPLES = int(os.environ.get('BULRUSHRUDDER_FUZZ_EXAMPLES', '60'))
+STEPS = 30
+HOUR_S = 3600.0
+STORM_STEPS = 40
+HAND_OVER_S = 0.5
+HEALED_S = 40.0
+
+PLACES = st.integers(0, 4)
+CRASHES = st.sampled_from([None, *cluster.Crash])
+SHORT_S = st.sampled_from([0.05, 0.1, 0.3, 1.0, 3.0])
+
+
+class ClusterMachine(stateful.RuleBasedStateMachine):
+    """Members under any interleaving of faults.
+
+    The cluster checks each step against its oracle.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = None
+        self.proposed = 0
+
+    @stateful.initialize(
+        seed=st.integers(0, 2**32),
+        size=st.sampled_from([1, 3, 3, 5]),
+        storms=st.integers(0, 4),
+    )
+    def found(self, seed, size, storms):
+        self.cluster = cluster.Cluster('abcde'[:size], seed)
+        self.cluster.run(3.0)
+        for number in range(storms):
+            self.storm(seed + number)
+
+    @stateful.rule(seconds=SHORT_S)
+    def run_on(self, seconds):
+        self.cluster.run(seconds)
+
+    @stateful.rule(place=PLACES, count=st.integers(1, 4))
+    def propose(self, place, count):
+        found = self._leaders_or_any(place)
+        for _ in range(count if found else 0):
+            self.proposed += 1
+            self.cluster.propose(found, str(self.proposed).encode())
+        self.cluster.run(0.1)
+
+    @stateful.rule(place=PLACES)
+    def confirm(self, place):
+        found = self._leaders_or_any(place)
+        if found:
+            self.cluster.confirm(found)
+
+    @stateful.rule(place=PLACES, crash=CRASHES)
+    def crash(self, place, crash):
+        process = self._process(place)
+        if process is None:
+            return
+        if crash is None:
+            self.cluster.kill(self._address(place))
+        else:
+            process.crash = crash
+
+    @stateful.rule(crash=CRASHES)
+    def crash_leader(self, crash):
+        for address in self.cluster.leaders():
+            if crash is None:
+                self.cluster.kill(address)
+            else:
+                self.cluster.processes_by_address[address].crash = crash
+
+    @stateful.rule(place=PLACES)
+    def restart(self, place):
+        address = self._address(place)
+        if self._process(place) is None:
+            self.cluster.start(address)
+
+    @stateful.rule(place=PLACES, comes_back=st.booleans())
+    def wipe(self, place, comes_back):
+        address = self._address(place)
+        if not self.cluster.may_wipe(address):
+            return
+        self.cluster.wipe(address)
+        if comes_back:
+            self.cluster.start(address)
+
+    @stateful.rule(place=PLACES)
+    def replace_vm(self, place):
+        """Give the place of a VM to another, with other settings."""
+        address = self._address(place)
+        if not self.cluster.may_wipe(address):
+            return
+        self.cluster.wipe(address)
+        fresh = f'{address}+'
+        self.cluster.addresses = tuple(
+            fresh if a == address else a for a in self.cluster.addresses
+        )
+        self._restart_with_settings()
+
+    @stateful.rule()
+    def grow(self):
+        if len(self.cluster.addresses) < 5:
+            fresh = 'vwxyz'[len(self.cluster.addresses)]
+            self.cluster.addresses = (*self.cluster.addresses, fresh)
+            self._restart_with_settings()
+
+    @stateful.rule(one=PLACES, other=PLACES)
+    def block_one_way(self, one, other):
+        pair = (self._address(one), self._address(other))
+        self.cluster.blocked.add(pair)
+
+    @stateful.rule(place=PLACES, seconds=st.sampled_from([3.0, HOUR_S]))
+    def isolate(self, place, seconds):
+        """Cut a member off, also for an hour, then let it return."""
+        address = self._address(place)
+        kept = set(self.cluster.blocked)
+        self._cut_off(address)
+        self.cluster.run(3.0)
+        self.cluster.now_s += seconds - 3.0
+        self.cluster.run(1.0)
+        self.cluster.blocked = kept
+
+    @stateful.rule()
+    def mend_network(self):
+        self.cluster.blocked = set()
+
+    @stateful.rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        duplication=st.sampled_from([0.0, 0.3]),
+        delay_s=st.sampled_from([0.01, 0.2, 2.0]),
+    )
+    def change_network(self, loss, duplication, delay_s):
+        self.cluster.loss = loss
+        self.cluster.duplication = duplication
+        self.cluster.delay_s = delay_s
+
+    @stateful.rule(place=PLACES, seconds=st.sampled_from([0.5, 5.0, HOUR_S]))
+    def jump_clock(self, place, seconds):
+        process = self._process(place)
+        if process:
+            process.offset_s += seconds
+
+    @stateful.rule(place=PLACES)
+    def save_state(self, place):
+        if self._process(place):
+            self.cluster.save_state(self._address(place))
+
+    @stateful.rule()
+    def shut_down_leader(self):
+        leaders = self.cluster.leaders()
+        for address in leaders:
+            process = self.cluster.processes_by_address[address]
+            process.inbox.append(events.HandOverAsked())
+        self.cluster.run(HAND_OVER_S)
+        for address in leaders:
+            self.cluster.kill(address)
+
+    @stateful.rule(seed=st.integers(0, 2**32))
+    def storm(self, seed):
+        """Many elections, crashes and short partitions in a row."""
+        choice = random.Random(seed)
+        self.cluster.delay_s = choice.choice([0.02, 0.3, 1.0])
+        for _ in range(STORM_STEPS):
+            self._short_fault(choice)
+            self.cluster.run(choice.choice([0.05, 0.1, 0.3]))
+        self.cluster.delay_s = 0.02
+        self.cluster.blocked = set()
+
+    def _short_fault(self, choice):
+        place = choice.randrange(5)
+        match choice.randrange(10):
+            case 0:
+                self.cluster.kill(self._address(place))
+                self.cluster.start(self._address(place))
+            case 1 | 2:
+                self._hurry_elections()
+            case 3 | 4 | 5:
+                self._propose_to_all()
+            case 6:
+                self._cut_off(self._address(place))
+            case 7:
+                for leader in self.cluster.leaders():
+                    self._propose_to_all()
+                    self._cut_off(leader)
+            case 8:
+                self.cluster.blocked = set()
+            case 9 if self._process(place):
+                self.cluster.save_state(self._address(place))
+
+    def _hurry_elections(self):
+        """Let all members stand for election at the same time."""
+        for process in self.cluster.processes_by_address.values():
+            process.offset_s += 2 * core.ELECTION_S
+
+    def _propose_to_all(self):
+        for address in self.cluster.processes_by_address:
+            self.proposed += 1
+            self.cluster.propose(address, str(self.proposed).encode())
+            self.cluster.confirm(address)
+
+    def _cut_off(self, address):
+        for other in self.cluster.addresses:
+            self.cluster.blocked |= {(address, other), (other, address)}
+
+    def teardown(self):
+        if self.cluster is None:
+            return
+        self.cluster.heal()
+        self.cluster.run(HEALED_S)
+        for address in self.cluster.leaders():
+            self.cluster.propose(address, b'last')
+        self.cluster.run(1.0)
+        self.cluster.check_converged()
+        if b'last' not in self.cluster.oracle.accepted.values():
+            raise AssertionError('the healed cluster takes no change')
+
+    def _address(self, place):
+        addresses = self.cluster.addresses
+        return addresses[place % len(addresses)]
+
+    def _process(self, place):
+        return self.cluster.processes_by_address.get(self._address(place))
+
+    def _leaders_or_any(self, place):
+        leaders = self.cluster.leaders()
+        if leaders:
+            return leaders[place % len(leaders)]
+        return self._address(place) if self._process(place) else None
+
+    def _restart_with_settings(self):
+        for address in self.cluster.addresses:
+            self.cluster.kill(address)
+            self.cluster.start(address)
+
+
+ClusterTests = ClusterMachine.TestCase
+ClusterTests.settings = hypothesis.settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    derandomize=True,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
--- /dev/null
+++ b/bulrushrudder/tests/metrics/registry_tests.py
@@ -0,0 +1,24 @@
+import unittest
+
+from bulrushrudder.core import outcomes
+from bulrushrudder.metrics import registry
+
+ACCOUNTS = 17_000
+
+
+class RegistryTests(unittest.TestCase):
+    def test_label_sets_stay_within_their_bounds(self):
+        metrics = registry.Metrics()
+        for number in range(ACCOUNTS):
+            route = f'route-{number % 31}'
+            metrics.latency(route, f'account-{number}', 0.0)
+            metrics.count_answer(f'route-{number}')
+            metrics.count_refusal(outcomes.Reason.OVER_RATE, f'route-{number}')
+        text = metrics.render([])[0].decode()
+        routes = text.count('bulrushrudder_answers_total{')
+        self.assertEqual(routes, registry.MAX_ROUTES + 1)
+        pairs = text.count('bulrushrudder_first_token_seconds_count{')
+        self.assertEqual(pairs, registry.MAX_PAIRS + 1)
+        refusals = text.count('bulrushrudder_refusals_total{')
+        self.assertEqual(refusals, registry.MAX_ROUTES + 1)
+        self.assertIn('route="other"', text)
--- /dev/null
+++ b/bulrushrudder/tests/storage/store_tests.py
@@ -0,0 +1,197 @@
+import contextlib
+import errno
+import pathlib
+import shutil
+import tempfile
+import unittest
+
+from returns import result
+
+from bulrushrudder.consensus import actions
+from bulrushrudder.consensus import types
+from bulrushrudder.storage import errors
+from bulrushrudder.storage import folder
+from bulrushrudder.storage import store
+
+MEMBERS = (types.Member(types.MemberId('m'), '127.0.0.1:1', voter=True),)
+
+
+def entry(index, term=1, data=b'change'):
+    return types.Entry(index, term, types.Command(data))
+
+
+def save(*entries, term=1, vote='m'):
+    return actions.SaveEntries(types.Ballot('m', term, vote), entries)
+
+
+def fails_with(number):
+    def call(*_):
+        raise OSError(number, 'on purpose')
+
+    return call
+
+
+class StoreTests(unittest.TestCase):
+    def setUp(self):
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.path = pathlib.Path(made.name) / 'data'
+
+    @contextlib.contextmanager
+    def opened(self, calls=store.CALLS):
+        with contextlib.ExitStack() as stack:
+            yield store.open_store(stack, self.path, calls).unwrap()
+
+    def write(self, *batches):
+        with self.opened() as found:
+            for batch in batches:
+                self.assertEqual(
+                    found.store.save([batch]), result.Success(None)
+                )
+
+    def read(self):
+        with self.opened() as found:
+            return found.durable
+
+    def failure(self):
+        with contextlib.ExitStack() as stack:
+            found = store.open_store(stack, self.path)
+            return found.failure()
+
+    def log_bytes(self):
+        return (self.path / 'log').read_bytes().rstrip(b'\0')
+
+    def test_restart_finds_what_was_saved(self):
+        self.write(save(entry(1), entry(2)), save(entry(2, 2), term=2))
+        durable = self.read()
+        self.assertEqual(durable.ballot, types.Ballot('m', 2, 'm'))
+        self.assertEqual(durable.entries, (entry(1), entry(2, 2)))
+
+    def test_id_is_made_with_the_folder(self):
+        with self.opened() as first, contextlib.ExitStack() as stack:
+            locked = store.open_store(stack, self.path).failure()
+            self.assertIsInstance(locked, errors.FolderLocked)
+        with self.opened() as second:
+            self.assertEqual(second.id, first.id)
+        shutil.rmtree(self.path)
+        with self.opened() as wiped:
+            self.assertNotEqual(wiped.id, first.id)
+
+    def test_lost_file_is_no_first_start(self):
+        for name in ('id', 'log'):
+            with self.subTest(name):
+                shutil.rmtree(self.path, ignore_errors=True)
+                self.write(save(entry(1)), save(entry(2)))
+                (self.path / name).unlink()
+                self.assertIsInstance(self.failure(), errors.FileDamaged)
+
+    def test_every_truncation_keeps_all_earlier_batches(self):
+        ends = []
+        with self.opened() as found:
+            for index in range(1, 6):
+                found.store.save([save(entry(index))])
+                ends.append(found.store.log_bytes)
+        whole = self.log_bytes()
+        for length in range(ends[0], len(whole)):
+            (self.path / 'log').write_bytes(whole[:length])
+            expected = sum(end <= length for end in ends)
+            self.assertEqual(len(self.read().entries), expected, length)
+            self.assertEqual(
+                (self.path / 'log').stat().st_size, ends[expected - 1]
+            )
+
+    def test_every_flipped_byte_before_the_last_batch_is_damage(self):
+        with self.opened() as found:
+            for index in range(1, 4):
+                last = found.store.log_bytes
+                found.store.save([save(entry(index))])
+        whole = self.log_bytes()
+        for position in range(len(whole)):
+            data = bytearray(whole)
+            data[position] ^= 0x10
+            (self.path / 'log').write_bytes(data)
+            if position < last:
+                failure = self.failure()
+                self.assertIsInstance(failure, errors.FileDamaged, position)
+            else:
+                self.assertEqual(len(self.read().entries), 2, position)
+
+    def test_torn_batch_is_lost_as_a_whole(self):
+        self.write(save(entry(1)))
+        kept = len(self.log_bytes())
+        self.write(save(entry(2), entry(3), entry(4)))
+        data = bytearray(self.log_bytes())
+        data[kept + 30 : kept + 40] = bytes(10)
+        (self.path / 'log').write_bytes(data)
+        self.assertEqual(self.read().entries, (entry(1),))
+        self.write(save(entry(2, 5)))
+        self.assertEqual(self.read().entries, (entry(1), entry(2, 5)))
+
+    def test_snapshot_with_the_entries_that_stay(self):
+        snapshot = types.Snapshot(3, 1, MEMBERS, b'state')
+        self.write(save(*map(entry, range(1, 5))))
+        for kept in ((entry(2), entry(3), entry(4)), (entry(4),), ()):
+            with self.subTest(len(kept)):
+                cut = actions.SaveSnapshot(
+                    types.Ballot('m', 1, 'm'), snapshot, kept
+                )
+                self.write(cut)
+                durable = self.read()
+                self.assertEqual(durable.snapshot, snapshot)
+                self.assertEqual(durable.entries, kept)
+
+    def test_crash_between_snapshot_and_log(self):
+        self.write(save(*map(entry, range(1, 6))))
+        old = self.log_bytes()
+        for term, kept in ((1, 5), (2, 0)):
+            snapshot = types.Snapshot(3, term, MEMBERS, b'state')
+            cut = actions.SaveSnapshot(types.Ballot('m', 1, 'm'), snapshot, ())
+            self.write(cut)
+            (self.path / 'log').write_bytes(old)
+            durable = self.read()
+            self.assertEqual(durable.snapshot, snapshot)
+            self.assertEqual(len(durable.entries), kept)
+
+    def test_damaged_snapshot_stops(self):
+        snapshot = types.Snapshot(3, 1, MEMBERS, b'state')
+        self.write(
+            actions.SaveSnapshot(types.Ballot('m', 1, 'm'), snapshot, ())
+        )
+        data = bytearray((self.path / 'snapshot').read_bytes())
+        data[-1] ^= 1
+        (self.path / 'snapshot').write_bytes(data)
+        self.assertIsInstance(self.failure(), errors.FileDamaged)
+
+    def test_full_disk_refuses_and_loses_nothing(self):
+        self.write(save(entry(1)))
+        full = folder.Calls(allocate=fails_with(errno.ENOSPC))
+        with self.opened(full) as found:
+            self.assertFalse(found.store.has_room(2 * 1024 * 1024))
+            large = save(entry(2, data=bytes(2 * 1024 * 1024)))
+            refused = found.store.save([large]).failure()
+            self.assertIsInstance(refused, errors.DiskFull)
+            small = save(entry(2))
+            self.assertEqual(found.store.save([small]), result.Success(None))
+        self.assertEqual(self.read().entries, (entry(1), entry(2)))
+
+    def test_one_sync_for_a_batch_and_two_for_a_new_file(self):
+        synced = []
+        calls = folder.Calls(
+            sync_data=lambda _: synced.append('data'),
+            sync=lambda _: synced.append('file or folder'),
+        )
+        self.write(save(entry(1)))
+        with self.opened(calls) as found:
+            found.store.save([save(entry(2)), save(entry(3), entry(4))])
+            self.assertEqual(synced, ['data'])
+            snapshot = types.Snapshot(3, 1, MEMBERS, b'state')
+            cut = actions.SaveSnapshot(types.Ballot('m', 1, 'm'), snapshot, ())
+            found.store.save([cut])
+            self.assertEqual(synced[1:], 4 * ['file or folder'])
+
+    def test_failed_sync_is_told_apart_from_a_full_disk(self):
+        self.write(save(entry(1)))
+        broken = folder.Calls(sync_data=fails_with(errno.EIO))
+        with self.opened(broken) as found:
+            failed = found.store.save([save(entry(2))]).failure()
+            self.assertIsInstance(failed, errors.SyncFailed)
--- /dev/null
+++ b/packaging/build.py
@@ -0,0 +1,101 @@
+"""Builds the one executable file that holds every sub-command.
+
+PyInstaller puts program and interpreter into a folder; the folder is
+appended to a small launcher, which unpacks it at the first start.
+
+Usage: python packaging/build.py (by `make binary`)
+"""
+
+import hashlib
+import os
+import pathlib
+import shutil
+import stat
+import struct
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parents[1]
+BUILD = ROOT / 'build'
+RESULT = ROOT / 'dist' / 'bulrushrudder'
+MAGIC = b'BULRUSH1'
+HEAD = struct.Struct('=IIIIQ')
+TRAILER = struct.Struct('=Q64s8s')
+KIND_END, KIND_FOLDER, KIND_FILE, KIND_LINK = range(4)
+EXCLUDED = ('bulrushrudder.tests', 'tkinter', 'pynng', 'hypothesis', 'IPython')
+
+
+def collect():
+    """Return the folder with program and interpreter."""
+    folder = BUILD / 'collected'
+    shutil.rmtree(folder, ignore_errors=True)
+    start = BUILD / 'bulrushrudder_start.py'
+    start.write_text(
+        'import sys\nfrom bulrushrudder.commands import program\n'
+        'sys.exit(program.main())\n'
+    )
+    excluded = [f'--exclude-module={name}' for name in EXCLUDED]
+    command = [
+        sys.executable,
+        '-m',
+        'PyInstaller',
+        '--onedir',
+        '--noconfirm',
+        '--log-level=WARN',
+        '--name=bulrushrudder',
+        f'--paths={ROOT}',
+        f'--distpath={folder}',
+        f'--workpath={BUILD / "work"}',
+        f'--specpath={BUILD}',
+        '--collect-submodules=bulrushrudder.benchmarks',
+        *excluded,
+        str(start),
+    ]
+    subprocess.run(command, check=True, cwd=ROOT)
+    return folder / 'bulrushrudder'
+
+
+def payload(folder):
+    """Return the bytes of all files of a folder, in a fixed order."""
+    parts = []
+    for path in sorted(folder.rglob('*')):
+        name = str(path.relative_to(folder)).encode()
+        kind, mode, data = entry(path)
+        head = HEAD.pack(kind, mode, len(name), 0, len(data))
+        parts += [head, name, data]
+    parts.append(HEAD.pack(KIND_END, 0, 0, 0, 0))
+    return b''.join(parts)
+
+
+def entry(path):
+    """Return kind, mode and content of one file."""
+    if path.is_symlink():
+        return KIND_LINK, 0, os.readlink(path).encode()
+    if path.is_dir():
+        return KIND_FOLDER, 0, b''
+    mode = 0o755 if path.stat().st_mode & stat.S_IXUSR else 0o644
+    return KIND_FILE, mode, path.read_bytes()
+
+
+def compile_launcher():
+    """Return the bytes of the compiled launcher."""
+    target = BUILD / 'launcher'
+    source = ROOT / 'packaging' / 'launcher.c'
+    command = ['gcc', '-O2', '-Wall', '-Wextra', '-Werror']
+    subprocess.run([*command, '-o', target, source], check=True)
+    return target.read_bytes()
+
+
+def main():
+    BUILD.mkdir(exist_ok=True)
+    content = payload(collect())
+    digest = hashlib.sha256(content).hexdigest().encode()
+    trailer = TRAILER.pack(len(content), digest, MAGIC)
+    RESULT.parent.mkdir(exist_ok=True)
+    RESULT.write_bytes(compile_launcher() + content + trailer)
+    RESULT.chmod(0o755)
+    print(f'{RESULT.relative_to(ROOT)}: {RESULT.stat().st_size} bytes')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packaging/launcher.c
@@ -0,0 +1,249 @@
+/* Unpacks the program behind this executable once and becomes it.
+ *
+ * The executable ends with a payload and a trailer (see build.py). The
+ * payload is unpacked into a folder named by its digest under the cache
+ * folder; an atomic rename makes it visible only when it is complete, so
+ * that first starts at the same time do not disturb each other. execv
+ * then replaces this process: same process id, no child.
+ */
+#define _GNU_SOURCE
+#include <errno.h>
+#include <fcntl.h>
+#include <limits.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <ftw.h>
+
+#define MAGIC "BULRUSH1"
+#define DIGEST_LENGTH 64
+#define EXIT_CANNOT_START 70
+#define BUFFER_BYTES (1 << 16)
+#define PROGRAM "bulrushrudder"
+
+enum entry_kind { KIND_END = 0, KIND_FOLDER = 1, KIND_FILE = 2, KIND_LINK = 3 };
+
+struct entry_head {
+    uint32_t kind;
+    uint32_t mode;
+    uint32_t name_length;
+    uint32_t reserved;
+    uint64_t size;
+};
+
+struct trailer {
+    uint64_t payload_bytes;
+    char digest[DIGEST_LENGTH];
+    char magic[8];
+};
+
+static char unfinished[PATH_MAX];
+
+static int remove_one(const char *path, const struct stat *status, int kind,
+                      struct FTW *place)
+{
+    (void)status;
+    (void)kind;
+    (void)place;
+    return remove(path);
+}
+
+static void remove_unfinished(void)
+{
+    if (unfinished[0] != '\0')
+        nftw(unfinished, remove_one, 16, FTW_DEPTH | FTW_PHYS);
+}
+
+static void fail(const char *what, const char *path, int error)
+{
+    fprintf(stderr, "bulrushrudder: %s %s: %s\n", what, path,
+            strerror(error));
+    if (error == ENOSPC || error == EDQUOT || error == EACCES ||
+        error == EROFS || error == ENOTDIR)
+        fprintf(stderr, "bulrushrudder: set BULRUSHRUDDER_CACHE to a folder "
+                        "that can be written and has 150 MB free\n");
+    remove_unfinished();
+    exit(EXIT_CANNOT_START);
+}
+
+static void join(char *path, const char *folder, const char *name)
+{
+    if (snprintf(path, PATH_MAX, "%s/%s", folder, name) >= PATH_MAX)
+        fail("cannot use", folder, ENAMETOOLONG);
+}
+
+static void read_whole(FILE *source, void *data, size_t size)
+{
+    if (fread(data, 1, size, source) != size)
+        fail("cannot read", "the executable", ferror(source) ? errno : EIO);
+}
+
+static void make_folders(const char *path)
+{
+    char part[PATH_MAX];
+
+    if (snprintf(part, sizeof part, "%s", path) >= (int)sizeof part)
+        fail("cannot use", path, ENAMETOOLONG);
+    for (char *slash = part + 1; *slash != '\0'; slash++) {
+        if (*slash != '/')
+            continue;
+        *slash = '\0';
+        if (mkdir(part, 0700) != 0 && errno != EEXIST)
+            fail("cannot make the folder", part, errno);
+        *slash = '/';
+    }
+    if (mkdir(part, 0700) != 0 && errno != EEXIST)
+        fail("cannot make the folder", part, errno);
+}
+
+static void check_owner(const char *path)
+{
+    struct stat status;
+
+    if (stat(path, &status) != 0)
+        fail("cannot use", path, errno);
+    if (!S_ISDIR(status.st_mode))
+        fail("cannot use", path, ENOTDIR);
+    if (status.st_uid != geteuid() || (status.st_mode & (S_IWGRP | S_IWOTH)))
+    {
+        fprintf(stderr, "bulrushrudder: %s: others can write to it\n", path);
+        exit(EXIT_CANNOT_START);
+    }
+}
+
+static void find_cache(char *path)
+{
+    const char *chosen = getenv("BULRUSHRUDDER_CACHE");
+    const char *shared = getenv("XDG_CACHE_HOME");
+    const char *home = getenv("HOME");
+
+    if (chosen != NULL && chosen[0] != '\0') {
+        if (snprintf(path, PATH_MAX, "%s", chosen) >= PATH_MAX)
+            fail("cannot use", "BULRUSHRUDDER_CACHE", ENAMETOOLONG);
+    } else if (shared != NULL && shared[0] == '/') {
+        join(path, shared, PROGRAM);
+    } else if (home != NULL && home[0] == '/') {
+        join(path, home, ".cache/" PROGRAM);
+    } else {
+        fprintf(stderr, "bulrushrudder: no HOME; set BULRUSHRUDDER_CACHE to "
+                        "a folder for the unpacked program\n");
+        exit(EXIT_CANNOT_START);
+    }
+    make_folders(path);
+    check_owner(path);
+}
+
+static void copy_file(FILE *source, const char *path, struct entry_head *head)
+{
+    static char buffer[BUFFER_BYTES];
+    uint64_t left = head->size;
+    FILE *target = fopen(path, "wbx");
+
+    if (target == NULL)
+        fail("cannot write", path, errno);
+    while (left > 0) {
+        size_t size = left < sizeof buffer ? left : sizeof buffer;
+        read_whole(source, buffer, size);
+        if (fwrite(buffer, 1, size, target) != size)
+            fail("cannot write", path, errno);
+        left -= size;
+    }
+    if (fflush(target) != 0 || fchmod(fileno(target), head->mode) != 0 ||
+        fclose(target) != 0)
+        fail("cannot write", path, errno);
+}
+
+static void make_link(FILE *source, const char *path, struct entry_head *head)
+{
+    char goal[PATH_MAX];
+
+    if (head->size >= sizeof goal)
+        fail("cannot write", path, ENAMETOOLONG);
+    read_whole(source, goal, head->size);
+    goal[head->size] = '\0';
+    if (symlink(goal, path) != 0)
+        fail("cannot write", path, errno);
+}
+
+static void unpack(FILE *source, const char *folder)
+{
+    struct entry_head head;
+    char name[PATH_MAX];
+    char path[PATH_MAX];
+
+    for (;;) {
+        read_whole(source, &head, sizeof head);
+        if (head.kind == KIND_END)
+            return;
+        if (head.name_length >= sizeof name)
+            fail("cannot unpack to", folder, ENAMETOOLONG);
+        read_whole(source, name, head.name_length);
+        name[head.name_length] = '\0';
+        join(path, folder, name);
+        if (head.kind == KIND_FOLDER) {
+            if (mkdir(path, 0700) != 0)
+                fail("cannot make the folder", path, errno);
+        } else if (head.kind == KIND_FILE) {
+            copy_file(source, path, &head);
+        } else if (head.kind == KIND_LINK) {
+            make_link(source, path, &head);
+        } else {
+            fail("cannot unpack to", folder, EINVAL);
+        }
+    }
+}
+
+static void install(FILE *source, long start, const char *cache,
+                    const char *folder)
+{
+    join(unfinished, cache, ".unpack-XXXXXX");
+    if (mkdtemp(unfinished) == NULL) {
+        int error = errno;
+        unfinished[0] = '\0';
+        fail("cannot make a folder in", cache, error);
+    }
+    if (fseek(source, start, SEEK_SET) != 0)
+        fail("cannot read", "the executable", errno);
+    unpack(source, unfinished);
+    if (rename(unfinished, folder) != 0) {
+        if (errno != EEXIST && errno != ENOTEMPTY)
+            fail("cannot make the folder", folder, errno);
+        /* Another first start was faster. */
+        remove_unfinished();
+    }
+    unfinished[0] = '\0';
+}
+
+int main(int count, char **arguments)
+{
+    struct trailer trailer;
+    char cache[PATH_MAX];
+    char folder[PATH_MAX];
+    char program[PATH_MAX];
+    char digest[DIGEST_LENGTH + 1];
+    FILE *source = fopen("/proc/self/exe", "rbe");
+
+    (void)count;
+    if (source == NULL)
+        fail("cannot read", "/proc/self/exe", errno);
+    if (fseek(source, -(long)sizeof trailer, SEEK_END) != 0)
+        fail("cannot read", "the executable", errno);
+    long end = ftell(source);
+    read_whole(source, &trailer, sizeof trailer);
+    if (memcmp(trailer.magic, MAGIC, sizeof trailer.magic) != 0)
+        fail("no program in", "the executable", EINVAL);
+    memcpy(digest, trailer.digest, DIGEST_LENGTH);
+    digest[DIGEST_LENGTH] = '\0';
+    find_cache(cache);
+    join(folder, cache, digest);
+    join(program, folder, PROGRAM);
+    if (access(program, X_OK) != 0)
+        install(source, end - (long)trailer.payload_bytes, cache, folder);
+    fclose(source);
+    execv(program, arguments);
+    fail("cannot start", program, errno);
+    return EXIT_CANNOT_START;
+}
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -1,6 +1,7 @@
 """Control and entry processes on the loopback interface."""
 
 import dataclasses
+import json
 import pathlib
 import shutil
 import signal
@@ -8,7 +9,6 @@
 import sys
 
 import relays
-import yaml
 
 from bulrushrudder.core import keys
 from bulrushrudder.utils import ports
@@ -146,7 +146,7 @@
             },
             process.command: section,
         }
-        process.settings.write_text(yaml.safe_dump(content))
+        process.settings.write_text(json.dumps(content, indent=1))
 
     def _controls_of(self, process, cuttable):
         inner = [control.addresses['inner'] for control in self.controls]
