Test each promise of a member by itself, beside the fuzzing

Change: storms of short faults in the fuzzing, a check of each change of members, wipes that count only configurations still in force, and a test of its own for each promise that random faults meet too seldom.

--- a/bulrushrudder/tests/builders/cluster.py
+++ b/bulrushrudder/tests/builders/cluster.py
@@ -66,6 +66,9 @@
         if known != member_id:
             raise AssertionError(f'{known} and {member_id} lead term {term}')
 
+    def committed(self):
+        return list(self.entries_by_index.values())
+
     @property
     def last_accepted(self):
         return max(self.accepted, default=0)
@@ -87,6 +90,7 @@
         self.disk = disk
         self.offset_s = 0.0
         self.crash = None
+        self.checked_change = 0
         self.inbox = [events.Ticked()]
         self.history = history_of(disk.durable.snapshot)
         self.waiting_by_index = {}
@@ -103,6 +107,7 @@
         for event in self.inbox:
             now_s = self.cluster.now_s + self.offset_s
             batch += self.replica.handle(event, now_s)
+            self._check_change()
         self.inbox = []
         if self.crash is Crash.BEFORE_SYNC:
             return False
@@ -117,6 +122,22 @@
             self.cluster.oracle.leads(member.cluster, member.term, member.id)
         return True
 
+    def _check_change(self):
+        """Check that a leader changes one voter, and nothing pending."""
+        if self.replica.role is not core.Role.LEADER:
+            return
+        found = configurations(self.replica.log.entries)[-2:]
+        if len(found) < 2 or found[-1][0] <= self.checked_change:
+            return
+        (before_index, before), (self.checked_change, after) = found
+        if self.replica.log.term_at(found[-1][0]) != self.replica.term:
+            return
+        if before_index > self.replica.commit or not self.replica.settled:
+            raise AssertionError('members change while a change is pending')
+        changed = set(types.voters(before)) ^ set(types.voters(after))
+        if len(changed) > 1:
+            raise AssertionError(f'{changed} change at once')
+
     def _carry_out(self, action):
         oracle = self.cluster.oracle
         match action:
@@ -215,17 +236,25 @@
     def may_wipe(self, address):
         """Return whether a majority of disks would live on."""
         lost = self.disks_by_address.get(address)
-        if lost is None or lost.durable.entries == ():
-            return lost is not None and lost.durable == types.BLANK
+        if lost is None:
+            return False
         living = {d.id for d in self.disks_by_address.values()} - {lost.id}
-        durables = [d.durable for d in self.disks_by_address.values()]
         return all(
             len(living.intersection(types.voters(members)))
             >= types.quorum(members)
-            for durable in durables
-            for members in configurations(durable)
+            for members in self._configurations_in_force()
         )
 
+    def _configurations_in_force(self):
+        """Return the committed configuration and all that follow it."""
+        found_by_index = dict(configurations(self.oracle.committed()))
+        last = max(found_by_index, default=0)
+        found = [found_by_index[last]] if found_by_index else []
+        for disk in self.disks_by_address.values():
+            entries = disk.durable.entries
+            found += [m for i, m in configurations(entries) if i > last]
+        return found
+
     def post(self, process, address, message):
         if self.random.random() < self.loss:
             return
@@ -309,10 +338,10 @@
             raise AssertionError(f'voters: {leader.replica.members}')
 
 
-def configurations(durable):
-    """Return all configurations in a log, with the snapshot's."""
-    found = [durable.snapshot.members] if durable.snapshot.members else []
-    for entry in durable.entries:
-        if isinstance(entry.payload, types.Configuration):
-            found.append(entry.payload.members)
-    return found
+def configurations(entries):
+    """Return index and members of each configuration."""
+    return [
+        (entry.index, entry.payload.members)
+        for entry in entries
+        if isinstance(entry.payload, types.Configuration)
+    ]
--- a/bulrushrudder/tests/consensus/fuzz_tests.py
+++ b/bulrushrudder/tests/consensus/fuzz_tests.py
@@ -14,7 +14,8 @@
 HOUR_S = 3600.0
 STORM_STEPS = 40
 HAND_OVER_S = 0.5
-HEALED_S = 40.0
+WIPES = 0.3
+HEALED_S = 30.0
 
 PLACES = st.integers(0, 4)
 CRASHES = st.sampled_from([None, *cluster.Crash])
@@ -35,11 +36,12 @@
     @stateful.initialize(
         seed=st.integers(0, 2**32),
         size=st.sampled_from([1, 3, 3, 5]),
-        storms=st.integers(0, 4),
+        first_s=st.sampled_from([0.1, 3.0, 3.0]),
+        storms=st.integers(1, 5),
     )
-    def found(self, seed, size, storms):
+    def found(self, seed, size, first_s, storms):
         self.cluster = cluster.Cluster('abcde'[:size], seed)
-        self.cluster.run(3.0)
+        self.cluster.run(first_s)
         for number in range(storms):
             self.storm(seed + number)
 
@@ -178,7 +180,7 @@
 
     def _short_fault(self, choice):
         place = choice.randrange(5)
-        match choice.randrange(10):
+        match choice.randrange(11):
             case 0:
                 self.cluster.kill(self._address(place))
                 self.cluster.start(self._address(place))
@@ -194,7 +196,12 @@
                     self._cut_off(leader)
             case 8:
                 self.cluster.blocked = set()
-            case 9 if self._process(place):
+            case 9 if choice.random() < WIPES and self.cluster.may_wipe(
+                self._address(place)
+            ):
+                self.cluster.wipe(self._address(place))
+                self.cluster.start(self._address(place))
+            case 10 if self._process(place):
                 self.cluster.save_state(self._address(place))
 
     def _hurry_elections(self):
--- a/bulrushrudder/tests/consensus/replica_tests.py
+++ b/bulrushrudder/tests/consensus/replica_tests.py
@@ -1,7 +1,11 @@
+import dataclasses
 import unittest
 
+from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import core
 from bulrushrudder.consensus import events
+from bulrushrudder.consensus import messages
+from bulrushrudder.consensus import replica
 from bulrushrudder.consensus import types
 from bulrushrudder.tests.builders import cluster
 
@@ -15,6 +19,106 @@
     return found
 
 
+def member_of_three(disk):
+    identity = core.Identity(disk.id, disk.id, THREE)
+    return replica.Replica(identity, disk.durable, lambda: 0.0, 0.0)
+
+
+def disk_of_three(member_id, *entries):
+    """Return a disk whose log holds a configuration, then entries."""
+    members = tuple(types.Member(id_, id_, voter=True) for id_ in THREE)
+    first = types.Entry(1, 1, types.Configuration(members))
+    found = cluster.Disk(member_id)
+    ballot = types.Ballot('a', 3, '')
+    found.durable = types.Durable(ballot, types.NO_SNAPSHOT, (first, *entries))
+    return found
+
+
+def head(term, sender):
+    return messages.Head('a', term, sender, sender, '')
+
+
+def received(found, disk, message, now_s=1.0):
+    """Hand in a message and return what is sent in answer."""
+    batch = found.handle(events.Received(message), now_s)
+    for action in batch:
+        disk.save(action)
+    return [a.message for a in batch if isinstance(a, actions.Send)]
+
+
+class PromiseTests(unittest.TestCase):
+    def test_vote_survives_a_restart(self):
+        disk = disk_of_three('b')
+        for candidate, granted in (('a', True), ('c', False), ('a', True)):
+            question = messages.AskVote(head(5, candidate), 9, 5, False, False)
+            found = member_of_three(disk)
+            (answer,) = received(found, disk, question)
+            self.assertEqual(answer.granted, granted, candidate)
+
+    def test_older_entry_is_not_committed_by_count(self):
+        older = types.Entry(2, 2, types.Command(b'x'))
+        disk = disk_of_three('a', older)
+        found = member_of_three(disk)
+        found.handle(events.Ticked(), core.ELECTION_S)
+        received(found, disk, messages.Voted(head(4, 'b'), True, True))
+        received(found, disk, messages.Voted(head(4, 'b'), True, False))
+        self.assertEqual((found.role, found.term), (core.Role.LEADER, 4))
+        received(found, disk, messages.Appended(head(4, 'b'), True, 2, 0))
+        self.assertEqual(found.commit, 0)
+        received(found, disk, messages.Appended(head(4, 'b'), True, 3, 0))
+        self.assertEqual(found.commit, 3)
+
+    def test_entries_after_another_history_are_refused(self):
+        disk = disk_of_three('b', types.Entry(2, 2, types.Command(b'x')))
+        found = member_of_three(disk)
+        after = (types.Entry(3, 4, types.Command(b'z')),)
+        message = messages.Append(head(4, 'a'), 2, 3, after, 3, 0)
+        (answer,) = received(found, disk, message)
+        self.assertEqual((answer.agreed, answer.index), (False, 1))
+        self.assertEqual((found.commit, found.log.last_index), (0, 2))
+
+    def test_no_vote_for_a_log_that_lacks_entries(self):
+        disk = disk_of_three('b', types.Entry(2, 2, types.Command(b'x')))
+        for index, term, granted in (
+            (1, 1, False),
+            (9, 1, False),
+            (1, 2, False),
+            (2, 2, True),
+            (1, 3, True),
+        ):
+            found = member_of_three(disk)
+            question = messages.AskVote(head(9, 'a'), index, term, True, False)
+            (answer,) = received(found, disk, question)
+            self.assertEqual(answer.granted, granted, (index, term))
+
+    def test_confirmation_waits_for_its_round(self):
+        disk = disk_of_three('a')
+        found = member_of_three(disk)
+        found.handle(events.Ticked(), core.ELECTION_S)
+        received(found, disk, messages.Voted(head(4, 'b'), True, True))
+        received(found, disk, messages.Voted(head(4, 'b'), True, False))
+        received(found, disk, messages.Appended(head(4, 'b'), True, 2, 0))
+        asked = found.handle(events.ConfirmAsked(7), 1.0)
+        self.assertNotIn(actions.Confirmed(7, 2), asked)
+        for round_, confirmed in ((0, False), (1, True)):
+            answer = messages.Appended(head(4, 'c'), True, 2, round_)
+            batch = found.handle(events.Received(answer), 1.0)
+            self.assertEqual(actions.Confirmed(7, 2) in batch, confirmed)
+
+    def test_blank_member_takes_entries_of_its_founder_alone(self):
+        disk = cluster.Disk('b')
+        found = member_of_three(disk)
+        first = disk_of_three('x').durable.entries
+        late = messages.Append(head(1, 'old'), 0, 0, first, 0, 0)
+        received(found, disk, messages.Discover(head(0, 'a'), 1, True))
+        self.assertEqual(disk.durable.ballot.cluster, 'a')
+        other = dataclasses.replace(late.head, cluster='old')
+        received(found, disk, dataclasses.replace(late, head=other))
+        self.assertEqual(found.log.last_index, 0)
+        received(found, disk, late)
+        self.assertEqual(found.log.last_index, 1)
+
+
 class ReplicaTests(unittest.TestCase):
     def test_first_start(self):
         for addresses in (('a',), THREE, FIVE):
