Leave a control process that does not vouch

Cause: an entry stayed with a control process whose link looked alive while it had no quorum, and did not open its session anew after it had been closed as silent. Bad bytes before the handshake ended in an unhandled exception.

Change: an entry changes over after 1.2 s without a vouch, starts at a control process by its name, and keeps its session open. Handshake frames are bounded, and invalid ones refuse the link.

--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -1,8 +1,14 @@
-"""Follows the log through any control process."""
+"""Follows the log through any control process.
+
+A control process that does not vouch in time is left for the next one,
+also when its link looks alive.
+"""
 
 import asyncio
+import zlib
 
 from returns import result
+from returns.primitives import exceptions
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -14,6 +20,7 @@
 
 REDIAL_S = 0.2
 ROUND_S = 0.5
+CHANGE_OVER_S = 1.2
 PROPOSE_S = 3.0
 
 
@@ -37,10 +44,15 @@
     async def run(self):
         """Follow one control process after the other, until cancelled."""
         while True:
-            for address in self._controls:
+            for address in self._in_own_order():
                 await self._follow(address)
                 await asyncio.sleep(REDIAL_S)
 
+    def _in_own_order(self):
+        """Return the addresses so that entries spread over them."""
+        place = zlib.crc32(self._owner.vm.encode()) % len(self._controls)
+        return (*self._controls[place:], *self._controls[:place])
+
     async def propose(self, command):
         """Ask the control process to commit a command.
 
@@ -95,11 +107,16 @@
 
     async def _ask_rounds(self, found):
         loop = asyncio.get_running_loop()
+        begun_s = loop.time()
         while True:
             number = self._view.begin_round(loop.time())
             found.tell(log_messages.AskVouch(number, self._view.index))
             await asyncio.sleep(ROUND_S)
-            self._report_freshness(loop.time())
+            now_s = loop.time()
+            self._report_freshness(now_s)
+            if min(now_s - begun_s, self._view.age_s(now_s)) > CHANGE_OVER_S:
+                log.emit(catalogue.CONTROL_SILENT, peer=str(found.peer))
+                found.close()
 
     def _report_freshness(self, now_s):
         fresh = self._view.fresh(now_s)
@@ -109,6 +126,13 @@
         self._was_fresh = fresh
 
     async def _handle(self, found, message):
+        try:
+            self._take(message)
+        except (AssertionError, exceptions.UnwrapFailedError) as error:
+            log.emit(catalogue.MESSAGE_INVALID, detail=repr(error))
+            found.close()
+
+    def _take(self, message):
         match message:
             case log_messages.Entries(first=first, commands=commands):
                 self._apply(first, commands)
@@ -118,9 +142,8 @@
                 self._view.vouched(number, index)
 
     def _apply(self, first, commands):
-        for offset, data in enumerate(commands):
-            command = codec.decode(data).unwrap() if data else None
-            self._view.apply(first + offset, command)
+        for index, data in enumerate(commands, first):
+            self._view.apply(index, _decoded(data) if data else None)
         self.changed.set()
 
     def _take_part(self, part):
@@ -129,6 +152,10 @@
             self._parts = bytearray()
         self._parts += part.data
         if len(self._parts) == part.total:
-            self._view.restore(codec.decode(bytes(self._parts)).unwrap())
+            self._view.restore(_decoded(bytes(self._parts)))
             self._parts = bytearray()
             self.changed.set()
+
+
+def _decoded(data):
+    return codec.decode(data).unwrap()
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -34,6 +34,7 @@
 from bulrushrudder.utils import web
 
 SESSION_RETRY_S = 0.2
+SESSION_CHECK_S = 1.0
 
 
 class Entry:
@@ -106,7 +107,7 @@
         tasks.spawn(stack, self._coordinators.run())
         tasks.spawn(stack, self._cancelling.run())
         tasks.spawn(stack, access.Access(self.services).run())
-        tasks.spawn(stack, self._open_session())
+        tasks.spawn(stack, self._keep_session())
         log.emit(catalogue.ENTRY_STARTED, callers=str(settings.entry.callers))
 
     async def stop(self):
@@ -143,17 +144,25 @@
                 return await self._coordinators.serve(message)
         return None
 
-    async def _open_session(self):
+    async def _keep_session(self):
+        """Open the session, and again where it was taken for silent."""
         inner = self._settings.entry.inner
         command = sessions.OpenSession(
             self._owner, self._settings.zone, inner.host, inner.port
         )
-        while True:
-            outcome = await self.observing.propose(command)
-            if isinstance(outcome, results.Accepted):
-                return
+        while not self.services.draining:
+            if self._has_session():
+                await asyncio.sleep(SESSION_CHECK_S)
+                continue
+            match await self.observing.propose(command):
+                case results.Accepted(index=index):
+                    await self.observing.wait_for(index)
             await asyncio.sleep(SESSION_RETRY_S)
 
+    def _has_session(self):
+        held = self.view.state.sessions.by_vm.get(self._owner.vm)
+        return held is not None and held.owner == self._owner
+
 
 async def _ignore(link_, message):
     """Peers send nothing unasked on links that this process dialled."""
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -178,6 +178,12 @@
     'message invalid',
     'A message could not be decoded; the link is closed.',
 )
+CONTROL_SILENT = Event(
+    3103,
+    Level.WARNING,
+    'control silent',
+    'A control process did not vouch in time; the entry tries the next.',
+)
 VIEW_STALE = Event(
     3101,
     Level.WARNING,
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -26,6 +26,7 @@
 KEEPALIVE_IDLE_S = 30
 HANDSHAKE_S = 2.0
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_HANDSHAKE_BYTES = 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 NONCE_BYTES = 16
 
@@ -63,7 +64,12 @@
         try:
             async with asyncio.timeout(HANDSHAKE_S):
                 problem = await self._shake_hands(secret, dialled)
-        except (TimeoutError, OSError, EOFError) as error:
+        except (
+            TimeoutError,
+            OSError,
+            EOFError,
+            _InvalidMessageError,
+        ) as error:
             problem = f'no handshake: {error!r}'
         if problem is None:
             return result.Success(self)
@@ -76,14 +82,14 @@
     async def _shake_hands(self, secret, dialled):
         nonce = secrets.token_bytes(NONCE_BYTES)
         self.tell(messages.Hello(messages.VERSION, self._owner, nonce))
-        hello = await self._read_message()
+        hello = await self._read_message(MAX_HANDSHAKE_BYTES)
         if not isinstance(hello, messages.Hello):
             return 'the peer sent no hello'
         if hello.version != messages.VERSION:
             return f'the peer speaks version {hello.version}'
         signature = _signature(secret, hello.nonce, dialled)
         self.tell(messages.Proof(signature))
-        proof = await self._read_message()
+        proof = await self._read_message(MAX_HANDSHAKE_BYTES)
         expected = _signature(secret, nonce, not dialled)
         if not isinstance(proof, messages.Proof):
             return 'the peer sent no proof'
@@ -212,10 +218,10 @@
                     self.close()
                     return
 
-    async def _read_message(self):
+    async def _read_message(self, most=MAX_FRAME_BYTES):
         head = await self._reader.readexactly(_LENGTH.size)
         (length,) = _LENGTH.unpack(head)
-        if length > MAX_FRAME_BYTES:
+        if length > most:
             raise _InvalidMessageError(f'a frame of {length} bytes')
         return _decoded(await self._reader.readexactly(length))
 
