--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -8,7 +8,6 @@
 import zlib
 
 from returns import result
-from returns.primitives import exceptions
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -128,7 +127,7 @@
     async def _handle(self, found, message):
         try:
             self._take(message)
-        except (AssertionError, exceptions.UnwrapFailedError) as error:
+        except AssertionError as error:
             log.emit(catalogue.MESSAGE_INVALID, detail=repr(error))
             found.close()
 
@@ -158,4 +157,9 @@
 
 
 def _decoded(data):
-    return codec.decode(data).unwrap()
+    match codec.decode(data):
+        case result.Success(found):
+            return found
+        case result.Failure(error):
+            raise AssertionError(error.problem)
+    raise AssertionError('unreachable')
