Change a large document in place instead of building it anew

Cause: every VM rebuilt the document and its indexes at each change. Change: few changes are put into the ordered items by bisection; indexes follow a difference from the ones before it. The tests of differences and of the table compare with indexes built anew, with keys that move between accounts; they were red with keys added before all old ones are gone, with a removed account's keys kept, and with the wrong item dropped.

--- a/bulrushrudder/documents/differences.py
+++ b/bulrushrudder/documents/differences.py
@@ -1,10 +1,14 @@
 """What changes between two documents, so that only changes travel."""
 
+import bisect
 import dataclasses
 
 from bulrushrudder.core import ids
 from bulrushrudder.documents import types
 
+# Up to one item in so many is changed in place, not by a rebuild.
+FEW_CHANGES_SHARE = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Difference:
@@ -69,7 +73,10 @@
 
 
 def apply(document, difference):
-    """Return the document that a Difference leads to."""
+    """Return the document that a Difference leads to.
+
+    :param document: a canonical Document.
+    """
     return types.Document(
         version=difference.version,
         accounts=_applied(
@@ -135,14 +142,45 @@
 
 
 def _applied(items, changed, removed):
-    if not changed and not removed:
+    """Return items in the order of ids with changes made."""
+    changes = len(changed) + len(removed)
+    if not changes:
         return items
+    if changes * FEW_CHANGES_SHARE > len(items):
+        return _rebuilt(items, changed, removed)
+    found = list(items)
+    for item in changed:
+        _put(found, item)
+    for key in removed:
+        _drop(found, key)
+    return tuple(found)
+
+
+def _rebuilt(items, changed, removed):
     found = {**_by_id(items), **_by_id(changed)}
     for key in removed:
         found.pop(key, None)
     return _ordered(found)
 
 
+def _put(items, item):
+    place = bisect.bisect_left(items, item.id, key=_id_of)
+    if place < len(items) and items[place].id == item.id:
+        items[place] = item
+        return
+    items.insert(place, item)
+
+
+def _drop(items, key):
+    place = bisect.bisect_left(items, key, key=_id_of)
+    if place < len(items) and items[place].id == key:
+        del items[place]
+
+
+def _id_of(item):
+    return item.id
+
+
 def _merged(first, second):
     """Merge two pairs of changed items and removed ids."""
     first_changed, first_removed = first
--- a/bulrushrudder/documents/lookups.py
+++ b/bulrushrudder/documents/lookups.py
@@ -1,10 +1,12 @@
 """Finding accounts and routes in a document by key."""
 
+import copy
+
 from bulrushrudder.documents import types
 
 
 class Lookups:
-    """Indexes of one document, built once a change.
+    """Indexes of one document; they never change.
 
     :param document: the document that is indexed.
     """
@@ -13,12 +15,47 @@
         self.document = document
         self.accounts_by_id = {a.id: a for a in document.accounts}
         self.models_by_id = {m.id: m for m in document.models}
-        self.routes_by_path = {(r.method, r.path): r for r in document.routes}
-        self.account_ids_by_key_digest = {
-            key_digest: account.id
-            for account in document.accounts
-            for key_digest in account.key_digests
-        }
+        self.routes_by_path = _routes_by_path(document)
+        self.account_ids_by_key_digest = {}
+        for account in document.accounts:
+            self._add_keys(account)
+
+    def after(self, document, difference):
+        """Return the Lookups of the document that follows.
+
+        Costs little where little changes.
+
+        :param document: what the Difference leads to from this one.
+        """
+        found = copy.copy(self)
+        found.document = document
+        found.models_by_id = {m.id: m for m in document.models}
+        found.routes_by_path = _routes_by_path(document)
+        found._change_accounts(difference)
+        return found
+
+    def _change_accounts(self, difference):
+        if not difference.accounts and not difference.removed_accounts:
+            return
+        self.accounts_by_id = self.accounts_by_id.copy()
+        self.account_ids_by_key_digest = self.account_ids_by_key_digest.copy()
+        for account_id in difference.removed_accounts:
+            self._remove_keys(self.accounts_by_id.pop(account_id, None))
+        for account in difference.accounts:
+            self._remove_keys(self.accounts_by_id.get(account.id))
+            self.accounts_by_id[account.id] = account
+        for account in difference.accounts:
+            self._add_keys(account)
+
+    def _add_keys(self, account):
+        for key_digest in account.key_digests:
+            self.account_ids_by_key_digest[key_digest] = account.id
+
+    def _remove_keys(self, account):
+        if account is None:
+            return
+        for key_digest in account.key_digests:
+            self.account_ids_by_key_digest.pop(key_digest, None)
 
     def account_of(self, key_digest):
         """Return the account that a key belongs to, or None."""
@@ -30,6 +67,10 @@
         return self.routes_by_path.get((method, path))
 
 
+def _routes_by_path(document):
+    return {(r.method, r.path): r for r in document.routes}
+
+
 EMPTY = types.Document(
     version=0,
     accounts=(),
@@ -40,3 +81,4 @@
     ),
     cut_on_withdrawal=False,
 )
+EMPTY_LOOKUPS = Lookups(EMPTY)
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -24,7 +24,7 @@
 
     def __init__(self, environment):
         self.state = machine.State()
-        self.lookups = lookups.Lookups(lookups.EMPTY)
+        self.lookups = lookups.EMPTY_LOOKUPS
         self._environment = environment
         self._rounds_by_number = {}
         self._last_round = 0
@@ -65,9 +65,7 @@
         return True
 
     def _look_up(self):
-        document = self.state.documents.in_force(self._environment)
-        if document is not self.lookups.document:
-            self.lookups = lookups.Lookups(document)
+        self.lookups = self.state.documents.lookups(self._environment)
 
     def begin_round(self, now_s):
         """Note that a question for freshness is sent.
--- a/bulrushrudder/state/documents.py
+++ b/bulrushrudder/state/documents.py
@@ -91,14 +91,18 @@
         self._max_pending = max_pending
         self._max_pending_items = max_pending_items
         self._pending = []
-        self._document_by_environment = dict.fromkeys(
-            types.Environment, lookups.EMPTY
+        self._lookups_by_environment = dict.fromkeys(
+            types.Environment, lookups.EMPTY_LOOKUPS
         )
         self.history_by_environment = {e: [] for e in types.Environment}
 
     def in_force(self, environment):
         """Return the document in force in an environment."""
-        return self._document_by_environment[environment]
+        return self._lookups_by_environment[environment].document
+
+    def lookups(self, environment):
+        """Return the Lookups of the document in force."""
+        return self._lookups_by_environment[environment]
 
     def last(self, environment):
         """Return the last Record of an environment, or None."""
@@ -128,11 +132,11 @@
         """Replace all that the table holds."""
         environments = types.Environment
         self._pending = list(snapshot.pending)
-        document = snapshot.production
-        self._document_by_environment[environments.PRODUCTION] = document
-        for pending in self._pending:
-            document = differences.apply(document, pending.difference)
-        self._document_by_environment[environments.TRIAL] = document
+        found = lookups.Lookups(snapshot.production)
+        self._lookups_by_environment = {
+            environments.PRODUCTION: found,
+            environments.TRIAL: _after(found, self._pending),
+        }
         self.history_by_environment = {
             environments.TRIAL: list(snapshot.trial_history),
             environments.PRODUCTION: list(snapshot.production_history),
@@ -148,16 +152,12 @@
         found = (last.version, last.digest) if last else (0, '')
         if found != (command.base_version, command.base_digest):
             return results.Outdated(index)
-        document = differences.apply(
-            self.in_force(environment), command.difference
-        )
-        self._pending.append(
-            PendingVersion(command.digest, command.difference)
-        )
+        pending = PendingVersion(command.digest, command.difference)
+        self._pending.append(pending)
         self._bound_pending()
         return self._accept(
             environment,
-            document,
+            [pending],
             Record(version, command.digest, command.operator, index),
         )
 
@@ -171,13 +171,11 @@
         number = self._find_pending(command)
         if number is None:
             return self._refuse_promotion(command)
-        document = self.in_force(environment)
-        for pending in self._pending[: number + 1]:
-            document = differences.apply(document, pending.difference)
+        promoted = self._pending[: number + 1]
         del self._pending[: number + 1]
         return self._accept(
             environment,
-            document,
+            promoted,
             Record(command.version, command.digest, command.operator, index),
         )
 
@@ -222,8 +220,9 @@
             winner=last.operator,
         )
 
-    def _accept(self, environment, document, record):
-        self._document_by_environment[environment] = document
+    def _accept(self, environment, versions, record):
+        found = self._lookups_by_environment[environment]
+        self._lookups_by_environment[environment] = _after(found, versions)
         history = self.history_by_environment[environment]
         history.append(record)
         del history[: -self._max_history]
@@ -241,3 +240,11 @@
             len(self._pending) > self._max_pending
             or items > self._max_pending_items
         )
+
+
+def _after(found, versions):
+    """Return the Lookups after some pending versions."""
+    for version in versions:
+        document = differences.apply(found.document, version.difference)
+        found = found.after(document, version.difference)
+    return found
--- a/bulrushrudder/tests/documents/differences_tests.py
+++ b/bulrushrudder/tests/documents/differences_tests.py
@@ -6,6 +6,7 @@
 
 from bulrushrudder.documents import comparison
 from bulrushrudder.documents import differences
+from bulrushrudder.documents import lookups
 from bulrushrudder.tests.builders import documents as builders
 
 SETTINGS = hypothesis.settings(
@@ -22,6 +23,16 @@
     return dataclasses.replace(document, cut_on_withdrawal=cut)
 
 
+MANY = 500
+
+
+def many_accounts(rate_by_number):
+    rate_by_id = {
+        f'{number:04}': rate for number, rate in rate_by_number.items()
+    }
+    return differences.canonical(built(1, rate_by_id, False))
+
+
 DOCUMENTS = strategies.builds(
     built,
     strategies.integers(1, 9),
@@ -45,6 +56,25 @@
         in_steps = differences.apply(differences.apply(start, first), second)
         self.assertEqual(in_steps, expected)
 
+    @SETTINGS
+    @hypothesis.given(
+        strategies.sets(strategies.integers(0, MANY - 1), max_size=3),
+        strategies.sets(strategies.integers(0, MANY - 1), max_size=2),
+        strategies.sets(strategies.integers(MANY, 2 * MANY), max_size=2),
+    )
+    def test_few_changes_in_a_large_document(self, changed, gone, added):
+        before = many_accounts(dict.fromkeys(range(MANY), 1))
+        rates = dict.fromkeys(range(MANY), 1)
+        rates.update(dict.fromkeys(changed | added, 2))
+        for number in gone:
+            rates.pop(number)
+        after = many_accounts(rates)
+        difference = differences.between(before, after)
+        found = differences.apply(before, difference)
+        self.assertEqual(found, after)
+        followed = lookups.Lookups(before).after(found, difference)
+        self.assertEqual(vars(followed), vars(lookups.Lookups(after)))
+
 
 class ComparisonTests(unittest.TestCase):
     def test_names_parts_and_fields(self):
--- a/bulrushrudder/tests/state/documents_tests.py
+++ b/bulrushrudder/tests/state/documents_tests.py
@@ -17,6 +17,8 @@
 PRODUCTION = types.Environment.PRODUCTION
 MANY_ACCOUNTS = 17_000
 MAX_PENDING = 2
+# Keys move between accounts from one document to the next.
+NEXT_ID = dict(zip('abcd', 'bcda', strict=True))
 SETTINGS = hypothesis.settings(
     derandomize=True,
     database=None,
@@ -105,7 +107,11 @@
     def submit(self, step, ids, rate, cut, stale, operator):
         version = max(1, self.oracle.in_force(TRIAL).version + step)
         accounts = tuple(
-            builders.account(account_id, rate=float(rate), key=account_id)
+            builders.account(
+                account_id,
+                rate=float(rate),
+                key=account_id if cut else NEXT_ID[account_id],
+            )
             for account_id in sorted(ids, reverse=True)
         )
         document = dataclasses.replace(
@@ -186,6 +192,10 @@
             expected = self.oracle.in_force(environment)
             found = self.table.in_force(environment)
             self.assertEqual(found, differences.canonical(expected))
+            self.assertEqual(
+                vars(self.table.lookups(environment)),
+                vars(lookups.Lookups(found)),
+            )
             last = self.table.last(environment)
             self.assertEqual(last.version if last else 0, expected.version)
 
