Keep the check of a large document within a small VM's memory

Cause: PyYAML's constructor keeps every node that it has made, and the accounts were held as plain values, models and data classes at once. Change: the constructor is cleared after each scalar, keys are interned, and an account becomes a data class as soon as it is checked. The test of a bound worked out from the 128 MB of a node is red without the clearing.

--- a/bulrushrudder/config/document.py
+++ b/bulrushrudder/config/document.py
@@ -41,6 +41,12 @@
         )
 
 
+# Built at once, so that a large document is not held as models as well.
+BuiltAccount = typing.Annotated[
+    AccountModel, pydantic.AfterValidator(AccountModel.build)
+]
+
+
 class ModelModel(models.Model):
     """A model as it stands in YAML."""
 
@@ -122,7 +128,7 @@
     """The whole document."""
 
     version: int = pydantic.Field(ge=1)
-    accounts: list[AccountModel]
+    accounts: list[BuiltAccount]
     models: list[ModelModel] = []
     routes: list[RouteModel]
     at_most_once: RegisterModel = RegisterModel()
@@ -132,7 +138,7 @@
         """Return the data class."""
         return types.Document(
             version=self.version,
-            accounts=tuple(account.build() for account in self.accounts),
+            accounts=tuple(self.accounts),
             models=tuple(model.build() for model in self.models),
             routes=tuple(route.build() for route in self.routes),
             register=self.at_most_once.build(),
--- a/bulrushrudder/config/yaml_parser.py
+++ b/bulrushrudder/config/yaml_parser.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import sys
 
 from returns import result
 import yaml
@@ -57,7 +58,7 @@
             raise _ParseError(line, path, problem)
         if key in self.value:
             raise _ParseError(line, path, 'the key stands twice')
-        self._key = key
+        self._key = sys.intern(key)
         self._key_line = line
 
 
@@ -164,7 +165,10 @@
             tag, event.value, event.start_mark, event.end_mark, event.style
         )
         try:
-            return self._scalars.construct_object(node)
+            value = self._scalars.construct_object(node)
+            # The constructor would keep every node of the text.
+            self._scalars.constructed_objects.clear()
+            return value
         except (ValueError, OverflowError) as error:
             line = event.start_mark.line + 1
             path = frame.next_path()
--- /dev/null
+++ b/bulrushrudder/tests/config/memory_tests.py
@@ -0,0 +1,25 @@
+import tracemalloc
+import unittest
+
+from bulrushrudder.config import document
+from bulrushrudder.core import keys
+
+ACCOUNTS = 2000
+# 128 MB less 48 MB of interpreter and libraries, over 17,000 accounts,
+# half of it for the check and half for what is kept.
+MAX_BYTES_AN_ACCOUNT = (128_000_000 - 48_000_000) // 17_000 // 2
+
+
+class MemoryTests(unittest.TestCase):
+    def test_check_of_a_large_document_fits_a_small_vm(self):
+        accounts = ''.join(
+            f'  - id: account-{number}\n    rate: 10\n    burst: 100\n'
+            f'    keys: ["{keys.digest(str(number))}"]\n'
+            for number in range(ACCOUNTS)
+        )
+        source = f'version: 1\nroutes: []\naccounts:\n{accounts}'.encode()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        document.load('d', source).unwrap()
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak // ACCOUNTS, MAX_BYTES_AN_ACCOUNT)
