--- /dev/null
+++ b/bulrushrudder/tests/metrics/page_tests.py
@@ -0,0 +1,27 @@
+import pathlib
+import re
+import unittest
+
+import bulrushrudder
+from bulrushrudder.core import outcomes
+from bulrushrudder.metrics import control
+from bulrushrudder.metrics import registry
+
+DOCS = pathlib.Path(bulrushrudder.__file__).parents[1] / 'docs'
+
+
+class OperatingPageTests(unittest.TestCase):
+    def test_page_explains_every_metric(self):
+        page = (DOCS / 'OPERATING.md').read_text()
+        explained = set(re.findall(r'^\| `(bulrushrudder_\w+)`', page, re.M))
+        metrics = registry.Metrics(), control.ControlMetrics()
+        shown = {
+            name for found in metrics for name in found.registry.collectors
+        }
+        self.assertEqual(explained, shown)
+
+    def test_page_names_only_reasons_that_exist(self):
+        page = (DOCS / 'OPERATING.md').read_text()
+        named = set(re.findall(r'`([A-Z]+_[A-Z_]+)`', page))
+        known = {reason.name for reason in outcomes.Reason}
+        self.assertEqual(named - known, set())
