--- a/bulrushrudder/commands/status.py
+++ b/bulrushrudder/commands/status.py
@@ -1,12 +1,14 @@
-"""Prints what a control process knows of the system."""
+"""Prints what the control processes know of the system."""
 
 import json as json_format
 
 from bulrushrudder.commands import client
 
+_YES_NO_BY_VALUE = {True: 'yes', False: 'no'}
+
 
 def status(control, secret, json=False):
-    """Print the state of the system.
+    """Print the state of the system, as the leader sees it.
 
     :param control: host:port of any control process.
     :param secret: the file that holds the operators secret.
@@ -16,17 +18,28 @@
     if json:
         print(json_format.dumps(content))
         return
-    for name, value in content.items():
-        print(f'{name}: {_shown(value)}')
-
-
-def _shown(value):
-    match value:
-        case bool():
-            return 'yes' if value else 'no'
-        case list():
-            return ', '.join(map(str, value)) or 'none'
-        case dict():
-            pairs = [f'{k} {v}' for k, v in value.items()]
-            return ', '.join(pairs) or 'none'
-    return value
+    lose = _YES_NO_BY_VALUE[content['can_lose_one']]
+    print(f'leader: {content["leader"]}, term {content["term"]}')
+    print(f'index: {content["index"]}')
+    print(f'one more control VM can be lost now: {lose}')
+    for member in content['members']:
+        print(_member(member))
+    for session in content['sessions']:
+        print(_session(session))
+    print(f'backend servers: {", ".join(content["servers"]) or "none"}')
+
+
+def _member(member):
+    kind = 'voter' if member['voter'] else 'learner'
+    live = 'live' if member['live'] else 'silent'
+    return (
+        f'control {member["address"]}: {kind}, {live}, '
+        f'{member["lag"]} entries behind'
+    )
+
+
+def _session(session):
+    heard = f'heard of {session["silent_s"]:.1f} s ago'
+    if session['silent_s'] < 0:
+        heard = 'not heard of yet'
+    return f'entry {session["vm"]}: {session["lag"]} entries behind, {heard}'
--- a/bulrushrudder/control/changes.py
+++ b/bulrushrudder/control/changes.py
@@ -6,6 +6,7 @@
 from bulrushrudder.state import results
 
 MAX_TRIES = 5
+NO_MAJORITY = 'no majority of control processes can be reached'
 
 
 class Changes:
@@ -26,7 +27,8 @@
         :returns: the Outcome.
         """
         for _ in range(MAX_TRIES):
-            await self._node.confirm()
+            if await self._node.confirm() is None:
+                return results.Unavailable(NO_MAJORITY)
             command = self._submission(document, digest, operator)
             outcome = await self._node.propose(command)
             if not isinstance(outcome, results.Outdated):
--- a/bulrushrudder/control/operators.py
+++ b/bulrushrudder/control/operators.py
@@ -1,6 +1,7 @@
 """The operators' HTTP interface of a control process."""
 
 import asyncio
+import dataclasses
 
 from aiohttp import web
 import pydantic
@@ -114,8 +115,7 @@
 
     async def _history(self, request):
         environment = _environment_of(request)
-        await self._control.node.confirm()
-        table = self._control.node.state.documents
+        table = await self._current_documents()
         return web.json_response(
             [
                 {
@@ -130,8 +130,7 @@
 
     async def _content(self, request):
         environment = _environment_of(request)
-        await self._control.node.confirm()
-        table = self._control.node.state.documents
+        table = await self._current_documents()
         last = table.last(environment)
         if last is None:
             return _problem(404, f'{environment.value} has no document yet')
@@ -150,15 +149,23 @@
         return response
 
     async def _status(self, request):
-        state = self._control.node.state
+        found = await self._control.status()
+        if found is None:
+            raise _no_majority()
+        servers = self._control.node.state.servers.by_id
         return web.json_response(
-            {
-                'index': state.index,
-                'vms': sorted(state.sessions.by_vm),
-                'servers': sorted(state.servers.by_id),
-            }
+            {**dataclasses.asdict(found), 'servers': sorted(servers)}
         )
 
+    async def _current_documents(self):
+        """Return the documents, which are current now.
+
+        :raises HTTPServiceUnavailable: where nobody can say.
+        """
+        if await self._control.node.confirm() is None:
+            raise _no_majority()
+        return self._control.node.state.documents
+
 
 def _respond(outcome, version, operator):
     match outcome:
@@ -182,6 +189,12 @@
     raise AssertionError(f'unknown outcome {outcome!r}')
 
 
+def _no_majority():
+    return web.HTTPServiceUnavailable(
+        text=changes.NO_MAJORITY, headers={'Retry-After': RETRY_AFTER_S}
+    )
+
+
 def _kind_of(outcome):
     match outcome:
         case results.Accepted(repeated=True):
--- a/bulrushrudder/tests/commands/operators_tests.py
+++ b/bulrushrudder/tests/commands/operators_tests.py
@@ -30,7 +30,7 @@
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         self.folder = pathlib.Path(folder)
         self.settings = settings.solo(self.folder / 'data')
-        await process.start(self.stack, self.settings)
+        self.running = await process.start(self.stack, self.settings)
         self.control = str(self.settings.control.operators)
         self.secret = self.folder / 'operators.secret'
         self.secret.write_text(f'{settings.OPERATORS_SECRET}\n')
@@ -104,6 +104,16 @@
             difference.output, 'changed account acme\n  rate: 10.0 -> 20.0\n'
         )
 
+    async def test_wait_ends_when_no_live_entry_is_behind(self):
+        await self.call('GET', '/documents/trial')
+        file = self.document('first.yaml', 1)
+        waited = await self.run_command('submit', file, '--wait')
+        self.assertEqual((waited.code, waited.problems), (0, ''))
+        self.assertIn('in force on all live VMs', waited.output)
+        status = await programs.run('status', self.control, self.secret)
+        self.assertEqual((status.code, status.problems), (0, ''))
+        self.assertIn('can be lost now: no', status.output)
+
     async def test_mistakes_are_told_without_a_traceback(self):
         bad = self.folder / 'bad.yaml'
         bad.write_text('version: one\n')
--- a/bulrushrudder/utils/web.py
+++ b/bulrushrudder/utils/web.py
@@ -11,6 +11,8 @@
 HEADERS_S = 10.0
 KEEP_ALIVE_S = 75.0
 
+_KEPT_HEADERS = frozenset({'Allow', 'Retry-After'})
+
 
 async def listen(
     stack, application, address, cancel_handlers=False, headers_s=HEADERS_S
@@ -98,8 +100,15 @@
     try:
         return await handler(request)
     except web.HTTPException as error:
+        headers = {
+            name: value
+            for name, value in error.headers.items()
+            if name in _KEPT_HEADERS
+        }
         return web.json_response(
-            {'problem': error.text or error.reason}, status=error.status
+            {'problem': error.text or error.reason},
+            status=error.status,
+            headers=headers,
         )
     except Exception as error:
         log.emit(catalogue.UNEXPECTED, detail=repr(error))
