--- a/bulrushrudder/benchmarks/placement/policies.py
+++ b/bulrushrudder/benchmarks/placement/policies.py
@@ -48,6 +48,7 @@
     name: str = 'prefill first'
 
 
+COORDINATED = Coordinated()
 BASELINES = (
     Random(),
     RoundRobin(),
--- a/bulrushrudder/placement/cell.py
+++ b/bulrushrudder/placement/cell.py
@@ -16,6 +16,7 @@
 MOST_AHEAD = 6
 MOST_HEADS = 8
 LEAST_SHARE = 0.5
+AMPLE = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -262,8 +263,11 @@
         """Return what accounts that flood leave free, None for all."""
         pool = self._decodes
         reserve = self._demand.reserve(pool.places, pool.hold_s, now_s)
-        if pool.places - pool.held <= reserve:
+        free = pool.places - pool.held
+        if free <= reserve:
             return None
+        if free > reserve * AMPLE:
+            return choice.Terms(claimed=claimed)
         a_server = reserve / max(1, len(pool.by_id))
         pieces = math.ceil(a_server * pool.large_pieces)
         return choice.Terms(pieces, claimed, 0.0)
--- a/bulrushrudder/placement/demand.py
+++ b/bulrushrudder/placement/demand.py
@@ -6,8 +6,10 @@
 
 WINDOW_S = 20.0
 FLOOD_FACTOR = 2.0
+CHANCE_FACTOR = 2.0
 EMPTY_CHANCE = 0.001
 MOST_RESERVED_SHARE = 0.25
+LEAST_SEEN_S = 2.0
 FORGET_S = 5 * WINDOW_S
 
 
@@ -53,7 +55,7 @@
         found.weight = weight
         found.tokens = found.tokens * _decay(now_s - found.at_s) + tokens
         found.at_s = now_s
-        found.flooding = self._factor(found, now_s) > FLOOD_FACTOR
+        found.flooding = found.tokens > self._most(found, tokens, now_s)
         if not found.flooding:
             self._asks_inside.add(1.0, now_s)
 
@@ -73,7 +75,7 @@
         With so many, the others find one in all but EMPTY_CHANCE of the
         cases: places come free faster than the others take them.
         """
-        offered = self._asks_inside.value(now_s) / WINDOW_S * hold_s
+        offered = self._asks_inside.rate(now_s) * hold_s
         busy = offered / places if places else 0.0
         most = places * MOST_RESERVED_SHARE
         if busy <= 0.0:
@@ -82,14 +84,20 @@
             return most
         return min(most, math.log(EMPTY_CHANCE) / math.log(busy))
 
-    def _factor(self, found, now_s):
-        """Return how much more an account asks for than the others."""
+    def _most(self, found, tokens, now_s):
+        """Return the tokens above which an account floods.
+
+        An account with few questions may exceed its part by chance.
+
+        :param tokens: of a usual question.
+        """
         other_tokens = self._tokens.value(now_s) - found.tokens
         other_weights = self._weights - found.weight
-        if other_tokens <= 0.0 or other_weights <= 0.0:
-            return 1.0
-        tokens = found.tokens / other_tokens
-        return tokens / (found.weight / other_weights)
+        if other_weights <= 0.0:
+            return math.inf
+        part = found.weight / other_weights
+        usual = FLOOD_FACTOR * max(0.0, other_tokens) * part
+        return usual + CHANCE_FACTOR * math.sqrt(usual * tokens) + tokens
 
     def _forget(self, now_s):
         while self._accounts_by_id:
@@ -107,14 +115,24 @@
     def __init__(self):
         self._sum = 0.0
         self._at_s = 0.0
+        self._first_s = None
 
     def add(self, amount, now_s):
         self._sum = self.value(now_s) + amount
         self._at_s = now_s
+        if self._first_s is None:
+            self._first_s = now_s
 
     def value(self, now_s):
         return self._sum * _decay(now_s - self._at_s)
 
+    def rate(self, now_s):
+        """Return the sum a second, right also while the window fills."""
+        if self._first_s is None:
+            return 0.0
+        seen_s = max(LEAST_SEEN_S, now_s - self._first_s)
+        return self.value(now_s) / (WINDOW_S * (1.0 - _decay(seen_s)))
+
 
 def _decay(elapsed_s):
     return math.exp(-max(0.0, elapsed_s) / WINDOW_S)
--- /dev/null
+++ b/bulrushrudder/tests/benchmarks/placement_tests.py
@@ -0,0 +1,90 @@
+"""Bounds of placement, taken from its targets; runs in virtual time."""
+
+import functools
+import unittest
+
+from bulrushrudder.benchmarks.placement import policies
+from bulrushrudder.benchmarks.placement import runs
+from bulrushrudder.benchmarks.placement import workload
+
+SECONDS = 150
+LONG_SECONDS = 300
+STEADY_SECONDS = 600
+SEED = 1
+FIVE_FOLD = (('account-1', 5.0),)
+MOST_WASTED = 0.01
+LEAST_OF_BOUND = 0.95
+MOST_P99_FACTOR = 1.5
+
+
+@functools.cache
+def result(
+    fleet, load, policy=policies.COORDINATED, factors=(), seconds=SECONDS
+):
+    mix = workload.Mix(load, seconds, SEED, factors)
+    return runs.Run(fleet, mix, policy).run()
+
+
+class PlacementBoundsTests(unittest.TestCase):
+    def check_each(self, check, loads):
+        for fleet in workload.FLEETS:
+            for load in loads:
+                with self.subTest(fleet=fleet.name, load=load):
+                    check(fleet, load)
+
+    def test_wasted_prefill(self):
+        def check(fleet, load):
+            self.assertLessEqual(result(fleet, load).wasted, MOST_WASTED)
+
+        self.check_each(check, (0.5, 0.8, 0.95, 1.1))
+
+    def test_goodput_near_perfect_knowledge(self):
+        def check(fleet, load):
+            found = result(fleet, load, seconds=STEADY_SECONDS)
+            self.assertGreaterEqual(
+                found.goodput, LEAST_OF_BOUND * found.bound
+            )
+
+        self.check_each(check, (0.95,))
+
+    def test_goodput_no_less_than_any_baseline(self):
+        def check(fleet, load):
+            most = max(
+                result(fleet, load, policy).goodput
+                for policy in policies.BASELINES
+            )
+            self.assertGreaterEqual(result(fleet, load).goodput, most)
+
+        self.check_each(check, (0.95, 1.1))
+
+    def test_refuses_nobody_inside_rate_up_to_80_percent(self):
+        def check(fleet, load):
+            self.assertEqual(result(fleet, load).refused_inside, 0)
+
+        self.check_each(check, (0.5, 0.8))
+
+    def test_refuses_nobody_inside_rate_at_95_percent(self):
+        def check(fleet, load):
+            self.assertEqual(result(fleet, load).refused_inside, 0)
+
+        self.check_each(check, (0.95,))
+
+    def p99_s_by_account(self, fleet, load, factors):
+        found = result(fleet, load, factors=factors, seconds=LONG_SECONDS)
+        return dict(found.p99_s_by_account)
+
+    def test_one_account_at_five_times_its_rate(self):
+        def check(fleet, load):
+            alone = self.p99_s_by_account(fleet, load, ())
+            crowded = self.p99_s_by_account(fleet, load, FIVE_FOLD)
+            del crowded['account-1']
+            worst = max(crowded, key=crowded.get)
+            self.assertLessEqual(
+                crowded[worst], MOST_P99_FACTOR * alone[worst]
+            )
+
+        self.check_each(check, (0.5, 0.8))
+
+
+if __name__ == '__main__':
+    unittest.main()
