Serve messages to a coordinator on another VM

Cause: the inner listener matched a union of types, which raises TypeError; every draft whose coordinator was another VM was refused after 12 s. No test ran two entries, and the VM that plays the role serves itself without the listener.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -140,7 +140,14 @@
                 | token_messages.WithdrawAsk()
             ):
                 return await self._authorities.serve(message)
-            case place_messages.ToCoordinator():
+            case (
+                place_messages.AskPlace()
+                | place_messages.ReleasePlace()
+                | place_messages.ReportHolds()
+                | place_messages.RestoreHolds()
+                | place_messages.ReportLoad()
+                | place_messages.ReportCache()
+            ):
                 return await self._coordinators.serve(message)
         return None
 
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -110,13 +110,3 @@
 
     model: ids.ModelId
     change: events.CacheChanged
-
-
-ToCoordinator = (
-    AskPlace
-    | ReleasePlace
-    | ReportHolds
-    | RestoreHolds
-    | ReportLoad
-    | ReportCache
-)
