Promote no newcomer that the quorum would depend on

Cause: 800 examples of the fuzzing failed at one where a newcomer was promoted while another voter was dead, and died itself: two of four voters were left.

Change: a newcomer is promoted only where the voters that answer make a quorum of the new members without it. A single voter has no choice.

--- a/bulrushrudder/consensus/membership.py
+++ b/bulrushrudder/consensus/membership.py
@@ -40,13 +40,30 @@
         return _if_quorum(
             core, tuple(m for m in core.members if m.id != gone.id)
         )
-    if candidate is not None and not _is_taken(core, candidate.address):
-        return _if_quorum(
-            core, tuple(_promoted(m, candidate) for m in core.members)
-        )
+    if candidate is not None and _is_safe(core, candidate):
+        return tuple(_promoted(m, candidate) for m in core.members)
     return None
 
 
+def _is_safe(core, candidate):
+    """Return whether a quorum stays if the candidate dies at once.
+
+    A single voter can only take a second one that it relies on.
+    """
+    if _is_taken(core, candidate.address):
+        return False
+    members = [_promoted(m, candidate) for m in core.members]
+    voters = types.voters(core.members)
+    live = [id_ for id_ in voters if _answers(core, id_)]
+    return len(live) >= types.quorum(members) or len(voters) == 1
+
+
+def _answers(core, member_id):
+    answered = leadership.has_answered(core, member_id)
+    known = answered or member_id == core.id
+    return known and leadership.is_live(core, member_id)
+
+
 def _if_quorum(core, members):
     return members if leadership.has_quorum(core, members) else None
 
--- a/bulrushrudder/tests/consensus/replica_tests.py
+++ b/bulrushrudder/tests/consensus/replica_tests.py
@@ -176,6 +176,20 @@
         found.run(20.0)
         found.check_converged()
 
+    def test_newcomer_dies_while_a_voter_is_dead(self):
+        found = led()
+        found.wipe('c')
+        found.addresses = ('a', 'b', 'd')
+        for address in found.addresses:
+            found.kill(address)
+            found.start(address)
+        while len(self._members(found)) < 4:
+            found.run(cluster.STEP_S)
+        found.run(0.5)
+        found.wipe('d')
+        found.run(5.0)
+        self.assertEqual(len(found.leaders()), 1)
+
     def test_grows_from_one_to_five(self):
         found = led(('a',))
         found.propose('a', b'x')
