--- /dev/null
+++ b/bulrushrudder/benchmarks/control_cluster.py
@@ -0,0 +1,106 @@
+"""Control processes and observers on one loop."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+
+from bulrushrudder.benchmarks import counting
+from bulrushrudder.config import settings
+from bulrushrudder.control import process
+from bulrushrudder.core import ids
+from bulrushrudder.documents import types
+from bulrushrudder.entry import observing
+from bulrushrudder.observers import view
+from bulrushrudder.utils import ports
+from bulrushrudder.utils import tasks
+
+SECRET = b'the secret of a benchmark'
+START_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observer:
+    """An observer as an entry process has it.
+
+    :ivar relay: counts the bytes that it costs.
+    """
+
+    view: view.View
+    observing: observing.Observing
+    relay: counting.Relay
+
+
+class Cluster:
+    """Control processes that share a loop, each with its own disk folder.
+
+    :param stack: an AsyncExitStack that owns all that is opened.
+    :param folder: holds the data folders.
+    """
+
+    def __init__(self, stack, folder, members):
+        self._stack = stack
+        self._folder = pathlib.Path(folder)
+        self._inner = tuple(_address() for _ in range(members))
+        self.controls = []
+
+    async def start(self):
+        """Start the control processes and wait for a leader."""
+        for number, inner in enumerate(self._inner):
+            found = _settings(number, inner, self._inner, self._folder)
+            self.controls.append(await process.start(self._stack, found))
+        async with asyncio.timeout(START_S):
+            while not any(c.node.leads for c in self.controls):
+                await asyncio.sleep(0.02)
+
+    @property
+    def leader(self):
+        """Return the Control that leads."""
+        return next(c for c in self.controls if c.node.leads)
+
+    async def observe(self, name, stack=None):
+        """Start an observer and wait until it is fresh."""
+        stack = stack or self._stack
+        relays = [counting.Relay(address) for address in self._inner]
+        for relay in relays:
+            await relay.start(stack)
+        owner = ids.Owner(ids.VmId(name), 1)
+        found = view.View(types.Environment.PRODUCTION)
+        follower = observing.Observing(
+            found, owner, SECRET, tuple(relay.address for relay in relays)
+        )
+        tasks.spawn(stack, follower.run())
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(START_S):
+            while not found.fresh(loop.time()):
+                await asyncio.sleep(0.005)
+        used = max(relays, key=lambda relay: relay.bytes)
+        return Observer(found, follower, used)
+
+
+@contextlib.asynccontextmanager
+async def started(folder, members):
+    """Return a Cluster that runs inside the context."""
+    async with contextlib.AsyncExitStack() as stack:
+        cluster = Cluster(stack, folder, members)
+        await cluster.start()
+        yield cluster
+
+
+def _address():
+    (port,) = ports.free_ports(1)
+    return settings.Address(ports.LOOPBACK, port)
+
+
+def _settings(number, inner, controls, folder):
+    data = folder / f'{len(controls)}-{number}'
+    control = settings.ControlSettings(_address(), _address(), inner, data)
+    return settings.Settings(
+        vm=ids.VmId(f'control{number}'),
+        zone=ids.Zone('a'),
+        environment=types.Environment.PRODUCTION,
+        entry=None,
+        control=control,
+        controls=controls,
+        secrets=settings.Secrets(SECRET, SECRET, SECRET),
+    )
--- /dev/null
+++ b/bulrushrudder/benchmarks/counting.py
@@ -0,0 +1,45 @@
+"""A TCP relay that counts bytes."""
+
+import asyncio
+import contextlib
+
+from bulrushrudder.config import settings
+from bulrushrudder.utils import ports
+
+CHUNK_BYTES = 64 * 1024
+
+
+class Relay:
+    """Passes connections on to an address.
+
+    :ivar bytes: that went through, both ways.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self.address = None
+        self.bytes = 0
+
+    async def start(self, stack):
+        """Listen until the stack closes."""
+        server = await asyncio.start_server(self._accept, ports.LOOPBACK, 0)
+        stack.callback(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.address = settings.Address(ports.LOOPBACK, port)
+
+    async def _accept(self, reader, writer):
+        with contextlib.suppress(OSError):
+            far_reader, far_writer = await asyncio.open_connection(
+                self._target.host, self._target.port
+            )
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, far_writer))
+                group.create_task(self._pump(far_reader, writer))
+
+    async def _pump(self, reader, writer):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                self.bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- a/bulrushrudder/consensus/membership.py
+++ b/bulrushrudder/consensus/membership.py
@@ -54,11 +54,12 @@
         return False
     members = [_promoted(m, candidate) for m in core.members]
     voters = types.voters(core.members)
-    live = [id_ for id_ in voters if _answers(core, id_)]
+    live = [id_ for id_ in voters if answers(core, id_)]
     return len(live) >= types.quorum(members) or len(voters) == 1
 
 
-def _answers(core, member_id):
+def answers(core, member_id):
+    """Return whether a member answers this leader now."""
     answered = leadership.has_answered(core, member_id)
     known = answered or member_id == core.id
     return known and leadership.is_live(core, member_id)
--- a/bulrushrudder/consensus/replica.py
+++ b/bulrushrudder/consensus/replica.py
@@ -79,9 +79,9 @@
         """Return whether it leads and has committed in its term."""
         return leadership.settled(self._core)
 
-    def is_live(self, member_id):
-        """Return whether the leader heard of a member lately."""
-        return leadership.is_live(self._core, member_id)
+    def answers(self, member_id):
+        """Return whether a member answers this leader now."""
+        return membership.answers(self._core, member_id)
 
     def agreed_index(self, member_id):
         """Return up to where the leader knows a member's log."""
--- a/bulrushrudder/control/status.py
+++ b/bulrushrudder/control/status.py
@@ -26,7 +26,7 @@
 def can_lose_one(replica):
     """Return whether a quorum lives on without any one live voter."""
     voters = types.voters(replica.members)
-    live = [id_ for id_ in voters if replica.is_live(id_)]
+    live = [id_ for id_ in voters if replica.answers(id_)]
     return len(live) - 1 >= types.quorum(replica.members)
 
 
@@ -36,7 +36,7 @@
         id=member.id,
         address=member.address,
         voter=member.voter,
-        live=replica.is_live(member.id),
+        live=replica.answers(member.id),
         lag=max(replica.log.last_index - agreed, 0),
     )
 
