Measure what idle processes cost

Cause: the benchmark's idle observer still saw the servers of the step before expire, and nothing gave the processor time of an idle process.

Change: the benchmark waits until the servers have left; a script reads processor time and memory of idle processes.

--- a/bulrushrudder/benchmarks/control.py
+++ b/bulrushrudder/benchmarks/control.py
@@ -116,6 +116,8 @@
 
 async def _observer_cost(cluster):
     found = await cluster.observe('vm-cost')
+    while cluster.leader.node.state.servers.by_id:
+        await asyncio.sleep(IDLE_S / 10)
     idle = await _bytes_a_second(found, 0)
     busy = await _bytes_a_second(found, BUSY_CHANGES_A_S, cluster)
     columns = (
--- /dev/null
+++ b/scripts/idle_cost.py
@@ -0,0 +1,61 @@
+"""Measures processor time and memory of idle processes.
+
+Usage: python scripts/idle_cost.py [--controls N] [--entries N]
+"""
+
+import argparse
+import os
+import pathlib
+import sys
+import tempfile
+import time
+
+import processes
+
+SETTLE_S = 6.0
+MEASURE_S = 15.0
+PAGE_BYTES = 4096
+MEGABYTE = 1024 * 1024
+
+
+def processor_s(process):
+    """Return processor seconds that a process has used."""
+    text = pathlib.Path(f'/proc/{process.running.pid}/stat').read_text()
+    fields = text.rsplit(')', 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+
+def resident_mb(process):
+    """Return the megabytes that a process holds in memory."""
+    text = pathlib.Path(f'/proc/{process.running.pid}/statm').read_text()
+    return int(text.split()[1]) * PAGE_BYTES / MEGABYTE
+
+
+def main(arguments):
+    """Measure and print."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = processes.Fleet(
+            pathlib.Path(folder), arguments.controls, arguments.entries
+        )
+        try:
+            fleet.start_all()
+            time.sleep(SETTLE_S)
+            found = list(fleet.by_name.values())
+            before = [processor_s(process) for process in found]
+            time.sleep(MEASURE_S)
+            for process, used_s in zip(found, before, strict=True):
+                share = (processor_s(process) - used_s) / MEASURE_S
+                print(
+                    f'{process.name}: {share:.2%} of a core, '
+                    f'{resident_mb(process):.0f} MB'
+                )
+        finally:
+            fleet.stop_all()
+    return 0
+
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--controls', type=int, default=3)
+    parser.add_argument('--entries', type=int, default=1)
+    sys.exit(main(parser.parse_args()))
