--- a/bulrushrudder/engines/client.py
+++ b/bulrushrudder/engines/client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 
 import aiohttp
 import pydantic
@@ -175,22 +176,21 @@
 async def _follow(content, attempt, server):
     """Yield lists of the events of a decode stream."""
     splitter = lines.LineSplitter()
-    expected = str(attempt)
+    read_event = functools.partial(_event, attempt, str(attempt), server)
     bound_s = FIRST_TOKEN_S
     while True:
-        batch = await _next_batch(content, splitter, expected, bound_s)
-        if not batch:
+        found = await _next_events(content, splitter, read_event, bound_s)
+        if not found:
             yield [_failed(attempt, server, 'the stream ended early')]
             return
-        found = [_event(attempt, server, expected, item) for item in batch]
         yield found
         if not isinstance(found[-1], events.TokenArrived):
             return
         bound_s = BETWEEN_TOKENS_S
 
 
-async def _next_batch(content, splitter, expected, bound_s):
-    """Return the next items; the bound holds until one is whole.
+async def _next_events(content, splitter, read_event, bound_s):
+    """Return the next events; the bound holds until one is whole.
 
     :returns: nothing where the stream has ended.
     """
@@ -199,25 +199,23 @@
             data = await content.readany()
             if not data:
                 return []
-            batch = [
-                wire.DecodeItem.model_validate_json(line[len(_PREFIX) :])
-                for line in splitter.feed(data)
-                if line.startswith(_PREFIX)
-            ]
-            if batch:
-                return _until_end(batch, expected)
-
-
-def _until_end(batch, expected):
-    """Return the items up to the first one that ends the attempt."""
-    for number, item in enumerate(batch):
-        if item.finish_reason is not None or item.attempt != expected:
-            return batch[: number + 1]
-    return batch
-
-
-def _event(attempt, server, expected, item):
-    if item.attempt != expected:
+            found = []
+            for line in splitter.feed(data):
+                if not line.startswith(_PREFIX):
+                    continue
+                found.append(read_event(line[len(_PREFIX) :]))
+                if not isinstance(found[-1], events.TokenArrived):
+                    return found
+            if found:
+                return found
+
+
+def _event(attempt, name, server, text):
+    try:
+        item = wire.DecodeItem.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        return _failed(attempt, server, error)
+    if item.attempt != name:
         return _failed(attempt, server, 'item of another attempt')
     if item.finish_reason is not None:
         return events.DecodeDone(attempt, item.index, item.finish_reason)
