Stop unready first, and after all in flight is whole

Cause: at SIGTERM new work was refused at once, calls of plain services were not waited for, and answers had a second to be read.

A second signal logs how many calls it waits for.

--- a/bulrushrudder/commands/service.py
+++ b/bulrushrudder/commands/service.py
@@ -8,6 +8,7 @@
 from bulrushrudder.commands import errors
 from bulrushrudder.config import settings
 from bulrushrudder.events import log
+from bulrushrudder.utils import stopping
 
 
 def load_settings(file):
@@ -39,6 +40,8 @@
 def serve(run, found, log_format='json'):
     """Run a process until SIGTERM or SIGINT.
 
+    A second signal only reports what the process still waits for.
+
     :param run: coroutine function of (settings, stopping).
     :param found: the Settings.
     :param log_format: json or human.
@@ -53,8 +56,8 @@
 
 
 async def _until_signal(run, found):
-    stopping = asyncio.Event()
+    found_stopping = stopping.Stopping()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    await run(found, stopping)
+        loop.add_signal_handler(number, found_stopping.request)
+    await run(found, found_stopping)
--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -15,6 +15,8 @@
 from bulrushrudder.documents import types
 
 MIN_SECRET_BYTES = 16
+BALANCER_S = 5.0
+MAX_BALANCER_S = 300.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,12 +55,15 @@
     :param backends: where backend servers announce themselves.
     :param metrics: where metrics are read.
     :param inner: where the system's other processes connect.
+    :param balancer_s: seconds that the platform's balancer may take to
+        see that the process is unready, before it refuses new work.
     """
 
     callers: Address
     backends: Address
     metrics: Address
     inner: Address
+    balancer_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +132,9 @@
     backends: AddressModel
     metrics: AddressModel
     inner: AddressModel
+    balancer_s: float = pydantic.Field(
+        default=BALANCER_S, ge=0, le=MAX_BALANCER_S
+    )
 
     def build(self):
         """Return the data class."""
@@ -135,6 +143,7 @@
             backends=self.backends.build(),
             metrics=self.metrics.build(),
             inner=self.inner.build(),
+            balancer_s=self.balancer_s,
         )
 
 
--- a/bulrushrudder/entry/frontend.py
+++ b/bulrushrudder/entry/frontend.py
@@ -59,13 +59,15 @@
     async def _ready(self, http_request):
         now_s = asyncio.get_running_loop().time()
         fresh = self._services.view.fresh(now_s)
-        ready = fresh and not self._services.draining
+        stopping = self._services.leaving or self._services.draining
+        ready = fresh and not stopping
         return web.json_response(
             {'ready': ready}, status=200 if ready else 503
         )
 
     async def _call(self, http_request):
         request_id = self._request_id(http_request)
+        self._services.calls += 1
         try:
             return await self._serve(http_request, request_id)
         except Exception as error:
@@ -78,6 +80,8 @@
                 'an internal error, which is in the log',
             )
             return self._refuse(refusal, request_id, 'none')
+        finally:
+            self._services.calls -= 1
 
     async def _serve(self, http_request, request_id):
         admitted = self._admit(http_request)
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -35,6 +35,8 @@
 
 SESSION_RETRY_S = 0.2
 SESSION_CHECK_S = 1.0
+CANCELS_S = 5.0
+ANSWERS_S = 60.0
 
 
 class Entry:
@@ -110,21 +112,44 @@
         tasks.spawn(stack, self._keep_session())
         log.emit(catalogue.ENTRY_STARTED, callers=str(settings.entry.callers))
 
+    async def leave(self):
+        """Become unready and let the balancer take notice.
+
+        New calls are still served meanwhile.
+        """
+        self.services.leaving = True
+        log.emit(catalogue.ENTRY_STOPPING, calls=self.services.calls)
+        await asyncio.sleep(self._settings.entry.balancer_s)
+
     async def stop(self):
-        """Take no new work and finish what is in flight."""
+        """Take no new work and finish what is in flight.
+
+        The session closes last: peers take the attempts of a closed
+        session for orphans.
+        """
+        self.services.leaving = True
         self.services.draining = True
-        log.emit(catalogue.ENTRY_STOPPING)
         await self.services.finish()
+        await self._cancelling.finish(CANCELS_S)
         await self._authorities.stop()
         await self.observing.propose(sessions.CloseSession(self._owner))
         await self._coordinators.hand_over()
         log.emit(catalogue.ENTRY_STOPPED)
 
+    def report_waiting(self):
+        """Log what the process still waits for before it stops."""
+        calls = self.services.calls if self.services else 0
+        log.emit(catalogue.STOP_WAITS, calls=calls)
+
     async def _listen(self, stack):
         settings = self._settings
         front = frontend.Frontend(self.services)
         await web.listen(
-            stack, front.application(), settings.entry.callers, True
+            stack,
+            front.application(),
+            settings.entry.callers,
+            cancel_handlers=True,
+            finish_s=ANSWERS_S,
         )
         back = operations.Operations(self.observing, settings.secrets.backends)
         await web.listen(stack, back.application(), settings.entry.backends)
@@ -176,12 +201,14 @@
 
 
 async def run(settings, stopping):
-    """Run the entry process until the event is set.
+    """Run the entry process until it is told to stop.
 
-    :param stopping: an asyncio Event.
+    :param stopping: a Stopping.
     """
     async with contextlib.AsyncExitStack() as stack:
         entry = Entry(settings)
         await entry.start(stack)
+        stopping.on_repeat(entry.report_waiting)
         await stopping.wait()
+        await entry.leave()
         await entry.stop()
--- a/bulrushrudder/entry/services.py
+++ b/bulrushrudder/entry/services.py
@@ -5,6 +5,8 @@
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.utils import tasks
 
+CALLS_POLL_S = 0.02
+
 
 class Services:
     """Clients, roles and counters of an entry process.
@@ -18,6 +20,9 @@
     :param metrics: the Metrics.
     :param observing: the Observing, which proposes commands.
     :param cancelling: the Cancelling.
+    :ivar leaving: whether the process is unready for the balancer.
+    :ivar draining: whether it refuses new work.
+    :ivar calls: how many calls are in flight.
     """
 
     def __init__(
@@ -43,7 +48,9 @@
         self.cancelling = cancelling
         self.retries = retries.RetryPolicy()
         self.running = set()
+        self.leaving = False
         self.draining = False
+        self.calls = 0
         self._tasks = set()
         self._last_request = 0
 
@@ -68,6 +75,8 @@
         return task
 
     async def finish(self):
-        """Wait for all that was spawned."""
+        """Wait for all calls and all that was spawned."""
+        while self.calls:
+            await asyncio.sleep(CALLS_POLL_S)
         while self._tasks:
             await asyncio.wait(self._tasks)
--- a/bulrushrudder/tests/builders/frontends.py
+++ b/bulrushrudder/tests/builders/frontends.py
@@ -33,7 +33,9 @@
     now_s = asyncio.get_running_loop().time()
     services = types.SimpleNamespace(
         view=fresh_view(document, now_s),
+        leaving=False,
         draining=False,
+        calls=0,
         owner=fleet.owner(),
         metrics=registry.Metrics(),
         next_request=itertools.count(1).__next__,
--- a/bulrushrudder/utils/web.py
+++ b/bulrushrudder/utils/web.py
@@ -10,12 +10,18 @@
 
 HEADERS_S = 10.0
 KEEP_ALIVE_S = 75.0
+FINISH_S = 1.0
 
 _KEPT_HEADERS = frozenset({'Allow', 'Retry-After'})
 
 
 async def listen(
-    stack, application, address, cancel_handlers=False, headers_s=HEADERS_S
+    stack,
+    application,
+    address,
+    cancel_handlers=False,
+    headers_s=HEADERS_S,
+    finish_s=FINISH_S,
 ):
     """Serve an application until the exit stack closes.
 
@@ -24,6 +30,8 @@
     :param cancel_handlers: whether a gone caller cancels its handler.
     :param headers_s: seconds that a peer may take for the headers of
         its first request.
+    :param finish_s: seconds that answers under way may take when the
+        exit stack closes.
     :returns: the port that is listened on.
     """
     guard = _HeadersGuard(headers_s)
@@ -34,7 +42,7 @@
         logger=_HTTP_LOGGER,
         handler_cancellation=cancel_handlers,
         keepalive_timeout=KEEP_ALIVE_S,
-        shutdown_timeout=1.0,
+        shutdown_timeout=finish_s,
     )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
