Try the request path under faults on real sockets

Cause: decisions were tested in virtual time and the engine client alone.

Change: stand-in engines that crash, reset, fall silent or are full, and the path of entries in one process before them. Found and mended by it: a caller that left while its answer was prepared left its place behind; a call that was cancelled before its first step failed; refused connections used up the retries of innocents; with one server left that had failed, a request waited for its whole patience; the kernel kept megabytes for a caller that did not read.

--- a/bulrushrudder/engines/client.py
+++ b/bulrushrudder/engines/client.py
@@ -64,7 +64,7 @@
                 text = await _read_reply(found)
             reply = wire.PrefillReply.model_validate_json(text)
         except aiohttp.ClientConnectorError as error:
-            return _failed(attempt, server, error, sent=False)
+            return _unreachable(attempt, server, error)
         except TimeoutError as error:
             return _silent(attempt, server, error)
         except _FAILURES as error:
@@ -89,7 +89,7 @@
                 async for batch in _follow(found.content, attempt, server):
                     yield batch
         except aiohttp.ClientConnectorError as error:
-            yield [_failed(attempt, server, error, sent=False)]
+            yield [_unreachable(attempt, server, error)]
         except TimeoutError as error:
             yield [_silent(attempt, server, error)]
         except _FAILURES as error:
@@ -237,13 +237,20 @@
     return events.AttemptFailed(attempt, server.id, reason, detail, sent)
 
 
-def _failed(attempt, server, error, sent=True):
+def _failed(attempt, server, error):
     reason = outcomes.Reason.BACKEND_FAILED
-    return events.AttemptFailed(attempt, server.id, reason, str(error), sent)
+    return events.AttemptFailed(attempt, server.id, reason, str(error))
+
+
+def _unreachable(attempt, server, error):
+    """No connection came about, so that nothing was sent."""
+    reason = outcomes.Reason.BACKEND_UNREACHABLE
+    detail = str(error)
+    return events.AttemptFailed(attempt, server.id, reason, detail, False)
 
 
 def _silent(attempt, server, error):
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return _unreachable(attempt, server, error)
     reason = outcomes.Reason.BACKEND_SILENT
-    sent = not isinstance(error, aiohttp.ConnectionTimeoutError)
-    detail = 'no bytes came'
-    return events.AttemptFailed(attempt, server.id, reason, detail, sent)
+    return events.AttemptFailed(attempt, server.id, reason, 'no bytes came')
--- a/bulrushrudder/entry/answers.py
+++ b/bulrushrudder/entry/answers.py
@@ -6,6 +6,7 @@
 
 from bulrushrudder.entry import completions
 from bulrushrudder.lifecycle import actions
+from bulrushrudder.utils import sockets
 
 CALLER_STALL_S = 20.0
 MAX_UNSENT_BYTES = 16 * 1024
@@ -92,10 +93,10 @@
         await self._end()
 
     async def _write(self, data):
-        if self.response is None:
-            await self._start()
         try:
             async with asyncio.timeout(CALLER_STALL_S):
+                if self.response is None:
+                    await self._start()
                 await self.response.write(data)
         except (ConnectionError, TimeoutError):
             self._on_gone()
@@ -110,7 +111,7 @@
         )
         transport = self._http_request.transport
         if transport is not None:
-            transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+            sockets.bound_unsent(transport, MAX_UNSENT_BYTES)
         await self.response.prepare(self._http_request)
 
     async def _end(self):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -55,13 +55,24 @@
         self._services.retries.admitted()
         self._services.running.add(self)
         try:
-            await self._perform(self._request.start(self._loop.time()))
+            if not self._request.ended:
+                await self._perform(self._request.start(self._loop.time()))
             while not self._request.ended:
                 await self._run_step()
             await self._perform(self._last_actions)
+        except Exception:
+            self._free_all()
+            raise
         finally:
             self._services.running.discard(self)
 
+    def _free_all(self):
+        """Free what the request holds after an unexpected error."""
+        self.caller_gone()
+        for action in self._last_actions:
+            if not isinstance(action, actions.Refuse):
+                self._perform_now(action)
+
     def caller_gone(self):
         """Take note that the caller no longer takes the answer."""
         self.interrupt(events.CallerGone())
@@ -310,7 +321,7 @@
     return events.AttemptFailed(
         action.attempt,
         action.server,
-        outcomes.Reason.BACKEND_FAILED,
+        outcomes.Reason.BACKEND_UNREACHABLE,
         'the backend server has left',
         sent=False,
     )
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -11,6 +11,7 @@
 from bulrushrudder.lifecycle import states
 
 MAX_EXCLUDED = 4
+EXCLUSION_S = 1.0
 MAX_OWN_CRASHES = 2
 _NOT_INSPECTED = frozenset(
     {outcomes.Reason.BACKEND_FULL, outcomes.Reason.TRANSFER_FAILED}
@@ -46,6 +47,7 @@
         self._donor_handle = None
         self._failures = []
         self._excluded = ()
+        self._failed_server = None
         self._isolation = job.isolation
         self._own_crashes = int(job.isolation is jobs.Isolation.ALONE)
         self._sent = False
@@ -81,7 +83,7 @@
             case events.TokensGranted():
                 return self._tokens_granted(now_s)
             case events.StepRefused(refusal=refusal):
-                return self._step_refused(refusal)
+                return self._step_refused(refusal, now_s)
             case events.PlaceGranted():
                 return self._place_granted(event)
             case events.BackOffEnded():
@@ -131,15 +133,21 @@
         job = self.job
         self._place = ids.RequestId(f'{job.request}-{self._asks}')
         patience_s = min(job.patience_s, max(0.0, job.deadline_s - now_s))
+        if self._excluded:
+            patience_s = min(patience_s, EXCLUSION_S)
         return [
             actions.AskPlace(
                 self._place, patience_s, self._excluded, self._isolation
             )
         ]
 
-    def _step_refused(self, refusal):
+    def _step_refused(self, refusal, now_s):
         if self.state not in ('waiting_for_tokens', 'queued'):
             return [_drop(refusal)]
+        if self.state == 'queued' and self._excluded:
+            # Only servers that failed before have a place.
+            self._excluded = ()
+            return self._ask_place(now_s)
         if self._sent:
             return self._end(refusal.reason, refusal.detail)
         return self._refuse(refusal)
@@ -252,6 +260,7 @@
 
     def _note_failure(self, reason, server):
         self._failures.append(reason)
+        self._failed_server = server
         self._excluded = (*self._excluded, server)[-MAX_EXCLUDED:]
 
     def _inspected(self, event, now_s):
@@ -277,7 +286,7 @@
             self._isolation = jobs.Isolation.NO_OTHER_SUSPECT
         self._go('report')
         report = actions.ReportCrash(
-            self.job.fingerprint, self._excluded[-1], isolated
+            self.job.fingerprint, self._failed_server, isolated
         )
         return [report]
 
--- a/bulrushrudder/lifecycle/retries.py
+++ b/bulrushrudder/lifecycle/retries.py
@@ -23,10 +23,11 @@
         outcomes.Reason.BACKEND_FAILED: 3,
         outcomes.Reason.BACKEND_SILENT: 2,
         outcomes.Reason.BACKEND_FULL: 2,
-        outcomes.Reason.TRANSFER_FAILED: 2,
+        outcomes.Reason.BACKEND_UNREACHABLE: 6,
+        outcomes.Reason.TRANSFER_FAILED: 3,
     }
 )
-MAX_RETRIES = 4
+MAX_RETRIES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/standins/engine.py
+++ b/bulrushrudder/standins/engine.py
@@ -43,8 +43,8 @@
     """A prefill and decode engine without a model.
 
     It frees a KV cache when the cache is fetched, cancelled or older
-    than its lifetime. Orders that come after their cancellation are
-    refused.
+    than its lifetime, which also counts from a lost connection. Orders
+    that come after their cancellation are refused.
 
     :param token_s: seconds between tokens.
     :param prefill_s: seconds that a prefill takes.
@@ -65,6 +65,7 @@
         self._places = places
         self.held_by_attempt: dict[str, Held] = {}
         self.runs = 0
+        self.tokens = 0
         self._known = collections.deque(maxlen=MAX_REMEMBERED)
         self._cancelled = collections.deque(maxlen=MAX_REMEMBERED)
         self._cancelled_incarnation_by_vm = {}
@@ -111,8 +112,13 @@
             )
             await response.prepare(request)
             await self._stream(response, order, held)
-        finally:
+        except ConnectionError:
+            self._free_later(order['attempt'], held)
+            raise
+        except BaseException:
             self._free(order['attempt'], held)
+            raise
+        self._free(order['attempt'], held)
         return response
 
     def _take(self, order):
@@ -152,6 +158,7 @@
                 return
             item = {'attempt': attempt, 'index': index, 'text': texts[index]}
             await response.write(_event(item))
+            self.tokens += 1
         item = {
             'attempt': attempt,
             'index': count,
--- /dev/null
+++ b/bulrushrudder/standins/entry_path.py
@@ -0,0 +1,356 @@
+"""The request path of entry processes with stand-ins around it.
+
+Everything runs in one process: callers' interfaces, engine clients and
+cancellations are the real ones; places, tokens and the log are small
+stand-ins, so that faults of requests can be tried and measured alone.
+"""
+
+import asyncio
+import dataclasses
+import json
+import logging
+import random
+
+import aiohttp
+from aiohttp import web
+from returns import result
+
+from bulrushrudder.config import settings
+from bulrushrudder.core import ids
+from bulrushrudder.core import outcomes
+from bulrushrudder.documents import differences
+from bulrushrudder.documents import lookups
+from bulrushrudder.documents import types
+from bulrushrudder.engines import client
+from bulrushrudder.entry import access
+from bulrushrudder.entry import cancelling
+from bulrushrudder.entry import frontend
+from bulrushrudder.entry import services
+from bulrushrudder.lifecycle import job as jobs
+from bulrushrudder.metrics import registry
+from bulrushrudder.observers import view
+from bulrushrudder.protocol import place_messages
+from bulrushrudder.standins import engine
+from bulrushrudder.standins import faulty_engine
+from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import results
+from bulrushrudder.state import servers
+from bulrushrudder.state import sessions
+from bulrushrudder.utils import ports
+from bulrushrudder.utils import tasks
+from bulrushrudder.utils import web as web_listeners
+
+PLACE_POLL_S = 0.01
+VOUCH_S = 0.5
+DOWN_S = 0.2
+
+_QUIET = logging.Logger('aiohttp.server', logging.CRITICAL)
+
+
+class Log:
+    """Commits at once and shows every view the same state."""
+
+    def __init__(self):
+        self.view = view.View(types.Environment.PRODUCTION)
+
+    def commit(self, command):
+        """Apply a command."""
+        index = self.view.index + 1
+        self.view.apply(index, command)
+        return results.Accepted(index)
+
+    async def propose(self, command):
+        """Return the outcome of a command, as Observing does."""
+        await asyncio.sleep(0)
+        return self.commit(command)
+
+    async def wait_for(self, index):
+        """Every view is up to date."""
+
+    async def vouch(self):
+        """Keep the view fresh until cancelled."""
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            number = self.view.begin_round(now_s)
+            self.view.vouched(number, self.view.index)
+            await asyncio.sleep(VOUCH_S)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """A granted place."""
+
+    prefill: ids.ServerId
+    decode: ids.ServerId
+    isolation: jobs.Isolation
+
+
+class Places:
+    """Grants places on the least held servers, with isolation."""
+
+    def __init__(self, log):
+        self._log = log
+        self.holdings_by_place = {}
+
+    async def ask(self, question):
+        """Return a PlaceGranted or a Refusal."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + question.patience_s
+        while True:
+            prefill = self._choose('prefill', question)
+            decode = self._choose('decode', question)
+            if prefill and decode:
+                isolation = jobs.Isolation(question.isolation)
+                self.holdings_by_place[question.request] = Holding(
+                    prefill, decode, isolation
+                )
+                granted = place_messages.PlaceGranted(prefill, decode)
+                return result.Success(granted)
+            if loop.time() >= deadline_s:
+                reason = outcomes.Reason.NO_SERVER
+                return result.Failure(outcomes.not_run(reason, 'no place'))
+            await asyncio.sleep(PLACE_POLL_S)
+
+    async def release(self, place, owner, model):
+        """Take a place back."""
+        self.holdings_by_place.pop(place, None)
+
+    def _choose(self, kind, question):
+        found = [
+            (len(self._held_on(server.id)), server.id)
+            for server in self._log.view.state.servers.by_id.values()
+            if server.kind == kind
+            and server.id not in question.excluded
+            and self._open_to(server, question.isolation)
+        ]
+        return min(found)[1] if found else None
+
+    def _held_on(self, server_id):
+        return [
+            held
+            for held in self.holdings_by_place.values()
+            if server_id in (held.prefill, held.decode)
+        ]
+
+    def _open_to(self, server, isolation):
+        held = self._held_on(server.id)
+        if len(held) >= server.places:
+            return False
+        if any(h.isolation is jobs.Isolation.ALONE for h in held):
+            return False
+        if isolation == jobs.Isolation.ALONE:
+            return not held
+        suspects = [h for h in held if h.isolation is not jobs.Isolation.NONE]
+        return isolation == jobs.Isolation.NONE or not suspects
+
+
+class Ledger:
+    """Grants every cost and keeps the balance of each account."""
+
+    def __init__(self):
+        self.spent_by_account = {}
+
+    async def ask(self, account, tokens, patience_s):
+        """Return a charge, which is the account here."""
+        self._add(account, tokens)
+        return result.Success(account)
+
+    async def give_back(self, charge, tokens):
+        """Take unused tokens of a charge back."""
+        self._add(charge, -tokens)
+
+    def _add(self, account, tokens):
+        spent = self.spent_by_account.get(account, 0)
+        self.spent_by_account[account] = spent + tokens
+
+
+class EntryPath:
+    """Callers' interfaces before a few faulty engines.
+
+    :param stack: an AsyncExitStack that owns everything.
+    :param document: the Document in force.
+    """
+
+    def __init__(self, stack, document):
+        self._stack = stack
+        self.log = Log()
+        self.places = Places(self.log)
+        self.ledger = Ledger()
+        self.engines_by_id = {}
+        self._runners_by_id = {}
+        self._sites_by_id = {}
+        self.services = []
+        self._document = lookups.EMPTY
+        self._digest = ''
+        self.put_in_force(document)
+        tasks.spawn(stack, self.log.vouch())
+
+    def put_in_force(self, document):
+        """Submit and promote a document."""
+        digest = f'digest {document.version}'
+        submitted = state_documents.SubmitDocument(
+            base_version=self._document.version,
+            base_digest=self._digest,
+            difference=differences.between(self._document, document),
+            digest=digest,
+            operator='operator',
+        )
+        self.log.commit(submitted)
+        self.log.commit(
+            state_documents.PromoteDocument(
+                document.version, digest, 'operator'
+            )
+        )
+        self._document = document
+        self._digest = digest
+
+    async def add_engine(self, server_id, kind, seed, places=20, **options):
+        """Start an engine that announces itself anew after a crash."""
+        found = faulty_engine.FaultyEngine(
+            random.Random(seed),
+            on_crash=lambda: self._restart(server_id),
+            **options,
+        )
+        runner = web.AppRunner(
+            found.application(),
+            access_log=None,
+            logger=_QUIET,
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, ports.LOOPBACK, 0)
+        await site.start()
+        port = runner.addresses[0][1]
+        server = servers.BackendServer(
+            id=ids.ServerId(server_id),
+            incarnation=1,
+            kind=kind,
+            host=ports.LOOPBACK,
+            port=port,
+            zone=ids.Zone('a'),
+            serves=('drafting',),
+            places=places,
+            memory_tokens=400000,
+            link_tokens_per_s=1e6,
+            checks_fencing=True,
+        )
+        self.log.commit(servers.JoinServer(server))
+        self.engines_by_id[server_id] = found
+        self._runners_by_id[server_id] = runner
+        self._sites_by_id[server_id] = site
+        return found
+
+    def _restart(self, server_id):
+        """Refuse connections for a time, then come up as a new run."""
+        task = asyncio.create_task(self._come_up_again(server_id))
+        self._stack.push_async_callback(tasks.cancel, task)
+
+    async def _come_up_again(self, server_id):
+        site = self._sites_by_id[server_id]
+        server = self.log.view.state.servers.by_id[server_id]
+        await site.stop()
+        await asyncio.sleep(DOWN_S)
+        again = web.TCPSite(
+            self._runners_by_id[server_id], server.host, server.port
+        )
+        await again.start()
+        self._sites_by_id[server_id] = again
+        self.log.commit(
+            servers.JoinServer(
+                dataclasses.replace(server, incarnation=server.incarnation + 1)
+            )
+        )
+
+    async def add_entry(self, vm):
+        """Start an entry's request path.
+
+        :returns: the URL for callers.
+        """
+        owner = ids.Owner(ids.VmId(vm), 1)
+        session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True)
+            )
+        )
+        engines = client.EngineClient(session)
+        metrics = registry.Metrics()
+        cancels = cancelling.Cancelling(vm, self.log.view, engines, metrics)
+        found = services.Services(
+            owner,
+            self.log.view,
+            self.ledger,
+            self.places,
+            engines,
+            None,
+            metrics,
+            self.log,
+            cancels,
+        )
+        self.services.append(found)
+        tasks.spawn(self._stack, cancels.run())
+        tasks.spawn(self._stack, access.Access(found).run())
+        opened = sessions.OpenSession(owner, ids.Zone('a'), ports.LOOPBACK, 1)
+        self.log.commit(opened)
+        front = frontend.Frontend(found)
+        address = settings.Address(ports.LOOPBACK, 0)
+        port = await web_listeners.listen(
+            self._stack, front.application(), address, True
+        )
+        return f'http://{ports.LOOPBACK}:{port}'
+
+    def held(self):
+        """Return the attempts that engines hold."""
+        return [
+            attempt
+            for found in self.engines_by_id.values()
+            for attempt in found.held_by_attempt
+        ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """What a caller saw of one request.
+
+    :param whole: whether the answer is whole and the caller's own.
+    :param ended: whether the end, whole or not, was said.
+    """
+
+    status: int
+    tokens: int
+    whole: bool
+    ended: bool
+    text: str
+
+
+async def stream(session, url, key, prompt, count):
+    """Ask for a streamed answer and check all of it.
+
+    :returns: what the caller Seen.
+    """
+    content = {'prompt': prompt, 'max_tokens': count, 'stream': True}
+    headers = {'Authorization': f'Bearer {key}'}
+    try:
+        async with session.post(
+            f'{url}/v1/completions', json=content, headers=headers
+        ) as response:
+            status = response.status
+            text = await response.text()
+    except aiohttp.ClientError as error:
+        return Seen(0, 0, False, False, repr(error))
+    if status != 200:
+        return Seen(status, 0, False, True, text)
+    texts = [
+        json.loads(line[len('data: ') :])['choices'][0]['text']
+        for line in text.splitlines()
+        if line.startswith('data: {') and '"token_index"' in line
+    ]
+    expected = engine.expected_tokens(prompt, count)
+    own = texts == expected[: len(texts)]
+    done = text.endswith('data: [DONE]\n\n')
+    failed = 'event: error\n' in text
+    if not own:
+        return Seen(status, len(texts), False, False, text)
+    return Seen(
+        status, len(texts), done and texts == expected, done or failed, text
+    )
--- /dev/null
+++ b/bulrushrudder/standins/faulty_engine.py
@@ -0,0 +1,99 @@
+"""A stand-in engine that crashes, resets, falls silent or is full."""
+
+import asyncio
+import dataclasses
+
+from aiohttp import web
+
+from bulrushrudder.standins import engine
+
+POISON = 'poison'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chances:
+    """How often an order meets each fault; at least 0 and at most 1."""
+
+    crash: float = 0.0
+    reset: float = 0.0
+    silence: float = 0.0
+    full: float = 0.0
+
+
+NO_FAULTS = Chances()
+
+
+class FaultyEngine(engine.Engine):
+    """An engine with faults from a seeded source.
+
+    A prompt that holds the word of POISON crashes it.
+
+    :param randomness: a seeded random.Random.
+    :param chances: how often each fault comes.
+    :param on_crash: called when the engine has lost all that it held.
+    """
+
+    def __init__(self, randomness, chances=NO_FAULTS, on_crash=None, **times):
+        super().__init__(**times)
+        self.chances = chances
+        self.crashes = 0
+        self._random = randomness
+        self._on_crash = on_crash
+        self._transports = set()
+
+    def application(self):
+        """Return the aiohttp application."""
+        app = super().application()
+        app.middlewares.append(self._guard)
+        return app
+
+    def crash(self):
+        """Lose all that is held and every connection."""
+        self.crashes += 1
+        for held in self.held_by_attempt.values():
+            held.stopped.set()
+        self.held_by_attempt.clear()
+        self._known.clear()
+        for transport in tuple(self._transports):
+            transport.abort()
+        if self._on_crash is not None:
+            self._on_crash()
+
+    @web.middleware
+    async def _guard(self, request, handler):
+        transport = request.transport
+        if transport is None:
+            raise web.HTTPServiceUnavailable
+        self._transports.add(transport)
+        try:
+            if request.path in ('/prefill', '/decode'):
+                self._schedule_fault(transport)
+            return await handler(request)
+        finally:
+            self._transports.discard(transport)
+
+    def _schedule_fault(self, transport):
+        """Draw a fault for an order; it comes while the order runs."""
+        loop = asyncio.get_running_loop()
+        drawn = self._random.random()
+        after_s = self._random.random() * 10 * self._token_s
+        chances = self.chances
+        if drawn < chances.crash:
+            loop.call_later(after_s, self.crash)
+        elif drawn < chances.crash + chances.reset:
+            loop.call_later(after_s, transport.abort)
+
+    def _take(self, order):
+        if self._random.random() < self.chances.full:
+            raise web.HTTPServiceUnavailable
+        return super()._take(order)
+
+    async def _stream(self, response, order, held):
+        if POISON in order['prompt']:
+            await asyncio.sleep(self._token_s)
+            self.crash()
+            return
+        if self._random.random() < self.chances.silence:
+            await held.stopped.wait()
+            return
+        await super()._stream(response, order, held)
--- /dev/null
+++ b/bulrushrudder/tests/entry/path_tests.py
@@ -0,0 +1,265 @@
+import asyncio
+import contextlib
+import dataclasses
+import json
+import socket
+import unittest
+from unittest import mock
+
+import aiohttp
+
+from bulrushrudder.documents import types
+from bulrushrudder.engines import client
+from bulrushrudder.entry import answers
+from bulrushrudder.lifecycle import retries
+from bulrushrudder.standins import entry_path
+from bulrushrudder.standins import faulty_engine
+from bulrushrudder.state import sessions
+from bulrushrudder.tests.builders import documents
+
+TOKENS = 16
+SETTLE_S = 3.0
+LOST_TO_ONE = 3
+LOST_TO_TEN = 30
+
+
+def document(version=1, key=documents.KEY, cut=False):
+    found = documents.document(
+        version, accounts=(documents.account(rate=1e6, burst=10**6, key=key),)
+    )
+    return dataclasses.replace(
+        found,
+        models=(types.Model('drafting', 4096),),
+        cut_on_withdrawal=cut,
+    )
+
+
+class PathTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.session = await self.stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        )
+        self.path = entry_path.EntryPath(self.stack, document())
+
+    async def start(self, decodes=2, prefills=2, entries=1, **options):
+        for number in range(prefills):
+            await self.path.add_engine(f'p{number}', 'prefill', number)
+        for number in range(decodes):
+            await self.path.add_engine(
+                f'd{number}', 'decode', 100 + number, **options
+            )
+        self.urls = [
+            await self.path.add_entry(f'vm{number}')
+            for number in range(entries)
+        ]
+
+    async def stream(self, prompt, url=None, count=TOKENS):
+        return await entry_path.stream(
+            self.session, url or self.urls[0], documents.KEY, prompt, count
+        )
+
+    async def check_nothing_left(self):
+        """Check that engines, places and tasks are back at their start."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + SETTLE_S
+        while self.path.held() or self.path.places.holdings_by_place:
+            self.assertLess(loop.time(), deadline_s, self.path.held())
+            await asyncio.sleep(0.02)
+        for found in self.path.services:
+            await found.finish()
+            self.assertEqual(found.running, set())
+
+    def engine_running(self):
+        """Return the decode engine that holds an attempt."""
+        for name, found in self.path.engines_by_id.items():
+            if name.startswith('d') and found.held_by_attempt:
+                return found
+        return None
+
+    async def until_running(self):
+        async with asyncio.timeout(SETTLE_S):
+            while self.engine_running() is None:
+                await asyncio.sleep(0.002)
+        return self.engine_running()
+
+
+class ResumeTests(PathTestCase):
+    async def test_stream_goes_on_after_a_reset_with_the_cache(self):
+        chances = faulty_engine.Chances(reset=1.0)
+        await self.start(chances=chances)
+        self.path.engines_by_id['d1'].chances = faulty_engine.NO_FAULTS
+        seen = await self.stream('a reset')
+        self.assertTrue(seen.whole, seen.text)
+        prefills = [self.path.engines_by_id[n].runs for n in ('p0', 'p1')]
+        self.assertEqual(sum(prefills), 1)
+        await self.check_nothing_left()
+
+    async def test_stream_goes_on_after_a_crash_with_a_new_prefill(self):
+        chances = faulty_engine.Chances(crash=1.0)
+        await self.start(chances=chances)
+        self.path.engines_by_id['d1'].chances = faulty_engine.NO_FAULTS
+        seen = await self.stream('a crash')
+        self.assertTrue(seen.whole, seen.text)
+        self.assertEqual(self.path.engines_by_id['d0'].crashes, 1)
+        await self.check_nothing_left()
+
+    async def test_stream_goes_on_after_silence(self):
+        await self.start(chances=faulty_engine.Chances(silence=1.0))
+        self.path.engines_by_id['d1'].chances = faulty_engine.NO_FAULTS
+        with mock.patch.object(client, 'FIRST_TOKEN_S', 0.2):
+            seen = await self.stream('silence')
+        self.assertTrue(seen.whole, seen.text)
+        await self.check_nothing_left()
+
+    async def test_lack_of_a_place_is_tried_elsewhere(self):
+        await self.start(chances=faulty_engine.Chances(full=1.0))
+        self.path.engines_by_id['d1'].chances = faulty_engine.NO_FAULTS
+        seen = await self.stream('full')
+        self.assertTrue(seen.whole, seen.text)
+        await self.check_nothing_left()
+
+    async def test_a_server_that_failed_is_used_where_it_is_the_only_one(self):
+        await self.start(decodes=1, chances=faulty_engine.Chances(crash=1.0))
+        engine = self.path.engines_by_id['d0']
+        call = asyncio.create_task(self.stream('one server'))
+        async with asyncio.timeout(SETTLE_S):
+            while not engine.crashes:
+                await asyncio.sleep(0.002)
+        engine.chances = faulty_engine.NO_FAULTS
+        self.assertTrue((await call).whole)
+        await self.check_nothing_left()
+
+    async def test_an_answer_that_cannot_go_on_ends_visibly(self):
+        await self.start(chances=faulty_engine.Chances(crash=1.0))
+        seen = await self.stream('lost')
+        self.assertFalse(seen.whole)
+        self.assertTrue(seen.ended, seen.text)
+        await self.check_nothing_left()
+
+
+class CallerTests(PathTestCase):
+    async def test_gone_callers_hold_nothing(self):
+        await self.start(token_s=0.05)
+        calls = [
+            asyncio.create_task(self.stream(f'prompt {number}', count=400))
+            for number in range(10)
+        ]
+        await self.until_running()
+        for number, call in enumerate(calls):
+            await asyncio.sleep(0.01 * (number % 3))
+            call.cancel()
+        await self.check_nothing_left()
+        spent = self.path.ledger.spent_by_account['acme']
+        self.assertLess(spent, 10 * 100)
+
+    async def test_a_caller_who_does_not_read_is_cut_after_a_bound(self):
+        await self.start(token_s=0.0)
+        with mock.patch.object(answers, 'CALLER_STALL_S', 0.3):
+            host, port = self.urls[0].removeprefix('http://').split(':')
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect((host, int(port)))
+            reader, writer = await asyncio.open_connection(
+                sock=caller, limit=1024
+            )
+            self.stack.callback(writer.close)
+            body = json.dumps(
+                {'prompt': 'slow', 'max_tokens': 4096, 'stream': True}
+            )
+            head = (
+                'POST /v1/completions HTTP/1.1\r\nHost: entry\r\n'
+                f'Authorization: Bearer {documents.KEY}\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n'
+            )
+            writer.write((head + body).encode())
+            writer.transport.pause_reading()
+            running = await self.until_running()
+            await self.check_nothing_left()
+            self.assertLess(running.tokens, 4096)
+
+    async def run_and_wait(self, cut):
+        """Withdraw the key of a running and of a queued request."""
+        await self.path.add_engine('p0', 'prefill', 1)
+        await self.path.add_engine('d0', 'decode', 2, places=1, token_s=0.05)
+        self.urls = [await self.path.add_entry('vm0')]
+        runs = asyncio.create_task(self.stream('runs'))
+        await self.until_running()
+        waits = asyncio.create_task(self.stream('waits'))
+        await asyncio.sleep(0.1)
+        self.path.put_in_force(document(2, 'brk_other', cut))
+        seen = await waits
+        self.assertEqual(seen.status, 401)
+        self.assertIn('"not run"', seen.text)
+        seen = await runs
+        await self.check_nothing_left()
+        return seen
+
+    async def test_withdrawn_key_spares_what_runs(self):
+        self.assertTrue((await self.run_and_wait(False)).whole)
+
+    async def test_withdrawn_key_cuts_visibly_where_configured(self):
+        seen = await self.run_and_wait(True)
+        self.assertFalse(seen.whole)
+        self.assertTrue(seen.ended)
+        self.assertIn('key_unknown', seen.text)
+
+
+class OrphanTests(PathTestCase):
+    async def test_peers_cancel_for_a_dead_entry(self):
+        await self.start(entries=3, token_s=0.05)
+        await asyncio.sleep(0.3)
+        calls = [
+            asyncio.create_task(self.stream(f'p{n}', self.urls[0], 400))
+            for n in range(6)
+        ]
+        await self.until_running()
+        await asyncio.sleep(0.2)
+        dead = self.path.services[0]
+        dead.cancelling.cancel = lambda server, attempt: None
+        for running in tuple(dead.running):
+            running.run = None
+        self.assertEqual(len(self.path.held()), 6)
+        self.path.log.commit(sessions.CloseSession(dead.owner))
+        async with asyncio.timeout(SETTLE_S):
+            while self.path.held():
+                await asyncio.sleep(0.02)
+        for call in calls:
+            call.cancel()
+
+
+class PoisonTests(PathTestCase):
+    async def lost_to(self, poisons, innocents):
+        await self.start(decodes=8, prefills=4, entries=2)
+        with mock.patch.object(retries, 'BUDGET_FLOOR', 100.0):
+            for found in self.path.services:
+                found.retries = retries.RetryPolicy()
+        calls = [
+            self.stream(f'innocent {n}', self.urls[n % 2])
+            for n in range(innocents)
+        ]
+        bad = [
+            self.stream(f'poison {n}', self.urls[n % 2])
+            for n in range(poisons)
+        ]
+        seen = await asyncio.gather(*calls, *bad)
+        self.assertEqual([s.text for s in seen[:innocents] if not s.whole], [])
+        self.assertFalse(any(s.whole for s in seen[innocents:]))
+        await self.check_nothing_left()
+        return self.crashes()
+
+    def crashes(self):
+        return sum(e.crashes for e in self.path.engines_by_id.values())
+
+    async def test_one_poison_request_costs_a_bounded_number(self):
+        lost = await self.lost_to(1, 20)
+        self.assertLessEqual(lost, LOST_TO_ONE)
+        for url in self.urls * 3:
+            seen = await self.stream('poison 0', url)
+            self.assertEqual(seen.status, 422)
+            self.assertIn('"not run"', seen.text)
+        self.assertEqual(self.crashes(), lost)
+
+    async def test_ten_poison_requests_cost_a_bounded_number(self):
+        self.assertLessEqual(await self.lost_to(10, 20), LOST_TO_TEN)
--- /dev/null
+++ b/bulrushrudder/tests/entry/stop_tests.py
@@ -0,0 +1,168 @@
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+import aiohttp
+from aiohttp import web
+
+from bulrushrudder.config import settings as config
+from bulrushrudder.core import ids
+from bulrushrudder.documents import types
+from bulrushrudder.entry import process
+from bulrushrudder.standins import engine
+from bulrushrudder.standins import entry_path
+from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import results
+from bulrushrudder.state import servers
+from bulrushrudder.state import sessions
+from bulrushrudder.tests.builders import documents
+from bulrushrudder.tests.builders import fleet
+from bulrushrudder.tests.builders import settings
+from bulrushrudder.utils import ports
+from bulrushrudder.utils import stopping
+from bulrushrudder.utils import web as listeners
+
+BALANCER_S = 0.4
+CALL_S = 0.8
+TOKENS = 40
+TOKEN_S = 0.03
+START_S = 5.0
+
+
+def document():
+    service = types.ServiceTarget(ids.ServiceId('portal'), 5.0, 1)
+    filings = documents.model_route(
+        'filings', '/filings', target=service, open=True
+    )
+    drafts = documents.model_route(open=True)
+    return documents.document(routes=(drafts, filings))
+
+
+class StopTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        found = settings.solo(pathlib.Path(folder))
+        found = dataclasses.replace(
+            found,
+            entry=dataclasses.replace(found.entry, balancer_s=BALANCER_S),
+        )
+        self.url = f'http://{found.entry.callers}'
+        self.session = await self.stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.entry_stack = contextlib.AsyncExitStack()
+        self.stack.push_async_exit(self.entry_stack)
+        self.entry = process.Entry(found)
+        self.proposed = []
+        self.entry.observing.propose = self._propose
+        await self.entry.start(self.entry_stack)
+        await self._fill_view()
+
+    async def _propose(self, command):
+        self.proposed.append(command)
+        return results.Accepted(len(self.proposed))
+
+    async def _fill_view(self):
+        """Show the entry a document, servers and its own session."""
+        app = web.Application()
+        app.router.add_post('/filings', self._file)
+        standins = (
+            ('prefill', engine.Engine().application()),
+            ('decode', engine.Engine(token_s=TOKEN_S).application()),
+            ('service', app),
+        )
+        commands = [
+            documents.submission(document(), 'd1'),
+            state_documents.PromoteDocument(1, 'd1', 'ana'),
+        ]
+        for kind, standin in standins:
+            address = config.Address(ports.LOOPBACK, 0)
+            port = await listeners.listen(self.stack, standin, address)
+            serves = ('portal',) if kind == 'service' else ('drafting',)
+            server = fleet.server(f'{kind}-1', kind, port=port, serves=serves)
+            commands.append(servers.JoinServer(server))
+        owner = self.entry.services.owner
+        opened = sessions.OpenSession(owner, ids.Zone('a'), '127.0.0.1', 1)
+        commands.append(opened)
+        for index, command in enumerate(commands, 1):
+            self.entry.view.apply(index, command)
+        vouching = asyncio.create_task(self._vouch())
+        self.stack.callback(vouching.cancel)
+        await asyncio.sleep(0)
+
+    async def _vouch(self):
+        view = self.entry.view
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            view.vouched(view.begin_round(now_s), view.index)
+            await asyncio.sleep(0.2)
+
+    async def _file(self, request):
+        await asyncio.sleep(CALL_S)
+        return web.json_response({'filed': True})
+
+    async def stream(self, prompt):
+        return await entry_path.stream(
+            self.session, self.url, documents.KEY, prompt, TOKENS
+        )
+
+    async def file(self):
+        async with self.session.post(f'{self.url}/filings') as response:
+            return response.status, await response.text()
+
+    async def ready(self):
+        async with self.session.get(f'{self.url}/-/ready') as response:
+            return response.status
+
+    async def until_running(self):
+        async with asyncio.timeout(START_S):
+            while self.entry.services.calls < 2:
+                await asyncio.sleep(0.01)
+
+    async def test_all_in_flight_ends_whole(self):
+        self.assertEqual(await self.ready(), 200)
+        calls = [
+            asyncio.create_task(self.stream('before')),
+            asyncio.create_task(self.file()),
+        ]
+        await self.until_running()
+        leaving = asyncio.create_task(self.entry.leave())
+        await asyncio.sleep(BALANCER_S / 4)
+        self.assertEqual(await self.ready(), 503)
+        calls.append(asyncio.create_task(self.stream('while leaving')))
+        await leaving
+        stopping_ = asyncio.create_task(self.entry.stop())
+        await asyncio.sleep(0.05)
+        refused = await self.stream('too late')
+        self.assertEqual(refused.status, 503)
+        self.assertIn('shutting_down', refused.text)
+        self.assertIn('"not run"', refused.text)
+        self.assertFalse(stopping_.done())
+        before = len(self.proposed)
+        await stopping_
+        await self.entry_stack.aclose()
+        first, filed, second = await asyncio.gather(*calls)
+        self.assertTrue(first.whole, first.text)
+        self.assertTrue(second.whole, second.text)
+        self.assertEqual(filed, (200, '{"filed": true}'))
+        closed = self.proposed[before:]
+        owner = self.entry.services.owner
+        self.assertEqual(closed, [sessions.CloseSession(owner)])
+
+
+class StoppingTests(unittest.TestCase):
+    def test_later_requests_only_report(self):
+        found = stopping.Stopping()
+        report = mock.Mock()
+        found.on_repeat(report)
+        found.request()
+        report.assert_not_called()
+        self.assertTrue(found.is_set())
+        found.request()
+        report.assert_called_once_with()
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -38,3 +38,11 @@
     watch(found)
     found.bind((host, port))
     return found
+
+
+def bound_unsent(transport, most_bytes):
+    """Bound what a transport and the kernel keep for a slow reader."""
+    transport.set_write_buffer_limits(high=most_bytes)
+    found = transport.get_extra_info('socket')
+    if found is not None:
+        found.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, most_bytes)
