Spare the attempts of an entry that is heard of again

Cause: an entry that was taken for silent opens its session anew under the same incarnation, so that an engine which refuses all later orders of a cancelled owner would refuse a live one.

--- a/bulrushrudder/entry/cancelling.py
+++ b/bulrushrudder/entry/cancelling.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from bulrushrudder.core import ids
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import cancellations
@@ -82,11 +83,25 @@
             task.add_done_callback(self._tasks.discard)
             task.add_done_callback(tasks.report)
 
+    def _is_back(self, target):
+        """Return whether a gone owner is heard of again.
+
+        Its attempts are no orphans then.
+        """
+        held = self._view.state.sessions.by_vm.get(target.vm)
+        return held is not None and held.owner == target
+
     async def _send(self, order):
         server = order.server
-        match await self._engines.cancel(server, order.targets):
+        back = {
+            target
+            for target in order.targets
+            if isinstance(target, ids.Owner) and self._is_back(target)
+        }
+        targets = [target for target in order.targets if target not in back]
+        match await self._engines.cancel(server, targets):
             case result.Success(held):
-                event = cancellations.CancelConfirmed(server.id, held)
+                event = cancellations.CancelConfirmed(server.id, held | back)
             case _:
                 self._metrics.count_cancel_retry()
                 event = cancellations.CancelFailed(server.id)
--- a/bulrushrudder/lifecycle/orphans.py
+++ b/bulrushrudder/lifecycle/orphans.py
@@ -78,6 +78,10 @@
         if before is None:
             self._starting = True
             return
+        for vm, owner in owners_by_vm.items():
+            known = self._gone_by_vm.get(vm)
+            if known is not None and known.owner == owner:
+                del self._gone_by_vm[vm]
         for vm, owner in before.items():
             if owners_by_vm.get(vm) != owner:
                 self._note_gone(owner, now_s)
--- a/bulrushrudder/tests/lifecycle/orphans_tests.py
+++ b/bulrushrudder/tests/lifecycle/orphans_tests.py
@@ -67,6 +67,18 @@
         self.assertEqual(len(found), SERVERS)
         self.assertTrue(all(w.target.incarnation < 7 for _, w in found))
 
+    def test_an_entry_that_is_heard_again_can_be_lost_again(self):
+        owner = self.watchers.owners_by_vm.pop('vm3')
+        self.watchers.see()
+        self.watchers.settle()
+        self.watchers.owners_by_vm['vm3'] = owner
+        self.watchers.see()
+        self.assertNotIn(owner, [w.target for _, w in self.watchers.settle()])
+        del self.watchers.owners_by_vm['vm3']
+        self.watchers.see()
+        targets = [w.target for _, w in self.watchers.settle()]
+        self.assertEqual(targets, [owner] * SERVERS)
+
     def test_an_entry_that_starts_alone_cancels_its_earlier_runs(self):
         alone = orphans.Orphans('vm1')
         seen = orphans.SessionsSeen(5, {'vm1': fleet.owner('vm1', 9)})
