Check that every class pattern names a class

Cause: a class pattern that named a union of data classes raised TypeError for every question to a coordinator on another VM, and no test saw it; about half of the requests were refused with two entries. Change: a test evaluates every class pattern of the package.

--- a/bulrushrudder/tests/layout_tests.py
+++ b/bulrushrudder/tests/layout_tests.py
@@ -1,4 +1,5 @@
 import ast
+import importlib
 import pathlib
 import unittest
 
@@ -126,3 +127,17 @@
                     if isinstance(node, ast.Attribute)
                 }
                 self.assertEqual(calls & FORKING_CALLS, set())
+
+
+class PatternsTests(unittest.TestCase):
+    def test_class_patterns_name_classes(self):
+        for path in sources('.'):
+            name = str(path.relative_to(ROOT.parent).with_suffix(''))
+            module = importlib.import_module(name.replace('/', '.'))
+            for node in ast.walk(ast.parse(path.read_text())):
+                if not isinstance(node, ast.MatchClass):
+                    continue
+                pattern = ast.unparse(node.cls)
+                with self.subTest(f'{name}:{node.lineno} {pattern}'):
+                    found = eval(pattern, vars(module))
+                    self.assertIsInstance(found, type)
