--- a/bulrushrudder/benchmarks/requests.py
+++ b/bulrushrudder/benchmarks/requests.py
@@ -39,6 +39,7 @@
 CHANCES = faulty_engine.Chances(crash=0.004, reset=0.02, full=0.02)
 CONCURRENT = 40
 ORPHAN_TRIALS = 10
+END_S = 30.0
 
 
 def document():
@@ -143,6 +144,8 @@
 
 
 def _send(transport, attempt, index, rest):
+    if transport.is_closing():
+        return
     line = f'data: {{"attempt": "{attempt}", "index": {index}{rest}}}\n\n'
     transport.write(b'%x\r\n%s\r\n' % (len(line), line.encode()))
 
@@ -224,7 +227,8 @@
             await asyncio.sleep(0)
             await asyncio.sleep(0.001)
         engines.end(TOKENS_A_STREAM)
-        await asyncio.gather(*(caller.done for caller in callers))
+        async with asyncio.timeout(END_S):
+            await asyncio.gather(*(caller.done for caller in callers))
         spent_s = time.process_time() - began_s
     return STREAMS * TOKENS_A_STREAM / spent_s
 
