Let VMs be set aside for roles

Cause: every entry VM could be the authority of a client account or the coordinator of a model. At 400 nodes each node would keep links to all others, and do others' work within its own 4.5% of a core. Change: a setting of the entry, carried by its session; roles are placed by highest random weight over the VMs that take them, or over all where none does.

--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -57,6 +57,8 @@
     :param inner: where the system's other processes connect.
     :param balancer_s: seconds that the platform's balancer may take to
         see that the process is unready, before it refuses new work.
+    :param hosts_roles: whether the VM takes roles for the fleet, as
+        the authority of client accounts and coordinator of models.
     """
 
     callers: Address
@@ -64,6 +66,7 @@
     metrics: Address
     inner: Address
     balancer_s: float = 0.0
+    hosts_roles: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +138,7 @@
     balancer_s: float = pydantic.Field(
         default=BALANCER_S, ge=0, le=MAX_BALANCER_S
     )
+    hosts_roles: bool = True
 
     def build(self):
         """Return the data class."""
@@ -144,6 +148,7 @@
             metrics=self.metrics.build(),
             inner=self.inner.build(),
             balancer_s=self.balancer_s,
+            hosts_roles=self.hosts_roles,
         )
 
 
--- a/bulrushrudder/entry/authorities.py
+++ b/bulrushrudder/entry/authorities.py
@@ -227,7 +227,7 @@
             view.vouched_s,
             view.state.accounts.by_key,
             view.lookups.accounts_by_id,
-            tuple(view.state.sessions.by_vm),
+            tuple(view.state.sessions.hosts_by_vm),
         )
 
     def _start(self, coroutine):
--- a/bulrushrudder/entry/directory.py
+++ b/bulrushrudder/entry/directory.py
@@ -1,6 +1,7 @@
 """Finds and asks the VM that plays a role.
 
-Roles are placed by highest random weight over the open sessions.
+Roles are placed by highest random weight over the open sessions of the
+VMs that take roles.
 """
 
 from returns import result
@@ -51,15 +52,14 @@
 
     def in_charge(self, key):
         """Return the VM that plays a role, or None."""
-        return ranking.choose(key, self._view.state.sessions.by_vm)
+        return ranking.choose(key, self._view.state.sessions.hosts_by_vm)
 
     def _address_of(self, key):
         """Return the address of the VM in charge, None for this one."""
-        sessions_by_vm = self._view.state.sessions.by_vm
         chosen = self.in_charge(key)
         if chosen is None or chosen == self._owner.vm:
             return None
-        session = sessions_by_vm[chosen]
+        session = self._view.state.sessions.hosts_by_vm[chosen]
         return settings.Address(session.address, session.port)
 
 
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -178,9 +178,13 @@
 
     async def _keep_session(self):
         """Open the session, and again where it was taken for silent."""
-        inner = self._settings.entry.inner
+        found = self._settings.entry
         command = sessions.OpenSession(
-            self._owner, self._settings.zone, inner.host, inner.port
+            owner=self._owner,
+            zone=self._settings.zone,
+            address=found.inner.host,
+            port=found.inner.port,
+            hosts_roles=found.hosts_roles,
         )
         while not self.services.draining:
             if self._has_session():
--- a/bulrushrudder/state/sessions.py
+++ b/bulrushrudder/state/sessions.py
@@ -12,12 +12,14 @@
 
     :param address: host of the inner listener.
     :param port: port of the inner listener.
+    :param hosts_roles: whether the VM takes roles for the fleet.
     """
 
     owner: ids.Owner
     zone: ids.Zone
     address: str
     port: int
+    hosts_roles: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,10 +40,13 @@
     """The open session of each VM.
 
     :ivar by_vm: open sessions.
+    :ivar hosts_by_vm: open sessions of the VMs that take roles; all of
+        them where none is set aside for it.
     """
 
     def __init__(self):
         self.by_vm: dict[ids.VmId, OpenSession] = {}
+        self.hosts_by_vm: dict[ids.VmId, OpenSession] = {}
 
     def snapshot(self):
         """Return the table as a SessionsSnapshot."""
@@ -50,6 +55,7 @@
     def restore(self, snapshot):
         """Put a SessionsSnapshot in the place of the table."""
         self.by_vm = {held.owner.vm: held for held in snapshot.open}
+        self._find_hosts()
 
     def apply(self, index, command):
         """Apply a committed command and return its result."""
@@ -65,6 +71,7 @@
         if held and held.owner.incarnation > command.owner.incarnation:
             return results.Rejected('a later incarnation is open')
         self.by_vm[command.owner.vm] = command
+        self._find_hosts()
         return results.Accepted(index)
 
     def _close(self, index, command):
@@ -72,4 +79,11 @@
         if held is None or held.owner != command.owner:
             return results.Rejected('the session is not open')
         del self.by_vm[command.owner.vm]
+        self._find_hosts()
         return results.Accepted(index)
+
+    def _find_hosts(self):
+        hosts_by_vm = {
+            vm: held for vm, held in self.by_vm.items() if held.hosts_roles
+        }
+        self.hosts_by_vm = hosts_by_vm or self.by_vm
