Tell proposers that the leader's disk is full

Cause: a change that had no room was tried for 4 s and then refused with no leader as the reason, and only the store's own behaviour was tested.

--- a/bulrushrudder/control/driver.py
+++ b/bulrushrudder/control/driver.py
@@ -7,7 +7,6 @@
 
 from returns import result
 
-from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import events
 from bulrushrudder.consensus import messages
 from bulrushrudder.events import catalogue
@@ -25,14 +24,16 @@
     :param collect: returns a Proposed event with all that waits, or
         None.
     :param carry_out: takes each action after everything was synced.
+    :param refuse: takes the token of proposals that have no room.
     :param on_failed: called when the process must stop.
     """
 
-    def __init__(self, replica, store, collect, carry_out, on_failed):
+    def __init__(self, replica, store, collect, carry_out, refuse, on_failed):
         self._replica = replica
         self._store = store
         self._collect = collect
         self._carry_out = carry_out
+        self._refuse = refuse
         self._on_failed = on_failed
         self._inbox = []
         self._woken = asyncio.Event()
@@ -91,7 +92,7 @@
         match event:
             case events.Proposed(token=token, commands=commands):
                 if not self._has_room(sum(map(len, commands))):
-                    self._carry_out(actions.Declined(token))
+                    self._refuse(token)
                     return None
             case events.Received(message=messages.Append() as message):
                 if not self._has_room(_size(message.entries)):
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -24,6 +24,7 @@
 CONFIRM_S = 1.5
 RETRY_S = 0.05
 HAND_OVER_S = 2.0
+NO_ROOM = 'the disk of the leader is full; the change had no effect'
 CUT_ENTRIES = 4000
 MIN_CUT_ENTRIES = 500
 CUT_BYTES = 16 * 1024 * 1024
@@ -61,7 +62,12 @@
         self._address_of = address_of
         self._on_committed = on_committed
         self._driver = driver.Driver(
-            replica, store, self._collect, self._carry_out, on_failed
+            replica,
+            store,
+            self._collect,
+            self._carry_out,
+            self._refuse,
+            on_failed,
         )
         self._store = store
         self._tokens = itertools.count(1)
@@ -287,6 +293,9 @@
             case actions.Declined(token=token):
                 self._resolve(token, None)
 
+    def _refuse(self, token):
+        self._resolve(token, results.Unavailable(NO_ROOM))
+
     def _resolve(self, token, answer):
         for future in self._futures_by_token.pop(token, ()):
             if not future.done():
