Register calls that may not be repeated before they are sent

Cause: a resend of such a call was sent again.

Change: an intent (account, id of the caller, fingerprint, process and try) is committed before a call is sent and its end after it. A resend through any VM gets the recorded answer, waits for the running call, or is told that the outcome is unknown. The id of a call that may have run is never dropped; at the bound a new id is refused. The register's clock moves by steps compared with the clock that their proposer saw, so it never runs ahead of time. Nothing sent withdraws the intent; anything later is unknown. Calls of plain services are charged call_tokens; a replay is not. The tenure of an authority is 2 s, so that a successor waits less.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -17,6 +17,7 @@
 from bulrushrudder.entry import frontend
 from bulrushrudder.entry import observing
 from bulrushrudder.entry import operations
+from bulrushrudder.entry import registering
 from bulrushrudder.entry import services
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -62,6 +63,9 @@
             self.observing,
             settings.environment,
         )
+        self._registering = registering.Registering(
+            self._owner, self.view, self.observing, settings.environment
+        )
         self._coordinators = coordinators.Coordinators(
             self._owner, self.view, found
         )
@@ -95,6 +99,7 @@
             self.metrics,
             self.observing,
             self._cancelling,
+            self._registering,
         )
         inner = await link.listen(
             settings.entry.inner,
@@ -106,6 +111,7 @@
         await self._listen(stack)
         tasks.spawn(stack, self.observing.run())
         tasks.spawn(stack, self._authorities.run())
+        tasks.spawn(stack, self._registering.run())
         tasks.spawn(stack, self._coordinators.run())
         tasks.spawn(stack, self._cancelling.run())
         tasks.spawn(stack, access.Access(self.services).run())
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -1,13 +1,33 @@
 """Calls of routes that lead to a plain service."""
 
+import asyncio
+import functools
 import random
+import re
 
 from aiohttp import web
 from returns import result
 
+from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import refusals
+from bulrushrudder.idempotency import actions
+from bulrushrudder.idempotency import events
+from bulrushrudder.idempotency import fingerprints
+from bulrushrudder.state import intents
+
+ID_HEADER = 'Idempotency-Key'
+REPLAYED_HEADER = 'Idempotency-Replayed'
+
+_CALL_ID = re.compile(r'[\x21-\x7e]{1,255}')
+_MALFORMED_ID = outcomes.not_run(
+    outcomes.Reason.MALFORMED_REQUEST,
+    f'{ID_HEADER} has 1 to 255 visible ASCII characters',
+)
+_NO_SERVER = outcomes.not_run(
+    outcomes.Reason.NO_SERVER, 'no backend server is up', 1.0
+)
 
 
 class ServiceCalls:
@@ -21,12 +41,6 @@
 
     async def serve(self, http_request, request_id, admitted, body):
         """Serve one call and return its HTTP response."""
-        server = self._service_server(admitted.route.target.service)
-        if server is None:
-            refusal = outcomes.not_run(
-                outcomes.Reason.NO_SERVER, 'no backend server is up', 1.0
-            )
-            return self._refuse(refusal, request_id, admitted)
         call = plain_services.Call(
             http_request.method,
             http_request.path_qs,
@@ -34,15 +48,90 @@
             body,
             admitted.route.target.timeout_s,
         )
-        match await self._services.plain.call(server, call):
+        call_id = http_request.headers.get(ID_HEADER)
+        if admitted.route.repeatable or call_id is None:
+            running = self._services.spawn(self._send(admitted, call))
+            sent = await asyncio.shield(running)
+            return self._respond(sent, request_id, admitted)
+        if not _CALL_ID.fullmatch(call_id):
+            return self._refuse(_MALFORMED_ID, request_id, admitted)
+        told = await self._serve_once(admitted, call, call_id)
+        return self._respond(told, request_id, admitted)
+
+    async def _serve_once(self, admitted, call, call_id):
+        """Serve a call that runs at most once under its id."""
+        account = admitted.account
+        registered = self._services.registering.begin(
+            account.id if account else ids.AccountId(''),
+            call_id,
+            fingerprints.of(call.method, call.path, call.body),
+            admitted.route.patience_s,
+            functools.partial(self._send, admitted, call),
+        )
+        self._services.spawn(registered.run())
+        return await asyncio.shield(registered.told)
+
+    async def _send(self, admitted, call):
+        """Charge a call and send it, once.
+
+        :returns: an Answered or a Failed event.
+        """
+        charged = await self._charge(admitted)
+        match charged:
             case result.Failure(refusal):
-                return self._refuse(refusal, request_id, admitted)
-            case result.Success(reply):
+                return events.Failed(refusal)
+            case result.Success(charge):
                 pass
+        server = self._service_server(admitted.route.target.service)
+        if server is None:
+            sent = result.Failure(_NO_SERVER)
+        else:
+            sent = await self._services.plain.call(server, call)
+        match sent:
+            case result.Failure(refusal):
+                await self._give_back(charge, refusal)
+                return events.Failed(refusal)
+            case result.Success(reply):
+                headers = (
+                    str(part) for pair in reply.headers for part in pair
+                )
+                return events.Answered(
+                    intents.Answer(reply.status, tuple(headers), reply.body)
+                )
+
+    async def _charge(self, admitted):
+        if admitted.account is None:
+            return result.Success(None)
+        return await self._services.authorities.ask(
+            admitted.account.id,
+            admitted.route.target.call_tokens,
+            admitted.route.patience_s,
+        )
+
+    async def _give_back(self, charge, refusal):
+        """Give the tokens of a call back that was surely not run."""
+        not_run = refusal.execution is outcomes.Execution.NOT_RUN
+        if charge is not None and charge.tokens and not_run:
+            await self._services.authorities.give_back(charge, charge.tokens)
+
+    def _respond(self, told, request_id, admitted):
+        match told:
+            case events.Failed(refusal=refusal):
+                return self._refuse(refusal, request_id, admitted)
+            case actions.Refuse(refusal=refusal):
+                return self._refuse(refusal, request_id, admitted)
         self._services.metrics.count_answer(admitted.route.id)
-        headers = [*reply.headers, ('X-Request-Id', request_id)]
+        answer = told.answer
+        names = answer.headers[::2]
+        values = answer.headers[1::2]
+        headers = [
+            *zip(names, values, strict=True),
+            ('X-Request-Id', request_id),
+        ]
+        if isinstance(told, actions.Replay):
+            headers.append((REPLAYED_HEADER, 'true'))
         return web.Response(
-            status=reply.status, body=reply.body, headers=headers
+            status=answer.status, body=answer.body, headers=headers
         )
 
     def _service_server(self, service):
--- a/bulrushrudder/entry/services.py
+++ b/bulrushrudder/entry/services.py
@@ -20,6 +20,7 @@
     :param metrics: the Metrics.
     :param observing: the Observing, which proposes commands.
     :param cancelling: the Cancelling.
+    :param registering: the Registering.
     :ivar leaving: whether the process is unready for the balancer.
     :ivar draining: whether it refuses new work.
     :ivar calls: how many calls are in flight.
@@ -36,6 +37,7 @@
         metrics,
         observing,
         cancelling,
+        registering,
     ):
         self.owner = owner
         self.view = view
@@ -46,6 +48,7 @@
         self.metrics = metrics
         self.observing = observing
         self.cancelling = cancelling
+        self.registering = registering
         self.retries = retries.RetryPolicy()
         self.running = set()
         self.leaving = False
--- /dev/null
+++ b/bulrushrudder/idempotency/call.py
@@ -0,0 +1,263 @@
+"""One call that runs at most once, from its intent to its record.
+
+The intent is in the log before the call is sent; only the process and
+try that it names may send it. What was sent is never withdrawn.
+"""
+
+import dataclasses
+
+import transitions
+
+from bulrushrudder.core import outcomes
+from bulrushrudder.idempotency import actions
+from bulrushrudder.idempotency import events
+from bulrushrudder.state import intents
+
+PROPOSE_AGAIN_S = 0.5
+RECORD_WAIT_S = 1.0
+STATES = ('new', 'opening', 'sending', 'recording', 'ended')
+
+_MACHINE = transitions.Machine(
+    model=None,
+    states=list(STATES),
+    initial='new',
+    auto_transitions=False,
+    transitions=[
+        ['open', 'new', 'opening'],
+        ['send', 'opening', 'sending'],
+        ['record', 'sending', 'recording'],
+        ['give_up', 'opening', 'recording'],
+        ['end', ['opening', 'recording'], 'ended'],
+    ],
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """A call and the bounds under which it is registered.
+
+    :param dispatch: this process and this try.
+    :param deadline_s: monotonic seconds until which the register and a
+        running call under the same id are waited for.
+    """
+
+    key: intents.IntentKey
+    fingerprint: str
+    dispatch: intents.Dispatch
+    retention_s: float
+    max_entries: int
+    max_answer_bytes: int
+    deadline_s: float
+
+
+class Call:
+    """Decides what happens to one call.
+
+    :param plan: the Plan.
+    """
+
+    def __init__(self, plan):
+        self.state = 'new'
+        self._plan = plan
+        self._pending = None
+        self._proposed_s = None
+        self._told = False
+        self._last = None
+        self._tell_at_s = None
+
+    @property
+    def ended(self):
+        """Return whether nothing is left to be done."""
+        return self.state == 'ended'
+
+    def start(self, now_s):
+        """Return the first actions.
+
+        :param now_s: monotonic seconds.
+        """
+        plan = self._plan
+        self._go('open')
+        command = intents.OpenIntent(
+            plan.key,
+            plan.fingerprint,
+            plan.dispatch,
+            plan.retention_s,
+            plan.max_entries,
+        )
+        return self._propose(command, now_s)
+
+    def handle(self, event, now_s):
+        """Take an event and return the actions that follow."""
+        match event:
+            case events.Looked():
+                return self._look(event, now_s)
+            case events.RegisterFull():
+                return self._full()
+            case events.Answered(answer=answer):
+                return self._answered(answer, now_s)
+            case events.Failed(refusal=refusal):
+                return self._failed(refusal, now_s)
+        raise AssertionError(f'unknown event {event!r}')
+
+    def _go(self, trigger):
+        _MACHINE.events[trigger].trigger(self)
+
+    def _propose(self, command, now_s):
+        self._pending = command
+        self._proposed_s = now_s
+        return [actions.Propose(command)]
+
+    def _propose_again(self, now_s):
+        if now_s - self._proposed_s < PROPOSE_AGAIN_S:
+            return []
+        return self._propose(self._pending, now_s)
+
+    def _look(self, event, now_s):
+        match self.state:
+            case 'opening':
+                return self._look_before(event, now_s)
+            case 'recording':
+                return self._look_after(event.intent, now_s)
+        return []
+
+    def _look_before(self, event, now_s):
+        intent = event.intent
+        if intent is None or intent.phase is intents.Phase.WITHDRAWN:
+            return self._wait_for_register(now_s)
+        if intent.dispatch != self._plan.dispatch:
+            return self._resent(event, now_s)
+        self._go('send')
+        return [actions.Send()]
+
+    def _wait_for_register(self, now_s):
+        if now_s <= self._plan.deadline_s:
+            return self._propose_again(now_s)
+        self._go('give_up')
+        self._last = _refuse(
+            outcomes.Reason.CONTROL_UNREACHABLE,
+            outcomes.Execution.UNKNOWN,
+            'nothing was sent now, but whether an earlier call under this '
+            'id ran cannot be looked up',
+            1.0,
+        )
+        found = self._close(intents.Phase.WITHDRAWN, None, now_s)
+        return [*found, *self._tell()]
+
+    def _resent(self, event, now_s):
+        intent = event.intent
+        if intent.fingerprint != self._plan.fingerprint:
+            return self._end(
+                actions.Refuse(
+                    outcomes.not_run(
+                        outcomes.Reason.ID_REUSED,
+                        'another call was made under this id',
+                    )
+                )
+            )
+        running = intent.phase is intents.Phase.OPEN and event.owner_open
+        if running and now_s <= self._plan.deadline_s:
+            return []
+        return self._end(_answer_of(intent, running))
+
+    def _end(self, action):
+        self._go('end')
+        return [action]
+
+    def _full(self):
+        if self.state != 'opening':
+            return []
+        refusal = outcomes.not_run(
+            outcomes.Reason.REGISTER_FULL,
+            'the client account holds as many ids as it may',
+        )
+        return self._end(actions.Refuse(refusal))
+
+    def _answered(self, answer, now_s):
+        if self.state != 'sending':
+            raise AssertionError(f'an answer while {self.state}')
+        self._go('record')
+        self._last = actions.Deliver(answer)
+        kept = len(answer.body) <= self._plan.max_answer_bytes
+        return self._close(
+            intents.Phase.ANSWERED, answer if kept else None, now_s
+        )
+
+    def _failed(self, refusal, now_s):
+        if self.state != 'sending':
+            raise AssertionError(f'a failure while {self.state}')
+        self._go('record')
+        self._last = actions.Refuse(refusal)
+        phase = intents.Phase.UNKNOWN
+        if refusal.execution is outcomes.Execution.NOT_RUN:
+            phase = intents.Phase.WITHDRAWN
+        return self._close(phase, None, now_s)
+
+    def _close(self, phase, answer, now_s):
+        self._tell_at_s = now_s + RECORD_WAIT_S
+        plan = self._plan
+        command = intents.CloseIntent(
+            plan.key,
+            plan.fingerprint,
+            plan.dispatch,
+            phase,
+            plan.retention_s,
+            plan.max_entries,
+            answer,
+        )
+        return self._propose(command, now_s)
+
+    def _look_after(self, intent, now_s):
+        """Answer the caller once the end is in the log, or soon."""
+        if intent is not None and not self._is_open(intent):
+            self._go('end')
+            return self._tell()
+        found = self._propose_again(now_s)
+        if now_s >= self._tell_at_s:
+            found += self._tell()
+        return found
+
+    def _is_open(self, intent):
+        mine = intent.dispatch == self._plan.dispatch
+        return mine and intent.phase is intents.Phase.OPEN
+
+    def _tell(self):
+        if self._told:
+            return []
+        self._told = True
+        return [self._last]
+
+
+def _answer_of(intent, running):
+    """Return what a resend is told of the call that came first."""
+    match intent.phase:
+        case intents.Phase.ANSWERED if intent.answer is not None:
+            return actions.Replay(intent.answer)
+        case intents.Phase.ANSWERED:
+            return _refuse(
+                outcomes.Reason.ANSWER_NOT_KEPT,
+                outcomes.Execution.RAN,
+                'the call ran; its answer was too large to keep',
+            )
+        case intents.Phase.EXPIRED:
+            return _refuse(
+                outcomes.Reason.ID_TOO_OLD,
+                outcomes.Execution.UNKNOWN,
+                'a call was made under this id longer ago than is kept',
+            )
+        case intents.Phase.OPEN if running:
+            return _refuse(
+                outcomes.Reason.ID_RUNNING,
+                outcomes.Execution.UNKNOWN,
+                'the call under this id is still running',
+                1.0,
+            )
+    return _refuse(
+        outcomes.Reason.OUTCOME_UNKNOWN,
+        outcomes.Execution.UNKNOWN,
+        'the call may have run; it will not be run again',
+    )
+
+
+def _refuse(reason, execution, detail, retry_after_s=None):
+    refusal = outcomes.Refusal(reason, execution, detail, retry_after_s)
+    return actions.Refuse(refusal)
--- a/bulrushrudder/limits/ledger.py
+++ b/bulrushrudder/limits/ledger.py
@@ -12,8 +12,8 @@
 from bulrushrudder.limits import tokens as account_tokens
 from bulrushrudder.state import accounts
 
-TENURE_S = 3.0
-TENURE_WAIT_S = 3.5
+TENURE_S = 2.0
+TENURE_WAIT_S = 2.5
 PROPOSE_AGAIN_S = 0.5
 RAISE_AFTER_S = 5.0
 LENDING_ENDS_S = 15.0
--- a/bulrushrudder/standins/entry_path.py
+++ b/bulrushrudder/standins/entry_path.py
@@ -286,6 +286,7 @@
             metrics,
             self.log,
             cancels,
+            None,
         )
         self.services.append(found)
         tasks.spawn(self._stack, cancels.run())
--- a/bulrushrudder/state/intents.py
+++ b/bulrushrudder/state/intents.py
@@ -1,7 +1,8 @@
 """Calls that run at most once: what was begun and how it ended.
 
-An id is never dropped. Time passes only by committed steps, each no
-longer than what its proposer measured since it saw the clock before.
+The id of a call that may have run is never dropped. Time passes only by
+committed steps, each no longer than what its proposer measured since it
+saw the clock before.
 """
 
 import dataclasses
@@ -12,6 +13,7 @@
 from bulrushrudder.state import results
 
 MAX_KEPT_BYTES = 16 * 1024 * 1024
+FULL = 'the register of the client account is full'
 
 
 class Phase(enum.Enum):
@@ -170,7 +172,7 @@
     def _open(self, index, command):
         known = self.by_key.get(command.key)
         if known is None and self._full(command):
-            return results.Rejected('the register of the account is full')
+            return results.Rejected(FULL)
         if known is not None and known.dispatch == command.dispatch:
             repeated = known.phase is Phase.OPEN
             if repeated:
@@ -208,14 +210,22 @@
             return results.Rejected('the clock is another')
         self.clock_s += command.step_s
         for intent in tuple(self.by_key.values()):
-            ended = intent.phase in (Phase.ANSWERED, Phase.UNKNOWN)
-            if ended and intent.ends_s <= self.clock_s:
+            if intent.ends_s <= self.clock_s:
+                self._expire(intent)
+        return results.Accepted(index)
+
+    def _expire(self, intent):
+        """Drop the answer of a call, or all of one that never ran."""
+        match intent.phase:
+            case Phase.ANSWERED | Phase.UNKNOWN:
                 self._put(
                     dataclasses.replace(
                         intent, phase=Phase.EXPIRED, answer=None
                     )
                 )
-        return results.Accepted(index)
+            case Phase.WITHDRAWN:
+                del self.by_key[intent.key]
+                self._count(intent.key, -1)
 
     def _intent(self, command, phase, answer):
         return Intent(
@@ -232,13 +242,16 @@
         count = self._counts_by_account.get((key.environment, key.account), 0)
         return count >= command.max_entries
 
+    def _count(self, key, change):
+        account = (key.environment, key.account)
+        count = self._counts_by_account.get(account, 0)
+        self._counts_by_account[account] = count + change
+
     def _put(self, intent):
         key = intent.key
         known = self.by_key.get(key)
         if known is None:
-            account = (key.environment, key.account)
-            count = self._counts_by_account.get(account, 0)
-            self._counts_by_account[account] = count + 1
+            self._count(key, 1)
         else:
             self._kept_bytes -= _size(known.answer)
         self._kept_bytes += _size(intent.answer)
--- /dev/null
+++ b/bulrushrudder/tests/builders/register_fleet.py
@@ -0,0 +1,211 @@
+"""Builders of processes that register calls, in virtual time."""
+
+import collections
+import dataclasses
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import outcomes
+from bulrushrudder.documents import types
+from bulrushrudder.idempotency import actions
+from bulrushrudder.idempotency import call
+from bulrushrudder.idempotency import clock
+from bulrushrudder.idempotency import events
+from bulrushrudder.state import intents
+from bulrushrudder.state import machine
+from bulrushrudder.state import results
+from bulrushrudder.state import sessions
+from bulrushrudder.tests.builders import fleet
+
+RETENTION_S = 30.0
+MAX_ENTRIES = 6
+MAX_ANSWER_BYTES = 8
+
+
+@dataclasses.dataclass
+class Caller:
+    """A call that a process has taken from a caller."""
+
+    process: object
+    key: str
+    body: str
+    decided: call.Call
+    sent: int = 0
+    told: object = None
+
+
+class Process:
+    """An entry process without its I/O; its view may lag."""
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.state = machine.State()
+        self.clock = clock.Clock()
+        self.callers = []
+        self.alive = True
+        self.lagging = False
+
+
+class Fleet:
+    """Processes, a log, a service that counts runs, and the oracle."""
+
+    def __init__(self, vms=2):
+        self.now_s = 100.0
+        self.state = machine.State()
+        self.commands = []
+        self.proposals = []
+        self.runs = collections.Counter()
+        self.bodies = {}
+        self.began_s = {}
+        self.by_vm = {}
+        self.incarnation = 0
+        self.numbers = 0
+        for number in range(vms):
+            self.start(f'vm{number}')
+
+    def start(self, vm):
+        if vm in self.by_vm:
+            self.by_vm[vm].alive = False
+        self.incarnation += 1
+        self.by_vm[vm] = Process(fleet.owner(vm, self.incarnation))
+        self.commit(
+            sessions.OpenSession(
+                self.by_vm[vm].owner, ids.Zone('a'), '127.0.0.1', 1
+            )
+        )
+
+    def close_session(self, vm):
+        self.commit(sessions.CloseSession(self.by_vm[vm].owner))
+
+    def commit(self, command):
+        self.commands.append(command)
+        return self.state.apply(len(self.commands), command)
+
+    def call(self, vm, key, body, patience_s=2.0):
+        process = self.by_vm[vm]
+        if not process.alive:
+            return
+        self.numbers += 1
+        plan = call.Plan(
+            intents.IntentKey(
+                types.Environment.PRODUCTION, ids.AccountId('acme'), key
+            ),
+            body,
+            intents.Dispatch(process.owner, self.numbers),
+            RETENTION_S,
+            MAX_ENTRIES,
+            MAX_ANSWER_BYTES,
+            self.now_s + patience_s,
+        )
+        caller = Caller(process, key, body, call.Call(plan))
+        process.callers.append(caller)
+        self.perform(caller, caller.decided.start(self.now_s))
+
+    def perform(self, caller, found):
+        for action in found:
+            match action:
+                case actions.Propose(command=command):
+                    self.proposals.append((caller, command))
+                case actions.Send():
+                    caller.sent += 1
+                case _:
+                    self._tell(caller, action)
+
+    def run(self, caller):
+        """Let the service run a call that was sent to it."""
+        self.runs[caller.key] += 1
+        if self.runs[caller.key] > 1:
+            raise AssertionError(f'{caller.key} ran twice')
+        self.bodies[caller.key] = caller.body
+        self.began_s[caller.key] = self.now_s
+        caller.sent = 2
+
+    def answer(self, caller, body):
+        answer = intents.Answer(200, (), body)
+        self.bodies[caller.key] = (caller.body, body)
+        self._finish(caller, events.Answered(answer))
+
+    def fail(self, caller, ran):
+        """End a call without an answer; only unsent ones are not run."""
+        execution = outcomes.Execution.NOT_RUN
+        if ran:
+            execution = outcomes.Execution.UNKNOWN
+        refusal = outcomes.Refusal(
+            outcomes.Reason.BACKEND_FAILED, execution, 'failed'
+        )
+        self._finish(caller, events.Failed(refusal))
+
+    def _finish(self, caller, event):
+        caller.sent = 3
+        found = caller.decided.handle(event, self.now_s)
+        self.perform(caller, found)
+
+    def deliver(self, place, lost_outcome):
+        caller, command = self.proposals.pop(place)
+        outcome = self.commit(command)
+        alive = caller is not None and caller.process.alive
+        if lost_outcome or not alive:
+            return
+        rejected = isinstance(outcome, results.Rejected)
+        if rejected and outcome.problem == intents.FULL:
+            found = caller.decided.handle(events.RegisterFull(), self.now_s)
+            self.perform(caller, found)
+
+    def look(self, process):
+        """Let a process follow the log and look at its calls."""
+        if not process.alive:
+            return
+        if not process.lagging:
+            for index in range(process.state.index, len(self.commands)):
+                process.state.apply(index + 1, self.commands[index])
+        clock_s = process.state.intents.clock_s
+        command = process.clock.look(clock_s, self.now_s)
+        if command is not None:
+            self.proposals.append((None, command))
+        for caller in process.callers:
+            self._look_at(process, caller)
+
+    def _look_at(self, process, caller):
+        key = intents.IntentKey(
+            types.Environment.PRODUCTION, ids.AccountId('acme'), caller.key
+        )
+        intent = process.state.intents.by_key.get(key)
+        owner_open = False
+        if intent is not None:
+            owner = intent.dispatch.owner
+            session = process.state.sessions.by_vm.get(owner.vm)
+            owner_open = session is not None and session.owner == owner
+        event = events.Looked(intent, owner_open)
+        self.perform(caller, caller.decided.handle(event, self.now_s))
+
+    def _tell(self, caller, action):
+        if caller.told is not None:
+            raise AssertionError('a caller was answered twice')
+        caller.told = action
+        match action:
+            case actions.Deliver(answer=answer):
+                known = self.bodies.get(caller.key)
+                assert known == (caller.body, answer.body), known
+            case actions.Replay(answer=answer):
+                known = self.bodies.get(caller.key)
+                assert known == (caller.body, answer.body), known
+            case actions.Refuse(refusal=refusal):
+                self._check_refusal(caller, refusal)
+
+    def _check_refusal(self, caller, refusal):
+        if refusal.execution is outcomes.Execution.RAN:
+            assert self.runs[caller.key] == 1, 'said to have run'
+        if refusal.execution is outcomes.Execution.NOT_RUN:
+            same = self.bodies.get(caller.key)
+            same = same[0] if isinstance(same, tuple) else same
+            assert same != caller.body, 'said not to have run'
+        if refusal.reason is outcomes.Reason.ID_TOO_OLD:
+            kept_s = self.now_s - self.began_s[caller.key]
+            assert kept_s >= RETENTION_S, f'forgotten after {kept_s} s'
+
+    def check(self):
+        """Raise where a refused call could still run."""
+        for process in self.by_vm.values():
+            for caller in process.callers:
+                refused = isinstance(caller.told, actions.Refuse)
+                if refused and caller.sent == 1:
+                    raise AssertionError('a refused call was sent')
--- /dev/null
+++ b/bulrushrudder/tests/idempotency/fuzz_tests.py
@@ -0,0 +1,172 @@
+"""Calls of a fleet under faults against one set of ids."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bulrushrudder.tests.builders import register_fleet
+
+VMS = st.sampled_from(('vm0', 'vm1'))
+KEYS = st.sampled_from(('k1', 'k2', 'k3'))
+BODIES = st.sampled_from(('a', 'a', 'a', 'b'))
+PLACES = st.integers(0, 1000)
+
+
+class RegisterMachine(stateful.RuleBasedStateMachine):
+    """Any rule may make a call run twice; the fleet raises if one does."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = register_fleet.Fleet()
+
+    def sent(self, state):
+        return [
+            caller
+            for process in self.fleet.by_vm.values()
+            for caller in process.callers
+            if caller.sent == state and process.alive
+        ]
+
+    @stateful.rule(vm=VMS, key=KEYS, body=BODIES)
+    def call(self, vm, key, body):
+        self.fleet.call(vm, key, body)
+
+    @stateful.rule(key=KEYS)
+    def call_at_both(self, key):
+        self.fleet.call('vm0', key, 'a')
+        self.fleet.call('vm1', key, 'a')
+
+    @stateful.rule(
+        vm=VMS,
+        key=KEYS,
+        end=st.sampled_from(('answer', 'lose', 'fail', 'die', 'die running')),
+    )
+    def call_to_its_end(self, vm, key, end):
+        self.fleet.call(vm, key, 'a')
+        self.deliver_all()
+        for caller in self.sent(1):
+            if end in ('answer', 'lose', 'die running'):
+                self.fleet.run(caller)
+            if end == 'answer':
+                self.fleet.answer(caller, b'done')
+            if end in ('lose', 'fail'):
+                self.fleet.fail(caller, ran=end == 'lose')
+        if end.startswith('die'):
+            self.fleet.by_vm[vm].alive = False
+
+    @stateful.rule()
+    def pass_time(self):
+        self.fleet.now_s += 11.0
+        self.look_all()
+        self.deliver_all()
+
+    @stateful.rule(vm=VMS, key=KEYS)
+    def call_unreached(self, vm, key):
+        process = self.fleet.by_vm[vm]
+        process.lagging = True
+        self.fleet.call(vm, key, 'a')
+        self.fleet.now_s += 3.0
+        self.fleet.look(process)
+        process.lagging = False
+
+    @stateful.rule(number=st.integers(0, 30))
+    def call_under_many_ids(self, number):
+        for offset in range(4):
+            self.fleet.call('vm0', f'many{number + offset}', 'a')
+        self.deliver_all()
+
+    @stateful.rule(place=PLACES, lost=st.booleans())
+    def deliver(self, place, lost):
+        if self.fleet.proposals:
+            place %= len(self.fleet.proposals)
+            self.fleet.deliver(place, lost)
+
+    @stateful.rule()
+    def deliver_all(self):
+        while self.fleet.proposals:
+            self.fleet.deliver(0, False)
+        self.look_all()
+
+    @stateful.rule(place=PLACES)
+    def double(self, place):
+        found = self.fleet.proposals
+        if found:
+            found.append(found[place % len(found)])
+
+    @stateful.rule(place=PLACES)
+    def drop(self, place):
+        if self.fleet.proposals:
+            del self.fleet.proposals[place % len(self.fleet.proposals)]
+
+    @stateful.rule()
+    def look_all(self):
+        for process in self.fleet.by_vm.values():
+            self.fleet.look(process)
+
+    @stateful.rule(vm=VMS)
+    def look(self, vm):
+        self.fleet.look(self.fleet.by_vm[vm])
+
+    @stateful.rule(place=PLACES)
+    def run(self, place):
+        sent = self.sent(1)
+        if sent:
+            self.fleet.run(sent[place % len(sent)])
+
+    @stateful.rule(place=PLACES, size=st.integers(1, 12))
+    def answer(self, place, size):
+        sent = self.sent(2)
+        if sent:
+            self.fleet.answer(sent[place % len(sent)], b'x' * size)
+
+    @stateful.rule(place=PLACES)
+    def lose_answer(self, place):
+        sent = self.sent(2)
+        if sent:
+            self.fleet.fail(sent[place % len(sent)], ran=True)
+
+    @stateful.rule(place=PLACES)
+    def fail_to_connect(self, place):
+        sent = self.sent(1)
+        if sent:
+            self.fleet.fail(sent[place % len(sent)], ran=False)
+
+    @stateful.rule(vm=VMS, lagging=st.booleans())
+    def lag(self, vm, lagging):
+        self.fleet.by_vm[vm].lagging = lagging
+
+    @stateful.rule(vm=VMS, runs_on=st.booleans())
+    def die(self, vm, runs_on):
+        process = self.fleet.by_vm[vm]
+        for caller in process.callers:
+            if caller.sent == 1 and runs_on:
+                self.fleet.run(caller)
+        process.alive = False
+
+    @stateful.rule(vm=VMS)
+    def close_session(self, vm):
+        self.fleet.close_session(vm)
+
+    @stateful.rule(vm=VMS)
+    def restart(self, vm):
+        self.fleet.start(vm)
+
+    @stateful.rule(seconds=st.sampled_from((0.1, 0.6, 1.1, 3.0, 11.0, 70.0)))
+    def advance(self, seconds):
+        self.fleet.now_s += seconds
+
+    @stateful.invariant()
+    def refused_calls_do_not_run(self):
+        self.fleet.check()
+
+
+RegisterFuzzTests = RegisterMachine.TestCase
+RegisterFuzzTests.settings = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=(hypothesis.Phase.generate,),
+    max_examples=200,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
