--- /dev/null
+++ b/bulrushrudder/benchmarks/limits.py
@@ -0,0 +1,559 @@
+"""Limits over a fleet in virtual time, against the naive ways."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import sys
+
+from bulrushrudder.benchmarks import report
+from bulrushrudder.core import ids
+from bulrushrudder.core import ranking
+from bulrushrudder.documents import types
+from bulrushrudder.limits import actions
+from bulrushrudder.limits import authority
+from bulrushrudder.limits import events
+from bulrushrudder.limits import wallet
+from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import messages
+from bulrushrudder.protocol import token_messages
+from bulrushrudder.state import accounts as account_rows
+from bulrushrudder.state import sessions
+
+SEED = 5
+HOP_S = 0.001
+COMMIT_S = 0.004
+TICK_S = 0.05
+RUN_S = 2.0
+FRAME_BYTES = 4
+PATIENCE_S = 5.0
+ENVIRONMENT = types.Environment.PRODUCTION
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request of the workload.
+
+    :param used: tokens of its cost that it uses.
+    """
+
+    at_s: float
+    entry: int
+    account: int
+    cost: int
+    used: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workload:
+    """Requests in the order of time, and their accounts.
+
+    :param warm_s: seconds after which messages are counted.
+    """
+
+    entries: int
+    accounts: tuple[types.ClientAccount, ...]
+    requests: tuple[Request, ...]
+    seconds: float
+    warm_s: float = 0.0
+
+    @property
+    def counted(self):
+        """Return the number of requests after the first seconds."""
+        return sum(r.at_s >= self.warm_s for r in self.requests)
+
+
+class Bucket:
+    """A plain token bucket of one entry or of the fleet."""
+
+    def __init__(self, rate, burst):
+        self.rate = rate
+        self.burst = burst
+        self.level = burst
+        self.then_s = 0.0
+
+    def advance(self, now_s):
+        """Refill up to a time."""
+        grown = self.level + (now_s - self.then_s) * self.rate
+        self.level = min(self.burst, grown)
+        self.then_s = now_s
+
+    def take(self, tokens, now_s, patience_s):
+        """Return the seconds to wait for tokens, or None to refuse."""
+        self.advance(now_s)
+        wait_s = max(0.0, (tokens - self.level) / self.rate)
+        if tokens > self.burst or wait_s > patience_s:
+            return None
+        self.level -= tokens
+        return wait_s
+
+    def put_back(self, tokens, now_s):
+        """Return tokens."""
+        self.advance(now_s)
+        self.level = min(self.burst, self.level + tokens)
+
+
+class Result:
+    """What happened to each request of a workload."""
+
+    def __init__(self, workload):
+        self.workload = workload
+        self.wait_s = {}
+        self.trips = collections.Counter()
+        self.messages = 0
+        self.message_bytes = 0
+        self.commits = 0
+        self.commit_bytes = 0
+        self.over = 0.0
+        self._buckets = [
+            Bucket(found.rate, found.burst) for found in workload.accounts
+        ]
+
+    def granted(self, number, request, now_s):
+        """Count a grant against the one bucket of the account."""
+        self.wait_s[number] = now_s - request.at_s
+        bucket = self._buckets[request.account]
+        bucket.advance(now_s)
+        bucket.level -= request.cost
+        if bucket.level < -1e-6:
+            self.over -= bucket.level
+            bucket.level = 0.0
+
+    def count_anew(self):
+        """Count messages from now."""
+        self.messages = 0
+        self.message_bytes = 0
+        self.commits = 0
+        self.commit_bytes = 0
+
+    def returned(self, request, now_s):
+        """Count a return."""
+        bucket = self._buckets[request.account]
+        bucket.put_back(request.cost - request.used, now_s)
+
+
+class Clock:
+    """Events in the order of their time."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self._order = itertools.count()
+        self._events = []
+
+    def at(self, at_s, call, *arguments):
+        """Call something at a time."""
+        heapq.heappush(
+            self._events, (at_s, next(self._order), call, arguments)
+        )
+
+    def run(self):
+        """Run to the last event."""
+        while self._events:
+            self.now_s, _, call, arguments = heapq.heappop(self._events)
+            call(*arguments)
+
+
+def run_buckets(workload, split, shared, trip_s):
+    """Run a naive way.
+
+    :param split: parts into which limits are divided.
+    :param shared: whether all entries ask one bucket.
+    :param trip_s: seconds of the question, 0 without one.
+    """
+    clock = Clock()
+    found = Result(workload)
+    buckets = {}
+
+    def arrive(number, request):
+        key = (request.account, None if shared else request.entry)
+        account = workload.accounts[request.account]
+        if key not in buckets:
+            buckets[key] = Bucket(account.rate / split, account.burst / split)
+        wait_s = buckets[key].take(request.cost, clock.now_s, PATIENCE_S)
+        found.trips[1 if trip_s else 0] += 1
+        if wait_s is None:
+            return
+        clock.at(clock.now_s + wait_s + trip_s, start, number, request, key)
+
+    def start(number, request, key):
+        found.granted(number, request, clock.now_s)
+        clock.at(clock.now_s + RUN_S, end, request, key)
+
+    def end(request, key):
+        unused = request.cost - request.used
+        buckets[key].put_back(unused, clock.now_s)
+        found.returned(request, clock.now_s)
+
+    for number, request in enumerate(workload.requests):
+        clock.at(request.at_s, arrive, number, request)
+    clock.run()
+    if trip_s:
+        found.messages = 3 * workload.counted
+    return found
+
+
+class Fleet:
+    """Authorities and wallets of all entries."""
+
+    def __init__(self, workload):
+        self.workload = workload
+        self.found = Result(workload)
+        self.clock = Clock()
+        self._table = account_rows.Accounts(sessions.Sessions())
+        self._index = 0
+        self._accounts_by_id = {a.id: a for a in workload.accounts}
+        vms = [ids.VmId(f'vm{n}') for n in range(workload.entries)]
+        self._owners = [ids.Owner(vm, 1) for vm in vms]
+        self._vms = tuple(vms)
+        self._authorities = [authority.Authority(o) for o in self._owners]
+        self._wallets = [wallet.Wallet() for _ in vms]
+        self._asked = {}
+        self._number_by_vm = {vm: n for n, vm in enumerate(vms)}
+        self._ticking = set()
+        self._holders = {
+            a.id: self._number_by_vm[ranking.choose(authority.role(a.id), vms)]
+            for a in workload.accounts
+        }
+
+    def run(self):
+        """Run the workload."""
+        for number, request in enumerate(self.workload.requests):
+            self.clock.at(request.at_s, self._arrive, number, request)
+        self.clock.at(self.workload.warm_s, self.found.count_anew)
+        self.clock.run()
+        return self.found
+
+    def _standing(self, entry):
+        return authority.Standing(
+            ENVIRONMENT,
+            self.clock.now_s,
+            self._table.by_key,
+            self._accounts_by_id,
+            self._vms,
+        )
+
+    def _arrive(self, number, request):
+        account = self.workload.accounts[request.account]
+        held = self._wallets[request.entry]
+        now_s = self.clock.now_s
+        for given in held.sweep(self._accounts_by_id, now_s):
+            self._return(request.entry, given)
+        charge = held.take(account, request.cost, now_s)
+        if charge is not None:
+            self.found.trips[0] += 1
+            self._start(number, request, charge)
+            return
+        ask = ids.AskId(self._owners[request.entry], number)
+        wish = held.wish(account.id, request.cost, now_s)
+        self._asked[ask] = number, request
+        question = token_messages.AskTokens(
+            ask, account.id, request.cost, wish, PATIENCE_S
+        )
+        event = events.TokensAsked(
+            ask, account.id, request.cost, wish, now_s + PATIENCE_S
+        )
+        remote = self._send(request.entry, account.id, question, event, True)
+        self.found.trips[1 if remote else 0] += 1
+
+    def _send(self, entry, account, message, event, asks):
+        target = self._holders[account]
+        remote = target != entry
+        if remote:
+            self._count(message, asks)
+        delay_s = HOP_S if remote else 0.0
+        self.clock.at(self.clock.now_s + delay_s, self._handle, target, event)
+        return remote
+
+    def _count(self, message, wrapped):
+        data = codec.encode(message)
+        if wrapped:
+            data = codec.encode(messages.Ask(1, data))
+        self.found.messages += 1
+        self.found.message_bytes += len(data) + FRAME_BYTES
+
+    def _handle(self, target, event):
+        handled = self._authorities[target].handle(
+            event, self._standing(target), self.clock.now_s
+        )
+        for action in handled:
+            self._perform(target, action)
+        if target not in self._ticking:
+            self._ticking.add(target)
+            self.clock.at(self.clock.now_s + TICK_S, self._tick, target)
+
+    def _tick(self, target):
+        self._ticking.discard(target)
+        if self.clock.now_s < self.workload.seconds + PATIENCE_S:
+            self._handle(target, events.Ticked())
+
+    def _perform(self, target, action):
+        match action:
+            case actions.Propose(command=command):
+                self.found.commits += 1
+                self.found.commit_bytes += len(codec.encode(command))
+                at_s = self.clock.now_s + COMMIT_S
+                self.clock.at(at_s, self._commit, target, command)
+            case actions.Grant(ask=ask):
+                self._answer(target, ask, action)
+            case actions.Refuse(ask=ask):
+                self._asked.pop(ask)
+
+    def _commit(self, target, command):
+        self._index += 1
+        self._table.apply(self._index, command)
+        self._handle(target, events.Ticked())
+
+    def _answer(self, target, ask, grant):
+        number, request = self._asked.pop(ask)
+        remote = target != request.entry
+        if remote:
+            self._count(
+                token_messages.TokensGranted(
+                    *(getattr(grant, f.name) for f in _GRANT_FIELDS)
+                ),
+                True,
+            )
+        at_s = self.clock.now_s + (HOP_S if remote else 0.0)
+        self.clock.at(at_s, self._granted, number, request, grant)
+
+    def _granted(self, number, request, grant):
+        held = self._wallets[request.entry]
+        if grant.slice_tokens:
+            for given in held.put(grant, request.at_s):
+                self._return(request.entry, given)
+        charge = wallet.Charge(
+            grant.account, grant.epoch, grant.ask, grant.tokens, False
+        )
+        self._start(number, request, charge)
+
+    def _start(self, number, request, charge):
+        self.found.granted(number, request, self.clock.now_s)
+        at_s = self.clock.now_s + RUN_S
+        self.clock.at(at_s, self._end, request, charge)
+
+    def _end(self, request, charge):
+        unused = request.cost - request.used
+        given = self._wallets[request.entry].give_back(
+            charge, unused, self.clock.now_s
+        )
+        self.found.returned(request, self.clock.now_s)
+        if given is not None:
+            self._return(request.entry, given)
+
+    def _return(self, entry, given):
+        message = token_messages.ReturnTokens(
+            given.ask,
+            given.account,
+            given.epoch,
+            given.number,
+            given.tokens,
+            given.closes,
+        )
+        event = events.TokensReturned(
+            given.ask,
+            given.account,
+            given.epoch,
+            given.number,
+            given.tokens,
+            given.closes,
+        )
+        self._send(entry, given.account, message, event, False)
+
+
+_GRANT_FIELDS = dataclasses.fields(token_messages.TokensGranted)
+
+
+def small(seconds=60.0):
+    """Return 9 entries and 5 accounts, one at five times its rate."""
+    shares = (0.7, 0.7, 0.7, 0.7, 5.0)
+    rates = (2000.0, 1500.0, 800.0, 400.0, 1000.0)
+    return _workload(9, rates, shares, seconds, sticky=0.6)
+
+
+def large(seconds=35.0, warm_s=25.0):
+    """Return 400 entries and 17,000 accounts, 3,200 requests a second."""
+    rates = (100.0,) * 17000
+    costs = 3200 / 17000 * _MEAN_COST / 100.0
+    shares = (costs,) * len(rates)
+    found = _workload(400, rates, shares, seconds, sticky=0.0)
+    return dataclasses.replace(found, warm_s=warm_s)
+
+
+_MEAN_COST = 350
+
+
+def _workload(entries, rates, shares, seconds, sticky):
+    rng = random.Random(SEED)
+    accounts = tuple(
+        types.ClientAccount(
+            ids.AccountId(f'account-{n}'), rate, int(rate * 20), 1.0, ()
+        )
+        for n, rate in enumerate(rates)
+    )
+    requests = []
+    for number, (rate, share) in enumerate(zip(rates, shares, strict=True)):
+        home = rng.randrange(entries)
+        at_s = rng.expovariate(rate * share / _MEAN_COST)
+        while at_s < seconds:
+            entry = rng.randrange(entries)
+            if rng.random() < sticky:
+                entry = home
+            cost = rng.randint(200, 500)
+            used = rng.randint(cost // 2, cost)
+            requests.append(Request(at_s, entry, number, cost, used))
+            at_s += rng.expovariate(rate * share / _MEAN_COST)
+    requests.sort(key=lambda request: request.at_s)
+    return Workload(entries, accounts, tuple(requests), seconds)
+
+
+COLUMNS = (
+    report.Column('way'),
+    report.Column('over the limit', 'tokens'),
+    report.Column('refused, one bucket grants', 'requests'),
+    report.Column('of them of calm accounts', 'requests'),
+    report.Column('added p50', 'ms'),
+    report.Column('added p99', 'ms'),
+    report.Column('round trips p50'),
+    report.Column('round trips p99'),
+    report.Column('messages a request'),
+    report.Column('bytes a request', 'B'),
+    report.Column('commits a request'),
+    report.Column('bytes a node', 'B/s'),
+    report.Column('rows to each observer', 'B/s'),
+)
+
+
+def row(name, found, ideal, loud):
+    """Return the row of a way.
+
+    :param ideal: the Result of one bucket without latency.
+    :param loud: numbers of the accounts that send above their rate.
+    """
+    requests = found.workload.requests
+    inside = [n for n in ideal.wait_s if n not in found.wait_s]
+    calm = [n for n in inside if requests[n].account not in loud]
+    added = sorted(
+        1000 * max(0.0, found.wait_s[n] - ideal.wait_s[n])
+        for n in found.wait_s
+        if n in ideal.wait_s
+    )
+    trips = sorted(found.trips.elements())
+    workload = found.workload
+    count = workload.counted
+    seconds = workload.seconds - workload.warm_s
+    both_ends = 2 * found.message_bytes + found.commit_bytes
+    return (
+        name,
+        round(found.over),
+        len(inside),
+        len(calm),
+        _at(added, 0.5),
+        _at(added, 0.99),
+        _at(trips, 0.5),
+        _at(trips, 0.99),
+        found.messages / count,
+        found.message_bytes / count,
+        found.commits / count,
+        both_ends / workload.entries / seconds,
+        found.commit_bytes / seconds,
+    )
+
+
+def _at(values, share):
+    if not values:
+        return '-'
+    return values[min(len(values) - 1, int(share * len(values)))]
+
+
+def table(title, workload, loud=()):
+    """Return the table of all ways for a workload."""
+    ideal = run_buckets(workload, 1, True, 0.0)
+    ways = (
+        ('authority', Fleet(workload).run()),
+        ('even split', run_buckets(workload, workload.entries, False, 0.0)),
+        ('each alone', run_buckets(workload, 1, False, 0.0)),
+        ('central check', run_buckets(workload, 1, True, 2 * HOP_S)),
+    )
+    rows = tuple(row(name, found, ideal, loud) for name, found in ways)
+    return report.Table(title, COLUMNS, rows)
+
+
+COST_COLUMNS = (
+    report.Column('bytes a token'),
+    report.Column('way'),
+    report.Column('not charged', 'tokens'),
+    report.Column('refused', 'requests'),
+)
+COST_RATE = 4000.0
+COST_BURST = 80000
+COST_SECONDS = 600.0
+PREFILL_S = 0.5
+DECODE_S = 20.0
+OUTPUT_TOKENS = 300
+
+
+def cost_table():
+    """Return what ways to charge a prompt do to one account at 80%."""
+    rows = tuple(
+        (density, name, *_charge_prompts(density, divisor, settle_s))
+        for density in (1.5, 2.2, 4.2)
+        for name, divisor, settle_s in (
+            ('estimate of 4 bytes a token', 4.0, None),
+            ('bound, returned at the end', 1.0, DECODE_S),
+            ('bound, returned when counted', 1.0, PREFILL_S),
+        )
+    )
+    return report.Table('prompts of one account at 80%', COST_COLUMNS, rows)
+
+
+def _charge_prompts(density, divisor, settle_s):
+    """Return tokens that nobody was charged for, and refusals."""
+    rng = random.Random(SEED)
+    bucket = Bucket(COST_RATE, COST_BURST)
+    clock = Clock()
+    over = 0.0
+    refused = 0
+    per_request = 9000 / density + OUTPUT_TOKENS
+    at_s = 0.0
+    arrivals = []
+    while at_s < COST_SECONDS:
+        arrivals.append((at_s, rng.randint(2000, 16000)))
+        at_s += rng.expovariate(0.8 * COST_RATE / per_request)
+
+    def arrive(size):
+        nonlocal over, refused
+        counted = size / density
+        charged = size / divisor + OUTPUT_TOKENS
+        wait_s = bucket.take(charged, clock.now_s, PATIENCE_S)
+        if wait_s is None:
+            refused += 1
+            return
+        unused = charged - counted - OUTPUT_TOKENS
+        if unused < 0:
+            over -= unused
+        elif settle_s is not None:
+            ends_s = clock.now_s + wait_s + settle_s
+            clock.at(ends_s, give_back, unused)
+
+    def give_back(unused):
+        bucket.put_back(unused, clock.now_s)
+
+    for arrival_s, size in arrivals:
+        clock.at(arrival_s, arrive, size)
+    clock.run()
+    return round(over), f'{refused} of {len(arrivals)}'
+
+
+def main(given=None):
+    """Measure and print both workloads."""
+    options = report.arguments(__doc__, given)
+    tables = (
+        table('9 entries, 5 accounts, one at 5 x its rate', small(), (4,)),
+        table('400 entries, 17,000 accounts, 3,200 requests/s', large()),
+    )
+    report.show([*tables, cost_table()], options.json)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/bulrushrudder/limits/authority.py
+++ b/bulrushrudder/limits/authority.py
@@ -56,6 +56,8 @@
         self._claimed_s_by_account = {}
         self._swept_s = None
         self._limits = None
+        self._vms = ()
+        self._chosen_by_account = {}
         self._stopping = False
 
     @property
@@ -225,7 +227,13 @@
     def _prefers_me(self, account, standing):
         if self._stopping:
             return False
-        chosen = ranking.choose(role(account), standing.vms)
+        if standing.vms != self._vms:
+            self._vms = standing.vms
+            self._chosen_by_account = {}
+        chosen = self._chosen_by_account.get(account)
+        if chosen is None:
+            chosen = ranking.choose(role(account), standing.vms)
+            self._chosen_by_account[account] = chosen
         return chosen == self._owner.vm
 
 
