Let silent backend servers return, and leaving ones never

Cause: a server that had been silent for a lease was refused for good under its incarnation; a leave that came before its join was dropped, so that the late join was taken in; a server that announced what is rejected added an entry to the log each second.

Change: silence is a command of its own; leaves count also for servers that are not known; the same command is proposed once a lease.

Proof (tests.membership.fuzz_tests): red with an incarnation that left taken in again, a leave of an unknown server dropped, a new leader that gives no lease, no expiry, silence taken for a leave, and an older incarnation taken in while a later one is silent.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -170,7 +170,10 @@
         match command:
             case servers.JoinServer(server=server):
                 log.emit(catalogue.SERVER_JOINED, server=server.id)
-            case servers.LeaveServer(id=server_id):
+            case (
+                servers.LeaveServer(id=server_id)
+                | servers.LoseServer(id=server_id)
+            ):
                 log.emit(catalogue.SERVER_LEFT, server=server_id)
 
 
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -25,17 +25,21 @@
 class ProposeCommand:
     """Asks that a command is committed."""
 
-    command: servers.JoinServer | servers.LeaveServer
+    command: servers.JoinServer | servers.LeaveServer | servers.LoseServer
 
 
 class Tracker:
-    """Turns announcements into joins and leaves.
+    """Turns announcements into joins, leaves and losses.
 
-    Renewals stay here; only changes become commands.
+    Renewals stay here; only changes become commands. A server that
+    leaves never returns under the same incarnation; one that went
+    silent returns with its next announcement. A new Tracker gives every
+    server a full lease first.
     """
 
     def __init__(self):
         self._renewed_s_by_id: dict[ids.ServerId, float] = {}
+        self._proposed_s_by_command = {}
 
     def handle(self, event, servers_by_id, now_s):
         """Take an event and return the commands to propose.
@@ -45,19 +49,23 @@
         """
         match event:
             case Announced(server=server, leaving=True):
-                return self._leave(server, servers_by_id)
+                return self._leave(server, servers_by_id, now_s)
             case Announced(server=server):
                 return self._renew(server, servers_by_id, now_s)
             case Ticked():
                 return self._expire(servers_by_id, now_s)
         raise AssertionError(f'unknown event {event!r}')
 
-    def _leave(self, server, servers_by_id):
+    def _leave(self, server, servers_by_id, now_s):
+        """Note a leave also where the server is not known (yet).
+
+        Its join may be under way, or come late.
+        """
         known = servers_by_id.get(server.id)
-        if known is None or known.incarnation > server.incarnation:
+        if known is not None and known.incarnation > server.incarnation:
             return []
         leave = servers.LeaveServer(server.id, server.incarnation)
-        return [ProposeCommand(leave)]
+        return self._propose(leave, now_s)
 
     def _renew(self, server, servers_by_id, now_s):
         known = servers_by_id.get(server.id)
@@ -66,13 +74,38 @@
         self._renewed_s_by_id[server.id] = now_s
         if known == server:
             return []
-        return [ProposeCommand(servers.JoinServer(server))]
+        return self._propose(servers.JoinServer(server), now_s)
 
     def _expire(self, servers_by_id, now_s):
+        self._forget(servers_by_id, now_s)
         found = []
         for server in servers_by_id.values():
             renewed_s = self._renewed_s_by_id.setdefault(server.id, now_s)
             if now_s - renewed_s > LEASE_S:
-                leave = servers.LeaveServer(server.id, server.incarnation)
-                found.append(ProposeCommand(leave))
+                lose = servers.LoseServer(server.id, server.incarnation)
+                found += self._propose(lose, now_s)
         return found
+
+    def _propose(self, command, now_s):
+        """Propose a command, but not again and again.
+
+        A server that announces what is rejected adds little to the log.
+        """
+        proposed_s = self._proposed_s_by_command.get(command)
+        if proposed_s is not None and now_s - proposed_s < LEASE_S:
+            return []
+        self._proposed_s_by_command[command] = now_s
+        return [ProposeCommand(command)]
+
+    def _forget(self, servers_by_id, now_s):
+        early_s = now_s - LEASE_S
+        self._renewed_s_by_id = {
+            server_id: renewed_s
+            for server_id, renewed_s in self._renewed_s_by_id.items()
+            if server_id in servers_by_id or renewed_s > early_s
+        }
+        self._proposed_s_by_command = {
+            command: proposed_s
+            for command, proposed_s in self._proposed_s_by_command.items()
+            if proposed_s > early_s
+        }
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -74,6 +74,7 @@
         sessions.CloseSession: 203,
         servers.JoinServer: 204,
         servers.LeaveServer: 205,
+        servers.LoseServer: 220,
         accounts.ClaimAccount: 230,
         accounts.SetFloor: 231,
         accounts.ReleaseAccount: 232,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -91,7 +91,11 @@
                 return self._changed(types.Environment.PRODUCTION, outcome)
             case sessions.OpenSession() | sessions.CloseSession():
                 return self.sessions.apply(index, command)
-            case servers.JoinServer() | servers.LeaveServer():
+            case (
+                servers.JoinServer()
+                | servers.LeaveServer()
+                | servers.LoseServer()
+            ):
                 return self.servers.apply(index, command)
             case quarantine.ReportCrash() | quarantine.ClearSuspect():
                 return self.quarantine.apply(index, command)
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -40,7 +40,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveServer:
-    """A backend server leaves or went silent."""
+    """A backend server leaves; the incarnation never returns."""
+
+    id: ids.ServerId
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoseServer:
+    """A backend server went silent; it may announce itself again."""
 
     id: ids.ServerId
     incarnation: int
@@ -48,10 +56,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownIncarnation:
-    """The last incarnation of a backend server that was heard of."""
+    """The last incarnation of a backend server that was heard of.
+
+    :param left: the last incarnation that left, -1 for none.
+    """
 
     id: ids.ServerId
     incarnation: int
+    left: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,14 +86,13 @@
         self.by_id: dict[ids.ServerId, BackendServer] = {}
         self.by_served: dict[str, dict[ids.ServerId, BackendServer]] = {}
         self.versions_by_served: dict[str, int] = {}
-        self._last_incarnations_by_id: dict[ids.ServerId, int] = {}
+        self._known_by_id: dict[ids.ServerId, KnownIncarnation] = {}
 
     def snapshot(self):
         """Return the table as a ServersSnapshot."""
-        known = self._last_incarnations_by_id.items()
         return ServersSnapshot(
             tuple(self.by_id.values()),
-            tuple(KnownIncarnation(id_, last) for id_, last in known),
+            tuple(self._known_by_id.values()),
         )
 
     def restore(self, snapshot):
@@ -90,8 +101,8 @@
             self._remove(known.id)
         for server in snapshot.present:
             self._add(server)
-        self._last_incarnations_by_id = {
-            known.id: known.incarnation for known in snapshot.incarnations
+        self._known_by_id = {
+            known.id: known for known in snapshot.incarnations
         }
 
     def apply(self, index, command):
@@ -101,28 +112,45 @@
                 return self._join(index, server)
             case LeaveServer():
                 return self._leave(index, command)
+            case LoseServer():
+                return self._lose(index, command)
         raise AssertionError(f'unknown command {command!r}')
 
     def _join(self, index, server):
-        last = self._last_incarnations_by_id.get(server.id, -1)
-        present = server.id in self.by_id
-        if server.incarnation < last:
+        known = self._known(server.id)
+        if server.incarnation < known.incarnation:
             return results.Rejected('a later incarnation is known')
-        if server.incarnation == last and not present:
+        if server.incarnation <= known.left:
             return results.Rejected('this incarnation has left')
         self._remove(server.id)
         self._add(server)
-        self._last_incarnations_by_id[server.id] = server.incarnation
+        self._know(server.id, server.incarnation, known.left)
         return results.Accepted(index)
 
     def _leave(self, index, command):
-        last = self._last_incarnations_by_id.get(command.id, -1)
-        if command.incarnation < last:
+        known = self._known(command.id)
+        if command.incarnation < known.incarnation:
             return results.Rejected('a later incarnation is known')
         self._remove(command.id)
-        self._last_incarnations_by_id[command.id] = command.incarnation
+        self._know(command.id, command.incarnation, command.incarnation)
+        return results.Accepted(index)
+
+    def _lose(self, index, command):
+        present = self.by_id.get(command.id)
+        if present is None or present.incarnation != command.incarnation:
+            return results.Rejected('this incarnation is not present')
+        self._remove(command.id)
         return results.Accepted(index)
 
+    def _known(self, server_id):
+        return self._known_by_id.get(
+            server_id, KnownIncarnation(server_id, -1)
+        )
+
+    def _know(self, server_id, incarnation, left):
+        found = KnownIncarnation(server_id, incarnation, left)
+        self._known_by_id[server_id] = found
+
     def _add(self, server):
         self.by_id[server.id] = server
         for served in server.serves:
