--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -18,6 +18,7 @@
 from bulrushrudder.entry import observing
 from bulrushrudder.entry import operations
 from bulrushrudder.entry import registering
+from bulrushrudder.entry import service_servers
 from bulrushrudder.entry import services
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -95,7 +96,11 @@
             self._authorities,
             self._coordinators,
             engines,
-            plain_services.ServiceClient(session),
+            service_servers.ServiceServers(
+                self.view,
+                settings.zone,
+                plain_services.ServiceClient(session),
+            ),
             self.metrics,
             self.observing,
             self._cancelling,
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import random
 import re
 
 from aiohttp import web
@@ -135,12 +134,7 @@
         )
 
     def _service_server(self, service):
-        servers = [
-            server
-            for server in self._services.view.state.servers.by_id.values()
-            if server.kind == 'service' and service in server.serves
-        ]
-        return random.choice(servers) if servers else None
+        return self._services.plain.choose(service)
 
     def _refuse(self, refusal, request_id, admitted):
         return refusals.refuse(
--- /dev/null
+++ b/bulrushrudder/placement/service_choice.py
@@ -0,0 +1,162 @@
+"""Which server of a plain service takes a call."""
+
+import dataclasses
+
+from bulrushrudder.core import ids
+from bulrushrudder.placement import fill_index
+
+FAILURES_TO_EJECT = 3
+FIRST_EJECTION_S = 5.0
+MOST_EJECTION_S = 60.0
+OTHER_ZONE_CALLS = 4
+CANDIDATES_A_ZONE = 2
+
+
+@dataclasses.dataclass(slots=True)
+class _Server:
+    """What this VM knows of a server.
+
+    :param calls: its calls that are under way from this VM.
+    :param failures: calls that failed one after the other.
+    :param ejections: times that it was ejected in a row.
+    :param ejected_until_s: monotonic seconds until which it gets no call.
+    :param present: whether it may get new calls; what is under way is
+        counted also while it may not.
+    """
+
+    incarnation: int
+    zone: ids.Zone
+    calls: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_s: float = 0.0
+    present: bool = True
+
+
+class ServiceChoice:
+    """Chooses by fewest calls under way, in the own zone first.
+
+    A server that fails FAILURES_TO_EJECT times in a row is left out for
+    a while and then gets one call on trial. Where all are left out, the
+    one that returns first is taken, so that a call is never refused
+    while a server is up.
+
+    :param zone: of this VM.
+    """
+
+    def __init__(self, zone):
+        self._zone = zone
+        self._servers_by_id = {}
+        self._on_trial = set()
+        self._indexes_by_zone = {}
+
+    def change(self, servers):
+        """Take in the servers of the service as they are now."""
+        present = {server.id: server for server in servers}
+        for server_id, known in tuple(self._servers_by_id.items()):
+            if server_id not in present:
+                known.present = False
+                self._drop(server_id)
+        for server in servers:
+            known = self._servers_by_id.get(server.id)
+            if known is None or known.incarnation != server.incarnation:
+                self._drop(server.id)
+                known = _Server(server.incarnation, server.zone)
+                self._servers_by_id[server.id] = known
+            known.present = True
+            self._enter(server.id, 0.0)
+
+    def choose(self, now_s):
+        """Choose a server for a call.
+
+        :returns: its id, or None where there is none.
+        """
+        for server_id in self._on_trial:
+            self._enter(server_id, now_s)
+        candidates = [
+            server_id
+            for index in self._indexes_by_zone.values()
+            for server_id in index.least(CANDIDATES_A_ZONE)
+        ]
+        if not candidates:
+            candidates = self._first_to_return()
+        return min(candidates, key=self._cost, default=None)
+
+    def begin(self, server_id, incarnation, now_s):
+        """Take note that a call goes to a server."""
+        known = self._servers_by_id.get(server_id)
+        if known is not None and known.incarnation == incarnation:
+            known.calls += 1
+            self._enter(server_id, now_s)
+
+    def end(self, server_id, incarnation, worked, now_s):
+        """Take in how a call ended.
+
+        :param worked: whether the server did its part; None where the
+            call does not tell.
+        """
+        known = self._servers_by_id.get(server_id)
+        if known is None or known.incarnation != incarnation:
+            return
+        known.calls -= 1
+        if not known.present:
+            self._drop(server_id)
+            return
+        match worked:
+            case True:
+                known.failures = 0
+                known.ejections = 0
+                self._on_trial.discard(server_id)
+            case False:
+                self._failed(server_id, known, now_s)
+        self._enter(server_id, now_s)
+
+    def _failed(self, server_id, known, now_s):
+        known.failures += 1
+        on_trial = server_id in self._on_trial
+        if known.failures < FAILURES_TO_EJECT and not on_trial:
+            return
+        away_s = FIRST_EJECTION_S * 2**known.ejections
+        known.ejected_until_s = now_s + min(MOST_EJECTION_S, away_s)
+        known.ejections += 1
+        self._on_trial.add(server_id)
+
+    def _enter(self, server_id, now_s):
+        """Index a server by its calls, or leave it out for now."""
+        known = self._servers_by_id[server_id]
+        index = self._index(known.zone)
+        busy = known.calls > 0 or now_s < known.ejected_until_s
+        if server_id in self._on_trial and busy:
+            index.remove(server_id)
+        else:
+            index.set(server_id, known.calls)
+
+    def _drop(self, server_id):
+        """Leave a server out; forget it once no call is under way."""
+        known = self._servers_by_id.get(server_id)
+        if known is None:
+            return
+        self._on_trial.discard(server_id)
+        self._index(known.zone).remove(server_id)
+        if known.calls == 0 or known.present:
+            del self._servers_by_id[server_id]
+
+    def _first_to_return(self):
+        found = [
+            (known.ejected_until_s, server_id)
+            for server_id, known in self._servers_by_id.items()
+            if known.present
+        ]
+        return [min(found)[1]] if found else []
+
+    def _cost(self, server_id):
+        known = self._servers_by_id[server_id]
+        other = 0 if known.zone == self._zone else OTHER_ZONE_CALLS
+        return known.calls + other, server_id
+
+    def _index(self, zone):
+        found = self._indexes_by_zone.get(zone)
+        if found is None:
+            found = fill_index.FillIndex()
+            self._indexes_by_zone[zone] = found
+        return found
