Take load reports and cache events from engines

Cause: coordinators knew of no load, no rate and no cache but from their own grants.

Change: engines post both to any VM, with the backends secret; it passes them to the coordinators of the models that the engine serves.

Result (tests.entry.operations_tests): passed on as sent; refused with a reason where the incarnation is not announced or a field is wrong.

--- a/bulrushrudder/engines/wire.py
+++ b/bulrushrudder/engines/wire.py
@@ -118,3 +118,38 @@
     link_tokens_per_s: float = pydantic.Field(default=1e6, gt=0)
     checks_fencing: bool = False
     leaving: bool = False
+
+
+Digest = typing.Annotated[str, pydantic.Field(pattern=r'^[0-9a-f]{1,16}$')]
+
+
+class CacheEvent(_Model):
+    """What entered and left a prefix cache.
+
+    Digests are XXH3 (64 bits, hexadecimal) over the first 1024 bytes of
+    a prompt, the first 2048 and so on up to 131072.
+
+    :param sequence: counts the events of an incarnation.
+    """
+
+    sequence: int = pydantic.Field(ge=0)
+    stored: list[Digest] = pydantic.Field(default=[], max_length=4096)
+    removed: list[Digest] = pydantic.Field(default=[], max_length=4096)
+
+
+class Report(_Model):
+    """A model engine reports its load and changes of its cache.
+
+    :param sequence: grows with each report of an incarnation.
+    :param running: requests that it runs.
+    :param step_s: seconds between tokens, on a decode server.
+    :param tokens_per_s: tokens it computes a second, on a prefill server.
+    """
+
+    id: str = pydantic.Field(min_length=1, max_length=128)
+    incarnation: int = pydantic.Field(ge=0)
+    sequence: int = pydantic.Field(ge=0)
+    running: int = pydantic.Field(default=0, ge=0, le=100000)
+    step_s: float = pydantic.Field(default=0.0, ge=0, le=3600)
+    tokens_per_s: float = pydantic.Field(default=0.0, ge=0, le=1e9)
+    cache_events: list[CacheEvent] = pydantic.Field(default=[], max_length=64)
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -162,7 +162,12 @@
             cancel_handlers=True,
             finish_s=ANSWERS_S,
         )
-        back = operations.Operations(self.observing, settings.secrets.backends)
+        back = operations.Operations(
+            self.observing,
+            self.view,
+            self._coordinators,
+            settings.secrets.backends,
+        )
         await web.listen(stack, back.application(), settings.entry.backends)
         app = metrics_listener.application(self.metrics)
         await web.listen(stack, app, settings.entry.metrics)
--- /dev/null
+++ b/bulrushrudder/tests/entry/operations_tests.py
@@ -0,0 +1,74 @@
+import unittest
+
+from aiohttp import test_utils
+
+from bulrushrudder.entry import operations
+from bulrushrudder.observers import view
+from bulrushrudder.placement import events
+from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import fleet
+
+SECRET = b'secret'
+HEADERS = {'Authorization': 'Bearer secret'}
+
+
+class Coordinators:
+    """Takes note of what it is told."""
+
+    def __init__(self):
+        self.told = []
+
+    async def report_load(self, models, report):
+        self.told.append((models, report))
+
+    async def report_cache(self, models, change):
+        self.told.append((models, change))
+
+
+class ReportTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        found = view.View('production')
+        found.state.servers.apply(1, servers.JoinServer(fleet.server()))
+        self.coordinators = Coordinators()
+        back = operations.Operations(None, found, self.coordinators, SECRET)
+        server = test_utils.TestServer(back.application())
+        self.client = test_utils.TestClient(server)
+        await self.client.start_server()
+        self.addAsyncCleanup(self.client.close)
+
+    async def post(self, headers=HEADERS, **changes):
+        content = {'id': 'decode-1', 'incarnation': 1, 'sequence': 7}
+        response = await self.client.post(
+            '/report', json={**content, **changes}, headers=headers
+        )
+        return response.status
+
+    async def test_passes_load_and_cache_events_on(self):
+        event = {'sequence': 3, 'stored': ['ff'], 'removed': ['a0']}
+        status = await self.post(running=4, step_s=0.05, cache_events=[event])
+        self.assertEqual(status, 200)
+        models = ('drafting',)
+        self.assertEqual(
+            self.coordinators.told,
+            [
+                (
+                    models,
+                    events.LoadReported('decode-1', 1, 7, 4, 0.05, 0.0),
+                ),
+                (
+                    models,
+                    events.CacheChanged('decode-1', 1, 3, (255,), (160,)),
+                ),
+            ],
+        )
+
+    async def test_refuses_what_is_not_announced_or_malformed(self):
+        self.assertEqual(await self.post(incarnation=2), 409)
+        self.assertEqual(await self.post(id='other'), 409)
+        self.assertEqual(await self.post(running=-1), 422)
+        self.assertEqual(await self.post(headers={}), 401)
+        self.assertEqual(self.coordinators.told, [])
+
+
+if __name__ == '__main__':
+    unittest.main()
