--- /dev/null
+++ b/bulrushrudder/tests/builders/coordinating.py
@@ -0,0 +1,86 @@
+"""Builders of coordinators on several VMs without links."""
+
+from returns import result
+
+from bulrushrudder.core import ids
+from bulrushrudder.documents import types
+from bulrushrudder.entry import coordinators
+from bulrushrudder.observers import view
+from bulrushrudder.protocol import errors
+from bulrushrudder.protocol import place_messages
+from bulrushrudder.state import servers
+from bulrushrudder.state import sessions
+from bulrushrudder.tests.builders import fleet
+
+
+class Directory:
+    """Brings messages straight to the VM in charge.
+
+    :param vms: the Vms.
+    """
+
+    def __init__(self, vms):
+        self._vms = vms
+
+    async def ask(self, key, question, patience_s, serve):
+        if self._vms.charged in self._vms.down:
+            return result.Failure(
+                errors.LinkError(errors.LinkProblem.CLOSED, 'down', False)
+            )
+        found = self._vms.coordinators_by_vm[self._vms.charged]
+        return result.Success(await found.serve(question))
+
+    async def tell(self, key, message, serve):
+        if self._vms.charged not in self._vms.down:
+            found = self._vms.coordinators_by_vm[self._vms.charged]
+            await found.serve(message)
+
+    def in_charge(self, key):
+        return self._vms.charged
+
+
+class Vms:
+    """Coordinators of some VMs before one view.
+
+    :ivar charged: the VM in charge of all models.
+    :ivar down: VMs that cannot be reached.
+    """
+
+    def __init__(self, names):
+        self.view = view.View(types.Environment.PRODUCTION)
+        self.charged = names[0]
+        self.down = set()
+        self.coordinators_by_vm = {}
+        for name in names:
+            owner = fleet.owner(name)
+            self.apply(
+                sessions.OpenSession(owner, ids.Zone('a'), '127.0.0.1', 1)
+            )
+            self.coordinators_by_vm[name] = coordinators.Coordinators(
+                owner, self.view, Directory(self)
+            )
+
+    def apply(self, command):
+        """Commit a command."""
+        self.view.apply(self.view.index + 1, command)
+
+    def join(self, places=1):
+        """Let a prefill and a decode server join."""
+        for kind in ('prefill', 'decode'):
+            server = fleet.server(f'{kind}-1', kind, places=places)
+            self.apply(servers.JoinServer(server))
+
+
+def question(request='1', vm='vm1', **changes):
+    """Return an AskPlace message."""
+    fields = {
+        'request': ids.RequestId(request),
+        'owner': fleet.owner(vm),
+        'account': 'acme',
+        'model': ids.ModelId('drafting'),
+        'prompt_tokens': 100,
+        'output_tokens': 20,
+        'interactive': True,
+        'patience_s': 5.0,
+    }
+    return place_messages.AskPlace(**{**fields, **changes})
--- a/bulrushrudder/tests/entry/operations_tests.py
+++ b/bulrushrudder/tests/entry/operations_tests.py
@@ -2,6 +2,7 @@
 
 from aiohttp import test_utils
 
+from bulrushrudder.documents import types
 from bulrushrudder.entry import operations
 from bulrushrudder.observers import view
 from bulrushrudder.placement import events
@@ -27,7 +28,7 @@
 
 class ReportTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        found = view.View('production')
+        found = view.View(types.Environment.PRODUCTION)
         found.state.servers.apply(1, servers.JoinServer(fleet.server()))
         self.coordinators = Coordinators()
         back = operations.Operations(None, found, self.coordinators, SECRET)
