Count restored holds once their decode server returns

Cause: the fuzz test of the cell, in a run of the whole suite: a hold was restored while its decode server was away; when the server came back the hold was not counted, and a request that must run alone was granted beside it. The case appears only with the constants that hypothesis collects from modules of the whole suite, hence not alone.

--- a/bulrushrudder/placement/cell.py
+++ b/bulrushrudder/placement/cell.py
@@ -46,6 +46,7 @@
         self._prefills = prefills.Prefills()
         self._decodes = decodes.Decodes(most_ahead)
         self._held_by_hold = {}
+        self._holds_by_absent_server = collections.defaultdict(set)
         self._holds_by_owner = collections.defaultdict(set)
         self._demand = demand.Demand()
         self._held_by_account = collections.Counter()
@@ -119,6 +120,8 @@
             del self._held_by_account[held.holding.account]
         if held.decode is not None:
             self._decodes.release(held.decode, _held_s(held, now_s))
+        else:
+            self._forget_absent(held.holding.decode, hold)
 
     def _change_servers(self, servers):
         by_id = {server.id: server for server in servers}
@@ -134,6 +137,7 @@
                 known = pool.by_id.get(server.id)
                 if server.kind == kind and not _is_known(known, server):
                     pool.join(server)
+                    self._take_restored(server.id)
 
     def _compare(self, event, now_s):
         last = self._reports_by_owner.get(event.owner, -1)
@@ -156,17 +160,32 @@
                 self._queue.remove(holding.hold)
                 self._hold(holding, float('inf'), None)
 
+    def _forget_absent(self, server_id, hold):
+        holds = self._holds_by_absent_server[server_id]
+        holds.discard(hold)
+        if not holds:
+            del self._holds_by_absent_server[server_id]
+
+    def _take_restored(self, server_id):
+        """Count what was restored while its decode server was away."""
+        for hold in self._holds_by_absent_server.pop(server_id, ()):
+            held = self._held_by_hold[hold]
+            self._hold(held.holding, float('inf'), held.decode_s)
+
     def _hold(self, holding, between_tokens_s, decode_s):
         known = self._decodes.by_id.get(holding.decode)
         taken = None
-        if known is not None:
+        if known is None:
+            self._holds_by_absent_server[holding.decode].add(holding.hold)
+        else:
             tokens = holding.prompt_tokens + holding.output_tokens
             taken = self._decodes.take(
                 known, tokens, between_tokens_s, holding.isolation
             )
+        if holding.hold not in self._held_by_hold:
+            self._held_by_account[holding.account] += 1
         held = _Held(holding, taken, decode_s)
         self._held_by_hold[holding.hold] = held
-        self._held_by_account[holding.account] += 1
         self._holds_by_owner[holding.hold.owner].add(holding.hold)
 
     def _change_owners(self, owners, now_s):
--- a/bulrushrudder/tests/placement/cell_tests.py
+++ b/bulrushrudder/tests/placement/cell_tests.py
@@ -107,6 +107,23 @@
         self.assertEqual(young.handle(places.asked(), 0.1), [])
         self.assertEqual(len(young.handle(events.Ticked(), 0.5)), 1)
 
+    def test_restored_holds_count_once_their_server_returns(self):
+        held = events.Holding(
+            hold=places.hold(1),
+            account='acme',
+            prefill='prefill-0',
+            decode='decode-0',
+            prompt_tokens=100,
+            output_tokens=100,
+            isolation=events.Isolation.NONE,
+        )
+        self.handle(events.HoldingsRestored((held,)))
+        self.handle(places.servers_changed())
+        alone = places.asked(2, isolation=events.Isolation.ALONE)
+        self.assertEqual(self.handle(alone, 0.1), [])
+        found = self.handle(events.PlaceReleased(places.hold(1)), 0.2)
+        self.assertEqual([grant.call for grant in found], [2])
+
 
 if __name__ == '__main__':
     unittest.main()
