Avoid servers that could not be reached a moment ago

Cause: a crashed server keeps getting places until its announcement runs out 3 s later. Ruled out: the budget's size, since a tenth is there to keep retries from multiplying. Change: each process remembers for 3 s the run of a server that it could not connect to, and asks for places elsewhere while another server of the kind is left.

--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -117,6 +117,7 @@
                 await self._handle(events.BackOffEnded())
 
     async def _handle(self, event):
+        self._note_failure(event)
         await self._perform(self._request.handle(event, self._loop.time()))
 
     async def _perform(self, found):
@@ -205,7 +206,7 @@
             output_tokens=job.output_tokens,
             interactive=job.interactive,
             patience_s=action.patience_s,
-            excluded=action.excluded,
+            excluded=(*action.excluded, *self._avoided()),
             isolation=int(action.isolation),
             prefix=prefixes.digests(job.prompt.encode()),
         )
@@ -219,6 +220,23 @@
             case result.Failure(refusal):
                 return events.StepRefused(refusal)
 
+    def _avoided(self):
+        servers = self._services.view.state.servers
+        candidates = servers.by_served.get(self._job.model, {})
+        return self._services.reachability.avoided(
+            candidates.values(), self._loop.time()
+        )
+
+    def _note_failure(self, event):
+        match event:
+            case events.AttemptFailed(
+                reason=outcomes.Reason.BACKEND_UNREACHABLE, server=server_id
+            ):
+                server = self._servers_by_id.get(server_id)
+                if server is not None:
+                    now_s = self._loop.time()
+                    self._services.reachability.failed(server, now_s)
+
     def _remember(self, server_id):
         """Keep a server's address, as it may leave while it drains."""
         server = self._services.server(server_id)
@@ -303,6 +321,7 @@
         now_s = self._loop.time()
         found = []
         for event in batch:
+            self._note_failure(event)
             for action in self._request.handle(event, now_s):
                 found.append(action)
                 if isinstance(action, actions.Relay):
--- a/bulrushrudder/entry/services.py
+++ b/bulrushrudder/entry/services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bulrushrudder.lifecycle import reachability
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.utils import tasks
 
@@ -50,6 +51,7 @@
         self.cancelling = cancelling
         self.registering = registering
         self.retries = retries.RetryPolicy()
+        self.reachability = reachability.Reachability()
         self.running = set()
         self.leaving = False
         self.draining = False
--- /dev/null
+++ b/bulrushrudder/lifecycle/reachability.py
@@ -0,0 +1,76 @@
+"""Backend servers that this process could not reach lately.
+
+A server that has crashed goes on getting places until its announcement
+runs out; each process learns faster from its own failures.
+"""
+
+import collections
+import dataclasses
+
+AVOID_S = 3.0
+MAX_AVOIDED = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Failure:
+    """A run of a server that could not be reached."""
+
+    incarnation: int
+    until_s: float
+
+
+class Reachability:
+    """Remembers failures to connect, for a short time."""
+
+    def __init__(self):
+        self._failures_by_id = {}
+
+    def failed(self, server, now_s):
+        """Take note that no connection to a server came about.
+
+        :param server: the BackendServer.
+        :param now_s: monotonic seconds.
+        """
+        self._failures_by_id[server.id] = _Failure(
+            server.incarnation, now_s + AVOID_S
+        )
+
+    def avoided(self, candidates, now_s):
+        """Return ids of servers that a request should not get.
+
+        A kind of which every candidate failed is not avoided at all.
+
+        :param candidates: the BackendServers that could serve it.
+        """
+        self._forget(now_s)
+        if not self._failures_by_id:
+            return ()
+        ids_by_kind = collections.defaultdict(list)
+        left = set()
+        for server in candidates:
+            if self._is_failed(server):
+                ids_by_kind[server.kind].append(server.id)
+            else:
+                left.add(server.kind)
+        found = [
+            server_id
+            for kind, server_ids in ids_by_kind.items()
+            if kind in left
+            for server_id in server_ids
+        ]
+        return tuple(found[:MAX_AVOIDED])
+
+    def _is_failed(self, server):
+        failure = self._failures_by_id.get(server.id)
+        return failure is not None and (
+            failure.incarnation == server.incarnation
+        )
+
+    def _forget(self, now_s):
+        ended = [
+            server_id
+            for server_id, failure in self._failures_by_id.items()
+            if failure.until_s <= now_s
+        ]
+        for server_id in ended:
+            del self._failures_by_id[server_id]
