--- a/bulrushrudder/state/accounts.py
+++ b/bulrushrudder/state/accounts.py
@@ -90,7 +90,7 @@
 
     def __init__(self, sessions):
         self._sessions = sessions
-        self._bursts_by_key = {}
+        self._accounts_by_environment = {}
         self.by_key = {}
 
     def apply(self, index, command):
@@ -105,20 +105,20 @@
                 return self._release(index, row, command)
         raise AssertionError(f'unknown command {command!r}')
 
-    def limit(self, environment, document):
-        """Lower floors to the bursts of the document now in force."""
-        others = {
-            key: burst
-            for key, burst in self._bursts_by_key.items()
-            if key[0] is not environment
-        }
-        in_force = {
-            (environment, account.id): account.burst
-            for account in document.accounts
-        }
-        self._bursts_by_key = others | in_force
-        for key in in_force.keys() & self.by_key.keys():
-            self._put(self.by_key[key])
+    def limit(self, environment, accounts_by_id):
+        """Lower floors to the bursts of the document now in force.
+
+        :param accounts_by_id: its client accounts; those that are the
+            same objects as before are passed over.
+        """
+        before = self._accounts_by_environment.get(environment, {})
+        self._accounts_by_environment[environment] = accounts_by_id
+        for account_id, account in accounts_by_id.items():
+            if before.get(account_id) is account:
+                continue
+            row = self.by_key.get((environment, account_id))
+            if row is not None:
+                self._put(row)
 
     def snapshot(self):
         """Return all rows as a data class."""
@@ -126,6 +126,7 @@
 
     def restore(self, snapshot):
         """Take the rows of a snapshot."""
+        self._accounts_by_environment = {}
         self.by_key = {(r.environment, r.account): r for r in snapshot.rows}
 
     def _claim(self, index, row, command):
@@ -190,12 +191,12 @@
         return session is not None and session.owner == owner
 
     def _put(self, row):
-        key = (row.environment, row.account)
-        burst = self._bursts_by_key.get(key, row.floor + row.lent)
-        if row.floor + row.lent > burst:
-            floor = max(0.0, burst - row.lent)
+        accounts_by_id = self._accounts_by_environment.get(row.environment, {})
+        account = accounts_by_id.get(row.account)
+        if account is not None and row.floor + row.lent > account.burst:
+            floor = max(0.0, account.burst - row.lent)
             row = dataclasses.replace(row, floor=floor)
-        self.by_key[key] = row
+        self.by_key[row.environment, row.account] = row
 
 
 def _first_row(index, command):
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -119,5 +119,5 @@
         return outcome
 
     def _limit(self, environment):
-        document = self.documents.in_force(environment)
-        self.accounts.limit(environment, document)
+        found = self.documents.lookups(environment)
+        self.accounts.limit(environment, found.accounts_by_id)
