Say unknown where an earlier try of a filing may have run

Cause: a resend with an id, refused before the register was asked (stale view, unknown key, shutdown, body), was told not run, though an earlier try under the same id may have run. The promise is that not run is true. Refusals count under their route where it is known.

--- a/bulrushrudder/entry/admission.py
+++ b/bulrushrudder/entry/admission.py
@@ -56,6 +56,24 @@
     return _check_key(view, now_s, admitted.route, admitted.key_digest)
 
 
+def of_call(refusal, route, call_id):
+    """Return what a refusal says of a call, all its tries included.
+
+    Before the register of calls is asked, nobody can say whether an
+    earlier try under the same id ran.
+
+    :param route: the call's Route, or None where none is known.
+    :param call_id: what tells the caller's calls apart, or None.
+    """
+    if call_id is None or (route is not None and route.repeatable):
+        return refusal
+    return dataclasses.replace(
+        refusal,
+        execution=outcomes.Execution.UNKNOWN,
+        detail=f'{refusal.detail}; an earlier try under this id may have run',
+    )
+
+
 def _check_key(view, now_s, route, key_digest):
     if not view.fresh(now_s):
         return _refuse(
--- a/bulrushrudder/entry/frontend.py
+++ b/bulrushrudder/entry/frontend.py
@@ -79,22 +79,21 @@
                 outcomes.Execution.UNKNOWN,
                 'an internal error, which is in the log',
             )
-            return self._refuse(refusal, request_id, 'none')
+            return self._refuse(http_request, refusal, request_id)
         finally:
             self._services.calls -= 1
 
     async def _serve(self, http_request, request_id):
         admitted = self._admit(http_request)
         if isinstance(admitted, result.Failure):
-            return self._refuse(admitted.failure(), request_id, 'none')
+            return self._refuse(http_request, admitted.failure(), request_id)
         body = await self._read(http_request)
         if isinstance(body, result.Failure):
-            route = admitted.unwrap().route.id
-            return self._refuse(body.failure(), request_id, route)
+            return self._refuse(http_request, body.failure(), request_id)
         # The key may have been withdrawn while the body came in.
         admitted = self._admit(http_request)
         if isinstance(admitted, result.Failure):
-            return self._refuse(admitted.failure(), request_id, 'none')
+            return self._refuse(http_request, admitted.failure(), request_id)
         return await self._run(
             http_request, request_id, admitted.unwrap(), body.unwrap()
         )
@@ -135,9 +134,17 @@
         except (web.RequestPayloadError, ConnectionError):
             return result.Failure(_MALFORMED_BODY)
 
-    def _refuse(self, refusal, request_id, route):
+    def _refuse(self, http_request, refusal, request_id):
+        """Refuse a call of which nothing is registered yet."""
+        route = self._services.view.lookups.route_of(
+            http_request.method, http_request.path
+        )
+        call_id = http_request.headers.get(service_calls.ID_HEADER)
         return refusals.refuse(
-            self._services.metrics, refusal, request_id, route
+            self._services.metrics,
+            admission.of_call(refusal, route, call_id),
+            request_id,
+            'none' if route is None else route.id,
         )
 
     def _request_id(self, http_request):
--- a/bulrushrudder/tests/builders/documents.py
+++ b/bulrushrudder/tests/builders/documents.py
@@ -37,6 +37,12 @@
     return types.Route(**{**fields, **changes})
 
 
+def filing_route(route_id='filings', path='/filings'):
+    """Return a route to a plain service that may not be repeated."""
+    target = types.ServiceTarget(ids.ServiceId('portal'), 5.0, 1)
+    return model_route(route_id, path, target=target, repeatable=False)
+
+
 def document(version=1, accounts=None, routes=None):
     """Return a document with one account, model and route."""
     return types.Document(
--- a/bulrushrudder/tests/entry/frontend_tests.py
+++ b/bulrushrudder/tests/entry/frontend_tests.py
@@ -14,6 +14,10 @@
 TIMEOUT_S = 20.0
 AUTHORIZED = f'Authorization: Bearer {documents.KEY}\r\n'
 LOCATION = 'POST /v1/completions'
+FILINGS = 'POST /filings'
+
+
+ROUTES = (documents.model_route(), documents.filing_route())
 
 
 def http(start, headers='', body=b'', length=None):
@@ -32,7 +36,7 @@
         logs = logbook.TestHandler()
         stack.enter_context(logs.contextbound())
         self.port, self.services = await frontends.listen(
-            stack, documents.document(), **limits
+            stack, documents.document(routes=ROUTES), **limits
         )
         return logs
 
@@ -153,6 +157,18 @@
         head, _ = await self.check(http(LOCATION, AUTHORIZED), reason, 503)
         self.assertIn('Retry-After: 1', head)
 
+    async def test_refused_resend_does_not_say_not_run(self):
+        await self.serve()
+        self.services.draining = True
+        for path, given, execution in (
+            (FILINGS, 'Idempotency-Key: f-1\r\n', 'unknown'),
+            (FILINGS, '', 'not run'),
+            (LOCATION, 'Idempotency-Key: f-1\r\n', 'not run'),
+        ):
+            with self.subTest(path=path, given=given):
+                head, _ = await self.exchange(http(path, AUTHORIZED + given))
+                self.assertIn(f'X-Execution: {execution}', head)
+
     async def test_key_withdrawn_while_the_body_comes_in(self):
         await self.serve()
         reader, writer = await asyncio.open_connection(
