--- a/bulrushrudder/tests/runner.py
+++ b/bulrushrudder/tests/runner.py
@@ -29,20 +29,22 @@
     found = _load(names)
     with logbook.NullHandler().applicationbound():
         outcome = unittest.TextTestRunner(verbosity=1).run(found)
-    failed = {case.id() for case, _ in (*outcome.failures, *outcome.errors)}
-    failed |= {case.id() for case in outcome.unexpectedSuccesses}
+    cases = [case for case, _ in (*outcome.failures, *outcome.errors)]
+    cases += outcome.unexpectedSuccesses
+    failed = {case.id() for case in cases}
     known = failed & known_red(KNOWN_RED.read_text())
     for name in sorted(known):
         print(f'known red: {name}')
+    _print_counts(outcome, cases, len(failed - known), len(known))
+    return 1 if failed - known or outcome.testsRun == 0 else 0
+
+
+def _print_counts(outcome, cases, unknown, known):
+    """Print the closing line; a test counts once, however it failed."""
+    broken = {getattr(case, 'test_case', case).id() for case in cases}
     skipped = len(outcome.skipped)
-    broken = {
-        getattr(case, 'test_case', case).id()
-        for case, _ in (*outcome.failures, *outcome.errors)
-    }
     passed = outcome.testsRun - len(broken) - skipped
-    unknown = len(failed - known)
-    print(f'{passed} passed, {unknown} failed, {skipped + len(known)} skipped')
-    return 1 if unknown or outcome.testsRun == 0 else 0
+    print(f'{passed} passed, {unknown} failed, {skipped + known} skipped')
 
 
 def _load(names):
