Call leases and slices of limits by the field's names

Cause: tenure, wallet and donor were words of our own for a lease, the slices that an asker holds and the attempt whose KV cache is kept. Change: names only.

--- a/bulrushrudder/benchmarks/limits.py
+++ b/bulrushrudder/benchmarks/limits.py
@@ -14,7 +14,7 @@
 from bulrushrudder.limits import actions
 from bulrushrudder.limits import authority
 from bulrushrudder.limits import events
-from bulrushrudder.limits import wallet
+from bulrushrudder.limits import slices
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import token_messages
@@ -194,7 +194,7 @@
 
 
 class Fleet:
-    """Authorities and wallets of all entries."""
+    """Authorities and slices of all entries."""
 
     def __init__(self, workload):
         self.workload = workload
@@ -207,7 +207,7 @@
         self._owners = [ids.Owner(vm, 1) for vm in vms]
         self._vms = tuple(vms)
         self._authorities = [authority.Authority(o) for o in self._owners]
-        self._wallets = [wallet.Wallet() for _ in vms]
+        self._slices_by_entry = [slices.Slices() for _ in vms]
         self._asked = {}
         self._number_by_vm = {vm: n for n, vm in enumerate(vms)}
         self._ticking = set()
@@ -235,7 +235,7 @@
 
     def _arrive(self, number, request):
         account = self.workload.accounts[request.account]
-        held = self._wallets[request.entry]
+        held = self._slices_by_entry[request.entry]
         now_s = self.clock.now_s
         for given in held.sweep(self._accounts_by_id, now_s):
             self._return(request.entry, given)
@@ -318,11 +318,11 @@
         self.clock.at(at_s, self._granted, number, request, grant)
 
     def _granted(self, number, request, grant):
-        held = self._wallets[request.entry]
+        held = self._slices_by_entry[request.entry]
         if grant.slice_tokens:
             for given in held.put(grant, request.at_s):
                 self._return(request.entry, given)
-        charge = wallet.Charge(
+        charge = slices.Charge(
             grant.account, grant.epoch, grant.ask, grant.tokens, False
         )
         self._start(number, request, charge)
@@ -334,7 +334,7 @@
 
     def _end(self, request, charge):
         unused = request.cost - request.used
-        given = self._wallets[request.entry].give_back(
+        given = self._slices_by_entry[request.entry].give_back(
             charge, unused, self.clock.now_s
         )
         self.found.returned(request, self.clock.now_s)
--- a/bulrushrudder/entry/authorities.py
+++ b/bulrushrudder/entry/authorities.py
@@ -9,7 +9,7 @@
 from bulrushrudder.limits import actions
 from bulrushrudder.limits import authority
 from bulrushrudder.limits import events
-from bulrushrudder.limits import wallet
+from bulrushrudder.limits import slices
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.utils import tasks
 
@@ -35,7 +35,7 @@
         self._observing = observing
         self._environment = environment
         self._authority = authority.Authority(owner)
-        self._wallet = wallet.Wallet()
+        self._slices = slices.Slices()
         self._answers_by_ask = {}
         self._last_ask = 0
         self._tasks = set()
@@ -60,14 +60,14 @@
             return result.Failure(outcomes.not_run(reason, detail))
         if tokens <= 0:
             nothing = ids.AskId(self._owner, 0)
-            free = wallet.Charge(account_id, 0, nothing, 0, False)
+            free = slices.Charge(account_id, 0, nothing, 0, False)
             return result.Success(free)
-        charge = self._wallet.take(account, tokens, now_s)
+        charge = self._slices.take(account, tokens, now_s)
         if charge is not None:
             return result.Success(charge)
         self._last_ask += 1
         ask = ids.AskId(self._owner, self._last_ask)
-        wish = self._wallet.wish(account_id, tokens, now_s)
+        wish = self._slices.wish(account_id, tokens, now_s)
         question = token_messages.AskTokens(
             ask, account_id, tokens, wish, patience_s
         )
@@ -82,7 +82,7 @@
 
     async def give_back(self, charge, tokens):
         """Give the unused tokens of a charge back."""
-        given = self._wallet.give_back(charge, tokens, self._now_s())
+        given = self._slices.give_back(charge, tokens, self._now_s())
         if given is not None:
             await self._tell_return(given)
 
@@ -146,9 +146,9 @@
 
     def _take_grant(self, granted, asked_s):
         if granted.slice_tokens:
-            for given in self._wallet.put(granted, asked_s):
+            for given in self._slices.put(granted, asked_s):
                 self._start(self._tell_return(given))
-        return wallet.Charge(
+        return slices.Charge(
             granted.account,
             granted.epoch,
             granted.ask,
@@ -175,7 +175,7 @@
 
     def _sweep(self):
         accounts_by_id = self._view.lookups.accounts_by_id
-        for given in self._wallet.sweep(accounts_by_id, self._now_s()):
+        for given in self._slices.sweep(accounts_by_id, self._now_s()):
             self._start(self._tell_return(given))
 
     # Granting.
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -43,8 +43,8 @@
         self._asks = 0
         self._place = None
         self._holding = None
-        self._donor = None
-        self._donor_handle = None
+        self._kept = None
+        self._kept_handle = None
         self._failures = []
         self._excluded = ()
         self._failed_server = None
@@ -169,7 +169,7 @@
             attempt, event.place, event.prefill, event.decode
         )
         self._place = None
-        if self._donor is None:
+        if self._kept is None:
             self._go('start_prefill')
             return [
                 actions.StartPrefill(
@@ -177,7 +177,7 @@
                 )
             ]
         self._go('start_transfer')
-        return [self._start_decode(self._donor.decode, self._donor_handle)]
+        return [self._start_decode(self._kept.decode, self._kept_handle)]
 
     # During an attempt.
 
@@ -210,7 +210,7 @@
             return [_drop(event)]
         self._go('start_decode')
         self._sent = True
-        return self._free_donor()
+        return self._free_kept()
 
     def _take_token(self, event):
         if not self._is_current(event, 'decoding', 'streaming'):
@@ -268,10 +268,10 @@
             return [_drop(event)]
         if event.crashed:
             return [*self._free_all(), *self._crashed()]
-        found = self._free_donor()
+        found = self._free_kept()
         if event.handle is not None and self.job.repeatable:
-            self._donor = self._holding
-            self._donor_handle = event.handle
+            self._kept = self._holding
+            self._kept_handle = event.handle
             self._holding = None
         else:
             found += self._free_all()
@@ -358,7 +358,7 @@
         return [*found, *self._return_unused()]
 
     def _free_all(self):
-        found = self._free_donor()
+        found = self._free_kept()
         if self._place is not None:
             found.append(actions.ReleasePlace(self._place))
             self._place = None
@@ -367,12 +367,12 @@
             self._holding = None
         return found
 
-    def _free_donor(self):
-        if self._donor is None:
+    def _free_kept(self):
+        if self._kept is None:
             return []
-        found = _free(self._donor)
-        self._donor = None
-        self._donor_handle = None
+        found = _free(self._kept)
+        self._kept = None
+        self._kept_handle = None
         return found
 
     def _exceeds_charge(self):
--- a/bulrushrudder/limits/authority.py
+++ b/bulrushrudder/limits/authority.py
@@ -1,8 +1,8 @@
 """Grants the tokens of the client accounts that a VM answers for.
 
 A process grants for an account while the log, as a quorum vouched for
-it within the tenure, names it as the holder. A successor waits out the
-tenure of a holder that did not release the account.
+it within the lease, names it as the holder. A successor waits out the
+lease of a holder that did not release the account.
 """
 
 import dataclasses
@@ -175,7 +175,7 @@
             self._lose(account)
             return
         if ledger is not None and ledger.row.epoch == row.epoch:
-            ledger.renew(_tenure_ends_s(standing), now_s)
+            ledger.renew(_lease_ends_s(standing), now_s)
             if limits is not None:
                 ledger.observe(row, limits, now_s)
             return
@@ -222,7 +222,7 @@
 
     def _acts(self, ledger, standing, now_s):
         """Return whether this process may grant for an account now."""
-        return ledger.starts_s <= now_s <= _tenure_ends_s(standing)
+        return ledger.starts_s <= now_s <= _lease_ends_s(standing)
 
     def _prefers_me(self, account, standing):
         if self._stopping:
@@ -237,7 +237,7 @@
         return chosen == self._owner.vm
 
 
-def _tenure_ends_s(standing):
+def _lease_ends_s(standing):
     if standing.vouched_s is None:
         return float('-inf')
-    return standing.vouched_s + ledgers.TENURE_S
+    return standing.vouched_s + ledgers.LEASE_S
--- a/bulrushrudder/limits/ledger.py
+++ b/bulrushrudder/limits/ledger.py
@@ -12,8 +12,8 @@
 from bulrushrudder.limits import tokens as account_tokens
 from bulrushrudder.state import accounts
 
-TENURE_S = 2.0
-TENURE_WAIT_S = 2.5
+LEASE_S = 2.0
+LEASE_WAIT_S = 2.5
 PROPOSE_AGAIN_S = 0.5
 RAISE_AFTER_S = 5.0
 LENDING_ENDS_S = 15.0
@@ -46,10 +46,10 @@
 
     def __init__(self, row, limits, now_s):
         self.row = row
-        self.starts_s = now_s if row.clean else now_s + TENURE_WAIT_S
+        self.starts_s = now_s if row.clean else now_s + LEASE_WAIT_S
         self.waiting = collections.deque()
         self.releasing = None
-        self._tenure_ends_s = now_s
+        self._lease_ends_s = now_s
         self._tokens = account_tokens.Tokens(
             limits.rate,
             limits.burst,
@@ -81,11 +81,11 @@
     def renew(self, ends_s, now_s):
         """Take note until when this process may grant.
 
-        Time that no tenure covered earns no refill.
+        Time that no lease covered earns no refill.
         """
-        if now_s > self._tenure_ends_s:
-            self._tokens.skip(self._tenure_ends_s, now_s)
-        self._tenure_ends_s = max(self._tenure_ends_s, ends_s)
+        if now_s > self._lease_ends_s:
+            self._tokens.skip(self._lease_ends_s, now_s)
+        self._lease_ends_s = max(self._lease_ends_s, ends_s)
 
     def observe(self, row, limits, now_s):
         """Take in the row and the limits as the view shows them."""
--- a/bulrushrudder/limits/wallet.py
+++ b/bulrushrudder/limits/slices.py
@@ -60,7 +60,7 @@
     count: int
 
 
-class Wallet:
+class Slices:
     """Slices, and which accounts are asked for often enough for one."""
 
     def __init__(self):
--- a/bulrushrudder/tests/builders/limits_fleet.py
+++ b/bulrushrudder/tests/builders/limits_fleet.py
@@ -12,7 +12,7 @@
 from bulrushrudder.limits import actions
 from bulrushrudder.limits import authority
 from bulrushrudder.limits import events
-from bulrushrudder.limits import wallet
+from bulrushrudder.limits import slices
 from bulrushrudder.observers import view
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import machine
@@ -76,7 +76,7 @@
         self.owner = owner
         self.view = view.View(ENVIRONMENT)
         self.authority = authority.Authority(owner)
-        self.wallet = wallet.Wallet()
+        self.slices = slices.Slices()
         self.asked = {}
         self.charges = []
         self.cut = False
@@ -194,7 +194,7 @@
             process.authority.spendable(
                 self.account, process.standing(), self.now_s
             )
-            + process.wallet.left(self.account, self.now_s)
+            + process.slices.left(self.account, self.now_s)
             for process in processes
         )
 
@@ -219,7 +219,7 @@
         if process.paused:
             return
         accounts_by_id = process.view.lookups.accounts_by_id
-        for given in process.wallet.sweep(accounts_by_id, self.now_s):
+        for given in process.slices.sweep(accounts_by_id, self.now_s):
             self._tell_return(process, given)
         self.handle(process, events.Ticked())
 
@@ -228,7 +228,7 @@
         if process.paused or not process.view.fresh(self.now_s):
             return None
         account = process.view.lookups.accounts_by_id[self.account]
-        charge = process.wallet.take(account, tokens, self.now_s)
+        charge = process.slices.take(account, tokens, self.now_s)
         if charge is not None:
             self.oracle.take(tokens, self.now_s)
             process.charges.append(charge)
@@ -239,7 +239,7 @@
             ask,
             self.account,
             tokens,
-            process.wallet.wish(self.account, tokens, self.now_s),
+            process.slices.wish(self.account, tokens, self.now_s),
             self.now_s + patience_s,
         )
         process.asked[ask] = event, self.now_s
@@ -260,7 +260,7 @@
     def give_back(self, process, charge, tokens):
         """End a request of which some tokens were not used."""
         process.charges.remove(charge)
-        given = process.wallet.give_back(charge, tokens, self.now_s)
+        given = process.slices.give_back(charge, tokens, self.now_s)
         if given is None:
             self.oracle.put_back(tokens, self.now_s)
             return
@@ -339,12 +339,12 @@
             self.withdraw(process, grant.ask)
             return
         process.charges.append(
-            wallet.Charge(
+            slices.Charge(
                 grant.account, grant.epoch, grant.ask, grant.tokens, False
             )
         )
         if grant.slice_tokens:
-            for given in process.wallet.put(grant, asked_s):
+            for given in process.slices.put(grant, asked_s):
                 self._tell_return(process, given)
 
     def _tell_return(self, process, given):
--- a/bulrushrudder/tests/limits/fuzz_tests.py
+++ b/bulrushrudder/tests/limits/fuzz_tests.py
@@ -53,7 +53,7 @@
     def spend_slice(self, vm):
         for tokens in (16, 8, 4, 2, 1) * 4:
             process = self.process(vm)
-            if process.wallet.left(self.fleet.account, self.fleet.now_s):
+            if process.slices.left(self.fleet.account, self.fleet.now_s):
                 self.fleet.ask(process, tokens)
 
     @stateful.rule(
