Note an announcement only once the leader has taken it in

Cause: a control process without a leader tracked an announcement by itself and answered that it was noted, and a leave counted as noted though it was not committed: the leaving server could go on getting work after a change of leader, without being told to announce it again.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -50,8 +50,8 @@
                 outcome = await self._propose(data)
                 return log_messages.Proposed(codec.encode(outcome))
             case log_messages.Announce():
-                await self._announced(message)
-                return messages.Noted()
+                noted = await self._announced(message)
+                return messages.Noted() if noted else log_messages.NotLeader()
             case status_messages.AskStatus():
                 return self._own_status() or log_messages.NotLeader()
             case log_messages.Forward() | log_messages.AskConfirm():
@@ -150,21 +150,34 @@
                 return results.Rejected(error.problem)
 
     async def _announced(self, message):
-        """Track an announcement where the leader is."""
+        """Track an announcement where the leader is.
+
+        :returns: whether it was, and what it changes is committed.
+        """
         address = self.node.leader_address
         if address is not None:
-            await self._peers.ask(address, message, FORWARD_S)
-            return
+            answer = await self._peers.ask(address, message, FORWARD_S)
+            return answer == result.Success(messages.Noted())
+        if not self.node.leads:
+            return False
         match codec.decode(message.server):
             case result.Success(servers.JoinServer(server=server)):
-                await self._track(tracker.Announced(server, message.leaving))
+                event = tracker.Announced(server, message.leaving)
+                return await self._track(event)
+        return False
 
     async def _track(self, event):
+        """Commit what an event changes; return whether all of it is."""
         servers_by_id = self.node.state.servers.by_id
         actions = self._tracker.handle(event, servers_by_id, _now_s())
+        committed = True
         for action in actions:
-            await self.node.propose(action.command)
-            self._log_change(action.command)
+            outcome = await self.node.propose(action.command)
+            if isinstance(outcome, results.Unavailable):
+                committed = False
+            else:
+                self._log_change(action.command)
+        return committed
 
     def _log_change(self, command):
         match command:
--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -15,6 +15,7 @@
 from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import log_messages
+from bulrushrudder.protocol import messages
 from bulrushrudder.state import results
 
 REDIAL_S = 0.2
@@ -72,13 +73,13 @@
     async def announce(self, command, leaving):
         """Pass on a backend server's announcement.
 
-        :returns: whether a control process took it in.
+        :returns: whether the leader took it in.
         """
         if self._link is None:
             return False
         question = log_messages.Announce(codec.encode(command), leaving)
         answer = await self._link.ask(question, PROPOSE_S)
-        return isinstance(answer, result.Success)
+        return answer == result.Success(messages.Noted())
 
     async def wait_for(self, index):
         """Wait until the view has reached an index."""
--- /dev/null
+++ b/bulrushrudder/tests/control/server_tests.py
@@ -0,0 +1,51 @@
+import types
+import unittest
+
+from bulrushrudder.control import server
+from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import log_messages
+from bulrushrudder.protocol import messages
+from bulrushrudder.state import machine
+from bulrushrudder.state import results
+from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import fleet
+
+
+class FakeNode:
+    """A log of one replica that may have no leader or quorum."""
+
+    def __init__(self, leads, commits):
+        self.leads = leads
+        self.leader_address = None
+        self.state = machine.State()
+        self.replica = types.SimpleNamespace()
+        self._commits = commits
+
+    async def propose(self, command):
+        if not self._commits:
+            return results.Unavailable('no quorum')
+        return self.state.apply(self.state.index + 1, command)
+
+
+class AnnouncementTests(unittest.IsolatedAsyncioTestCase):
+    async def announce(self, leads, commits, leaving=False):
+        node = FakeNode(leads, commits)
+        control = server.Control(lambda on_committed: node, None)
+        joined = codec.encode(servers.JoinServer(fleet.server()))
+        if leaving:
+            node.state.apply(1, servers.JoinServer(fleet.server()))
+        return await control.handle(
+            None, log_messages.Announce(joined, leaving)
+        )
+
+    async def test_noted_once_it_is_committed(self):
+        answer = await self.announce(leads=True, commits=True)
+        self.assertEqual(answer, messages.Noted())
+
+    async def test_not_noted_without_a_leader(self):
+        answer = await self.announce(leads=False, commits=False)
+        self.assertEqual(answer, log_messages.NotLeader())
+
+    async def test_a_leave_that_is_not_committed_is_not_noted(self):
+        answer = await self.announce(True, False, leaving=True)
+        self.assertEqual(answer, log_messages.NotLeader())
