List only benchmarks that can be run

Cause: bench listed two modules that are none, and placement and decisions had no main: bench placement ended with a traceback. The two printed tables of their own. Change: the names stand in a table, which a test compares with the modules; both print as the others do.

--- a/bulrushrudder/benchmarks/decisions.py
+++ b/bulrushrudder/benchmarks/decisions.py
@@ -3,11 +3,11 @@
 Usage: python -m bulrushrudder.benchmarks.decisions [--json]
 """
 
-import json as json_codec
 import time
 
 import fire
 
+from bulrushrudder.benchmarks import report
 from bulrushrudder.core import ids
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import cell
@@ -110,22 +110,23 @@
     :param exchanges: releases and questions of each run.
     :param json: print JSON instead of a table.
     """
-    rows = [
-        {
-            'servers': count,
-            'queued': queued,
-            'decisions_per_s': round(measure(count, queued, exchanges)),
-        }
+    rows = tuple(
+        (count, queued, round(measure(count, queued, exchanges)))
         for count in SERVERS
         for queued in QUEUES
-    ]
-    if json:
-        print(json_codec.dumps(rows, indent=1))
-        return
-    print('servers | queued | decisions a second')
-    for row in rows:
-        print(' | '.join(str(value) for value in row.values()))
+    )
+    columns = (
+        report.Column('servers'),
+        report.Column('queued'),
+        report.Column('decisions', '1/s'),
+    )
+    report.show([report.Table('Decisions on one core', columns, rows)], json)
+
+
+def main(arguments=None):
+    """Run the benchmark."""
+    fire.Fire(decisions, command=arguments)
 
 
 if __name__ == '__main__':
-    fire.Fire(decisions)
+    main()
--- a/bulrushrudder/benchmarks/placement/__main__.py
+++ b/bulrushrudder/benchmarks/placement/__main__.py
@@ -1,27 +1,27 @@
 """Command line of the placement benchmark."""
 
 import dataclasses
-import json
 
 import fire
 
+from bulrushrudder.benchmarks import report
 from bulrushrudder.benchmarks.placement import faults
 from bulrushrudder.benchmarks.placement import policies
 from bulrushrudder.benchmarks.placement import runs
 from bulrushrudder.benchmarks.placement import workload
 
 LOADS = (0.5, 0.8, 0.95, 1.1, 1.5)
-HEAD = (
-    'fleet',
-    'case',
-    'policy',
-    'load',
-    'goodput',
-    'bound',
-    'wasted',
-    'worst p99 s',
-    'refused',
-    'occupancy',
+COLUMNS = (
+    report.Column('fleet'),
+    report.Column('case'),
+    report.Column('policy'),
+    report.Column('load'),
+    report.Column('goodput'),
+    report.Column('bound'),
+    report.Column('wasted'),
+    report.Column('worst p99', 's'),
+    report.Column('refused'),
+    report.Column('occupancy'),
 )
 
 
@@ -58,14 +58,28 @@
     :param fleet: part of the name of the fleets to run.
     :param json: print JSON instead of a table.
     """
-    rows = []
-    for chosen in workload.FLEETS:
-        if fleet in chosen.name:
-            rows += _rows(chosen, seconds, seed)
-    if json:
-        _print_json(rows)
-    else:
-        _print_table(rows)
+    rows = tuple(
+        _cells(case, found)
+        for chosen in workload.FLEETS
+        if fleet in chosen.name
+        for case, found in _rows(chosen, seconds, seed)
+    )
+    report.show([report.Table('Placement', COLUMNS, rows)], json)
+
+
+def _cells(case, found):
+    return (
+        found.fleet,
+        case,
+        found.policy,
+        found.load,
+        round(found.goodput, 4),
+        round(found.bound, 4),
+        round(found.wasted, 4),
+        round(found.worst_p99_s, 2),
+        found.refused_inside,
+        round(found.occupancy, 4),
+    )
 
 
 def _rows(fleet, seconds, seed):
@@ -76,24 +90,10 @@
             yield case.name, run.run()
 
 
-def _print_json(rows):
-    print(
-        json.dumps(
-            [{'case': n, **dataclasses.asdict(r)} for n, r in rows], indent=1
-        )
-    )
-
-
-def _print_table(rows):
-    print(' | '.join(HEAD))
-    for name, row in rows:
-        print(
-            f'{row.fleet} | {name} | {row.policy} | {row.load:.0%} | '
-            f'{row.goodput:.1%} | {row.bound:.1%} | {row.wasted:.2%} | '
-            f'{row.worst_p99_s:.2f} | {row.refused_inside} | '
-            f'{row.occupancy:.1%}'
-        )
+def main(arguments=None):
+    """Run the benchmark."""
+    fire.Fire(placement, command=arguments)
 
 
 if __name__ == '__main__':
-    fire.Fire(placement)
+    main()
--- a/bulrushrudder/commands/bench.py
+++ b/bulrushrudder/commands/bench.py
@@ -1,12 +1,22 @@
 """Lists and runs the benchmarks."""
 
 import importlib
-import pkgutil
+import types
 
-from bulrushrudder import benchmarks
 from bulrushrudder.commands import errors
 
-HELPERS = frozenset({'report', 'slopes'})
+MODULE_BY_NAME = types.MappingProxyType(
+    {
+        'capacity': 'bulrushrudder.benchmarks.capacity',
+        'control': 'bulrushrudder.benchmarks.control',
+        'decisions': 'bulrushrudder.benchmarks.decisions',
+        'limits': 'bulrushrudder.benchmarks.limits',
+        'overhead': 'bulrushrudder.benchmarks.overhead',
+        'placement': 'bulrushrudder.benchmarks.placement.__main__',
+        'requests': 'bulrushrudder.benchmarks.requests',
+        'transport': 'bulrushrudder.benchmarks.transport',
+    }
+)
 
 
 def bench(name='', *arguments):
@@ -15,20 +25,13 @@
     :param name: the benchmark.
     :param arguments: words that go to the benchmark.
     """
-    names = _names()
     if not name:
-        print('\n'.join(names))
+        print('\n'.join(MODULE_BY_NAME))
         return
-    if name not in names:
+    if name not in MODULE_BY_NAME:
         raise errors.CommandError(
             errors.ExitCode.USAGE,
-            f'bench: no benchmark {name!r}; try {", ".join(names)}',
+            f'bench: no benchmark {name!r}; try {", ".join(MODULE_BY_NAME)}',
         )
-    module = importlib.import_module(f'{benchmarks.__name__}.{name}')
+    module = importlib.import_module(MODULE_BY_NAME[name])
     module.main(list(arguments))
-
-
-def _names():
-    """Return the names of the modules that are benchmarks."""
-    found = pkgutil.iter_modules(benchmarks.__path__)
-    return [module.name for module in found if module.name not in HELPERS]
--- /dev/null
+++ b/bulrushrudder/tests/commands/bench_tests.py
@@ -0,0 +1,28 @@
+import importlib
+import pathlib
+import unittest
+
+from bulrushrudder import benchmarks
+from bulrushrudder.commands import bench
+
+FOLDER = pathlib.Path(benchmarks.__file__).parent
+LEFT_OUT = frozenset({'transport'})
+
+
+class BenchTests(unittest.TestCase):
+    def test_every_listed_benchmark_can_be_run(self):
+        for name, module in bench.MODULE_BY_NAME.items():
+            if name in LEFT_OUT:
+                # It imports pynng, which starts threads.
+                continue
+            with self.subTest(name):
+                found = importlib.import_module(module)
+                self.assertTrue(callable(found.main))
+
+    def test_every_benchmark_is_listed(self):
+        with_main = {
+            path.parent.name if path.name == '__main__.py' else path.stem
+            for path in FOLDER.rglob('*.py')
+            if '\ndef main(' in path.read_text()
+        }
+        self.assertEqual(with_main, set(bench.MODULE_BY_NAME))
