Start the entry process in short steps, and time a server's change

Change: services, listeners and loops are opened by functions of their own; a slope at 950, 1,900 and 3,800 servers.

--- a/bulrushrudder/benchmarks/capacity.py
+++ b/bulrushrudder/benchmarks/capacity.py
@@ -93,6 +93,11 @@
     rows = (
         _share('document change', change_s, target.CHANGES_PER_S),
         _share('document change, busy hour', change_s, busy_rate),
+        _share(
+            'change of a backend server',
+            processor.server_change().at(target.RUNNERS),
+            2 * target.RESTARTS_PER_S,
+        ),
         _share('messages of a node', message_s, node_messages),
         _share('messages of a role host', message_s, host_messages),
         _share(
--- a/bulrushrudder/capacity/processor.py
+++ b/bulrushrudder/capacity/processor.py
@@ -1,13 +1,16 @@
 """Processor time of steps at several sizes, in seconds."""
 
+import dataclasses
 import time
 
 from bulrushrudder.benchmarks import slopes
 from bulrushrudder.capacity import samples
 from bulrushrudder.core import ranking
 from bulrushrudder.protocol import codec
+from bulrushrudder.state import servers
 
 ACCOUNT_SIZES = (1000, 4000, 17_000)
+SERVER_SIZES = (950, 1900, 3800)
 MEMBER_SIZES = (15, 100, 400)
 REPEATS = 20
 CALLS = 2000
@@ -19,6 +22,12 @@
     return slopes.fit(ACCOUNT_SIZES, values)
 
 
+def server_change():
+    """Return the slope of a backend server's change at an observer."""
+    values = [_server_change_s(size) for size in SERVER_SIZES]
+    return slopes.fit(SERVER_SIZES, values)
+
+
 def ranking_choice():
     """Return the slope of a choice among members."""
     values = [_choice_s(size) for size in MEMBER_SIZES]
@@ -53,6 +62,24 @@
     return time.perf_counter() - begin_s
 
 
+def _server_change_s(size):
+    state = samples.state_of_servers(size)
+    joined = [
+        codec.encode(
+            servers.JoinServer(
+                dataclasses.replace(samples.server(number), places=21)
+            )
+        )
+        for number in range(CALLS // 10)
+    ]
+
+    def once():
+        for data in joined:
+            state.apply(state.index + 1, codec.decode(data).unwrap())
+
+    return _least_s(once) / len(joined)
+
+
 def _choice_s(size):
     members = [f'vm-{number:03}' for number in range(size)]
 
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -72,13 +72,13 @@
         )
         self.metrics = registry.Metrics()
         self.services = None
+        self._cancelling = None
 
     async def start(self, stack):
         """Open all that the process needs.
 
         :param stack: an AsyncExitStack that owns what is opened.
         """
-        settings = self._settings
         stack.callback(self._peers.close)
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=sockets.dialling
@@ -86,9 +86,21 @@
         session = await stack.enter_async_context(
             aiohttp.ClientSession(connector=connector, auto_decompress=False)
         )
+        self._make_services(session)
+        await self._listen(stack)
+        self._run_in_background(stack)
+        callers = self._settings.entry.callers
+        log.emit(catalogue.ENTRY_STARTED, callers=str(callers))
+
+    def _make_services(self, session):
         engines = client.EngineClient(session)
         self._cancelling = cancelling.Cancelling(
-            settings.vm, self.view, engines, self.metrics
+            self._settings.vm, self.view, engines, self.metrics
+        )
+        plain = service_servers.ServiceServers(
+            self.view,
+            self._settings.zone,
+            plain_services.ServiceClient(session),
         )
         self.services = services.Services(
             self._owner,
@@ -96,32 +108,24 @@
             self._authorities,
             self._coordinators,
             engines,
-            service_servers.ServiceServers(
-                self.view,
-                settings.zone,
-                plain_services.ServiceClient(session),
-            ),
+            plain,
             self.metrics,
             self.observing,
             self._cancelling,
             self._registering,
         )
-        inner = await link.listen(
-            settings.entry.inner,
-            self._owner,
-            settings.secrets.cluster,
-            self._handle,
-        )
-        stack.callback(inner.close)
-        await self._listen(stack)
-        tasks.spawn(stack, self.observing.run())
-        tasks.spawn(stack, self._authorities.run())
-        tasks.spawn(stack, self._registering.run())
-        tasks.spawn(stack, self._coordinators.run())
-        tasks.spawn(stack, self._cancelling.run())
-        tasks.spawn(stack, access.Access(self.services).run())
-        tasks.spawn(stack, self._keep_session())
-        log.emit(catalogue.ENTRY_STARTED, callers=str(settings.entry.callers))
+
+    def _run_in_background(self, stack):
+        for coroutine in (
+            self.observing.run(),
+            self._authorities.run(),
+            self._registering.run(),
+            self._coordinators.run(),
+            self._cancelling.run(),
+            access.Access(self.services).run(),
+            self._keep_session(),
+        ):
+            tasks.spawn(stack, coroutine)
 
     async def leave(self):
         """Become unready and let the balancer take notice.
@@ -154,6 +158,13 @@
 
     async def _listen(self, stack):
         settings = self._settings
+        inner = await link.listen(
+            settings.entry.inner,
+            self._owner,
+            settings.secrets.cluster,
+            self._handle,
+        )
+        stack.callback(inner.close)
         front = frontend.Frontend(self.services)
         await web.listen(
             stack,
