Check that no call is in flight when a session closes

Cause: with the wait for calls in flight taken out, the test of the graceful stop stayed green, since the listener's own end waits too; yet the session closed first, and peers take the attempts of a closed session for orphans. Change: the test notes the calls in flight when the session closes. Result: green; red without the wait, and red with calls taken while the process stops.

--- a/bulrushrudder/tests/entry/stop_tests.py
+++ b/bulrushrudder/tests/entry/stop_tests.py
@@ -60,12 +60,15 @@
         self.stack.push_async_exit(self.entry_stack)
         self.entry = process.Entry(found)
         self.proposed = []
+        self.calls_at_close = None
         self.entry.observing.propose = self._propose
         await self.entry.start(self.entry_stack)
         await self._fill_view()
 
     async def _propose(self, command):
         self.proposed.append(command)
+        if isinstance(command, sessions.CloseSession):
+            self.calls_at_close = self.entry.services.calls
         return results.Accepted(len(self.proposed))
 
     async def _fill_view(self):
@@ -154,6 +157,7 @@
         closed = self.proposed[before:]
         owner = self.entry.services.owner
         self.assertEqual(closed, [sessions.CloseSession(owner)])
+        self.assertEqual(self.calls_at_close, 0)
 
 
 class StoppingTests(unittest.TestCase):
