--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	echo "$(CURDIR)" > $(VENV)/lib/python3.11/site-packages/here.pth
 	touch $@
 
 demo: $(VENV)/.installed
--- a/bulrushrudder/benchmarks/placement/engines.py
+++ b/bulrushrudder/benchmarks/placement/engines.py
@@ -7,6 +7,7 @@
 
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import prefixes
+from bulrushrudder.state import servers
 
 RESULT_LIFE_S = 0.8
 CACHE_DIGESTS = 400
@@ -203,7 +204,7 @@
             if attempt.cancelled:
                 heapq.heappop(self._waiting)
                 continue
-            total = self._fleet.memory_tokens // decodes.PIECE_TOKENS
+            total = self._fleet.memory_tokens // servers.PIECE_TOKENS
             if self._pieces + pieces > total:
                 return
             heapq.heappop(self._waiting)
--- a/bulrushrudder/commands/control.py
+++ b/bulrushrudder/commands/control.py
@@ -1,5 +1,8 @@
 """Runs the control process."""
 
+import functools
+
+from bulrushrudder.commands import interfaces
 from bulrushrudder.commands import service
 from bulrushrudder.control import process
 
@@ -12,4 +15,7 @@
     """
     found = service.load_settings(settings)
     service.require(found.control, 'control', settings)
-    service.serve(process.run, found, log_format)
+    run = functools.partial(
+        process.run, interface=interfaces.control(found.interface)
+    )
+    service.serve(run, found, log_format)
--- a/bulrushrudder/commands/entry.py
+++ b/bulrushrudder/commands/entry.py
@@ -1,5 +1,8 @@
 """Runs the entry process."""
 
+import functools
+
+from bulrushrudder.commands import interfaces
 from bulrushrudder.commands import service
 from bulrushrudder.entry import process
 
@@ -12,4 +15,7 @@
     """
     found = service.load_settings(settings)
     service.require(found.entry, 'entry', settings)
-    service.serve(process.run, found, log_format)
+    run = functools.partial(
+        process.run, interface=interfaces.entry(found.interface)
+    )
+    service.serve(run, found, log_format)
--- /dev/null
+++ b/bulrushrudder/commands/interfaces.py
@@ -0,0 +1,31 @@
+"""Chooses what callers, backend servers and operators speak.
+
+Modules are imported only where their interface is in use, since each
+process pays for what it imports.
+"""
+
+import importlib
+
+from bulrushrudder.control import process as control_process
+
+
+def entry(name):
+    """Return the interface of an entry process.
+
+    :param name: as the settings give it.
+    """
+    if name == 'own':
+        return None
+    module = importlib.import_module(f'bulrushrudder.{name}.entry_door')
+    return module.Interface()
+
+
+def control(name):
+    """Return the interface of a control process.
+
+    :param name: as the settings give it.
+    """
+    if name == 'own':
+        return control_process.own_interface
+    module = importlib.import_module(f'bulrushrudder.{name}.control_door')
+    return module.application
--- a/bulrushrudder/commands/service.py
+++ b/bulrushrudder/commands/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 
 from returns import result
 
@@ -51,7 +52,7 @@
             errors.ExitCode.USAGE, '--log-format is json or human'
         )
     make = log.json_handler if log_format == 'json' else log.human_handler
-    with make().applicationbound():
+    with make(sys.stdout).applicationbound():
         asyncio.run(_until_signal(run, found))
 
 
@@ -60,4 +61,5 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, found_stopping.request)
+    loop.add_signal_handler(signal.SIGHUP, found_stopping.reload)
     await run(found, found_stopping)
--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -16,7 +16,11 @@
 
 MIN_SECRET_BYTES = 16
 BALANCER_S = 5.0
+NO_SECRET = b''
 MAX_BALANCER_S = 300.0
+# A withdrawn key stops within this time behind a partition too.
+STALE_S = 3.0
+MAX_STALE_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,21 +56,48 @@
     """Where the entry process listens.
 
     :param callers: where callers connect.
-    :param backends: where backend servers announce themselves.
+    :param backends: where backend servers announce themselves; None
+        where they do so to control processes.
     :param metrics: where metrics are read.
     :param inner: where the system's other processes connect.
     :param balancer_s: seconds that the platform's balancer may take to
         see that the process is unready, before it refuses new work.
     :param hosts_roles: whether the VM takes roles for the fleet, as
         the authority of client accounts and coordinator of models.
+    :param ready: where the balancer asks whether the process is ready;
+        None where it asks among the callers.
+    :param stale_s: seconds without a voucher for the view of the log
+        after which keyed routes are refused.
     """
 
     callers: Address
-    backends: Address
+    backends: Address | None
     metrics: Address
     inner: Address
     balancer_s: float = 0.0
     hosts_roles: bool = True
+    ready: Address | None = None
+    stale_s: float = STALE_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetBounds:
+    """What the whole fleet is held to.
+
+    :param retry_share: attempts beyond the first, as a share of a
+        service's requests.
+    :param retry_extra: attempts beyond that share in a window.
+    :param retry_window_s: seconds of such a window.
+    :param spare_tokens: tokens that an account may get over its grant
+        in a window while its authority cannot be reached.
+    :param spare_window_s: seconds of such a window.
+    """
+
+    retry_share: float
+    retry_extra: float
+    retry_window_s: float
+    spare_tokens: float
+    spare_window_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,7 +122,13 @@
 
     :param entry: None where the VM runs no entry process.
     :param control: None where the VM runs no control process.
-    :param controls: inner addresses of all control processes.
+    :param controls: inner addresses of all control processes, or of
+        some where the settings hold seeds.
+    :param seeded: whether the settings hold seeds.
+    :param may_found: whether a control process may found the log.
+    :param interface: own, or the name of another outer protocol.
+    :param bounds: None where the product's own apply.
+    :param file: where the settings were read from.
     """
 
     vm: ids.VmId
@@ -101,6 +138,11 @@
     control: ControlSettings | None
     controls: tuple[Address, ...]
     secrets: Secrets
+    seeded: bool = False
+    may_found: bool = True
+    interface: str = 'own'
+    bounds: FleetBounds | None = None
+    file: pathlib.Path | None = None
 
 
 class AddressModel(models.Model):
@@ -109,6 +151,16 @@
     host: str
     port: int = pydantic.Field(ge=0, le=65535)
 
+    @pydantic.model_validator(mode='before')
+    @classmethod
+    def _read_text(cls, value):
+        if not isinstance(value, str):
+            return value
+        host, _, port = value.rpartition(':')
+        if not port.isdecimal():
+            raise ValueError('expected an address as HOST:PORT')
+        return {'host': host.strip('[]'), 'port': int(port)}
+
     @pydantic.field_validator('host')
     @classmethod
     def _check_host(cls, host):
@@ -132,23 +184,27 @@
     """The section of the entry process."""
 
     callers: AddressModel
-    backends: AddressModel
+    backends: AddressModel | None = None
+    ready: AddressModel | None = None
     metrics: AddressModel
     inner: AddressModel
     balancer_s: float = pydantic.Field(
         default=BALANCER_S, ge=0, le=MAX_BALANCER_S
     )
     hosts_roles: bool = True
+    stale_s: float = pydantic.Field(default=STALE_S, gt=0, le=MAX_STALE_S)
 
     def build(self):
         """Return the data class."""
         return EntrySettings(
             callers=self.callers.build(),
-            backends=self.backends.build(),
+            backends=self.backends.build() if self.backends else None,
+            ready=self.ready.build() if self.ready else None,
             metrics=self.metrics.build(),
             inner=self.inner.build(),
             balancer_s=self.balancer_s,
             hosts_roles=self.hosts_roles,
+            stale_s=self.stale_s,
         )
 
 
@@ -173,6 +229,35 @@
         )
 
 
+class SeedsModel(models.Model):
+    """Some control processes, which know the others.
+
+    :param addresses: where they listen for operators.
+    :param inner_port: where each listens for the system's processes.
+    """
+
+    addresses: list[AddressModel] = pydantic.Field(min_length=1)
+    inner_port: int = pydantic.Field(ge=1, le=65535)
+
+    def build(self):
+        """Return the inner addresses."""
+        return tuple(Address(a.host, self.inner_port) for a in self.addresses)
+
+
+class BoundsModel(models.Model):
+    """The section of what the whole fleet is held to."""
+
+    retry_share: float = pydantic.Field(ge=0)
+    retry_extra: float = pydantic.Field(ge=0)
+    retry_window_s: float = pydantic.Field(gt=0)
+    spare_tokens: float = pydantic.Field(ge=0)
+    spare_window_s: float = pydantic.Field(gt=0)
+
+    def build(self):
+        """Return the data class."""
+        return FleetBounds(**self.model_dump())
+
+
 class SettingsModel(models.Model):
     """The settings file."""
 
@@ -181,8 +266,26 @@
     environment: typing.Literal['trial', 'production'] = 'production'
     entry: EntryModel | None = None
     control: ControlModel | None = None
-    controls: list[AddressModel] = pydantic.Field(min_length=1)
-    secrets: SecretsModel
+    controls: list[AddressModel] = pydantic.Field(default=[])
+    seeds: SeedsModel | None = None
+    may_found: bool = True
+    interface: typing.Literal['own', 'platform'] = 'own'
+    bounds: BoundsModel | None = None
+    secrets: SecretsModel | None = None
+
+    @pydantic.model_validator(mode='after')
+    def _check_together(self):
+        if bool(self.controls) == (self.seeds is not None):
+            raise ValueError('expected either controls or seeds')
+        if self.interface == 'own':
+            self._check_own()
+        return self
+
+    def _check_own(self):
+        if self.secrets is None:
+            raise ValueError('secrets: required section is missing')
+        if self.entry and self.entry.backends is None:
+            raise ValueError('entry.backends: required field is missing')
 
 
 def load(file):
@@ -199,22 +302,36 @@
 
 def _build(file, model):
     folder = pathlib.Path(file).parent
-    secrets = _read_secrets(file, folder, model.secrets)
-    return secrets.map(lambda found: _settings(model, folder, found))
+    if model.secrets is None:
+        secrets = result.Success(Secrets(NO_SECRET, NO_SECRET, NO_SECRET))
+    else:
+        secrets = _read_secrets(file, folder, model.secrets)
+    return secrets.map(lambda found: _settings(file, model, folder, found))
 
 
-def _settings(model, folder, secrets):
+def _settings(file, model, folder, secrets):
     return Settings(
         vm=ids.VmId(model.vm),
         zone=ids.Zone(model.zone),
         environment=types.Environment(model.environment),
         entry=model.entry.build() if model.entry else None,
         control=model.control.build(folder) if model.control else None,
-        controls=tuple(address.build() for address in model.controls),
+        controls=_controls(model),
         secrets=secrets,
+        seeded=model.seeds is not None,
+        may_found=model.may_found,
+        interface=model.interface,
+        bounds=model.bounds.build() if model.bounds else None,
+        file=pathlib.Path(file),
     )
 
 
+def _controls(model):
+    if model.seeds is not None:
+        return model.seeds.build()
+    return tuple(address.build() for address in model.controls)
+
+
 def _read_secrets(file, folder, model):
     found = {}
     for name in ('cluster', 'operators', 'backends'):
--- a/bulrushrudder/consensus/core.py
+++ b/bulrushrudder/consensus/core.py
@@ -27,11 +27,17 @@
 
     :param address: where it listens.
     :param addresses: all control addresses in the settings.
+    :param may_found: whether it may found a log; false where the system
+        has run before, so that an empty disk never founds a second one.
+    :param seeded: whether the addresses only lead to some members, so
+        that every process that asks may join.
     """
 
     id: types.MemberId
     address: str
     addresses: tuple[str, ...]
+    may_found: bool = True
+    seeded: bool = False
 
 
 class Core:
--- a/bulrushrudder/consensus/discovery.py
+++ b/bulrushrudder/consensus/discovery.py
@@ -33,7 +33,7 @@
             return
         self._asked_s = core.now_s
         self._renew()
-        for address in _others(core):
+        for address in _reachable(core):
             core.send(
                 address,
                 messages.Discover(core.head(), self._asked, core.log.blank),
@@ -81,6 +81,8 @@
         self._blank_ids_by_address = {}
 
     def _found_if_all_blank(self, core):
+        if not core.identity.may_found:
+            return
         if not core.log.blank or core.identity.address != _founder(core):
             return
         if set(self._blank_ids_by_address) != set(_others(core)):
@@ -102,6 +104,16 @@
     return min(core.identity.addresses)
 
 
+def _reachable(core):
+    """Return the other addresses that may know the log."""
+    if not core.identity.seeded:
+        return _others(core)
+    known = {member.address for member in core.members}
+    known.update(core.identity.addresses)
+    known.discard(core.identity.address)
+    return sorted(known)
+
+
 def _others(core):
     own = core.identity.address
     return [a for a in core.identity.addresses if a != own]
--- a/bulrushrudder/consensus/membership.py
+++ b/bulrushrudder/consensus/membership.py
@@ -3,7 +3,9 @@
 Operators only edit the addresses in the settings. A process that asks
 for a leader joins as a learner; one that has caught up is promoted. A
 voter goes when another data folder has come to its address, or when it
-is silent and its address has left the settings.
+is silent and its address has left the settings. Where the settings hold
+seeds, a silent voter goes once another can take its place, or once the
+quorum is smaller without it.
 """
 
 import dataclasses
@@ -36,7 +38,7 @@
         return (*_voters(core), *learners)
     candidate = next((m for m in learners if _is_ready(core, m)), None)
     gone = next((m for m in _voters(core) if _is_gone(core, m)), None)
-    if gone is not None and (candidate or not _is_wanted(core, gone)):
+    if gone is not None and (candidate or _is_dispensable(core, gone)):
         return _if_quorum(
             core, tuple(m for m in core.members if m.id != gone.id)
         )
@@ -94,7 +96,7 @@
         for m in core.members
         if not m.voter
         and m.address not in taken
-        and (_is_wanted(core, m) or not _is_silent(core, m))
+        and not (_may_leave(core, m) and _is_silent(core, m))
     ]
     returned = [
         types.Member(m.id, newcomers_by_id[m.id], voter=False)
@@ -113,7 +115,16 @@
     return any(m.voter and m.address == address for m in core.members)
 
 
+def _is_dispensable(core, member):
+    """Return whether a voter that is gone needs no successor."""
+    if core.identity.seeded:
+        return len(types.voters(core.members)) % 2 == 0
+    return not _is_wanted(core, member)
+
+
 def _is_wanted(core, member):
+    if core.identity.seeded:
+        return True
     return member.address in core.identity.addresses
 
 
@@ -137,7 +148,11 @@
     )
     if replaced:
         return True
-    return not _is_wanted(core, member) and _is_silent(core, member)
+    return _may_leave(core, member) and _is_silent(core, member)
+
+
+def _may_leave(core, member):
+    return core.identity.seeded or not _is_wanted(core, member)
 
 
 def _is_silent(core, member):
--- a/bulrushrudder/consensus/replica.py
+++ b/bulrushrudder/consensus/replica.py
@@ -1,5 +1,7 @@
 """One member of the replicated log: events in, actions out."""
 
+import dataclasses
+
 from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import core as core_types
 from bulrushrudder.consensus import discovery
@@ -79,6 +81,12 @@
         """Return whether it leads and has committed in its term."""
         return leadership.settled(self._core)
 
+    def lead_to(self, addresses):
+        """Take the control addresses of new settings."""
+        self._core.identity = dataclasses.replace(
+            self._core.identity, addresses=addresses
+        )
+
     def answers(self, member_id):
         """Return whether a member answers this leader now."""
         return membership.answers(self._core, member_id)
--- a/bulrushrudder/control/feeds.py
+++ b/bulrushrudder/control/feeds.py
@@ -13,10 +13,12 @@
     """A link that follows the log.
 
     :ivar index: up to where the log was sent.
+    :ivar members: addresses of the members that it was told last.
     """
 
     link: object
     index: int
+    members: tuple[str, ...] = ()
 
 
 class Feeds:
@@ -36,6 +38,7 @@
         """
         observer = _Observer(link, index)
         self._observers.append(observer)
+        self._tell_members(observer)
         self._push(observer)
 
     def push_all(self):
@@ -44,8 +47,16 @@
             o for o in self._observers if not o.link.closed.is_set()
         ]
         for observer in self._observers:
+            self._tell_members(observer)
             self._push(observer)
 
+    def _tell_members(self, observer):
+        """Say where the members listen, where that has changed."""
+        found = tuple(m.address for m in self._node.replica.members)
+        if observer.members != found:
+            observer.members = found
+            observer.link.tell(log_messages.Members(found))
+
     def _push(self, observer):
         if self._node.needs_state(observer.index):
             self._push_state(observer)
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -7,6 +7,7 @@
 
 from returns import result
 
+from bulrushrudder.config import reloading
 from bulrushrudder.config import settings as config
 from bulrushrudder.consensus import core
 from bulrushrudder.consensus import replica
@@ -25,13 +26,21 @@
 from bulrushrudder.utils import web
 
 
-async def start(stack, settings, on_failed=None):
+def own_interface(control, settings, metrics):
+    """Return the aiohttp application of the product's operators."""
+    front = operators.Operators(control, settings.secrets.operators, metrics)
+    return front.application()
+
+
+async def start(stack, settings, on_failed=None, interface=own_interface):
     """Start the control process.
 
     :param stack: an AsyncExitStack that owns all that is opened.
     :param settings: the VM's Settings.
     :param on_failed: called when the disk fails and the process must
         stop.
+    :param interface: function of (control, settings, metrics) that
+        returns the aiohttp application for operators.
     :returns: the Control.
     :raises SystemExit: where the data folder cannot be used.
     """
@@ -57,8 +66,8 @@
     )
     stack.callback(listener.close)
     metrics = metrics_control.ControlMetrics()
-    front = operators.Operators(control, settings.secrets.operators, metrics)
-    await web.listen(stack, front.application(), settings.control.operators)
+    front = interface(control, settings, metrics)
+    await web.listen(stack, front, settings.control.operators)
     shown = metrics_listener.application(metrics)
     await web.listen(stack, shown, settings.control.metrics)
     tasks.spawn(stack, control.node.run())
@@ -73,10 +82,11 @@
     return control
 
 
-async def run(settings, stopping):
+async def run(settings, stopping, interface=own_interface):
     """Run the control process until the event is set.
 
-    :param stopping: an asyncio Event.
+    :param stopping: a Stopping.
+    :param interface: as for start.
     :raises SystemExit: where the disk failed.
     """
     failed = asyncio.Event()
@@ -86,7 +96,15 @@
         stopping.set()
 
     async with contextlib.AsyncExitStack() as stack:
-        await start(stack, settings, on_failed)
+        control = await start(stack, settings, on_failed, interface)
+        watching = reloading.Reloading(
+            settings,
+            lambda found: control.node.replica.lead_to(
+                tuple(str(address) for address in found.controls)
+            ),
+        )
+        stopping.on_reload(watching.wake)
+        tasks.spawn(stack, watching.run())
         await asyncio.shield(stopping.wait())
     if failed.is_set():
         raise SystemExit(1)
@@ -108,6 +126,8 @@
         opened.id,
         str(settings.control.inner),
         tuple(str(address) for address in settings.controls),
+        settings.may_found,
+        settings.seeded,
     )
     return replica.Replica(
         identity, opened.durable, random.random, time.monotonic()
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -15,6 +15,7 @@
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import status_messages
+from bulrushrudder.state import documents
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 
@@ -50,7 +51,7 @@
                 outcome = await self._propose(data)
                 return log_messages.Proposed(codec.encode(outcome))
             case log_messages.Announce():
-                noted = await self._announced(message)
+                noted = await self.announce(message)
                 return messages.Noted() if noted else log_messages.NotLeader()
             case status_messages.AskStatus():
                 return self._own_status() or log_messages.NotLeader()
@@ -149,9 +150,18 @@
             case result.Failure(error):
                 return results.Rejected(error.problem)
 
-    async def _announced(self, message):
+    async def adopt(self, document, source, digest, operator):
+        """Commit a document that replaces all earlier versions.
+
+        :returns: the Outcome.
+        """
+        command = documents.AdoptDocument(document, source, digest, operator)
+        return await self.node.propose(command)
+
+    async def announce(self, message):
         """Track an announcement where the leader is.
 
+        :param message: an Announce message.
         :returns: whether it was, and what it changes is committed.
         """
         address = self.node.leader_address
@@ -162,10 +172,22 @@
             return False
         match codec.decode(message.server):
             case result.Success(servers.JoinServer(server=server)):
-                event = tracker.Announced(server, message.leaving)
-                return await self._track(event)
+                event = tracker.Announced(
+                    server, message.leaving, message.sequence
+                )
+                tracked = await self._track(event)
+                return tracked and not self._still_serves(event)
         return False
 
+    def _still_serves(self, event):
+        """Return whether a server that leaves may still get work."""
+        known = self.node.state.servers.by_id.get(event.server.id)
+        return (
+            event.leaving
+            and known is not None
+            and known.incarnation <= event.server.incarnation
+        )
+
     async def _track(self, event):
         """Commit what an event changes; return whether all of it is."""
         servers_by_id = self.node.state.servers.by_id
--- a/bulrushrudder/core/outcomes.py
+++ b/bulrushrudder/core/outcomes.py
@@ -46,6 +46,7 @@
     ANSWER_NOT_KEPT = 7005
     REGISTER_FULL = 7006
     CALLER_GONE = 8001
+    DEADLINE_PASSED = 8002
     INTERNAL_ERROR = 9001
 
 
--- a/bulrushrudder/documents/lookups.py
+++ b/bulrushrudder/documents/lookups.py
@@ -16,6 +16,7 @@
         self.accounts_by_id = {a.id: a for a in document.accounts}
         self.models_by_id = {m.id: m for m in document.models}
         self.routes_by_path = _routes_by_path(document)
+        self.services_by_id = {s.id: s for s in document.services}
         self.account_ids_by_key_digest = {}
         for account in document.accounts:
             self._add_keys(account)
@@ -31,6 +32,7 @@
         found.document = document
         found.models_by_id = {m.id: m for m in document.models}
         found.routes_by_path = _routes_by_path(document)
+        found.services_by_id = {s.id: s for s in document.services}
         found._change_accounts(difference)
         return found
 
@@ -62,13 +64,29 @@
         account_id = self.account_ids_by_key_digest.get(key_digest)
         return self.accounts_by_id.get(account_id)
 
-    def route_of(self, method, path):
+    def route_of(self, method, path, host=''):
         """Return the route of a call, or None."""
-        return self.routes_by_path.get((method, path))
+        exact = self.routes_by_path.get((method, path))
+        return exact or self._route_by_prefix(host, path)
+
+    def _route_by_prefix(self, host, path):
+        end = path.rfind('/') + 1
+        while end > 0:
+            found = self.routes_by_path.get((host, path[:end], True))
+            if found is not None:
+                return found
+            end = path.rfind('/', 0, end - 1) + 1
+        return None
 
 
 def _routes_by_path(document):
-    return {(r.method, r.path): r for r in document.routes}
+    return {_key(route): route for route in document.routes}
+
+
+def _key(route):
+    if route.prefix:
+        return route.host, route.path, True
+    return route.method, route.path
 
 
 EMPTY = types.Document(
--- a/bulrushrudder/engines/client.py
+++ b/bulrushrudder/engines/client.py
@@ -48,14 +48,18 @@
     def __init__(self, session):
         self._session = session
 
-    async def prefill(self, server, attempt, order, prompt_tokens):
+    async def prefill(self, server, action, job):
         """Run a prefill.
 
         :param server: the BackendServer.
-        :param prompt_tokens: widens the bound on the engine's silence.
+        :param action: the StartPrefill action.
+        :param job: the Job; its prompt widens the bound on the engine's
+            silence.
         :returns: a PrefillDone or an AttemptFailed event.
         """
-        bound_s = PREFILL_BASE_S + prompt_tokens / PREFILL_TOKENS_PER_S
+        attempt = action.attempt
+        order = _prefill_order(action, job)
+        bound_s = PREFILL_BASE_S + job.prompt_tokens / PREFILL_TOKENS_PER_S
         try:
             async with self._post(server, 'prefill', order, bound_s) as found:
                 refused = _refused(attempt, server, found.status)
@@ -73,12 +77,17 @@
             return _failed(attempt, server, 'answer to another attempt')
         return events.PrefillDone(attempt, reply.handle, reply.prompt_tokens)
 
-    async def decode(self, server, attempt, order):
+    async def decode(self, server, action, source, job):
         """Run a decode and yield lists of its events.
 
         The last event of the last list ends the attempt. The engine is
         read only as fast as the lists are taken.
+
+        :param action: the StartDecode action.
+        :param source: the BackendServer that holds the KV cache.
         """
+        attempt = action.attempt
+        order = _decode_order(action, source, job)
         try:
             async with self._post(server, 'decode', order, None) as found:
                 refused = _refused(attempt, server, found.status)
@@ -162,6 +171,36 @@
         )
 
 
+def _prefill_order(action, job):
+    attempt = action.attempt
+    return wire.PrefillOrder(
+        attempt=str(attempt),
+        vm=attempt.owner.vm,
+        incarnation=attempt.owner.incarnation,
+        model=job.model,
+        prompt=job.prompt,
+        produced=list(action.produced),
+        priority=int(job.interactive),
+    )
+
+
+def _decode_order(action, source, job):
+    attempt = action.attempt
+    return wire.DecodeOrder(
+        attempt=str(attempt),
+        vm=attempt.owner.vm,
+        incarnation=attempt.owner.incarnation,
+        model=job.model,
+        prompt=job.prompt,
+        kv_host=source.host,
+        kv_port=source.port,
+        kv_handle=action.handle,
+        produced=list(action.produced),
+        max_tokens=job.output_tokens,
+        priority=int(job.interactive),
+    )
+
+
 async def _read_reply(response):
     """Return the body of a reply of bounded length."""
     text = await response.content.read(MAX_REPLY_BYTES)
--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -1,6 +1,7 @@
 """Speaks to plain services over HTTP."""
 
 import dataclasses
+import math
 
 import aiohttp
 from returns import result
@@ -28,7 +29,14 @@
     """One call to a plain service.
 
     :param headers: pairs as the caller sent them.
-    :param timeout_s: the bound on the whole call in seconds.
+    :param timeout_s: the bound on one try in seconds.
+    :param repeatable: whether another server may be tried once one may
+        have run the call.
+    :param attempts: servers that may run the call.
+    :param deadline_s: monotonic seconds at which the caller must have a
+        final answer.
+    :param content: what goes to the server instead of the other fields,
+        where the callers' interface has encoded it; opaque here.
     """
 
     method: str
@@ -36,6 +44,10 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     timeout_s: float
+    repeatable: bool = False
+    attempts: int = 1
+    deadline_s: float = math.inf
+    content: object = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/entry/admission.py
+++ b/bulrushrudder/entry/admission.py
@@ -21,20 +21,33 @@
     account: types.ClientAccount | None
     key_digest: str | None = None
 
+    @property
+    def call_tokens(self):
+        """Return what a call costs that names no tokens."""
+        match self.route.target:
+            case types.ServiceTarget(call_tokens=tokens):
+                return tokens
+        return self.account.call_tokens if self.account else 0
 
-def admit(view, now_s, draining, method, path, key):
+
+def admit(view, now_s, draining, method, path, key, host=''):
     """Check a call against the document in force.
 
     :param view: the View of the log.
     :param draining: whether the process takes no new work.
     :param key: the caller's key, or None.
+    :param host: whom the caller addressed.
     :returns: an Admitted, or a Refusal.
     """
     if draining:
         return _refuse(
             outcomes.Reason.SHUTTING_DOWN, 'this VM shuts down', 1.0
         )
-    route = view.lookups.route_of(method, path)
+    route = view.lookups.route_of(method, path, host)
+    if route is None and view.lookups.document.version == 0:
+        return _refuse(
+            outcomes.Reason.VIEW_STALE, 'there is no document yet', 1.0
+        )
     if route is None:
         return _refuse(
             outcomes.Reason.ROUTE_UNKNOWN, f'no route for {method} {path}'
--- a/bulrushrudder/entry/answers.py
+++ b/bulrushrudder/entry/answers.py
@@ -22,6 +22,7 @@
         self._request_id = request_id
         self._model = model
         self._texts = []
+        self.on_gone = None
         self.response = None
         self.refusal = None
 
@@ -52,14 +53,14 @@
     Writing waits while the caller does not read, up to a bound.
 
     :param http_request: the aiohttp request.
-    :param on_gone: called when the caller no longer takes the answer.
+    :ivar on_gone: called when the caller no longer takes the answer.
     """
 
-    def __init__(self, http_request, request_id, model, on_gone):
+    def __init__(self, http_request, request_id, model):
         self._http_request = http_request
         self._request_id = request_id
         self._model = model
-        self._on_gone = on_gone
+        self.on_gone = None
         self._chunks = completions.Chunks(request_id, model)
         self.response = None
         self.refusal = None
@@ -99,7 +100,7 @@
                     await self._start()
                 await self.response.write(data)
         except (ConnectionError, TimeoutError):
-            self._on_gone()
+            self.on_gone()
 
     async def _start(self):
         self.response = web.StreamResponse(
@@ -119,7 +120,7 @@
             async with asyncio.timeout(CALLER_STALL_S):
                 await self.response.write_eof()
         except (ConnectionError, TimeoutError):
-            self._on_gone()
+            self.on_gone()
 
 
 def refuse(refusal, request_id):
--- a/bulrushrudder/entry/cells.py
+++ b/bulrushrudder/entry/cells.py
@@ -159,6 +159,8 @@
             prefix=message.prefix,
             excluded=message.excluded,
             isolation=events.Isolation(message.isolation),
+            expected_tokens=message.expected_tokens,
+            late_counts=message.late_counts,
         )
 
     def _target(self, model, interactive):
@@ -182,6 +184,8 @@
                 case types.ModelTarget() as target:
                     interactive = route.urgency is types.Urgency.INTERACTIVE
                     self._add((target.model, interactive), target)
+                case types.SplitTarget() as target:
+                    self._add_shares(target)
 
     def of(self, model, interactive):
         """Return the ModelTarget of a model and a route class."""
@@ -192,6 +196,14 @@
             model, DEFAULT_FIRST_TOKEN_S, DEFAULT_BETWEEN_TOKENS_S
         )
 
+    def _add_shares(self, split):
+        for share in split.shares:
+            model = ids.ModelId(share.service)
+            target = types.ModelTarget(
+                model, split.answer_s, split.between_events_s
+            )
+            self._add((model, False), target)
+
     def _add(self, key, target):
         known = self._targets_by_key.get(key, target)
         self._targets_by_key[key] = types.ModelTarget(
--- a/bulrushrudder/entry/coordinators.py
+++ b/bulrushrudder/entry/coordinators.py
@@ -69,7 +69,7 @@
                     left = self._left_servers(granted)
                     if not left:
                         return answer
-                    await self.release(question.request, None, question.model)
+                    await self.release(question.request, question.model)
                     question = dataclasses.replace(
                         question, excluded=(*question.excluded, *left)
                     )
@@ -79,15 +79,18 @@
                 return directory.unreachable("the model's coordinator")
             await asyncio.sleep(RETRY_S)
 
-    async def release(self, request, owner, model):
+    async def release(self, request, model, prefill_s=0.0, token_s=0.0):
         """Say that a request's servers are free again.
 
         What it still asks for is withdrawn.
+
+        :param prefill_s: seconds that its prefill took, 0 if unknown.
+        :param token_s: seconds between its tokens, 0 if unknown.
         """
         for held_model, number in self._own.of_request(request):
             self._own.close(number)
             message = place_messages.ReleasePlace(
-                self._owner, held_model, number
+                self._owner, held_model, number, prefill_s, token_s
             )
             await self._directory.tell(_role(model), message, self.serve)
 
@@ -110,7 +113,12 @@
                 return await self._cells.ask(message)
             case place_messages.ReleasePlace(model=model):
                 hold = events.HoldId(message.owner, message.number)
-                self._cells.take(model, events.PlaceReleased(hold))
+                self._cells.take(
+                    model,
+                    events.PlaceReleased(
+                        hold, message.prefill_s, message.token_s
+                    ),
+                )
             case place_messages.ReportHolds():
                 return self._cells.compare(message)
             case place_messages.RestoreHolds(model=model, holdings=holdings):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -6,18 +6,20 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
-from bulrushrudder.engines import wire
+from bulrushrudder.entry import pace
+from bulrushrudder.entry import tracing
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import request as lifecycle
-from bulrushrudder.placement import prefixes
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.state import quarantine
 from bulrushrudder.state import results
 
 REPORT_S = 1.0
+# No request runs longer, whatever its deadline.
+MAX_RUN_S = 900.0
 
 
 class Execution:
@@ -30,11 +32,12 @@
     :param job: the lifecycle Job.
     :param admitted: the Admitted call.
     :param services: a Services with what executions share.
+    :param request_id: names the request in logs.
     :ivar sink: takes Relay, Complete and Refuse actions; set before
         the request runs.
     """
 
-    def __init__(self, job, admitted, services):
+    def __init__(self, job, admitted, services, request_id):
         self.admitted = admitted
         self.sink = None
         self._job = job
@@ -46,6 +49,8 @@
         self._last_actions = []
         self._charge = None
         self._loop = asyncio.get_running_loop()
+        self._pace = pace.Pace(job.event_tokens)
+        self._trace = tracing.Trace(request_id, services.view, self._loop)
         self._latency = services.metrics.latency(
             admitted.route.id, job.account, self._loop.time()
         )
@@ -54,6 +59,7 @@
         """Run the request to its end."""
         self._services.retries.admitted()
         self._services.running.add(self)
+        ends = self._end_in_time()
         try:
             if not self._request.ended:
                 await self._perform(self._request.start(self._loop.time()))
@@ -64,8 +70,15 @@
             self._free_all()
             raise
         finally:
+            ends.cancel()
             self._services.running.discard(self)
 
+    def _end_in_time(self):
+        left_s = max(0.0, self._job.deadline_s - self._loop.time())
+        return self._loop.call_later(
+            min(left_s, MAX_RUN_S), self.interrupt, events.TimeEnded()
+        )
+
     def _free_all(self):
         """Free what the request holds after an unexpected error."""
         self.caller_gone()
@@ -117,6 +130,8 @@
                 await self._handle(events.BackOffEnded())
 
     async def _handle(self, event):
+        self._trace.event(event)
+        self._pace.event(event, self._loop.time())
         self._note_failure(event)
         await self._perform(self._request.handle(event, self._loop.time()))
 
@@ -126,6 +141,8 @@
         ends = []
         for action in found:
             match action:
+                case actions.Begin(head=head):
+                    await self.sink.begin(head)
                 case actions.Relay():
                     relayed.append(action)
                 case actions.Complete() | actions.Refuse():
@@ -135,6 +152,7 @@
         if relayed:
             await self.sink.relay(relayed)
         for action in ends:
+            self._trace.end(action)
             await self.sink.end(action)
 
     def _perform_now(self, action):
@@ -149,9 +167,13 @@
                     services.authorities.give_back(self._charge, tokens)
                 )
             case actions.ReleasePlace(place=place):
-                job = self._job
                 services.spawn(
-                    services.coordinators.release(place, job.owner, job.model)
+                    services.coordinators.release(
+                        place,
+                        self._job.model,
+                        self._pace.prefill_s,
+                        self._pace.token_s,
+                    )
                 )
             case actions.ClearSuspect(fingerprint=fingerprint):
                 command = quarantine.ClearSuspect(fingerprint)
@@ -164,6 +186,7 @@
     def _set_step(self, action):
         if isinstance(action, actions.BackOff):
             self._services.metrics.count_retry(action.reason)
+            self._trace.retry(action)
         self._next = action
 
     # Questions.
@@ -208,7 +231,9 @@
             patience_s=action.patience_s,
             excluded=(*action.excluded, *self._avoided()),
             isolation=int(action.isolation),
-            prefix=prefixes.digests(job.prompt.encode()),
+            prefix=job.prefix,
+            expected_tokens=job.expected_tokens,
+            late_counts=job.late_counts,
         )
         match await self._services.coordinators.ask(question):
             case result.Success(granted):
@@ -273,19 +298,7 @@
         server = self._servers_by_id.get(action.server)
         if server is None:
             return _missing(action)
-        attempt = action.attempt
-        order = wire.PrefillOrder(
-            attempt=str(attempt),
-            vm=attempt.owner.vm,
-            incarnation=attempt.owner.incarnation,
-            model=self._job.model,
-            prompt=self._job.prompt,
-            produced=list(action.produced),
-            priority=int(self._job.interactive),
-        )
-        return await self._services.engines.prefill(
-            server, attempt, order, self._job.prompt_tokens
-        )
+        return await self._services.engines.prefill(server, action, self._job)
 
     async def _decode(self, action):
         server = self._servers_by_id.get(action.server)
@@ -293,34 +306,21 @@
         if server is None or source is None:
             await self._handle(_missing(action))
             return
-        order = self._decode_order(action, source)
-        stream = self._services.engines.decode(server, action.attempt, order)
+        stream = self._services.engines.decode(
+            server, action, source, self._job
+        )
         async with contextlib.aclosing(stream):
             async for batch in stream:
                 await self._take_batch(batch)
                 if self._next is not None or self._request.ended:
                     return
 
-    def _decode_order(self, action, source):
-        attempt = action.attempt
-        return wire.DecodeOrder(
-            attempt=str(attempt),
-            vm=attempt.owner.vm,
-            incarnation=attempt.owner.incarnation,
-            model=self._job.model,
-            prompt=self._job.prompt,
-            kv_host=source.host,
-            kv_port=source.port,
-            kv_handle=action.handle,
-            produced=list(action.produced),
-            max_tokens=self._job.output_tokens,
-            priority=int(self._job.interactive),
-        )
-
     async def _take_batch(self, batch):
         now_s = self._loop.time()
         found = []
         for event in batch:
+            self._trace.event(event)
+            self._pace.event(event, now_s)
             self._note_failure(event)
             for action in self._request.handle(event, now_s):
                 found.append(action)
--- a/bulrushrudder/entry/model_calls.py
+++ b/bulrushrudder/entry/model_calls.py
@@ -15,10 +15,10 @@
 from bulrushrudder.lifecycle import job as jobs
 from bulrushrudder.lifecycle import suspicion
 from bulrushrudder.limits import costs
+from bulrushrudder.placement import prefixes
 
 BYTES_A_TOKEN = 4
 MAX_BYTES_A_TOKEN = 16
-MAX_RUN_S = 900.0
 
 
 class ModelCalls:
@@ -42,7 +42,10 @@
                 )
             case result.Success(asked):
                 pass
-        isolation = self._isolation(asked, admitted.route.target.model)
+        fingerprint = fingerprints.of(
+            admitted.route.target.model, asked.prompt
+        )
+        isolation = self.isolation(fingerprint)
         if isolation is None:
             return refusals.refuse(
                 self._services.metrics,
@@ -50,35 +53,38 @@
                 request_id,
                 admitted.route.id,
             )
-        running = self._start(
-            http_request, request_id, admitted, asked, isolation
+        job = self._job(request_id, admitted, asked, isolation)
+        if asked.stream:
+            sink = answers.StreamedAnswer(http_request, request_id, job.model)
+        else:
+            sink = answers.WholeAnswer(request_id, job.model)
+        await self.run(job, admitted, request_id, sink)
+        return sink.response
+
+    async def run(self, job, admitted, request_id, sink):
+        """Run a request to its end, or until its caller is gone.
+
+        :param job: the Job.
+        :param sink: takes what the caller gets to see.
+        """
+        running = execution.Execution(
+            job, admitted, self._services, request_id
         )
+        running.sink = sink
+        sink.on_gone = running.caller_gone
         task = self._services.spawn(running.run())
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
             running.caller_gone()
             raise
-        self._count(running.sink, admitted.route.id, request_id)
-        return running.sink.response
+        self._count(sink, admitted.route.id, request_id)
 
-    def _isolation(self, asked, model):
+    def isolation(self, fingerprint):
         """Return the Isolation of a request; None in quarantine."""
         table = self._services.view.state.quarantine
-        fingerprint = fingerprints.of(model, asked.prompt)
         return suspicion.isolation_of(table.by_fingerprint.get(fingerprint))
 
-    def _start(self, http_request, request_id, admitted, asked, isolation):
-        job = self._job(request_id, admitted, asked, isolation)
-        running = execution.Execution(job, admitted, self._services)
-        if asked.stream:
-            running.sink = answers.StreamedAnswer(
-                http_request, request_id, job.model, running.caller_gone
-            )
-        else:
-            running.sink = answers.WholeAnswer(request_id, job.model)
-        return running
-
     def _job(self, request_id, admitted, asked, isolation):
         target = admitted.route.target
         model = self._services.view.lookups.models_by_id[target.model]
@@ -109,8 +115,9 @@
             repeatable=admitted.route.repeatable,
             fingerprint=fingerprints.of(target.model, asked.prompt),
             isolation=isolation,
-            deadline_s=asyncio.get_running_loop().time() + MAX_RUN_S,
+            deadline_s=asyncio.get_running_loop().time() + execution.MAX_RUN_S,
             jitter=random.random(),
+            prefix=prefixes.digests(asked.prompt.encode()),
         )
 
     def _count(self, sink, route, request_id):
--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -9,6 +9,7 @@
 
 from returns import result
 
+from bulrushrudder.config import settings
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.protocol import codec
@@ -36,6 +37,7 @@
         self._owner = owner
         self._secret = secret
         self._controls = controls
+        self._members = ()
         self._link = None
         self._parts = bytearray()
         self._was_fresh = False
@@ -48,10 +50,19 @@
                 await self._follow(address)
                 await asyncio.sleep(REDIAL_S)
 
+    def lead_to(self, controls):
+        """Take the control addresses of new settings."""
+        self._controls = controls
+
     def _in_own_order(self):
-        """Return the addresses so that entries spread over them."""
-        place = zlib.crc32(self._owner.vm.encode()) % len(self._controls)
-        return (*self._controls[place:], *self._controls[:place])
+        """Return the addresses so that entries spread over them.
+
+        Members that the log's processes have named go with those of the
+        settings.
+        """
+        found = sorted({*self._controls, *self._members}, key=str)
+        place = zlib.crc32(self._owner.vm.encode()) % len(found)
+        return (*found[place:], *found[:place])
 
     async def propose(self, command):
         """Ask the control process to commit a command.
@@ -140,6 +151,8 @@
                 self._take_part(message)
             case log_messages.Vouch(round=number, index=index):
                 self._view.vouched(number, index)
+            case log_messages.Members(addresses=addresses):
+                self._members = tuple(map(settings.parse_address, addresses))
 
     def _apply(self, first, commands):
         for index, data in enumerate(commands, first):
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from bulrushrudder.config import reloading
 from bulrushrudder.core import ids
 from bulrushrudder.engines import client
 from bulrushrudder.engines import services as plain_services
@@ -45,13 +46,16 @@
     """The entry process.
 
     :param settings: the VM's Settings.
+    :param interface: what callers and backend servers speak: an object
+        with the functions of OwnInterface.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, interface=None):
         self._settings = settings
+        self._interface = interface or OwnInterface()
         self._owner = ids.Owner(settings.vm, time.time_ns())
         secret = settings.secrets.cluster
-        self.view = view.View(settings.environment)
+        self.view = view.View(settings.environment, settings.entry.stale_s)
         self.observing = observing.Observing(
             self.view, self._owner, secret, settings.controls
         )
@@ -67,7 +71,7 @@
         self._registering = registering.Registering(
             self._owner, self.view, self.observing, settings.environment
         )
-        self._coordinators = coordinators.Coordinators(
+        self.coordinators = coordinators.Coordinators(
             self._owner, self.view, found
         )
         self.metrics = registry.Metrics()
@@ -80,33 +84,27 @@
         :param stack: an AsyncExitStack that owns what is opened.
         """
         stack.callback(self._peers.close)
-        connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=sockets.dialling
-        )
-        session = await stack.enter_async_context(
-            aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        )
-        self._make_services(session)
+        await self._make_services(stack)
         await self._listen(stack)
         self._run_in_background(stack)
         callers = self._settings.entry.callers
         log.emit(catalogue.ENTRY_STARTED, callers=str(callers))
 
-    def _make_services(self, session):
-        engines = client.EngineClient(session)
+    async def _make_services(self, stack):
+        engines, services_client = await self._interface.clients(stack)
         self._cancelling = cancelling.Cancelling(
             self._settings.vm, self.view, engines, self.metrics
         )
         plain = service_servers.ServiceServers(
             self.view,
             self._settings.zone,
-            plain_services.ServiceClient(session),
+            services_client,
         )
         self.services = services.Services(
             self._owner,
             self.view,
             self._authorities,
-            self._coordinators,
+            self.coordinators,
             engines,
             plain,
             self.metrics,
@@ -120,7 +118,7 @@
             self.observing.run(),
             self._authorities.run(),
             self._registering.run(),
-            self._coordinators.run(),
+            self.coordinators.run(),
             self._cancelling.run(),
             access.Access(self.services).run(),
             self._keep_session(),
@@ -148,7 +146,7 @@
         await self._cancelling.finish(CANCELS_S)
         await self._authorities.stop()
         await self.observing.propose(sessions.CloseSession(self._owner))
-        await self._coordinators.hand_over()
+        await self.coordinators.hand_over()
         log.emit(catalogue.ENTRY_STOPPED)
 
     def report_waiting(self):
@@ -165,21 +163,7 @@
             self._handle,
         )
         stack.callback(inner.close)
-        front = frontend.Frontend(self.services)
-        await web.listen(
-            stack,
-            front.application(),
-            settings.entry.callers,
-            cancel_handlers=True,
-            finish_s=ANSWERS_S,
-        )
-        back = operations.Operations(
-            self.observing,
-            self.view,
-            self._coordinators,
-            settings.secrets.backends,
-        )
-        await web.listen(stack, back.application(), settings.entry.backends)
+        await self._interface.listen(stack, self._settings, self)
         app = metrics_listener.application(self.metrics)
         await web.listen(stack, app, settings.entry.metrics)
 
@@ -200,7 +184,7 @@
                 | place_messages.ReportLoad()
                 | place_messages.ReportCache()
             ):
-                return await self._coordinators.serve(message)
+                return await self.coordinators.serve(message)
         return None
 
     async def _keep_session(self):
@@ -227,18 +211,62 @@
         return held is not None and held.owner == self._owner
 
 
+class OwnInterface:
+    """What the product's own callers and backend servers speak."""
+
+    async def clients(self, stack):
+        """Return the EngineClient and the ServiceClient."""
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=sockets.dialling
+        )
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        )
+        return (
+            client.EngineClient(session),
+            plain_services.ServiceClient(session),
+        )
+
+    async def listen(self, stack, settings, entry):
+        """Listen for callers and backend servers.
+
+        :param entry: the Entry.
+        """
+        front = frontend.Frontend(entry.services)
+        await web.listen(
+            stack,
+            front.application(),
+            settings.entry.callers,
+            cancel_handlers=True,
+            finish_s=ANSWERS_S,
+        )
+        back = operations.Operations(
+            entry.observing,
+            entry.view,
+            entry.coordinators,
+            settings.secrets.backends,
+        )
+        await web.listen(stack, back.application(), settings.entry.backends)
+
+
 async def _ignore(link_, message):
     """Peers send nothing unasked on links that this process dialled."""
 
 
-async def run(settings, stopping):
+async def run(settings, stopping, interface=None):
     """Run the entry process until it is told to stop.
 
     :param stopping: a Stopping.
+    :param interface: as for Entry.
     """
     async with contextlib.AsyncExitStack() as stack:
-        entry = Entry(settings)
+        entry = Entry(settings, interface)
         await entry.start(stack)
+        watching = reloading.Reloading(
+            settings, lambda found: entry.observing.lead_to(found.controls)
+        )
+        stopping.on_reload(watching.wake)
+        tasks.spawn(stack, watching.run())
         stopping.on_repeat(entry.report_waiting)
         await stopping.wait()
         await entry.leave()
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -1,6 +1,7 @@
 """Calls of routes that lead to a plain service."""
 
 import asyncio
+import dataclasses
 import functools
 import re
 
@@ -11,6 +12,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import refusals
+from bulrushrudder.entry import service_servers
 from bulrushrudder.idempotency import actions
 from bulrushrudder.idempotency import events
 from bulrushrudder.idempotency import fingerprints
@@ -24,6 +26,8 @@
     outcomes.Reason.MALFORMED_REQUEST,
     f'{ID_HEADER} has 1 to 255 visible ASCII characters',
 )
+# Tries that no server ran are bounded too; each asks the retry budget.
+MAX_TRIES = 4
 _NO_SERVER = outcomes.not_run(
     outcomes.Reason.NO_SERVER, 'no backend server is up', 1.0
 )
@@ -47,9 +51,10 @@
             body,
             admitted.route.target.timeout_s,
         )
+        service = admitted.route.target.service
         call_id = http_request.headers.get(ID_HEADER)
         if admitted.route.repeatable or call_id is None:
-            running = self._services.spawn(self._send(admitted, call))
+            running = self._services.spawn(self.send(admitted, service, call))
             sent = await asyncio.shield(running)
             return self._respond(sent, request_id, admitted)
         if not _CALL_ID.fullmatch(call_id):
@@ -65,14 +70,18 @@
             call_id,
             fingerprints.of(call.method, call.path, call.body),
             admitted.route.patience_s,
-            functools.partial(self._send, admitted, call),
+            functools.partial(
+                self.send, admitted, admitted.route.target.service, call
+            ),
         )
         self._services.spawn(registered.run())
         return await asyncio.shield(registered.told)
 
-    async def _send(self, admitted, call):
-        """Charge a call and send it, once.
+    async def send(self, admitted, service, call):
+        """Charge a call and send it.
 
+        :param service: the id of the service.
+        :param call: the Call.
         :returns: an Answered or a Failed event.
         """
         charged = await self._charge(admitted)
@@ -81,12 +90,7 @@
                 return events.Failed(refusal)
             case result.Success(charge):
                 pass
-        server = self._service_server(admitted.route.target.service)
-        if server is None:
-            sent = result.Failure(_NO_SERVER)
-        else:
-            sent = await self._services.plain.call(server, call)
-        match sent:
+        match await self._try_servers(service, call):
             case result.Failure(refusal):
                 await self._give_back(charge, refusal)
                 return events.Failed(refusal)
@@ -97,13 +101,43 @@
                 return events.Answered(
                     intents.Answer(reply.status, tuple(headers), reply.body)
                 )
+        raise AssertionError('unreachable')
+
+    async def _try_servers(self, service, call):
+        """Try servers until one has answered or no more may be tried.
+
+        :returns: a Reply, or a Refusal that says whether the call ran.
+        """
+        loop = asyncio.get_running_loop()
+        self._services.retries.admitted()
+        tried = []
+        runs = 0
+        sent = result.Failure(_NO_SERVER)
+        while True:
+            server = self._services.plain.choose(service, tried)
+            if server is None:
+                return sent
+            left_s = call.deadline_s - loop.time()
+            timeout_s = min(call.timeout_s, left_s)
+            bounded = dataclasses.replace(call, timeout_s=timeout_s)
+            found = await self._services.plain.call(server, bounded)
+            sent = _after(sent, found)
+            runs += _has_run(found)
+            if not _is_wanting(found, call) or runs >= call.attempts:
+                return sent
+            tried.append(server.id)
+            now_s = loop.time()
+            if now_s >= call.deadline_s or len(tried) >= MAX_TRIES:
+                return sent
+            if not self._services.retries.may_try_again(now_s):
+                return sent
 
     async def _charge(self, admitted):
         if admitted.account is None:
             return result.Success(None)
         return await self._services.authorities.ask(
             admitted.account.id,
-            admitted.route.target.call_tokens,
+            admitted.call_tokens,
             admitted.route.patience_s,
         )
 
@@ -133,10 +167,45 @@
             status=answer.status, body=answer.body, headers=headers
         )
 
-    def _service_server(self, service):
-        return self._services.plain.choose(service)
-
     def _refuse(self, refusal, request_id, admitted):
         return refusals.refuse(
             self._services.metrics, refusal, request_id, admitted.route.id
         )
+
+
+def _after(earlier, found):
+    """Return what is known of a call after one more try.
+
+    An answer that a server gave stays the answer where a later try got
+    none; a call that may have run once may have run.
+    """
+    match earlier, found:
+        case result.Success(), result.Failure():
+            return earlier
+        case (
+            result.Failure(outcomes.Refusal(execution=execution)),
+            result.Failure(outcomes.Refusal() as refusal),
+        ) if execution is not outcomes.Execution.NOT_RUN:
+            return result.Failure(
+                dataclasses.replace(refusal, execution=execution)
+            )
+    return found
+
+
+def _has_run(found):
+    """Return whether a try may have run the call."""
+    match found:
+        case result.Failure(
+            outcomes.Refusal(execution=outcomes.Execution.NOT_RUN)
+        ):
+            return False
+    return True
+
+
+def _is_wanting(found, call):
+    """Return whether another try may help, and is allowed."""
+    match found:
+        case result.Success(reply):
+            failed = reply.status >= service_servers.FIRST_SERVER_ERROR
+            return failed and call.repeatable
+    return call.repeatable or not _has_run(found)
--- a/bulrushrudder/entry/service_servers.py
+++ b/bulrushrudder/entry/service_servers.py
@@ -24,10 +24,13 @@
         self._choices_by_service = {}
         self._versions_by_service = {}
 
-    def choose(self, service):
-        """Return the server for a call to a service, or None."""
+    def choose(self, service, tried=()):
+        """Return the server for a call to a service, or None.
+
+        :param tried: ids of servers that had the call before.
+        """
         choice = self._choice(service)
-        server_id = choice.choose(_now_s())
+        server_id = choice.choose(_now_s(), tried)
         return self._view.state.servers.by_id.get(server_id)
 
     async def call(self, server, call):
--- /dev/null
+++ b/bulrushrudder/entry/tracing.py
@@ -0,0 +1,75 @@
+"""Logs what is decided about one request, and from what."""
+
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.lifecycle import actions
+from bulrushrudder.lifecycle import events
+
+MS_A_SECOND = 1000.0
+
+
+class Trace:
+    """The log lines of one request to a model.
+
+    :param request_id: names the request.
+    :param view: the View of the log that its entry decides from.
+    :param clock: has a time() in monotonic seconds.
+    """
+
+    def __init__(self, request_id, view, clock):
+        self._request_id = request_id
+        self._view = view
+        self._clock = clock
+        self._began_s = clock.time()
+
+    def event(self, event):
+        """Log an event that ends a step of the request."""
+        match event:
+            case events.PlaceGranted(prefill=prefill, decode=decode):
+                self._emit(
+                    catalogue.PLACE_GRANTED,
+                    prefill=prefill,
+                    decode=decode,
+                    view=self._view.index,
+                    view_age_ms=self._view_age_ms(),
+                )
+            case events.PrefillDone(prompt_tokens=tokens):
+                self._emit(catalogue.PREFILL_DONE, tokens=tokens)
+            case events.TransferDone():
+                self._emit(catalogue.DECODE_BEGUN)
+            case events.AttemptFailed():
+                self._emit(
+                    catalogue.ATTEMPT_FAILED,
+                    attempt=str(event.attempt),
+                    server=event.server,
+                    reason=event.reason.name,
+                    detail=event.detail,
+                    sent=event.sent,
+                )
+
+    def retry(self, action):
+        """Log a decision to try again."""
+        self._emit(
+            catalogue.RETRY_DECIDED,
+            after=action.reason.name,
+            delay_ms=round(action.delay_s * MS_A_SECOND),
+        )
+
+    def end(self, action):
+        """Log the end of the request, unless it is refused."""
+        match action:
+            case actions.Complete(tokens=tokens):
+                self._emit(catalogue.REQUEST_ANSWERED, tokens=tokens)
+
+    def _emit(self, event, **fields):
+        elapsed_s = self._clock.time() - self._began_s
+        log.emit(
+            event,
+            request=self._request_id,
+            elapsed_ms=round(elapsed_s * MS_A_SECOND),
+            **fields,
+        )
+
+    def _view_age_ms(self):
+        age_s = self._view.age_s(self._clock.time())
+        return round(age_s * MS_A_SECOND) if age_s < float('inf') else None
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -57,6 +57,44 @@
     'attempt failed',
     'A backend server did not finish an attempt.',
 )
+PLACE_GRANTED = Event(
+    1111,
+    Level.INFO,
+    'place granted',
+    'A request got servers; the view that its entry decided from has the '
+    'given index and age.',
+)
+PREFILL_DONE = Event(
+    1112,
+    Level.INFO,
+    'prefill done',
+    'A server has read the prompt of a request.',
+)
+DECODE_BEGUN = Event(
+    1113,
+    Level.INFO,
+    'decode begun',
+    'A server has begun to answer a request.',
+)
+RETRY_DECIDED = Event(
+    1114,
+    Level.INFO,
+    'retry decided',
+    'A request is tried again after a delay.',
+)
+REQUEST_ANSWERED = Event(
+    1115,
+    Level.INFO,
+    'request answered',
+    'A caller got a whole answer.',
+)
+CALL_TRIED = Event(
+    1116,
+    Level.INFO,
+    'call tried',
+    'A server of a plain service had a call; the outcome is its status or '
+    'the reason why there is none.',
+)
 ORPHANS_CANCELLED = Event(
     1104,
     Level.INFO,
@@ -90,6 +128,18 @@
     'backend denied',
     'A call to the backends listener came without its secret.',
 )
+SETTINGS_RELOADED = Event(
+    1004,
+    Level.INFO,
+    'settings reloaded',
+    'The settings file was read again and its addresses are in force.',
+)
+SETTINGS_REFUSED = Event(
+    1005,
+    Level.ERROR,
+    'settings refused',
+    'The settings file cannot be used; what was in force stays.',
+)
 CONTROL_STARTED = Event(
     2001, Level.INFO, 'control started', 'The control process listens.'
 )
@@ -199,6 +249,13 @@
     'server joined',
     'A backend server announced itself.',
 )
+ANNOUNCEMENT_INVALID = Event(
+    4003,
+    Level.WARNING,
+    'announcement invalid',
+    'A backend server announced itself in a way that cannot be read; '
+    'what is known of it stays.',
+)
 SERVER_LEFT = Event(
     4002,
     Level.INFO,
--- a/bulrushrudder/lifecycle/actions.py
+++ b/bulrushrudder/lifecycle/actions.py
@@ -120,12 +120,22 @@
     server: ids.ServerId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begin:
+    """Begin the answer to the caller.
+
+    :param head: how the first server's answer began; opaque here.
+    """
+
+    head: object
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relay:
     """Pass a token to the caller."""
 
     index: int
-    text: str
+    text: str | bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,6 +176,7 @@
     | ClearSuspect
     | BackOff
     | CancelAttempt
+    | Begin
     | Relay
     | Complete
     | Refuse
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -45,9 +45,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TransferDone:
-    """A decode server has taken the KV cache."""
+    """A decode server has taken the KV cache.
+
+    :param head: how its answer begins, where callers get to see that;
+        opaque here.
+    """
 
     attempt: ids.AttemptId
+    head: object = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +64,7 @@
 
     attempt: ids.AttemptId
     index: int
-    text: str
+    text: str | bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,6 +133,11 @@
     cut: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeEnded:
+    """The caller must have a final answer now."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerGone:
     """Nobody waits for the answer any more."""
@@ -146,5 +156,6 @@
     | CrashReported
     | BackOffEnded
     | AccessLost
+    | TimeEnded
     | CallerGone
 )
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -28,6 +28,15 @@
     :param isolation: what is known of earlier runs of the fingerprint.
     :param deadline_s: monotonic seconds after which nothing is retried.
     :param jitter: spreads retries; at least 0 and below 1.
+    :param prefix: digests of the start of the prompt, shortest first.
+    :param content: what the engines get; opaque here.
+    :param attempts: servers that may run the request, 0 for no bound.
+    :param expected_tokens: output to expect, 0 where nobody says.
+    :param event_tokens: output tokens in one event of the answer.
+    :param late_counts: whether an answer after the target is of use.
+    :param prefill_runs: whether a prefill counts as a run.
+    :param charge_stays: whether the tokens that were charged stay spent
+        once the request has run.
     """
 
     request: ids.RequestId
@@ -45,3 +54,18 @@
     isolation: Isolation = Isolation.NONE
     deadline_s: float = math.inf
     jitter: float = 0.5
+    prefix: tuple[int, ...] = ()
+    content: object = None
+    attempts: int = 0
+    expected_tokens: int = 0
+    event_tokens: int = 1
+    late_counts: bool = False
+    prefill_runs: bool = True
+    charge_stays: bool = False
+
+
+def marked(job, fingerprint, isolation):
+    """Return a Job with what is known of earlier runs of it."""
+    return dataclasses.replace(
+        job, fingerprint=fingerprint, isolation=isolation
+    )
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -40,6 +40,8 @@
         self.state = 'admitted'
         self._policy = policy
         self._attempts = 0
+        self._runs = 0
+        self._begun = False
         self._asks = 0
         self._place = None
         self._holding = None
@@ -90,6 +92,8 @@
                 return self._back_off_ended(now_s)
             case events.AccessLost():
                 return self._access_lost(event)
+            case events.TimeEnded():
+                return self._time_ended()
             case events.CallerGone():
                 return self._caller_gone()
         return self._handle_attempt(event, now_s)
@@ -194,8 +198,8 @@
         if not self._is_current(event, 'prefilling'):
             return [_drop(event)]
         self._go('start_transfer')
-        self._sent = True
-        if not self._produced:
+        self._sent = self._sent or self.job.prefill_runs
+        if not self._produced and not self.job.charge_stays:
             self._prompt_tokens = event.prompt_tokens
         if self._exceeds_charge():
             reason = outcomes.Reason.COST_ABOVE_BURST
@@ -210,7 +214,12 @@
             return [_drop(event)]
         self._go('start_decode')
         self._sent = True
-        return self._free_kept()
+        self._runs += 1
+        found = self._free_kept()
+        if event.head is not None and not self._begun:
+            self._begun = True
+            found.append(actions.Begin(event.head))
+        return found
 
     def _take_token(self, event):
         if not self._is_current(event, 'decoding', 'streaming'):
@@ -248,6 +257,8 @@
         if not self._is_current(event, *states.RUNNING):
             return [_drop(event)]
         self._sent = self._sent or event.sent
+        if event.sent and self.state == 'transferring':
+            self._runs += 1
         if event.sent and event.reason not in _NOT_INSPECTED:
             return self._fail_attempt(event.reason, event.server)
         self._note_failure(event.reason, event.server)
@@ -302,6 +313,8 @@
         reason = self._failures[-1]
         if self._sent and not self.job.repeatable:
             return self._end(reason, 'the call may not be repeated')
+        if 0 < self.job.attempts <= self._runs:
+            return self._end(reason, 'the route allows no more attempts')
         decided = self._policy.decide(
             self._failures, now_s, self.job.deadline_s, self.job.jitter
         )
@@ -334,6 +347,12 @@
         refusal = outcomes.Refusal(reason, execution, detail)
         return [*found, *self._return_unused(), actions.Refuse(refusal)]
 
+    def _may_have_run(self):
+        """Return whether a server may run the request right now."""
+        if self.state == 'prefilling':
+            return self.job.prefill_runs
+        return self.state in states.RUNNING
+
     def _access_lost(self, event):
         if self.ended:
             return []
@@ -344,6 +363,13 @@
         self._sent = True
         return self._end(event.reason, event.detail)
 
+    def _time_ended(self):
+        if self.ended:
+            return []
+        self._sent = self._sent or self._may_have_run()
+        reason = outcomes.Reason.DEADLINE_PASSED
+        return self._end(reason, 'there was no whole answer in time')
+
     def _caller_gone(self):
         if self.ended:
             return []
@@ -388,6 +414,8 @@
         return self._return(excess)
 
     def _return_unused(self):
+        if self.job.charge_stays:
+            return []
         used = self._prompt_tokens + len(self._produced)
         return self._return(self._charged - used)
 
--- a/bulrushrudder/lifecycle/retries.py
+++ b/bulrushrudder/lifecycle/retries.py
@@ -73,11 +73,17 @@
         delay_s = back_off_s(len(failures), jitter)
         if now_s + delay_s >= deadline_s:
             return GiveUp(reason)
+        if not self.may_try_again(now_s):
+            return GiveUp(outcomes.Reason.RETRY_BUDGET_SPENT)
+        return Retry(delay_s)
+
+    def may_try_again(self, now_s):
+        """Take one more try out of the budget, if it holds one."""
         self._refill(now_s)
         if self._balance < 1.0:
-            return GiveUp(outcomes.Reason.RETRY_BUDGET_SPENT)
+            return False
         self._balance -= 1.0
-        return Retry(delay_s)
+        return True
 
     def _refill(self, now_s):
         if self._refilled_s is not None and self._balance < BUDGET_FLOOR:
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -10,10 +10,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announced:
-    """A backend server announced or renewed itself."""
+    """A backend server announced or renewed itself.
+
+    :param sequence: grows with each announcement of an incarnation;
+        earlier ones that come late change nothing. 0 where the server
+        does not count.
+    """
 
     server: servers.BackendServer
     leaving: bool
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +45,7 @@
 
     def __init__(self):
         self._renewed_s_by_id: dict[ids.ServerId, float] = {}
+        self._sequence_by_run: dict[tuple[ids.ServerId, int], int] = {}
         self._proposed_s_by_command = {}
 
     def handle(self, event, servers_by_id, now_s):
@@ -50,7 +57,9 @@
         match event:
             case Announced(server=server, leaving=True):
                 return self._leave(server, servers_by_id, now_s)
-            case Announced(server=server):
+            case Announced(server=server, sequence=sequence):
+                if self._is_late(server, sequence):
+                    return []
                 return self._renew(server, servers_by_id, now_s)
             case Ticked():
                 return self._expire(servers_by_id, now_s)
@@ -67,6 +76,13 @@
         leave = servers.LeaveServer(server.id, server.incarnation)
         return self._propose(leave, now_s)
 
+    def _is_late(self, server, sequence):
+        run = server.id, server.incarnation
+        if sequence and sequence <= self._sequence_by_run.get(run, 0):
+            return True
+        self._sequence_by_run[run] = sequence
+        return False
+
     def _renew(self, server, servers_by_id, now_s):
         known = servers_by_id.get(server.id)
         if known and known.incarnation > server.incarnation:
@@ -104,6 +120,11 @@
             for server_id, renewed_s in self._renewed_s_by_id.items()
             if server_id in servers_by_id or renewed_s > early_s
         }
+        self._sequence_by_run = {
+            run: sequence
+            for run, sequence in self._sequence_by_run.items()
+            if run[0] in self._renewed_s_by_id
+        }
         self._proposed_s_by_command = {
             command: proposed_s
             for command, proposed_s in self._proposed_s_by_command.items()
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -20,12 +20,15 @@
     """The observed state; its index never goes back.
 
     :param environment: whose document the VM serves.
+    :param bound_s: seconds without a voucher for the view after which
+        keyed routes are refused.
     """
 
-    def __init__(self, environment):
+    def __init__(self, environment, bound_s=FRESHNESS_BOUND_S):
         self.state = machine.State()
         self.lookups = lookups.EMPTY_LOOKUPS
         self._environment = environment
+        self._bound_s = bound_s
         self._rounds_by_number = {}
         self._last_round = 0
         self._fresh_s = None
@@ -104,4 +107,4 @@
 
     def fresh(self, now_s):
         """Return whether keyed routes may be served."""
-        return self.age_s(now_s) <= FRESHNESS_BOUND_S
+        return self.age_s(now_s) <= self._bound_s
--- a/bulrushrudder/placement/cell.py
+++ b/bulrushrudder/placement/cell.py
@@ -82,9 +82,10 @@
             case events.PlaceAsked():
                 self._ask(event, now_s)
             case events.PlaceReleased(hold=hold):
+                self._learn(event)
                 self._release(hold, now_s)
             case events.ServersChanged(servers=servers):
-                self._change_servers(servers)
+                self._change_servers(servers, now_s)
             case events.LoadReported():
                 self._prefills.reported(event)
                 self._decodes.reported(event)
@@ -93,7 +94,7 @@
             case events.HoldsReported():
                 return self._compare(event, now_s)
             case events.HoldingsRestored(holdings=holdings):
-                self._restore(holdings)
+                self._restore(holdings, now_s)
             case events.OwnersChanged(owners=owners):
                 self._change_owners(owners, now_s)
             case events.Ticked():
@@ -106,7 +107,20 @@
         self._holds_by_owner[asked.hold.owner].add(asked.hold)
         tokens = asked.prompt_tokens + asked.output_tokens
         self._demand.asked(asked.account, asked.weight, tokens, now_s)
-        self._queue.add(asked, now_s)
+        self._queue.add(asked, now_s, self._prefills.lead_s(asked))
+
+    def _learn(self, event):
+        """Take in how fast the servers of a request were."""
+        held = self._held_by_hold.get(event.hold)
+        if held is None:
+            return
+        holding = held.holding
+        if event.prefill_s > 0:
+            self._prefills.measured(
+                holding.prefill, holding.prompt_tokens, event.prefill_s
+            )
+        if event.token_s > 0:
+            self._decodes.measured(holding.decode, event.token_s)
 
     def _release(self, hold, now_s):
         self._holds_by_owner[hold.owner].discard(hold)
@@ -123,7 +137,7 @@
         else:
             self._forget_absent(held.holding.decode, hold)
 
-    def _change_servers(self, servers):
+    def _change_servers(self, servers, now_s):
         by_id = {server.id: server for server in servers}
         for pool, kind in (
             (self._prefills, 'prefill'),
@@ -137,7 +151,7 @@
                 known = pool.by_id.get(server.id)
                 if server.kind == kind and not _is_known(known, server):
                     pool.join(server)
-                    self._take_restored(server.id)
+                    self._take_restored(server.id, now_s)
 
     def _compare(self, event, now_s):
         last = self._reports_by_owner.get(event.owner, -1)
@@ -154,11 +168,11 @@
             return []
         return [actions.AskHoldings(event.owner, tuple(sorted(unknown)))]
 
-    def _restore(self, holdings):
+    def _restore(self, holdings, now_s):
         for holding in holdings:
             if holding.hold not in self._held_by_hold:
                 self._queue.remove(holding.hold)
-                self._hold(holding, float('inf'), None)
+                self._hold(holding, float('inf'), None, now_s)
 
     def _forget_absent(self, server_id, hold):
         holds = self._holds_by_absent_server[server_id]
@@ -166,21 +180,21 @@
         if not holds:
             del self._holds_by_absent_server[server_id]
 
-    def _take_restored(self, server_id):
+    def _take_restored(self, server_id, now_s):
         """Count what was restored while its decode server was away."""
         for hold in self._holds_by_absent_server.pop(server_id, ()):
             held = self._held_by_hold[hold]
-            self._hold(held.holding, float('inf'), held.decode_s)
+            self._hold(held.holding, float('inf'), held.decode_s, now_s)
 
-    def _hold(self, holding, between_tokens_s, decode_s):
+    def _hold(self, holding, between_tokens_s, decode_s, now_s):
         known = self._decodes.by_id.get(holding.decode)
         taken = None
         if known is None:
             self._holds_by_absent_server[holding.decode].add(holding.hold)
         else:
-            tokens = holding.prompt_tokens + holding.output_tokens
+            begins_s = now_s if decode_s is None else decode_s
             taken = self._decodes.take(
-                known, tokens, between_tokens_s, holding.isolation
+                known, holding, between_tokens_s, begins_s
             )
         if holding.hold not in self._held_by_hold:
             self._held_by_account[holding.account] += 1
@@ -208,6 +222,7 @@
             self._refuse(waiting, outcomes.Reason.NO_SERVER)
             for waiting in self._queue.expired(now_s)
         ]
+        self._queue.demote(now_s)
         if now_s < self._ready_s:
             return found
         while True:
@@ -219,13 +234,13 @@
     def _serve_one(self, now_s):
         """Serve the first question that can be, if any.
 
-        Deferred ones go only when no interactive one waits for servers;
-        those that are held back for flooding do not count.
+        A class is served only when none of an earlier class waits for
+        servers; those that are held back for flooding do not count.
         """
         claimed = frozenset(self._drained_by_hold.values())
-        for interactive in (True, False):
+        for standing in fair_queue.Standing:
             held_up = False
-            for waiting in self._queue.heads(interactive, MOST_HEADS):
+            for waiting in self._queue.heads(standing, MOST_HEADS):
                 flooding = self._is_flooding(waiting.asked.account)
                 action = self._try(waiting, flooding, claimed, now_s)
                 match action:
@@ -314,8 +329,9 @@
             asked.prompt_tokens,
             asked.output_tokens,
             asked.isolation,
+            asked.expected_tokens,
         )
-        self._hold(holding, asked.between_tokens_s, chosen.transfer_s)
+        self._hold(holding, asked.between_tokens_s, chosen.transfer_s, now_s)
         return actions.Grant(
             asked.call, asked.hold, holding.prefill, holding.decode
         )
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -76,7 +76,7 @@
         if known.server.id not in terms.claimed
         and known.is_open_to(asked.isolation)
     ]
-    roomy = [c for c in candidates if c.has_memory(asked, terms.pieces)]
+    roomy = [c for c in candidates if c.has_memory(asked, terms.pieces, now_s)]
     if not roomy:
         return Blocked(_roomiest(candidates))
     found = [
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -5,14 +5,16 @@
 
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fill_index
+from bulrushrudder.placement import memory as growing
 from bulrushrudder.placement import step_model
 from bulrushrudder.state import servers
 
-PIECE_TOKENS = 4000
 CANDIDATES_A_ZONE = 3
 START_HOLD_S = 10.0
 HOLD_SHARE = 0.05
 LARGE_DECAY = 0.99
+# Weight of one more request in the pace of its server.
+MEASURED_SHARE = 0.1
 
 # Expected ends of requests by which the nth place ahead is free in 99
 # of 100 cases, where ends come independently of each other.
@@ -27,6 +29,8 @@
     :param pieces: pieces of memory that they hold.
     :param targets_s: how many requests have each between-token target.
     :param present: whether it gets new work.
+    :param runs: its requests by hold, where memory fills as they run.
+    :param token_s: seconds between tokens, where it is measured.
     :param suspects: requests that it holds in isolation.
     :param alone: whether one of them shares it with nobody.
     :param limit: requests that it can run within all targets, as they
@@ -48,12 +52,31 @@
     limit: int = 0
     suspects: int = 0
     alone: bool = False
+    runs: dict[events.HoldId, growing.Run] = dataclasses.field(
+        default_factory=dict
+    )
+    token_s: float = 0.0
+
+    @property
+    def memory(self):
+        """Return the pieces of its memory; 0 where it is not known."""
+        return self.server.memory_tokens // self.server.piece_tokens
+
+    def pieces_of(self, tokens):
+        """Return the pieces of memory that some tokens need."""
+        return pieces_of(tokens, self.server.piece_tokens)
 
     @property
     def fill(self):
         """Return the larger part of places and of memory that is held."""
         fill = self.held / self.server.places
-        memory = self.server.memory_tokens // PIECE_TOKENS
+        if self.server.memory_grows and self.server.memory_tokens:
+            tokens = sum(
+                run.prompt_tokens + run.expected_tokens / 2
+                for run in self.runs.values()
+            )
+            return max(fill, tokens / self.server.memory_tokens)
+        memory = self.memory
         return max(fill, self.pieces / memory) if memory else fill
 
     def is_open_to(self, isolation):
@@ -75,12 +98,31 @@
         if isolation is events.Isolation.ALONE:
             self.alone = change > 0
 
-    def has_memory(self, asked, spare):
+    def has_memory(self, asked, spare, now_s):
         """Return whether memory suffices, with some pieces to spare."""
-        memory = self.server.memory_tokens // PIECE_TOKENS
-        pieces = pieces_of(asked.prompt_tokens + asked.output_tokens)
+        if self.server.memory_grows:
+            return self._has_room(asked, spare, now_s)
+        memory = self.memory
+        pieces = self.pieces_of(asked.prompt_tokens + asked.output_tokens)
         return memory == 0 or self.pieces + pieces + spare <= memory
 
+    def _has_room(self, asked, spare, now_s):
+        """Return whether the peak of what runs there has room."""
+        memory = self.server.memory_tokens
+        if memory == 0:
+            return True
+        run = growing.Run(
+            asked.prompt_tokens,
+            now_s,
+            asked.expected_tokens or asked.output_tokens,
+            asked.output_tokens,
+        )
+        runs = [*self.runs.values(), run]
+        most = growing.peak(runs, now_s, self.token_s)
+        spare_tokens = memory * growing.SPARE_SHARE
+        spare_tokens += spare * self.server.piece_tokens
+        return most + spare_tokens <= memory
+
     def bound(self, between_tokens_s):
         """Return the requests that it can run within all targets."""
         strictest_s = min(self.targets_s, default=between_tokens_s)
@@ -97,11 +139,12 @@
     pieces: int
     between_tokens_s: float
     isolation: events.Isolation
+    hold: events.HoldId
 
 
-def pieces_of(tokens):
+def pieces_of(tokens, piece_tokens=servers.PIECE_TOKENS):
     """Return the pieces of memory that some tokens need."""
-    return -(-tokens // PIECE_TOKENS)
+    return -(-tokens // piece_tokens)
 
 
 class Decodes:
@@ -125,7 +168,7 @@
         self.leave(server.id)
         known = self.by_id.get(server.id)
         if known is None or known.server.incarnation != server.incarnation:
-            known = DecodeServer(server)
+            known = DecodeServer(server, token_s=server.pace.token_s)
             self.by_id[server.id] = known
         known.server = server
         known.present = True
@@ -175,12 +218,15 @@
         bound = known.bound(asked.between_tokens_s)
         return known.held < bound + self._ahead(known, lead_s)
 
-    def take(self, known, tokens, between_tokens_s, isolation):
-        """Hold a place, and memory for some tokens.
+    def take(self, known, holding, between_tokens_s, begins_s):
+        """Hold a place and memory.
 
+        :param holding: the Holding.
+        :param begins_s: monotonic seconds at which decoding begins.
         :returns: the DecodeHold to be released.
         """
-        pieces = pieces_of(tokens)
+        pieces = known.pieces_of(holding.prompt_tokens + holding.output_tokens)
+        isolation = holding.isolation
         self.large_pieces = max(pieces, self.large_pieces * LARGE_DECAY)
         hold = DecodeHold(
             known.server.id,
@@ -188,6 +234,13 @@
             pieces,
             between_tokens_s,
             isolation,
+            holding.hold,
+        )
+        known.runs[holding.hold] = growing.Run(
+            holding.prompt_tokens,
+            begins_s,
+            holding.expected_tokens or holding.output_tokens,
+            holding.output_tokens,
         )
         known.held += 1
         known.pieces += pieces
@@ -209,6 +262,7 @@
         if known is None or known.server.incarnation != hold.incarnation:
             return
         known.held -= 1
+        known.runs.pop(hold.hold, None)
         known.pieces -= hold.pieces
         known.isolate(hold.isolation, -1)
         known.targets_s[hold.between_tokens_s] -= 1
@@ -220,6 +274,12 @@
         elif known.held == 0:
             del self.by_id[hold.server]
 
+    def measured(self, server_id, token_s):
+        """Take in the time between the tokens of a request."""
+        known = self.by_id.get(server_id)
+        if known is not None and known.token_s > 0:
+            known.token_s += (token_s - known.token_s) * MEASURED_SHARE
+
     def _ahead(self, known, lead_s):
         ends = known.held * lead_s / max(self.hold_s, 0.001)
         found = 0
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -40,6 +40,8 @@
     :param prefix: digests of the start of the prompt, shortest first.
     :param excluded: servers that must not be chosen.
     :param isolation: which requests may share its decode server.
+    :param expected_tokens: output to expect, 0 where nobody says.
+    :param late_counts: whether an answer after the target is of use.
     """
 
     call: int
@@ -56,13 +58,21 @@
     prefix: tuple[int, ...] = ()
     excluded: tuple[ids.ServerId, ...] = ()
     isolation: Isolation = Isolation.NONE
+    expected_tokens: int = 0
+    late_counts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceReleased:
-    """A request holds nothing any more, or no longer wants to."""
+    """A request holds nothing any more, or no longer wants to.
+
+    :param prefill_s: seconds that its prefill took, 0 where none ended.
+    :param token_s: seconds between its tokens, 0 where it made too few.
+    """
 
     hold: HoldId
+    prefill_s: float = 0.0
+    token_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +126,7 @@
     prompt_tokens: int
     output_tokens: int
     isolation: Isolation = Isolation.NONE
+    expected_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -1,23 +1,37 @@
 """A queue shared fairly by client accounts, in tokens."""
 
 import dataclasses
+import enum
 import heapq
+import math
 
 from bulrushrudder.placement import events
 
 
+class Standing(enum.IntEnum):
+    """The classes of questions, in the order in which they are served."""
+
+    INTERACTIVE = 0
+    DEFERRED = 1
+    LATE = 2
+
+
 @dataclasses.dataclass(slots=True)
 class Waiting:
     """A question in the queue.
 
     :param asked_s: monotonic seconds at which it came.
     :param deadline_s: monotonic seconds until which it can wait.
+    :param grant_by_s: monotonic seconds until which a grant still keeps
+        the target, where a late answer counts too.
     """
 
     asked: events.PlaceAsked
     asked_s: float
     deadline_s: float
     number: int
+    grant_by_s: float = math.inf
+    standing: Standing = Standing.DEFERRED
     live: bool = True
 
     def __lt__(self, other):
@@ -103,15 +117,17 @@
 class FairQueue:
     """Questions that wait for servers.
 
-    Interactive ones go before deferred ones; within a class accounts
+    Interactive ones go before deferred ones, and those that can no
+    longer keep their target go last; within a class accounts
     share by weight, in tokens of prompt and output bound; within an
     account the earliest deadline is first.
     """
 
     def __init__(self):
-        self._classes_by_interactive = {True: _Class(), False: _Class()}
+        self._classes = {standing: _Class() for standing in Standing}
         self._waiting_by_hold = {}
         self._deadlines = []
+        self._targets = []
         self._last_number = 0
 
     def __len__(self):
@@ -122,14 +138,44 @@
         """Return whether a question waits."""
         return hold in self._waiting_by_hold
 
-    def add(self, asked, now_s):
-        """Queue a question until its patience or its target ends."""
+    def add(self, asked, now_s, lead_s=0.0):
+        """Queue a question until its patience or its target ends.
+
+        :param lead_s: seconds from a grant to the first token.
+        """
         self._last_number += 1
-        wait_s = min(asked.patience_s, asked.first_token_s)
-        waiting = Waiting(asked, now_s, now_s + wait_s, self._last_number)
+        wait_s = asked.patience_s
+        if not asked.late_counts:
+            wait_s = min(wait_s, asked.first_token_s)
+        standing = Standing.DEFERRED
+        if asked.interactive:
+            standing = Standing.INTERACTIVE
+        waiting = Waiting(
+            asked,
+            now_s,
+            now_s + wait_s,
+            self._last_number,
+            now_s + asked.first_token_s - lead_s,
+            standing,
+        )
         self._waiting_by_hold[asked.hold] = waiting
-        self._classes_by_interactive[asked.interactive].add(waiting)
+        self._classes[standing].add(waiting)
         heapq.heappush(self._deadlines, waiting)
+        if asked.late_counts:
+            target = waiting.grant_by_s, waiting.number, waiting
+            heapq.heappush(self._targets, target)
+
+    def demote(self, now_s):
+        """Put questions last that can no longer keep their target."""
+        while self._targets and self._targets[0][0] < now_s:
+            _, _, waiting = heapq.heappop(self._targets)
+            if not waiting.live:
+                continue
+            late = dataclasses.replace(waiting, standing=Standing.LATE)
+            waiting.live = False
+            self._waiting_by_hold[late.asked.hold] = late
+            self._classes[Standing.LATE].add(late)
+            heapq.heappush(self._deadlines, late)
 
     def remove(self, hold):
         """Take a question out.
@@ -146,7 +192,7 @@
         asked = waiting.asked
         self.remove(asked.hold)
         tokens = asked.prompt_tokens + asked.output_tokens
-        self._classes_by_interactive[asked.interactive].charge(asked, tokens)
+        self._classes[waiting.standing].charge(asked, tokens)
 
     def expired(self, now_s):
         """Take out and return the questions whose time is over."""
@@ -158,9 +204,9 @@
                 found.append(waiting)
         return found
 
-    def heads(self, interactive, most):
+    def heads(self, standing, most):
         """Return those of a class to be served next, an account each."""
-        return self._classes_by_interactive[interactive].heads(most)
+        return self._classes[standing].heads(most)
 
     def calls(self):
         """Return the calls of all that wait."""
--- a/bulrushrudder/placement/own_holds.py
+++ b/bulrushrudder/placement/own_holds.py
@@ -20,6 +20,7 @@
     prompt_tokens: int
     output_tokens: int
     isolation: events.Isolation
+    expected_tokens: int
     holding: events.Holding | None = None
 
 
@@ -61,6 +62,7 @@
             question.prompt_tokens,
             question.output_tokens,
             events.Isolation(question.isolation),
+            question.expected_tokens,
         )
         self._numbers_by_request[question.request].append(number)
         self._numbers_by_model[question.model].add(number)
@@ -82,6 +84,7 @@
             found.prompt_tokens,
             found.output_tokens,
             found.isolation,
+            found.expected_tokens,
         )
         self._by_number[number] = dataclasses.replace(found, holding=holding)
         return True
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -8,6 +8,13 @@
 
 START_TOKENS_PER_S = 10000.0
 CANDIDATES_A_ZONE = 2
+# Weight of one more prefill in the rate of its server; about ten of them
+# decide, which a server in use does in a second or two.
+MEASURED_SHARE = 0.1
+LEAST_READ_S = 0.005
+# A grant's way to its asker, the calls to two servers, the transfer and
+# the first event take about this long beside the reading of the prompt.
+FIRST_TOKEN_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,6 +26,7 @@
     :param reported: whether its rate is known.
     :param alone_until_s: monotonic seconds until which a suspect may run
         there, so that nothing else starts.
+    :param base_s: seconds of a prefill whatever its prompt.
     """
 
     server: servers.BackendServer
@@ -29,6 +37,7 @@
     present: bool = True
     reported: bool = False
     alone_until_s: float = 0.0
+    base_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +68,11 @@
             known.server = server
             return
         self.leave(server.id)
-        self.by_id[server.id] = PrefillServer(server)
+        pace = server.pace
+        rate = pace.prefill_tokens_per_s or START_TOKENS_PER_S
+        self.by_id[server.id] = PrefillServer(
+            server, rate, base_s=pace.prefill_base_s
+        )
         self.prefixes.join(server.id, server.incarnation)
         self._index(server.zone).set(server.id, 0.0)
 
@@ -82,6 +95,14 @@
             known.tokens_per_s = event.tokens_per_s
             known.reported = True
 
+    def measured(self, server_id, tokens, prefill_s):
+        """Take in how long a prefill took."""
+        known = self.by_id.get(server_id)
+        if known is None or not known.server.pace.prefill_tokens_per_s:
+            return
+        rate = tokens / max(LEAST_READ_S, prefill_s - known.base_s)
+        known.tokens_per_s += (rate - known.tokens_per_s) * MEASURED_SHARE
+
     def plans(self, asked, now_s):
         """Return the prefills to choose from, without a scan."""
         ids = {
@@ -95,6 +116,13 @@
             for server_id in sorted(ids.difference(asked.excluded))
         ]
 
+    def lead_s(self, asked):
+        """Return seconds from a grant to the first token to expect."""
+        rates = [known.tokens_per_s for known in self.by_id.values()]
+        if not rates:
+            return 0.0
+        return FIRST_TOKEN_S + asked.prompt_tokens / max(rates)
+
     def take(self, plan, prefix):
         """Book a plan."""
         plan.chosen.free_s = plan.end_s
@@ -106,9 +134,8 @@
         cached = self.prefixes.cached(known.server.id, asked.prefix)
         tokens = max(1.0, asked.prompt_tokens - cached)
         start_s = max(now_s, known.free_s, known.alone_until_s)
-        return PrefillPlan(
-            known, start_s, start_s + tokens / known.tokens_per_s
-        )
+        work_s = known.base_s + tokens / known.tokens_per_s
+        return PrefillPlan(known, start_s, start_s + work_s)
 
     def _index(self, zone):
         found = self._index_by_zone.get(zone)
--- a/bulrushrudder/placement/service_choice.py
+++ b/bulrushrudder/placement/service_choice.py
@@ -66,9 +66,10 @@
             known.present = True
             self._enter(server.id, 0.0)
 
-    def choose(self, now_s):
+    def choose(self, now_s, tried=()):
         """Choose a server for a call.
 
+        :param tried: ids of servers that had the call before.
         :returns: its id, or None where there is none.
         """
         for server_id in self._on_trial:
@@ -76,9 +77,10 @@
         candidates = [
             server_id
             for index in self._indexes_by_zone.values()
-            for server_id in index.least(CANDIDATES_A_ZONE)
+            for server_id in index.least(CANDIDATES_A_ZONE + len(tried))
+            if server_id not in tried
         ]
-        if not candidates:
+        if not candidates and not tried:
             candidates = self._first_to_return()
         return min(candidates, key=self._cost, default=None)
 
--- /dev/null
+++ b/bulrushrudder/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the product and the platform it runs on."""
--- /dev/null
+++ b/bulrushrudder/platform/answers.py
@@ -0,0 +1,130 @@
+"""Answers to the platform's clients.
+
+A status of 429 or 503 promises that the call has not run and never
+will; 502 and 504 promise nothing.
+"""
+
+import asyncio
+
+from aiohttp import web
+
+from bulrushrudder.core import outcomes
+from bulrushrudder.lifecycle import actions
+from bulrushrudder.platform import headers
+from bulrushrudder.utils import sockets
+
+# Clients give a stream up well before.
+CLIENT_STALL_S = 20.0
+MAX_UNSENT_BYTES = 32 * 1024
+RETRY_AFTER_S = 0.5
+_NEVER_ALLOWED = {
+    outcomes.Reason.MALFORMED_REQUEST: 400,
+    outcomes.Reason.BODY_TOO_LARGE: 413,
+    outcomes.Reason.ROUTE_UNKNOWN: 404,
+    outcomes.Reason.KEY_MISSING: 401,
+    outcomes.Reason.KEY_UNKNOWN: 401,
+    outcomes.Reason.ROUTE_FORBIDDEN: 403,
+}
+_OVER_GRANT = frozenset(
+    {
+        outcomes.Reason.OVER_RATE,
+        outcomes.Reason.INSIDE_RATE,
+        outcomes.Reason.COST_ABOVE_BURST,
+    }
+)
+_TIMED_OUT = frozenset(
+    {outcomes.Reason.BACKEND_SILENT, outcomes.Reason.DEADLINE_PASSED}
+)
+
+
+def refuse(refusal, attempt):
+    """Return the response of a refusal.
+
+    :param attempt: the client's id of the call, or None.
+    """
+    status = _status(refusal)
+    found = {headers.ATTEMPT: attempt} if attempt else {}
+    if status in (429, 503):
+        wait_s = refusal.retry_after_s or RETRY_AFTER_S
+        found['Retry-After'] = f'{wait_s:.2f}'
+    return web.json_response(
+        {'reason': refusal.reason.name, 'detail': refusal.detail},
+        status=status,
+        headers=found,
+    )
+
+
+def whole(answer):
+    """Return the response of a runner's whole answer.
+
+    :param answer: an Answer; its headers alternate names and values.
+    """
+    pairs = zip(answer.headers[::2], answer.headers[1::2], strict=True)
+    found = headers.returned(tuple(pairs))
+    return web.Response(status=answer.status, body=answer.body, headers=found)
+
+
+def _status(refusal):
+    if refusal.reason in _NEVER_ALLOWED:
+        return _NEVER_ALLOWED[refusal.reason]
+    if refusal.execution is outcomes.Execution.NOT_RUN:
+        return 429 if refusal.reason in _OVER_GRANT else 503
+    return 504 if refusal.reason in _TIMED_OUT else 502
+
+
+class RelayedAnswer:
+    """Passes a runner's stream on as it comes.
+
+    :param http_request: the aiohttp request.
+    :param attempt: the client's id of the call.
+    :ivar on_gone: called when the client no longer takes the answer.
+    """
+
+    def __init__(self, http_request, attempt):
+        self._http_request = http_request
+        self._attempt = attempt
+        self.on_gone = None
+        self.response = None
+        self.refusal = None
+
+    async def begin(self, head):
+        """Send the status and headers of the first runner.
+
+        :param head: its Head.
+        """
+        found = headers.returned(head.headers)
+        self.response = web.StreamResponse(status=head.status, headers=found)
+        transport = self._http_request.transport
+        if transport is not None:
+            sockets.bound_unsent(transport, MAX_UNSENT_BYTES)
+        await self._guard(self.response.prepare(self._http_request))
+
+    async def relay(self, relayed):
+        """Take Relay actions."""
+        data = b''.join([action.text for action in relayed])
+        await self._guard(self.response.write(data))
+
+    async def end(self, action):
+        """Take a Complete or Refuse."""
+        match action:
+            case actions.Complete():
+                await self._guard(self.response.write_eof())
+            case actions.Refuse(refusal=refusal):
+                self._refuse(refusal)
+
+    def _refuse(self, refusal):
+        self.refusal = refusal
+        if self.response is None:
+            self.response = refuse(refusal, self._attempt)
+            return
+        # A stream that ends early must not look whole.
+        transport = self._http_request.transport
+        if transport is not None:
+            transport.abort()
+
+    async def _guard(self, sending):
+        try:
+            async with asyncio.timeout(CLIENT_STALL_S):
+                await sending
+        except (ConnectionError, TimeoutError):
+            self.on_gone()
--- /dev/null
+++ b/bulrushrudder/platform/configuration.py
@@ -0,0 +1,276 @@
+"""Reads the platform's configuration into a Document."""
+
+import hashlib
+
+import pydantic
+from returns import result
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import keys
+from bulrushrudder.documents import lookups
+from bulrushrudder.documents import types
+from bulrushrudder.utils import web
+
+MS_A_SECOND = 1000.0
+BITS_A_BYTE = 8
+BITS_A_MEGABIT = 1e6
+# The platform's runners give memory out by blocks of this many tokens.
+BLOCK_TOKENS = 16
+# Larger than any grant, for accounts that the platform does not limit.
+UNLIMITED_TOKENS = 1_000_000_000
+# A call may wait this long for its tokens before it is refused; the
+# shortest target on the platform's sheets is 100 ms.
+TOKENS_PATIENCE_S = 0.25
+DEFAULT_RANK = 5
+DEFAULT_ATTEMPTS = 1
+DEFAULT_BETWEEN_EVENTS_MS = 300
+
+_REPETITION_BY_KIND = {
+    'idempotent': types.Repetition.WHOLE,
+    'non_idempotent': types.Repetition.NOTHING,
+    'streaming': types.Repetition.NOTHING,
+}
+
+
+class _Part(pydantic.BaseModel):
+    """A part of the configuration; fields that are new are left out."""
+
+    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
+
+
+class ShareModel(_Part):
+    """A service's part of a route."""
+
+    service: str
+    weight: float = pydantic.Field(ge=0)
+
+
+class RouteModel(_Part):
+    """A route.
+
+    ``split`` goes before ``service``. ``target_itl_ms`` is the longest
+    pause between events, not between tokens.
+    """
+
+    name: str
+    host: str
+    path_prefix: str = pydantic.Field(min_length=1)
+    route_type: str
+    timeout_ms: float = pydantic.Field(gt=0)
+    target_latency_ms: float | None = None
+    priority: int = DEFAULT_RANK
+    service: str | None = None
+    split: list[ShareModel] | None = None
+    max_attempts: int = pydantic.Field(default=DEFAULT_ATTEMPTS, ge=1)
+    public: bool = False
+    resumable: bool = False
+    target_itl_ms: float | None = None
+
+    @pydantic.field_validator('route_type')
+    @classmethod
+    def _check_kind(cls, kind):
+        if kind not in _REPETITION_BY_KIND:
+            raise ValueError('an unknown kind of route')
+        return kind
+
+    def shares(self):
+        """Return the Shares with a part of the calls."""
+        if self.split is None:
+            return (types.Share(ids.ServiceId(self.service or ''), 1.0),)
+        return tuple(
+            types.Share(ids.ServiceId(part.service), part.weight)
+            for part in self.split
+        )
+
+    def build(self):
+        """Return the data class."""
+        repetition = _REPETITION_BY_KIND[self.route_type]
+        streamed = self.route_type == 'streaming'
+        if streamed and self.resumable:
+            repetition = types.Repetition.REST
+        target = types.SplitTarget(
+            shares=self.shares(),
+            timeout_s=self.timeout_ms / MS_A_SECOND,
+            answer_s=(self.target_latency_ms or self.timeout_ms) / MS_A_SECOND,
+            between_events_s=(self.target_itl_ms or DEFAULT_BETWEEN_EVENTS_MS)
+            / MS_A_SECOND,
+            attempts=self.max_attempts,
+            rank=self.priority,
+            streamed=streamed,
+            repetition=repetition,
+        )
+        return types.Route(
+            id=ids.RouteId(self.name),
+            method='',
+            path=self.path_prefix,
+            target=target,
+            urgency=types.Urgency.DEFERRED
+            if streamed
+            else types.Urgency.INTERACTIVE,
+            accounts=(),
+            open=self.public,
+            repeatable=repetition is not types.Repetition.NOTHING,
+            patience_s=TOKENS_PATIENCE_S,
+            host=self.host.lower(),
+            prefix=True,
+        )
+
+
+class EngineModel(_Part):
+    """What the runners of a service of engines hold.
+
+    ``kv_bytes`` is for each token, and ``kv_capacity`` in tokens;
+    ``stride`` is how many tokens an event of a stream holds.
+    """
+
+    slots: int = pydantic.Field(ge=1)
+    kv_capacity: int = pydantic.Field(ge=0)
+    kv_bytes: float = pydantic.Field(gt=0)
+    link_mbps: float = pydantic.Field(gt=0)
+    stride: int = pydantic.Field(default=1, ge=1)
+    kv_retention_s: float = 0.5
+    switch_s: float = 6.0
+
+    def build(self):
+        """Return the data class."""
+        bytes_a_s = self.link_mbps * BITS_A_MEGABIT / BITS_A_BYTE
+        return types.EngineTerms(
+            places=self.slots,
+            memory_tokens=self.kv_capacity,
+            piece_tokens=BLOCK_TOKENS,
+            link_tokens_per_s=bytes_a_s / self.kv_bytes,
+            event_tokens=self.stride,
+            result_s=self.kv_retention_s,
+            change_s=self.switch_s,
+        )
+
+
+class ServiceModel(_Part):
+    """A service."""
+
+    name: str
+    max_connections: int = pydantic.Field(default=100, ge=1)
+    engine: EngineModel | None = None
+
+    def build(self):
+        """Return the data class."""
+        return types.Service(
+            id=ids.ServiceId(self.name),
+            max_connections=self.max_connections,
+            engine=self.engine.build() if self.engine else None,
+        )
+
+
+class BoundsModel(_Part):
+    """What callers may send; the idle time-out is in ``limits`` too."""
+
+    max_header_bytes: int = pydantic.Field(gt=0)
+    max_body_bytes: int = pydantic.Field(gt=0)
+    header_timeout_ms: float = pydantic.Field(gt=0)
+    idle_timeout_ms: float = pydantic.Field(gt=0)
+
+    def build(self):
+        """Return the data class."""
+        return types.CallerBounds(
+            max_header_bytes=self.max_header_bytes,
+            max_body_bytes=self.max_body_bytes,
+            header_s=self.header_timeout_ms / MS_A_SECOND,
+            idle_s=self.idle_timeout_ms / MS_A_SECOND,
+        )
+
+
+class TenantModel(_Part):
+    """A client account.
+
+    ``uncached_tokens`` is what a request costs that names no tokens;
+    where ``unit`` is not tokens, each request costs one.
+    """
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str | None = None
+    uncached_tokens: int = pydantic.Field(default=0, ge=0)
+    rate_per_s: float = pydantic.Field(default=0, ge=0)
+    burst: float = pydantic.Field(default=0, ge=0)
+
+    def build(self):
+        """Return the data class."""
+        limited = self.rate_per_s > 0 or self.burst > 0
+        by_tokens = self.unit == 'tokens'
+        return types.ClientAccount(
+            id=ids.AccountId(self.name),
+            rate=self.rate_per_s if limited else float(UNLIMITED_TOKENS),
+            burst=int(self.burst) if limited else UNLIMITED_TOKENS,
+            weight=1.0,
+            key_digests=tuple(keys.digest(key) for key in self.api_keys),
+            rank=self.priority,
+            call_tokens=self.uncached_tokens if by_tokens else 1,
+            by_tokens=by_tokens,
+        )
+
+
+class ConfigurationModel(_Part):
+    """The whole configuration."""
+
+    version: int = pydantic.Field(ge=1)
+    routes: list[RouteModel]
+    services: list[ServiceModel]
+    limits: BoundsModel | None = None
+    tenants: list[TenantModel] = []
+
+    @pydantic.model_validator(mode='after')
+    def _check_together(self):
+        services = [service.name for service in self.services]
+        _check_once('service', services)
+        _check_once('route', [(r.host, r.path_prefix) for r in self.routes])
+        _check_once('tenant', [tenant.name for tenant in self.tenants])
+        keys_of_all = [k for t in self.tenants for k in set(t.api_keys)]
+        _check_once('key', keys_of_all)
+        for route in self.routes:
+            _check_shares(route, services)
+        return self
+
+    def build(self):
+        """Return the data class."""
+        return types.Document(
+            version=self.version,
+            accounts=tuple(tenant.build() for tenant in self.tenants),
+            models=(),
+            routes=tuple(route.build() for route in self.routes),
+            register=lookups.EMPTY.register,
+            cut_on_withdrawal=False,
+            services=tuple(service.build() for service in self.services),
+            bounds=self.limits.build() if self.limits else None,
+        )
+
+
+def _check_once(kind, names):
+    if len(set(names)) != len(names):
+        raise ValueError(f'a {kind} stands twice')
+
+
+def _check_shares(route, services):
+    shares = route.shares()
+    if any(share.service not in services for share in shares):
+        raise ValueError(f'the route {route.name} names an unknown service')
+    if sum(share.weight for share in shares) <= 0:
+        raise ValueError(f'the weights of the route {route.name} add up to 0')
+
+
+def read(source):
+    """Check a configuration and turn it into data classes.
+
+    :param source: the bytes that the operator sent.
+    :returns: the Document, or a text that says what is wrong.
+    """
+    try:
+        model = ConfigurationModel.model_validate_json(source)
+    except pydantic.ValidationError as error:
+        return result.Failure(web.first_error(error))
+    return result.Success(model.build())
+
+
+def digest(source):
+    """Return the digest of a configuration's bytes."""
+    return 'sha256:' + hashlib.sha256(source).hexdigest()
--- /dev/null
+++ b/bulrushrudder/platform/entry_door.py
@@ -0,0 +1,305 @@
+"""What clients and the balancer call on an entry process."""
+
+import asyncio
+import hashlib
+import random
+
+from aiohttp import web
+from returns import result
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import outcomes
+from bulrushrudder.documents import types
+from bulrushrudder.engines import connections
+from bulrushrudder.engines import services
+from bulrushrudder.entry import admission
+from bulrushrudder.entry import model_calls
+from bulrushrudder.entry import refusals
+from bulrushrudder.entry import service_calls
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.idempotency import events
+from bulrushrudder.lifecycle import job as jobs
+from bulrushrudder.lifecycle import suspicion
+from bulrushrudder.platform import answers
+from bulrushrudder.platform import calls
+from bulrushrudder.platform import engines
+from bulrushrudder.platform import headers
+from bulrushrudder.platform import services as plain
+from bulrushrudder.utils import authentication
+from bulrushrudder.utils import web as web_utils
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+# A first try of a repeatable call is left for another server after this
+# many times its target, which a sound server keeps but for the tail.
+SILENT_TARGETS = 3.0
+ANSWERS_S = 60.0
+# Clients leave a stream without an event after the longest of a fixed
+# time, so many targets, and so many pauses that they take.
+STAY_S = 2.0
+STAY_TARGETS = 4.0
+STAY_PAUSES = 8.0
+# From a grant to the first event, for a long prompt.
+FIRST_EVENT_S = 0.5
+_FINGERPRINT_BYTES = 16
+
+
+class Interface:
+    """What the platform's clients and runners speak."""
+
+    async def clients(self, stack):
+        """Return the EngineClient and the ServiceClient."""
+        kept = connections.Connections()
+        stack.callback(kept.close)
+        return engines.EngineClient(kept), plain.ServiceClient(kept)
+
+    async def listen(self, stack, settings, entry):
+        """Listen for clients and for the balancer.
+
+        :param entry: the Entry.
+        """
+        door = EntryDoor(entry.services)
+        await web_utils.listen(
+            stack,
+            door.application(),
+            settings.entry.callers,
+            cancel_handlers=True,
+            finish_s=ANSWERS_S,
+        )
+        await web_utils.listen(stack, door.readiness(), settings.entry.ready)
+
+
+class EntryDoor:
+    """Handlers of the calls of clients.
+
+    :param shared: the Services of this process.
+    """
+
+    def __init__(self, shared):
+        self._services = shared
+        self._model_calls = model_calls.ModelCalls(shared)
+        self._service_calls = service_calls.ServiceCalls(shared)
+
+    def application(self):
+        """Return the aiohttp application for clients."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_route('*', '/{path:.*}', self._call)
+        return app
+
+    def readiness(self):
+        """Return the aiohttp application for the balancer."""
+        app = web.Application()
+        app.router.add_get('/bulrushrudder/readyz', self._ready)
+        return app
+
+    async def _ready(self, http_request):
+        shared = self._services
+        stopping = shared.leaving or shared.draining
+        known = shared.view.lookups.document.version > 0
+        ready = known and not stopping
+        return web.json_response(
+            {'ready': ready}, status=200 if ready else 503
+        )
+
+    async def _call(self, http_request):
+        self._services.calls += 1
+        try:
+            return await self._serve(http_request)
+        except Exception as error:
+            log.emit(catalogue.UNEXPECTED, detail=repr(error))
+            if http_request.writer.output_size > 0:
+                raise ConnectionError('the answer was cut') from error
+            refusal = outcomes.Refusal(
+                outcomes.Reason.INTERNAL_ERROR,
+                outcomes.Execution.UNKNOWN,
+                'an internal error, which is in the log',
+            )
+            return answers.refuse(refusal, None)
+        finally:
+            self._services.calls -= 1
+
+    async def _serve(self, http_request):
+        received_s = _now_s()
+        pairs = _pairs(http_request)
+        match headers.read(pairs):
+            case result.Failure(refusal):
+                return self._refuse(refusal, None, 'none')
+            case result.Success(asked):
+                pass
+        match self._admit(http_request):
+            case result.Failure(refusal):
+                return self._refuse(refusal, asked.attempt, 'none')
+        body = await http_request.read()
+        # The key may have been withdrawn while the body came in.
+        match self._admit(http_request):
+            case result.Failure(refusal):
+                return self._refuse(refusal, asked.attempt, 'none')
+            case result.Success(admitted):
+                pass
+        passed = _passed(http_request, pairs, asked, admitted, body)
+        passed = _until(passed, received_s, asked, admitted)
+        service_id = _share_of(admitted.route.target)
+        service = self._services.view.lookups.services_by_id[service_id]
+        if service.engine is None:
+            return await self._pass_on(passed, asked, admitted, service_id)
+        return await self._generate(
+            http_request, passed, asked, admitted, service
+        )
+
+    def _admit(self, http_request):
+        path, _, _ = http_request.raw_path.partition('?')
+        host = http_request.headers.get('Host', '').lower()
+        return admission.admit(
+            self._services.view,
+            _now_s(),
+            self._services.draining,
+            http_request.method,
+            path,
+            authentication.bearer(http_request),
+            host.partition(':')[0],
+        )
+
+    # Calls to plain services.
+
+    async def _pass_on(self, passed, asked, admitted, service_id):
+        target = admitted.route.target
+        repeatable = target.repetition is not types.Repetition.NOTHING
+        left_s = passed.deadline_s - _now_s()
+        if repeatable:
+            left_s = min(left_s, target.answer_s * SILENT_TARGETS)
+        call = services.Call(
+            passed.method,
+            passed.target,
+            passed.headers,
+            passed.body,
+            left_s,
+            repeatable=repeatable,
+            attempts=target.attempts,
+            deadline_s=passed.deadline_s,
+            content=passed,
+        )
+        sent = await self._service_calls.send(admitted, service_id, call)
+        match sent:
+            case events.Failed(refusal=refusal):
+                return self._refuse(refusal, asked.attempt, admitted.route.id)
+            case events.Answered(answer=answer):
+                self._services.metrics.count_answer(admitted.route.id)
+                return answers.whole(answer)
+        raise AssertionError('unreachable')
+
+    # Calls to engines.
+
+    async def _generate(self, http_request, passed, asked, admitted, service):
+        fingerprint = _fingerprint(passed, admitted)
+        isolation = self._model_calls.isolation(fingerprint)
+        if isolation is None:
+            return self._refuse(
+                suspicion.QUARANTINED, asked.attempt, admitted.route.id
+            )
+        job = self._job(passed, asked, admitted, service)
+        job = jobs.marked(job, fingerprint, isolation)
+        sink = answers.RelayedAnswer(http_request, asked.attempt)
+        await self._model_calls.run(job, admitted, asked.attempt, sink)
+        return sink.response
+
+    def _job(self, passed, asked, admitted, service):
+        target = admitted.route.target
+        account = admitted.account
+        cost = asked.prompt_tokens + asked.output_tokens
+        if account and not (account.by_tokens and asked.names_tokens):
+            cost = account.call_tokens
+        return jobs.Job(
+            request=ids.RequestId(str(self._services.next_request())),
+            owner=self._services.owner,
+            account=account.id if account else None,
+            model=ids.ModelId(service.id),
+            prompt='',
+            prompt_tokens=asked.prompt_tokens,
+            output_tokens=asked.output_tokens,
+            cost=cost,
+            interactive=False,
+            patience_s=_patience_s(target, passed.deadline_s - _now_s()),
+            repeatable=target.repetition is not types.Repetition.NOTHING,
+            deadline_s=passed.deadline_s,
+            jitter=random.random(),
+            content=passed,
+            attempts=target.attempts,
+            prefill_runs=False,
+            charge_stays=True,
+            expected_tokens=asked.expected_tokens,
+            event_tokens=service.engine.event_tokens,
+            late_counts=True,
+        )
+
+    def _refuse(self, refusal, attempt, route):
+        refusals.note(
+            self._services.metrics, refusal, attempt or 'none', route
+        )
+        return answers.refuse(refusal, attempt)
+
+
+def _pairs(http_request):
+    return tuple(
+        (
+            name.decode('utf-8', 'surrogateescape'),
+            value.decode('utf-8', 'surrogateescape'),
+        )
+        for name, value in http_request.raw_headers
+    )
+
+
+def _passed(http_request, pairs, asked, admitted, body):
+    kept = headers.forwarded(pairs)
+    if admitted.account is not None:
+        kept = (*kept, (headers.ACCOUNT, admitted.account.id))
+    return calls.Passed(
+        http_request.method,
+        http_request.raw_path,
+        kept,
+        body,
+        asked.attempt,
+        0.0,
+    )
+
+
+def _until(passed, received_s, asked, admitted):
+    """Return the call with its deadline."""
+    wait_s = admitted.route.target.timeout_s
+    if asked.wait_s is not None:
+        wait_s = min(wait_s, asked.wait_s)
+    return calls.until(passed, received_s + wait_s)
+
+
+def _patience_s(target, left_s):
+    """Return the seconds that a stream may wait for servers.
+
+    Clients leave a stream whose first event does not come in time.
+    """
+    stay_s = max(
+        STAY_S,
+        STAY_TARGETS * target.answer_s,
+        STAY_PAUSES * target.between_events_s,
+    )
+    return max(0.0, min(left_s, stay_s - FIRST_EVENT_S))
+
+
+def _share_of(target):
+    """Draw the service that gets a call, by the shares' weights."""
+    if len(target.shares) == 1:
+        return target.shares[0].service
+    weights = [share.weight for share in target.shares]
+    return random.choices(target.shares, weights)[0].service
+
+
+def _fingerprint(passed, admitted):
+    """Return what every resend of a call shares."""
+    found = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    account = admitted.account.id if admitted.account else ''
+    for part in (passed.target.encode(), account.encode(), passed.body):
+        found.update(len(part).to_bytes(8, 'big'))
+        found.update(part)
+    return found.hexdigest()
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/bulrushrudder/platform/headers.py
@@ -0,0 +1,198 @@
+"""Headers of the platform's calls, decoded once.
+
+``Attempt-Id`` names one try of a client; each try has another. It is
+the id under which logs show a request.
+"""
+
+import dataclasses
+import re
+
+from returns import result
+
+from bulrushrudder.core import outcomes
+
+ATTEMPT = 'Attempt-Id'
+DEADLINE = 'Deadline-Ms'
+EXPECTED_RUN = 'Expect-Instance'
+ACCOUNT = 'Tenant'
+STAGE = 'Stage'
+CACHE_SOURCE = 'Kv-Source'
+NOT_RUN = 'not-executed'
+LAST_EVENT = 'Last-Event-Id'
+URGENCY = 'Request-Urgency'
+_MODEL = 'model'
+_USAGE = 'token-usage'
+_PREFIX = 'prompt-prefix'
+_GUESS = 'length-hint'
+
+_MAX_PREFIX_PARTS = 256
+_MS_A_SECOND = 1000.0
+_TOKEN = re.compile(r'[0-9]{1,9}')
+
+# Headers of one connection, and those that only the system sets.
+_NOT_FORWARDED = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'content-length',
+        'authorization',
+        'deadline-ms',
+        'expect-instance',
+        'expect-version',
+        'tenant',
+        'stage',
+        'kv-source',
+        'kv-hold',
+        'kv-backup',
+        'kv-fetch',
+        'pin-ms',
+        'request-urgency',
+    }
+)
+_NOT_RETURNED = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """What a client's headers say.
+
+    :param attempt: the id of this try.
+    :param wait_s: seconds that the client waits; None where it does not
+        say.
+    :param model: the model's name, empty for a call of a plain service.
+    :param prompt_tokens: tokens of the prompt.
+    :param output_tokens: the bound on tokens of the answer.
+    :param expected_tokens: the client's guess at the tokens of the
+        answer, 0 where it makes none.
+    :param names_tokens: whether the client named tokens at all.
+    :param parts: ids of the parts of the prompt, in order.
+    :param last_event: the id of the last event that the client has, or
+        None.
+    """
+
+    attempt: str
+    wait_s: float | None
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    expected_tokens: int
+    names_tokens: bool
+    parts: tuple[str, ...]
+    last_event: str | None
+
+
+def read(headers):
+    """Read a client's headers.
+
+    :param headers: pairs of name and value.
+    :returns: the Asked, or a Refusal.
+    """
+    by_name = {}
+    for name, value in headers:
+        by_name.setdefault(name.lower(), value.strip())
+    attempt = by_name.get(ATTEMPT.lower(), '')
+    if not attempt:
+        return _malformed(f'{ATTEMPT} is missing')
+    wait = by_name.get(DEADLINE.lower())
+    if wait is not None and not _TOKEN.fullmatch(wait.partition('.')[0]):
+        return _malformed(f'{DEADLINE} is no number')
+    usage = by_name.get(_USAGE)
+    tokens = _tokens(usage)
+    if tokens is None:
+        return _malformed('Token-Usage is not two numbers')
+    return result.Success(
+        Asked(
+            attempt=attempt,
+            wait_s=None if wait is None else float(wait) / _MS_A_SECOND,
+            model=by_name.get(_MODEL, ''),
+            prompt_tokens=tokens[0],
+            output_tokens=tokens[1],
+            expected_tokens=_number(by_name.get(_GUESS, '')),
+            names_tokens=usage is not None,
+            parts=_parts(by_name.get(_PREFIX, '')),
+            last_event=by_name.get(LAST_EVENT.lower()),
+        )
+    )
+
+
+def forwarded(headers):
+    """Return the headers that go on to a runner.
+
+    :param headers: pairs of name and value.
+    """
+    left_out = _NOT_FORWARDED | _named_by_connection(headers)
+    return tuple((n, v) for n, v in headers if n.lower() not in left_out)
+
+
+def returned(headers):
+    """Return the headers of a runner that go back to the client."""
+    left_out = _NOT_RETURNED | _named_by_connection(headers)
+    return [(n, v) for n, v in headers if n.lower() not in left_out]
+
+
+def call(method, target, headers, body):
+    """Return the bytes of a call to a runner."""
+    lines = [f'{method} {target} HTTP/1.1']
+    lines += [f'{name}: {value}' for name, value in headers]
+    if body or method not in ('GET', 'HEAD', 'DELETE'):
+        lines.append(f'Content-Length: {len(body)}')
+    text = '\r\n'.join(lines) + '\r\n\r\n'
+    return text.encode('utf-8', 'surrogateescape') + body
+
+
+def milliseconds(seconds):
+    """Return seconds as whole milliseconds, at least one."""
+    return str(max(1, int(seconds * _MS_A_SECOND)))
+
+
+def _named_by_connection(headers):
+    return {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == 'connection'
+        for token in value.split(',')
+    }
+
+
+def _tokens(usage):
+    if usage is None:
+        return 0, 0
+    prompt, _, output = usage.partition(',')
+    prompt, output = prompt.strip(), output.strip()
+    if not _TOKEN.fullmatch(prompt) or not _TOKEN.fullmatch(output):
+        return None
+    return int(prompt), int(output)
+
+
+def _number(text):
+    return int(text) if _TOKEN.fullmatch(text) else 0
+
+
+def _parts(text):
+    parts = text.split(',')[:_MAX_PREFIX_PARTS]
+    return tuple(part.strip() for part in parts if part.strip())
+
+
+def _malformed(detail):
+    return result.Failure(
+        outcomes.not_run(outcomes.Reason.MALFORMED_REQUEST, detail)
+    )
--- a/bulrushrudder/protocol/log_messages.py
+++ b/bulrushrudder/protocol/log_messages.py
@@ -48,6 +48,13 @@
     index: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Members:
+    """Tells an observer where the control processes listen."""
+
+    addresses: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Propose:
     """Asks the control process to commit a command."""
@@ -71,6 +78,7 @@
 
     server: bytes
     leaving: bool
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -18,6 +18,8 @@
         2 where no other request at all may.
     :param prefix: digests of the start of the prompt.
     :param number: names the hold; the Coordinators set it.
+    :param expected_tokens: output to expect, 0 where nobody says.
+    :param late_counts: whether an answer after the target is of use.
     """
 
     request: ids.RequestId
@@ -32,6 +34,8 @@
     isolation: int = 0
     prefix: tuple[int, ...] = ()
     number: int = 0
+    expected_tokens: int = 0
+    late_counts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,11 +63,15 @@
     """The request holds nothing on its servers any more.
 
     :param number: of the hold.
+    :param prefill_s: seconds that its prefill took, 0 where none ended.
+    :param token_s: seconds between its tokens, 0 where it made too few.
     """
 
     owner: ids.Owner
     model: ids.ModelId
     number: int
+    prefill_s: float = 0.0
+    token_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -41,6 +41,7 @@
         log_messages.AskConfirm: 31,
         log_messages.ConfirmedAt: 32,
         log_messages.Heard: 33,
+        log_messages.Members: 36,
         status_messages.AskStatus: 34,
         status_messages.Status: 35,
         token_messages.AskTokens: 40,
@@ -70,6 +71,7 @@
         consensus_messages.Discovered: 108,
         state_documents.SubmitDocument: 200,
         state_documents.PromoteDocument: 201,
+        state_documents.AdoptDocument: 206,
         sessions.OpenSession: 202,
         sessions.CloseSession: 203,
         servers.JoinServer: 204,
@@ -104,5 +106,6 @@
         results.Outdated: 303,
         types.ModelTarget: 400,
         types.ServiceTarget: 401,
+        types.SplitTarget: 402,
     }
 )
--- a/bulrushrudder/state/documents.py
+++ b/bulrushrudder/state/documents.py
@@ -39,6 +39,19 @@
     operator: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdoptDocument:
+    """Put a document in force unless one of its version or later is.
+
+    :param source: the bytes that the operator sent.
+    """
+
+    document: types.Document
+    source: bytes
+    digest: str
+    operator: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
     """One accepted document in an environment's history."""
@@ -68,6 +81,7 @@
     trial_history: tuple[Record, ...]
     production_history: tuple[Record, ...]
     pending: tuple[PendingVersion, ...]
+    source: bytes = b''
 
 
 class Documents:
@@ -79,6 +93,7 @@
     versions are merged into one, which ends their chance of promotion.
 
     :ivar history_by_environment: accepted versions, oldest first.
+    :ivar source: the bytes of the document that was adopted last.
     """
 
     def __init__(
@@ -91,6 +106,7 @@
         self._max_pending = max_pending
         self._max_pending_items = max_pending_items
         self._pending = []
+        self.source = b''
         self._lookups_by_environment = dict.fromkeys(
             types.Environment, lookups.EMPTY_LOOKUPS
         )
@@ -116,6 +132,8 @@
                 return self._submit(index, command)
             case PromoteDocument():
                 return self._promote(index, command)
+            case AdoptDocument():
+                return self._adopt(index, command)
         raise AssertionError(f'unknown command {command!r}')
 
     def snapshot(self):
@@ -126,12 +144,14 @@
             tuple(self.history_by_environment[environments.TRIAL]),
             tuple(self.history_by_environment[environments.PRODUCTION]),
             tuple(self._pending),
+            self.source,
         )
 
     def restore(self, snapshot):
         """Replace all that the table holds."""
         environments = types.Environment
         self._pending = list(snapshot.pending)
+        self.source = snapshot.source
         found = lookups.Lookups(snapshot.production)
         self._lookups_by_environment = {
             environments.PRODUCTION: found,
@@ -179,6 +199,19 @@
             Record(command.version, command.digest, command.operator, index),
         )
 
+    def _adopt(self, index, command):
+        environment = types.Environment.PRODUCTION
+        version = command.document.version
+        last = self.last(environment)
+        if last is not None and version <= last.version:
+            return results.Accepted(last.index, repeated=True)
+        self._lookups_by_environment[environment] = lookups.Lookups(
+            command.document
+        )
+        self.source = command.source
+        record = Record(version, command.digest, command.operator, index)
+        return self._accept(environment, [], record)
+
     def _find_pending(self, command):
         wanted = (command.version, command.digest)
         for number, pending in enumerate(self._pending):
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -86,7 +86,7 @@
             case documents.SubmitDocument():
                 outcome = self.documents.apply(index, command)
                 return self._changed(types.Environment.TRIAL, outcome)
-            case documents.PromoteDocument():
+            case documents.PromoteDocument() | documents.AdoptDocument():
                 outcome = self.documents.apply(index, command)
                 return self._changed(types.Environment.PRODUCTION, outcome)
             case sessions.OpenSession() | sessions.CloseSession():
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -5,6 +5,26 @@
 from bulrushrudder.core import ids
 from bulrushrudder.state import results
 
+PIECE_TOKENS = 4000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast a server is taken to be until requests have shown it.
+
+    :param prefill_base_s: seconds of a prefill whatever its prompt.
+    :param prefill_tokens_per_s: rate at which it reads prompts, 0 where
+        only its reports tell.
+    :param token_s: seconds between tokens, 0 where only reports tell.
+    """
+
+    prefill_base_s: float = 0.0
+    prefill_tokens_per_s: float = 0.0
+    token_s: float = 0.0
+
+
+UNKNOWN_PACE = Pace()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
@@ -16,6 +36,10 @@
     :param memory_tokens: tokens of KV cache that it can hold.
     :param link_tokens_per_s: rate of its link, in tokens of KV cache.
     :param checks_fencing: whether it refuses old fencing numbers.
+    :param piece_tokens: tokens of the pieces that its memory comes in.
+    :param memory_grows: whether a request takes memory as its tokens
+        are made, and not for its bound from the start.
+    :param run: names the run of the server where the server checks it.
     """
 
     id: ids.ServerId
@@ -29,6 +53,10 @@
     memory_tokens: int
     link_tokens_per_s: float
     checks_fencing: bool
+    piece_tokens: int = PIECE_TOKENS
+    run: str = ''
+    memory_grows: bool = False
+    pace: Pace = UNKNOWN_PACE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/tests/engines/client_tests.py
+++ b/bulrushrudder/tests/engines/client_tests.py
@@ -9,9 +9,10 @@
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.engines import client
-from bulrushrudder.engines import wire
+from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.tests.builders import fleet
+from bulrushrudder.tests.builders import jobs
 from bulrushrudder.tests.builders import raw_engines
 
 ATTEMPT = ids.AttemptId(ids.RequestId('1'), fleet.owner(), 1)
@@ -24,20 +25,16 @@
 FOREVER = functools.partial(raw_engines.pause, seconds=5)
 
 
+SOURCE = fleet.server('prefill-1', kind='prefill')
+JOB = jobs.job()
+
+
 def order():
-    return wire.DecodeOrder(
-        attempt=NAME,
-        vm='vm1',
-        incarnation=1,
-        model='drafting',
-        prompt='a prompt',
-        kv_host='127.0.0.1',
-        kv_port=1,
-        kv_handle='kv',
-        produced=[],
-        max_tokens=4,
-        priority=1,
+    """Return what a decode is asked with: action, source and job."""
+    action = actions.StartDecode(
+        ATTEMPT, fleet.server('decode-1').id, SOURCE.id, 'kv', ()
     )
+    return action, SOURCE, JOB
 
 
 async def trickle(writer):
@@ -65,7 +62,7 @@
         server = await raw_engines.RawEngine(*steps).start(self.stack)
         found = []
         async with asyncio.timeout(BOUND_S):
-            async for batch in self.client.decode(server, ATTEMPT, order()):
+            async for batch in self.client.decode(server, *order()):
                 found += batch
         return found
 
@@ -139,7 +136,7 @@
     async def test_refused_connection_was_not_sent(self):
         server = fleet.server('gone', port=1)
         found = []
-        async for batch in self.client.decode(server, ATTEMPT, order()):
+        async for batch in self.client.decode(server, *order()):
             found += batch
         self.assertFalse(found[0].sent)
 
@@ -164,7 +161,7 @@
         server = await raw_engines.RawEngine(
             raw_engines.HEAD, send, raw_engines.end(NAME, 10000)
         ).start(self.stack)
-        stream = self.client.decode(server, ATTEMPT, order())
+        stream = self.client.decode(server, *order())
         async with contextlib.aclosing(stream):
             await anext(stream)
             await asyncio.sleep(SHORT_S * 2)
--- a/bulrushrudder/tests/entry/coordinators_tests.py
+++ b/bulrushrudder/tests/entry/coordinators_tests.py
@@ -22,7 +22,7 @@
         return asyncio.create_task(found.ask(question))
 
     async def release(self, found, request):
-        await found.release(request, None, 'drafting')
+        await found.release(request, 'drafting')
 
     async def test_new_coordinator_learns_what_is_held(self):
         held = await self.ask(self.first, '1')
--- a/bulrushrudder/tests/layout_tests.py
+++ b/bulrushrudder/tests/layout_tests.py
@@ -54,12 +54,36 @@
         'entry',
         'events',
         'metrics',
+        'platform',
         'protocol',
         'standins',
         'storage',
         'utils',
     }
 )
+PLATFORM_NAMES = (
+    'Attempt-Id',
+    'Deadline-Ms',
+    'Expect-Instance',
+    'Kv-Source',
+    'Length-Hint',
+    'Not-Executed',
+    'Prompt-Prefix',
+    'Server-Signature',
+    'Token-Usage',
+    'api_keys',
+    'cold_remaining_ms',
+    'fencing_token',
+    'kv_bytes',
+    'kv_capacity',
+    'kv_retention_s',
+    'path_prefix',
+    'route_type',
+    'target_itl_ms',
+    'target_latency_ms',
+    'uncached_tokens',
+    '/bulrushrudder/',
+)
 FORKING_CALLS = frozenset(
     {
         'fork',
@@ -115,6 +139,31 @@
         self.assertIn('asyncio', forbidden_in_deciding(path))
 
 
+class PlatformTests(unittest.TestCase):
+    def test_only_its_folder_knows_the_platform_s_names(self):
+        for path in sources('.'):
+            name = str(path.relative_to(ROOT))
+            if name.startswith('platform/'):
+                continue
+            text = path.read_text()
+            with self.subTest(name):
+                found = {word for word in PLATFORM_NAMES if word in text}
+                self.assertEqual(found, set())
+
+    def test_only_the_choice_of_interfaces_imports_it(self):
+        for path in sources('.'):
+            name = str(path.relative_to(ROOT))
+            if name.startswith('platform/'):
+                continue
+            with self.subTest(name):
+                found = [
+                    module
+                    for module in imported(path)
+                    if module.startswith('bulrushrudder.platform')
+                ]
+                self.assertEqual(found, [])
+
+
 class ProcessesTests(unittest.TestCase):
     def test_no_module_starts_a_process_or_thread(self):
         for path in sources('.'):
--- a/bulrushrudder/tests/placement/fuzz_tests.py
+++ b/bulrushrudder/tests/placement/fuzz_tests.py
@@ -11,6 +11,7 @@
 from bulrushrudder.placement import cell
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import events
+from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import places
 
 PLACES = 3
@@ -201,7 +202,7 @@
             pieces[grant.decode] += decodes.pieces_of(tokens)
             if asked.isolation is events.Isolation.ALONE:
                 alone.add(grant.decode)
-        most = MEMORY_TOKENS // decodes.PIECE_TOKENS
+        most = MEMORY_TOKENS // servers.PIECE_TOKENS
         assert all(count <= PLACES for count in counts.values())
         assert all(count <= most for count in pieces.values())
         assert all(counts[server] == 1 for server in alone)
--- /dev/null
+++ b/bulrushrudder/tests/platform/configuration_tests.py
@@ -0,0 +1,131 @@
+import unittest
+
+from returns import result
+
+from bulrushrudder.core import keys
+from bulrushrudder.documents import lookups
+from bulrushrudder.documents import types
+from bulrushrudder.platform import configuration
+from bulrushrudder.tests.builders import platform as builders
+
+
+class ReadTests(unittest.TestCase):
+    def test_every_name_is_decoded(self):
+        found = configuration.read(
+            builders.encoded(builders.CONFIGURATION)
+        ).unwrap()
+        (route,) = found.routes
+        self.assertEqual(route.host, 'one.example')
+        self.assertTrue(route.prefix)
+        self.assertEqual(route.target.timeout_s, 14.0)
+        self.assertEqual(route.target.answer_s, 0.9)
+        self.assertEqual(route.target.between_events_s, 0.3)
+        self.assertEqual(route.target.attempts, 2)
+        self.assertIs(route.target.repetition, types.Repetition.REST)
+        engine = found.services[0].engine
+        self.assertEqual(engine.memory_tokens, 37952)
+        self.assertEqual(engine.event_tokens, 12)
+        self.assertAlmostEqual(engine.link_tokens_per_s, 1220703.125)
+        self.assertIsNone(found.services[1].engine)
+        (account,) = found.accounts
+        self.assertEqual(account.rate, 36000)
+        self.assertEqual(account.call_tokens, 200)
+        self.assertIn(keys.digest('acme-key'), account.key_digests)
+
+    def test_a_stream_that_may_not_be_resumed_runs_once(self):
+        changed = builders.configuration()
+        changed['routes'][0]['resumable'] = False
+        found = configuration.read(builders.encoded(changed)).unwrap()
+        target = found.routes[0].target
+        self.assertIs(target.repetition, types.Repetition.NOTHING)
+
+    def test_an_account_without_a_grant_is_not_limited(self):
+        changed = builders.configuration()
+        changed['tenants'][0].update(rate_per_s=0, burst=0)
+        found = configuration.read(builders.encoded(changed)).unwrap()
+        self.assertGreater(found.accounts[0].rate, 1e8)
+
+
+def cut(changed):
+    del changed['routes']
+
+
+def unknown_service(changed):
+    changed['routes'][0]['service'] = 'nobody'
+
+
+def unknown_share(changed):
+    changed['routes'][0]['split'] = [{'service': 'nobody', 'weight': 1}]
+
+
+def same_prefix(changed):
+    changed['routes'].append({**changed['routes'][0], 'name': 'r-2'})
+
+
+def no_weight(changed):
+    changed['routes'][0]['split'] = [{'service': 'engines', 'weight': 0}]
+
+
+def no_time(changed):
+    changed['routes'][0]['timeout_ms'] = 0
+
+
+def shared_key(changed):
+    tenant = changed['tenants'][0]
+    changed['tenants'].append({**tenant, 'name': 'other'})
+
+
+def text_for_number(changed):
+    changed['version'] = '7'
+
+
+class InvalidTests(unittest.TestCase):
+    def test_each_kind_of_mistake_is_refused(self):
+        for spoil in (
+            cut,
+            unknown_service,
+            unknown_share,
+            same_prefix,
+            no_weight,
+            no_time,
+            shared_key,
+            text_for_number,
+        ):
+            with self.subTest(spoil.__name__):
+                changed = builders.configuration()
+                spoil(changed)
+                found = configuration.read(builders.encoded(changed))
+                self.assertIsInstance(found, result.Failure)
+
+    def test_half_a_body_is_refused(self):
+        source = builders.encoded(builders.CONFIGURATION)
+        for size in (0, 1, len(source) // 2, len(source) - 1):
+            with self.subTest(size):
+                found = configuration.read(source[:size])
+                self.assertIsInstance(found, result.Failure)
+
+
+class LookupTests(unittest.TestCase):
+    def test_the_longest_prefix_of_the_host_goes_first(self):
+        changed = builders.configuration()
+        route = changed['routes'][0]
+        changed['routes'] += [
+            {**route, 'name': 'r-2', 'path_prefix': '/drafts/long/'},
+            {**route, 'name': 'r-3', 'path_prefix': '/'},
+            {**route, 'name': 'r-4', 'host': 'two.example'},
+        ]
+        found = configuration.read(builders.encoded(changed)).unwrap()
+        table = lookups.Lookups(found)
+        for host, path, expected in (
+            ('one.example', '/drafts/1', 'r-1'),
+            ('one.example', '/drafts/', 'r-1'),
+            ('one.example', '/drafts', 'r-3'),
+            ('one.example', '/drafts/long/2', 'r-2'),
+            ('one.example', '/drafts/longer', 'r-1'),
+            ('two.example', '/drafts/long/2', 'r-4'),
+        ):
+            with self.subTest(f'{host}{path}'):
+                route = table.route_of('POST', path, host)
+                self.assertEqual(route.id, expected)
+        self.assertIsNone(table.route_of('POST', '/x', 'two.example'))
+        self.assertIsNone(table.route_of('POST', '/drafts/1', 'three'))
--- /dev/null
+++ b/bulrushrudder/tests/platform/headers_tests.py
@@ -0,0 +1,82 @@
+import unittest
+
+from returns import result
+
+from bulrushrudder.platform import headers
+from bulrushrudder.tests.builders import platform as builders
+
+
+class ReadTests(unittest.TestCase):
+    def test_every_name_is_decoded(self):
+        found = headers.read(builders.CLIENT_HEADERS).unwrap()
+        self.assertEqual(found.attempt, '9c41d07be2a35f68')
+        self.assertEqual(found.wait_s, 14.0)
+        self.assertEqual(found.prompt_tokens, 1460)
+        self.assertEqual(found.output_tokens, 80)
+        self.assertEqual(found.expected_tokens, 70)
+        self.assertEqual(len(found.parts), 3)
+
+    def test_numbers_that_are_none(self):
+        for name, value in (
+            ('Token-Usage', '1460'),
+            ('Token-Usage', 'a,b'),
+            ('Token-Usage', '-1,2'),
+            ('Deadline-Ms', 'soon'),
+        ):
+            with self.subTest(f'{name}: {value}'):
+                pairs = [
+                    (n, value if n == name else v)
+                    for n, v in builders.CLIENT_HEADERS
+                ]
+                found = headers.read(pairs)
+                self.assertIsInstance(found, result.Failure)
+
+    def test_a_call_without_an_id_is_malformed(self):
+        found = headers.read((('Host', 'one.example'),))
+        self.assertIsInstance(found, result.Failure)
+
+
+class ForwardedTests(unittest.TestCase):
+    def test_keys_and_what_the_system_sets_stay_behind(self):
+        sent = (
+            *builders.CLIENT_HEADERS,
+            ('Connection', 'close, X-Hop'),
+            ('X-Hop', '1'),
+            ('X-Own', '2'),
+            ('tenant', 'other'),
+            ('KV-Source', '10.0.0.1:1/x'),
+            ('Kv-Hold', 'x'),
+            ('Pin-Ms', '1'),
+            ('Kv-Backup', 'x'),
+            ('Stage', 'prefill'),
+            ('Expect-Instance', 'i-1'),
+            ('Transfer-Encoding', 'chunked'),
+            ('Content-Length', '3'),
+        )
+        names = {name for name, _ in headers.forwarded(sent)}
+        self.assertEqual(
+            names,
+            {
+                'Host',
+                'Attempt-Id',
+                'Model',
+                'Token-Usage',
+                'Length-Hint',
+                'Prompt-Prefix',
+                'X-Own',
+            },
+        )
+
+
+class CallTests(unittest.TestCase):
+    def test_the_bytes_of_a_call(self):
+        data = headers.call('POST', '/a?b=%20c', [('Host', 'x')], b'abc')
+        self.assertEqual(
+            data,
+            b'POST /a?b=%20c HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: 3\r\n\r\nabc',
+        )
+
+    def test_a_call_without_a_body_has_no_length(self):
+        data = headers.call('GET', '/', [], b'')
+        self.assertEqual(data, b'GET / HTTP/1.1\r\n\r\n')
--- a/bulrushrudder/utils/stopping.py
+++ b/bulrushrudder/utils/stopping.py
@@ -9,6 +9,7 @@
     def __init__(self):
         super().__init__()
         self._on_repeat = []
+        self._on_reload = []
 
     def request(self):
         """Take a request to stop; each later one is reported."""
@@ -21,3 +22,12 @@
     def on_repeat(self, report):
         """Have a function called for each request after the first."""
         self._on_repeat.append(report)
+
+    def reload(self):
+        """Take a request to read the settings again."""
+        for read in self._on_reload:
+            read()
+
+    def on_reload(self, read):
+        """Have a function called for each request to read settings."""
+        self._on_reload.append(read)
--- a/scripts/write_events_page.py
+++ b/scripts/write_events_page.py
@@ -1,6 +1,6 @@
 """Writes docs/EVENTS.md from the catalogue of log events.
 
-Usage: python scripts/write_events_page.py
+Usage: .venv/bin/python scripts/write_events_page.py
 """
 
 import pathlib
