--- a/bulrushrudder/commands/interfaces.py
+++ b/bulrushrudder/commands/interfaces.py
@@ -6,8 +6,6 @@
 
 import importlib
 
-from bulrushrudder.control import process as control_process
-
 
 def entry(name):
     """Return the interface of an entry process.
@@ -26,6 +24,6 @@
     :param name: as the settings give it.
     """
     if name == 'own':
-        return control_process.own_interface
+        return None
     module = importlib.import_module(f'bulrushrudder.{name}.control_door')
-    return module.application
+    return module.Interface()
--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -17,6 +17,9 @@
 MIN_SECRET_BYTES = 16
 BALANCER_S = 5.0
 NO_SECRET = b''
+MS_A_SECOND = 1000.0
+# As long as a platform that names no lease may take to notice a holder.
+ORDER_LEASE_MS = 3000.0
 MAX_BALANCER_S = 300.0
 # A withdrawn key stops within this time behind a partition too.
 STALE_S = 3.0
@@ -68,6 +71,8 @@
         None where it asks among the callers.
     :param stale_s: seconds without a voucher for the view of the log
         after which keyed routes are refused.
+    :param stop_s: seconds after which a process that was told to stop
+        is ended by force; None where it is not.
     """
 
     callers: Address
@@ -78,6 +83,7 @@
     hosts_roles: bool = True
     ready: Address | None = None
     stale_s: float = STALE_S
+    stop_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,12 +114,15 @@
     :param metrics: where metrics are read.
     :param inner: where the system's other processes connect.
     :param data_folder: the folder of durable state.
+    :param order_lease_s: seconds after an order in which no other
+        process may give one.
     """
 
     operators: Address
     metrics: Address
     inner: Address
     data_folder: pathlib.Path
+    order_lease_s: float = ORDER_LEASE_MS / MS_A_SECOND
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,6 +202,7 @@
     )
     hosts_roles: bool = True
     stale_s: float = pydantic.Field(default=STALE_S, gt=0, le=MAX_STALE_S)
+    stop_s: float | None = pydantic.Field(default=None, gt=0)
 
     def build(self):
         """Return the data class."""
@@ -205,6 +215,7 @@
             balancer_s=self.balancer_s,
             hosts_roles=self.hosts_roles,
             stale_s=self.stale_s,
+            stop_s=self.stop_s,
         )
 
 
@@ -215,6 +226,7 @@
     metrics: AddressModel
     inner: AddressModel
     data_folder: str = pydantic.Field(min_length=1)
+    order_lease_ms: float | None = pydantic.Field(default=None, ge=0)
 
     def build(self, folder):
         """Return the data class.
@@ -226,6 +238,8 @@
             metrics=self.metrics.build(),
             inner=self.inner.build(),
             data_folder=folder / self.data_folder,
+            order_lease_s=(self.order_lease_ms or ORDER_LEASE_MS)
+            / MS_A_SECOND,
         )
 
 
--- /dev/null
+++ b/bulrushrudder/control/ordering.py
@@ -0,0 +1,149 @@
+"""Has servers of engines change their kind, from the leader alone.
+
+The term is the fencing number. A leader waits out the lease of the one
+before it, and makes sure by a quorum round that it still leads before
+each order.
+"""
+
+import asyncio
+import dataclasses
+
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.placement import balance
+
+CHECK_S = 0.5
+# Entries learn within this time that the server gets no new work.
+NOTICE_S = 0.3
+# What a server announces lags behind its change by up to a heartbeat.
+ANNOUNCED_S = 1.5
+# An order that got no clear answer may be carried out this much later.
+LATE_S = 10.0
+# Beside the lease of the holder before, for its last order on its way.
+LEASE_SLACK_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order to a server.
+
+    :param holder: names the process that gives it.
+    :param fence: grows with each leader.
+    """
+
+    kind: str
+    holder: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """The server carries an order out, or had done so before."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The server does not carry an order out.
+
+    :param fenced: whether a later holder has given it orders.
+    """
+
+    detail: str
+    fenced: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unclear:
+    """The server may carry an order out, also later."""
+
+    detail: str
+
+
+class Ordering:
+    """Gives orders while its process leads.
+
+    :param control: the Control.
+    :param engines: the client that carries orders to servers.
+    :param holder: names this process.
+    :param lease_s: seconds that no other holder gives orders after one
+        has.
+    """
+
+    def __init__(self, control, engines, holder, lease_s):
+        self._control = control
+        self._engines = engines
+        self._holder = holder
+        self._lease_s = lease_s + LEASE_SLACK_S
+        self._led_since_s = None
+        self._term = None
+        self._busy_until_s_by_id = {}
+
+    async def run(self):
+        """Give orders until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            if self._may_order():
+                await self._order_all()
+
+    def _may_order(self):
+        node = self._control.node
+        if not node.leads:
+            self._led_since_s = None
+            return False
+        now_s = _now_s()
+        if self._led_since_s is None or self._term != node.replica.term:
+            self._led_since_s = now_s
+            self._term = node.replica.term
+        return now_s - self._led_since_s >= self._lease_s
+
+    async def _order_all(self):
+        now_s = _now_s()
+        self._busy_until_s_by_id = {
+            server_id: until_s
+            for server_id, until_s in self._busy_until_s_by_id.items()
+            if until_s > now_s
+        }
+        state = self._control.node.state
+        for model, prefills in tuple(state.balances.by_model.items()):
+            pool = state.servers.by_served.get(model, {})
+            if self._is_changing(model):
+                continue
+            change = balance.next_change(tuple(pool.values()), prefills)
+            if change is not None:
+                await self._change(pool[change.server], model, change.kind)
+
+    def _is_changing(self, model):
+        """Return whether a server of a pool is under an order."""
+        return any(held[1] == model for held in self._busy_until_s_by_id)
+
+    async def _change(self, server, model, kind):
+        change_s = self._control.change_s(model)
+        until_s = _now_s() + NOTICE_S + change_s + ANNOUNCED_S
+        await self._control.set_aside(server, until_s)
+        await asyncio.sleep(NOTICE_S)
+        if await self._control.node.confirm_here() is None:
+            self._control.take_back(server)
+            return
+        order = Order(kind, self._holder, self._term)
+        match await self._engines.order(server, order):
+            case Taken():
+                outcome = 'taken'
+            case Refused(detail=outcome, fenced=fenced):
+                self._control.take_back(server)
+                until_s = _now_s() + (LATE_S if fenced else change_s)
+            case Unclear(detail=outcome):
+                self._control.take_back(server)
+                until_s = _now_s() + LATE_S
+        self._busy_until_s_by_id[server.id, model] = until_s
+        log.emit(
+            catalogue.SERVER_ORDERED,
+            server=server.id,
+            kind=kind,
+            fence=order.fence,
+            wanted=self._control.node.state.balances.by_model.get(model),
+            outcome=outcome,
+        )
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -13,6 +13,7 @@
 from bulrushrudder.consensus import replica
 from bulrushrudder.control import node
 from bulrushrudder.control import operators
+from bulrushrudder.control import ordering
 from bulrushrudder.control import server
 from bulrushrudder.core import ids
 from bulrushrudder.events import catalogue
@@ -26,21 +27,28 @@
 from bulrushrudder.utils import web
 
 
-def own_interface(control, settings, metrics):
-    """Return the aiohttp application of the product's operators."""
-    front = operators.Operators(control, settings.secrets.operators, metrics)
-    return front.application()
+class OwnInterface:
+    """What the product's own operators speak."""
 
+    def application(self, control, settings, metrics):
+        """Return the aiohttp application for operators."""
+        secret = settings.secrets.operators
+        return operators.Operators(control, secret, metrics).application()
 
-async def start(stack, settings, on_failed=None, interface=own_interface):
+    def orders(self, stack):
+        """Return what carries orders to engines; they take none yet."""
+        return
+
+
+async def start(stack, settings, on_failed=None, interface=None):
     """Start the control process.
 
     :param stack: an AsyncExitStack that owns all that is opened.
     :param settings: the VM's Settings.
     :param on_failed: called when the disk fails and the process must
         stop.
-    :param interface: function of (control, settings, metrics) that
-        returns the aiohttp application for operators.
+    :param interface: what operators and engines speak: an object with
+        the functions of OwnInterface.
     :returns: the Control.
     :raises SystemExit: where the data folder cannot be used.
     """
@@ -66,12 +74,18 @@
     )
     stack.callback(listener.close)
     metrics = metrics_control.ControlMetrics()
-    front = interface(control, settings, metrics)
+    interface = interface or OwnInterface()
+    front = interface.application(control, settings, metrics)
     await web.listen(stack, front, settings.control.operators)
     shown = metrics_listener.application(metrics)
     await web.listen(stack, shown, settings.control.metrics)
     tasks.spawn(stack, control.node.run())
     tasks.spawn(stack, control.run())
+    engines = interface.orders(stack)
+    if engines is not None:
+        lease_s = settings.control.order_lease_s
+        orders = ordering.Ordering(control, engines, settings.vm, lease_s)
+        tasks.spawn(stack, orders.run())
     stack.push_async_callback(control.node.hand_over)
     log.emit(
         catalogue.CONTROL_STARTED,
@@ -82,7 +96,7 @@
     return control
 
 
-async def run(settings, stopping, interface=own_interface):
+async def run(settings, stopping, interface=None):
     """Run the control process until the event is set.
 
     :param stopping: a Stopping.
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -7,6 +7,7 @@
 from bulrushrudder.consensus import messages as consensus_messages
 from bulrushrudder.control import feeds
 from bulrushrudder.control import status
+from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.membership import tracker
@@ -158,6 +159,28 @@
         command = documents.AdoptDocument(document, source, digest, operator)
         return await self.node.propose(command)
 
+    def change_s(self, model):
+        """Return the seconds that a server of a pool takes to change."""
+        table = self.node.state.documents.lookups(types.Environment.PRODUCTION)
+        service = table.services_by_id.get(model)
+        if service is None or service.engine is None:
+            return 0.0
+        return service.engine.change_s
+
+    async def set_aside(self, server, until_s):
+        """Give a server no new work, whatever it announces.
+
+        :param until_s: monotonic seconds.
+        """
+        self._tracker.set_aside(server.id, until_s)
+        lose = servers.LoseServer(server.id, server.incarnation)
+        await self.node.propose(lose)
+        self._log_change(lose)
+
+    def take_back(self, server):
+        """Let a server that was set aside return at once."""
+        self._tracker.take_back(server.id)
+
     async def announce(self, message):
         """Track an announcement where the leader is.
 
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -17,8 +17,9 @@
 
 from bulrushrudder.utils import sockets
 
-# Twice the round trip between regions, with a lost opening packet.
-CONNECT_S = 1.2
+# Many times a round trip between zones; a lost opening packet is sent
+# again after a second only, and dialling anew is faster.
+CONNECT_S = 0.35
 # Servers that name no idle time-out close within some seconds.
 IDLE_S = 2.0
 # Part of a stated idle time-out after which a connection is not used.
--- a/bulrushrudder/entry/authorities.py
+++ b/bulrushrudder/entry/authorities.py
@@ -6,15 +6,26 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.limits import actions
 from bulrushrudder.limits import authority
 from bulrushrudder.limits import events
 from bulrushrudder.limits import slices
+from bulrushrudder.limits import spare
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.utils import tasks
 
 TICK_S = 0.05
+# Where accounts are so few, claiming them before anybody asks costs less
+# than the first requests that would wait for it.
+CLAIMED_AHEAD = 64
 ASK_AGAIN_S = 0.1
+# An answer's way back, beside the patience of the question.
+ANSWER_S = 0.1
+# An authority that gave no answer is asked again after this time; until
+# then requests first take from the spare tokens.
+SILENT_S = 0.5
 RELEASE_S = 3.0
 
 
@@ -26,16 +37,29 @@
     :param found: the Directory.
     :param observing: the Observing, which proposes commands.
     :param environment: whose accounts the VM serves.
+    :param spares: the Spare that this process may grant from while an
+        authority is silent.
     """
 
-    def __init__(self, owner, view, found, observing, environment):
+    def __init__(
+        self,
+        owner,
+        view,
+        found,
+        observing,
+        environment,
+        spares=spare.NOTHING,
+    ):
         self._owner = owner
         self._view = view
         self._directory = found
         self._observing = observing
         self._environment = environment
-        self._authority = authority.Authority(owner)
+        ahead = 0 if spares is spare.NOTHING else CLAIMED_AHEAD
+        self._authority = authority.Authority(owner, ahead)
         self._slices = slices.Slices()
+        self._spares = spares
+        self._silent_until_s_by_account = {}
         self._answers_by_ask = {}
         self._last_ask = 0
         self._tasks = set()
@@ -71,6 +95,10 @@
         question = token_messages.AskTokens(
             ask, account_id, tokens, wish, patience_s
         )
+        if self._is_silent(account_id, now_s):
+            spared = self._take_spare(account_id, tokens, ask)
+            if spared is not None:
+                return spared
         answered = False
         try:
             answer = await self._ask_until(question, now_s + patience_s)
@@ -78,8 +106,37 @@
         finally:
             if not answered:
                 self._start(self._withdraw(ask, account_id))
+        if not _is_ruled(answer):
+            self._note_silence(answer, account_id)
+            spared = self._take_spare(account_id, tokens, ask)
+            if spared is not None:
+                return spared
         return self._take(answer, now_s)
 
+    def _is_silent(self, account, now_s):
+        return now_s < self._silent_until_s_by_account.get(account, 0.0)
+
+    def _note_silence(self, answer, account):
+        if answer is None:
+            until_s = self._now_s() + SILENT_S
+            self._silent_until_s_by_account[account] = until_s
+
+    def _take_spare(self, account, tokens, ask):
+        """Grant a request's tokens without the authority, if allowed."""
+        processes = len(self._view.state.sessions.by_vm)
+        now_s = self._now_s()
+        if not self._spares.take(account, tokens, processes, now_s):
+            return None
+        log.emit(
+            catalogue.TOKENS_SPARED,
+            account=account,
+            tokens=tokens,
+            processes=processes,
+            view=self._view.index,
+        )
+        # Nothing of it goes back, as no authority knows of it.
+        return result.Success(slices.Charge(account, 0, ask, 0, False))
+
     async def give_back(self, charge, tokens):
         """Give the unused tokens of a charge back."""
         given = self._slices.give_back(charge, tokens, self._now_s())
@@ -121,9 +178,14 @@
         account = question.account
         left_s = question.patience_s
         while True:
-            answer = await self._directory.ask(
+            asked = self._directory.ask(
                 authority.role(account), question, left_s, self.serve
             )
+            try:
+                async with asyncio.timeout(left_s + ANSWER_S):
+                    answer = await asked
+            except TimeoutError:
+                return None
             match answer:
                 case result.Success(token_messages.TokensGranted() as found):
                     return found
@@ -240,6 +302,16 @@
         return asyncio.get_running_loop().time()
 
 
+def _is_ruled(answer):
+    """Return whether the authority knew what the account may spend."""
+    match answer:
+        case token_messages.TokensGranted():
+            return True
+        case token_messages.TokensRefused(reason=reason):
+            return reason != int(outcomes.Reason.INSIDE_RATE)
+    return False
+
+
 def _granted(grant):
     return token_messages.TokensGranted(
         grant.ask,
--- /dev/null
+++ b/bulrushrudder/entry/balancing.py
@@ -0,0 +1,32 @@
+"""Tells the leader how many servers of each pool should prefill."""
+
+import asyncio
+
+from bulrushrudder.state import balances
+
+CHECK_S = 1.0
+
+
+class Balancing:
+    """Proposes what the coordinators on this VM want.
+
+    :param view: the View of the log.
+    :param coordinators: the Coordinators.
+    :param observing: the Observing, which proposes commands.
+    """
+
+    def __init__(self, view, coordinators, observing):
+        self._view = view
+        self._coordinators = coordinators
+        self._observing = observing
+
+    async def run(self):
+        """Propose changes until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            wanted = self._coordinators.wanted_prefills_by_model()
+            for model, prefills in wanted.items():
+                known = self._view.state.balances.by_model.get(model)
+                if prefills is not None and prefills != known:
+                    command = balances.WantPrefills(model, prefills)
+                    await self._observing.propose(command)
--- a/bulrushrudder/entry/cells.py
+++ b/bulrushrudder/entry/cells.py
@@ -11,7 +11,9 @@
 from bulrushrudder.placement import events
 from bulrushrudder.protocol import place_messages
 
-TAKE_OVER_S = 0.5
+TAKE_OVER_S = 0.3
+# A Cell of another VM's that nobody has asked for this long is closed.
+UNUSED_S = 2.0
 DEFAULT_FIRST_TOKEN_S = 60.0
 DEFAULT_BETWEEN_TOKENS_S = 1.0
 
@@ -20,12 +22,14 @@
 class _Open:
     """A Cell, and what it was last told of the view.
 
+    :param asked_s: monotonic seconds of the last question.
     :param index: of the view at that time.
     :param version: of the model's servers in the view.
     :param owners: the owners that it knows.
     """
 
     cell: cell.Cell
+    asked_s: float
     index: int = -1
     version: int = -1
     owners: tuple[ids.Owner, ...] = ()
@@ -60,8 +64,10 @@
         now_s = asyncio.get_running_loop().time()
         opened = self._open_by_model.get(model)
         if opened is None:
-            opened = _Open(cell.Cell(ready_s=self._ready_s(now_s)))
+            opened = _Open(cell.Cell(ready_s=self._ready_s(now_s)), now_s)
             self._open_by_model[model] = opened
+        if isinstance(event, events.PlaceAsked):
+            opened.asked_s = now_s
         for change in (*self._changes(model, opened), event):
             for action in opened.cell.handle(change, now_s):
                 self._perform(action)
@@ -81,6 +87,13 @@
         wanted = self._wanted_by_owner.pop(message.owner, ())
         return place_messages.HoldsWanted(wanted)
 
+    def wanted_prefills_by_model(self):
+        """Return how many prefill servers each pool here should have."""
+        return {
+            model: opened.cell.wanted_prefills()
+            for model, opened in self._open_by_model.items()
+        }
+
     def tick(self):
         """Let time pass for Cells in which questions wait."""
         for model, opened in tuple(self._open_by_model.items()):
@@ -88,9 +101,15 @@
                 self.take(model, events.Ticked())
 
     def keep(self, is_in_charge):
-        """Close the Cells of models that another VM is in charge of."""
-        for model in tuple(self._open_by_model):
-            if not is_in_charge(model):
+        """Close the Cells of models that another VM is in charge of.
+
+        Who cannot reach that VM asks here, so a Cell stays open while it
+        is asked.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for model, opened in tuple(self._open_by_model.items()):
+            unused = now_s - opened.asked_s > UNUSED_S
+            if unused and not is_in_charge(model):
                 self._move(self._open_by_model.pop(model))
 
     def close(self):
--- a/bulrushrudder/entry/coordinators.py
+++ b/bulrushrudder/entry/coordinators.py
@@ -15,7 +15,7 @@
 TICK_S = 0.05
 REPORT_S = 10.0
 REPORT_PATIENCE_S = 1.0
-RETRY_S = 0.2
+RETRY_S = 0.05
 HAND_OVER_S = 0.2
 
 
@@ -129,6 +129,10 @@
                 self._cells.take(model, change)
         return None
 
+    def wanted_prefills_by_model(self):
+        """Return how many prefill servers each pool here should have."""
+        return self._cells.wanted_prefills_by_model()
+
     async def hand_over(self):
         """Send all that wait here to the VMs that are in charge now."""
         self._cells.close()
@@ -166,7 +170,7 @@
         return tuple(
             server
             for server in (granted.prefill, granted.decode)
-            if server not in servers_by_id
+            if server and server not in servers_by_id
         )
 
     def _check_roles(self):
--- a/bulrushrudder/entry/directory.py
+++ b/bulrushrudder/entry/directory.py
@@ -4,18 +4,30 @@
 VMs that take roles.
 """
 
+import asyncio
+
 from returns import result
 
 from bulrushrudder.config import settings
 from bulrushrudder.core import outcomes
 from bulrushrudder.core import ranking
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 
 MARGIN_S = 2.0
+# How often a VM is tried again that could not be reached.
+PROBE_S = 0.5
+# The start of the keys of roles whose state is soft.
+SOFT = 'model/'
 
 
 class Directory:
     """Reaches the VM that plays a role.
 
+    Roles whose state is soft move to the next VM as soon as this one
+    cannot reach the first; two VMs that play one cost speed, never a
+    promise.
+
     :param view: the View of the log.
     :param owner: this process.
     :param peers: links to other entry processes.
@@ -25,6 +37,8 @@
         self._view = view
         self._owner = owner
         self._peers = peers
+        self._suspects = {}
+        self._probes = set()
 
     async def ask(self, key, question, patience_s, serve):
         """Ask whoever plays a role.
@@ -34,17 +48,23 @@
         :param serve: coroutine function that answers on this VM.
         :returns: the answer, or a LinkError.
         """
-        address = self._address_of(key)
+        chosen = self.in_charge(key)
+        address = self._address_of(chosen)
         if address is None:
             return result.Success(await serve(question))
-        return await self._peers.ask(address, question, patience_s + MARGIN_S)
+        answer = await self._peers.ask(
+            address, question, patience_s + MARGIN_S
+        )
+        if isinstance(answer, result.Failure):
+            self._suspect(chosen, address)
+        return answer
 
     async def tell(self, key, message, serve):
         """Tell whoever plays a role.
 
         :param serve: coroutine function that takes it on this VM.
         """
-        address = self._address_of(key)
+        address = self._address_of(self.in_charge(key))
         if address is None:
             await serve(message)
             return
@@ -52,11 +72,39 @@
 
     def in_charge(self, key):
         """Return the VM that plays a role, or None."""
-        return ranking.choose(key, self._view.state.sessions.hosts_by_vm)
-
-    def _address_of(self, key):
-        """Return the address of the VM in charge, None for this one."""
-        chosen = self.in_charge(key)
+        hosts = self._view.state.sessions.hosts_by_vm
+        if key.startswith(SOFT) and self._suspects:
+            left = [vm for vm in hosts if not self._is_suspect(vm)]
+            if left:
+                return ranking.choose(key, left)
+        return ranking.choose(key, hosts)
+
+    def _is_suspect(self, vm):
+        """Return whether this run of a VM could not be reached."""
+        held = self._view.state.sessions.by_vm.get(vm)
+        return held is not None and self._suspects.get(vm) == held.owner
+
+    def _suspect(self, vm, address):
+        """Leave a VM out until it can be reached or has started anew."""
+        held = self._view.state.sessions.by_vm.get(vm)
+        if held is None or self._suspects.get(vm) == held.owner:
+            return
+        self._suspects[vm] = held.owner
+        log.emit(catalogue.PEER_SUSPECTED, peer=vm)
+        task = asyncio.create_task(self._probe(vm, address))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _probe(self, vm, address):
+        while self._is_suspect(vm):
+            await asyncio.sleep(PROBE_S)
+            if await self._peers.reaches(address):
+                break
+        self._suspects.pop(vm, None)
+        log.emit(catalogue.PEER_REACHED, peer=vm)
+
+    def _address_of(self, chosen):
+        """Return the address of a VM, None for this one."""
         if chosen is None or chosen == self._owner.vm:
             return None
         session = self._view.state.sessions.hosts_by_vm[chosen]
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -59,7 +59,7 @@
         """Run the request to its end."""
         self._services.retries.admitted()
         self._services.running.add(self)
-        ends = self._end_in_time()
+        timers = self._end_in_time()
         try:
             if not self._request.ended:
                 await self._perform(self._request.start(self._loop.time()))
@@ -70,14 +70,24 @@
             self._free_all()
             raise
         finally:
-            ends.cancel()
+            for timer in timers:
+                timer.cancel()
             self._services.running.discard(self)
 
     def _end_in_time(self):
-        left_s = max(0.0, self._job.deadline_s - self._loop.time())
-        return self._loop.call_later(
-            min(left_s, MAX_RUN_S), self.interrupt, events.TimeEnded()
-        )
+        """Return timers that end the request when its time is over."""
+        now_s = self._loop.time()
+        return [
+            self._loop.call_later(
+                max(0.0, min(until_s - now_s, MAX_RUN_S)),
+                self.interrupt,
+                events.TimeEnded(unless_begun),
+            )
+            for until_s, unless_begun in (
+                (self._job.deadline_s, False),
+                (self._job.begin_by_s, True),
+            )
+        ]
 
     def _free_all(self):
         """Free what the request holds after an unexpected error."""
@@ -255,7 +265,11 @@
     def _note_failure(self, event):
         match event:
             case events.AttemptFailed(
-                reason=outcomes.Reason.BACKEND_UNREACHABLE, server=server_id
+                reason=(
+                    outcomes.Reason.BACKEND_UNREACHABLE
+                    | outcomes.Reason.BACKEND_SILENT
+                ),
+                server=server_id,
             ):
                 server = self._servers_by_id.get(server_id)
                 if server is not None:
@@ -303,7 +317,7 @@
     async def _decode(self, action):
         server = self._servers_by_id.get(action.server)
         source = self._servers_by_id.get(action.source)
-        if server is None or source is None:
+        if server is None or (action.source and source is None):
             await self._handle(_missing(action))
             return
         stream = self._services.engines.decode(
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -12,6 +12,7 @@
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import access
 from bulrushrudder.entry import authorities
+from bulrushrudder.entry import balancing
 from bulrushrudder.entry import cancelling
 from bulrushrudder.entry import coordinators
 from bulrushrudder.entry import directory
@@ -23,6 +24,7 @@
 from bulrushrudder.entry import services
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.limits import spare
 from bulrushrudder.metrics import listener as metrics_listener
 from bulrushrudder.metrics import registry
 from bulrushrudder.observers import view
@@ -38,6 +40,9 @@
 
 SESSION_RETRY_S = 0.2
 SESSION_CHECK_S = 1.0
+# Part of the time to stop after which what is in flight is cut, so that
+# the session is closed before the process is ended by force.
+STOP_SHARE = 0.92
 CANCELS_S = 5.0
 ANSWERS_S = 60.0
 
@@ -59,7 +64,7 @@
         self.observing = observing.Observing(
             self.view, self._owner, secret, settings.controls
         )
-        self._peers = peers.Peers(self._owner, secret, _ignore)
+        self._peers = peers.Peers(self._owner, secret, _ignore, eager=True)
         found = directory.Directory(self.view, self._owner, self._peers)
         self._authorities = authorities.Authorities(
             self._owner,
@@ -67,6 +72,7 @@
             found,
             self.observing,
             settings.environment,
+            _spares(settings.bounds),
         )
         self._registering = registering.Registering(
             self._owner, self.view, self.observing, settings.environment
@@ -119,6 +125,9 @@
             self._authorities.run(),
             self._registering.run(),
             self.coordinators.run(),
+            balancing.Balancing(
+                self.view, self.coordinators, self.observing
+            ).run(),
             self._cancelling.run(),
             access.Access(self.services).run(),
             self._keep_session(),
@@ -130,8 +139,13 @@
 
         New calls are still served meanwhile.
         """
+        now_s = asyncio.get_running_loop().time()
+        stop_s = self._settings.entry.stop_s
+        if stop_s is not None:
+            self.services.stop_by_s = now_s + stop_s * STOP_SHARE
         self.services.leaving = True
         log.emit(catalogue.ENTRY_STOPPING, calls=self.services.calls)
+        self.services.spawn(self.observing.propose(self._session(False)))
         await asyncio.sleep(self._settings.entry.balancer_s)
 
     async def stop(self):
@@ -189,15 +203,8 @@
 
     async def _keep_session(self):
         """Open the session, and again where it was taken for silent."""
-        found = self._settings.entry
-        command = sessions.OpenSession(
-            owner=self._owner,
-            zone=self._settings.zone,
-            address=found.inner.host,
-            port=found.inner.port,
-            hosts_roles=found.hosts_roles,
-        )
-        while not self.services.draining:
+        command = self._session(self._settings.entry.hosts_roles)
+        while not self.services.leaving:
             if self._has_session():
                 await asyncio.sleep(SESSION_CHECK_S)
                 continue
@@ -206,6 +213,20 @@
                     await self.observing.wait_for(index)
             await asyncio.sleep(SESSION_RETRY_S)
 
+    def _session(self, hosts_roles):
+        """Return the command that opens this process's session.
+
+        :param hosts_roles: whether it takes roles for the fleet.
+        """
+        found = self._settings.entry
+        return sessions.OpenSession(
+            owner=self._owner,
+            zone=self._settings.zone,
+            address=found.inner.host,
+            port=found.inner.port,
+            hosts_roles=hosts_roles,
+        )
+
     def _has_session(self):
         held = self.view.state.sessions.by_vm.get(self._owner.vm)
         return held is not None and held.owner == self._owner
@@ -249,6 +270,13 @@
         await web.listen(stack, back.application(), settings.entry.backends)
 
 
+def _spares(bounds):
+    """Return the Spare that the settings allow."""
+    if bounds is None:
+        return spare.NOTHING
+    return spare.Spare(bounds.spare_tokens, bounds.spare_window_s)
+
+
 async def _ignore(link_, message):
     """Peers send nothing unasked on links that this process dialled."""
 
--- a/bulrushrudder/entry/services.py
+++ b/bulrushrudder/entry/services.py
@@ -1,12 +1,14 @@
 """What all requests of an entry process share."""
 
 import asyncio
+import math
 
 from bulrushrudder.lifecycle import reachability
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.utils import tasks
 
 CALLS_POLL_S = 0.02
+MOST_WAIT_S = 60.0
 
 
 class Services:
@@ -24,6 +26,9 @@
     :param registering: the Registering.
     :ivar leaving: whether the process is unready for the balancer.
     :ivar draining: whether it refuses new work.
+    :ivar closing: whether it refuses all, as nothing is in flight.
+    :ivar stop_by_s: monotonic seconds by which all must be finished,
+        once the process was told to stop.
     :ivar calls: how many calls are in flight.
     """
 
@@ -55,6 +60,8 @@
         self.running = set()
         self.leaving = False
         self.draining = False
+        self.closing = False
+        self.stop_by_s = math.inf
         self.calls = 0
         self._tasks = set()
         self._last_request = 0
@@ -80,8 +87,14 @@
         return task
 
     async def finish(self):
-        """Wait for all calls and all that was spawned."""
-        while self.calls:
+        """Wait for all calls and all that was spawned.
+
+        What is not done when the process must be gone is cut.
+        """
+        loop = asyncio.get_running_loop()
+        while self.calls and loop.time() < self.stop_by_s:
             await asyncio.sleep(CALLS_POLL_S)
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        self.closing = True
+        while self._tasks and loop.time() < self.stop_by_s:
+            left_s = min(self.stop_by_s - loop.time(), MOST_WAIT_S)
+            await asyncio.wait(self._tasks, timeout=left_s)
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -240,6 +240,18 @@
     'view stale',
     'No control VM vouches for this view; keyed routes are refused.',
 )
+PEER_SUSPECTED = Event(
+    3103,
+    Level.WARNING,
+    'peer suspected',
+    'A VM could not be reached; the next one plays its soft roles.',
+)
+PEER_REACHED = Event(
+    3104,
+    Level.INFO,
+    'peer reached',
+    'A VM that could not be reached can be again, or has started anew.',
+)
 VIEW_FRESH = Event(
     3102, Level.INFO, 'view fresh', 'The view of the log is fresh again.'
 )
@@ -256,12 +268,25 @@
     'A backend server announced itself in a way that cannot be read; '
     'what is known of it stays.',
 )
+SERVER_ORDERED = Event(
+    4004,
+    Level.INFO,
+    'server ordered',
+    'The leader had a server of engines change its kind.',
+)
 SERVER_LEFT = Event(
     4002,
     Level.INFO,
     'server left',
     'A backend server left or went silent; it gets no new work.',
 )
+TOKENS_SPARED = Event(
+    5101,
+    Level.INFO,
+    'tokens spared',
+    "An account's authority was silent; the entry granted from its part "
+    'of what the account may get over its grant.',
+)
 UNEXPECTED = Event(
     9001,
     Level.ERROR,
--- a/bulrushrudder/lifecycle/actions.py
+++ b/bulrushrudder/lifecycle/actions.py
@@ -62,7 +62,8 @@
 class StartDecode:
     """Have a decode server take the KV cache and produce tokens.
 
-    :param source: the server that holds the KV cache.
+    :param source: the server that holds the KV cache, empty where the
+        decode server reads the prompt itself.
     :param handle: names the KV cache at the source.
     :param produced: texts of the tokens that the caller already has.
     """
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -135,7 +135,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimeEnded:
-    """The caller must have a final answer now."""
+    """The caller must have a final answer now.
+
+    :param unless_begun: whether an answer that has begun goes on.
+    """
+
+    unless_begun: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -27,6 +27,8 @@
     :param fingerprint: the same for every resend of the request.
     :param isolation: what is known of earlier runs of the fingerprint.
     :param deadline_s: monotonic seconds after which nothing is retried.
+    :param begin_by_s: monotonic seconds by which the answer must begin,
+        since callers leave then.
     :param jitter: spreads retries; at least 0 and below 1.
     :param prefix: digests of the start of the prompt, shortest first.
     :param content: what the engines get; opaque here.
@@ -53,6 +55,7 @@
     fingerprint: str = ''
     isolation: Isolation = Isolation.NONE
     deadline_s: float = math.inf
+    begin_by_s: float = math.inf
     jitter: float = 0.5
     prefix: tuple[int, ...] = ()
     content: object = None
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -93,7 +93,7 @@
             case events.AccessLost():
                 return self._access_lost(event)
             case events.TimeEnded():
-                return self._time_ended()
+                return self._time_ended(event)
             case events.CallerGone():
                 return self._caller_gone()
         return self._handle_attempt(event, now_s)
@@ -136,7 +136,8 @@
         self._asks += 1
         job = self.job
         self._place = ids.RequestId(f'{job.request}-{self._asks}')
-        patience_s = min(job.patience_s, max(0.0, job.deadline_s - now_s))
+        until_s = min(job.deadline_s, job.begin_by_s)
+        patience_s = min(job.patience_s, max(0.0, until_s - now_s))
         if self._excluded:
             patience_s = min(patience_s, EXCLUSION_S)
         return [
@@ -173,6 +174,9 @@
             attempt, event.place, event.prefill, event.decode
         )
         self._place = None
+        if not event.prefill and self._kept is None:
+            self._go('start_transfer')
+            return [self._start_decode(ids.ServerId(''), '')]
         if self._kept is None:
             self._go('start_prefill')
             return [
@@ -363,8 +367,8 @@
         self._sent = True
         return self._end(event.reason, event.detail)
 
-    def _time_ended(self):
-        if self.ended:
+    def _time_ended(self, event):
+        if self.ended or (event.unless_begun and self._produced):
             return []
         self._sent = self._sent or self._may_have_run()
         reason = outcomes.Reason.DEADLINE_PASSED
--- a/bulrushrudder/limits/authority.py
+++ b/bulrushrudder/limits/authority.py
@@ -47,10 +47,13 @@
     """The accounts of one process.
 
     :param owner: this process.
+    :param ahead: up to how many accounts are claimed before anybody
+        asks.
     """
 
-    def __init__(self, owner):
+    def __init__(self, owner, ahead=0):
         self._owner = owner
+        self._ahead = ahead
         self._ledgers_by_account = {}
         self._unclaimed_by_account = {}
         self._claimed_s_by_account = {}
@@ -134,12 +137,38 @@
         return []
 
     def _tick(self, standing, now_s):
-        found = []
+        found = self._claim_ahead(standing, now_s)
         for account in self._due(now_s):
             self._refresh(account, standing, now_s)
             found += self._tend(account, standing, now_s)
         return found
 
+    def _claim_ahead(self, standing, now_s):
+        """Claim accounts before anybody asks, where they are few.
+
+        The first request after a change of VMs finds its account ready
+        then.
+        """
+        accounts_by_id = standing.accounts_by_id
+        swept = self._swept_s is not None and now_s - self._swept_s < SWEEP_S
+        if swept or len(accounts_by_id) > self._ahead:
+            return []
+        return [
+            action
+            for account in accounts_by_id
+            if self._prefers_me(account, standing)
+            for action in self._claim_if_free(account, standing, now_s)
+        ]
+
+    def _claim_if_free(self, account, standing, now_s):
+        self._refresh(account, standing, now_s)
+        row = standing.rows_by_key.get((standing.environment, account))
+        # A live holder gives the account up by itself, without a wait.
+        live = row and not row.released and row.holder.vm in standing.vms
+        if account in self._ledgers_by_account or live:
+            return []
+        return self._claim(account, standing, now_s)
+
     def _due(self, now_s):
         held = self._ledgers_by_account
         if self._swept_s is None or now_s - self._swept_s >= SWEEP_S:
--- a/bulrushrudder/limits/ledger.py
+++ b/bulrushrudder/limits/ledger.py
@@ -13,6 +13,9 @@
 from bulrushrudder.state import accounts
 
 LEASE_S = 2.0
+# Calls of plain services cost this part of a burst at most, and wait
+# behind no request to a model.
+SMALL_SHARE = 0.01
 LEASE_WAIT_S = 2.5
 PROPOSE_AGAIN_S = 0.5
 RAISE_AFTER_S = 5.0
@@ -105,7 +108,12 @@
             return []
         if event.tokens > self._tokens.burst:
             return [_above_burst(event)]
-        ahead = sum(waiting.tokens for waiting in self.waiting)
+        small = self._is_small(event)
+        ahead = sum(
+            waiting.tokens
+            for waiting in self.waiting
+            if not small or self._is_small(waiting)
+        )
         wait_s = self._tokens.wait_s(event.tokens, now_s)
         if ahead:
             wait_s = max(
@@ -158,11 +166,15 @@
         ]
 
     def serve(self, now_s):
-        """Grant what waits, in its order, as far as the level allows."""
+        """Grant what waits, in its order, as far as the level allows.
+
+        Small questions go first.
+        """
         found = []
         if self._tokens.level(now_s) >= self._tokens.burst:
             self._perhaps_lost = 0.0
         while self.waiting and not self.releasing:
+            self._bring_small_forward()
             head = self.waiting[0]
             if head.tokens > self._tokens.burst:
                 found.append(_above_burst(self.waiting.popleft()))
@@ -176,6 +188,19 @@
             found.append(self._grant(self.waiting.popleft(), now_s))
         return found
 
+    def _is_small(self, event):
+        return event.tokens <= self._tokens.burst * SMALL_SHARE
+
+    def _bring_small_forward(self):
+        """Put the first small question at the head."""
+        if self._is_small(self.waiting[0]):
+            return
+        for event in self.waiting:
+            if self._is_small(event):
+                self.waiting.remove(event)
+                self.waiting.appendleft(event)
+                return
+
     def tend(self, now_s):
         """Propose again what is not committed, and better bounds."""
         if self.releasing or self._pending:
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -47,6 +47,18 @@
         self._renewed_s_by_id: dict[ids.ServerId, float] = {}
         self._sequence_by_run: dict[tuple[ids.ServerId, int], int] = {}
         self._proposed_s_by_command = {}
+        self._aside_until_s_by_id = {}
+
+    def set_aside(self, server_id, until_s):
+        """Leave a server out, whatever it announces, unless it leaves.
+
+        :param until_s: monotonic seconds.
+        """
+        self._aside_until_s_by_id[server_id] = until_s
+
+    def take_back(self, server_id):
+        """Let a server return with its next announcement."""
+        self._aside_until_s_by_id.pop(server_id, None)
 
     def handle(self, event, servers_by_id, now_s):
         """Take an event and return the commands to propose.
@@ -88,10 +100,17 @@
         if known and known.incarnation > server.incarnation:
             return []
         self._renewed_s_by_id[server.id] = now_s
-        if known == server:
+        if known == server or self._is_aside(server.id, now_s):
             return []
         return self._propose(servers.JoinServer(server), now_s)
 
+    def _is_aside(self, server_id, now_s):
+        until_s = self._aside_until_s_by_id.get(server_id, 0.0)
+        if now_s < until_s:
+            return True
+        self._aside_until_s_by_id.pop(server_id, None)
+        return False
+
     def _expire(self, servers_by_id, now_s):
         self._forget(servers_by_id, now_s)
         found = []
--- a/bulrushrudder/placement/cell.py
+++ b/bulrushrudder/placement/cell.py
@@ -4,8 +4,10 @@
 import dataclasses
 import math
 
+from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.placement import actions
+from bulrushrudder.placement import balance
 from bulrushrudder.placement import choice
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
@@ -49,6 +51,7 @@
         self._holds_by_absent_server = collections.defaultdict(set)
         self._holds_by_owner = collections.defaultdict(set)
         self._demand = demand.Demand()
+        self._balance = balance.Demand()
         self._held_by_account = collections.Counter()
         self._reports_by_owner = {}
         self._seen_owners = {}
@@ -69,6 +72,15 @@
         """Return all Holdings."""
         return tuple(held.holding for held in self._held_by_hold.values())
 
+    def wanted_prefills(self):
+        """Return how many servers should prefill; None to let it be."""
+        work = self._balance.work
+        if work is None:
+            return None
+        prefills = sum(k.present for k in self._prefills.by_id.values())
+        decodes = sum(k.present for k in self._decodes.by_id.values())
+        return balance.wanted(work, prefills, decodes)
+
     def handle(self, event, now_s):
         """Take an event and return the actions that follow.
 
@@ -107,8 +119,16 @@
         self._holds_by_owner[asked.hold.owner].add(asked.hold)
         tokens = asked.prompt_tokens + asked.output_tokens
         self._demand.asked(asked.account, asked.weight, tokens, now_s)
+        self._note_work(asked)
         self._queue.add(asked, now_s, self._prefills.lead_s(asked))
 
+    def _note_work(self, asked):
+        """Take in what a request will take of each kind of server."""
+        prefill_s = self._prefills.work_s(asked)
+        decode_s = self._decodes.work_s(asked)
+        if prefill_s is not None and decode_s is not None:
+            self._balance.add(balance.Work(prefill_s, decode_s))
+
     def _learn(self, event):
         """Take in how fast the servers of a request were."""
         held = self._held_by_hold.get(event.hold)
@@ -268,7 +288,7 @@
         match chosen:
             case choice.Chosen(first_token_s=first_token_s):
                 target_s = waiting.asked_s + asked.first_token_s
-                reported = chosen.prefill.chosen.reported
+                reported = chosen.prefill and chosen.prefill.chosen.reported
                 if reported and first_token_s > target_s:
                     return self._give_up(waiting)
                 return self._grant(waiting, chosen, now_s)
@@ -324,7 +344,7 @@
         holding = events.Holding(
             asked.hold,
             asked.account,
-            chosen.prefill.chosen.server.id,
+            _id_of(chosen.prefill),
             chosen.decode.server.id,
             asked.prompt_tokens,
             asked.output_tokens,
@@ -337,6 +357,11 @@
         )
 
 
+def _id_of(plan):
+    """Return the id of a plan's server, empty where there is no plan."""
+    return ids.ServerId('') if plan is None else plan.chosen.server.id
+
+
 def _held_s(held, now_s):
     if held.decode_s is None:
         return None
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -12,18 +12,21 @@
 FILL_S = 0.1
 ALONE_S = 0.5
 MOST_PREFILLS = 3
+# A decode server reads prompts at half the speed of a prefill server.
+ALONE_SLOWER = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chosen:
     """Servers for a request, with the times to expect.
 
+    :param prefill: None where the decode server reads the prompt.
     :param link_s: monotonic seconds at which the transfer begins.
     :param transfer_s: monotonic seconds at which it ends.
     :param first_token_s: monotonic seconds of the first token.
     """
 
-    prefill: prefills.PrefillPlan
+    prefill: prefills.PrefillPlan | None
     decode: decodes.DecodeServer
     link_s: float
     transfer_s: float
@@ -59,6 +62,8 @@
 
     :returns: a Chosen, or Blocked.
     """
+    if not prefill_pool.any_present(asked.excluded):
+        return _choose_alone(asked, decode_pool, terms, now_s)
     pipeline_s = terms.pipeline_s
     if asked.isolation is not events.Isolation.NONE:
         pipeline_s = 0.0
@@ -90,8 +95,30 @@
     )
 
 
+def _choose_alone(asked, decode_pool, terms, now_s):
+    """Choose a decode server that reads the prompt by itself."""
+    candidates = [
+        known
+        for known in decode_pool.candidates(asked.excluded)
+        if known.server.reads_prompts
+        and known.server.id not in terms.claimed
+        and known.is_open_to(asked.isolation)
+        and known.has_memory(asked, terms.pieces, now_s)
+        and decode_pool.fits(known, asked, 0.0)
+    ]
+    found = min(candidates, key=lambda k: (k.fill, k.server.id), default=None)
+    if found is None:
+        return Blocked()
+    pace = found.server.pace
+    read_s = asked.prompt_tokens / max(1.0, pace.prefill_tokens_per_s)
+    end_s = now_s + pace.prefill_base_s + read_s * ALONE_SLOWER
+    return Chosen(None, found, now_s, end_s, end_s)
+
+
 def book(chosen, prefill_pool, prefix, isolation):
     """Book the prefill and the links of a choice."""
+    if chosen.prefill is None:
+        return
     prefill_pool.take(chosen.prefill, prefix)
     if isolation is not events.Isolation.NONE:
         chosen.prefill.chosen.alone_until_s = chosen.transfer_s + ALONE_S
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from bulrushrudder.placement import balance
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fill_index
 from bulrushrudder.placement import memory as growing
@@ -280,6 +281,21 @@
         if known is not None and known.token_s > 0:
             known.token_s += (token_s - known.token_s) * MEASURED_SHARE
 
+    def work_s(self, asked):
+        """Return the seconds of a whole server that a request takes.
+
+        None where its servers' memory or pace is unknown.
+        """
+        known = next(iter(self.by_id.values()), None)
+        if known is None or known.token_s <= 0:
+            return None
+        memory = known.server.memory_tokens * balance.USED_SHARE
+        if memory <= 0:
+            return None
+        output = asked.expected_tokens or asked.output_tokens
+        held_s = output * known.token_s
+        return held_s * (asked.prompt_tokens + output / 2) / memory
+
     def _ahead(self, known, lead_s):
         ends = known.held * lead_s / max(self.hold_s, 0.001)
         found = 0
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -103,6 +103,10 @@
         rate = tokens / max(LEAST_READ_S, prefill_s - known.base_s)
         known.tokens_per_s += (rate - known.tokens_per_s) * MEASURED_SHARE
 
+    def any_present(self, excluded):
+        """Return whether a server may read a prompt, busy or not."""
+        return any(server_id not in excluded for server_id in self.by_id)
+
     def plans(self, asked, now_s):
         """Return the prefills to choose from, without a scan."""
         ids = {
@@ -116,6 +120,13 @@
             for server_id in sorted(ids.difference(asked.excluded))
         ]
 
+    def work_s(self, asked):
+        """Return the seconds that a prefill takes, None if unknown."""
+        known = next(iter(self.by_id.values()), None)
+        if known is None or not known.server.pace.prefill_tokens_per_s:
+            return None
+        return known.base_s + asked.prompt_tokens / known.tokens_per_s
+
     def lead_s(self, asked):
         """Return seconds from a grant to the first token to expect."""
         rates = [known.tokens_per_s for known in self.by_id.values()]
--- a/bulrushrudder/platform/announcements.py
+++ b/bulrushrudder/platform/announcements.py
@@ -115,5 +115,6 @@
         piece_tokens=engine.piece_tokens if engine else 1,
         run=server_id,
         memory_grows=True,
+        reads_prompts=True,
         pace=PACE,
     )
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -20,6 +20,7 @@
     :param headers: pairs that go on to every runner.
     :param attempt: the client's id of the call, which runners echo.
     :param deadline_s: monotonic seconds at which the client gives up.
+    :param wait_s: seconds that it waits in all.
     """
 
     method: str
@@ -27,7 +28,8 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     attempt: str
-    deadline_s: float
+    deadline_s: float = 0.0
+    wait_s: float = 0.0
 
     def encode(self, server, now_s, *extra):
         """Return the bytes of the call to one runner.
@@ -45,9 +47,9 @@
         return headers.call(self.method, self.target, found, self.body)
 
 
-def until(passed, deadline_s):
+def until(passed, deadline_s, wait_s):
     """Return a call with another deadline."""
-    return dataclasses.replace(passed, deadline_s=deadline_s)
+    return dataclasses.replace(passed, deadline_s=deadline_s, wait_s=wait_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -20,7 +20,7 @@
 UNLIMITED_TOKENS = 1_000_000_000
 # A call may wait this long for its tokens before it is refused; the
 # shortest target on the platform's sheets is 100 ms.
-TOKENS_PATIENCE_S = 0.25
+TOKENS_PATIENCE_S = 0.15
 DEFAULT_RANK = 5
 DEFAULT_ATTEMPTS = 1
 DEFAULT_BETWEEN_EVENTS_MS = 300
--- a/bulrushrudder/platform/control_door.py
+++ b/bulrushrudder/platform/control_door.py
@@ -4,11 +4,13 @@
 from returns import result
 
 from bulrushrudder.documents import types
+from bulrushrudder.engines import connections
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.metrics import control as metrics_control
 from bulrushrudder.platform import announcements
 from bulrushrudder.platform import configuration
+from bulrushrudder.platform import orders
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.state import results
@@ -131,9 +133,18 @@
         return web.Response(body=source, content_type='application/json')
 
 
-def application(control, settings, metrics):
-    """Return the aiohttp application for runners and the operator."""
-    return ControlDoor(control, metrics).application()
+class Interface:
+    """What the platform's operator and runners speak."""
+
+    def application(self, control, settings, metrics):
+        """Return the aiohttp application for them."""
+        return ControlDoor(control, metrics).application()
+
+    def orders(self, stack):
+        """Return what carries orders to runners."""
+        kept = connections.Connections()
+        stack.callback(kept.close)
+        return orders.OrderClient(kept)
 
 
 def _problem(status, problem):
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -18,8 +18,9 @@
 from bulrushrudder.platform import event_stream
 from bulrushrudder.platform import headers
 
-# Prompts are read at some 30 tokens a ms, behind a few others.
-PREFILL_BASE_S = 1.0
+# Prompts are read at some 30 tokens a ms, behind a few others or on a
+# server that is some times slower; reading one again is priced.
+PREFILL_BASE_S = 0.7
 PREFILL_TOKENS_PER_S = 10_000.0
 # A transfer waits two seconds at most, then the first token follows.
 FIRST_EVENT_S = 4.0
--- a/bulrushrudder/platform/entry_door.py
+++ b/bulrushrudder/platform/entry_door.py
@@ -33,15 +33,24 @@
 # A first try of a repeatable call is left for another server after this
 # many times its target, which a sound server keeps but for the tail.
 SILENT_TARGETS = 3.0
-ANSWERS_S = 60.0
+ANSWERS_S = 1.0
 # Clients leave a stream without an event after the longest of a fixed
 # time, so many targets, and so many pauses that they take.
 STAY_S = 2.0
 STAY_TARGETS = 4.0
 STAY_PAUSES = 8.0
+# So much of that time is used: the answer has to reach them before.
+STAY_SHARE = 0.95
 # From a grant to the first event, for a long prompt.
 FIRST_EVENT_S = 0.5
+# What streams are taken to need while the process stops: estimates are
+# right at the median, and half of the answers take longer.
+TOKEN_S = 0.0045
+OVERRUN = 1.6
 _FINGERPRINT_BYTES = 16
+_STOPPING = outcomes.not_run(
+    outcomes.Reason.SHUTTING_DOWN, 'this VM shuts down', 0.05
+)
 
 
 class Interface:
@@ -104,7 +113,11 @@
     async def _call(self, http_request):
         self._services.calls += 1
         try:
-            return await self._serve(http_request)
+            response = await self._serve(http_request)
+            if self._services.leaving:
+                # Has the client come back elsewhere.
+                response.force_close()
+            return response
         except Exception as error:
             log.emit(catalogue.UNEXPECTED, detail=repr(error))
             if http_request.writer.output_size > 0:
@@ -152,7 +165,7 @@
         return admission.admit(
             self._services.view,
             _now_s(),
-            self._services.draining,
+            self._services.closing,
             http_request.method,
             path,
             authentication.bearer(http_request),
@@ -190,6 +203,8 @@
     # Calls to engines.
 
     async def _generate(self, http_request, passed, asked, admitted, service):
+        if not self._has_time(asked):
+            return self._refuse(_STOPPING, asked.attempt, admitted.route.id)
         fingerprint = _fingerprint(passed, admitted)
         isolation = self._model_calls.isolation(fingerprint)
         if isolation is None:
@@ -202,9 +217,16 @@
         await self._model_calls.run(job, admitted, asked.attempt, sink)
         return sink.response
 
+    def _has_time(self, asked):
+        """Return whether a stream ends before this process must."""
+        tokens = asked.expected_tokens or asked.output_tokens
+        needed_s = FIRST_EVENT_S + tokens * TOKEN_S * OVERRUN
+        return _now_s() + needed_s < self._services.stop_by_s
+
     def _job(self, passed, asked, admitted, service):
         target = admitted.route.target
         account = admitted.account
+        begin_by_s = passed.deadline_s - passed.wait_s + _stay_s(target)
         cost = asked.prompt_tokens + asked.output_tokens
         if account and not (account.by_tokens and asked.names_tokens):
             cost = account.call_tokens
@@ -218,7 +240,8 @@
             output_tokens=asked.output_tokens,
             cost=cost,
             interactive=False,
-            patience_s=_patience_s(target, passed.deadline_s - _now_s()),
+            patience_s=max(0.0, begin_by_s - FIRST_EVENT_S - _now_s()),
+            begin_by_s=begin_by_s,
             repeatable=target.repetition is not types.Repetition.NOTHING,
             deadline_s=passed.deadline_s,
             jitter=random.random(),
@@ -258,7 +281,6 @@
         kept,
         body,
         asked.attempt,
-        0.0,
     )
 
 
@@ -267,20 +289,17 @@
     wait_s = admitted.route.target.timeout_s
     if asked.wait_s is not None:
         wait_s = min(wait_s, asked.wait_s)
-    return calls.until(passed, received_s + wait_s)
-
+    return calls.until(passed, received_s + wait_s, wait_s)
 
-def _patience_s(target, left_s):
-    """Return the seconds that a stream may wait for servers.
 
-    Clients leave a stream whose first event does not come in time.
-    """
+def _stay_s(target):
+    """Return the seconds after which clients leave an empty stream."""
     stay_s = max(
         STAY_S,
         STAY_TARGETS * target.answer_s,
         STAY_PAUSES * target.between_events_s,
     )
-    return max(0.0, min(left_s, stay_s - FIRST_EVENT_S))
+    return stay_s * STAY_SHARE
 
 
 def _share_of(target):
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -23,8 +23,10 @@
 from bulrushrudder.protocol import messages
 
 CHECK_S = 0.25
+EAGER_CHECK_S = 0.1
 KEEPALIVE_IDLE_S = 30
 HANDSHAKE_S = 2.0
+EAGER_DIAL_S = 0.7
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 MAX_HANDSHAKE_BYTES = 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
@@ -41,9 +43,12 @@
         returns answers an Ask.
     :param always_alive: whether a silent peer matters also while no
         question is open.
+    :param eager: whether a silent peer is to be found sooner.
     """
 
-    def __init__(self, reader, writer, owner, handler, always_alive=False):
+    def __init__(
+        self, reader, writer, owner, handler, always_alive=False, eager=False
+    ):
         self._reader = reader
         self._writer = writer
         self._owner = owner
@@ -51,7 +56,16 @@
         self._calls_by_number = {}
         self._last_call = 0
         self._tasks = set()
+        self._check_s = CHECK_S
         self._liveness = liveness.Liveness(always_alive, _now_s())
+        if eager:
+            self._check_s = EAGER_CHECK_S
+            self._liveness = liveness.Liveness(
+                always_alive,
+                _now_s(),
+                liveness.EAGER_HEARTBEAT_S,
+                liveness.EAGER_SILENCE_S,
+            )
         self.peer = None
         self.closed = asyncio.Event()
 
@@ -209,7 +223,7 @@
     async def _watch(self):
         """Close the link when the peer falls silent."""
         while True:
-            await asyncio.sleep(CHECK_S)
+            await asyncio.sleep(self._check_s)
             waiting = bool(self._calls_by_number)
             match self._liveness.check(waiting, _now_s()):
                 case liveness.Verdict.ASK:
@@ -258,23 +272,26 @@
     return result.Failure(errors.LinkError(problem, detail, sent))
 
 
-async def dial(address, owner, secret, handler, always_alive=False):
+async def dial(
+    address, owner, secret, handler, always_alive=False, eager=False
+):
     """Open a link to another process.
 
     :param address: a config Address.
     :param always_alive: whether a silent peer matters also while no
         question is open.
+    :param eager: whether a silent peer is to be found sooner.
     :returns: the link after its handshake, or a LinkError; the caller
         runs it.
     """
     try:
-        async with asyncio.timeout(HANDSHAKE_S):
+        async with asyncio.timeout(EAGER_DIAL_S if eager else HANDSHAKE_S):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port
             )
     except (TimeoutError, OSError) as error:
         return _failure(errors.LinkProblem.UNREACHABLE, repr(error), False)
-    link = Link(reader, writer, owner, handler, always_alive)
+    link = Link(reader, writer, owner, handler, always_alive, eager)
     return await link.handshake(secret, True)
 
 
@@ -287,10 +304,15 @@
 
     async def accept(reader, writer):
         link = Link(reader, writer, owner, handler)
-        shaken = await link.handshake(secret, False)
-        if isinstance(shaken, result.Failure):
+        try:
+            shaken = await link.handshake(secret, False)
+            if isinstance(shaken, result.Failure):
+                return
+            await link.run()
+        except asyncio.CancelledError:
+            # The process stops; asyncio would report the task otherwise.
+            link.close()
             return
-        await link.run()
         if on_closed is not None:
             on_closed(link)
 
--- a/bulrushrudder/protocol/peers.py
+++ b/bulrushrudder/protocol/peers.py
@@ -17,13 +17,17 @@
     :param handler: serves messages that peers send on these links.
     :param always_alive: whether silent links are closed also while no
         question is open.
+    :param eager: whether a silent peer is to be found sooner.
     """
 
-    def __init__(self, owner, secret, handler, always_alive=False):
+    def __init__(
+        self, owner, secret, handler, always_alive=False, eager=False
+    ):
         self._owner = owner
         self._secret = secret
         self._handler = handler
         self._always_alive = always_alive
+        self._eager = eager
         self._links_by_address = {}
         self._locks_by_address = {}
         self._tasks = set()
@@ -46,6 +50,10 @@
             case result.Success(found):
                 found.tell(message)
 
+    async def reaches(self, address):
+        """Return whether a link to a process is open or can be opened."""
+        return isinstance(await self._open(address), result.Success)
+
     def post(self, address, message):
         """Send a message at once if a link is open.
 
@@ -89,6 +97,7 @@
                 self._secret,
                 self._handler,
                 self._always_alive,
+                self._eager,
             )
             return dialled.map(lambda new: self._keep(address, new))
 
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -11,6 +11,7 @@
 from bulrushrudder.protocol import status_messages
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import accounts
+from bulrushrudder.state import balances
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import intents
 from bulrushrudder.state import machine
@@ -82,6 +83,8 @@
         accounts.ReleaseAccount: 232,
         accounts.AccountRow: 233,
         accounts.AccountsSnapshot: 234,
+        balances.WantPrefills: 290,
+        balances.BalancesSnapshot: 291,
         intents.OpenIntent: 240,
         intents.CloseIntent: 241,
         intents.PassTime: 242,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -8,6 +8,7 @@
 
 from bulrushrudder.documents import types
 from bulrushrudder.state import accounts
+from bulrushrudder.state import balances
 from bulrushrudder.state import documents
 from bulrushrudder.state import intents
 from bulrushrudder.state import quarantine
@@ -15,6 +16,9 @@
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
 
+# What snapshots of earlier versions hold of pools.
+NO_POOLS = balances.BalancesSnapshot(())
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateSnapshot:
@@ -30,6 +34,7 @@
     quarantine: quarantine.QuarantineSnapshot
     accounts: accounts.AccountsSnapshot
     intents: intents.IntentsSnapshot
+    pools: balances.BalancesSnapshot = NO_POOLS
 
 
 class State:
@@ -46,6 +51,7 @@
         self.quarantine = quarantine.Quarantine()
         self.accounts = accounts.Accounts(self.sessions)
         self.intents = intents.Intents()
+        self.balances = balances.Balances()
 
     def snapshot(self):
         """Return the state as a StateSnapshot."""
@@ -57,6 +63,7 @@
             quarantine=self.quarantine.snapshot(),
             accounts=self.accounts.snapshot(),
             intents=self.intents.snapshot(),
+            pools=self.balances.snapshot(),
         )
 
     def restore(self, snapshot):
@@ -68,6 +75,7 @@
         self.quarantine.restore(snapshot.quarantine)
         self.accounts.restore(snapshot.accounts)
         self.intents.restore(snapshot.intents)
+        self.balances.restore(snapshot.pools)
         for environment in types.Environment:
             self._limit(environment)
 
@@ -111,6 +119,8 @@
                 | intents.PassTime()
             ):
                 return self.intents.apply(index, command)
+            case balances.WantPrefills():
+                return self.balances.apply(index, command)
         raise AssertionError(f'unknown command {command!r}')
 
     def _changed(self, environment, outcome):
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -39,6 +39,8 @@
     :param piece_tokens: tokens of the pieces that its memory comes in.
     :param memory_grows: whether a request takes memory as its tokens
         are made, and not for its bound from the start.
+    :param reads_prompts: whether a decode server can read a prompt by
+        itself, more slowly than a prefill server.
     :param run: names the run of the server where the server checks it.
     """
 
@@ -56,6 +58,7 @@
     piece_tokens: int = PIECE_TOKENS
     run: str = ''
     memory_grows: bool = False
+    reads_prompts: bool = False
     pace: Pace = UNKNOWN_PACE
 
 
--- /dev/null
+++ b/bulrushrudder/tests/builders/runners.py
@@ -0,0 +1,125 @@
+"""A stand-in for the platform's runners, on real sockets.
+
+It reads each call whole, notes it, and answers with what a function of
+the call gives: bytes to send, and steps that misbehave.
+"""
+
+import asyncio
+import dataclasses
+
+from bulrushrudder.tests.builders import fleet
+from bulrushrudder.tests.builders import raw_engines
+
+ATTEMPT = '9c41d07be2a35f68'
+HANDLE = '3fa09c41b7d5'
+SIGNATURE = '3e1b.07.5a2.600.0.c9f2a4d1'
+reset = raw_engines.reset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A call as a runner saw it."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+    connection: int
+
+
+def answer(body=b'', status='200 OK', headers=(), attempt=ATTEMPT):
+    """Return the bytes of a whole answer with a length."""
+    lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}']
+    if attempt:
+        lines.append(f'Attempt-Id: {attempt}')
+    lines.append(f'Server-Signature: {SIGNATURE}')
+    lines += [f'{name}: {value}' for name, value in headers]
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+
+def not_run():
+    """Return the answer of a runner that has no place."""
+    return answer(
+        status='503 Service Unavailable',
+        headers=[('Not-Executed', '1')],
+    )
+
+
+def stream_head(attempt=ATTEMPT):
+    """Return the head of a stream of events."""
+    return (
+        'HTTP/1.1 200 OK\r\n'
+        f'Attempt-Id: {attempt}\r\n'
+        f'Server-Signature: {SIGNATURE}\r\n'
+        'Content-Type: text/event-stream\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def event(number):
+    """Return the bytes of one event of a stream."""
+    return f'id: {number}\ndata: piece-{number}\n\n'.encode()
+
+
+def stream(first, last):
+    """Return a whole stream of some events."""
+    pieces = [
+        raw_engines.chunk(event(number)) for number in range(first, last + 1)
+    ]
+    return stream_head() + b''.join(pieces) + raw_engines.chunk(b'')
+
+
+class Runner:
+    """A runner that answers as a function of the call says.
+
+    :param reply: function of a Call that returns the steps of an answer:
+        bytes, or coroutine functions of the writer.
+    :ivar calls: the calls that it has read.
+    :ivar connections: how many connections it has taken.
+    """
+
+    def __init__(self, reply):
+        self._reply = reply
+        self.calls = []
+        self.connections = 0
+        self.port = None
+
+    async def start(self, stack):
+        """Listen until the stack closes."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        stack.callback(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    def server(self, server_id='i-1', kind='decode', **changes):
+        """Return the BackendServer of this runner."""
+        return fleet.server(
+            server_id, kind=kind, port=self.port, run=server_id, **changes
+        )
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        try:
+            while True:
+                found = await _read(reader, number)
+                self.calls.append(found)
+                for step in self._reply(found):
+                    if isinstance(step, bytes):
+                        writer.write(step)
+                        await writer.drain()
+                    else:
+                        await step(writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+        except asyncio.CancelledError:
+            writer.transport.abort()
+
+
+async def _read(reader, number):
+    head = await reader.readuntil(b'\r\n\r\n')
+    first, *lines = head.decode().split('\r\n')[:-2]
+    method, target, _ = first.split(' ')
+    pairs = dict(line.split(': ', 1) for line in lines)
+    body = await reader.readexactly(int(pairs.get('Content-Length', 0)))
+    return Call(method, target, pairs, body, number)
--- /dev/null
+++ b/bulrushrudder/tests/platform/engines_tests.py
@@ -0,0 +1,164 @@
+import asyncio
+import contextlib
+import unittest
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import outcomes
+from bulrushrudder.engines import connections
+from bulrushrudder.lifecycle import actions
+from bulrushrudder.lifecycle import events
+from bulrushrudder.platform import calls
+from bulrushrudder.platform import engines
+from bulrushrudder.tests.builders import fleet
+from bulrushrudder.tests.builders import jobs
+from bulrushrudder.tests.builders import raw_engines
+from bulrushrudder.tests.builders import runners
+
+BOUND_S = 3.0
+ATTEMPT = ids.AttemptId(ids.RequestId('1'), fleet.owner(), 1)
+SOURCE = fleet.server('i-0', kind='prefill', host='10.0.0.9', port=80)
+PREFILLED = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
+
+
+async def end(writer):
+    writer.close()
+
+
+class EnginesTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        kept = connections.Connections()
+        self.stack.callback(kept.close)
+        self.client = engines.EngineClient(kept)
+        passed = calls.Passed(
+            'POST',
+            '/drafts/2f?x=%20',
+            (('Host', 'one.example'), ('Attempt-Id', runners.ATTEMPT)),
+            b'a prompt',
+            runners.ATTEMPT,
+            asyncio.get_running_loop().time() + 14.0,
+        )
+        self.job = jobs.job(content=passed, prompt_tokens=1460)
+
+    async def start(self, *steps):
+        runner = runners.Runner(lambda call: steps)
+        self.runner = await runner.start(self.stack)
+        return self.runner.server()
+
+
+class PrefillTests(EnginesTestCase):
+    async def prefill(self, *steps):
+        server = await self.start(*steps)
+        action = actions.StartPrefill(ATTEMPT, server.id, ())
+        async with asyncio.timeout(BOUND_S):
+            return await self.client.prefill(server, action, self.job)
+
+    async def test_the_call_and_its_result(self):
+        found = await self.prefill(runners.answer(PREFILLED))
+        expected = events.PrefillDone(ATTEMPT, runners.HANDLE, 1460)
+        self.assertEqual(found, expected)
+        (call,) = self.runner.calls
+        self.assertEqual(call.target, '/drafts/2f?x=%20')
+        self.assertEqual(call.body, b'a prompt')
+        self.assertEqual(call.headers['Stage'], 'prefill')
+        self.assertEqual(call.headers['Expect-Instance'], 'i-1')
+        self.assertLessEqual(int(call.headers['Deadline-Ms']), 14000)
+
+    async def test_no_failure_means_that_the_request_has_run(self):
+        other = runners.answer(PREFILLED, attempt='other')
+        for step in (
+            runners.not_run(),
+            runners.reset,
+            other,
+            runners.answer(b'{}'),
+            runners.answer(status='500 Error'),
+            b'nonsense\r\n\r\n',
+        ):
+            with self.subTest(str(step)):
+                found = await self.prefill(step)
+                self.assertIsInstance(found, events.AttemptFailed)
+                self.assertFalse(found.sent)
+
+    async def test_a_result_that_nobody_takes_is_freed(self):
+        server = await self.start(runners.answer(PREFILLED))
+        action = actions.StartPrefill(ATTEMPT, server.id, ())
+        await self.client.prefill(server, action, self.job)
+        await self.client.cancel(server, [ATTEMPT])
+        last = self.runner.calls[-1]
+        self.assertEqual(last.method, 'DELETE')
+        self.assertTrue(last.target.endswith('/kv-handle/3fa09c41b7d5'))
+        await self.client.cancel(server, [ATTEMPT])
+        self.assertEqual(len(self.runner.calls), 2)
+
+
+class DecodeTests(EnginesTestCase):
+    async def decode(self, *steps, produced=(), handle=runners.HANDLE):
+        server = await self.start(*steps)
+        action = actions.StartDecode(
+            ATTEMPT, server.id, SOURCE.id, handle, produced
+        )
+        found = []
+        async with asyncio.timeout(BOUND_S):
+            async for batch in self.client.decode(
+                server, action, SOURCE, self.job
+            ):
+                found += batch
+        return found
+
+    async def test_a_whole_stream(self):
+        began, *tokens, done = await self.decode(runners.stream(1, 3))
+        self.assertEqual(began.head.status, 200)
+        texts = [token.text for token in tokens]
+        self.assertEqual(texts, [runners.event(n) for n in (1, 2, 3)])
+        self.assertEqual([token.index for token in tokens], [0, 1, 2])
+        self.assertEqual(done, events.DecodeDone(ATTEMPT, 3, 'stop'))
+        (call,) = self.runner.calls
+        place = f'10.0.0.9:80/{runners.HANDLE}'
+        self.assertEqual(call.headers['Kv-Source'], place)
+        self.assertNotIn('Last-Event-Id', call.headers)
+
+    async def test_a_stream_goes_on_after_its_last_event(self):
+        produced = (runners.event(1), runners.event(2))
+        found = await self.decode(runners.stream(3, 4), produced=produced)
+        self.assertEqual([token.index for token in found[1:-1]], [2, 3])
+        self.assertEqual(found[-1].tokens, 4)
+        (call,) = self.runner.calls
+        self.assertEqual(call.headers['Last-Event-Id'], '2')
+
+    async def test_without_a_prefill_no_source_is_named(self):
+        await self.decode(runners.stream(1, 1), handle='')
+        (call,) = self.runner.calls
+        self.assertNotIn('Kv-Source', call.headers)
+
+    async def test_a_refusal_has_not_run(self):
+        (found,) = await self.decode(runners.not_run())
+        self.assertFalse(found.sent)
+        self.assertIs(found.reason, outcomes.Reason.BACKEND_FULL)
+
+    async def test_a_stream_cut_within_an_event_ends_with_a_failure(self):
+        whole = runners.stream(1, 2)
+        for size in range(len(runners.stream_head()), len(whole)):
+            with self.subTest(size):
+                found = await self.decode(whole[:size], end)
+                self.assertIsInstance(found[-1], events.AttemptFailed)
+                self.assertTrue(found[-1].sent)
+                for token in found[1:-1]:
+                    self.assertTrue(token.text.endswith(b'\n\n'))
+
+    async def test_an_end_within_an_event_is_no_end(self):
+        found = await self.decode(
+            runners.stream_head(),
+            raw_engines.chunk(runners.event(1) + b'id: 2\nda'),
+            raw_engines.chunk(b''),
+        )
+        self.assertIsInstance(found[-1], events.AttemptFailed)
+
+    async def test_an_answer_to_another_call_is_none(self):
+        (found,) = await self.decode(runners.stream_head('other'))
+        self.assertTrue(found.sent)
+        self.assertIs(found.reason, outcomes.Reason.BACKEND_FAILED)
+
+    async def test_a_failure_of_the_runner_has_run(self):
+        (found,) = await self.decode(runners.answer(status='500 Error'))
+        self.assertTrue(found.sent)
--- /dev/null
+++ b/bulrushrudder/tests/platform/path_tests.py
@@ -0,0 +1,254 @@
+import asyncio
+import unittest
+
+import aiohttp
+
+from bulrushrudder.tests.builders import platform
+from bulrushrudder.tests.builders import platform_fleet
+from bulrushrudder.tests.builders import runners
+
+BOUND_S = 20.0
+PREFILLED = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
+OTHER = '77aa09c41b7d5e10'
+
+
+def portal_route(kind, **changes):
+    """Return a route to the plain service."""
+    return {
+        **platform.ROUTE,
+        'name': f'r-{kind}',
+        'path_prefix': f'/{kind}/',
+        'route_type': kind,
+        'timeout_ms': 800,
+        'target_latency_ms': 125,
+        'service': 'portal',
+        'resumable': False,
+        **changes,
+    }
+
+
+def configuration():
+    found = platform.configuration()
+    found['routes'] += [
+        portal_route('idempotent'),
+        portal_route('non_idempotent', max_attempts=1),
+        portal_route('idempotent', name='r-o', path_prefix='/o/', public=True),
+        {**platform.ROUTE, 'name': 'r-once', 'path_prefix': '/once/'},
+    ]
+    found['routes'][-1]['resumable'] = False
+    return found
+
+
+def engine(call):
+    """Prefill and decode as a sound runner does."""
+    if call.headers.get('Stage') == 'prefill':
+        return [runners.answer(PREFILLED)]
+    first = int(call.headers.get('Last-Event-Id', 0)) + 1
+    return [runners.stream(first, 5)]
+
+
+def cut(call):
+    """Break the stream off within its third event."""
+    if call.headers.get('Stage') == 'prefill':
+        return [runners.answer(PREFILLED)]
+    return [runners.stream(1, 5)[:-95], close]
+
+
+async def close(writer):
+    writer.close()
+
+
+class PathTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        manager = platform_fleet.running()
+        self.fleet = await self.enterAsyncContext(manager)
+
+    async def configure(self):
+        self.assertEqual(await self.fleet.configure(configuration()), 200)
+        await self.fleet.until(
+            lambda: self.fleet.entry.view.lookups.document.version == 7
+        )
+
+    async def portal(self, reply, server_id='i-p', **changes):
+        return await self.fleet.add(
+            reply, server_id, service='portal', stage=None, slots=6, **changes
+        )
+
+    async def text(self, path, **terms):
+        async with asyncio.timeout(BOUND_S):
+            async with self.fleet.call(path, **terms) as response:
+                return response.status, await response.read()
+
+    # Configuration.
+
+    async def test_unready_until_there_is_a_configuration(self):
+        self.assertEqual(await self.fleet.ready(), 503)
+        status, _ = await self.text('/drafts/1')
+        self.assertEqual(status, 503)
+        self.assertEqual((await self.fleet.configuration())[0], 503)
+        await self.configure()
+        self.assertEqual(await self.fleet.ready(), 200)
+
+    async def test_the_highest_version_wins_and_is_read_back(self):
+        await self.configure()
+        sent = platform.encoded(configuration())
+        self.assertEqual(await self.fleet.configuration(), (200, sent))
+        for version in (7, 3):
+            older = {**configuration(), 'version': version, 'tenants': []}
+            self.assertEqual(await self.fleet.configure(older), 200)
+            self.assertEqual(await self.fleet.configuration(), (200, sent))
+        broken = {**configuration(), 'version': 8, 'services': []}
+        self.assertEqual(await self.fleet.configure(broken), 400)
+        newer = {**configuration(), 'version': 9}
+        self.assertEqual(await self.fleet.configure(newer), 200)
+        found = await self.fleet.configuration()
+        self.assertEqual(found, (200, platform.encoded(newer)))
+
+    async def test_who_may_call_what(self):
+        await self.configure()
+        await self.portal(lambda call: [runners.answer(b'mine')])
+        wrong = {'Authorization': 'Bearer nobody'}
+        for path, headers, expected in (
+            ('/nowhere', {}, 404),
+            ('/idempotent/1', {'Host': 'two.example'}, 404),
+            ('/idempotent/1', wrong, 401),
+            ('/o/1', wrong, 200),
+            ('/idempotent/1', {}, 200),
+        ):
+            with self.subTest(f'{path} {headers}'):
+                status, _ = await self.text(path, headers=headers)
+                self.assertEqual(status, expected)
+
+    # Plain services.
+
+    async def test_a_call_is_passed_on_unchanged(self):
+        await self.configure()
+        runner = await self.portal(lambda call: [runners.answer(b'mine')])
+        async with self.fleet.call(
+            '/non_idempotent/a%20b?c=%2F', body=b'abc'
+        ) as response:
+            self.assertEqual(await response.read(), b'mine')
+            signature = response.headers['Server-Signature']
+        self.assertEqual(signature, runners.SIGNATURE)
+        (call,) = runner.calls
+        self.assertEqual(call.target, '/non_idempotent/a%20b?c=%2F')
+        self.assertEqual(call.body, b'abc')
+        self.assertEqual(call.headers['Tenant'], 'acme')
+        self.assertEqual(call.headers['Expect-Instance'], 'i-p')
+        self.assertNotIn('Authorization', call.headers)
+
+    async def test_what_may_run_once_is_sent_once(self):
+        await self.configure()
+        runner = await self.portal(lambda call: [runners.reset])
+        status, _ = await self.text('/non_idempotent/1')
+        self.assertEqual(status, 502)
+        self.assertEqual(len(runner.calls), 1)
+
+    async def test_unless_the_runner_says_that_it_has_not_run(self):
+        await self.configure()
+        first = await self.portal(lambda call: [runners.not_run()], 'i-a')
+        await self.portal(
+            lambda call: [runners.answer(b'mine')], 'i-b', zone='b'
+        )
+        status, body = await self.text('/non_idempotent/1')
+        self.assertEqual((status, body), (200, b'mine'))
+        self.assertEqual(len(first.calls), 1)
+
+    async def test_what_may_be_repeated_goes_to_another_runner(self):
+        await self.configure()
+        failing = runners.answer(b'no', status='500 Error')
+        await self.portal(lambda call: [failing], 'i-a')
+        await self.portal(
+            lambda call: [runners.answer(b'mine')], 'i-b', zone='b'
+        )
+        found = await self.text('/idempotent/1', method='GET', body=None)
+        self.assertEqual(found, (200, b'mine'))
+
+    async def test_an_answer_to_another_call_reaches_nobody(self):
+        await self.configure()
+        other = runners.answer(b'theirs', attempt=OTHER)
+        await self.portal(lambda call: [other])
+        status, body = await self.text('/non_idempotent/1')
+        self.assertEqual(status, 502)
+        self.assertNotIn(b'theirs', body)
+
+    async def test_silence_ends_at_the_time_of_the_route(self):
+        await self.configure()
+
+        async def pause(writer):
+            await asyncio.sleep(5.0)
+
+        await self.portal(lambda call: [pause])
+        status, _ = await self.text('/non_idempotent/1')
+        self.assertEqual(status, 504)
+
+    async def test_without_a_runner_the_call_has_not_run(self):
+        await self.configure()
+        async with self.fleet.call('/non_idempotent/1') as response:
+            self.assertEqual(response.status, 503)
+            self.assertGreater(float(response.headers['Retry-After']), 0)
+
+    # Engines.
+
+    async def test_prefill_then_decode(self):
+        await self.configure()
+        prefill = await self.fleet.add(engine, 'i-p', stage='prefill')
+        decode = await self.fleet.add(engine, 'i-d', zone='b')
+        whole = b''.join(runners.event(n) for n in range(1, 6))
+        self.assertEqual(await self.text('/drafts/1'), (200, whole))
+        self.assertEqual(len(prefill.calls), 1)
+        source = f'127.0.0.1:{prefill.port}/{runners.HANDLE}'
+        (call,) = decode.calls
+        self.assertEqual(call.headers['Kv-Source'], source)
+
+    async def test_a_decode_runner_reads_prompts_where_none_prefills(self):
+        await self.configure()
+        decode = await self.fleet.add(engine, 'i-d')
+        status, _ = await self.text('/drafts/1')
+        self.assertEqual(status, 200)
+        self.assertNotIn('Kv-Source', decode.calls[0].headers)
+
+    async def test_a_stream_that_may_go_on_is_whole(self):
+        await self.configure()
+        await self.fleet.add(engine, 'i-p', stage='prefill')
+        broken = await self.fleet.add(cut, 'i-d', zone='a')
+        await self.fleet.add(engine, 'i-e', zone='b')
+        whole = b''.join(runners.event(n) for n in range(1, 6))
+        for _ in range(4):
+            self.assertEqual(await self.text('/drafts/1'), (200, whole))
+        self.assertGreater(len(broken.calls), 0)
+
+    async def test_one_that_may_not_is_visibly_cut(self):
+        await self.configure()
+        await self.fleet.add(engine, 'i-p', stage='prefill')
+        await self.fleet.add(cut, 'i-d')
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.text('/once/1')
+
+    # Runners come and go.
+
+    async def test_a_leaving_runner_gets_nothing_new(self):
+        await self.configure()
+        runner = await self.portal(lambda call: [runners.answer(b'mine')])
+        status = await self.fleet.beat(
+            runner, 'i-p', service='portal', stage=None, state='draining'
+        )
+        self.assertEqual(status, 200)
+        await self.fleet.until(
+            lambda: not self.fleet.entry.view.state.servers.by_id
+        )
+        late = await self.fleet.beat(
+            runner, 'i-p', service='portal', stage=None, sequence=1
+        )
+        self.assertEqual(late, 200)
+        status, _ = await self.text('/non_idempotent/1')
+        self.assertEqual(status, 503)
+        self.assertEqual(runner.calls, [])
+
+    async def test_an_announcement_that_cannot_be_read_changes_nothing(self):
+        await self.configure()
+        runner = await self.portal(lambda call: [runners.answer(b'mine')])
+        for changes in ({'service': 'nobody'}, {'slots': 'six'}):
+            status = await self.fleet.beat(runner, 'i-p', **changes)
+            self.assertEqual(status, 400)
+        self.assertEqual(await self.text('/o/1'), (200, b'mine'))
