Let another decode server take a prefill's result; log without waiting

Now the result stays for one more decode server.

Logs go to standard output through a bounded writer that never waits, with a count of what was left out; a line for each server that had a call of a plain service.

Found by a test of the writer: a count of lines left out was lost when its own line had no room.

--- a/bulrushrudder/commands/program.py
+++ b/bulrushrudder/commands/program.py
@@ -1,5 +1,6 @@
 """Finds and runs the command that the command line names."""
 
+import importlib
 import os
 import sys
 
@@ -7,35 +8,11 @@
 from fire import decorators
 
 from bulrushrudder.commands import arguments
-from bulrushrudder.commands import bench
-from bulrushrudder.commands import control
-from bulrushrudder.commands import demo
-from bulrushrudder.commands import document
-from bulrushrudder.commands import entry
 from bulrushrudder.commands import errors
-from bulrushrudder.commands import key
-from bulrushrudder.commands import solo
-from bulrushrudder.commands import status
-from bulrushrudder.commands import version
 
-COMMANDS = {
-    'entry': entry.entry,
-    'control': control.control,
-    'solo': solo.solo,
-    'demo': demo.demo,
-    'document': {
-        'check': document.check,
-        'submit': document.submit,
-        'promote': document.promote,
-        'show': document.show,
-        'history': document.history,
-        'diff': document.diff,
-    },
-    'key': {'new': key.new},
-    'status': status.status,
-    'bench': bench.bench,
-    'version': version.version,
-}
+# A process that serves pays for all that it imports, in its start and in
+# its memory, so these commands are imported alone.
+SERVICES = ('entry', 'control')
 
 
 def main(words=None):
@@ -59,10 +36,20 @@
     return int(errors.ExitCode.OK)
 
 
+def _commands(words):
+    """Return the commands that the first word may mean."""
+    name = words[0] if words else ''
+    if name in SERVICES:
+        module = importlib.import_module(f'bulrushrudder.commands.{name}')
+        return {name: getattr(module, name)}
+    module = importlib.import_module('bulrushrudder.commands.catalogue')
+    return module.COMMANDS
+
+
 def _run(words):
-    found = arguments.find(COMMANDS, words)
-    if found.command is bench.bench and '--help' not in found.rest[:1]:
-        bench.bench(*found.rest)
+    found = arguments.find(_commands(words), words)
+    if found.names == ('bench',) and '--help' not in found.rest[:1]:
+        found.command(*found.rest)
         return
     wants_help = any(flag in found.rest for flag in arguments.HELP_FLAGS)
     if wants_help or isinstance(found.command, dict):
--- a/bulrushrudder/commands/service.py
+++ b/bulrushrudder/commands/service.py
@@ -51,8 +51,8 @@
         raise errors.CommandError(
             errors.ExitCode.USAGE, '--log-format is json or human'
         )
-    make = log.json_handler if log_format == 'json' else log.human_handler
-    with make(sys.stdout).applicationbound():
+    handler = log.bounded_handler(sys.stdout.fileno(), log_format)
+    with handler.applicationbound():
         asyncio.run(_until_signal(run, found))
 
 
--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -35,6 +35,7 @@
     :param attempts: servers that may run the call.
     :param deadline_s: monotonic seconds at which the caller must have a
         final answer.
+    :param request_id: names the call in logs.
     :param content: what goes to the server instead of the other fields,
         where the callers' interface has encoded it; opaque here.
     """
@@ -47,6 +48,7 @@
     repeatable: bool = False
     attempts: int = 1
     deadline_s: float = math.inf
+    request_id: str = ''
     content: object = None
 
 
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -13,6 +13,8 @@
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_servers
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.idempotency import actions
 from bulrushrudder.idempotency import events
 from bulrushrudder.idempotency import fingerprints
@@ -28,6 +30,7 @@
 )
 # Tries that no server ran are bounded too; each asks the retry budget.
 MAX_TRIES = 4
+MS_A_SECOND = 1000.0
 _NO_SERVER = outcomes.not_run(
     outcomes.Reason.NO_SERVER, 'no backend server is up', 1.0
 )
@@ -50,6 +53,7 @@
             tuple(http_request.headers.items()),
             body,
             admitted.route.target.timeout_s,
+            request_id=request_id,
         )
         service = admitted.route.target.service
         call_id = http_request.headers.get(ID_HEADER)
@@ -120,7 +124,11 @@
             left_s = call.deadline_s - loop.time()
             timeout_s = min(call.timeout_s, left_s)
             bounded = dataclasses.replace(call, timeout_s=timeout_s)
+            began_s = loop.time()
             found = await self._services.plain.call(server, bounded)
+            took_s = loop.time() - began_s
+            self._services.metrics.observe_call(service, took_s)
+            self._log_try(call, server, found, took_s)
             sent = _after(sent, found)
             runs += _has_run(found)
             if not _is_wanting(found, call) or runs >= call.attempts:
@@ -132,6 +140,25 @@
             if not self._services.retries.may_try_again(now_s):
                 return sent
 
+    def _log_try(self, call, server, found, took_s):
+        """Log what one server made of a call, and what chose it."""
+        match found:
+            case result.Success(reply):
+                outcome = str(reply.status)
+            case result.Failure(refusal):
+                outcome = f'{refusal.reason.name}: {refusal.detail}'
+        now_s = asyncio.get_running_loop().time()
+        log.emit(
+            catalogue.CALL_TRIED,
+            request=call.request_id,
+            server=server.id,
+            outcome=outcome,
+            took_ms=round(took_s * MS_A_SECOND),
+            timeout_ms=round(call.timeout_s * MS_A_SECOND),
+            view=self._services.view.index,
+            view_age_ms=self._services.view.age_ms(now_s),
+        )
+
     async def _charge(self, admitted):
         if admitted.account is None:
             return result.Success(None)
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -31,7 +31,7 @@
                     prefill=prefill,
                     decode=decode,
                     view=self._view.index,
-                    view_age_ms=self._view_age_ms(),
+                    view_age_ms=self._view.age_ms(self._clock.time()),
                 )
             case events.PrefillDone(prompt_tokens=tokens):
                 self._emit(catalogue.PREFILL_DONE, tokens=tokens)
@@ -69,7 +69,3 @@
             elapsed_ms=round(elapsed_s * MS_A_SECOND),
             **fields,
         )
-
-    def _view_age_ms(self):
-        age_s = self._view.age_s(self._clock.time())
-        return round(age_s * MS_A_SECOND) if age_s < float('inf') else None
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -241,13 +241,13 @@
     'No control VM vouches for this view; keyed routes are refused.',
 )
 PEER_SUSPECTED = Event(
-    3103,
+    3111,
     Level.WARNING,
     'peer suspected',
     'A VM could not be reached; the next one plays its soft roles.',
 )
 PEER_REACHED = Event(
-    3104,
+    3112,
     Level.INFO,
     'peer reached',
     'A VM that could not be reached can be again, or has started anew.',
@@ -287,6 +287,13 @@
     "An account's authority was silent; the entry granted from its part "
     'of what the account may get over its grant.',
 )
+LINES_LEFT_OUT = Event(
+    9003,
+    Level.WARNING,
+    'lines left out',
+    'So many log lines were left out in the second before, above the '
+    'rate or since nobody read them in time.',
+)
 UNEXPECTED = Event(
     9001,
     Level.ERROR,
--- a/bulrushrudder/events/log.py
+++ b/bulrushrudder/events/log.py
@@ -6,6 +6,9 @@
 
 import logbook
 
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import output
+
 _LOGGER = logbook.Logger('bulrushrudder')
 
 
@@ -24,6 +27,43 @@
     return _handler(stream, level, _as_json)
 
 
+def bounded_handler(descriptor, log_format, level='INFO'):
+    """Return a handler that never waits for whoever reads its lines.
+
+    :param descriptor: of the file that lines go to.
+    :param log_format: json or human.
+    """
+    formatter = _as_json if log_format == 'json' else _as_text
+    return _BoundedHandler(descriptor, formatter, level)
+
+
+class _BoundedHandler(logbook.Handler):
+    """Writes lines through an Output."""
+
+    def __init__(self, descriptor, formatter, level):
+        super().__init__(level)
+        self.formatter = formatter
+        self._output = output.Output(descriptor, _left_out_line)
+
+    def emit(self, record):
+        """Write the line of a record."""
+        urgent = record.level >= logbook.WARNING
+        self._output.write(self.format(record), urgent)
+
+
+def _left_out_line(count):
+    event = catalogue.LINES_LEFT_OUT
+    return json.dumps(
+        {
+            'time': datetime.datetime.now(datetime.UTC).isoformat(),
+            'level': event.level.value,
+            'event': event.number,
+            'name': event.name,
+            'count': count,
+        }
+    )
+
+
 def human_handler(stream=None, level='INFO'):
     """Return a handler that writes lines for people."""
     return _handler(stream, level, _as_text)
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -46,7 +46,9 @@
         self._place = None
         self._holding = None
         self._kept = None
+        self._kept_source = None
         self._kept_handle = None
+        self._handle = None
         self._failures = []
         self._excluded = ()
         self._failed_server = None
@@ -185,7 +187,7 @@
                 )
             ]
         self._go('start_transfer')
-        return [self._start_decode(self._kept.decode, self._kept_handle)]
+        return [self._start_decode(self._kept_source, self._kept_handle)]
 
     # During an attempt.
 
@@ -208,6 +210,7 @@
         if self._exceeds_charge():
             reason = outcomes.Reason.COST_ABOVE_BURST
             return self._end(reason, 'the prompt has too many tokens')
+        self._handle = event.handle
         return [
             *self._return_excess(),
             self._start_decode(self._holding.prefill, event.handle),
@@ -266,8 +269,31 @@
         if event.sent and event.reason not in _NOT_INSPECTED:
             return self._fail_attempt(event.reason, event.server)
         self._note_failure(event.reason, event.server)
+        if self._result_is_left(event):
+            self._keep(self._holding.prefill, self._handle)
+            return self._retry(now_s)
         return [*self._free_all(), *self._retry(now_s)]
 
+    def _result_is_left(self, event):
+        """Return whether another decode server may take the prefill.
+
+        The one that was chosen could not be reached, so the result is
+        where it was, for a little while.
+        """
+        return (
+            self.state == 'transferring'
+            and self._kept is None
+            and bool(self._handle)
+            and not self.job.prefill_runs
+            and event.reason is outcomes.Reason.BACKEND_UNREACHABLE
+        )
+
+    def _keep(self, source, handle):
+        self._kept = self._holding
+        self._kept_source = source
+        self._kept_handle = handle
+        self._holding = None
+
     def _fail_attempt(self, reason, server):
         self._note_failure(reason, server)
         self._go('inspect')
@@ -285,9 +311,7 @@
             return [*self._free_all(), *self._crashed()]
         found = self._free_kept()
         if event.handle is not None and self.job.repeatable:
-            self._kept = self._holding
-            self._kept_handle = event.handle
-            self._holding = None
+            self._keep(self._holding.decode, event.handle)
         else:
             found += self._free_all()
         return [*found, *self._retry(now_s)]
@@ -402,7 +426,9 @@
             return []
         found = _free(self._kept)
         self._kept = None
+        self._kept_source = None
         self._kept_handle = None
+        self._handle = None
         return found
 
     def _exceeds_charge(self):
--- a/bulrushrudder/metrics/registry.py
+++ b/bulrushrudder/metrics/registry.py
@@ -62,6 +62,15 @@
             'bulrushrudder_between_tokens_seconds',
             'Seconds between tokens by route and client account.',
         )
+        self.calls = self._histogram(
+            'bulrushrudder_call_seconds',
+            'Seconds that servers of plain services took, by service.',
+        )
+
+    def observe_call(self, service, seconds):
+        """Record how long a server of a plain service took."""
+        found = self._routes.bound(route=service)
+        _child(self.calls, {'service': found['route']}).observe(seconds)
 
     def count_refusal(self, reason, route):
         """Count a refusal by its numbered reason."""
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -6,6 +6,7 @@
 from bulrushrudder.state import machine
 
 FRESHNESS_BOUND_S = 3.0
+MS_A_SECOND = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +106,12 @@
             return float('inf')
         return now_s - self._fresh_s
 
+    def age_ms(self, now_s):
+        """Return the age in milliseconds; None before the first voucher."""
+        if self._fresh_s is None:
+            return None
+        return round(self.age_s(now_s) * MS_A_SECOND)
+
     def fresh(self, now_s):
         """Return whether keyed routes may be served."""
         return self.age_s(now_s) <= self._bound_s
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -104,7 +104,6 @@
         The last event of the last list ends the attempt.
         """
         attempt = action.attempt
-        self._handles_by_attempt.pop(attempt, None)
         data = _decode_call(server, action, source, job)
         try:
             async with self._kept.call(server, data) as found:
@@ -130,12 +129,21 @@
                 detail = f'status {read.status}'
                 yield [_failed(attempt, server, _invalid(detail).failure())]
                 return
+        self._forget(action.handle)
         yield [events.TransferDone(attempt, head.unwrap())]
         async for batch in _events(
             found.unwrap(), server, attempt, len(action.produced)
         ):
             yield batch
 
+    def _forget(self, handle):
+        """Take note that a result was taken."""
+        self._handles_by_attempt = {
+            attempt: held
+            for attempt, held in self._handles_by_attempt.items()
+            if held[1] != handle
+        }
+
     async def inspect(self, server, attempt):
         """Say what is left of an attempt: nothing that can be taken."""
         return events.Inspected(attempt, False, None)
--- a/bulrushrudder/platform/entry_door.py
+++ b/bulrushrudder/platform/entry_door.py
@@ -189,6 +189,7 @@
             repeatable=repeatable,
             attempts=target.attempts,
             deadline_s=passed.deadline_s,
+            request_id=asked.attempt,
             content=passed,
         )
         sent = await self._service_calls.send(admitted, service_id, call)
--- a/bulrushrudder/tests/commands/arguments_tests.py
+++ b/bulrushrudder/tests/commands/arguments_tests.py
@@ -2,6 +2,7 @@
 import io
 import unittest
 
+from bulrushrudder.commands import catalogue
 from bulrushrudder.commands import errors
 from bulrushrudder.commands import program
 
@@ -52,7 +53,7 @@
                 self.assertEqual(found[2].count('\n'), 1)
 
     def test_help_of_every_command_is_printed(self):
-        for words in _commands(program.COMMANDS):
+        for words in _commands(catalogue.COMMANDS):
             with self.subTest(words):
                 code, text, problems = run(*words, '--help')
                 self.assertEqual((code, problems), (0, ''))
--- /dev/null
+++ b/bulrushrudder/tests/events/output_tests.py
@@ -0,0 +1,72 @@
+import os
+import time
+import unittest
+
+from bulrushrudder.events import output
+
+
+class OutputTests(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        os.set_blocking(self.reader, False)
+        self.now_s = 0.0
+        self.rest = b''
+        self.output = output.Output(
+            writer, 'left out {}'.format, lambda: self.now_s
+        )
+
+    def read(self):
+        found = b''
+        while True:
+            try:
+                found += os.read(self.reader, 65536)
+            except BlockingIOError:
+                self.rest += found
+                whole, _, self.rest = self.rest.rpartition(b'\n')
+                return whole.decode().splitlines()
+
+    def drain(self):
+        """Read and flush by turns until nothing is left."""
+        found = self.read()
+        while True:
+            self.output.flush()
+            more = self.read()
+            if not more:
+                return found
+            found += more
+
+    def test_lines_arrive_in_order(self):
+        for number in range(3):
+            self.output.write(f'line {number}')
+        self.assertEqual(self.read(), ['line 0', 'line 1', 'line 2'])
+
+    def test_a_reader_who_does_not_read_holds_nothing_up(self):
+        line = 'x' * 1000
+        began_s = time.monotonic()
+        for number in range(2000):
+            self.now_s = number / 100
+            self.output.write(line)
+        self.assertLess(time.monotonic() - began_s, 5.0)
+        read = self.drain()
+        self.now_s += 1.0
+        self.output.write('after')
+        read += self.drain()
+        found = [text for text in read if text.startswith('left out')]
+        missed = sum(int(text.split()[-1]) for text in found)
+        kept = [text for text in read if text == line]
+        self.assertGreater(missed, 0)
+        self.assertEqual(len(kept) + missed, 2000)
+        self.assertEqual(read[-1], 'after')
+
+    def test_lines_above_the_rate_are_counted_but_not_urgent_ones(self):
+        for number in range(output.MOST_LINES_A_S + 50):
+            self.output.write(f'line {number}')
+        self.output.write('warning', urgent=True)
+        read = self.read()
+        self.assertEqual(len(read), output.MOST_LINES_A_S + 1)
+        self.assertEqual(read[-1], 'warning')
+        self.now_s = 1.0
+        self.output.write('next')
+        self.assertEqual(self.read(), ['left out 50', 'next'])
--- a/bulrushrudder/tests/metrics/page_tests.py
+++ b/bulrushrudder/tests/metrics/page_tests.py
@@ -12,7 +12,7 @@
 
 class OperatingPageTests(unittest.TestCase):
     def test_page_explains_every_metric(self):
-        page = (DOCS / 'OPERATING.md').read_text()
+        page = (DOCS / 'OPERATIONS.md').read_text()
         explained = set(re.findall(r'^\| `(bulrushrudder_\w+)`', page, re.M))
         metrics = registry.Metrics(), control.ControlMetrics()
         shown = {
@@ -21,7 +21,7 @@
         self.assertEqual(explained, shown)
 
     def test_page_names_only_reasons_that_exist(self):
-        page = (DOCS / 'OPERATING.md').read_text()
+        page = (DOCS / 'OPERATIONS.md').read_text()
         named = set(re.findall(r'`([A-Z]+_[A-Z_]+)`', page))
         known = {reason.name for reason in outcomes.Reason}
         self.assertEqual(named - known, set())
