Tell a new coordinator of every hold, leave a control process that cannot vouch

The cell that gave a role away also went on granting for two seconds; only one that stands in for another does now.

--- a/bulrushrudder/entry/admission.py
+++ b/bulrushrudder/entry/admission.py
@@ -8,6 +8,10 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.documents import types
 
+# A route or key that is not known is refused for good only by a view that
+# was current this lately; vouchers come four times a second.
+DOUBT_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
@@ -44,9 +48,9 @@
             outcomes.Reason.SHUTTING_DOWN, 'this VM shuts down', 1.0
         )
     route = view.lookups.route_of(method, path, host)
-    if route is None and view.lookups.document.version == 0:
+    if route is None and _is_in_doubt(view, now_s):
         return _refuse(
-            outcomes.Reason.VIEW_STALE, 'there is no document yet', 1.0
+            outcomes.Reason.VIEW_STALE, 'the document may be older', DOUBT_S
         )
     if route is None:
         return _refuse(
@@ -87,12 +91,21 @@
     )
 
 
+def _is_in_doubt(view, now_s):
+    """Return whether a newer document may know what this one does not."""
+    return view.lookups.document.version == 0 or view.age_s(now_s) > DOUBT_S
+
+
 def _check_key(view, now_s, route, key_digest):
     if not view.fresh(now_s):
         return _refuse(
             outcomes.Reason.VIEW_STALE, 'keys cannot be checked now', 1.0
         )
     account = view.lookups.account_of(key_digest)
+    if account is None and _is_in_doubt(view, now_s):
+        return _refuse(
+            outcomes.Reason.VIEW_STALE, 'the keys may be older', DOUBT_S
+        )
     if account is None:
         return _refuse(outcomes.Reason.KEY_UNKNOWN, 'the key is not valid')
     if route.accounts and account.id not in route.accounts:
--- a/bulrushrudder/entry/cells.py
+++ b/bulrushrudder/entry/cells.py
@@ -23,6 +23,7 @@
     """A Cell, and what it was last told of the view.
 
     :param asked_s: monotonic seconds of the last question.
+    :param in_charge: whether this VM was in charge at some time.
     :param index: of the view at that time.
     :param version: of the model's servers in the view.
     :param owners: the owners that it knows.
@@ -32,6 +33,7 @@
     asked_s: float
     index: int = -1
     version: int = -1
+    in_charge: bool = False
     owners: tuple[ids.Owner, ...] = ()
 
 
@@ -103,13 +105,16 @@
     def keep(self, is_in_charge):
         """Close the Cells of models that another VM is in charge of.
 
-        Who cannot reach that VM asks here, so a Cell stays open while it
-        is asked.
+        Who cannot reach that VM asks here, so a Cell that only stands in
+        for another stays open while it is asked.
         """
         now_s = asyncio.get_running_loop().time()
         for model, opened in tuple(self._open_by_model.items()):
+            if is_in_charge(model):
+                opened.in_charge = True
+                continue
             unused = now_s - opened.asked_s > UNUSED_S
-            if unused and not is_in_charge(model):
+            if opened.in_charge or unused:
                 self._move(self._open_by_model.pop(model))
 
     def close(self):
--- a/bulrushrudder/entry/coordinators.py
+++ b/bulrushrudder/entry/coordinators.py
@@ -34,7 +34,7 @@
         self._own = own_holds.OwnHolds(owner)
         self._cells = cells.Cells(view)
         self._in_charge_by_model = {}
-        self._index = 0
+        self._seen = (0, 0)
         self._last_report = 0
         self._reported_s = 0.0
         self._tasks = set()
@@ -44,8 +44,9 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._cells.tick()
-            if self._index != self._view.index:
-                self._index = self._view.index
+            seen = self._view.index, self._directory.changes
+            if self._seen != seen:
+                self._seen = seen
                 self._check_roles()
             self._report_in_time()
 
@@ -140,6 +141,11 @@
 
     async def _ask_once(self, question):
         number = self._own.open(question)
+        # A later VM in charge is told of this hold, so the one that is
+        # asked now has to be known.
+        self._in_charge_by_model.setdefault(
+            question.model, self._directory.in_charge(_role(question.model))
+        )
         question = dataclasses.replace(question, number=number)
         granted = False
         try:
@@ -152,7 +158,7 @@
             match answer:
                 case result.Success(place_messages.PlaceGranted() as found):
                     granted = self._own.granted(
-                        number, found.prefill, found.decode
+                        number, found.prefill, found.decode, _now_s()
                     )
             return answer
         finally:
@@ -212,7 +218,7 @@
         match answer:
             case result.Success(place_messages.HoldsWanted(numbers=numbers)):
                 restore = place_messages.RestoreHolds(
-                    model, self._own.holdings(numbers)
+                    model, self._own.holdings(numbers, _now_s())
                 )
                 await self._directory.tell(_role(model), restore, self.serve)
 
@@ -222,6 +228,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _now_s():
+    return asyncio.get_running_loop().time()
+
+
 def _role(model):
     return f'model/{model}'
 
--- a/bulrushrudder/entry/directory.py
+++ b/bulrushrudder/entry/directory.py
@@ -31,12 +31,14 @@
     :param view: the View of the log.
     :param owner: this process.
     :param peers: links to other entry processes.
+    :ivar changes: counts how often a VM was left out or taken back.
     """
 
     def __init__(self, view, owner, peers):
         self._view = view
         self._owner = owner
         self._peers = peers
+        self.changes = 0
         self._suspects = {}
         self._probes = set()
 
@@ -90,6 +92,7 @@
         if held is None or self._suspects.get(vm) == held.owner:
             return
         self._suspects[vm] = held.owner
+        self.changes += 1
         log.emit(catalogue.PEER_SUSPECTED, peer=vm)
         task = asyncio.create_task(self._probe(vm, address))
         self._probes.add(task)
@@ -101,6 +104,7 @@
             if await self._peers.reaches(address):
                 break
         self._suspects.pop(vm, None)
+        self.changes += 1
         log.emit(catalogue.PEER_REACHED, peer=vm)
 
     def _address_of(self, chosen):
--- a/bulrushrudder/entry/observing.py
+++ b/bulrushrudder/entry/observing.py
@@ -19,9 +19,11 @@
 from bulrushrudder.protocol import messages
 from bulrushrudder.state import results
 
-REDIAL_S = 0.2
-ROUND_S = 0.5
-CHANGE_OVER_S = 1.2
+# A cut may leave two control processes without a quorum; the third must
+# be found and have vouched before a change has to be in force, 2 s.
+REDIAL_S = 0.05
+ROUND_S = 0.25
+CHANGE_OVER_S = 0.6
 PROPOSE_S = 3.0
 
 
@@ -38,6 +40,7 @@
         self._secret = secret
         self._controls = controls
         self._members = ()
+        self._last = None
         self._link = None
         self._parts = bytearray()
         self._was_fresh = False
@@ -46,23 +49,25 @@
     async def run(self):
         """Follow one control process after the other, until cancelled."""
         while True:
-            for address in self._in_own_order():
-                await self._follow(address)
-                await asyncio.sleep(REDIAL_S)
+            self._last = self._next_address()
+            await self._follow(self._last)
+            await asyncio.sleep(REDIAL_S)
 
     def lead_to(self, controls):
         """Take the control addresses of new settings."""
         self._controls = controls
 
-    def _in_own_order(self):
-        """Return the addresses so that entries spread over them.
+    def _next_address(self):
+        """Return the control process to follow after the last one.
 
         Members that the log's processes have named go with those of the
-        settings.
+        settings; entries begin at different ones.
         """
         found = sorted({*self._controls, *self._members}, key=str)
-        place = zlib.crc32(self._owner.vm.encode()) % len(found)
-        return (*found[place:], *found[:place])
+        if self._last is None:
+            return found[zlib.crc32(self._owner.vm.encode()) % len(found)]
+        later = [a for a in found if str(a) > str(self._last)]
+        return later[0] if later else found[0]
 
     async def propose(self, command):
         """Ask the control process to commit a command.
@@ -100,7 +105,7 @@
 
     async def _follow(self, address):
         dialled = await link.dial(
-            address, self._owner, self._secret, self._handle, True
+            address, self._owner, self._secret, self._handle, True, True
         )
         match dialled:
             case result.Success(found):
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -44,6 +44,8 @@
 # the session is closed before the process is ended by force.
 STOP_SHARE = 0.92
 CANCELS_S = 5.0
+ROLES_S = 4.0
+CLOSE_S = 0.4
 ANSWERS_S = 60.0
 
 
@@ -143,6 +145,7 @@
         stop_s = self._settings.entry.stop_s
         if stop_s is not None:
             self.services.stop_by_s = now_s + stop_s * STOP_SHARE
+        self.services.leave_s = now_s
         self.services.leaving = True
         log.emit(catalogue.ENTRY_STOPPING, calls=self.services.calls)
         self.services.spawn(self.observing.propose(self._session(False)))
@@ -156,12 +159,28 @@
         """
         self.services.leaving = True
         self.services.draining = True
+        giving = asyncio.create_task(self._give_roles())
         await self.services.finish()
-        await self._cancelling.finish(CANCELS_S)
+        await self._cancelling.finish(self._left_s(CANCELS_S))
+        await asyncio.wait({giving}, timeout=self._left_s(ROLES_S))
+        giving.cancel()
+        with contextlib.suppress(TimeoutError):
+            # A session that is not closed in time runs out by itself.
+            async with asyncio.timeout(CLOSE_S):
+                await self.observing.propose(
+                    sessions.CloseSession(self._owner)
+                )
+        log.emit(catalogue.ENTRY_STOPPED)
+
+    async def _give_roles(self):
+        """Leave accounts and cells to the VMs that take them now."""
         await self._authorities.stop()
-        await self.observing.propose(sessions.CloseSession(self._owner))
         await self.coordinators.hand_over()
-        log.emit(catalogue.ENTRY_STOPPED)
+
+    def _left_s(self, most_s):
+        """Return seconds that a step of the stop may take."""
+        left_s = self.services.stop_by_s - asyncio.get_running_loop().time()
+        return max(0.0, min(most_s, left_s))
 
     def report_waiting(self):
         """Log what the process still waits for before it stops."""
--- a/bulrushrudder/entry/services.py
+++ b/bulrushrudder/entry/services.py
@@ -27,6 +27,7 @@
     :ivar leaving: whether the process is unready for the balancer.
     :ivar draining: whether it refuses new work.
     :ivar closing: whether it refuses all, as nothing is in flight.
+    :ivar leave_s: monotonic seconds at which it was told to stop.
     :ivar stop_by_s: monotonic seconds by which all must be finished,
         once the process was told to stop.
     :ivar calls: how many calls are in flight.
@@ -61,6 +62,7 @@
         self.leaving = False
         self.draining = False
         self.closing = False
+        self.leave_s = math.inf
         self.stop_by_s = math.inf
         self.calls = 0
         self._tasks = set()
--- a/bulrushrudder/placement/cell.py
+++ b/bulrushrudder/placement/cell.py
@@ -212,7 +212,9 @@
         if known is None:
             self._holds_by_absent_server[holding.decode].add(holding.hold)
         else:
-            begins_s = now_s if decode_s is None else decode_s
+            # The age stands for the time since decoding began; the
+            # prefill before it was short.
+            begins_s = decode_s or now_s - holding.age_s
             taken = self._decodes.take(
                 known, holding, between_tokens_s, begins_s
             )
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -117,7 +117,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Holding:
-    """What a request holds on the servers of a cell."""
+    """What a request holds on the servers of a cell.
+
+    :param age_s: seconds since it was granted, when it was reported.
+    """
 
     hold: HoldId
     account: str
@@ -127,6 +130,7 @@
     output_tokens: int
     isolation: Isolation = Isolation.NONE
     expected_tokens: int = 0
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/own_holds.py
+++ b/bulrushrudder/placement/own_holds.py
@@ -11,6 +11,7 @@
     """A question of a request, and its answer once it is there.
 
     :param holding: None while the question is open.
+    :param granted_s: monotonic seconds at which it was granted.
     """
 
     number: int
@@ -22,6 +23,7 @@
     isolation: events.Isolation
     expected_tokens: int
     holding: events.Holding | None = None
+    granted_s: float = 0.0
 
 
 class OwnHolds:
@@ -68,9 +70,10 @@
         self._numbers_by_model[question.model].add(number)
         return number
 
-    def granted(self, number, prefill, decode):
+    def granted(self, number, prefill, decode, now_s):
         """Take a grant in.
 
+        :param now_s: monotonic seconds.
         :returns: whether the request still wants it.
         """
         found = self._by_number.get(number)
@@ -86,7 +89,9 @@
             found.isolation,
             found.expected_tokens,
         )
-        self._by_number[number] = dataclasses.replace(found, holding=holding)
+        self._by_number[number] = dataclasses.replace(
+            found, holding=holding, granted_s=now_s
+        )
         return True
 
     def close(self, number):
@@ -106,10 +111,17 @@
         """Return all numbers of a model."""
         return tuple(sorted(self._numbers_by_model.get(model, ())))
 
-    def holdings(self, numbers):
-        """Return what was granted under some numbers."""
+    def holdings(self, numbers, now_s):
+        """Return what was granted under some numbers, and how long ago.
+
+        :param now_s: monotonic seconds.
+        """
         found = [self._by_number.get(number) for number in numbers]
-        return tuple(h.holding for h in found if h and h.holding)
+        return tuple(
+            dataclasses.replace(held.holding, age_s=now_s - held.granted_s)
+            for held in found
+            if held and held.holding
+        )
 
 
 def _drop(numbers_by_key, key, number):
--- a/bulrushrudder/platform/entry_door.py
+++ b/bulrushrudder/platform/entry_door.py
@@ -45,6 +45,7 @@
 FIRST_EVENT_S = 0.5
 # What streams are taken to need while the process stops: estimates are
 # right at the median, and half of the answers take longer.
+LAST_STREAMS_S = 2.0
 TOKEN_S = 0.0045
 OVERRUN = 1.6
 _FINGERPRINT_BYTES = 16
@@ -219,7 +220,13 @@
         return sink.response
 
     def _has_time(self, asked):
-        """Return whether a stream ends before this process must."""
+        """Return whether a stream ends before this process must.
+
+        Estimates err, so only streams that come soon after the process
+        was told to stop are taken at all.
+        """
+        if _now_s() > self._services.leave_s + LAST_STREAMS_S:
+            return False
         tokens = asked.expected_tokens or asked.output_tokens
         needed_s = FIRST_EVENT_S + tokens * TOKEN_S * OVERRUN
         return _now_s() + needed_s < self._services.stop_by_s
--- a/bulrushrudder/tests/builders/coordinating.py
+++ b/bulrushrudder/tests/builders/coordinating.py
@@ -21,6 +21,7 @@
 
     def __init__(self, vms):
         self._vms = vms
+        self.changes = 0
 
     async def ask(self, key, question, patience_s, serve):
         if self._vms.charged in self._vms.down:
--- /dev/null
+++ b/bulrushrudder/tests/entry/directory_tests.py
@@ -0,0 +1,119 @@
+import asyncio
+import unittest
+from unittest import mock
+
+from returns import result
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import ranking
+from bulrushrudder.documents import types as document_types
+from bulrushrudder.entry import cells
+from bulrushrudder.entry import directory
+from bulrushrudder.observers import view
+from bulrushrudder.placement import events
+from bulrushrudder.protocol import errors
+from bulrushrudder.state import sessions
+from bulrushrudder.tests.builders import fleet
+
+VMS = ('vm1', 'vm2', 'vm3')
+SOFT = 'model/drafting'
+HARD = 'account/acme'
+CLOSED = result.Failure(
+    errors.LinkError(errors.LinkProblem.CLOSED, 'closed', True)
+)
+
+
+class Peers:
+    """Reaches all VMs but those that are down."""
+
+    def __init__(self):
+        self.down = set()
+        self.asked = []
+
+    async def ask(self, address, question, timeout_s):
+        self.asked.append(address.host)
+        if address.host in self.down:
+            return CLOSED
+        return result.Success(address.host)
+
+    async def reaches(self, address):
+        return address.host not in self.down
+
+
+class DirectoryTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.view = view.View(document_types.Environment.PRODUCTION)
+        for index, vm in enumerate(VMS, 1):
+            self.view.apply(index, self.session(vm))
+        self.peers = Peers()
+        self.found = directory.Directory(
+            self.view, fleet.owner('other'), self.peers
+        )
+        patch = mock.patch.object(directory, 'PROBE_S', 0.02)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def session(self, vm, incarnation=1):
+        return sessions.OpenSession(
+            owner=fleet.owner(vm, incarnation),
+            zone=ids.Zone('a'),
+            address=vm,
+            port=1,
+            hosts_roles=True,
+        )
+
+    async def ask(self, key):
+        return await self.found.ask(key, 'question', 0.1, None)
+
+    async def test_a_soft_role_moves_at_once_and_returns(self):
+        first = ranking.choose(SOFT, VMS)
+        second = ranking.choose(SOFT, [vm for vm in VMS if vm != first])
+        self.assertEqual(await self.ask(SOFT), result.Success(first))
+        self.peers.down = {first}
+        self.assertEqual(await self.ask(SOFT), CLOSED)
+        self.assertEqual(self.found.in_charge(SOFT), second)
+        self.assertEqual(await self.ask(SOFT), result.Success(second))
+        changes = self.found.changes
+        self.peers.down = set()
+        async with asyncio.timeout(2.0):
+            while self.found.changes == changes:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.found.in_charge(SOFT), first)
+
+    async def test_a_role_with_a_ledger_stays(self):
+        first = ranking.choose(HARD, VMS)
+        self.peers.down = {first}
+        self.assertEqual(await self.ask(HARD), CLOSED)
+        self.assertEqual(self.found.in_charge(HARD), first)
+
+    async def test_a_vm_that_started_anew_is_no_suspect(self):
+        first = ranking.choose(SOFT, VMS)
+        self.peers.down = {first}
+        await self.ask(SOFT)
+        self.view.apply(len(VMS) + 1, self.session(first, 2))
+        self.assertEqual(self.found.in_charge(SOFT), first)
+
+    async def test_where_all_are_suspects_the_first_is_in_charge(self):
+        self.peers.down = set(VMS)
+        for _ in VMS:
+            await self.ask(SOFT)
+        self.assertEqual(self.found.in_charge(SOFT), ranking.choose(SOFT, VMS))
+
+
+class CellsTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_cell_that_was_in_charge_closes_at_once(self):
+        found = cells.Cells(view.View(document_types.Environment.PRODUCTION))
+        found.take('drafting', events.Ticked())
+        found.keep(lambda model: True)
+        self.assertIn('drafting', found.wanted_prefills_by_model())
+        found.keep(lambda model: False)
+        self.assertEqual(found.wanted_prefills_by_model(), {})
+
+    async def test_one_that_stands_in_stays_while_it_is_asked(self):
+        found = cells.Cells(view.View(document_types.Environment.PRODUCTION))
+        found.take('drafting', events.Ticked())
+        found.keep(lambda model: False)
+        self.assertIn('drafting', found.wanted_prefills_by_model())
+        with mock.patch.object(cells, 'UNUSED_S', -1.0):
+            found.keep(lambda model: False)
+        self.assertEqual(found.wanted_prefills_by_model(), {})
--- a/bulrushrudder/tests/platform/path_tests.py
+++ b/bulrushrudder/tests/platform/path_tests.py
@@ -3,6 +3,7 @@
 
 import aiohttp
 
+from bulrushrudder.platform import entry_door
 from bulrushrudder.tests.builders import platform
 from bulrushrudder.tests.builders import platform_fleet
 from bulrushrudder.tests.builders import runners
@@ -252,3 +253,22 @@
             status = await self.fleet.beat(runner, 'i-p', **changes)
             self.assertEqual(status, 400)
         self.assertEqual(await self.text('/o/1'), (200, b'mine'))
+
+    # The process stops.
+
+    async def test_a_process_that_stops_takes_no_streams_after_a_while(self):
+        await self.configure()
+        await self.portal(lambda call: [runners.answer(b'mine')])
+        await self.fleet.add(engine, 'i-d')
+        services = self.fleet.entry.services
+        now_s = asyncio.get_running_loop().time()
+        services.leaving = True
+        services.leave_s = now_s
+        services.stop_by_s = now_s + 8.0
+        self.assertEqual((await self.text('/drafts/1'))[0], 200)
+        services.leave_s = now_s - entry_door.LAST_STREAMS_S
+        self.assertEqual(await self.fleet.ready(), 503)
+        self.assertEqual((await self.text('/drafts/1'))[0], 503)
+        async with self.fleet.call('/o/1') as response:
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.headers['Connection'], 'close')
