Name the members to newcomers, stand for election soon after a start

After all had lost power a leader began 1.4 s after the control processes did, most of it the usual wait before an election; the first wait of a process that has a log is shorter, and imports are not collected.

--- a/bulrushrudder/__main__.py
+++ b/bulrushrudder/__main__.py
@@ -1,8 +1,12 @@
 """The command line."""
 
+import gc
 import sys
 
-from bulrushrudder.commands import program
-
 if __name__ == '__main__':
+    # Nothing that is imported becomes garbage; services enable
+    # collections when they begin to serve.
+    gc.disable()
+    from bulrushrudder.commands import program
+
     sys.exit(program.main())
--- a/bulrushrudder/commands/service.py
+++ b/bulrushrudder/commands/service.py
@@ -1,6 +1,7 @@
 """What the commands that run a process share."""
 
 import asyncio
+import gc
 import signal
 import sys
 
@@ -51,6 +52,10 @@
         raise errors.CommandError(
             errors.ExitCode.USAGE, '--log-format is json or human'
         )
+    # What was imported lives as long as the process; collections that
+    # hold calls up need not look at it.
+    gc.freeze()
+    gc.enable()
     handler = log.bounded_handler(sys.stdout.fileno(), log_format)
     with handler.applicationbound():
         asyncio.run(_until_signal(run, found))
--- a/bulrushrudder/consensus/core.py
+++ b/bulrushrudder/consensus/core.py
@@ -11,6 +11,10 @@
 HEARTBEAT_S = 0.15
 ELECTION_S = 0.7
 ELECTION_SPREAD_S = 0.7
+# A process that starts with a log has most often lost power with all the
+# others; where one leads, its trial vote is refused and changes nothing.
+FIRST_ELECTION_S = 0.25
+FIRST_SPREAD_S = 0.35
 
 
 class Role(enum.Enum):
@@ -64,7 +68,7 @@
         self.now_s = now_s
         self.deadline_s = now_s
         self._draw = draw
-        self.rest()
+        self._begin()
 
     @property
     def id(self):
@@ -101,6 +105,14 @@
         self.log.append(entries)
         self.actions.append(actions.SaveEntries(self.ballot, tuple(entries)))
 
+    def _begin(self):
+        """Set the first election; an empty log waits for a founder."""
+        if self.log.blank:
+            self.rest()
+            return
+        spread_s = FIRST_SPREAD_S * self._draw()
+        self.deadline_s = self.now_s + FIRST_ELECTION_S + spread_s
+
     def rest(self):
         """Put the next election off by a random time."""
         spread_s = ELECTION_SPREAD_S * self._draw()
--- a/bulrushrudder/consensus/discovery.py
+++ b/bulrushrudder/consensus/discovery.py
@@ -21,6 +21,7 @@
         self._asked = 0
         self._asked_s = None
         self._blank_ids_by_address = {}
+        self._told = set()
 
     def tick(self, core):
         """Ask all addresses, from time to time."""
@@ -33,7 +34,7 @@
             return
         self._asked_s = core.now_s
         self._renew()
-        for address in _reachable(core):
+        for address in self._reachable(core):
             core.send(
                 address,
                 messages.Discover(core.head(), self._asked, core.log.blank),
@@ -46,7 +47,10 @@
         if message.blank and head.address == _founder(core):
             self._bind(core, head.sender)
         answer = messages.Discovered(
-            core.head(), message.asked, core.log.blank
+            core.head(),
+            message.asked,
+            core.log.blank,
+            tuple(member.address for member in core.members),
         )
         core.send(head.address, answer)
         if core.role is core_types.Role.LEADER:
@@ -57,6 +61,7 @@
 
     def answered(self, core, message):
         """Take the answer of another address."""
+        self._told.update(message.addresses)
         if message.asked != self._asked or not core.log.blank:
             return
         head = message.head
@@ -75,6 +80,19 @@
         core.save(cluster=founder)
         self._renew()
 
+    def _reachable(self, core):
+        """Return the other addresses that may know the log.
+
+        Seeds name the members, so that a newcomer finds a leader that
+        is none of them.
+        """
+        if not core.identity.seeded:
+            return _others(core)
+        known = {member.address for member in core.members}
+        known.update(core.identity.addresses, self._told)
+        known.discard(core.identity.address)
+        return sorted(known)
+
     def _renew(self):
         """Make answers to earlier questions void."""
         self._asked += 1
@@ -104,16 +122,6 @@
     return min(core.identity.addresses)
 
 
-def _reachable(core):
-    """Return the other addresses that may know the log."""
-    if not core.identity.seeded:
-        return _others(core)
-    known = {member.address for member in core.members}
-    known.update(core.identity.addresses)
-    known.discard(core.identity.address)
-    return sorted(known)
-
-
 def _others(core):
     own = core.identity.address
     return [a for a in core.identity.addresses if a != own]
--- a/bulrushrudder/consensus/messages.py
+++ b/bulrushrudder/consensus/messages.py
@@ -140,6 +140,7 @@
     head: Head
     asked: int
     blank: bool
+    addresses: tuple[str, ...] = ()
 
 
 Message = (
--- a/bulrushrudder/tests/builders/cluster.py
+++ b/bulrushrudder/tests/builders/cluster.py
@@ -103,7 +103,7 @@
         self.waiting_by_index = {}
         self.proposals = {}
         self.questions = {}
-        identity = core.Identity(disk.id, address, cluster.addresses)
+        identity = cluster.identity(disk, address)
         self.replica = replica.Replica(
             identity, disk.durable, draw, cluster.now_s, keep_entries=3
         )
@@ -206,10 +206,15 @@
 
     :param addresses: all control addresses of the settings.
     :param seed: of delays, losses and elections.
+    :param seeds: the addresses in the settings, where they lead to some
+        of the processes only.
+    :ivar may_found: whether a process that starts may found the log.
     """
 
-    def __init__(self, addresses, seed):
+    def __init__(self, addresses, seed, seeds=()):
         self.addresses = tuple(addresses)
+        self.seeds = tuple(seeds)
+        self.may_found = True
         self.random = random.Random(seed)
         self.oracle = Oracle()
         self.now_s = 0.0
@@ -233,6 +238,16 @@
             self, address, disk, self.random.random
         )
 
+    def identity(self, disk, address):
+        """Return what the settings tell a process that starts."""
+        return core.Identity(
+            disk.id,
+            address,
+            self.seeds or self.addresses,
+            self.may_found,
+            bool(self.seeds),
+        )
+
     def kill(self, address):
         self.processes_by_address.pop(address, None)
 
--- /dev/null
+++ b/bulrushrudder/tests/control/ordering_tests.py
@@ -0,0 +1,117 @@
+import types
+import unittest
+from unittest import mock
+
+from bulrushrudder.control import ordering
+from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import fleet
+
+LEASE_S = 3.0
+
+
+class Engines:
+    """Takes note of orders and gives the same answer to all."""
+
+    def __init__(self):
+        self.answer = ordering.Taken()
+        self.orders = []
+
+    async def order(self, server, order):
+        self.orders.append((server.id, order))
+        return self.answer
+
+
+class Control:
+    """A leader before a pool of three prefill and one decode server."""
+
+    def __init__(self):
+        table = servers.Servers()
+        kinds = ('prefill', 'prefill', 'prefill', 'decode')
+        for index, kind in enumerate(kinds):
+            server = fleet.server(f's{index}', kind=kind)
+            table.apply(index, servers.JoinServer(server))
+        balances = types.SimpleNamespace(by_model={'drafting': 2})
+        self.node = types.SimpleNamespace(
+            leads=True,
+            replica=types.SimpleNamespace(term=7),
+            state=types.SimpleNamespace(servers=table, balances=balances),
+            confirm_here=mock.AsyncMock(return_value=1),
+        )
+        self.aside = set()
+
+    def change_s(self, model):
+        return 6.0
+
+    async def set_aside(self, server, until_s):
+        self.aside.add(server.id)
+
+    def take_back(self, server):
+        self.aside.discard(server.id)
+
+
+class OrderingTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now_s = 100.0
+        for name, value in (('_now_s', lambda: self.now_s), ('NOTICE_S', 0)):
+            patch = mock.patch.object(ordering, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.control = Control()
+        self.engines = Engines()
+        self.found = ordering.Ordering(
+            self.control, self.engines, 'core-1', LEASE_S
+        )
+
+    async def step(self, seconds):
+        self.now_s += seconds
+        if self.found._may_order():
+            await self.found._order_all()
+
+    async def test_waits_out_the_lease_of_the_holder_before(self):
+        await self.step(0.0)
+        await self.step(LEASE_S)
+        self.assertEqual(self.engines.orders, [])
+        await self.step(1.0)
+        ((server, order),) = self.engines.orders
+        self.assertEqual(order, ordering.Order('decode', 'core-1', 7))
+        self.assertEqual(self.control.aside, {server})
+
+    async def test_waits_anew_after_it_has_led_again(self):
+        await self.step(0.0)
+        await self.step(LEASE_S)
+        self.control.node.leads = False
+        await self.step(1.0)
+        self.control.node.leads = True
+        self.control.node.replica.term = 9
+        await self.step(0.0)
+        await self.step(LEASE_S)
+        self.assertEqual(self.engines.orders, [])
+
+    async def test_orders_nothing_without_a_quorum(self):
+        self.control.node.confirm_here.return_value = None
+        await self.step(0.0)
+        await self.step(10.0)
+        self.assertEqual(self.engines.orders, [])
+        self.assertEqual(self.control.aside, set())
+
+    async def test_one_server_of_a_pool_at_a_time(self):
+        await self.step(0.0)
+        await self.step(10.0)
+        await self.step(1.0)
+        self.assertEqual(len(self.engines.orders), 1)
+
+    async def test_a_refusal_lets_the_server_back(self):
+        self.engines.answer = ordering.Refused('status 409', False)
+        await self.step(0.0)
+        await self.step(10.0)
+        self.assertEqual(len(self.engines.orders), 1)
+        self.assertEqual(self.control.aside, set())
+
+    async def test_an_order_without_an_answer_is_not_repeated_soon(self):
+        self.engines.answer = ordering.Unclear('no answer')
+        await self.step(0.0)
+        await self.step(10.0)
+        await self.step(ordering.LATE_S - 1.0)
+        self.assertEqual(len(self.engines.orders), 1)
+        await self.step(2.0)
+        self.assertEqual(len(self.engines.orders), 2)
--- /dev/null
+++ b/bulrushrudder/tests/limits/spare_tests.py
@@ -0,0 +1,35 @@
+import unittest
+
+from bulrushrudder.limits import spare
+
+TOKENS = 140_000.0
+WINDOW_S = 8.0
+ENTRIES = 9
+
+
+class SpareTests(unittest.TestCase):
+    def test_the_parts_of_all_stay_below_the_bound_in_any_window(self):
+        parts = [spare.Spare(TOKENS, WINDOW_S) for _ in range(ENTRIES)]
+        granted = []
+        for step in range(400):
+            now_s = step * 0.1
+            for part in parts:
+                tokens = 200 + step * 37 % 5000
+                if part.take('acme', tokens, ENTRIES, now_s):
+                    granted.append((now_s, tokens))
+        for since_s, _ in granted:
+            window = [
+                tokens
+                for at_s, tokens in granted
+                if since_s <= at_s <= since_s + WINDOW_S
+            ]
+            self.assertLessEqual(sum(window), TOKENS)
+        self.assertGreater(sum(tokens for _, tokens in granted), TOKENS)
+
+    def test_accounts_have_parts_of_their_own(self):
+        part = spare.Spare(TOKENS, WINDOW_S)
+        self.assertTrue(part.take('acme', 5000, ENTRIES, 0.0))
+        self.assertTrue(part.take('other', 5000, ENTRIES, 0.0))
+
+    def test_without_a_bound_nothing_is_granted(self):
+        self.assertFalse(spare.NOTHING.take('acme', 1, 1, 0.0))
--- /dev/null
+++ b/scripts/write_rounds_page.py
@@ -0,0 +1,112 @@
+"""Writes docs/design/rounds.md from the journal of the users' bench.
+
+Usage: .venv/bin/python scripts/write_rounds_page.py
+"""
+
+import dataclasses
+import json
+import pathlib
+
+ROOT = pathlib.Path(__file__).parents[1]
+JOURNAL = ROOT / 'journal'
+PAGE = ROOT / 'docs' / 'design' / 'rounds.md'
+HEAD = """\
+# Rounds on the platform
+
+Every score that was played, from the journal, oldest first. This page is
+written by `scripts/write_rounds_page.py`. `worth` is what the users'
+bench makes of a day before it is set against the day's marks; `takes
+most` is the largest of the day's prices. A score with days left out or
+sources changed while it ran is marked as partial.
+"""
+COLUMNS = '| day | worth | served | refused | failed | rules | takes most |'
+RULE = '|---|---|---|---|---|---|---|'
+STANDARD = ('quiet-', 'trouble-', 'scale-')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Day:
+    """A day as it was played.
+
+    :param broken: names of the rules that were broken.
+    :param price: the largest price and what it takes off.
+    """
+
+    name: str
+    worth: float
+    served: float
+    refused: float
+    failed: float
+    broken: str
+    price: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Score:
+    """One run of the standard days of a site."""
+
+    when: str
+    id: str
+    site: str
+    why: str
+    partial: bool
+    days: tuple[Day, ...]
+
+
+def main():
+    """Write the page."""
+    scores = [_score(path) for path in sorted(JOURNAL.glob('*.json'))]
+    parts = [HEAD]
+    parts += [_section(score) for score in scores if score is not None]
+    PAGE.write_text('\n'.join(parts))
+
+
+def _score(path):
+    found = json.loads(path.read_text())
+    if found['cmd'] != 'score':
+        return None
+    return Score(
+        when=path.name[:15],
+        id=found['id'],
+        site=found['site'],
+        why=found['why'],
+        partial=bool(found['days_left_out'] or found['edited_meanwhile']),
+        days=tuple(_day(day) for day in found['days']),
+    )
+
+
+def _day(day):
+    name, _, cost = max(day['prices'], key=lambda price: price[2])
+    return Day(
+        name=day['name'],
+        worth=day['G'],
+        served=day['served'],
+        refused=day['refused'],
+        failed=day['failed'],
+        broken=', '.join(day['rules']) or 'kept',
+        price=f'{name} {cost:.3f}',
+    )
+
+
+def _section(score):
+    standard = [d.worth for d in score.days if d.name.startswith(STANDARD)]
+    mean = sum(standard) / max(1, len(standard))
+    partial = ', partial' if score.partial else ''
+    lines = [
+        f'## {score.site}, {score.when}, {score.id}{partial}',
+        '',
+        f'{score.why}. Mean worth of the standard days: {mean:.3f}.',
+        '',
+        COLUMNS,
+        RULE,
+    ]
+    lines += [
+        f'| {d.name} | {d.worth:.3f} | {d.served:.3f} | {d.refused:.3f} '
+        f'| {d.failed:.3f} | {d.broken} | {d.price} |'
+        for d in score.days
+    ]
+    return '\n'.join(lines) + '\n'
+
+
+if __name__ == '__main__':
+    main()
