Keep the retries of all entries below what the platform allows

Cause: the bounds of the settings were read and not used; nine entries that had each saved up 50 retries could spend 450 in a window in which 58 and a fifth of the requests are allowed. Each entry now saves its part of 60% of the bound, by the sessions that it knows.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -24,6 +24,7 @@
 from bulrushrudder.entry import services
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.lifecycle import retries
 from bulrushrudder.limits import spare
 from bulrushrudder.metrics import listener as metrics_listener
 from bulrushrudder.metrics import registry
@@ -93,6 +94,7 @@
         """
         stack.callback(self._peers.close)
         await self._make_services(stack)
+        self._bound_retries()
         await self._listen(stack)
         self._run_in_background(stack)
         callers = self._settings.entry.callers
@@ -121,6 +123,16 @@
             self._registering,
         )
 
+    def _bound_retries(self):
+        """Keep to what the settings allow the whole fleet."""
+        bounds = self._settings.bounds
+        if bounds is not None:
+            self.services.retries = retries.within(
+                bounds.retry_share,
+                bounds.retry_extra,
+                lambda: len(self.view.state.sessions.by_vm),
+            )
+
     def _run_in_background(self, stack):
         for coroutine in (
             self.observing.run(),
--- a/bulrushrudder/lifecycle/retries.py
+++ b/bulrushrudder/lifecycle/retries.py
@@ -28,6 +28,9 @@
     }
 )
 MAX_RETRIES = 8
+# Part of a bound over the fleet that its processes use: the rest is for
+# refills and for processes that the others do not know yet.
+USED_SHARE = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,16 +51,18 @@
     """Decides on retries for all requests of a process.
 
     :param ratio: retries allowed for each admitted request.
+    :param most: function that returns the retries that may be saved up.
     """
 
-    def __init__(self, ratio=BUDGET_RATIO):
+    def __init__(self, ratio=BUDGET_RATIO, most=lambda: BUDGET_MAX):
         self._ratio = ratio
-        self._balance = BUDGET_FLOOR
+        self._most = most
+        self._balance = min(BUDGET_FLOOR, most())
         self._refilled_s = None
 
     def admitted(self):
         """Take note of an admitted request."""
-        self._balance = min(self._balance + self._ratio, BUDGET_MAX)
+        self._balance = min(self._balance + self._ratio, self._most())
 
     def decide(self, failures, now_s, deadline_s, jitter):
         """Decide whether a request is tried again.
@@ -86,12 +91,31 @@
         return True
 
     def _refill(self, now_s):
-        if self._refilled_s is not None and self._balance < BUDGET_FLOOR:
+        floor = min(BUDGET_FLOOR, self._most())
+        if self._refilled_s is not None and self._balance < floor:
             gained = (now_s - self._refilled_s) * FLOOR_REFILL_PER_S
-            self._balance = min(self._balance + gained, BUDGET_FLOOR)
+            self._balance = min(self._balance + gained, floor)
+        self._balance = min(self._balance, self._most())
         self._refilled_s = now_s
 
 
+def within(share, extra, processes):
+    """Return the policy of one process where a bound holds for all.
+
+    In any window the processes together retry at most their savings,
+    their refills and their part of the window's requests; all of that
+    is less than the bound.
+
+    :param share: retries that the bound allows for each request.
+    :param extra: retries that it allows in a window beside those.
+    :param processes: function that returns how many processes share it.
+    """
+    return RetryPolicy(
+        min(BUDGET_RATIO, share * USED_SHARE),
+        lambda: extra * USED_SHARE / max(1, processes()),
+    )
+
+
 def back_off_s(failures, jitter):
     """Return the delay before the next attempt in seconds.
 
--- a/bulrushrudder/tests/lifecycle/retries_tests.py
+++ b/bulrushrudder/tests/lifecycle/retries_tests.py
@@ -64,3 +64,30 @@
         delays = {retries.back_off_s(2, n / 10) for n in range(10)}
         self.assertEqual(len(delays), 10)
         self.assertLess(max(delays), 2 * min(delays) + 0.01)
+
+
+class FleetTests(unittest.TestCase):
+    def test_all_processes_together_stay_below_the_bound(self):
+        share, extra, processes, window_s = 0.2, 58.0, 9, 10.0
+        policies = [
+            retries.within(share, extra, lambda: processes)
+            for _ in range(processes)
+        ]
+        spent = []
+        requests = []
+        for step in range(4000):
+            now_s = step * 0.01
+            # Quiet at first, so that retries are saved up, then all fail.
+            if now_s < 15.0 and step % 10:
+                continue
+            policy = policies[step % processes]
+            policy.admitted()
+            requests.append(now_s)
+            while now_s >= 15.0 and policy.may_try_again(now_s):
+                spent.append(now_s)
+        self.assertGreater(len(spent), extra / 2)
+        for since_s in spent:
+            until_s = since_s + window_s
+            asked = sum(since_s <= at_s <= until_s for at_s in requests)
+            tried = sum(since_s <= at_s <= until_s for at_s in spent)
+            self.assertLessEqual(tried, share * asked + extra)
