Answer a body that is too large or cut as such on the platform

Cause, found in reading: the adapter read bodies without the bounds of the product's own interface, so one above 4 MiB was a 502 with an unexpected error in the log. Both read them through entry/bodies.py now. Refusals are logged with the view that they were decided from.

--- /dev/null
+++ b/bulrushrudder/entry/bodies.py
@@ -0,0 +1,40 @@
+"""Reads the bodies of callers' requests, within bounds."""
+
+import asyncio
+
+from aiohttp import web
+from returns import result
+
+from bulrushrudder.core import outcomes
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+BODY_S = 20.0
+
+_TOO_LARGE = outcomes.not_run(
+    outcomes.Reason.BODY_TOO_LARGE,
+    f'a body has at most {MAX_BODY_BYTES} bytes',
+)
+_TOO_SLOW = outcomes.not_run(
+    outcomes.Reason.BODY_TOO_SLOW, 'the body did not come in time'
+)
+_MALFORMED_BODY = outcomes.not_run(
+    outcomes.Reason.MALFORMED_REQUEST, 'the body is cut or malformed'
+)
+
+
+async def read(http_request, body_s=BODY_S):
+    """Return the body of a request, or a Refusal.
+
+    :param body_s: seconds that a caller may take to send it.
+    """
+    if (http_request.content_length or 0) > MAX_BODY_BYTES:
+        return result.Failure(_TOO_LARGE)
+    try:
+        async with asyncio.timeout(body_s):
+            return result.Success(await http_request.read())
+    except web.HTTPRequestEntityTooLarge:
+        return result.Failure(_TOO_LARGE)
+    except TimeoutError:
+        return result.Failure(_TOO_SLOW)
+    except (web.RequestPayloadError, ConnectionError):
+        return result.Failure(_MALFORMED_BODY)
--- a/bulrushrudder/entry/frontend.py
+++ b/bulrushrudder/entry/frontend.py
@@ -9,6 +9,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.documents import types
 from bulrushrudder.entry import admission
+from bulrushrudder.entry import bodies
 from bulrushrudder.entry import model_calls
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
@@ -16,19 +17,6 @@
 from bulrushrudder.events import log
 from bulrushrudder.utils import authentication
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
-BODY_S = 20.0
-
-_TOO_LARGE = outcomes.not_run(
-    outcomes.Reason.BODY_TOO_LARGE,
-    f'a body has at most {MAX_BODY_BYTES} bytes',
-)
-_TOO_SLOW = outcomes.not_run(
-    outcomes.Reason.BODY_TOO_SLOW, 'the body did not come in time'
-)
-_MALFORMED_BODY = outcomes.not_run(
-    outcomes.Reason.MALFORMED_REQUEST, 'the body is cut or malformed'
-)
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._:-]{1,128}')
 
 
@@ -39,7 +27,7 @@
     :param body_s: seconds that a caller may take to send a body.
     """
 
-    def __init__(self, services, body_s=BODY_S):
+    def __init__(self, services, body_s=bodies.BODY_S):
         self._services = services
         self._body_s = body_s
         self._model_calls = model_calls.ModelCalls(services)
@@ -47,7 +35,7 @@
 
     def application(self):
         """Return the aiohttp application."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(client_max_size=bodies.MAX_BODY_BYTES)
         app.router.add_get('/-/ready', self._ready)
         app.router.add_get('/-/live', self._live)
         app.router.add_route('*', '/{path:.*}', self._call)
@@ -87,7 +75,7 @@
         admitted = self._admit(http_request)
         if isinstance(admitted, result.Failure):
             return self._refuse(http_request, admitted.failure(), request_id)
-        body = await self._read(http_request)
+        body = await bodies.read(http_request, self._body_s)
         if isinstance(body, result.Failure):
             return self._refuse(http_request, body.failure(), request_id)
         # The key may have been withdrawn while the body came in.
@@ -120,20 +108,6 @@
             authentication.bearer(http_request),
         )
 
-    async def _read(self, http_request):
-        """Return the body of a call, or a Refusal."""
-        if (http_request.content_length or 0) > MAX_BODY_BYTES:
-            return result.Failure(_TOO_LARGE)
-        try:
-            async with asyncio.timeout(self._body_s):
-                return result.Success(await http_request.read())
-        except web.HTTPRequestEntityTooLarge:
-            return result.Failure(_TOO_LARGE)
-        except TimeoutError:
-            return result.Failure(_TOO_SLOW)
-        except (web.RequestPayloadError, ConnectionError):
-            return result.Failure(_MALFORMED_BODY)
-
     def _refuse(self, http_request, refusal, request_id):
         """Refuse a call of which nothing is registered yet."""
         route = self._services.view.lookups.route_of(
@@ -141,7 +115,7 @@
         )
         call_id = http_request.headers.get(service_calls.ID_HEADER)
         return refusals.refuse(
-            self._services.metrics,
+            self._services,
             admission.of_call(refusal, route, call_id),
             request_id,
             'none' if route is None else route.id,
--- a/bulrushrudder/entry/model_calls.py
+++ b/bulrushrudder/entry/model_calls.py
@@ -35,7 +35,7 @@
         match completions.parse(body, admitted.route.target.model):
             case result.Failure(refusal):
                 return refusals.refuse(
-                    self._services.metrics,
+                    self._services,
                     refusal,
                     request_id,
                     admitted.route.id,
@@ -48,7 +48,7 @@
         isolation = self.isolation(fingerprint)
         if isolation is None:
             return refusals.refuse(
-                self._services.metrics,
+                self._services,
                 suspicion.QUARANTINED,
                 request_id,
                 admitted.route.id,
@@ -124,4 +124,4 @@
         if sink.refusal is None:
             self._services.metrics.count_answer(route)
             return
-        refusals.note(self._services.metrics, sink.refusal, request_id, route)
+        refusals.note(self._services, sink.refusal, request_id, route)
--- a/bulrushrudder/entry/refusals.py
+++ b/bulrushrudder/entry/refusals.py
@@ -1,24 +1,27 @@
 """Counts and logs refusals and turns them into HTTP answers."""
 
+import asyncio
+
 from bulrushrudder.core import outcomes
 from bulrushrudder.entry import answers
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 
 
-def refuse(metrics, refusal, request_id, route):
+def refuse(services, refusal, request_id, route):
     """Count and log a refusal.
 
+    :param services: the Services of this process.
     :param route: id of the route, or none.
     :returns: the HTTP response.
     """
-    note(metrics, refusal, request_id, route)
+    note(services, refusal, request_id, route)
     return answers.refuse(refusal, request_id)
 
 
-def note(metrics, refusal, request_id, route):
-    """Count and log a refusal."""
-    metrics.count_refusal(refusal.reason, route)
+def note(services, refusal, request_id, route):
+    """Count and log a refusal, with the view that it was decided from."""
+    services.metrics.count_refusal(refusal.reason, route)
     event = catalogue.REQUEST_REFUSED
     if refusal.execution is not outcomes.Execution.NOT_RUN:
         event = catalogue.REQUEST_FAILED
@@ -28,4 +31,6 @@
         route=route,
         reason=refusal.reason.name,
         execution=refusal.execution.value,
+        view=services.view.index,
+        view_age_ms=services.view.age_ms(asyncio.get_running_loop().time()),
     )
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -196,7 +196,7 @@
 
     def _refuse(self, refusal, request_id, admitted):
         return refusals.refuse(
-            self._services.metrics, refusal, request_id, admitted.route.id
+            self._services, refusal, request_id, admitted.route.id
         )
 
 
--- a/bulrushrudder/platform/answers.py
+++ b/bulrushrudder/platform/answers.py
@@ -20,6 +20,7 @@
 _NEVER_ALLOWED = {
     outcomes.Reason.MALFORMED_REQUEST: 400,
     outcomes.Reason.BODY_TOO_LARGE: 413,
+    outcomes.Reason.BODY_TOO_SLOW: 408,
     outcomes.Reason.ROUTE_UNKNOWN: 404,
     outcomes.Reason.KEY_MISSING: 401,
     outcomes.Reason.KEY_UNKNOWN: 401,
--- a/bulrushrudder/platform/entry_door.py
+++ b/bulrushrudder/platform/entry_door.py
@@ -13,6 +13,7 @@
 from bulrushrudder.engines import connections
 from bulrushrudder.engines import services
 from bulrushrudder.entry import admission
+from bulrushrudder.entry import bodies
 from bulrushrudder.entry import model_calls
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
@@ -29,7 +30,6 @@
 from bulrushrudder.utils import authentication
 from bulrushrudder.utils import web as web_utils
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
 # A first try of a repeatable call is left for another server after this
 # many times its target, which a sound server keeps but for the tail.
 SILENT_TARGETS = 3.0
@@ -92,7 +92,7 @@
 
     def application(self):
         """Return the aiohttp application for clients."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(client_max_size=bodies.MAX_BODY_BYTES)
         app.router.add_route('*', '/{path:.*}', self._call)
         return app
 
@@ -143,7 +143,11 @@
         match self._admit(http_request):
             case result.Failure(refusal):
                 return self._refuse(refusal, asked.attempt, 'none')
-        body = await http_request.read()
+        match await bodies.read(http_request):
+            case result.Failure(refusal):
+                return self._refuse(refusal, asked.attempt, 'none')
+            case result.Success(body):
+                pass
         # The key may have been withdrawn while the body came in.
         match self._admit(http_request):
             case result.Failure(refusal):
@@ -263,9 +267,7 @@
         )
 
     def _refuse(self, refusal, attempt, route):
-        refusals.note(
-            self._services.metrics, refusal, attempt or 'none', route
-        )
+        refusals.note(self._services, refusal, attempt or 'none', route)
         return answers.refuse(refusal, attempt)
 
 
--- a/bulrushrudder/tests/entry/frontend_tests.py
+++ b/bulrushrudder/tests/entry/frontend_tests.py
@@ -6,7 +6,7 @@
 import logbook
 
 from bulrushrudder.core import outcomes
-from bulrushrudder.entry import frontend
+from bulrushrudder.entry import bodies
 from bulrushrudder.tests.builders import documents
 from bulrushrudder.tests.builders import frontends
 from bulrushrudder.utils import ports
@@ -92,7 +92,7 @@
                 404,
             ),
             (
-                http(LOCATION, AUTHORIZED, length=frontend.MAX_BODY_BYTES + 1),
+                http(LOCATION, AUTHORIZED, length=bodies.MAX_BODY_BYTES + 1),
                 reasons.BODY_TOO_LARGE,
                 413,
             ),
@@ -104,7 +104,7 @@
     async def test_chunked_body_above_the_bound(self):
         await self.serve()
         chunk = b'%x\r\n' % 65536 + b'x' * 65536 + b'\r\n'
-        count = frontend.MAX_BODY_BYTES // 65536 + 2
+        count = bodies.MAX_BODY_BYTES // 65536 + 2
         data = _chunked(chunk * count)
         await self.check(data, outcomes.Reason.BODY_TOO_LARGE, 413)
 
