Give tests of callers and poison requests the same verdict on a busy machine

Traced, from runs beside load (load average 14 on 6 cores): - test_a_caller_who_does_not_read_is_cut_after_a_bound: the kernel's buffer for an engine's answer grows to megabytes when nobody reads, so the whole answer fitted and the engine was never held up.

--- a/bulrushrudder/standins/engine.py
+++ b/bulrushrudder/standins/engine.py
@@ -13,11 +13,15 @@
 import aiohttp
 from aiohttp import web
 
+from bulrushrudder.utils import sockets
+
 TOKEN_S = 0.002
 PREFILL_S = 0.005
 CACHE_S = 1.0
 PLACES = 1000
 MAX_REMEMBERED = 10000
+# An engine stops making tokens when nobody takes them.
+MAX_UNSENT_BYTES = 16 * 1024
 BYTES_A_TOKEN = 4
 
 
@@ -110,6 +114,8 @@
                 headers={'Content-Type': 'text/event-stream'}
             )
             await response.prepare(request)
+            if request.transport is not None:
+                sockets.bound_unsent(request.transport, MAX_UNSENT_BYTES)
             await self._stream(response, order, held)
         except ConnectionError:
             self._free_later(order['attempt'], held)
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -6,6 +6,10 @@
 KEEPALIVE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_MS = 10_000
+# What the kernel keeps of an answer that is not read yet; without a bound
+# it grows to some megabytes, and a caller who does not read never holds
+# up the server behind.
+RECEIVED_BYTES = 64 * 1024
 
 
 def watch(found):
@@ -25,6 +29,7 @@
     """
     family, kind, protocol, _, _ = address_info
     found = socket.socket(family, kind, protocol)
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED_BYTES)
     found.setblocking(False)
     watch(found)
     return found
