--- a/scripts/write_rounds_page.py
+++ b/scripts/write_rounds_page.py
@@ -63,7 +63,8 @@
 
 def _score(path):
     found = json.loads(path.read_text())
-    if found['cmd'] != 'score':
+    # A score that was ended while it ran has no days.
+    if found['cmd'] != 'score' or not found['days']:
         return None
     return Score(
         when=path.name[:15],
