Put the commands and the platform's interface into the binary

Cause, found in reading: both are imported by name since a service imports only itself, which the packager does not see. It collects them now; make check-binary starts the control process from the binary. Before the change the binary would have known no command but help.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -48,6 +48,8 @@
         f'--workpath={BUILD / "work"}',
         f'--specpath={BUILD}',
         '--collect-submodules=bulrushrudder.benchmarks',
+        '--collect-submodules=bulrushrudder.commands',
+        '--collect-submodules=bulrushrudder.platform',
         *excluded,
         str(start),
     ]
