--- a/packaging/check_binary.py
+++ b/packaging/check_binary.py
@@ -112,11 +112,11 @@
     started = subprocess.Popen(
         [BINARY, 'control', settings],
         env=environment(cache),
-        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
     )
     with contextlib.ExitStack() as stack:
         stack.callback(started.kill)
-        line = started.stderr.readline()
+        line = started.stdout.readline()
         check('service starts', b'"event": 2001' in line, str(line))
         time.sleep(1)
         folder = pathlib.Path(f'/proc/{started.pid}')
