Order changes of kind only in pools whose servers have stayed the same

Cause: while the servers of a pool are replaced, the new one joins a second before the old one drains. Ruled out: the queue (it was empty), memory (places were free). Change: no order within 3 s after the servers of a pool have changed.

--- a/bulrushrudder/control/ordering.py
+++ b/bulrushrudder/control/ordering.py
@@ -19,6 +19,10 @@
 ANNOUNCED_S = 1.5
 # An order that got no clear answer may be carried out this much later.
 LATE_S = 10.0
+# A pool whose servers are replaced has a new one before the old one
+# drains; nothing is ordered until its servers have stayed the same so
+# long.
+SETTLED_S = 3.0
 # Beside the lease of the holder before, for its last order on its way.
 LEASE_SLACK_S = 0.5
 
@@ -77,13 +81,32 @@
         self._led_since_s = None
         self._term = None
         self._busy_until_s_by_id = {}
+        self._settled_by_model = {}
 
     async def run(self):
         """Give orders until cancelled."""
         while True:
             await asyncio.sleep(CHECK_S)
-            if self._may_order():
-                await self._order_all()
+            await self.check()
+
+    async def check(self):
+        """Give the orders that are due."""
+        self._watch_pools()
+        if self._may_order():
+            await self._order_all()
+
+    def _watch_pools(self):
+        """Note since when each pool has had the same servers."""
+        state = self._control.node.state
+        for model in state.balances.by_model:
+            members = frozenset(state.servers.by_served.get(model, {}))
+            known = self._settled_by_model.get(model)
+            if known is None or known[0] != members:
+                self._settled_by_model[model] = members, _now_s()
+
+    def _is_settled(self, model):
+        _, since_s = self._settled_by_model[model]
+        return _now_s() - since_s >= SETTLED_S
 
     def _may_order(self):
         node = self._control.node
@@ -105,9 +128,9 @@
         }
         state = self._control.node.state
         for model, prefills in tuple(state.balances.by_model.items()):
-            pool = state.servers.by_served.get(model, {})
-            if self._is_changing(model):
+            if self._is_changing(model) or not self._is_settled(model):
                 continue
+            pool = state.servers.by_served.get(model, {})
             change = balance.next_change(tuple(pool.values()), prefills)
             if change is not None:
                 await self._change(pool[change.server], model, change.kind)
--- a/bulrushrudder/tests/control/ordering_tests.py
+++ b/bulrushrudder/tests/control/ordering_tests.py
@@ -64,8 +64,7 @@
 
     async def step(self, seconds):
         self.now_s += seconds
-        if self.found._may_order():
-            await self.found._order_all()
+        await self.found.check()
 
     async def test_waits_out_the_lease_of_the_holder_before(self):
         await self.step(0.0)
@@ -100,6 +99,17 @@
         await self.step(1.0)
         self.assertEqual(len(self.engines.orders), 1)
 
+    async def test_waits_until_a_pool_keeps_its_servers(self):
+        await self.step(0.0)
+        await self.step(LEASE_S)
+        table = self.control.node.state.servers
+        joined = servers.JoinServer(fleet.server('s9', kind='prefill'))
+        table.apply(9, joined)
+        await self.step(1.0)
+        self.assertEqual(self.engines.orders, [])
+        await self.step(ordering.SETTLED_S)
+        self.assertEqual(len(self.engines.orders), 1)
+
     async def test_a_refusal_lets_the_server_back(self):
         self.engines.answer = ordering.Refused('status 409', False)
         await self.step(0.0)
