Have a decode server read one prompt at a time

Cause: where no server prefills, decode servers read prompts themselves, in pieces between the tokens of all that run there. Change: a decode server begins no second read before the first has ended and the time between two tokens has passed. A request counts as in time as long as such a read can keep its target. Tried and left out: decode servers also read where prefill servers have a queue, and one prefill server in a pool of five. A read of 3,500 tokens alone takes the 300 ms.

--- a/bulrushrudder/placement/cell.py
+++ b/bulrushrudder/placement/cell.py
@@ -120,7 +120,7 @@
         tokens = asked.prompt_tokens + asked.output_tokens
         self._demand.asked(asked.account, asked.weight, tokens, now_s)
         self._note_work(asked)
-        self._queue.add(asked, now_s, self._prefills.lead_s(asked))
+        self._queue.add(asked, now_s, self._lead_s(asked))
 
     def _note_work(self, asked):
         """Take in what a request will take of each kind of server."""
@@ -129,6 +129,12 @@
         if prefill_s is not None and decode_s is not None:
             self._balance.add(balance.Work(prefill_s, decode_s))
 
+    def _lead_s(self, asked):
+        """Return the seconds to expect from a grant to the first token."""
+        if self._prefills.any_present(asked.excluded):
+            return self._prefills.lead_s(asked)
+        return prefills.FIRST_TOKEN_S + self._decodes.lead_s(asked)
+
     def _learn(self, event):
         """Take in how fast the servers of a request were."""
         held = self._held_by_hold.get(event.hold)
@@ -342,7 +348,7 @@
         asked = waiting.asked
         self._drained_by_hold.pop(asked.hold, None)
         self._queue.grant(waiting)
-        choice.book(chosen, self._prefills, asked.prefix, asked.isolation)
+        choice.book(chosen, self._prefills, asked)
         holding = events.Holding(
             asked.hold,
             asked.account,
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -12,8 +12,6 @@
 FILL_S = 0.1
 ALONE_S = 0.5
 MOST_PREFILLS = 3
-# A decode server reads prompts at half the speed of a prefill server.
-ALONE_SLOWER = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,11 +94,16 @@
 
 
 def _choose_alone(asked, decode_pool, terms, now_s):
-    """Choose a decode server that reads the prompt by itself."""
+    """Choose a decode server that reads the prompt by itself.
+
+    What it reads holds up the tokens of all that run there, so it reads
+    one prompt within the time that they may take for a token.
+    """
     candidates = [
         known
         for known in decode_pool.candidates(asked.excluded)
         if known.server.reads_prompts
+        and known.read_free_s <= now_s + PIPELINE_S
         and known.server.id not in terms.claimed
         and known.is_open_to(asked.isolation)
         and known.has_memory(asked, terms.pieces, now_s)
@@ -109,18 +112,19 @@
     found = min(candidates, key=lambda k: (k.fill, k.server.id), default=None)
     if found is None:
         return Blocked()
-    pace = found.server.pace
-    read_s = asked.prompt_tokens / max(1.0, pace.prefill_tokens_per_s)
-    end_s = now_s + pace.prefill_base_s + read_s * ALONE_SLOWER
-    return Chosen(None, found, now_s, end_s, end_s)
+    start_s = max(now_s, found.read_free_s)
+    end_s = start_s + found.read_s(asked.prompt_tokens)
+    return Chosen(None, found, start_s, end_s, end_s)
 
 
-def book(chosen, prefill_pool, prefix, isolation):
+def book(chosen, prefill_pool, asked):
     """Book the prefill and the links of a choice."""
     if chosen.prefill is None:
+        free_s = chosen.link_s + asked.between_tokens_s
+        chosen.decode.read_free_s = max(chosen.transfer_s, free_s)
         return
-    prefill_pool.take(chosen.prefill, prefix)
-    if isolation is not events.Isolation.NONE:
+    prefill_pool.take(chosen.prefill, asked.prefix)
+    if asked.isolation is not events.Isolation.NONE:
         chosen.prefill.chosen.alone_until_s = chosen.transfer_s + ALONE_S
     chosen.prefill.chosen.link_free_s = chosen.transfer_s
     chosen.decode.link_free_s = chosen.transfer_s
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -17,6 +17,9 @@
 # Weight of one more request in the pace of its server.
 MEASURED_SHARE = 0.1
 
+# A decode server reads prompts at half the speed of a prefill server.
+ALONE_SLOWER = 2.0
+
 # Expected ends of requests by which the nth place ahead is free in 99
 # of 100 cases, where ends come independently of each other.
 NEEDED_ENDS = (4.61, 6.64, 8.41, 10.05, 11.60, 13.11)
@@ -32,6 +35,8 @@
     :param present: whether it gets new work.
     :param runs: its requests by hold, where memory fills as they run.
     :param token_s: seconds between tokens, where it is measured.
+    :param read_free_s: monotonic seconds from which it may read one more
+        prompt by itself.
     :param suspects: requests that it holds in isolation.
     :param alone: whether one of them shares it with nobody.
     :param limit: requests that it can run within all targets, as they
@@ -57,6 +62,7 @@
         default_factory=dict
     )
     token_s: float = 0.0
+    read_free_s: float = 0.0
 
     @property
     def memory(self):
@@ -124,6 +130,12 @@
         spare_tokens += spare * self.server.piece_tokens
         return most + spare_tokens <= memory
 
+    def read_s(self, prompt_tokens):
+        """Return the seconds in which it reads a prompt by itself."""
+        pace = self.server.pace
+        rate = max(1.0, pace.prefill_tokens_per_s)
+        return pace.prefill_base_s + prompt_tokens * ALONE_SLOWER / rate
+
     def bound(self, between_tokens_s):
         """Return the requests that it can run within all targets."""
         strictest_s = min(self.targets_s, default=between_tokens_s)
@@ -296,6 +308,11 @@
         held_s = output * known.token_s
         return held_s * (asked.prompt_tokens + output / 2) / memory
 
+    def lead_s(self, asked):
+        """Return seconds in which one of them reads a prompt by itself."""
+        known = next(iter(self.by_id.values()), None)
+        return known.read_s(asked.prompt_tokens) if known else 0.0
+
     def _ahead(self, known, lead_s):
         ends = known.held * lead_s / max(self.hold_s, 0.001)
         found = 0
