--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -175,7 +175,7 @@
         self._tracker.set_aside(server.id, until_s)
         lose = servers.LoseServer(server.id, server.incarnation)
         await self.node.propose(lose)
-        self._log_change(lose)
+        _log_change(lose, 'set aside')
 
     def take_back(self, server):
         """Let a server that was set aside return at once."""
@@ -221,18 +221,38 @@
             if isinstance(outcome, results.Unavailable):
                 committed = False
             else:
-                self._log_change(action.command)
+                _log_change(action.command, 'silent')
         return committed
 
-    def _log_change(self, command):
-        match command:
-            case servers.JoinServer(server=server):
-                log.emit(catalogue.SERVER_JOINED, server=server.id)
-            case (
-                servers.LeaveServer(id=server_id)
-                | servers.LoseServer(id=server_id)
-            ):
-                log.emit(catalogue.SERVER_LEFT, server=server_id)
+
+def _log_change(command, lost_as):
+    """Log a committed change of the backend servers.
+
+    :param lost_as: why a server is lost that did not say so.
+    """
+    match command:
+        case servers.JoinServer(server=server):
+            log.emit(
+                catalogue.SERVER_JOINED,
+                server=server.id,
+                incarnation=server.incarnation,
+                kind=server.kind,
+                serves=' '.join(server.serves),
+                zone=server.zone,
+            )
+        case servers.LeaveServer():
+            _log_left(command, 'leaving')
+        case servers.LoseServer():
+            _log_left(command, lost_as)
+
+
+def _log_left(command, reason):
+    log.emit(
+        catalogue.SERVER_LEFT,
+        server=command.id,
+        incarnation=command.incarnation,
+        reason=reason,
+    )
 
 
 def _now_s():
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -278,7 +278,8 @@
     4002,
     Level.INFO,
     'server left',
-    'A backend server left or went silent; it gets no new work.',
+    'A backend server gets no new work: it leaves, is silent, or is set '
+    'aside for an order.',
 )
 TOKENS_SPARED = Event(
     5101,
