Wait out no lease of a holder whose VM has started anew

Cause: after a fault of all machines a new leader stands 2 s after they are back, but no client account's tokens are granted for 2.5 s more: the authorities wait out leases of processes that have ended. Requests of those seconds are late or refused. Ruled out: the sessions (open within 0.3 s of the leader), coordinators (0.3 s). Change: a claim notes that a later process of the holder's VM has opened a session. Then the one before has ended and can grant no more, so nothing is waited out. A session that only closed shows nothing, as its process may be cut off. The fuzz test of limits starts processes anew and stays green; the new tests fail without the change.

--- a/bulrushrudder/limits/ledger.py
+++ b/bulrushrudder/limits/ledger.py
@@ -49,7 +49,8 @@
 
     def __init__(self, row, limits, now_s):
         self.row = row
-        self.starts_s = now_s if row.clean else now_s + LEASE_WAIT_S
+        granting_ended = row.clean or row.ended
+        self.starts_s = now_s if granting_ended else now_s + LEASE_WAIT_S
         self.waiting = collections.deque()
         self.releasing = None
         self._lease_ends_s = now_s
--- a/bulrushrudder/state/accounts.py
+++ b/bulrushrudder/state/accounts.py
@@ -19,6 +19,8 @@
     :param lent: bound on the tokens that stand out in slices.
     :param released: whether the holder grants no more.
     :param clean: whether the epoch before ended with a release.
+    :param ended: whether the process of the epoch before had surely
+        ended, as a later one of its VM had opened a session.
     """
 
     environment: types.Environment
@@ -31,6 +33,7 @@
     lent: float
     released: bool
     clean: bool
+    ended: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,6 +153,7 @@
             number=0,
             released=False,
             clean=row.released,
+            ended=self._has_ended(row.holder),
         )
         self._put(claimed)
         return results.Accepted(index)
@@ -190,6 +194,14 @@
         session = self._sessions.by_vm.get(owner.vm)
         return session is not None and session.owner == owner
 
+    def _has_ended(self, owner):
+        """Return whether a later process of the same VM has started."""
+        session = self._sessions.by_vm.get(owner.vm)
+        return (
+            session is not None
+            and session.owner.incarnation > owner.incarnation
+        )
+
     def _put(self, row):
         accounts_by_id = self._accounts_by_environment.get(row.environment, {})
         account = accounts_by_id.get(row.account)
--- a/bulrushrudder/tests/limits/authority_tests.py
+++ b/bulrushrudder/tests/limits/authority_tests.py
@@ -58,6 +58,12 @@
         self.flow(0.5)
         self.assertEqual(self.ask(20, self.other(old), 1.5), 1)
 
+    def test_a_holder_that_has_started_anew_waits_for_no_lease(self):
+        holder = self.holder()
+        self.fleet.start(holder)
+        self.flow(0.5)
+        self.assertEqual(self.ask(20, self.other(holder), 1.0), 1)
+
     def test_above_the_burst_is_refused_at_once(self):
         self.ask(101, seconds=0.5)
         reasons = [refused.reason for refused in self.fleet.refused]
--- a/bulrushrudder/tests/state/accounts_tests.py
+++ b/bulrushrudder/tests/state/accounts_tests.py
@@ -13,12 +13,9 @@
 
 class LimitTests(unittest.TestCase):
     def setUp(self):
-        table = sessions.Sessions()
-        opened = sessions.OpenSession(
-            fleet.owner(), ids.Zone('a'), '127.0.0.1', 1
-        )
-        table.apply(1, opened)
-        self.accounts = accounts.Accounts(table)
+        self.sessions = sessions.Sessions()
+        self.open_session(fleet.owner())
+        self.accounts = accounts.Accounts(self.sessions)
         self.limit(burst=1000)
         claim = accounts.ClaimAccount(
             PRODUCTION, ACME, fleet.owner(), 0, 1000.0
@@ -26,6 +23,18 @@
         self.accounts.apply(2, claim)
         self.assertEqual(self.floor(), 1000.0)
 
+    def open_session(self, owner):
+        opened = sessions.OpenSession(owner, ids.Zone('a'), '127.0.0.1', 1)
+        self.sessions.apply(1, opened)
+
+    def claim(self, index, owner):
+        row = self.accounts.by_key[PRODUCTION, ACME]
+        claim = accounts.ClaimAccount(
+            PRODUCTION, ACME, owner, row.epoch, 1000.0
+        )
+        self.accounts.apply(index, claim)
+        return self.accounts.by_key[PRODUCTION, ACME]
+
     def limit(self, burst):
         held = documents.account('acme', burst=burst)
         self.accounts.limit(PRODUCTION, {ACME: held})
@@ -48,3 +57,16 @@
         self.accounts.restore(snapshot)
         self.accounts.limit(PRODUCTION, {ACME: held})
         self.assertEqual(self.floor(), 300.0)
+
+    def test_a_later_process_of_a_vm_ends_the_one_before(self):
+        later = fleet.owner(incarnation=2)
+        self.open_session(later)
+        row = self.claim(3, later)
+        self.assertEqual((row.holder, row.ended), (later, True))
+
+    def test_a_closed_session_does_not_show_that_its_process_has_ended(self):
+        self.sessions.apply(3, sessions.CloseSession(fleet.owner()))
+        other = fleet.owner('vm2')
+        self.open_session(other)
+        row = self.claim(4, other)
+        self.assertEqual((row.holder, row.ended), (other, False))
