Let fields with defaults be missing from what is decoded

Change: mirrors of data classes carry the defaults. A missing field that has none is an error as before. The new test fails without the change.

--- a/bulrushrudder/protocol/codec.py
+++ b/bulrushrudder/protocol/codec.py
@@ -83,7 +83,7 @@
     number = registry.NUMBER_BY_TYPE.get(cls)
     struct = msgspec.defstruct(
         cls.__name__,
-        [(name, shape.annotation) for name, shape in shapes],
+        list(map(_field, fields, (shape for _, shape in shapes))),
         tag=number,
         array_like=True,
         frozen=True,
@@ -93,6 +93,19 @@
     return mirror
 
 
+def _field(field, shape):
+    """Return how a field travels; one with a default may be missing.
+
+    What was written before the field was added stays readable.
+    """
+    if field.default is dataclasses.MISSING:
+        return field.name, shape.annotation
+    default = field.default
+    if shape.to_wire is not None:
+        default = shape.to_wire(default)
+    return field.name, shape.annotation, default
+
+
 def _to_wire(struct, shapes):
     steps = [(name, shape.to_wire) for name, shape in shapes]
 
--- a/bulrushrudder/tests/protocol/codec_tests.py
+++ b/bulrushrudder/tests/protocol/codec_tests.py
@@ -1,10 +1,13 @@
 import unittest
 
+import msgspec
 from returns import result
 
+from bulrushrudder.core import ids
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
+from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import registry
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import documents
@@ -31,6 +34,16 @@
             with self.subTest(data):
                 self.assertIsInstance(codec.decode(data), result.Failure)
 
+    def test_a_field_with_a_default_may_be_missing(self):
+        question = place_messages.AskPlace(
+            ids.RequestId('r1'), fleet.owner(), '', 'm', 10, 5, False, 1.0
+        )
+        early = msgspec.msgpack.decode(codec.encode(question))
+        data = msgspec.msgpack.encode(early[:9])
+        self.assertEqual(codec.decode(data).unwrap(), question)
+        short = msgspec.msgpack.encode(early[:8])
+        self.assertIsInstance(codec.decode(short), result.Failure)
+
     def test_numbers_are_unique(self):
         numbers = list(registry.NUMBER_BY_TYPE.values())
         self.assertEqual(len(numbers), len(set(numbers)))
