Count a request's target from its caller's first try

Cause: the coordinator serves first what can still keep its target, and counted the target from when a question came. Callers who come back after a refusal or a broken connection are past it already; in a flood they took places from those who were not. Ruled out: a mark of the caller's (each try has an id of its own). Change: a caller who will wait a fifth less than callers of its route usually do has spent the rest on earlier tries; its target counts from then, so it stands behind those who can still be in time.

--- a/bulrushrudder/entry/cells.py
+++ b/bulrushrudder/entry/cells.py
@@ -178,7 +178,7 @@
             output_tokens=message.output_tokens,
             interactive=message.interactive,
             patience_s=message.patience_s,
-            first_token_s=target.first_token_s,
+            first_token_s=target.first_token_s - message.waited_s,
             between_tokens_s=target.between_tokens_s,
             prefix=message.prefix,
             excluded=message.excluded,
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -50,7 +50,9 @@
         self._charge = None
         self._loop = asyncio.get_running_loop()
         self._pace = pace.Pace(job.event_tokens)
-        self._trace = tracing.Trace(request_id, services.view, self._loop)
+        self._trace = tracing.Trace(
+            request_id, services.view, self._loop, self._waited_s()
+        )
         self._latency = services.metrics.latency(
             admitted.route.id, job.account, self._loop.time()
         )
@@ -244,6 +246,7 @@
             prefix=job.prefix,
             expected_tokens=job.expected_tokens,
             late_counts=job.late_counts,
+            waited_s=self._waited_s(),
         )
         match await self._services.coordinators.ask(question):
             case result.Success(granted):
@@ -255,6 +258,12 @@
             case result.Failure(refusal):
                 return events.StepRefused(refusal)
 
+    def _waited_s(self):
+        """Return the seconds that the caller has waited, as far as known."""
+        if self._job.began_s is None:
+            return 0.0
+        return self._loop.time() - self._job.began_s
+
     def _avoided(self):
         servers = self._services.view.state.servers
         candidates = servers.by_served.get(self._job.model, {})
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -14,13 +14,15 @@
     :param request_id: names the request.
     :param view: the View of the log that its entry decides from.
     :param clock: has a time() in monotonic seconds.
+    :param waited_s: seconds that the caller waited in earlier tries.
     """
 
-    def __init__(self, request_id, view, clock):
+    def __init__(self, request_id, view, clock, waited_s=0.0):
         self._request_id = request_id
         self._view = view
         self._clock = clock
         self._began_s = clock.time()
+        self._waited_s = waited_s
 
     def event(self, event):
         """Log an event that ends a step of the request."""
@@ -30,6 +32,7 @@
                     catalogue.PLACE_GRANTED,
                     prefill=prefill,
                     decode=decode,
+                    waited_ms=round(self._waited_s * MS_A_SECOND),
                     view=self._view.index,
                     view_age_ms=self._view.age_ms(self._clock.time()),
                 )
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -37,6 +37,8 @@
     :param event_tokens: output tokens in one event of the answer.
     :param late_counts: whether an answer after the target is of use.
     :param prefill_runs: whether a prefill counts as a run.
+    :param began_s: monotonic seconds since which the caller waits, in
+        earlier tries too; None where nobody says.
     :param charge_stays: whether the tokens that were charged stay spent
         once the request has run.
     """
@@ -65,6 +67,7 @@
     late_counts: bool = False
     prefill_runs: bool = True
     charge_stays: bool = False
+    began_s: float | None = None
 
 
 def marked(job, fingerprint, isolation):
--- a/bulrushrudder/platform/entry_door.py
+++ b/bulrushrudder/platform/entry_door.py
@@ -17,6 +17,7 @@
 from bulrushrudder.entry import model_calls
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
+from bulrushrudder.entry import waits
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.idempotency import events
@@ -89,6 +90,7 @@
         self._services = shared
         self._model_calls = model_calls.ModelCalls(shared)
         self._service_calls = service_calls.ServiceCalls(shared)
+        self._waits = waits.UsualWaits()
 
     def application(self):
         """Return the aiohttp application for clients."""
@@ -238,7 +240,11 @@
     def _job(self, passed, asked, admitted, service):
         target = admitted.route.target
         account = admitted.account
-        begin_by_s = passed.deadline_s - passed.wait_s + _stay_s(target)
+        received_s = passed.deadline_s - passed.wait_s
+        begin_by_s = received_s + _stay_s(target)
+        spent_s = self._waits.spent_s(
+            admitted.route.id, passed.wait_s, received_s
+        )
         cost = asked.prompt_tokens + asked.output_tokens
         if account and not (account.by_tokens and asked.names_tokens):
             cost = account.call_tokens
@@ -264,6 +270,7 @@
             expected_tokens=asked.expected_tokens,
             event_tokens=service.engine.event_tokens,
             late_counts=True,
+            began_s=received_s - spent_s,
         )
 
     def _refuse(self, refusal, attempt, route):
