Prefer decode servers that do not fail requests

Cause: where servers lose or spoil part of their answers, or fall silent, the coordinator went on to choose them as if nothing were; each request there may fail for good, as a stream that is not resumable is not repeated, and one that hangs holds memory for 3.6 s. Change: entries say with the release of a place how its decode server did. The coordinator keeps the share of late requests that each failed, forgets half of it in 5 s, and counts it in its choice among servers that have room.

--- a/bulrushrudder/entry/coordinators.py
+++ b/bulrushrudder/entry/coordinators.py
@@ -80,18 +80,31 @@
                 return directory.unreachable("the model's coordinator")
             await asyncio.sleep(RETRY_S)
 
-    async def release(self, request, model, prefill_s=0.0, token_s=0.0):
+    async def release(
+        self,
+        request,
+        model,
+        prefill_s=0.0,
+        token_s=0.0,
+        verdict=events.Verdict.UNKNOWN,
+    ):
         """Say that a request's servers are free again.
 
         What it still asks for is withdrawn.
 
         :param prefill_s: seconds that its prefill took, 0 if unknown.
         :param token_s: seconds between its tokens, 0 if unknown.
+        :param verdict: how its decode server did.
         """
         for held_model, number in self._own.of_request(request):
             self._own.close(number)
             message = place_messages.ReleasePlace(
-                self._owner, held_model, number, prefill_s, token_s
+                self._owner,
+                held_model,
+                number,
+                prefill_s,
+                token_s,
+                int(verdict),
             )
             await self._directory.tell(_role(model), message, self.serve)
 
@@ -117,7 +130,10 @@
                 self._cells.take(
                     model,
                     events.PlaceReleased(
-                        hold, message.prefill_s, message.token_s
+                        hold,
+                        message.prefill_s,
+                        message.token_s,
+                        events.Verdict(message.verdict),
                     ),
                 )
             case place_messages.ReportHolds():
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -106,7 +106,9 @@
         """Handle an event that does not come from the current step."""
         if self._request.ended:
             return
-        found = self._request.handle(event, self._loop.time())
+        now_s = self._loop.time()
+        self._pace.event(event, now_s)
+        found = self._request.handle(event, now_s)
         if self._request.ended:
             self._last_actions = found
             if self._step is not None:
@@ -185,6 +187,7 @@
                         self._job.model,
                         self._pace.prefill_s,
                         self._pace.token_s,
+                        self._pace.verdict,
                     )
                 )
             case actions.ClearSuspect(fingerprint=fingerprint):
--- a/bulrushrudder/entry/pace.py
+++ b/bulrushrudder/entry/pace.py
@@ -1,7 +1,19 @@
-"""Measures how fast the servers of a request are."""
+"""Measures how fast the servers of a request are, and how they end."""
 
+from bulrushrudder.core import outcomes
 from bulrushrudder.lifecycle import events
+from bulrushrudder.placement import events as place_events
 
+# A decode server makes its first token within this time, also behind a
+# transfer and a prompt that it reads for another request.
+FIRST_TOKEN_S = 1.0
+_FAILED = frozenset(
+    {
+        outcomes.Reason.BACKEND_FAILED,
+        outcomes.Reason.BACKEND_SILENT,
+        outcomes.Reason.BACKEND_UNREACHABLE,
+    }
+)
 # Fewer tokens than these tell too little of the time between them.
 LEAST_TOKENS = 48
 
@@ -13,13 +25,17 @@
     :ivar prefill_s: seconds that the last prefill took, 0 if unknown.
     :ivar token_s: seconds between tokens of the last decode, 0 if
         unknown.
+    :ivar verdict: how the decode server of the last place did.
     """
 
     def __init__(self, event_tokens):
         self.prefill_s = 0.0
         self.token_s = 0.0
         self._event_tokens = event_tokens
+        self.verdict = place_events.Verdict.UNKNOWN
         self._placed_s = None
+        self._decode = None
+        self._decode_s = None
         self._first_s = None
         self._first_index = 0
 
@@ -28,12 +44,31 @@
         match event:
             case events.PlaceGranted():
                 self._placed_s = now_s
+                self._decode = event.decode
+                self._decode_s = None if event.prefill else now_s
+                self.verdict = place_events.Verdict.UNKNOWN
             case events.PrefillDone():
                 self.prefill_s = now_s - self._placed_s
+                self._decode_s = now_s
             case events.TransferDone():
                 self._first_s = None
             case events.TokenArrived(index=index):
+                self._decode_s = None
                 self._token(index, now_s)
+            case events.DecodeDone():
+                self.verdict = place_events.Verdict.SERVED
+            case events.AttemptFailed(server=server, reason=reason):
+                if server == self._decode and reason in _FAILED:
+                    self.verdict = place_events.Verdict.FAILED
+            case events.TimeEnded() | events.CallerGone():
+                self._note_silence(now_s)
+
+    def _note_silence(self, now_s):
+        """Judge a decode server that has not begun when all ends."""
+        if self._decode_s is None:
+            return
+        if now_s - self._decode_s > FIRST_TOKEN_S:
+            self.verdict = place_events.Verdict.FAILED
 
     def _token(self, index, now_s):
         if self._first_s is None:
--- a/bulrushrudder/placement/cell.py
+++ b/bulrushrudder/placement/cell.py
@@ -94,7 +94,7 @@
             case events.PlaceAsked():
                 self._ask(event, now_s)
             case events.PlaceReleased(hold=hold):
-                self._learn(event)
+                self._learn(event, now_s)
                 self._release(hold, now_s)
             case events.ServersChanged(servers=servers):
                 self._change_servers(servers, now_s)
@@ -135,8 +135,8 @@
             return self._prefills.lead_s(asked)
         return prefills.FIRST_TOKEN_S + self._decodes.lead_s(asked)
 
-    def _learn(self, event):
-        """Take in how fast the servers of a request were."""
+    def _learn(self, event, now_s):
+        """Take in how fast the servers of a request were, and how good."""
         held = self._held_by_hold.get(event.hold)
         if held is None:
             return
@@ -147,6 +147,9 @@
             )
         if event.token_s > 0:
             self._decodes.measured(holding.decode, event.token_s)
+        if event.verdict is not events.Verdict.UNKNOWN:
+            failed = event.verdict is events.Verdict.FAILED
+            self._decodes.judged(holding.decode, failed, now_s)
 
     def _release(self, hold, now_s):
         self._holds_by_owner[hold.owner].discard(hold)
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -10,6 +10,9 @@
 PIPELINE_S = 0.05
 OTHER_ZONE_S = 0.01
 FILL_S = 0.1
+# A request that fails has waited in vain and may not come again; any
+# server that fails less and has room goes first.
+FAILING_S = 1.0
 ALONE_S = 0.5
 MOST_PREFILLS = 3
 
@@ -89,7 +92,9 @@
         if decode_pool.fits(chosen.decode, asked, chosen.transfer_s - now_s)
     ]
     return min(
-        found, key=lambda chosen: _cost(chosen, asked), default=Blocked()
+        found,
+        key=lambda chosen: _cost(chosen, asked, now_s),
+        default=Blocked(),
     )
 
 
@@ -109,7 +114,11 @@
         and known.has_memory(asked, terms.pieces, now_s)
         and decode_pool.fits(known, asked, 0.0)
     ]
-    found = min(candidates, key=lambda k: (k.fill, k.server.id), default=None)
+    found = min(
+        candidates,
+        key=lambda k: (_decode_cost(k, now_s), k.server.id),
+        default=None,
+    )
     if found is None:
         return Blocked()
     start_s = max(now_s, found.read_free_s)
@@ -159,13 +168,18 @@
     return cost + _zone_cost(plan.chosen.server.zone, asked.zone)
 
 
-def _cost(chosen, asked):
+def _decode_cost(known, now_s):
+    """Count how full a decode server is and how much it fails."""
+    return known.fill * FILL_S + known.failing(now_s) * FAILING_S
+
+
+def _cost(chosen, asked, now_s):
     server = chosen.decode.server
     zone = chosen.prefill.chosen.server.zone
     zone_s = _zone_cost(asked.zone, zone) + _zone_cost(zone, server.zone)
-    fill = chosen.decode.fill
+    decode = _decode_cost(chosen.decode, now_s)
     end_s = chosen.transfer_s + chosen.prefill.end_s - chosen.prefill.start_s
-    return (end_s + zone_s + fill * FILL_S, server.id, _id(chosen.prefill))
+    return (end_s + zone_s + decode, server.id, _id(chosen.prefill))
 
 
 def _zone_cost(one, other):
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -17,6 +17,11 @@
 # Weight of one more request in the pace of its server.
 MEASURED_SHARE = 0.1
 
+# Weight of one more request in the share that its server fails, and the
+# time after which half of what is known of it is forgotten: some ten
+# requests, which a server in use ends in three to five seconds.
+JUDGED_SHARE = 0.2
+FAILING_HALF_S = 5.0
 # A decode server reads prompts at half the speed of a prefill server.
 ALONE_SLOWER = 2.0
 
@@ -37,6 +42,9 @@
     :param token_s: seconds between tokens, where it is measured.
     :param read_free_s: monotonic seconds from which it may read one more
         prompt by itself.
+    :param failing_share: part of its late requests that it failed, when
+        it was last judged.
+    :param judged_s: monotonic seconds of then.
     :param suspects: requests that it holds in isolation.
     :param alone: whether one of them shares it with nobody.
     :param limit: requests that it can run within all targets, as they
@@ -63,6 +71,8 @@
     )
     token_s: float = 0.0
     read_free_s: float = 0.0
+    failing_share: float = 0.0
+    judged_s: float = 0.0
 
     @property
     def memory(self):
@@ -130,6 +140,17 @@
         spare_tokens += spare * self.server.piece_tokens
         return most + spare_tokens <= memory
 
+    def failing(self, now_s):
+        """Return the part of its requests that it is taken to fail."""
+        halves = (now_s - self.judged_s) / FAILING_HALF_S
+        return self.failing_share * 0.5**halves
+
+    def judge(self, failed, now_s):
+        """Take in whether it failed one more request."""
+        share = self.failing(now_s)
+        self.failing_share = share + (failed - share) * JUDGED_SHARE
+        self.judged_s = now_s
+
     def read_s(self, prompt_tokens):
         """Return the seconds in which it reads a prompt by itself."""
         pace = self.server.pace
@@ -293,6 +314,12 @@
         if known is not None and known.token_s > 0:
             known.token_s += (token_s - known.token_s) * MEASURED_SHARE
 
+    def judged(self, server_id, failed, now_s):
+        """Take in how a server did with a request."""
+        known = self.by_id.get(server_id)
+        if known is not None:
+            known.judge(failed, now_s)
+
     def work_s(self, asked):
         """Return the seconds of a whole server that a request takes.
 
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -26,6 +26,14 @@
     ALONE = 2
 
 
+class Verdict(enum.IntEnum):
+    """How a decode server did with a request."""
+
+    UNKNOWN = 0
+    SERVED = 1
+    FAILED = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceAsked:
     """A request wants a prefill and a decode server.
@@ -68,11 +76,13 @@
 
     :param prefill_s: seconds that its prefill took, 0 where none ended.
     :param token_s: seconds between its tokens, 0 where it made too few.
+    :param verdict: how its decode server did.
     """
 
     hold: HoldId
     prefill_s: float = 0.0
     token_s: float = 0.0
+    verdict: Verdict = Verdict.UNKNOWN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -68,6 +68,7 @@
     :param number: of the hold.
     :param prefill_s: seconds that its prefill took, 0 where none ended.
     :param token_s: seconds between its tokens, 0 where it made too few.
+    :param verdict: a Verdict on its decode server, by number.
     """
 
     owner: ids.Owner
@@ -75,6 +76,7 @@
     number: int
     prefill_s: float = 0.0
     token_s: float = 0.0
+    verdict: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/standins/entry_path.py
+++ b/bulrushrudder/standins/entry_path.py
@@ -111,7 +111,7 @@
                 return result.Failure(outcomes.not_run(reason, 'no place'))
             await asyncio.sleep(PLACE_POLL_S)
 
-    async def release(self, place, model, prefill_s, token_s):
+    async def release(self, place, model, prefill_s, token_s, verdict):
         """Take a place back."""
         self.holdings_by_place.pop(place, None)
 
--- /dev/null
+++ b/bulrushrudder/tests/entry/pace_tests.py
@@ -0,0 +1,59 @@
+import unittest
+
+from bulrushrudder.core import ids
+from bulrushrudder.core import outcomes
+from bulrushrudder.entry import pace
+from bulrushrudder.lifecycle import events
+from bulrushrudder.placement import events as place_events
+from bulrushrudder.tests.builders import fleet
+
+ATTEMPT = ids.AttemptId(ids.RequestId('r1'), fleet.owner(), 1)
+DECODE = ids.ServerId('decode-0')
+PREFILL = ids.ServerId('prefill-0')
+
+
+class VerdictTests(unittest.TestCase):
+    def setUp(self):
+        self.pace = pace.Pace(1)
+        place = ids.RequestId('r1-1')
+        self.take(events.PlaceGranted(place, PREFILL, DECODE), 0.0)
+
+    def take(self, event, now_s):
+        self.pace.event(event, now_s)
+
+    def begin_decode(self, now_s):
+        self.take(events.PrefillDone(ATTEMPT, 'h', 10), now_s)
+
+    def fail(self, server, reason):
+        self.take(events.AttemptFailed(ATTEMPT, server, reason, ''), 0.5)
+
+    def assert_verdict(self, verdict):
+        self.assertIs(self.pace.verdict, verdict)
+
+    def test_a_whole_answer_speaks_for_the_server(self):
+        self.begin_decode(0.1)
+        self.take(events.DecodeDone(ATTEMPT, 1, 'stop'), 1.0)
+        self.assert_verdict(place_events.Verdict.SERVED)
+
+    def test_a_failed_run_speaks_against_it(self):
+        self.fail(DECODE, outcomes.Reason.BACKEND_FAILED)
+        self.assert_verdict(place_events.Verdict.FAILED)
+
+    def test_a_full_server_or_another_one_says_nothing(self):
+        self.fail(DECODE, outcomes.Reason.BACKEND_FULL)
+        self.fail(PREFILL, outcomes.Reason.BACKEND_FAILED)
+        self.assert_verdict(place_events.Verdict.UNKNOWN)
+
+    def test_silence_until_the_caller_leaves_speaks_against_it(self):
+        self.begin_decode(0.1)
+        self.take(events.CallerGone(), 0.2)
+        self.assert_verdict(place_events.Verdict.UNKNOWN)
+        self.take(events.TimeEnded(True), 3.6)
+        self.assert_verdict(place_events.Verdict.FAILED)
+
+    def test_time_that_ends_in_a_prefill_or_a_stream_says_nothing(self):
+        self.take(events.TimeEnded(True), 3.6)
+        self.begin_decode(3.7)
+        self.take(events.TokenArrived(ATTEMPT, 0, 'a'), 3.8)
+        self.take(events.TimeEnded(False), 14.0)
+        self.assert_verdict(place_events.Verdict.UNKNOWN)
--- a/bulrushrudder/tests/placement/choice_tests.py
+++ b/bulrushrudder/tests/placement/choice_tests.py
@@ -59,3 +59,35 @@
         self.assertEqual(self.ask(3, 0.0, **waits), [])
         (grant,) = self.tick(0.3)
         self.assertEqual(grant.call, 3)
+
+
+class FailingServersTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = cell.Cell(most_ahead=0)
+        self.cell.handle(places.servers_changed(1, 2, places=2), 0.0)
+        self.number = 0
+
+    def ask(self, now_s):
+        """Return the hold and the decode server of one more request."""
+        self.number += 1
+        asked = places.asked(self.number)
+        (grant,) = places.grants(self.cell.handle(asked, now_s))
+        return asked.hold, grant.decode
+
+    def fail(self, now_s):
+        """Have the decode server of one more request fail it."""
+        hold, decode = self.ask(now_s)
+        released = events.PlaceReleased(hold, verdict=events.Verdict.FAILED)
+        self.cell.handle(released, now_s)
+        return decode
+
+    def test_come_after_those_that_serve_until_these_are_full(self):
+        failing = self.fail(0.0)
+        found = [self.ask(1.0 + number)[1] for number in range(4)]
+        self.assertEqual(found.count(failing), 2)
+        self.assertNotIn(failing, found[:2])
+
+    def test_are_taken_to_serve_again_after_a_while(self):
+        failing = self.fail(0.0)
+        _, other = self.ask(60.0)
+        self.assertEqual(other, failing)
