--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -108,6 +108,7 @@
             return
         now_s = self._loop.time()
         self._pace.event(event, now_s)
+        self._trace.event(event)
         found = self._request.handle(event, now_s)
         if self._request.ended:
             self._last_actions = found
--- a/bulrushrudder/entry/model_calls.py
+++ b/bulrushrudder/entry/model_calls.py
@@ -76,7 +76,10 @@
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
+            # Also where the request ended by a cut of the connection.
             running.caller_gone()
+            if sink.refusal is not None:
+                self._count(sink, admitted.route.id, request_id)
             raise
         self._count(sink, admitted.route.id, request_id)
 
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -40,6 +40,8 @@
                 self._emit(catalogue.PREFILL_DONE, tokens=tokens)
             case events.TransferDone():
                 self._emit(catalogue.DECODE_BEGUN)
+            case events.CallerGone():
+                self._emit(catalogue.CALLER_GONE)
             case events.AttemptFailed():
                 self._emit(
                     catalogue.ATTEMPT_FAILED,
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -95,6 +95,12 @@
     'A server of a plain service had a call; the outcome is its status or '
     'the reason why there is none.',
 )
+CALLER_GONE = Event(
+    1117,
+    Level.INFO,
+    'caller gone',
+    'A caller left before its answer was whole; its request is cancelled.',
+)
 ORPHANS_CANCELLED = Event(
     1104,
     Level.INFO,
