Decode no headers that nothing uses

The urgency, the model's name, the parts of the prompt and the last event of a client's call were decoded and used nowhere; what a runner needs of them goes on to it unchanged.

--- a/bulrushrudder/platform/headers.py
+++ b/bulrushrudder/platform/headers.py
@@ -19,13 +19,9 @@
 CACHE_SOURCE = 'Kv-Source'
 NOT_RUN = 'not-executed'
 LAST_EVENT = 'Last-Event-Id'
-URGENCY = 'Request-Urgency'
-_MODEL = 'model'
 _USAGE = 'token-usage'
-_PREFIX = 'prompt-prefix'
 _GUESS = 'length-hint'
 
-_MAX_PREFIX_PARTS = 256
 _MS_A_SECOND = 1000.0
 _TOKEN = re.compile(r'[0-9]{1,9}')
 
@@ -78,26 +74,19 @@
     :param attempt: the id of this try.
     :param wait_s: seconds that the client waits; None where it does not
         say.
-    :param model: the model's name, empty for a call of a plain service.
     :param prompt_tokens: tokens of the prompt.
     :param output_tokens: the bound on tokens of the answer.
     :param expected_tokens: the client's guess at the tokens of the
         answer, 0 where it makes none.
     :param names_tokens: whether the client named tokens at all.
-    :param parts: ids of the parts of the prompt, in order.
-    :param last_event: the id of the last event that the client has, or
-        None.
     """
 
     attempt: str
     wait_s: float | None
-    model: str
     prompt_tokens: int
     output_tokens: int
     expected_tokens: int
     names_tokens: bool
-    parts: tuple[str, ...]
-    last_event: str | None
 
 
 def read(headers):
@@ -123,13 +112,10 @@
         Asked(
             attempt=attempt,
             wait_s=None if wait is None else float(wait) / _MS_A_SECOND,
-            model=by_name.get(_MODEL, ''),
             prompt_tokens=tokens[0],
             output_tokens=tokens[1],
             expected_tokens=_number(by_name.get(_GUESS, '')),
             names_tokens=usage is not None,
-            parts=_parts(by_name.get(_PREFIX, '')),
-            last_event=by_name.get(LAST_EVENT.lower()),
         )
     )
 
@@ -187,11 +173,6 @@
     return int(text) if _TOKEN.fullmatch(text) else 0
 
 
-def _parts(text):
-    parts = text.split(',')[:_MAX_PREFIX_PARTS]
-    return tuple(part.strip() for part in parts if part.strip())
-
-
 def _malformed(detail):
     return result.Failure(
         outcomes.not_run(outcomes.Reason.MALFORMED_REQUEST, detail)
