--- a/bulrushrudder/benchmarks/placement/engines.py
+++ b/bulrushrudder/benchmarks/placement/engines.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 
-from bulrushrudder.placement import decodes
+from bulrushrudder.placement import decode_server
 from bulrushrudder.placement import prefixes
 from bulrushrudder.state import servers
 
@@ -265,4 +265,4 @@
 
 def _pieces(request):
     tokens = request.prompt_tokens + request.bound_tokens
-    return decodes.pieces_of(tokens)
+    return decode_server.pieces_of(tokens)
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from bulrushrudder.placement import decodes
+from bulrushrudder.placement import decode_server
 from bulrushrudder.placement import events
 from bulrushrudder.placement import prefills
 
@@ -28,7 +28,7 @@
     """
 
     prefill: prefills.PrefillPlan | None
-    decode: decodes.DecodeServer
+    decode: decode_server.DecodeServer
     link_s: float
     transfer_s: float
     first_token_s: float
--- a/bulrushrudder/tests/placement/fuzz_tests.py
+++ b/bulrushrudder/tests/placement/fuzz_tests.py
@@ -9,7 +9,7 @@
 
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import cell
-from bulrushrudder.placement import decodes
+from bulrushrudder.placement import decode_server
 from bulrushrudder.placement import events
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import places
@@ -199,7 +199,7 @@
         for asked, grant in self.granted_by_hold.values():
             counts[grant.decode] += 1
             tokens = asked.prompt_tokens + asked.output_tokens
-            pieces[grant.decode] += decodes.pieces_of(tokens)
+            pieces[grant.decode] += decode_server.pieces_of(tokens)
             if asked.isolation is events.Isolation.ALONE:
                 alone.add(grant.decode)
         most = MEMORY_TOKENS // servers.PIECE_TOKENS
