Let no poison request of a crashed stand-in engine crash the next run

Cause: the test of ten poison requests failed once beside a load of 8: an innocent request that ran alone was taken to have crashed its server. The stand-in engine lost all that it held at a crash, but a poison request that was about to crash it too went on and crashed what had started anew, sooner or later as the machine was busy. Change: a poison request that was stopped crashes nothing. The failing run's log was not kept, so that it was this cause is shown by the mechanism, not by that run.

--- a/bulrushrudder/standins/faulty_engine.py
+++ b/bulrushrudder/standins/faulty_engine.py
@@ -91,7 +91,8 @@
     async def _stream(self, response, order, held):
         if POISON in order['prompt']:
             await asyncio.sleep(self._token_s)
-            self.crash()
+            if not held.stopped.is_set():
+                self.crash()
             return
         if self._random.random() < self.chances.silence:
             await held.stopped.wait()
