Give a session that has just been opened a whole lease

Cause: a leader counted the lease of a session whose process it had not heard of yet from the beginning of its own term. Signs of life of observers of other members reach it with their next report, after the session that is forwarded at once; a check in between closed the session 0.2 s after it had been opened. Its process opened it again; meanwhile peers took its requests for orphans, and roles moved away and back. Ruled out: that a stopping process does not close its session (it had). Change: the lease counts from when the session was first seen at the earliest.

--- a/bulrushrudder/observers/leases.py
+++ b/bulrushrudder/observers/leases.py
@@ -29,6 +29,7 @@
     def __init__(self):
         self.signs_by_owner: dict[ids.Owner, Sign] = {}
         self._since_s = 0.0
+        self._seen_s_by_owner: dict[ids.Owner, float] = {}
 
     def begin(self, now_s):
         """Give every open session a whole lease; a leader takes over."""
@@ -41,8 +42,16 @@
             self.signs_by_owner[owner] = Sign(index, heard_s)
 
     def expire(self, sessions_by_vm, now_s):
-        """Return CloseSession commands for sessions that are silent."""
+        """Return CloseSession commands for sessions that are silent.
+
+        A session that has just been opened has a whole lease: the first
+        sign of its process may come later, through another member.
+        """
         self._forget(now_s)
+        self._seen_s_by_owner = {
+            session.owner: self._seen_s_by_owner.get(session.owner, now_s)
+            for session in sessions_by_vm.values()
+        }
         return [
             sessions.CloseSession(session.owner)
             for session in sessions_by_vm.values()
@@ -51,7 +60,11 @@
 
     def _heard_s(self, owner):
         known = self.signs_by_owner.get(owner)
-        return max(known.heard_s if known else 0.0, self._since_s)
+        return max(
+            known.heard_s if known else 0.0,
+            self._since_s,
+            self._seen_s_by_owner[owner],
+        )
 
     def _forget(self, now_s):
         """Drop signs of observers that are long gone."""
