Let a client's first try always begin

Cause: the check that a stream can end in its client's time held for first tries as well. Change: it holds for callers who try again alone, whose time has shrunk.

--- a/bulrushrudder/platform/entry_door.py
+++ b/bulrushrudder/platform/entry_door.py
@@ -49,8 +49,9 @@
 LAST_STREAMS_S = 2.0
 TOKEN_S = 0.0045
 OVERRUN = 1.6
-# A stream begins only where this part of what it is taken to need fits
-# into the time its client has left: estimates err by a factor of 1.5.
+# A stream of a client that tries again begins only where this part of
+# what it is taken to need fits into the time that the client has left:
+# estimates err by a factor of 1.5. A first try always may begin.
 LEAST_RUN_SHARE = 0.7
 _FINGERPRINT_BYTES = 16
 _STOPPING = outcomes.not_run(
@@ -244,14 +245,14 @@
         target = admitted.route.target
         account = admitted.account
         received_s = passed.deadline_s - passed.wait_s
-        tokens = asked.expected_tokens or asked.output_tokens
-        begin_by_s = min(
-            received_s + _stay_s(target),
-            passed.deadline_s - tokens * TOKEN_S * LEAST_RUN_SHARE,
-        )
+        begin_by_s = received_s + _stay_s(target)
         spent_s = self._waits.spent_s(
             admitted.route.id, passed.wait_s, received_s
         )
+        if spent_s > 0.0:
+            tokens = asked.expected_tokens or asked.output_tokens
+            needed_s = tokens * TOKEN_S * LEAST_RUN_SHARE
+            begin_by_s = min(begin_by_s, passed.deadline_s - needed_s)
         cost = asked.prompt_tokens + asked.output_tokens
         if account and not (account.by_tokens and asked.names_tokens):
             cost = account.call_tokens
