Let one piece of code serve where the change had written twins

Found in a last read of the change: - the digest of a configuration, of a document and of a key: one function in core/digests.py; - what follows an unexpected error, at both front doors: it is now refusals.unexpected; each says as before what of the error it logs; - the choice of an interface for entry and control; - the three lines that log and learn from an event of a request, in three places; - a call of the platform and a job that were built, then copied to add two fields: both are built whole, and calls.until and jobs.marked go. A constant at the end of platform/calls.py stands with the others. Behaviour is as it was; no test was touched.

--- a/bulrushrudder/commands/interfaces.py
+++ b/bulrushrudder/commands/interfaces.py
@@ -12,10 +12,7 @@
 
     :param name: as the settings give it.
     """
-    if name == 'own':
-        return None
-    module = importlib.import_module(f'bulrushrudder.{name}.entry_door')
-    return module.Interface()
+    return _interface(name, 'entry_door')
 
 
 def control(name):
@@ -23,7 +20,12 @@
 
     :param name: as the settings give it.
     """
+    return _interface(name, 'control_door')
+
+
+def _interface(name, door):
+    """Return an interface; None for the product's own."""
     if name == 'own':
         return None
-    module = importlib.import_module(f'bulrushrudder.{name}.control_door')
+    module = importlib.import_module(f'bulrushrudder.{name}.{door}')
     return module.Interface()
--- a/bulrushrudder/config/document.py
+++ b/bulrushrudder/config/document.py
@@ -1,6 +1,5 @@
 """The environment document in YAML."""
 
-import hashlib
 import typing
 
 import pydantic
@@ -9,6 +8,7 @@
 from bulrushrudder.config import errors
 from bulrushrudder.config import loader
 from bulrushrudder.config import models
+from bulrushrudder.core import digests
 from bulrushrudder.core import ids
 from bulrushrudder.documents import types
 
@@ -148,7 +148,7 @@
 
 def digest(source):
     """Return the digest of a document's bytes."""
-    return 'sha256:' + hashlib.sha256(source).hexdigest()
+    return digests.of(source)
 
 
 def load(file, source):
--- a/bulrushrudder/core/keys.py
+++ b/bulrushrudder/core/keys.py
@@ -1,9 +1,9 @@
 """Callers' keys: only digests are kept."""
 
-import hashlib
 import secrets
 
-DIGEST_PREFIX = 'sha256:'
+from bulrushrudder.core import digests
+
 KEY_BYTES = 24
 
 
@@ -18,5 +18,4 @@
     :param key: the key; bytes that are no text may stand in it as
         surrogates, as HTTP headers deliver them.
     """
-    data = key.encode(errors='surrogateescape')
-    return DIGEST_PREFIX + hashlib.sha256(data).hexdigest()
+    return digests.of(key.encode(errors='surrogateescape'))
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -107,8 +107,7 @@
         if self._request.ended:
             return
         now_s = self._loop.time()
-        self._pace.event(event, now_s)
-        self._trace.event(event)
+        self._observe(event, now_s)
         found = self._request.handle(event, now_s)
         if self._request.ended:
             self._last_actions = found
@@ -145,10 +144,15 @@
                 await self._handle(events.BackOffEnded())
 
     async def _handle(self, event):
+        now_s = self._loop.time()
+        self._observe(event, now_s)
+        await self._perform(self._request.handle(event, now_s))
+
+    def _observe(self, event, now_s):
+        """Log an event, and learn from it about its servers."""
         self._trace.event(event)
-        self._pace.event(event, self._loop.time())
+        self._pace.event(event, now_s)
         self._note_failure(event)
-        await self._perform(self._request.handle(event, self._loop.time()))
 
     async def _perform(self, found):
         """Carry out actions; those that need no waiting go first."""
@@ -346,9 +350,7 @@
         now_s = self._loop.time()
         found = []
         for event in batch:
-            self._trace.event(event)
-            self._pace.event(event, now_s)
-            self._note_failure(event)
+            self._observe(event, now_s)
             for action in self._request.handle(event, now_s):
                 found.append(action)
                 if isinstance(action, actions.Relay):
--- a/bulrushrudder/entry/frontend.py
+++ b/bulrushrudder/entry/frontend.py
@@ -6,15 +6,12 @@
 from aiohttp import web
 from returns import result
 
-from bulrushrudder.core import outcomes
 from bulrushrudder.documents import types
 from bulrushrudder.entry import admission
 from bulrushrudder.entry import bodies
 from bulrushrudder.entry import model_calls
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
-from bulrushrudder.events import catalogue
-from bulrushrudder.events import log
 from bulrushrudder.utils import authentication
 
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._:-]{1,128}')
@@ -59,13 +56,8 @@
         try:
             return await self._serve(http_request, request_id)
         except Exception as error:
-            log.emit(catalogue.UNEXPECTED, detail=type(error).__name__)
-            if http_request.writer.output_size > 0:
-                raise ConnectionError('the answer was cut') from error
-            refusal = outcomes.Refusal(
-                outcomes.Reason.INTERNAL_ERROR,
-                outcomes.Execution.UNKNOWN,
-                'an internal error, which is in the log',
+            refusal = refusals.unexpected(
+                http_request, error, type(error).__name__
             )
             return self._refuse(http_request, refusal, request_id)
         finally:
--- a/bulrushrudder/entry/refusals.py
+++ b/bulrushrudder/entry/refusals.py
@@ -19,6 +19,22 @@
     return answers.refuse(refusal, request_id)
 
 
+def unexpected(http_request, error, detail):
+    """Log an error that nobody expected and return its Refusal.
+
+    :param detail: what of the error may stand in the log.
+    :raises ConnectionError: where the answer has begun; it must be cut.
+    """
+    log.emit(catalogue.UNEXPECTED, detail=detail)
+    if http_request.writer.output_size > 0:
+        raise ConnectionError('the answer was cut') from error
+    return outcomes.Refusal(
+        outcomes.Reason.INTERNAL_ERROR,
+        outcomes.Execution.UNKNOWN,
+        'an internal error, which is in the log',
+    )
+
+
 def note(services, refusal, request_id, route):
     """Count and log a refusal, with the view that it was decided from."""
     services.metrics.count_refusal(refusal.reason, route)
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -68,10 +68,3 @@
     prefill_runs: bool = True
     charge_stays: bool = False
     began_s: float | None = None
-
-
-def marked(job, fingerprint, isolation):
-    """Return a Job with what is known of earlier runs of it."""
-    return dataclasses.replace(
-        job, fingerprint=fingerprint, isolation=isolation
-    )
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -10,6 +10,8 @@
 from bulrushrudder.platform import headers
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# A refusal has a short body, if any.
+DRAIN_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,11 +49,6 @@
         return headers.call(self.method, self.target, found, self.body)
 
 
-def until(passed, deadline_s, wait_s):
-    """Return a call with another deadline."""
-    return dataclasses.replace(passed, deadline_s=deadline_s, wait_s=wait_s)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
     """A call without an answer that may be passed on.
@@ -145,7 +142,3 @@
             await body_of(connection)
     except TimeoutError:
         connection.abort()
-
-
-# A refusal has a short body, if any.
-DRAIN_S = 0.1
--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -1,7 +1,5 @@
 """Reads the platform's configuration into a Document."""
 
-import hashlib
-
 import pydantic
 from returns import result
 
@@ -269,8 +267,3 @@
     except pydantic.ValidationError as error:
         return result.Failure(web.first_error(error))
     return result.Success(model.build())
-
-
-def digest(source):
-    """Return the digest of a configuration's bytes."""
-    return 'sha256:' + hashlib.sha256(source).hexdigest()
--- a/bulrushrudder/platform/control_door.py
+++ b/bulrushrudder/platform/control_door.py
@@ -3,6 +3,7 @@
 from aiohttp import web
 from returns import result
 
+from bulrushrudder.core import digests
 from bulrushrudder.documents import types
 from bulrushrudder.engines import connections
 from bulrushrudder.events import catalogue
@@ -103,7 +104,7 @@
 
     async def _adopt(self, document, source):
         outcome = await self._control.adopt(
-            document, source, configuration.digest(source), OPERATOR
+            document, source, digests.of(source), OPERATOR
         )
         match outcome:
             case results.Accepted(index=index, repeated=repeated):
--- a/bulrushrudder/platform/entry_door.py
+++ b/bulrushrudder/platform/entry_door.py
@@ -18,8 +18,6 @@
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
 from bulrushrudder.entry import waits
-from bulrushrudder.events import catalogue
-from bulrushrudder.events import log
 from bulrushrudder.idempotency import events
 from bulrushrudder.lifecycle import job as jobs
 from bulrushrudder.lifecycle import suspicion
@@ -126,14 +124,7 @@
                 response.force_close()
             return response
         except Exception as error:
-            log.emit(catalogue.UNEXPECTED, detail=repr(error))
-            if http_request.writer.output_size > 0:
-                raise ConnectionError('the answer was cut') from error
-            refusal = outcomes.Refusal(
-                outcomes.Reason.INTERNAL_ERROR,
-                outcomes.Execution.UNKNOWN,
-                'an internal error, which is in the log',
-            )
+            refusal = refusals.unexpected(http_request, error, repr(error))
             return answers.refuse(refusal, None)
         finally:
             self._services.calls -= 1
@@ -160,8 +151,9 @@
                 return self._refuse(refusal, asked.attempt, 'none')
             case result.Success(admitted):
                 pass
-        passed = _passed(http_request, pairs, asked, admitted, body)
-        passed = _until(passed, received_s, asked, admitted)
+        passed = _passed(
+            http_request, pairs, asked, admitted, body, received_s
+        )
         service_id = _share_of(admitted.route.target)
         service = self._services.view.lookups.services_by_id[service_id]
         if service.engine is None:
@@ -223,8 +215,9 @@
             return self._refuse(
                 suspicion.QUARANTINED, asked.attempt, admitted.route.id
             )
-        job = self._job(passed, asked, admitted, service)
-        job = jobs.marked(job, fingerprint, isolation)
+        job = self._job(
+            passed, asked, admitted, service, fingerprint, isolation
+        )
         sink = answers.RelayedAnswer(http_request, asked.attempt)
         await self._model_calls.run(job, admitted, asked.attempt, sink)
         return sink.response
@@ -241,7 +234,7 @@
         needed_s = FIRST_EVENT_S + tokens * TOKEN_S * OVERRUN
         return _now_s() + needed_s < self._services.stop_by_s
 
-    def _job(self, passed, asked, admitted, service):
+    def _job(self, passed, asked, admitted, service, fingerprint, isolation):
         target = admitted.route.target
         account = admitted.account
         received_s = passed.deadline_s - passed.wait_s
@@ -269,6 +262,8 @@
             patience_s=max(0.0, begin_by_s - FIRST_EVENT_S - _now_s()),
             begin_by_s=begin_by_s,
             repeatable=target.repetition is not types.Repetition.NOTHING,
+            fingerprint=fingerprint,
+            isolation=isolation,
             deadline_s=passed.deadline_s,
             jitter=random.random(),
             content=passed,
@@ -296,7 +291,10 @@
     )
 
 
-def _passed(http_request, pairs, asked, admitted, body):
+def _passed(http_request, pairs, asked, admitted, body, received_s):
+    wait_s = admitted.route.target.timeout_s
+    if asked.wait_s is not None:
+        wait_s = min(wait_s, asked.wait_s)
     kept = headers.forwarded(pairs)
     if admitted.account is not None:
         kept = (*kept, (headers.ACCOUNT, admitted.account.id))
@@ -306,17 +304,11 @@
         kept,
         body,
         asked.attempt,
+        received_s + wait_s,
+        wait_s,
     )
 
 
-def _until(passed, received_s, asked, admitted):
-    """Return the call with its deadline."""
-    wait_s = admitted.route.target.timeout_s
-    if asked.wait_s is not None:
-        wait_s = min(wait_s, asked.wait_s)
-    return calls.until(passed, received_s + wait_s, wait_s)
-
-
 def _stay_s(target):
     """Return the seconds after which clients leave an empty stream."""
     stay_s = max(
