Check settings of routes and the order lease as they are written

order_lease_ms: 0 was taken for unset and became 3 s, and settings of the other kind of route (first_token_s on a service, timeout_s on a model) had no effect and no error. Both tests failed first: 3.0 != 0.0, and no message for four settings. A lease of 0 is kept, and the other kind's settings are errors.

--- a/bulrushrudder/benchmarks/overhead.py
+++ b/bulrushrudder/benchmarks/overhead.py
@@ -14,6 +14,7 @@
 import sys
 
 from bulrushrudder.benchmarks import report
+from bulrushrudder.core import units
 from bulrushrudder.engines import wire
 from bulrushrudder.standins import deployment
 
@@ -24,7 +25,6 @@
 PREFILL_DURATION_S = 0.005
 PROMPT_SENTENCE = 'Draft the functional analysis of the Croatian distributor. '
 PROMPT_REPEATS = 40
-MS_PER_S = 1000.0
 
 _DOCUMENT = """\
 version: 1
@@ -228,7 +228,7 @@
 def _percentile(values_s, percentile):
     """Return a percentile in milliseconds."""
     cut_points_s = statistics.quantiles(values_s, n=100, method='inclusive')
-    return cut_points_s[percentile - 1] * MS_PER_S
+    return cut_points_s[percentile - 1] * units.MS_PER_SECOND
 
 
 if __name__ == '__main__':
--- a/bulrushrudder/benchmarks/transport.py
+++ b/bulrushrudder/benchmarks/transport.py
@@ -15,6 +15,7 @@
 from bulrushrudder.benchmarks import report
 from bulrushrudder.config import settings
 from bulrushrudder.core import ids
+from bulrushrudder.core import units
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import messages
 from bulrushrudder.utils import ports
@@ -23,7 +24,6 @@
 SOCKET_PAIRS = 100
 PAYLOAD = b'x' * 100
 TIMEOUT_S = 5.0
-MS_PER_S = 1000.0
 BYTES_PER_KB = 1000
 
 _SECRET = b'benchmark-secret'
@@ -82,7 +82,10 @@
         grown_kb = (_resident_bytes() - before) / SOCKET_PAIRS / BYTES_PER_KB
         threads = _count_threads() - threads
     cut_points_s = statistics.quantiles(times_s, n=100, method='inclusive')
-    p50, p99 = cut_points_s[49] * MS_PER_S, cut_points_s[98] * MS_PER_S
+    p50, p99 = (
+        cut_points_s[49] * units.MS_PER_SECOND,
+        cut_points_s[98] * units.MS_PER_SECOND,
+    )
     return name, threads, grown_kb, p50, p99
 
 
--- a/bulrushrudder/config/document.py
+++ b/bulrushrudder/config/document.py
@@ -18,6 +18,8 @@
 KeyDigest = typing.Annotated[
     str, pydantic.Field(pattern=r'^sha256:[0-9a-f]{64}$')
 ]
+MODEL_FIELDS = frozenset({'first_token_s', 'between_tokens_s'})
+SERVICE_FIELDS = frozenset({'timeout_s', 'call_tokens'})
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86400 * 366)]
 
 
@@ -83,6 +85,10 @@
             raise ValueError('expected exactly one of model and service')
         if self.model and not self.repeatable:
             raise ValueError('a route to a model must be repeatable')
+        other_kind = SERVICE_FIELDS if self.model else MODEL_FIELDS
+        for name in sorted(other_kind & self.model_fields_set):
+            kind = 'service' if self.model else 'model'
+            raise ValueError(f'{name} applies only to a route to a {kind}')
         return self
 
     def build(self):
--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -4,9 +4,9 @@
 import pathlib
 
 from bulrushrudder.core import ids
+from bulrushrudder.core import units
 from bulrushrudder.documents import types
 
-MS_PER_SECOND = 1000.0
 # Used if the platform states no lease: the time it may take to notice a
 # change of the process that sends orders.
 DEFAULT_ORDER_LEASE_MS = 3000.0
@@ -111,7 +111,7 @@
     metrics: Address
     inner: Address
     data_folder: pathlib.Path
-    order_lease_s: float = DEFAULT_ORDER_LEASE_MS / MS_PER_SECOND
+    order_lease_s: float = DEFAULT_ORDER_LEASE_MS / units.MS_PER_SECOND
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -12,6 +12,7 @@
 from bulrushrudder.config import models
 from bulrushrudder.config import settings
 from bulrushrudder.core import ids
+from bulrushrudder.core import units
 from bulrushrudder.documents import types
 
 MIN_SECRET_BYTES = 16
@@ -95,7 +96,9 @@
     metrics: AddressModel
     inner: AddressModel
     data_folder: str = pydantic.Field(min_length=1)
-    order_lease_ms: float | None = pydantic.Field(default=None, ge=0)
+    order_lease_ms: float = pydantic.Field(
+        default=settings.DEFAULT_ORDER_LEASE_MS, ge=0
+    )
 
     def build(self, folder):
         """Convert to the data class.
@@ -107,10 +110,7 @@
             metrics=self.metrics.build(),
             inner=self.inner.build(),
             data_folder=folder / self.data_folder,
-            order_lease_s=(
-                self.order_lease_ms or settings.DEFAULT_ORDER_LEASE_MS
-            )
-            / settings.MS_PER_SECOND,
+            order_lease_s=self.order_lease_ms / units.MS_PER_SECOND,
         )
 
 
--- /dev/null
+++ b/bulrushrudder/core/units.py
@@ -0,0 +1,3 @@
+"""Factors between units."""
+
+MS_PER_SECOND = 1000.0
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -1,12 +1,11 @@
 """Logs the decisions about one request and the view they are based on."""
 
+from bulrushrudder.core import units
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 
-MS_PER_SECOND = 1000.0
-
 
 class Trace:
     """Writes the log events of one request to a model.
@@ -32,7 +31,7 @@
                     catalogue.PLACE_GRANTED,
                     prefill=prefill,
                     decode=decode,
-                    waited_ms=round(self._waited_s * MS_PER_SECOND),
+                    waited_ms=round(self._waited_s * units.MS_PER_SECOND),
                     view=self._view.index,
                     view_age_ms=self._view.age_ms(self._clock.time()),
                 )
@@ -57,7 +56,7 @@
         self._emit(
             catalogue.RETRY_DECIDED,
             after=action.reason.name,
-            delay_ms=round(action.delay_s * MS_PER_SECOND),
+            delay_ms=round(action.delay_s * units.MS_PER_SECOND),
         )
 
     def end(self, action):
@@ -74,6 +73,6 @@
         log.emit(
             event,
             request=self._request_id,
-            elapsed_ms=round(elapsed_s * MS_PER_SECOND),
+            elapsed_ms=round(elapsed_s * units.MS_PER_SECOND),
             **fields,
         )
--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -5,11 +5,11 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import keys
+from bulrushrudder.core import units
 from bulrushrudder.documents import lookups
 from bulrushrudder.documents import types
 from bulrushrudder.utils import web
 
-MS_PER_SECOND = 1000.0
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1e6
 # Size of the blocks in which the platform's runners allocate KV memory.
@@ -91,11 +91,11 @@
             repetition = types.Repetition.REST
         target = types.SplitTarget(
             shares=self.shares(),
-            timeout_s=self.timeout_ms / MS_PER_SECOND,
+            timeout_s=self.timeout_ms / units.MS_PER_SECOND,
             answer_s=(self.target_latency_ms or self.timeout_ms)
-            / MS_PER_SECOND,
+            / units.MS_PER_SECOND,
             between_events_s=(self.target_itl_ms or DEFAULT_BETWEEN_EVENTS_MS)
-            / MS_PER_SECOND,
+            / units.MS_PER_SECOND,
             attempts=self.max_attempts,
             rank=self.priority,
             streamed=streamed,
@@ -177,8 +177,8 @@
         return types.CallerBounds(
             max_header_bytes=self.max_header_bytes,
             max_body_bytes=self.max_body_bytes,
-            header_s=self.header_timeout_ms / MS_PER_SECOND,
-            idle_s=self.idle_timeout_ms / MS_PER_SECOND,
+            header_s=self.header_timeout_ms / units.MS_PER_SECOND,
+            idle_s=self.idle_timeout_ms / units.MS_PER_SECOND,
         )
 
 
--- a/bulrushrudder/platform/headers.py
+++ b/bulrushrudder/platform/headers.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.core import units
 
 ATTEMPT = 'Attempt-Id'
 DEADLINE = 'Deadline-Ms'
@@ -22,7 +23,6 @@
 _TOKEN_USAGE = 'token-usage'
 _LENGTH_HINT = 'length-hint'
 
-_MS_PER_SECOND = 1000.0
 _DIGITS = re.compile(r'[0-9]{1,9}')
 
 # Hop-by-hop headers, and headers that only the router may set.
@@ -114,7 +114,7 @@
             attempt=attempt,
             timeout_s=None
             if deadline_ms is None
-            else float(deadline_ms) / _MS_PER_SECOND,
+            else float(deadline_ms) / units.MS_PER_SECOND,
             prompt_tokens=tokens[0],
             output_tokens=tokens[1],
             expected_tokens=_parse_number(by_name.get(_LENGTH_HINT, '')),
@@ -154,7 +154,7 @@
 
 def format_milliseconds(seconds):
     """Return seconds as text in whole milliseconds, at least 1."""
-    return str(max(1, int(seconds * _MS_PER_SECOND)))
+    return str(max(1, int(seconds * units.MS_PER_SECOND)))
 
 
 def _named_by_connection(headers):
--- a/bulrushrudder/tests/config/invalid_files_tests.py
+++ b/bulrushrudder/tests/config/invalid_files_tests.py
@@ -88,6 +88,21 @@
                 loaded_async = asyncio.run(document.load_async('d', source))
                 self.assertEqual(messages_of(loaded_async), messages)
 
+    def test_setting_of_other_kind_of_route_is_an_error(self):
+        model_route = '    model: drafting\n'
+        service_route = '    service: portal\n'
+        for route, setting in (
+            (model_route, 'timeout_s: 3'),
+            (model_route, 'call_tokens: 3'),
+            (service_route, 'first_token_s: 1'),
+            (service_route, 'between_tokens_s: 1'),
+        ):
+            with self.subTest(setting):
+                source = DOCUMENT.replace(model_route, f'{route}    {setting}')
+                messages = messages_of(document.load('d', source.encode()))
+                self.assertEqual(len(messages), 1, messages)
+                self.assertIn(setting.partition(':')[0], messages[0])
+
     def test_accepts_valid_document(self):
         source = DOCUMENT.encode()
         outcome = document.load('d', source)
@@ -136,3 +151,14 @@
 
     def test_accepts_valid_settings(self):
         self.assertEqual(self.load(), [])
+
+    def test_order_lease_of_zero_is_not_the_default(self):
+        file = self.folder / 's'
+        control = (
+            'control:\n  operators: 127.0.0.1:5\n  metrics: 127.0.0.1:6\n'
+            '  inner: 127.0.0.1:7\n  data_folder: data\n'
+            '  order_lease_ms: 0\n'
+        )
+        file.write_text(SETTINGS + control)
+        loaded = settings_file.load(str(file)).unwrap()
+        self.assertEqual(loaded.control.order_lease_s, 0.0)
