Let the view state its freshness bound as its check does

ViewFuzzTests failed by rounding: the view compared now - confirmed with the bound, the check compared now - bound with the time of an entry, and 0.1 + 0.1 + 2.9 is on different sides of the two. The view decides: it is fresh if it was confirmed no earlier than now - bound, so that it never lacks an older entry. The check is unchanged; the new test of these steps failed first (fresh where an older entry may be missing).

--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
+from bulrushrudder.core import units
 from bulrushrudder.documents import lookups
 from bulrushrudder.state import machine
 
 FRESHNESS_BOUND_S = 3.0
-MS_PER_SECOND = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,8 +122,13 @@
         """Return the age in milliseconds; None if never confirmed."""
         if self._confirmed_s is None:
             return None
-        return round(self.age_s(now_s) * MS_PER_SECOND)
+        return round(self.age_s(now_s) * units.MS_PER_SECOND)
 
     def is_fresh(self, now_s):
-        """Return whether the view is fresh enough for keyed routes."""
-        return self.age_s(now_s) <= self._bound_s
+        """Return whether the view is fresh enough for keyed routes.
+
+        The view then lacks no entry that is older than the bound.
+        """
+        if self._confirmed_s is None:
+            return False
+        return self._confirmed_s >= now_s - self._bound_s
--- a/bulrushrudder/tests/observers/view_tests.py
+++ b/bulrushrudder/tests/observers/view_tests.py
@@ -132,3 +132,12 @@
         observed.apply(1, None)
         observed.confirm_round(observed.begin_round(10.0), 1)
         self.assertTrue(observed.is_fresh(10.0))
+
+    def test_view_at_its_bound_has_all_entries_older_than_bound(self):
+        observed = view.View(types.Environment.PRODUCTION)
+        sent_s = 0.1
+        observed.confirm_round(observed.begin_round(sent_s), 0)
+        now_s = sent_s + 0.1 + 2.9
+        oldest_s = now_s - view.FRESHNESS_BOUND_S
+        self.assertGreater(oldest_s, sent_s)
+        self.assertFalse(observed.is_fresh(now_s))
