--- a/bulrushrudder/benchmarks/control.py
+++ b/bulrushrudder/benchmarks/control.py
@@ -17,6 +17,7 @@
 from bulrushrudder.benchmarks import control_cluster as clusters
 from bulrushrudder.benchmarks import report
 from bulrushrudder.core import ids
+from bulrushrudder.core import units
 from bulrushrudder.documents import lookups
 from bulrushrudder.documents import types
 from bulrushrudder.state import servers
@@ -30,7 +31,6 @@
 BUSY_CHANGES_PER_S = 10
 ACCOUNTS = 17000
 KEYS_PER_ACCOUNT = 2
-MS_PER_S = 1000.0
 PAGE_BYTES = 4096
 MEGABYTE = 1024 * 1024
 
@@ -89,7 +89,7 @@
                 for o in observers
             )
         )
-        times_ms.append((time.monotonic() - started_s) * MS_PER_S)
+        times_ms.append((time.monotonic() - started_s) * units.MS_PER_SECOND)
         await asyncio.sleep(0.01)
     columns = (report.Column('p50', 'ms'), report.Column('max', 'ms'))
     rows = ((statistics.median(times_ms), max(times_ms)),)
@@ -112,7 +112,7 @@
     started_s = time.monotonic()
     returned = await cluster.observe('vm-late')
     await returned.control_client.wait_for_index(cluster.leader.node.index)
-    took_ms = (time.monotonic() - started_s) * MS_PER_S
+    took_ms = (time.monotonic() - started_s) * units.MS_PER_SECOND
     columns = (
         report.Column('missed changes'),
         report.Column('time', 'ms'),
@@ -204,9 +204,12 @@
     return tables
 
 
-def main():
-    """Run the benchmark and print its tables."""
-    options = report.parse_arguments(__doc__)
+def main(arguments=None):
+    """Run the benchmark and print its tables.
+
+    :param arguments: command-line arguments without the program name.
+    """
+    options = report.parse_arguments(__doc__, arguments)
     with (
         tempfile.TemporaryDirectory() as folder,
         logbook.NullHandler().applicationbound(),
--- a/bulrushrudder/tests/commands/bench_tests.py
+++ b/bulrushrudder/tests/commands/bench_tests.py
@@ -1,4 +1,5 @@
 import importlib
+import inspect
 import pathlib
 import unittest
 
@@ -19,6 +20,14 @@
                 loaded = importlib.import_module(module)
                 self.assertTrue(callable(loaded.main))
 
+    def test_every_benchmark_accepts_list_of_arguments(self):
+        for name, module in bench.MODULE_BY_NAME.items():
+            if name in NOT_IMPORTED:
+                continue
+            with self.subTest(name):
+                loaded = importlib.import_module(module)
+                inspect.signature(loaded.main).bind(['--json'])
+
     def test_every_benchmark_is_listed(self):
         with_main = {
             path.parent.name if path.name == '__main__.py' else path.stem
