Refuse nothing for a final charge and tell runs from possible runs

Two faults, each with a test that failed first: - A call of an account that is not charged by tokens was refused after its prefill when it named its tokens, because prompt and output exceed the charge of 1; and of a charge above the stated tokens the rest was refunded at the prefill. A final charge is neither checked nor refunded any more. - A repeatable request that was sent and lost before any server had accepted it was reported as run. It is reported as unknown now, and as run once a server has accepted it or its prefill counts as a run.

--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -62,6 +62,8 @@
         self._own_crashes = int(job.isolation is jobs.Isolation.ALONE)
         # Whether a server may have run any part of the request.
         self._sent = False
+        # Whether a server certainly ran a part of it.
+        self._has_run = False
         self._prompt_tokens = job.prompt_tokens
         self._charged = job.cost
         self._produced = []
@@ -214,6 +216,7 @@
             return [_drop(event)]
         self._transition('start_transfer')
         self._sent = self._sent or self.job.prefill_counts_as_run
+        self._has_run = self._has_run or self.job.prefill_counts_as_run
         if not self._produced and not self.job.charge_is_final:
             self._prompt_tokens = event.prompt_tokens
         if self._exceeds_charge():
@@ -234,7 +237,7 @@
         if not self._is_current(event, 'transferring'):
             return [_drop(event)]
         self._transition('start_decode')
-        self._sent = True
+        self._sent = self._has_run = True
         self._runs += 1
         result = self._release_retained()
         if event.head is not None and not self._answer_begun:
@@ -394,7 +397,9 @@
             execution = outcomes.Execution.UNKNOWN
         else:
             self._transition('fail')
-            execution = outcomes.Execution.RAN
+            execution = outcomes.Execution.UNKNOWN
+            if self._has_run:
+                execution = outcomes.Execution.RAN
         refusal = outcomes.Refusal(reason, execution, detail)
         return [*released, *self._refund_unused(), actions.Refuse(refusal)]
 
@@ -458,11 +463,15 @@
 
     def _exceeds_charge(self):
         """Return whether prompt and output limit may exceed the charge."""
+        if self.job.charge_is_final:
+            return False
         max_cost = self._prompt_tokens + self.job.output_tokens
         return self.job.account is not None and max_cost > self._charged
 
     def _refund_excess(self):
         """Refund what the estimate of the prompt overcharged."""
+        if self.job.charge_is_final:
+            return []
         max_cost = self._prompt_tokens + self.job.output_tokens
         excess = max(0, self._charged - max_cost)
         self._charged -= excess
