--- a/bulrushrudder/idempotency/call.py
+++ b/bulrushrudder/idempotency/call.py
@@ -246,7 +246,8 @@
             return _refuse(
                 outcomes.Reason.ANSWER_NOT_KEPT,
                 outcomes.Execution.RAN,
-                'the call ran; its answer was too large to store',
+                'the call ran; its answer was not stored, because it was '
+                'too large or the register was full',
             )
         case intents.Phase.EXPIRED:
             return _refuse(
