--- a/bulrushrudder/consensus/follower.py
+++ b/bulrushrudder/consensus/follower.py
@@ -10,10 +10,17 @@
 
 @dataclasses.dataclass(slots=True)
 class PartialSnapshot:
-    """A snapshot that has been received in part."""
+    """A snapshot that has been received in part.
+
+    Members may encode the same state differently, so chunks of different
+    leaders do not fit together.
+
+    :param leader: the member that sends it.
+    """
 
     index: int
     term: int
+    leader: types.MemberId
     data: bytearray
 
 
@@ -62,14 +69,17 @@
 
     def _partial_for(self, message):
         partial = self._partial
-        if partial is None or (partial.index, partial.term) != (
+        identity = (
             message.index,
             message.snapshot_term,
+            message.header.sender,
+        )
+        if partial is None or identity != (
+            partial.index,
+            partial.term,
+            partial.leader,
         ):
-            partial = PartialSnapshot(
-                message.index, message.snapshot_term, bytearray()
-            )
-            self._partial = partial
+            partial = self._partial = PartialSnapshot(*identity, bytearray())
         return partial
 
 
--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -11,6 +11,9 @@
 MAX_BYTES_PER_MESSAGE = 1024 * 1024
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 RESEND_TIMEOUT_S = 1.0
+# A successor that got the order starts its election at once. Afterwards
+# the leader accepts proposals again.
+TRANSFER_TIMEOUT_S = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +60,7 @@
     :ivar last_heartbeat_s: when heartbeats were last sent.
     :ivar round: the number of the latest quorum round.
     :ivar successor: the target of a leadership transfer, or None.
+    :ivar transfer_end_s: when a transfer that has not succeeded ends.
     :ivar newcomers_by_id: addresses of processes that may join, from
         their discovery requests.
     """
@@ -69,6 +73,7 @@
     pending_reads: list[PendingRead]
     successor: types.MemberId | None
     newcomers_by_id: dict[types.MemberId, str]
+    transfer_end_s: float = 0.0
 
 
 def become_leader(core):
@@ -234,6 +239,7 @@
     core.leadership.successor = max(
         others, key=lambda id_: match_index(core, id_)
     )
+    core.leadership.transfer_end_s = core.now_s + TRANSFER_TIMEOUT_S
     _try_transfer(core)
 
 
@@ -241,6 +247,9 @@
     successor = core.leadership.successor
     if successor is None:
         return
+    if core.now_s >= core.leadership.transfer_end_s:
+        core.leadership.successor = None
+        return
     all_committed = core.commit_index == core.log.last_index
     if all_committed and match_index(core, successor) == core.commit_index:
         address = _address(core, successor)
--- a/bulrushrudder/tests/consensus/replica_tests.py
+++ b/bulrushrudder/tests/consensus/replica_tests.py
@@ -142,6 +142,40 @@
         deliver(member, disk, late)
         self.assertEqual(member.log.last_index, 1)
 
+    def test_leader_accepts_changes_again_after_failed_transfer(self):
+        disk = disk_of_three('a')
+        member = restarted_replica(disk)
+        member.handle(events.Ticked(), core.ELECTION_TIMEOUT_S)
+        for pre_vote in (True, False):
+            vote = messages.VoteResponse(header(4, 'b'), True, pre_vote)
+            deliver(member, disk, vote)
+        response = messages.AppendResponse(header(4, 'b'), True, 2, 0)
+        deliver(member, disk, response)
+        member.handle(events.LeadershipTransferRequested(), 1.0)
+        proposal = events.Proposed(7, (b'x',))
+        self.assertIn(actions.NotLeader(7), member.handle(proposal, 1.1))
+        for now_s in (1.5, 2.0, 2.5, 3.0, 3.5):
+            deliver(member, disk, response, now_s)
+            member.handle(events.Ticked(), now_s)
+        batch = member.handle(proposal, 3.5)
+        self.assertNotIn(actions.NotLeader(7), batch)
+
+    def test_snapshot_chunks_of_two_leaders_are_not_mixed(self):
+        disk = disk_of_three('b')
+        member = restarted_replica(disk)
+        members = disk.durable.entries[0].payload.members
+
+        def chunk(term, leader, offset, data):
+            return messages.SnapshotChunk(
+                header(term, leader), 9, 3, members, offset, 8, data, 0
+            )
+
+        deliver(member, disk, chunk(4, 'a', 0, b'aaaa'))
+        (response,) = deliver(member, disk, chunk(5, 'c', 0, b'cccc'))
+        self.assertEqual(response.offset, 4)
+        deliver(member, disk, chunk(5, 'c', 4, b'dddd'))
+        self.assertEqual(disk.durable.snapshot.data, b'ccccdddd')
+
 
 class ReplicaTests(unittest.TestCase):
     def test_new_cluster_elects_leader_and_converges(self):
