Keep services and bounds in differences, and adopt for both environments

differences.apply dropped the services and bounds of a document, so that a document submitted over an adopted one lost them. An adopted document was not sorted, which editing it relies on, and left pending versions in trial that a restart applied to another document. A difference carries services and bounds; adoption sorts the document, puts it in force in both environments and drops what was pending.

--- a/bulrushrudder/documents/differences.py
+++ b/bulrushrudder/documents/differences.py
@@ -19,6 +19,8 @@
     :param accounts: client accounts that were added or changed.
     :param removed_accounts: ids of client accounts that were removed.
     :param register: the new RegisterLimits, or None if it is unchanged.
+    :param bounds: the new CallerBounds, or None if they are unchanged.
+    :param removes_bounds: whether the resulting document has no bounds.
     """
 
     version: int
@@ -30,6 +32,10 @@
     removed_routes: tuple[ids.RouteId, ...]
     register: types.RegisterLimits | None
     cut_on_withdrawal: bool
+    services: tuple[types.Service, ...] = ()
+    removed_services: tuple[ids.ServiceId, ...] = ()
+    bounds: types.CallerBounds | None = None
+    removes_bounds: bool = False
 
     @property
     def size(self):
@@ -41,6 +47,8 @@
             + len(self.removed_models)
             + len(self.routes)
             + len(self.removed_routes)
+            + len(self.services)
+            + len(self.removed_services)
         )
 
 
@@ -51,6 +59,7 @@
         accounts=_sorted_by_id(_by_id(document.accounts)),
         models=_sorted_by_id(_by_id(document.models)),
         routes=_sorted_by_id(_by_id(document.routes)),
+        services=_sorted_by_id(_by_id(document.services)),
     )
 
 
@@ -59,7 +68,9 @@
     accounts, removed_accounts = _find_changes(before.accounts, after.accounts)
     models, removed_models = _find_changes(before.models, after.models)
     routes, removed_routes = _find_changes(before.routes, after.routes)
+    services, removed_services = _find_changes(before.services, after.services)
     same_register = before.register == after.register
+    same_bounds = before.bounds == after.bounds
     return Difference(
         version=after.version,
         accounts=accounts,
@@ -70,6 +81,10 @@
         removed_routes=removed_routes,
         register=None if same_register else after.register,
         cut_on_withdrawal=after.cut_on_withdrawal,
+        services=services,
+        removed_services=removed_services,
+        bounds=None if same_bounds else after.bounds,
+        removes_bounds=after.bounds is None,
     )
 
 
@@ -91,6 +106,12 @@
         ),
         register=difference.register or document.register,
         cut_on_withdrawal=difference.cut_on_withdrawal,
+        services=_apply_changes(
+            document.services, difference.services, difference.removed_services
+        ),
+        bounds=None
+        if difference.removes_bounds
+        else difference.bounds or document.bounds,
     )
 
 
@@ -108,6 +129,10 @@
         (first.routes, first.removed_routes),
         (second.routes, second.removed_routes),
     )
+    services, removed_services = _merge_changes(
+        (first.services, first.removed_services),
+        (second.services, second.removed_services),
+    )
     return Difference(
         version=second.version,
         accounts=accounts,
@@ -118,6 +143,10 @@
         removed_routes=removed_routes,
         register=second.register or first.register,
         cut_on_withdrawal=second.cut_on_withdrawal,
+        services=services,
+        removed_services=removed_services,
+        bounds=second.bounds or first.bounds,
+        removes_bounds=second.removes_bounds,
     )
 
 
--- a/bulrushrudder/state/documents.py
+++ b/bulrushrudder/state/documents.py
@@ -41,9 +41,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdoptDocument:
-    """Put a document in force in production, without a trial.
+    """Put a document in force in both environments, without a trial.
 
     It has no effect if production has the same or a later version.
+    Versions that were pending promotion are dropped, since they are
+    based on an earlier document.
 
     :param source: the bytes that the operator sent.
     """
@@ -221,17 +223,18 @@
         )
 
     def _adopt(self, index, command):
-        environment = types.Environment.PRODUCTION
         version = command.document.version
-        latest = self.latest_entry(environment)
+        latest = self.latest_entry(types.Environment.PRODUCTION)
         if latest is not None and version <= latest.version:
             return results.Accepted(latest.index, repeated=True)
-        self._lookups_by_environment[environment] = lookups.Lookups(
-            command.document
-        )
+        adopted = lookups.Lookups(differences.canonical(command.document))
         self.source = command.source
+        self._pending = []
         entry = HistoryEntry(version, command.digest, command.operator, index)
-        return self._accept(environment, [], entry)
+        for environment in types.Environment:
+            self._lookups_by_environment[environment] = adopted
+            self._accept(environment, [], entry)
+        return results.Accepted(index)
 
     def _find_pending(self, command):
         wanted = (command.version, command.digest)
--- a/bulrushrudder/tests/builders/documents.py
+++ b/bulrushrudder/tests/builders/documents.py
@@ -66,3 +66,18 @@
         digest=digest,
         operator=operator,
     )
+
+
+def service(service_id='portal', max_connections=100):
+    """Return a plain service."""
+    return types.Service(ids.ServiceId(service_id), max_connections, None)
+
+
+def caller_bounds(max_header_bytes=16384, max_body_bytes=4096, idle_s=15.0):
+    """Return limits on what callers send."""
+    return types.CallerBounds(
+        max_header_bytes=max_header_bytes,
+        max_body_bytes=max_body_bytes,
+        header_s=3.0,
+        idle_s=idle_s,
+    )
--- a/bulrushrudder/tests/documents/differences_tests.py
+++ b/bulrushrudder/tests/documents/differences_tests.py
@@ -79,6 +79,39 @@
         updated = lookups.Lookups(before).with_difference(applied, difference)
         self.assertEqual(vars(updated), vars(lookups.Lookups(after)))
 
+    def test_keeps_services_and_bounds_of_both_documents(self):
+        plain = build_document(1, {'a': 1}, False)
+        served = dataclasses.replace(
+            plain,
+            version=2,
+            services=(builders.service('z'), builders.service('b')),
+            bounds=builders.caller_bounds(),
+        )
+        changed = dataclasses.replace(
+            served, version=3, services=(builders.service('b', 7),)
+        )
+        without = dataclasses.replace(plain, version=4)
+        for before, after in (
+            (plain, served),
+            (served, dataclasses.replace(served, version=3)),
+            (served, changed),
+            (changed, without),
+        ):
+            with self.subTest(f'{before.version} to {after.version}'):
+                difference = differences.between(before, after)
+                applied = differences.apply(
+                    differences.canonical(before), difference
+                )
+                self.assertEqual(applied, differences.canonical(after))
+        merged = differences.merge(
+            differences.between(served, changed),
+            differences.between(changed, without),
+        )
+        self.assertEqual(
+            differences.apply(differences.canonical(served), merged),
+            differences.canonical(without),
+        )
+
 
 class ComparisonTests(unittest.TestCase):
     def test_compare_lists_changed_parts_and_fields(self):
--- a/bulrushrudder/tests/state/documents_tests.py
+++ b/bulrushrudder/tests/state/documents_tests.py
@@ -284,3 +284,59 @@
         self.assertLessEqual(len(snapshot.pending), 5)
         items = [p.difference.size for p in snapshot.pending]
         self.assertLessEqual(sum(items[1:]), 8)
+
+
+class AdoptionTests(unittest.TestCase):
+    def adopt(self, table, index, document):
+        command = documents.AdoptDocument(document, b'{}', f'd{index}', 'ana')
+        return table.apply(index, command)
+
+    def test_snapshot_of_adopted_document_restores_same_documents(self):
+        table = documents.Documents()
+        self.adopt(table, 1, builders.document(1))
+        accounts = (builders.account('z'), builders.account('b', key='k2'))
+        submitted = builders.document(2, accounts)
+        latest = table.latest_entry(TRIAL)
+        table.apply(
+            2,
+            documents.SubmitDocument(
+                latest.version,
+                latest.digest,
+                differences.between(table.in_force(TRIAL), submitted),
+                'digest 2',
+                'ana',
+            ),
+        )
+        self.assertEqual(
+            table.in_force(TRIAL), differences.canonical(submitted)
+        )
+        adopted = builders.document(3, accounts[:1])
+        self.adopt(table, 3, adopted)
+        restored = documents.Documents()
+        restored.restore(table.snapshot())
+        for environment in (TRIAL, PRODUCTION):
+            with self.subTest(environment.value):
+                self.assertEqual(table.in_force(environment), adopted)
+                self.assertEqual(
+                    restored.in_force(environment),
+                    table.in_force(environment),
+                )
+
+    def test_adopted_document_may_be_replaced_by_submitted_one(self):
+        table = documents.Documents()
+        unsorted = (builders.account('z'), builders.account('b', key='k2'))
+        self.adopt(table, 1, builders.document(1, unsorted))
+        submitted = builders.document(2, unsorted[:1])
+        latest = table.latest_entry(TRIAL)
+        outcome = table.apply(
+            2,
+            documents.SubmitDocument(
+                latest.version,
+                latest.digest,
+                differences.between(table.in_force(TRIAL), submitted),
+                'digest 2',
+                'ana',
+            ),
+        )
+        self.assertIsInstance(outcome, results.Accepted)
+        self.assertEqual(table.in_force(TRIAL), submitted)
