Outlive a disk that is full at its sync, and bound proposals and frames

A control process whose disk was full at fsync ended with "sync failed OSError(28)". Its batch is now saved again every 0.25 s; until then it declines proposals and reads and drops messages, as if it were cut off, and other members go on. Writing the same frame at the same place is safe after a failed sync: what it replaces counts as a torn tail. The test of the node failed first ("not committed in time" and an end of the process), that of the store with SyncFailed.

Met on the way, each with a test that failed first: - An allocation that failed for another reason was reported as full. - Node.propose took up to two timeouts, as its last try had a whole one. - "server joined" and "server left" were logged for rejected commands. - Link.send did not bound a frame, and the peer closed the link. A message that is too large is not sent, logged, and the link stays. - Two unused link problems are gone.

--- a/bulrushrudder/control/driver.py
+++ b/bulrushrudder/control/driver.py
@@ -7,6 +7,7 @@
 
 from returns import result
 
+from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import events
 from bulrushrudder.consensus import messages
 from bulrushrudder.events import catalogue
@@ -14,19 +15,24 @@
 from bulrushrudder.storage import errors
 
 TICK_INTERVAL_S = 0.05
+SAVE_RETRY_INTERVAL_S = 0.25
 
 
 class Driver:
     """Passes events to a replica and executes the resulting actions.
 
+    A batch that finds the disk full at its sync is saved again until there
+    is free space. Its actions and all further events wait or are declined
+    meanwhile, as if the process were cut off; other members go on.
+
     :param replica: the Replica.
     :param store: the Store of its data folder.
     :param collect: function that returns a Proposed event with all
         queued commands, or None.
     :param execute: called with each action, after the whole batch was
         synced.
-    :param refuse: called with the token of a proposal for which the disk
-        has no space.
+    :param refuse: called with the token and the WriteError of a proposal
+        that the disk does not take.
     :param on_failed: called when the disk fails and the process must
         stop.
     """
@@ -41,7 +47,10 @@
         self._inbox = []
         self._wake_event = asyncio.Event()
         self._last_tick_s = 0.0
-        self._disk_full = False
+        # Why the disk took no changes when it was last written to.
+        self._write_error = None
+        self._unsaved = None
+        self._next_save_s = 0.0
 
     def put(self, event):
         """Queue an event for the next batch."""
@@ -65,32 +74,60 @@
     def _step(self):
         """Handle all queued events as one batch.
 
-        :returns: whether the batch was saved; if not, the disk has
+        :returns: whether the process goes on; if not, the disk has
             failed and the loop ends.
         """
-        batch = []
-        for event in self._take_events():
-            batch += self._replica.handle(event, time.monotonic())
+        now_s = time.monotonic()
+        if self._unsaved is not None:
+            self._decline(self._take_inbox())
+            if now_s < self._next_save_s:
+                return True
+            batch, self._unsaved = self._unsaved, None
+        else:
+            batch = []
+            for event in self._take_events():
+                batch += self._replica.handle(event, now_s)
         match self._store.save(batch):
-            case result.Failure(error):
-                self._log_failure(error)
+            case result.Failure(errors.DiskFull() as error):
+                self._unsaved = batch
+                self._next_save_s = now_s + SAVE_RETRY_INTERVAL_S
+                self._report_write_error(error)
+                return True
+            case result.Failure(errors.SyncFailed(problem=problem)):
+                log.emit(catalogue.SYNC_FAILED, detail=problem)
                 return False
         for action in batch:
             self._execute(action)
         return True
 
+    def _take_inbox(self):
+        """Return all queued events, with the queued proposals."""
+        pending, self._inbox = self._inbox, []
+        proposed = self._collect()
+        if proposed is not None:
+            pending.append(proposed)
+        return pending
+
     def _take_events(self):
         now_s = time.monotonic()
-        pending = self._inbox
-        self._inbox = []
+        pending = self._take_inbox()
         if now_s - self._last_tick_s >= TICK_INTERVAL_S:
             self._last_tick_s = now_s
-            pending.append(events.Ticked())
-        proposed = self._collect()
-        if proposed is not None:
-            pending.append(proposed)
+            pending.insert(0, events.Ticked())
         return [e for e in map(self._drop_if_full, pending) if e is not None]
 
+    def _decline(self, pending):
+        """Decline events while the disk is full.
+
+        Messages are dropped, as the network may lose them too.
+        """
+        for event in pending:
+            match event:
+                case events.Proposed(token=token):
+                    self._refuse(token, self._write_error)
+                case events.ReadIndexRequested(token=token):
+                    self._execute(actions.NotLeader(token))
+
     def _drop_if_full(self, event):
         """Return the event, without parts that do not fit on the disk.
 
@@ -100,7 +137,7 @@
         match event:
             case events.Proposed(token=token, commands=commands):
                 if not self._reserve(sum(map(len, commands))):
-                    self._refuse(token)
+                    self._refuse(token, self._write_error)
                     return None
             case events.Received(message=messages.AppendRequest() as message):
                 if not self._reserve(_size(message.entries)):
@@ -116,20 +153,28 @@
         return event
 
     def _reserve(self, size):
+        """Allocate disk space and return whether there is enough."""
         if size == 0:
             return True
-        full = not self._store.try_reserve(size)
-        if full and not self._disk_full:
-            log.emit(catalogue.DISK_FULL)
-        self._disk_full = full
-        return not full
+        match self._store.reserve(size):
+            case result.Failure(error):
+                self._report_write_error(error)
+                return False
+        if self._write_error is not None:
+            log.emit(catalogue.DISK_WRITABLE)
+        self._write_error = None
+        return True
 
-    def _log_failure(self, error):
+    def _report_write_error(self, error):
+        """Log that the disk takes no changes, unless that is known."""
+        known, self._write_error = self._write_error, error
+        if type(known) is type(error):
+            return
         match error:
-            case errors.DiskFull(problem=problem):
-                log.emit(catalogue.DISK_FULL_STOP, detail=problem)
+            case errors.DiskFull():
+                log.emit(catalogue.DISK_FULL)
             case errors.SyncFailed(problem=problem):
-                log.emit(catalogue.SYNC_FAILED, detail=problem)
+                log.emit(catalogue.ALLOCATION_FAILED, detail=problem)
 
 
 def _size(entries):
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -15,16 +15,18 @@
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.protocol import codec
-from bulrushrudder.protocol import errors
+from bulrushrudder.protocol import errors as link_errors
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.state import machine
 from bulrushrudder.state import results
+from bulrushrudder.storage import errors
 
 PROPOSE_TIMEOUT_S = 4.0
 READ_INDEX_TIMEOUT_S = 1.5
 RETRY_INTERVAL_S = 0.05
 LEADERSHIP_TRANSFER_TIMEOUT_S = 2.0
 NO_ROOM = 'the disk of the leader is full; the change had no effect'
+NO_DISK = 'the disk of the leader takes no writes; the change had no effect'
 # A snapshot replaces the log after COMPACTION_ENTRIES entries, or after
 # MIN_COMPACTION_ENTRIES if the log is larger than COMPACTION_LOG_BYTES.
 COMPACTION_ENTRIES = 4000
@@ -122,15 +124,15 @@
     async def propose(self, command):
         """Commit a command, through the leader if that is another.
 
-        Retries for up to PROPOSE_TIMEOUT_S, but only after attempts that
-        had no effect.
+        Retries only after attempts that had no effect. All of them
+        together take at most PROPOSE_TIMEOUT_S.
 
         :returns: the Outcome of the command.
         """
         data = codec.encode(command)
         deadline_s = time.monotonic() + PROPOSE_TIMEOUT_S
-        while time.monotonic() < deadline_s:
-            outcome = await self._try_propose(data)
+        while (left_s := deadline_s - time.monotonic()) > 0:
+            outcome = await self._try_propose(data, left_s)
             if outcome is not None:
                 return outcome
             await asyncio.sleep(RETRY_INTERVAL_S)
@@ -138,9 +140,10 @@
             f'no leader accepted the change within {PROPOSE_TIMEOUT_S} s'
         )
 
-    async def propose_as_leader(self, data):
+    async def propose_as_leader(self, data, timeout_s=PROPOSE_TIMEOUT_S):
         """Commit an encoded command if this process leads.
 
+        :param timeout_s: seconds until the command must be committed.
         :returns: its Outcome, or None if it had no effect, because
             this process does not lead.
         """
@@ -150,12 +153,12 @@
         self._queued_proposals.append((data, future))
         self._driver.wake()
         try:
-            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError:
             return results.Unavailable(
-                f'the change was not committed in time ({PROPOSE_TIMEOUT_S} '
-                's); it may still take effect'
+                'the change was not committed in time; it may still take '
+                'effect'
             )
 
     async def read_index(self):
@@ -227,21 +230,21 @@
             if alone or self.replica.role is not core.Role.LEADER:
                 return
 
-    async def _try_propose(self, data):
+    async def _try_propose(self, data, timeout_s):
         if self.replica.role is core.Role.LEADER:
-            return await self.propose_as_leader(data)
+            return await self.propose_as_leader(data, timeout_s)
         address = self.leader_address
         if address is None:
             return None
         answer = await self._peers.ask(
-            address, log_messages.Forward(data), PROPOSE_TIMEOUT_S
+            address, log_messages.Forward(data), timeout_s
         )
         match answer:
             case result.Success(log_messages.Proposed(outcome=encoded)):
                 return _decode(encoded)
             case result.Success(log_messages.NotLeader()):
                 return None
-            case result.Failure(errors.LinkError(sent=False)):
+            case result.Failure(link_errors.LinkError(sent=False)):
                 return None
         return results.Unavailable(
             f'the leader at {address} did not answer; the change may have '
@@ -329,8 +332,12 @@
             case actions.NotLeader(token=token):
                 self._resolve(token, None)
 
-    def _refuse(self, token):
-        self._resolve(token, results.Unavailable(NO_ROOM))
+    def _refuse(self, token, error):
+        detail = NO_DISK
+        match error:
+            case errors.DiskFull():
+                detail = NO_ROOM
+        self._resolve(token, results.Unavailable(detail))
 
     def _resolve(self, token, answer):
         for future in self._futures_by_token.pop(token, ()):
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -196,8 +196,9 @@
         """
         self._tracker.exclude(server.id, until_s)
         lose = servers.LoseServer(server.id, server.incarnation)
-        await self.node.propose(lose)
-        _log_change(lose, 'set aside')
+        match await self.node.propose(lose):
+            case results.Accepted():
+                _log_change(lose, 'set aside')
 
     def readmit(self, server):
         """Let an excluded server join again with its next announcement."""
@@ -244,10 +245,11 @@
         committed = True
         for action in actions:
             outcome = await self.node.propose(action.command)
-            if isinstance(outcome, results.Unavailable):
-                committed = False
-            else:
-                _log_change(action.command, 'silent')
+            match outcome:
+                case results.Unavailable():
+                    committed = False
+                case results.Accepted():
+                    _log_change(action.command, 'silent')
         return committed
 
 
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -198,15 +198,22 @@
     2203,
     Level.ERROR,
     'disk full',
-    'The disk is full; changes are refused until there is free space, and '
-    'everything else goes on.',
+    'The disk is full; changes are refused until there is free space. A '
+    'process that cannot sync what it has already taken waits for space '
+    'and is passed over by the others meanwhile.',
 )
-DISK_FULL_STOP = Event(
-    2204,
+DISK_WRITABLE = Event(
+    2206,
+    Level.INFO,
+    'disk writable',
+    'The disk takes changes again.',
+)
+ALLOCATION_FAILED = Event(
+    2207,
     Level.ERROR,
-    'disk full stop',
-    'The disk is full and a vote cannot be stored, so the process stops; '
-    'free some space and start it again.',
+    'allocation failed',
+    'The disk did not allocate space for a change, although it is not full; '
+    'changes are refused and everything else goes on. Check the disk.',
 )
 SYNC_FAILED = Event(
     2205,
@@ -287,6 +294,13 @@
 VIEW_FRESH = Event(
     3102, Level.INFO, 'view fresh', 'The log view is confirmed as fresh again.'
 )
+MESSAGE_TOO_LARGE = Event(
+    3005,
+    Level.ERROR,
+    'message too large',
+    'A message to another process exceeds the largest frame and was not '
+    'sent; the link stays open.',
+)
 SERVER_JOINED = Event(
     4001,
     Level.INFO,
--- a/bulrushrudder/protocol/errors.py
+++ b/bulrushrudder/protocol/errors.py
@@ -11,8 +11,7 @@
     REFUSED = 'refused'
     CLOSED = 'closed'
     TIMEOUT = 'timeout'
-    INVALID = 'invalid'
-    OVERLOADED = 'overloaded'
+    MESSAGE_TOO_LARGE = 'message too large'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -131,14 +131,30 @@
 
         :returns: whether the message was queued for sending.
         """
+        return self._queue(message) is None
+
+    def _queue(self, message):
+        """Queue a message for sending.
+
+        :returns: None, or the LinkProblem that prevented it.
+        """
         if self.closed.is_set():
-            return False
+            return errors.LinkProblem.CLOSED
+        body = codec.encode(message)
+        if len(body) > frames.MAX_FRAME_BYTES:
+            log.emit(
+                catalogue.MESSAGE_TOO_LARGE,
+                peer=str(self.peer),
+                message=type(message).__name__,
+                size=len(body),
+            )
+            return errors.LinkProblem.MESSAGE_TOO_LARGE
         transport = self._writer.transport
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close()
-            return False
-        self._writer.write(frames.pack(codec.encode(message)))
-        return True
+            return errors.LinkProblem.CLOSED
+        self._writer.write(frames.pack(body))
+        return None
 
     async def ask(self, message, timeout_s):
         """Send a request and wait for its response.
@@ -150,12 +166,10 @@
         call = self._last_call
         future = asyncio.get_running_loop().create_future()
         self._pending_by_call[call] = future
-        sent = self.send(messages.Request(call, codec.encode(message)))
-        if not sent:
+        problem = self._queue(messages.Request(call, codec.encode(message)))
+        if problem is not None:
             self._pending_by_call.pop(call, None)
-            return _failure(
-                errors.LinkProblem.CLOSED, 'the link is closed', False
-            )
+            return _failure(problem, f'not sent: {problem.value}', False)
         try:
             async with asyncio.timeout(timeout_s):
                 return await future
--- a/bulrushrudder/storage/errors.py
+++ b/bulrushrudder/storage/errors.py
@@ -48,7 +48,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DiskFull:
-    """The disk is full; nothing was written."""
+    """The disk is full; what was to be written is not durable.
+
+    The same write may be repeated once there is free space.
+    """
 
     problem: str
 
--- a/bulrushrudder/storage/folder.py
+++ b/bulrushrudder/storage/folder.py
@@ -94,13 +94,13 @@
 def sync_folder(path, calls):
     """Sync the directory entries of the folder.
 
-    :returns: None, or a SyncFailed.
+    :returns: None, or a WriteError.
     """
     descriptor = os.open(path, os.O_RDONLY)
     try:
         calls.sync(descriptor)
     except OSError as error:
-        return result.Failure(errors.SyncFailed(repr(error)))
+        return result.Failure(write_error(error))
     finally:
         os.close(descriptor)
     return result.Success(None)
@@ -118,5 +118,5 @@
         try:
             calls.sync(opened.fileno())
         except OSError as error:
-            return errors.SyncFailed(repr(error))
+            return write_error(error)
     return None
--- a/bulrushrudder/storage/log_file.py
+++ b/bulrushrudder/storage/log_file.py
@@ -53,6 +53,10 @@
     def append(self, payload):
         """Write a frame and sync it.
 
+        After DiskFull, parts of the frame may be on the disk. Writing the
+        same frame again replaces them, and a crash before that leaves a
+        torn tail.
+
         :returns: None, or a WriteError.
         """
         frame = frames.pack(self._sequence, payload)
@@ -60,16 +64,14 @@
         if isinstance(reserved, result.Failure):
             return reserved
         try:
-            written = os.pwrite(self._descriptor, frame, self.end)
-            if written != len(frame):
-                return result.Failure(
-                    errors.SyncFailed(
-                        f'short write: {written} of {len(frame)} bytes'
-                    )
+            written = 0
+            while written < len(frame):
+                written += os.pwrite(
+                    self._descriptor, frame[written:], self.end + written
                 )
             self._calls.sync_data(self._descriptor)
         except OSError as error:
-            return result.Failure(errors.SyncFailed(repr(error)))
+            return result.Failure(folder.write_error(error))
         self._sequence += 1
         self.end += len(frame)
         return result.Success(None)
--- a/bulrushrudder/storage/store.py
+++ b/bulrushrudder/storage/store.py
@@ -57,16 +57,16 @@
         """Close the files."""
         self._file.close()
 
-    def try_reserve(self, size):
-        """Allocate log space for a batch and return whether it fits.
+    def reserve(self, size):
+        """Allocate log space for a batch.
 
         Extra space is reserved for changes of the hard state, so that a
         full disk blocks new entries but not elections.
 
         :param size: the size of the batch in bytes.
+        :returns: None, or a WriteError; nothing was written then.
         """
-        reserved = self._file.reserve(size + RESERVED_BYTES)
-        return isinstance(reserved, result.Success)
+        return self._file.reserve(size + RESERVED_BYTES)
 
     def has_free_space(self, size):
         """Return whether the disk has free space for a new file.
@@ -79,6 +79,9 @@
     def save(self, batch):
         """Persist the SaveEntries and SaveSnapshot actions in order.
 
+        After DiskFull, the same batch must be saved again before any
+        other.
+
         :returns: None, or a WriteError.
         """
         pending = []
--- a/bulrushrudder/tests/control/node_tests.py
+++ b/bulrushrudder/tests/control/node_tests.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 import unittest
+from unittest import mock
 
 from bulrushrudder.consensus import core
 from bulrushrudder.consensus import replica
@@ -24,9 +25,13 @@
 
 @dataclasses.dataclass
 class FakeDisk:
-    """System calls of a disk that may be full or fail to sync."""
+    """System calls of a disk that may be full or fail to sync.
+
+    :ivar full_at_sync: whether a sync finds the disk full.
+    """
 
     full: bool = False
+    full_at_sync: bool = False
     broken: bool = False
 
     def allocate(self, descriptor, offset, size):
@@ -35,6 +40,8 @@
         os.posix_fallocate(descriptor, offset, size)
 
     def sync_data(self, descriptor):
+        if self.full_at_sync:
+            raise OSError(errno.ENOSPC, 'simulated full disk')
         if self.broken:
             raise OSError(errno.EIO, 'simulated broken disk')
 
@@ -108,3 +115,39 @@
             self.assertFalse(proposed.done())
             self.assertEqual(set(running.state.servers.by_id), {'s1'})
             await tasks.cancel(proposed)
+
+    async def test_full_disk_at_sync_refuses_changes_until_it_has_space(self):
+        async with self.running_node() as running:
+            await running.propose(join_command(1))
+            self.disk.full_at_sync = True
+            first = asyncio.create_task(running.propose(join_command(2)))
+            await asyncio.sleep(0.2)
+            refused = await running.propose(join_command(3))
+            self.assertEqual(refused, results.Unavailable(node.NO_ROOM))
+            self.assertFalse(self.failed.is_set())
+            self.assertFalse(first.done())
+            self.disk.full_at_sync = False
+            self.assertIsInstance(await first, results.Accepted)
+            outcome = await running.propose(join_command(3))
+            self.assertIsInstance(outcome, results.Accepted)
+            present = set(running.state.servers.by_id)
+        self.assertEqual(present, {'s1', 's2', 's3'})
+        async with self.running_node() as running:
+            self.assertIsNotNone(await running.read_index())
+            self.assertEqual(set(running.state.servers.by_id), present)
+
+    async def test_proposal_ends_within_its_timeout(self):
+        """The last try gets the time that is left, not a whole timeout."""
+        async with self.running_node() as running:
+            await running.propose(join_command(1))
+            timeouts = []
+
+            async def propose_as_leader(data, timeout_s):
+                timeouts.append(timeout_s)
+                await asyncio.sleep(0.2)
+
+            running.propose_as_leader = propose_as_leader
+            with mock.patch.object(node, 'PROPOSE_TIMEOUT_S', 0.6):
+                outcome = await running.propose(join_command(2))
+            self.assertIsInstance(outcome, results.Unavailable)
+            self.assertLess(timeouts[-1], 0.2)
--- a/bulrushrudder/tests/control/server_tests.py
+++ b/bulrushrudder/tests/control/server_tests.py
@@ -1,6 +1,8 @@
 import types
 import unittest
 
+import logbook
+
 from bulrushrudder.control import server
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
@@ -49,3 +51,15 @@
     async def test_uncommitted_leave_is_refused(self):
         answer = await self.announce(True, False, leaving=True)
         self.assertEqual(answer, log_messages.NotLeader())
+
+    async def test_rejected_command_is_not_logged_as_joined_server(self):
+        handler = logbook.TestHandler()
+        node = FakeNode(True, True)
+        control = server.ControlProcess(lambda on_committed: node, None)
+        joined = codec.encode(servers.JoinServer(fleet.server()))
+        left = servers.LeaveServer(fleet.server().id, 99)
+        node.state.apply(1, left)
+        with handler.applicationbound():
+            await control.handle(None, log_messages.Announce(joined, False))
+        names = [r.extra['event'].name for r in handler.records]
+        self.assertNotIn('server joined', names)
--- a/bulrushrudder/tests/protocol/link_tests.py
+++ b/bulrushrudder/tests/protocol/link_tests.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import secrets
 import struct
 import unittest
 
@@ -8,6 +9,7 @@
 
 from bulrushrudder.config import settings
 from bulrushrudder.protocol import codec
+from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import frames
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import messages
@@ -142,3 +144,24 @@
             f' expected {version}',
             details,
         )
+
+    async def test_oversized_message_is_not_sent_and_keeps_link_open(self):
+        dialled = (await self.dial()).unwrap()
+        running = asyncio.create_task(dialled.run())
+        body = secrets.token_bytes(frames.MAX_FRAME_BYTES + 1)
+        refused = await dialled.ask(messages.Response(1, body), TIMEOUT_S)
+        self.assertFalse(refused.failure().sent)
+        self.assertIs(
+            refused.failure().problem, errors.LinkProblem.MESSAGE_TOO_LARGE
+        )
+        self.assertFalse(dialled.send(messages.Response(1, body)))
+        response = await dialled.ask(messages.Acknowledged(), TIMEOUT_S)
+        self.assertEqual(response, result.Success(messages.Acknowledged()))
+        dialled.close()
+        await running
+
+    async def test_message_that_only_compresses_below_limit_is_not_sent(self):
+        dialled = (await self.dial()).unwrap()
+        body = bytes(frames.MAX_FRAME_BYTES + 1)
+        self.assertFalse(dialled.send(messages.Response(1, body)))
+        dialled.close()
--- a/bulrushrudder/tests/storage/store_tests.py
+++ b/bulrushrudder/tests/storage/store_tests.py
@@ -168,7 +168,8 @@
         self.write(save(entry(1)))
         full = folder.SystemCalls(allocate=raising(errno.ENOSPC))
         with self.opened(full) as opened:
-            self.assertFalse(opened.store.try_reserve(2 * 1024 * 1024))
+            reserved = opened.store.reserve(2 * 1024 * 1024).failure()
+            self.assertIsInstance(reserved, errors.DiskFull)
             large = save(entry(2, data=bytes(2 * 1024 * 1024)))
             refused = opened.store.save([large]).failure()
             self.assertIsInstance(refused, errors.DiskFull)
@@ -176,6 +177,28 @@
             self.assertEqual(opened.store.save([small]), result.Success(None))
         self.assertEqual(self.read().entries, (entry(1), entry(2)))
 
+    def test_failed_allocation_is_not_reported_as_full_disk(self):
+        self.write(save(entry(1)))
+        broken = folder.SystemCalls(allocate=raising(errno.EIO))
+        with self.opened(broken) as opened:
+            reserved = opened.store.reserve(2 * 1024 * 1024).failure()
+            self.assertIsInstance(reserved, errors.SyncFailed)
+
+    def test_batch_is_written_again_after_disk_was_full_at_sync(self):
+        self.write(save(entry(1)))
+        calls = folder.SystemCalls(sync_data=raising(errno.ENOSPC))
+        with self.opened(calls) as opened:
+            batch = [save(entry(2, data=b'a')), save(entry(3))]
+            refused = opened.store.save(batch).failure()
+            self.assertIsInstance(refused, errors.DiskFull)
+            opened.store._calls = opened.store._file._calls = (
+                store.SYSTEM_CALLS
+            )
+            saved = opened.store.save(batch)
+            self.assertEqual(saved, result.Success(None))
+        expected = (entry(1), entry(2, data=b'a'), entry(3))
+        self.assertEqual(self.read().entries, expected)
+
     def test_syncs_once_per_batch_and_twice_per_replaced_file(self):
         synced = []
         calls = folder.SystemCalls(
