Keep text of engines out of the details of failures

A validation error repeats what the engine sent, and details reach logs and answers. They name the invalid fields, or the type of the error. Two tests failed first with the engine's text in the detail.

--- a/bulrushrudder/engines/client.py
+++ b/bulrushrudder/engines/client.py
@@ -299,13 +299,22 @@
 
 def _backend_failure(attempt, server, error):
     reason = outcomes.Reason.BACKEND_FAILED
-    return events.AttemptFailed(attempt, server.id, reason, str(error))
+    detail = error if isinstance(error, str) else _describe(error)
+    return events.AttemptFailed(attempt, server.id, reason, detail)
+
+
+def _describe(error):
+    """Return the description of an exception, without text of an engine."""
+    if isinstance(error, pydantic.ValidationError):
+        fields = {'.'.join(map(str, e['loc'])) for e in error.errors()}
+        return f'invalid reply, fields: {", ".join(sorted(fields))}'
+    return type(error).__name__
 
 
 def _unreachable_failure(attempt, server, error):
     """Return the event for a failed connect, before anything was sent."""
     reason = outcomes.Reason.BACKEND_UNREACHABLE
-    detail = str(error)
+    detail = type(error).__name__
     return events.AttemptFailed(attempt, server.id, reason, detail, False)
 
 
--- a/bulrushrudder/tests/engines/client_tests.py
+++ b/bulrushrudder/tests/engines/client_tests.py
@@ -144,6 +144,24 @@
         invalid = scripted_engines.chunk(b'data: {"index": -4}\n\n')
         await self.check_stream_failure(FAILED, invalid)
 
+    async def test_text_of_invalid_event_is_not_in_failure(self):
+        invalid = scripted_engines.chunk(b'data: {"index": "s3cret"}\n\n')
+        received = await self.decode(
+            scripted_engines.RESPONSE_HEAD, TOKEN, invalid
+        )
+        self.assertNotIn('s3cret', received[-1].detail)
+
+    async def test_text_of_invalid_prefill_reply_is_not_in_failure(self):
+        body = b'{"handle": 1, "attempt": "s3cret"}'
+        reply = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s'
+        server = await scripted_engines.ScriptedEngine(
+            reply % (len(body), body)
+        ).start(self.stack)
+        action = actions.StartPrefill(ATTEMPT, server.id, ())
+        failed = await self.client.prefill(server, action, JOB)
+        self.assertIsInstance(failed, events.AttemptFailed)
+        self.assertNotIn('s3cret', failed.detail)
+
     async def test_oversized_line_fails_attempt(self):
         giant = scripted_engines.token_chunk(ATTEMPT_NAME, 1, 'x' * 2**20)
         await self.check_stream_failure(FAILED, giant)
