Log the timeout that applied, and remove names without use

`call attempted` logged the timeout of the call, not the rest of its deadline that the attempt got. PrefillServer.present was always true and create_server_socket was not called.

--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -10,6 +10,7 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
+from bulrushrudder.core import units
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_router
@@ -31,7 +32,6 @@
 # Limit on servers tried for one call, also when none of them ran it; each
 # further try also takes from the retry budget.
 MAX_TRIES = 4
-MS_PER_SECOND = 1000.0
 _NO_SERVER = outcomes.not_run(
     outcomes.Reason.NO_SERVER, 'no backend server of the service is up', 1.0
 )
@@ -146,7 +146,7 @@
             )
             took_s = loop.time() - started_s
             self._services.metrics.observe_call(service, took_s)
-            self._log_try(call, server, latest, took_s)
+            self._log_try(bounded_call, server, latest, took_s)
             sent = _merged(sent, latest)
             runs += _may_have_run(latest)
             if not _should_try_again(latest, call) or runs >= call.attempts:
@@ -171,8 +171,8 @@
             request=call.request_id,
             server=server.id,
             outcome=outcome,
-            took_ms=round(took_s * MS_PER_SECOND),
-            timeout_ms=round(call.timeout_s * MS_PER_SECOND),
+            took_ms=round(took_s * units.MS_PER_SECOND),
+            timeout_ms=round(call.timeout_s * units.MS_PER_SECOND),
             view=self._services.view.index,
             view_age_ms=self._services.view.age_ms(now_s),
         )
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -85,7 +85,7 @@
         work = self._average_work.work
         if work is None:
             return None
-        prefills = sum(k.present for k in self._prefills.by_id.values())
+        prefills = len(self._prefills.by_id)
         decodes = sum(k.present for k in self._decodes.by_id.values())
         return balance.wanted(work, prefills, decodes)
 
@@ -189,8 +189,7 @@
                 if current is None or current.kind != kind:
                     pool.leave(known.server.id)
             for server in servers:
-                known = pool.by_id.get(server.id)
-                if server.kind == kind and not _is_known(known, server):
+                if server.kind == kind and not pool.has(server):
                     pool.join(server)
                     self._count_restored(server.id, now_s)
 
@@ -411,7 +410,3 @@
     if grant.decode_start_s is None:
         return None
     return max(0.0, now_s - grant.decode_start_s)
-
-
-def _is_known(known, server):
-    return known is not None and known.server == server and known.present
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -66,6 +66,11 @@
         self.places += known.place_limit
         self._reindex(known)
 
+    def has(self, server):
+        """Return whether a server with the same record is present."""
+        known = self.by_id.get(server.id)
+        return known is not None and known.present and known.server == server
+
     def leave(self, server_id):
         """Stop placing requests on a server; existing holds remain."""
         known = self.by_id.get(server_id)
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -34,7 +34,6 @@
     free_s: float = 0.0
     link_free_s: float = 0.0
     last_report_sequence: int = -1
-    present: bool = True
     rate_reported: bool = False
     isolated_until_s: float = 0.0
     base_s: float = 0.0
@@ -76,6 +75,11 @@
         self.prefixes.join(server.id, server.incarnation)
         self._zone_index(server.zone).set(server.id, 0.0)
 
+    def has(self, server):
+        """Return whether a server with the same record has joined."""
+        known = self.by_id.get(server.id)
+        return known is not None and known.server == server
+
     def leave(self, server_id):
         """Remove a server."""
         known = self.by_id.pop(server_id, None)
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -35,16 +35,6 @@
     return sock
 
 
-def create_server_socket(host, port):
-    """Return a bound socket; connections it accepts have keepalive."""
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    enable_keepalive(sock)
-    sock.bind((host, port))
-    return sock
-
-
 def limit_send_buffer(transport, max_bytes):
     """Limit the send buffers of a transport and of its socket."""
     transport.set_write_buffer_limits(high=max_bytes)
