Follow only the addresses that settings list, and check hand-overs

fault_run.py entry_cut_off was red: "an entry cut off from control stays ready". Traced: the control processes report the members of the log, and the entry whose relays were cut went on through those addresses. Where settings list the control processes, an entry now follows these alone, as an operator who routes it through other addresses expects; members are learnt from seeds only.

EntryProcess.stop never looked at an exception of its hand-over, and an error while accounts were released kept the coordinators from being handed over. Both run on their own and errors are logged. The test of the error failed first; that accounts are released had no test.

--- a/bulrushrudder/entry/control_client.py
+++ b/bulrushrudder/entry/control_client.py
@@ -38,14 +38,18 @@
     :param owner: the Owner that identifies this process.
     :param secret: the cluster secret.
     :param controls: addresses of the control processes.
+    :param learns_members: whether the addresses are seeds, so that members
+        which the control processes report are followed too. Otherwise the
+        addresses are those by which this VM reaches all of them.
     :ivar changed: event that is set when the view changes.
     """
 
-    def __init__(self, view, owner, secret, controls):
+    def __init__(self, view, owner, secret, controls, learns_members=False):
         self._view = view
         self._owner = owner
         self._secret = secret
         self._configured_addresses = controls
+        self._learns_members = learns_members
         self._member_addresses = ()
         self._current_address = None
         self._link = None
@@ -186,7 +190,9 @@
                 round=round_number, index=index
             ):
                 self._view.confirm_round(round_number, index)
-            case log_messages.Members(addresses=addresses):
+            case log_messages.Members(addresses=addresses) if (
+                self._learns_members
+            ):
                 self._member_addresses = tuple(
                     map(settings.parse_address, addresses)
                 )
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -59,7 +59,11 @@
         secret = settings.secrets.cluster
         self.view = view.View(settings.environment, settings.entry.stale_s)
         self.control_client = control_client.ControlClient(
-            self.view, self._owner, secret, settings.controls
+            self.view,
+            self._owner,
+            secret,
+            settings.controls,
+            settings.seeded,
         )
         self._peers = peers.Peers(
             self._owner, secret, _ignore_message, short_timeouts=True
@@ -171,13 +175,14 @@
         """
         self.services.leaving = True
         self.services.draining = True
-        handover = asyncio.create_task(self._hand_over_roles())
+        handovers = self._hand_over_roles()
         await self.services.finish()
         await self._canceller.finish(self._remaining_s(CANCEL_TIMEOUT_S))
         await asyncio.wait(
-            {handover}, timeout=self._remaining_s(ROLE_HANDOVER_TIMEOUT_S)
+            handovers, timeout=self._remaining_s(ROLE_HANDOVER_TIMEOUT_S)
         )
-        handover.cancel()
+        for handover in handovers:
+            handover.cancel()
         with contextlib.suppress(TimeoutError):
             # A session that is not closed in time expires with its lease.
             async with asyncio.timeout(SESSION_CLOSE_TIMEOUT_S):
@@ -186,10 +191,19 @@
                 )
         log.emit(catalogue.ENTRY_STOPPED)
 
-    async def _hand_over_roles(self):
-        """Hand accounts and coordinators over to other VMs."""
-        await self._authority_client.release_accounts()
-        await self.coordinator_client.hand_over()
+    def _hand_over_roles(self):
+        """Start to hand accounts and coordinators over to other VMs.
+
+        :returns: the tasks; an error of one is logged and does not stop
+            the other.
+        """
+        handovers = {
+            asyncio.create_task(self._authority_client.release_accounts()),
+            asyncio.create_task(self.coordinator_client.hand_over()),
+        }
+        for handover in handovers:
+            handover.add_done_callback(tasks.log_exception)
+        return handovers
 
     def _remaining_s(self, limit_s):
         """Return the seconds that a step of the stop may take.
--- a/bulrushrudder/tests/entry/stop_tests.py
+++ b/bulrushrudder/tests/entry/stop_tests.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiohttp import web
+import logbook
 
 from bulrushrudder.config import settings as config
 from bulrushrudder.core import ids
@@ -15,6 +16,7 @@
 from bulrushrudder.entry import process
 from bulrushrudder.standins import engine
 from bulrushrudder.standins import entry_path
+from bulrushrudder.state import accounts
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
@@ -161,6 +163,41 @@
         self.assertEqual(closed, [sessions.CloseSession(owner)])
         self.assertEqual(self.calls_at_close, 0)
 
+    def hold_account(self):
+        """Make the entry the holder of the account of the document."""
+        owner = self.entry.services.owner
+        claim = accounts.ClaimAccount(
+            types.Environment.PRODUCTION, ids.AccountId('acme'), owner, 0, 9.0
+        )
+        self.entry.view.apply(self.entry.view.index + 1, claim)
+        client = self.entry._authority_client
+        client._authority.spendable(
+            claim.account, client._log_view(), client._now_s()
+        )
+        self.assertTrue(client._authority.held)
+
+    async def test_stop_releases_accounts_and_coordinators(self):
+        self.hold_account()
+        hand_over = mock.AsyncMock()
+        self.entry.coordinator_client.hand_over = hand_over
+        await self.entry.stop()
+        released = [type(command) for command in self.proposed]
+        self.assertIn(accounts.ReleaseAccount, released)
+        hand_over.assert_awaited_once_with()
+
+    async def test_error_of_one_hand_over_is_logged_and_stops_no_other(self):
+        handler = logbook.TestHandler()
+        self.entry._authority_client.release_accounts = mock.AsyncMock(
+            side_effect=ValueError('injected')
+        )
+        hand_over = mock.AsyncMock()
+        self.entry.coordinator_client.hand_over = hand_over
+        with handler.applicationbound():
+            await self.entry.stop()
+        hand_over.assert_awaited_once_with()
+        names = [r.extra['event'].name for r in handler.records]
+        self.assertIn('unexpected error', names)
+
 
 class StoppingTests(unittest.TestCase):
     def test_second_stop_request_only_reports(self):
--- a/scripts/fault_run.py
+++ b/scripts/fault_run.py
@@ -179,18 +179,21 @@
                     return response.status == 200
         return False
 
+    async def request_status(self, url, key):
+        """Send a request to an entry and return the status of its answer."""
+        async with self.session.post(
+            f'{url}/v1/completions',
+            json={'prompt': 'x', 'max_tokens': 1},
+            headers={'Authorization': f'Bearer {key}'},
+        ) as response:
+            return response.status
+
     async def _all_entries_respond(self, key, status):
-        headers = {'Authorization': f'Bearer {key}'}
-        content = {'prompt': 'x', 'max_tokens': 1}
         for entry in self.fleet.entries:
             if entry.running is None or entry.running.poll() is not None:
                 continue
-            url = f'{entry.url("callers")}/v1/completions'
-            async with self.session.post(
-                url, json=content, headers=headers
-            ) as response:
-                if response.status != status:
-                    return False
+            if await self.request_status(entry.url('callers'), key) != status:
+                return False
         return True
 
     async def _post_until_accepted(self, step, data):
@@ -351,10 +354,12 @@
     )
     source = trial.source(trial.version + 1, withdrawn=True)
     await trial.put_in_force(source)
-    refused = await trial._wait_until(
-        lambda: trial._all_entries_respond(trial.key, 503), 0.1
+    status = await trial.request_status(url, trial.key)
+    trial.check(
+        status == 503,
+        f'an entry cut off from control responds {status} to a withdrawn '
+        'key, expected 503',
     )
-    del refused
     trial.notes.append(f'unready after {elapsed_s:.1f} s')
     for relay in relays:
         relay.heal()
