Apply the limits on callers that a configuration states

CallerBounds was read nowhere: bodies were bounded by 4 MiB, a header by aiohttp's 8,190 bytes (a caller within its limit of 16,384 got 400, which is final), a silent connection by 10 and 75 s. Headers above the limit are answered 431 and bodies 413, also when they come in chunks; the first header and an idle connection have their stated time. Request bodies on the platform are no longer decompressed, as they are passed on as sent. Four of the new tests failed first (400 for 200, and 200 for 413, 413 and 431), the one of idle connections with a time-out.

--- a/bulrushrudder/entry/bodies.py
+++ b/bulrushrudder/entry/bodies.py
@@ -10,10 +10,6 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BODY_TIMEOUT_S = 20.0
 
-_TOO_LARGE = outcomes.not_run(
-    outcomes.Reason.BODY_TOO_LARGE,
-    f'the request body is larger than {MAX_BODY_BYTES} bytes',
-)
 _TOO_SLOW = outcomes.not_run(
     outcomes.Reason.BODY_TOO_SLOW, 'the request body was not received in time'
 )
@@ -23,19 +19,40 @@
 )
 
 
-async def read(http_request, timeout_s=BODY_TIMEOUT_S):
+async def read(
+    http_request, timeout_s=BODY_TIMEOUT_S, max_bytes=MAX_BODY_BYTES
+):
     """Return the body of a request, or a Refusal.
 
     :param timeout_s: seconds that the caller may take to send it.
+    :param max_bytes: size above which it is refused.
     """
-    if (http_request.content_length or 0) > MAX_BODY_BYTES:
-        return result.Failure(_TOO_LARGE)
+    if (http_request.content_length or 0) > max_bytes:
+        return _too_large(max_bytes)
     try:
         async with asyncio.timeout(timeout_s):
-            return result.Success(await http_request.read())
-    except web.HTTPRequestEntityTooLarge:
-        return result.Failure(_TOO_LARGE)
+            return await _read_up_to(http_request, max_bytes)
     except TimeoutError:
         return result.Failure(_TOO_SLOW)
     except (web.RequestPayloadError, ConnectionError):
         return result.Failure(_MALFORMED_BODY)
+
+
+async def _read_up_to(http_request, max_bytes):
+    chunks = []
+    size = 0
+    async for chunk in http_request.content.iter_any():
+        size += len(chunk)
+        if size > max_bytes:
+            return _too_large(max_bytes)
+        chunks.append(chunk)
+    return result.Success(b''.join(chunks))
+
+
+def _too_large(max_bytes):
+    return result.Failure(
+        outcomes.not_run(
+            outcomes.Reason.BODY_TOO_LARGE,
+            f'the request body is larger than {max_bytes} bytes',
+        )
+    )
--- a/bulrushrudder/entry/completions.py
+++ b/bulrushrudder/entry/completions.py
@@ -12,6 +12,7 @@
     outcomes.Reason.MALFORMED_REQUEST: 400,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BODY_TOO_SLOW: 408,
+    outcomes.Reason.HEADERS_TOO_LARGE: 431,
     outcomes.Reason.ROUTE_UNKNOWN: 404,
     outcomes.Reason.MODEL_UNKNOWN: 404,
     outcomes.Reason.KEY_MISSING: 401,
--- a/bulrushrudder/platform/answers.py
+++ b/bulrushrudder/platform/answers.py
@@ -21,6 +21,7 @@
     outcomes.Reason.MALFORMED_REQUEST: 400,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BODY_TOO_SLOW: 408,
+    outcomes.Reason.HEADERS_TOO_LARGE: 431,
     outcomes.Reason.ROUTE_UNKNOWN: 404,
     outcomes.Reason.KEY_MISSING: 401,
     outcomes.Reason.KEY_UNKNOWN: 401,
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -54,6 +54,10 @@
 # fits into the client's remaining time: estimates are off by a factor of
 # 1.5. First attempts are not checked.
 MIN_RUN_SHARE = 0.7
+# The document limits the headers as a whole; this bounds a single one.
+MAX_FIELD_BYTES = 64 * 1024
+# Colon, blank and line end of a header line.
+HEADER_LINE_EXTRA_BYTES = 4
 _FINGERPRINT_BYTES = 16
 _STOPPING = outcomes.not_run(
     outcomes.Reason.SHUTTING_DOWN, 'this VM is shutting down', 0.05
@@ -85,7 +89,10 @@
             api.application(),
             settings.entry.callers,
             cancel_handlers=True,
+            get_timeouts=api.connection_timeouts,
             shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+            decompresses_bodies=False,
+            max_field_bytes=MAX_FIELD_BYTES,
         )
         await web_utils.listen(stack, api.readiness(), settings.entry.ready)
 
@@ -104,10 +111,17 @@
 
     def application(self):
         """Return the aiohttp application for clients."""
-        app = web.Application(client_max_size=bodies.MAX_BODY_BYTES)
+        app = web.Application()
         app.router.add_route('*', '/{path:.*}', self._call)
         return app
 
+    def connection_timeouts(self):
+        """Return the ConnectionTimeouts of the document in force."""
+        bounds = self._services.view.lookups.document.bounds
+        if bounds is None:
+            return web_utils.DEFAULT_TIMEOUTS
+        return web_utils.ConnectionTimeouts(bounds.header_s, bounds.idle_s)
+
     def readiness(self):
         """Return the aiohttp application for readiness checks."""
         app = web.Application()
@@ -139,6 +153,9 @@
 
     async def _serve(self, http_request):
         received_s = _now_s()
+        match self._check_header_size(http_request):
+            case result.Failure(refusal):
+                return self._refuse(refusal, None, 'none')
         pairs = _decode_headers(http_request)
         match headers.read(pairs):
             case result.Failure(refusal):
@@ -148,7 +165,7 @@
         match self._admit(http_request):
             case result.Failure(refusal):
                 return self._refuse(refusal, request_headers.attempt, 'none')
-        match await bodies.read(http_request):
+        match await self._read_body(http_request):
             case result.Failure(refusal):
                 return self._refuse(refusal, request_headers.attempt, 'none')
             case result.Success(body):
@@ -172,6 +189,30 @@
             http_request, forwarded_call, request_headers, admitted, service
         )
 
+    def _check_header_size(self, http_request):
+        """Return a Refusal if the headers exceed the document's limit."""
+        bounds = self._services.view.lookups.document.bounds
+        size = sum(
+            len(name) + len(value) + HEADER_LINE_EXTRA_BYTES
+            for name, value in http_request.raw_headers
+        )
+        if bounds is None or size <= bounds.max_header_bytes:
+            return result.Success(None)
+        return result.Failure(
+            outcomes.not_run(
+                outcomes.Reason.HEADERS_TOO_LARGE,
+                f'the headers have {size} bytes, at most '
+                f'{bounds.max_header_bytes} are allowed',
+            )
+        )
+
+    async def _read_body(self, http_request):
+        bounds = self._services.view.lookups.document.bounds
+        max_bytes = bodies.MAX_BODY_BYTES
+        if bounds is not None:
+            max_bytes = bounds.max_body_bytes
+        return await bodies.read(http_request, max_bytes=max_bytes)
+
     def _admit(self, http_request):
         path, _, _ = http_request.raw_path.partition('?')
         host = http_request.headers.get('Host', '').lower()
--- a/bulrushrudder/tests/builders/frontends.py
+++ b/bulrushrudder/tests/builders/frontends.py
@@ -42,7 +42,12 @@
     )
     callers_frontend = frontend.Frontend(services, body_s)
     address = settings.Address(ports.LOOPBACK, 0)
+    timeouts = web.ConnectionTimeouts(header_s=headers_s)
     port = await web.listen(
-        stack, callers_frontend.application(), address, True, headers_s
+        stack,
+        callers_frontend.application(),
+        address,
+        True,
+        lambda: timeouts,
     )
     return port, services
--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -127,6 +127,30 @@
             **options,
         )
 
+    async def seconds_until_close(self, path):
+        """Return how long the entry process keeps a silent connection.
+
+        :param path: path of a call before the silence; None for none.
+        """
+        host, _, port = self._callers_url.removeprefix('http://').partition(
+            ':'
+        )
+        reader, writer = await asyncio.open_connection(host, int(port))
+        loop = asyncio.get_running_loop()
+        if path is not None:
+            pairs = ''.join(
+                f'{n}: {v}\r\n' for n, v in platform.CLIENT_HEADERS
+            )
+            head = f'POST {path} HTTP/1.1\r\n{pairs}Content-Length: 0\r\n\r\n'
+            writer.write(head.encode())
+            await reader.readuntil(b'\r\n\r\n')
+        began_s = loop.time()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+        writer.close()
+        return loop.time() - began_s
+
 
 @contextlib.asynccontextmanager
 async def running():
--- a/bulrushrudder/tests/platform/path_tests.py
+++ b/bulrushrudder/tests/platform/path_tests.py
@@ -136,6 +136,51 @@
                 status, _ = await self.text(path, headers=headers)
                 self.assertEqual(status, expected)
 
+    # Limits on callers.
+
+    async def configure_limits(self, **limits):
+        content = configuration()
+        content['limits'] |= limits
+        content['version'] = 8
+        self.assertEqual(await self.fleet.put_configuration(content), 200)
+        await self.fleet.wait_until(
+            lambda: self.fleet.entry.view.lookups.document.version == 8
+        )
+        await self.add_portal_runner(lambda call: [runners.answer(b'mine')])
+
+    async def test_refuses_headers_and_bodies_above_limits(self):
+        await self.configure_limits(max_header_bytes=2000, max_body_bytes=50)
+
+        async def chunks():
+            yield b'x' * 51
+
+        for expected, options in (
+            (200, {'body': b'x' * 50}),
+            (413, {'body': b'x' * 51}),
+            (413, {'body': chunks()}),
+            (200, {'headers': {'X-Long': 'x' * 1000}}),
+            (431, {'headers': {'X-Long': 'x' * 2000}}),
+        ):
+            with self.subTest(expected):
+                status, _ = await self.text('/idempotent/1', **options)
+                self.assertEqual(status, expected)
+
+    async def test_accepts_long_header_within_limit(self):
+        await self.configure_limits(max_header_bytes=20000)
+        status, _ = await self.text(
+            '/idempotent/1', headers={'X-Long': 'x' * 15000}
+        )
+        self.assertEqual(status, 200)
+
+    async def test_closes_connection_that_is_idle_or_sends_no_header(self):
+        await self.configure_limits(idle_timeout_ms=600, header_timeout_ms=300)
+        idle_s = await self.fleet.seconds_until_close('/idempotent/1')
+        self.assertGreater(idle_s, 0.5)
+        self.assertLess(idle_s, 1.5)
+        header_s = await self.fleet.seconds_until_close(None)
+        self.assertGreater(header_s, 0.2)
+        self.assertLess(header_s, 1.0)
+
     # Plain services.
 
     async def test_forwards_call_unchanged(self):
--- a/bulrushrudder/utils/web.py
+++ b/bulrushrudder/utils/web.py
@@ -1,6 +1,7 @@
 """Common parts of all HTTP listeners."""
 
 import asyncio
+import dataclasses
 import logging
 
 from aiohttp import web
@@ -8,20 +9,38 @@
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 
-HEADER_TIMEOUT_S = 10.0
-KEEP_ALIVE_TIMEOUT_S = 75.0
 SHUTDOWN_TIMEOUT_S = 1.0
+MAX_FIELD_BYTES = 8190
 
 _PRESERVED_HEADERS = frozenset({'Allow', 'Retry-After'})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionTimeouts:
+    """Timeouts of the connections of a listener.
+
+    :param header_s: seconds that a peer may take to send the headers of
+        the first request on a connection.
+    :param idle_s: seconds between an answer and the next request after
+        which the connection is closed.
+    """
+
+    header_s: float = 10.0
+    idle_s: float = 75.0
+
+
+DEFAULT_TIMEOUTS = ConnectionTimeouts()
+
+
 async def listen(
     stack,
     application,
     address,
     cancel_handlers=False,
-    header_timeout_s=HEADER_TIMEOUT_S,
+    get_timeouts=lambda: DEFAULT_TIMEOUTS,
     shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+    decompresses_bodies=True,
+    max_field_bytes=MAX_FIELD_BYTES,
 ):
     """Serve an application until the exit stack closes.
 
@@ -29,27 +48,33 @@
     :param address: a config Address; with port 0, any free port is used.
     :param cancel_handlers: whether a handler is cancelled when its caller
         disconnects.
-    :param header_timeout_s: seconds that a peer may take to send the
-        headers of the first request on a connection.
+    :param get_timeouts: function that returns the ConnectionTimeouts in
+        force.
     :param shutdown_timeout_s: seconds that pending answers may take when
         the exit stack closes.
+    :param decompresses_bodies: whether request bodies with a content
+        encoding are decoded.
+    :param max_field_bytes: size above which a header field or a request
+        line is malformed.
     :returns: the port number.
     """
-    header_timeouts = _HeaderTimeouts(header_timeout_s)
-    application.middlewares.insert(0, header_timeouts.complete_headers)
+    timers = _ConnectionTimers(get_timeouts)
+    application.middlewares.insert(0, timers.time_request)
     runner = web.AppRunner(
         application,
         access_log=None,
         logger=_HTTP_LOGGER,
         handler_cancellation=cancel_handlers,
-        keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
         shutdown_timeout=shutdown_timeout_s,
+        max_line_size=max_field_bytes,
+        max_field_size=max_field_bytes,
+        auto_decompress=decompresses_bodies,
     )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     loop = asyncio.get_running_loop()
     server = await loop.create_server(
-        lambda: header_timeouts.start_timer(runner.server()),
+        lambda: timers.connect(runner.server()),
         address.host,
         address.port,
     )
@@ -57,29 +82,46 @@
     return server.sockets[0].getsockname()[1]
 
 
-class _HeaderTimeouts:
-    """Closes connections whose first headers don't arrive in time."""
+class _ConnectionTimers:
+    """Closes connections that send no headers in time or stay idle.
 
-    def __init__(self, header_timeout_s):
-        self._timeout_s = header_timeout_s
+    :param get_timeouts: returns the ConnectionTimeouts in force.
+    """
+
+    def __init__(self, get_timeouts):
+        self._get_timeouts = get_timeouts
         self._timers_by_protocol = {}
 
-    def start_timer(self, protocol):
+    def connect(self, protocol):
         """Start the timer of a new connection; return its protocol."""
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self._timeout_s, self._expire, protocol)
-        self._timers_by_protocol[protocol] = timer
+        header_s = self._get_timeouts().header_s
+        self._start(protocol, header_s, self._close_without_headers)
         return protocol
 
     @web.middleware
-    async def complete_headers(self, request, handler):
-        """Stop the timer of a connection, as its headers are complete."""
-        timer = self._timers_by_protocol.pop(request.protocol, None)
+    async def time_request(self, request, handler):
+        """Stop the timer of a connection while a request is handled."""
+        protocol = request.protocol
+        self._stop(protocol)
+        try:
+            return await handler(request)
+        finally:
+            if protocol.transport is not None:
+                idle_s = self._get_timeouts().idle_s
+                self._start(protocol, idle_s, self._close_idle)
+
+    def _start(self, protocol, delay_s, expire):
+        self._stop(protocol)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(delay_s, expire, protocol)
+        self._timers_by_protocol[protocol] = timer
+
+    def _stop(self, protocol):
+        timer = self._timers_by_protocol.pop(protocol, None)
         if timer is not None:
             timer.cancel()
-        return await handler(request)
 
-    def _expire(self, protocol):
+    def _close_without_headers(self, protocol):
         del self._timers_by_protocol[protocol]
         if protocol.transport is not None:
             log.emit(
@@ -88,6 +130,12 @@
             )
             protocol.force_close()
 
+    def _close_idle(self, protocol):
+        """Close a connection; what is still unsent is sent first."""
+        del self._timers_by_protocol[protocol]
+        if protocol.transport is not None:
+            protocol.force_close()
+
 
 class _HttpErrorHandler(logging.Handler):
     """Logs warnings and errors of aiohttp without data from the peer."""
