Register no engine without its service after a restart

A control process without services now waits for a quorum round first, and answers 503 without one; an unknown link rate counts as no delay.

--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -175,7 +175,9 @@
         rate = min(
             source.server.link_tokens_per_s, decode.server.link_tokens_per_s
         )
-        transfer_end_s = transfer_start_s + request.prompt_tokens / rate
+        # A rate of 0 is unknown; the transfer then counts as immediate.
+        transfer_s = request.prompt_tokens / rate if rate > 0 else 0.0
+        transfer_end_s = transfer_start_s + transfer_s
         first_token_s = transfer_end_s + decode.steps.mean_step_s
         yield Placement(
             plan, decode, transfer_start_s, transfer_end_s, first_token_s
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -54,9 +54,13 @@
 
     async def _handle_heartbeat(self, request):
         body = await request.read()
-        document = self._control.node.state.documents.lookups(_PRODUCTION)
+        if not self._services_by_id():
+            # After a restart, the state may lag behind the log. Without its
+            # service, an engine would join with unknown memory and link.
+            if await self._control.node.read_index() is None:
+                return _problem(503, 'no quorum confirmed the configuration')
         parsed = announcements.read(
-            request.match_info['id'], body, document.services_by_id
+            request.match_info['id'], body, self._services_by_id()
         )
         match parsed:
             case result.Success(announced):
@@ -74,6 +78,11 @@
             'unreachable: heartbeat was neither parsed nor rejected'
         )
 
+    def _services_by_id(self):
+        """Return the services of the configuration in force here."""
+        documents = self._control.node.state.documents
+        return documents.lookups(_PRODUCTION).services_by_id
+
     async def _handle_departure(self, request):
         server_id = request.match_info['id']
         born = announcements.read_departure(await request.read())
--- a/bulrushrudder/tests/placement/choice_tests.py
+++ b/bulrushrudder/tests/placement/choice_tests.py
@@ -93,3 +93,12 @@
         failing = self.fail(0.0)
         _, other = self.ask(60.0)
         self.assertEqual(other, failing)
+
+
+class UnknownLinkTests(unittest.TestCase):
+    def test_server_with_unknown_link_rate_is_usable(self):
+        granting = coordinator.Coordinator()
+        event = places.servers_changed(1, 1, link_tokens_per_s=0.0)
+        granting.handle(event, 0.0)
+        decided = granting.handle(places.placement_request(), 0.0)
+        self.assertEqual(len(places.grants(decided)), 1)
