Change a quarter of a pool together, and order as soon as it is known

The 3 s for which a pool must be unchanged were counted from the first pool target, and one server changed at a time, 8 s each, which takes minutes in a pool of 62. They are counted from when the servers joined, and up to a quarter of a pool changes at the same time, down to the target and never the last of a kind. A batch has one quorum round.

An order also states until when it may be sent, by a clock that counts suspension, and is checked after the last wait before it is sent: a process that was suspended between the round and the order sent it after its permission had run out. Tests failed first for each.

--- a/bulrushrudder/control/kind_orders.py
+++ b/bulrushrudder/control/kind_orders.py
@@ -2,11 +2,12 @@
 
 Only the leader sends orders, with its term as the fencing number. A new
 leader first waits until the lease of its predecessor has expired, and
-confirms its leadership by a quorum round before each order.
+confirms its leadership by a quorum round before each batch of orders.
 """
 
 import asyncio
 import dataclasses
+import time
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -22,6 +23,10 @@
 # When a server is replaced, the new one joins before the old one drains.
 # No order is sent until the members of a pool are unchanged for this time.
 POOL_STABLE_S = 3.0
+# An order is sent within this share of the lease, counted from the quorum
+# round that permits it. The rest is left for its way to the server, before
+# a later leader sends its first one.
+ORDER_VALIDITY_SHARE = 0.5
 # Added to the lease, for the last order of the previous holder in flight.
 LEASE_SLACK_S = 0.5
 
@@ -33,11 +38,19 @@
     :param kind: the kind to change to.
     :param holder: name of the process that sends it.
     :param fence: fencing number; increases with each leader.
+    :param expires_s: seconds of CLOCK_BOOTTIME after which it must not be
+        sent any more, since another leader may send orders from then on.
     """
 
     kind: str
     holder: str
     fence: int
+    expires_s: float
+
+    @property
+    def expired(self):
+        """Return whether the order must not be sent any more."""
+        return _suspendable_now_s() > self.expires_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,17 +111,21 @@
             await self._send_due_orders()
 
     def _track_pool_members(self):
-        """Record since when each pool has had its present members."""
-        state = self._control.node.state
-        for model in state.pool_targets.prefills_by_model:
-            members = frozenset(state.servers.by_served.get(model, {}))
+        """Record since when each pool has had its present members.
+
+        Pools without a target yet are included, so that the first order
+        need not wait for the whole time.
+        """
+        by_served = self._control.node.state.servers.by_served
+        for model, servers_by_id in by_served.items():
+            members = frozenset(servers_by_id)
             known = self._members_since_by_model.get(model)
             if known is None or known[0] != members:
                 self._members_since_by_model[model] = members, _now_s()
 
     def _is_stable(self, model):
-        _, since_s = self._members_since_by_model[model]
-        return _now_s() - since_s >= POOL_STABLE_S
+        known = self._members_since_by_model.get(model)
+        return known is not None and _now_s() - known[1] >= POOL_STABLE_S
 
     def _may_order(self):
         node = self._control.node
@@ -135,27 +152,53 @@
             if self._has_pending_order(model) or not self._is_stable(model):
                 continue
             pool = state.servers.by_served.get(model, {})
-            change = balance.next_change(tuple(pool.values()), prefills)
-            if change is not None:
-                await self._change_kind(
-                    pool[change.server], model, change.kind
-                )
+            changes = balance.next_changes(tuple(pool.values()), prefills)
+            if changes:
+                await self._change_kinds(model, pool, changes)
 
     def _has_pending_order(self, model):
         """Return whether an order to a server of a pool is pending."""
         return any(key[1] == model for key in self._busy_until_s_by_key)
 
-    async def _change_kind(self, server, model, kind):
+    async def _change_kinds(self, model, pool, changes):
+        """Exclude servers from new work and order them to change.
+
+        :param pool: the servers of the model by id.
+        :param changes: the KindChanges.
+        """
         change_s = self._control.kind_change_s(model)
         until_s = (
             _now_s() + EXCLUSION_DELAY_S + change_s + ANNOUNCEMENT_DELAY_S
         )
-        await self._control.exclude(server, until_s)
+        orders = [(pool[change.server], change.kind) for change in changes]
+        for server, _ in orders:
+            await self._control.exclude(server, until_s)
         await asyncio.sleep(EXCLUSION_DELAY_S)
+        term = self._term
+        expires_s = _suspendable_now_s() + self._lease_s * ORDER_VALIDITY_SHARE
         if await self._control.node.read_index_as_leader() is None:
-            self._control.readmit(server)
+            for server, _ in orders:
+                self._control.readmit(server)
             return
-        order = Order(kind, self._holder, self._term)
+        await asyncio.gather(
+            *(
+                self._send(
+                    server,
+                    model,
+                    Order(kind, self._holder, term, expires_s),
+                    until_s,
+                )
+                for server, kind in orders
+            )
+        )
+
+    async def _send(self, server, model, order, until_s):
+        """Send an order to a server and record until when it is pending.
+
+        :param until_s: monotonic seconds at which the server announces
+            its new kind if it accepts.
+        """
+        change_s = self._control.kind_change_s(model)
         match await self._order_client.order(server, order):
             case OrderAccepted():
                 outcome = 'taken'
@@ -169,7 +212,7 @@
         log.emit(
             catalogue.KIND_CHANGE_ORDERED,
             server=server.id,
-            kind=kind,
+            kind=order.kind,
             fence=order.fence,
             wanted=self._control.node.state.pool_targets.prefills_by_model.get(
                 model
@@ -180,3 +223,8 @@
 
 def _now_s():
     return asyncio.get_running_loop().time()
+
+
+def _suspendable_now_s():
+    """Return seconds of a clock that also runs while a VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bulrushrudder/placement/balance.py
+++ b/bulrushrudder/placement/balance.py
@@ -19,6 +19,8 @@
 MIN_GAIN_SHARE = 0.25
 # Pools of at least this size keep two prefill servers, as one may fail.
 MIN_POOL_FOR_TWO_PREFILLS = 4
+# Share of the servers of a pool that change their kind at the same time.
+MAX_CHANGING_SHARE = 0.25
 # Average share of memory in use when the peak just fits.
 MEMORY_USE_SHARE = 0.85
 
@@ -102,26 +104,40 @@
     kind: str
 
 
-def next_change(servers, prefills):
-    """Return the next KindChange towards a number of prefill servers.
+def next_changes(servers, prefills):
+    """Return the next KindChanges towards a number of prefill servers.
 
-    Takes a server from the zone with the most servers of its kind.
+    Answers a load whose work differs from the split of the pool: up to a
+    quarter of the servers change together, because a large pool would
+    otherwise take minutes, at one change time for each server. Servers
+    are taken from the zones with the most servers of their kind, and the
+    last server of a kind stays.
 
     :param servers: the BackendServers of the pool.
     :param prefills: target number of prefill servers.
-    :returns: a KindChange, or None.
+    :returns: a tuple of KindChanges.
     """
     by_kind = collections.defaultdict(list)
     for server in servers:
         by_kind[server.kind].append(server)
-    prefill_count = len(by_kind['prefill'])
-    if prefill_count > max(prefills, 1):
-        return KindChange(_from_fullest_zone(by_kind['prefill']), 'decode')
-    if prefill_count < prefills and len(by_kind['decode']) > 1:
-        return KindChange(_from_fullest_zone(by_kind['decode']), 'prefill')
-    return None
+    surplus = len(by_kind['prefill']) - max(prefills, 1)
+    from_kind, to_kind = 'prefill', 'decode'
+    if surplus < 0:
+        from_kind, to_kind = to_kind, from_kind
+    remaining = by_kind[from_kind]
+    count = min(
+        abs(surplus),
+        len(remaining) - 1,
+        max(1, int(len(servers) * MAX_CHANGING_SHARE)),
+    )
+    changes = []
+    for _ in range(count):
+        chosen = _from_fullest_zone(remaining)
+        remaining.remove(chosen)
+        changes.append(KindChange(chosen.id, to_kind))
+    return tuple(changes)
 
 
 def _from_fullest_zone(servers):
     counts = collections.Counter(server.zone for server in servers)
-    return min(servers, key=lambda s: (-counts[s.zone], s.id)).id
+    return min(servers, key=lambda s: (-counts[s.zone], s.id))
--- a/bulrushrudder/platform/orders.py
+++ b/bulrushrudder/platform/orders.py
@@ -64,6 +64,10 @@
                 'expect': report.sequence,
             }
         )
+        if order.expired:
+            return kind_orders.OrderRefused(
+                'the permission to send it ran out', False
+            )
         answer = await self._request(
             server, 'POST', _ORDER_PATH, body.encode()
         )
