--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -54,11 +54,8 @@
 
     async def _handle_heartbeat(self, request):
         body = await request.read()
-        if not self._services_by_id():
-            # After a restart, the state may lag behind the log. Without its
-            # service, an engine would join with unknown memory and link.
-            if await self._control.node.read_index() is None:
-                return _problem(503, 'no quorum confirmed the configuration')
+        if not await self._is_state_usable():
+            return _problem(503, 'no quorum confirmed the configuration')
         parsed = announcements.read(
             request.match_info['id'], body, self._services_by_id()
         )
@@ -78,6 +75,17 @@
             'unreachable: heartbeat was neither parsed nor rejected'
         )
 
+    async def _is_state_usable(self):
+        """Return whether heartbeats can be read with the state here.
+
+        After a restart it may lag behind the log, and an engine whose
+        service is unknown would join without its memory and link. Before
+        the first configuration, a quorum confirms that there is none.
+        """
+        if self._services_by_id():
+            return True
+        return await self._control.node.read_index() is not None
+
     def _services_by_id(self):
         """Return the services of the configuration in force here."""
         documents = self._control.node.state.documents
