Start no prefill that cannot answer before its caller leaves

The time from a grant to the first token was taken off the patience of the first request for a place, but not of later ones. It is a field of the job now and bounds every request for a place; with too little time left the request is refused as not run. Two tests failed first (patience 3.4 s, a place requested 0.45 s before the caller leaves).

--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -37,6 +37,9 @@
         complete; no retry is scheduled after it.
     :param first_token_deadline_s: monotonic seconds by which the first
         output token must be produced, because callers disconnect then.
+    :param first_token_lead_s: expected seconds from the grant of a place to
+        the first token. A place that is granted later than that before
+        first_token_deadline_s is of no use.
     :param jitter: spreads retries; at least 0 and below 1.
     :param prefix: digests of prefixes of the prompt, shortest first.
     :param content: what is sent to the engines; opaque to this package.
@@ -68,6 +71,7 @@
     isolation: Isolation = Isolation.NONE
     deadline_s: float = math.inf
     first_token_deadline_s: float = math.inf
+    first_token_lead_s: float = 0.0
     jitter: float = 0.5
     prefix: tuple[int, ...] = ()
     content: object = None
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -144,11 +144,19 @@
         return self._request_place(now_s)
 
     def _request_place(self, now_s):
-        self._place_requests += 1
         job = self.job
+        latest_grant_s = min(
+            job.deadline_s,
+            job.first_token_deadline_s - job.first_token_lead_s,
+        )
+        if now_s >= latest_grant_s:
+            return self._abort(
+                outcomes.Reason.DEADLINE_PASSED,
+                'too little time is left before the caller leaves',
+            )
+        self._place_requests += 1
         self._place = ids.RequestId(f'{job.request}-{self._place_requests}')
-        end_s = min(job.deadline_s, job.first_token_deadline_s)
-        patience_s = min(job.patience_s, max(0.0, end_s - now_s))
+        patience_s = min(job.patience_s, latest_grant_s - now_s)
         if self._excluded:
             patience_s = min(patience_s, EXCLUSION_PATIENCE_S)
         return [
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -356,6 +356,7 @@
                 0.0, first_token_deadline_s - GRANT_TO_FIRST_EVENT_S - _now_s()
             ),
             first_token_deadline_s=first_token_deadline_s,
+            first_token_lead_s=GRANT_TO_FIRST_EVENT_S,
             repeatable=target.repetition is not types.Repetition.NOTHING,
             fingerprint=fingerprint,
             isolation=isolation,
--- a/bulrushrudder/tests/lifecycle/request_tests.py
+++ b/bulrushrudder/tests/lifecycle/request_tests.py
@@ -176,6 +176,33 @@
                 self.assertIs(refusal.execution, execution)
 
 
+class LatestGrantTests(RequestTestCase):
+    """Callers leave at 3.4 s, and a first token takes 0.5 s."""
+
+    def start_leaving(self):
+        self.start(
+            repeatable=True,
+            attempts=0,
+            patience_s=5.0,
+            first_token_deadline_s=3.4,
+            first_token_lead_s=0.5,
+        )
+
+    def test_place_is_waited_for_until_first_token_can_come_in_time(self):
+        self.start_leaving()
+        self.assertAlmostEqual(self.place.patience_s, 2.9)
+
+    def test_no_prefill_starts_again_shortly_before_caller_leaves(self):
+        self.start_leaving()
+        self.run_prefill()
+        self.fail_attempt(FULL, sent=False)
+        self.now_s = 2.95
+        returned = self.handle(events.BackOffEnded())
+        self.assertIsNone(find_action(returned, actions.RequestPlace))
+        refusal = find_action(returned, actions.Refuse).refusal
+        self.assertIs(refusal.execution, outcomes.Execution.NOT_RUN)
+
+
 class FinalChargeTests(RequestTestCase):
     def start_charged(self, cost):
         self.start(account=ids.AccountId('acme'), cost=cost)
