Order late requests by how long their callers have waited in all

Among requests past their target, an account's next one was that with the earliest end of patience, so a caller that had been refused and came back went behind everybody who had come meanwhile, although it comes back only once. The oldest goes first now. The test failed first (call 2, not 4).

--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -37,10 +37,17 @@
     queue_class: QueueClass = QueueClass.DEFERRED
     live: bool = True
 
-    def __lt__(self, other):
-        """Order by deadline, then by arrival."""
-        mine = (self.deadline_s, self.number)
-        return mine < (other.deadline_s, other.number)
+    @property
+    def order_s(self):
+        """Return the time by which requests of an account are ordered.
+
+        Among those past their target, callers that have waited longest
+        over all their attempts go first, so that one that was refused and
+        came back is not overtaken by those that came later.
+        """
+        if self.queue_class is QueueClass.LATE:
+            return self.grant_by_s
+        return self.deadline_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,13 +61,19 @@
     account: str
     virtual_start: float = 0.0
     queued: bool = False
-    heap: list[QueuedRequest] = dataclasses.field(default_factory=list)
+    heap: list[tuple[float, int, QueuedRequest]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def add(self, queued):
+        """Add a request."""
+        heapq.heappush(self.heap, (queued.order_s, queued.number, queued))
 
     def head(self):
-        """Return the request with the earliest deadline, or None."""
-        while self.heap and not self.heap[0].live:
+        """Return the request that is next, or None."""
+        while self.heap and not self.heap[0][2].live:
             heapq.heappop(self.heap)
-        return self.heap[0] if self.heap else None
+        return self.heap[0][2] if self.heap else None
 
 
 class _ClassQueue:
@@ -78,7 +91,7 @@
         if account_queue is None:
             account_queue = _AccountQueue(account)
             self._queues_by_account[account] = account_queue
-        heapq.heappush(account_queue.heap, queued)
+        account_queue.add(queued)
         if not account_queue.queued:
             account_queue.virtual_start = max(
                 account_queue.virtual_start, self._virtual_time
@@ -133,7 +146,8 @@
     Interactive requests go before deferred ones, and requests that can
     no longer meet their target go last. Within a class, accounts share
     by weight, in tokens of prompt and output bound. Within an account,
-    the earliest deadline goes first.
+    the earliest deadline goes first, and among late requests the one
+    whose caller has waited longest.
     """
 
     def __init__(self):
@@ -175,7 +189,7 @@
         )
         self._requests_by_hold[request.hold] = queued
         self._queues_by_class[queue_class].add(queued)
-        heapq.heappush(self._deadline_heap, queued)
+        self._add_deadline(queued)
         if request.accepts_late_answer:
             target = queued.grant_by_s, queued.number, queued
             heapq.heappush(self._target_heap, target)
@@ -190,7 +204,7 @@
             queued.live = False
             self._requests_by_hold[late.request.hold] = late
             self._queues_by_class[QueueClass.LATE].add(late)
-            heapq.heappush(self._deadline_heap, late)
+            self._add_deadline(late)
 
     def remove(self, hold):
         """Remove the request of a hold.
@@ -212,10 +226,10 @@
     def expired(self, now_s):
         """Remove and return the requests whose deadline has passed."""
         expired = []
-        while self._deadline_heap and self._is_expired(
-            self._deadline_heap[0], now_s
+        while self._deadline_heap and _is_expired(
+            self._deadline_heap[0][-1], now_s
         ):
-            queued = heapq.heappop(self._deadline_heap)
+            *_, queued = heapq.heappop(self._deadline_heap)
             if queued.live:
                 self.remove(queued.request.hold)
                 expired.append(queued)
@@ -230,5 +244,12 @@
         waiting = self._requests_by_hold.values()
         return tuple(queued.request.call for queued in waiting)
 
-    def _is_expired(self, queued, now_s):
-        return not queued.live or queued.deadline_s < now_s
+    def _add_deadline(self, queued):
+        heapq.heappush(
+            self._deadline_heap,
+            (queued.deadline_s, queued.number, queued.queue_class, queued),
+        )
+
+
+def _is_expired(queued, now_s):
+    return not queued.live or queued.deadline_s < now_s
