Tell refused callers of their own time to come back

Retry-After was 1 s for everybody whom a coordinator refused, so that those refused together came back together, into the same burst. A new package, overload, without I/O, gives each a time of its own: in the order of refusal, after the present backlog, at half the pace of grants, at most 4 s.

--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -189,7 +189,9 @@
                 )
                 self._pending_replies.resolve(call, granted)
             case actions.Refuse(call=call, reason=reason):
-                refused = place_messages.PlaceRefused(int(reason))
+                refused = place_messages.PlaceRefused(
+                    int(reason), action.retry_after_s
+                )
                 self._pending_replies.resolve(call, refused)
             case actions.RequestAllocations(owner=owner, numbers=numbers):
                 self._unknown_holds_by_owner[owner] = numbers
--- /dev/null
+++ b/bulrushrudder/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about work that exceeds what the servers can take."""
--- a/bulrushrudder/placement/actions.py
+++ b/bulrushrudder/placement/actions.py
@@ -22,11 +22,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
-    """A placement request is refused."""
+    """A placement request is refused.
+
+    :param retry_after_s: seconds after which its caller should retry.
+    """
 
     call: int
     hold: events.HoldId
     reason: outcomes.Reason
+    retry_after_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -6,6 +6,7 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
+from bulrushrudder.overload import return_times
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import balance
 from bulrushrudder.placement import choice
@@ -62,6 +63,7 @@
         self._last_report_by_owner = {}
         self._known_owners = {}
         self._drained_server_by_hold = {}
+        self._return_times = return_times.ReturnTimes()
 
     @property
     def queue_length(self):
@@ -271,7 +273,7 @@
 
     def _dispatch(self, now_s):
         decided = [
-            self._refuse(queued, outcomes.Reason.NO_SERVER)
+            self._refuse(queued, outcomes.Reason.NO_SERVER, now_s)
             for queued in self._queue.expired(now_s)
         ]
         self._queue.demote(now_s)
@@ -326,7 +328,7 @@
                     and placement.prefill.prefill_server.rate_reported
                 )
                 if rate_reported and first_token_s > target_s:
-                    return self._refuse_unreachable(queued)
+                    return self._refuse_unreachable(queued, now_s)
                 return self._grant(queued, placement, now_s)
         return choice.Blocked() if flooding else placement
 
@@ -365,20 +367,23 @@
         pieces = math.ceil(reserve_per_server * pool.large_pieces)
         return choice.Constraints(pieces, claimed, 0.0)
 
-    def _refuse_unreachable(self, queued):
+    def _refuse_unreachable(self, queued, now_s):
         self._queue.remove(queued.request.hold)
-        return self._refuse(queued, outcomes.Reason.TARGET_UNREACHABLE)
+        reason = outcomes.Reason.TARGET_UNREACHABLE
+        return self._refuse(queued, reason, now_s)
 
-    def _refuse(self, queued, reason):
+    def _refuse(self, queued, reason, now_s):
         hold = queued.request.hold
         self._drained_server_by_hold.pop(hold, None)
         self._holds_by_owner[hold.owner].discard(hold)
-        return actions.Refuse(queued.request.call, hold, reason)
+        delay_s = self._return_times.next_delay_s(len(self._queue), now_s)
+        return actions.Refuse(queued.request.call, hold, reason, delay_s)
 
     def _grant(self, queued, placement, now_s):
         request = queued.request
         self._drained_server_by_hold.pop(request.hold, None)
         self._queue.grant(queued)
+        self._return_times.record_grant(now_s)
         choice.book(placement, self._prefills, request)
         allocation = events.Allocation(
             request.hold,
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -57,9 +57,11 @@
     """Refuses a request because no servers are available in time.
 
     :param reason: number of the Reason.
+    :param retry_after_s: seconds after which the caller should retry.
     """
 
     reason: int
+    retry_after_s: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/tests/layout_tests.py
+++ b/bulrushrudder/tests/layout_tests.py
@@ -19,6 +19,7 @@
     'placement',
     'membership',
     'lifecycle',
+    'overload',
 )
 IO_MODULES = frozenset(
     {
