--- a/bulrushrudder/capacity/traffic.py
+++ b/bulrushrudder/capacity/traffic.py
@@ -3,13 +3,14 @@
 from bulrushrudder.capacity import flows
 from bulrushrudder.capacity import samples
 from bulrushrudder.capacity import target
+from bulrushrudder.entry import control_client
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
 
-FRESHNESS_ROUNDS_PER_S = 2.0
+FRESHNESS_ROUNDS_PER_S = 1.0 / control_client.FRESHNESS_INTERVAL_S
 RENEWALS_PER_S = 1.0
 # SetFloor commands per request, as benchmarks.limits counts them with
 # 400 entries and 17,000 accounts.
