--- a/bulrushrudder/control/kind_orders.py
+++ b/bulrushrudder/control/kind_orders.py
@@ -111,14 +111,16 @@
             await self._send_due_orders()
 
     def _track_joins(self):
-        """Record when the last server joined each pool.
+        """Record when the last server joined each pool or changed its kind.
 
         Pools without a target yet are included, so that the first order
         need not wait.
         """
         by_served = self._control.node.state.servers.by_served
         for model, servers_by_id in by_served.items():
-            members = frozenset(servers_by_id)
+            members = frozenset(
+                (server.id, server.kind) for server in servers_by_id.values()
+            )
             known, joined_s = self._last_join_by_model.get(
                 model, (frozenset(), 0.0)
             )
--- a/bulrushrudder/tests/control/kind_orders_tests.py
+++ b/bulrushrudder/tests/control/kind_orders_tests.py
@@ -172,3 +172,13 @@
         targets['drafting'] = 1
         await self.step(1.0)
         self.assertEqual(len(self.order_client.orders), 1)
+
+    async def test_waits_after_server_has_changed_its_kind(self):
+        """An order that was executed late must not be reverted at once."""
+        await self.step(0.0)
+        await self.step(LEASE_S)
+        table = self.control.node.state.servers
+        changed = fleet.server('s3', kind='prefill', incarnation=1)
+        table.apply(9, servers.JoinServer(changed))
+        await self.step(1.0)
+        self.assertEqual(self.order_client.orders, [])
