--- a/bulrushrudder/placement/balance.py
+++ b/bulrushrudder/placement/balance.py
@@ -2,7 +2,8 @@
 
 A request occupies one prefill server while its prompt is processed, and
 a share of a decode server's memory while its output is generated. The
-throughput of the pool is highest when neither kind is a bottleneck.
+throughput of the pool is highest when neither kind is a bottleneck; a
+small pool also has to bear the loss of a server.
 """
 
 import collections
@@ -17,7 +18,7 @@
 MIN_REQUESTS = 10
 # A change takes its server out of service for some seconds, so it must
 # raise the throughput of the pool by at least this share.
-MIN_GAIN_SHARE = 0.25
+MIN_GAIN_SHARE = 0.2
 # Pools of at least this size keep two prefill servers, as one may fail.
 MIN_POOL_FOR_TWO_PREFILLS = 4
 # Share of the servers of a pool that change their kind at the same time.
@@ -74,6 +75,19 @@
     )
 
 
+def expected_throughput(work, prefills, decodes):
+    """Return the mean throughput with all servers and after one loss.
+
+    Answers pools of a few servers, in which each loss of a server of the
+    scarcer kind halves the throughput until another one has changed.
+    """
+    after_loss = min(
+        throughput(work, max(0, prefills - 1), decodes),
+        throughput(work, prefills, max(0, decodes - 1)),
+    )
+    return (throughput(work, prefills, decodes) + after_loss) / 2
+
+
 def wanted(work, prefills, decodes):
     """Return the target number of prefill servers.
 
@@ -86,10 +100,12 @@
     min_prefills = 2 if total >= MIN_POOL_FOR_TWO_PREFILLS else 1
     best = max(
         range(min_prefills, total),
-        key=lambda count: throughput(work, count, total - count),
+        key=lambda count: expected_throughput(work, count, total - count),
     )
-    current = throughput(work, prefills, decodes)
-    if throughput(work, best, total - best) < current * (1.0 + MIN_GAIN_SHARE):
+    current = expected_throughput(work, prefills, decodes)
+    if expected_throughput(work, best, total - best) < current * (
+        1.0 + MIN_GAIN_SHARE
+    ):
         return prefills
     return best
 
--- a/bulrushrudder/tests/placement/balance_tests.py
+++ b/bulrushrudder/tests/placement/balance_tests.py
@@ -28,6 +28,18 @@
         self.assertEqual(balance.wanted(short_prompts, 3, 3), 2)
         self.assertEqual(balance.wanted(short_prompts, 2, 1), 1)
 
+    def test_small_pool_bears_loss_of_a_server(self):
+        """Two of nine would prefill for 17 requests a second, one for 9."""
+        work = balance.RequestWork(prefill_s=0.112, decode_s=0.4)
+        self.assertEqual(balance.wanted(work, 4, 5), 3)
+        self.assertEqual(balance.wanted(work, 1, 5), 2)
+        large = balance.wanted(work, 31, 31)
+        best = max(
+            range(1, 62),
+            key=lambda count: balance.throughput(work, count, 62 - count),
+        )
+        self.assertLessEqual(abs(large - best), 1)
+
     def test_no_average_below_minimum_requests(self):
         average = balance.AverageWork()
         for _ in range(balance.MIN_REQUESTS - 1):
