--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -26,6 +26,11 @@
 # Share of a stated idle timeout after which a connection is not reused.
 IDLE_TIMEOUT_SHARE = 0.6
 MAX_BUFFERED_BYTES = 64 * 1024
+# Limit on the bytes of a response that are not its body: heads, interim
+# responses, chunk sizes with extensions, and trailers. Small chunks take
+# several times the size of their data.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_PER_BODY_BYTE = 8
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*(\d+)', re.IGNORECASE)
 
 
@@ -87,6 +92,8 @@
         self._parser = None
         self._parts = collections.deque()
         self._buffered = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._waiter = None
         self._status = 0
         self._headers = []
@@ -114,6 +121,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._parts.clear()
         self._buffered = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._status = 0
         self._headers = []
         self._self_delimited = False
@@ -159,11 +168,20 @@
         if self._ended:
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._not_reusable = True
-            self._fail(ProblemKind.INVALID, type(error).__name__)
+            self._reject(type(error).__name__)
+            return
+        framing_bytes = self._received_bytes - self._body_bytes
+        if not self._ended and framing_bytes > (
+            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
+        ):
+            self._reject(
+                f'{framing_bytes} bytes of head, chunk sizes or trailers for '
+                f'{self._body_bytes} bytes of body'
+            )
 
     def eof_received(self):
         """End a response that is delimited by the close of the connection."""
@@ -216,6 +234,7 @@
     def on_body(self, data):
         """Queue a chunk of the body."""
         if not self._ended:
+            self._body_bytes += len(data)
             self._track_buffered(len(data))
             self._put(BodyChunk(data))
 
@@ -240,6 +259,11 @@
         self._ended = True
         self._put(End())
 
+    def _reject(self, detail):
+        """Fail the call and close the connection, so that no more comes."""
+        self._fail(ProblemKind.INVALID, detail)
+        self.abort()
+
     def _fail(self, kind, detail):
         if self._ended:
             return
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -228,35 +228,57 @@
 
 
 async def _read_events(connection, server, attempt, index):
-    """Yield lists of the events of a decode."""
+    """Yield lists of the events of a decode.
+
+    :raises TimeoutError: if no event is complete in time, whatever bytes
+        arrive.
+    """
     splitter = event_stream.EventSplitter()
     while True:
         async with asyncio.timeout(BETWEEN_EVENTS_TIMEOUT_S):
-            part = await connection.part()
-        match part:
-            case connections.BodyChunk(data=data):
-                complete_events = splitter.feed(data)
-                if complete_events:
-                    yield [
-                        events.TokenArrived(attempt, number, text)
-                        for number, text in enumerate(complete_events, index)
-                    ]
-                    index += len(complete_events)
+            texts, last = await _read_complete_events(connection, splitter)
+        if texts:
+            yield [
+                events.TokenArrived(attempt, number, text)
+                for number, text in enumerate(texts, index)
+            ]
+            index += len(texts)
+        match last:
+            case connections.End() if splitter.rest:
+                detail = 'decode: stream ends within an event'
+                failed = _invalid_reply(detail, True).failure()
+                yield [_attempt_failed(attempt, server, failed)]
+                return
             case connections.End():
-                if splitter.rest:
-                    detail = 'decode: stream ends within an event'
-                    failed = _invalid_reply(detail, True).failure()
-                    yield [_attempt_failed(attempt, server, failed)]
-                else:
-                    yield [events.DecodeDone(attempt, index, 'stop')]
+                yield [events.DecodeDone(attempt, index, 'stop')]
                 return
             case connections.Problem():
-                yield [
-                    _attempt_failed(attempt, server, calls.failure_from(part))
-                ]
+                failed = calls.failure_from(last)
+                yield [_attempt_failed(attempt, server, failed)]
                 return
 
 
+async def _read_complete_events(connection, splitter):
+    """Read until an event is complete or the response has ended.
+
+    :returns: the texts of the events, and the End or Problem, if any.
+    """
+    while True:
+        part = await connection.part()
+        match part:
+            case connections.BodyChunk(data=data):
+                try:
+                    texts = splitter.feed(data)
+                except event_stream.EventTooLongError as error:
+                    connection.abort()
+                    kind = connections.ProblemKind.INVALID
+                    return [], connections.Problem(kind, str(error), True)
+                if texts:
+                    return texts, None
+            case connections.End() | connections.Problem():
+                return [], part
+
+
 def _attempt_failed(attempt, server, failed):
     return events.AttemptFailed(
         attempt, server.id, failed.reason, failed.detail, failed.sent
--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import functools
 import unittest
 
 from returns import result
@@ -20,6 +21,17 @@
     writer.close()
 
 
+async def send_without_end(closed, piece, writer):
+    """Send a piece again and again until the caller closes."""
+    try:
+        while True:
+            writer.write(piece * 10)
+            await writer.drain()
+            await asyncio.sleep(0)
+    finally:
+        closed.set()
+
+
 async def pause_briefly(writer):
     await asyncio.sleep(0.05)
 
@@ -162,6 +174,35 @@
         self.assertFalse(problem.sent)
         self.assertEqual(server.port, self.runner.port)
 
+    async def test_bytes_without_end_close_connection(self):
+        head = WITHOUT_LENGTH.partition(b'\r\n\r\n')[0] + b'\r\n'
+        chunked = head + b'Transfer-Encoding: chunked\r\n\r\n'
+        for name, start, piece in (
+            ('header lines', head, b'X-More: x\r\n'),
+            ('one header', head + b'X-Long: ', b'x' * 1000),
+            ('status line', b'HTTP/1.1 200 ', b'x' * 1000),
+            ('interim responses', b'', b'HTTP/1.1 103 Hints\r\n\r\n'),
+            ('chunk extension', chunked + b'1;', b'x' * 1000),
+            ('trailers', chunked + b'1\r\nx\r\n0\r\n', b'X-T: x\r\n'),
+        ):
+            with self.subTest(name):
+                sent = asyncio.Event()
+                server = await self.start(
+                    start, functools.partial(send_without_end, sent, piece)
+                )
+                parts = await self.call(server)
+                self.assertIs(parts[-1].kind, connections.ProblemKind.INVALID)
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    await sent.wait()
+
+    async def test_small_chunks_are_not_mistaken_for_bytes_without_end(self):
+        head = WITHOUT_LENGTH.partition(b'\r\n\r\n')[0] + b'\r\n'
+        chunks = b'1\r\nx\r\n' * 50_000 + b'0\r\n\r\n'
+        server = await self.start(
+            head + b'Transfer-Encoding: chunked\r\n\r\n' + chunks
+        )
+        await self.check_complete(server, b'x' * 50_000)
+
     async def test_does_not_retry_after_reset(self):
         server = await self.start(runners.reset)
         (problem,) = await self.call(server)
--- a/bulrushrudder/tests/platform/engines_tests.py
+++ b/bulrushrudder/tests/platform/engines_tests.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
@@ -154,6 +155,51 @@
         )
         self.assertIsInstance(received[-1], events.AttemptFailed)
 
+    async def test_stream_that_sends_bytes_but_no_event_times_out(self):
+        async def trickle(writer):
+            for byte in runners.event(2)[:-1] * 100:
+                writer.write(scripted_engines.chunk(bytes([byte])))
+                await asyncio.sleep(0.05)
+
+        with mock.patch.object(engines, 'BETWEEN_EVENTS_TIMEOUT_S', 0.2):
+            received = await self.decode(
+                runners.stream_head(),
+                scripted_engines.chunk(runners.event(1)),
+                trickle,
+            )
+        self.assertIsInstance(received[1], events.TokenArrived)
+        self.assertIs(received[-1].reason, outcomes.Reason.BACKEND_SILENT)
+
+    async def test_slow_stream_with_progress_is_not_cut(self):
+        async def pause(writer):
+            await asyncio.sleep(0.15)
+
+        steps = [runners.stream_head()]
+        for number in range(1, 6):
+            event = runners.event(number)
+            for part in (event[:5], event[5:]):
+                steps += [pause, scripted_engines.chunk(part)]
+        with mock.patch.object(engines, 'BETWEEN_EVENTS_TIMEOUT_S', 0.5):
+            received = await self.decode(*steps, scripted_engines.chunk(b''))
+        self.assertEqual(received[-1], events.DecodeDone(ATTEMPT, 5, 'stop'))
+
+    async def test_event_without_end_fails_and_closes_connection(self):
+        closed = asyncio.Event()
+
+        async def send(writer):
+            try:
+                while True:
+                    writer.write(scripted_engines.chunk(b'data: x' * 1000))
+                    await writer.drain()
+            finally:
+                closed.set()
+
+        received = await self.decode(runners.stream_head(), send)
+        self.assertIs(received[-1].reason, outcomes.Reason.BACKEND_FAILED)
+        self.assertTrue(received[-1].sent)
+        async with asyncio.timeout(TIMEOUT_S):
+            await closed.wait()
+
     async def test_rejects_answer_to_another_call(self):
         (event,) = await self.decode(runners.stream_head('other'))
         self.assertTrue(event.sent)
