Handle messages before the tick again

After a slow sync, a member would have judged its peers silent before hearing what they had sent: a leader without need steps down, a follower without need asks for votes.

--- a/bulrushrudder/control/driver.py
+++ b/bulrushrudder/control/driver.py
@@ -100,20 +100,26 @@
             self._execute(action)
         return True
 
-    def _take_inbox(self):
-        """Return all queued events, with the queued proposals."""
-        pending, self._inbox = self._inbox, []
+    def _take_inbox(self, *extra):
+        """Return all queued events, then others, then queued proposals."""
+        pending, self._inbox = [*self._inbox, *extra], []
         proposed = self._collect()
         if proposed is not None:
             pending.append(proposed)
         return pending
 
     def _take_events(self):
+        """Return the events of the next batch.
+
+        Messages come before the tick: after a slow sync, a member must
+        hear its peers before it judges that they are silent.
+        """
         now_s = time.monotonic()
-        pending = self._take_inbox()
+        ticks = []
         if now_s - self._last_tick_s >= TICK_INTERVAL_S:
             self._last_tick_s = now_s
-            pending.insert(0, events.Ticked())
+            ticks.append(events.Ticked())
+        pending = self._take_inbox(*ticks)
         return [e for e in map(self._drop_if_full, pending) if e is not None]
 
     def _decline(self, pending):
