--- a/bulrushrudder/utils/web.py
+++ b/bulrushrudder/utils/web.py
@@ -106,7 +106,7 @@
         try:
             return await handler(request)
         finally:
-            if protocol.transport is not None:
+            if protocol.transport is not None and request.keep_alive:
                 idle_s = self._get_timeouts().idle_s
                 self._start(protocol, idle_s, self._close_idle)
 
