Log what tells causes of failed attempts apart

An engineer on call could not tell a crashed server from a lost answer, nor see what the attempts on one server had in common. A failed attempt is logged with the tokens that it had produced and the shared parts of its prompt, and the check after it with whether the server accepts connections. The decision after the check is as before.

--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -42,6 +42,14 @@
     INVALID = 'invalid'
 
 
+class Listening(enum.Enum):
+    """Whether a server accepts connections."""
+
+    ACCEPTS = 'accepts'
+    REFUSES = 'refuses'
+    UNKNOWN = 'unknown'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
     """A call without a complete response.
@@ -300,6 +308,7 @@
 
     def __init__(self):
         self._idle_by_server = collections.defaultdict(list)
+        self._checks_by_server = {}
 
     @contextlib.asynccontextmanager
     async def call(
@@ -329,8 +338,39 @@
         finally:
             self._release(server, connection)
 
+    async def check(self, server):
+        """Find out whether a server accepts connections.
+
+        Concurrent checks of a server share one connection, which is kept
+        for later calls.
+
+        :param server: the BackendServer.
+        :returns: a Listening; UNKNOWN if it does not react in time.
+        """
+        key = _server_key(server)
+        checking = self._checks_by_server.get(key)
+        if checking is None:
+            checking = asyncio.create_task(self._check(server))
+            self._checks_by_server[key] = checking
+            checking.add_done_callback(
+                lambda _: self._checks_by_server.pop(key, None)
+            )
+        return await asyncio.shield(checking)
+
+    async def _check(self, server):
+        try:
+            connection = await _open(server)
+        except ConnectionRefusedError:
+            return Listening.REFUSES
+        except (OSError, TimeoutError):
+            return Listening.UNKNOWN
+        self._release(server, connection)
+        return Listening.ACCEPTS
+
     def close(self):
-        """Close all idle connections."""
+        """Close all idle connections and end all checks."""
+        for checking in list(self._checks_by_server.values()):
+            checking.cancel()
         for idle in self._idle_by_server.values():
             for connection in idle:
                 connection.abort()
@@ -362,12 +402,8 @@
 
 
 async def _dial(server):
-    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(
-                Connection, server.host, server.port
-            )
+        connection = await _open(server)
     except (OSError, TimeoutError) as error:
         detail = repr(error)
         return result.Failure(
@@ -376,5 +412,19 @@
     return result.Success(connection)
 
 
+async def _open(server):
+    """Open a connection.
+
+    :raises OSError: if the server cannot be reached.
+    :raises TimeoutError: if it does not react in time.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        _, connection = await loop.create_connection(
+            Connection, server.host, server.port
+        )
+    return connection
+
+
 def _server_key(server):
     return server.host, server.port, server.id, server.incarnation
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -56,7 +56,11 @@
         self._loop = asyncio.get_running_loop()
         self._feedback = server_feedback.ServerFeedback(job.event_tokens)
         self._trace = tracing.Trace(
-            request_id, services.view, self._loop, self._waited_s()
+            request_id,
+            services.view,
+            self._loop,
+            self._waited_s(),
+            job.parts,
         )
         self._latency = services.metrics.latency_recorder(
             admitted.route.id, job.account, self._loop.time()
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -14,19 +14,25 @@
     :param view: the View of the log that decisions are based on.
     :param clock: object whose time() returns monotonic seconds.
     :param waited_s: seconds that the caller waited in earlier attempts.
+    :param parts: ids of the shared parts of the prompt, or None.
     """
 
-    def __init__(self, request_id, view, clock, waited_s=0.0):
+    def __init__(self, request_id, view, clock, waited_s=0.0, parts=None):
         self._request_id = request_id
         self._view = view
         self._clock = clock
         self._started_s = clock.time()
         self._waited_s = waited_s
+        self._parts = ','.join(parts or ())
+        self._attempt_tokens = 0
 
     def event(self, event):
         """Log an event that marks progress or failure of the request."""
         match event:
+            case events.TokenArrived():
+                self._attempt_tokens += 1
             case events.PlaceGranted(prefill=prefill, decode=decode):
+                self._attempt_tokens = 0
                 self._emit(
                     catalogue.PLACE_GRANTED,
                     prefill=prefill,
@@ -49,6 +55,8 @@
                     reason=event.reason.name,
                     detail=event.detail,
                     sent=event.sent,
+                    tokens=self._attempt_tokens,
+                    parts=self._parts,
                 )
 
     def retry(self, action):
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -106,6 +106,13 @@
     'A caller disconnected before its answer was complete; its request is '
     'cancelled.',
 )
+SERVER_INSPECTED = Event(
+    1118,
+    Level.INFO,
+    'server inspected',
+    'After an attempt failed, it was checked whether its server accepts '
+    'connections.',
+)
 ORPHANS_CANCELLED = Event(
     1104,
     Level.INFO,
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -42,6 +42,8 @@
         first_token_deadline_s is of no use.
     :param jitter: spreads retries; at least 0 and below 1.
     :param prefix: digests of prefixes of the prompt, shortest first.
+    :param parts: ids of the parts of the prompt that other requests may
+        share, in order; None if the prompt is not known by its parts.
     :param content: what is sent to the engines; opaque to this package.
     :param attempts: maximum number of runs on servers; 0 if unlimited.
     :param expected_tokens: expected number of output tokens; 0 if
@@ -74,6 +76,7 @@
     first_token_lead_s: float = 0.0
     jitter: float = 0.5
     prefix: tuple[int, ...] = ()
+    parts: tuple[str, ...] | None = None
     content: object = None
     attempts: int = 0
     expected_tokens: int = 0
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -13,6 +13,8 @@
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.engines import connections
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.lifecycle import events
 from bulrushrudder.platform import calls
 from bulrushrudder.platform import event_stream
@@ -176,7 +178,17 @@
         }
 
     async def inspect(self, server, attempt):
-        """Report that no part of an attempt can be taken over."""
+        """Check whether a server still accepts connections.
+
+        No part of an attempt can be taken over in any case.
+        """
+        listening = await self._pool.check(server)
+        log.emit(
+            catalogue.SERVER_INSPECTED,
+            server=server.id,
+            attempt=str(attempt),
+            connections=listening.value,
+        )
         return events.Inspected(attempt, False, None)
 
     async def cancel(self, server, targets):
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -369,6 +369,7 @@
             expected_tokens=request_headers.expected_tokens,
             event_tokens=service.engine.event_tokens,
             accepts_late_answer=True,
+            parts=request_headers.shared_parts,
             waiting_since_s=received_s - spent_s,
         )
 
--- a/bulrushrudder/platform/headers.py
+++ b/bulrushrudder/platform/headers.py
@@ -22,6 +22,10 @@
 LAST_EVENT = 'Last-Event-Id'
 _TOKEN_USAGE = 'token-usage'
 _LENGTH_HINT = 'length-hint'
+_PROMPT_PARTS = 'prompt-prefix'
+# Further parts of a prompt, and parts with longer ids, are ignored.
+MAX_PROMPT_PARTS = 64
+MAX_PART_ID_LENGTH = 64
 
 _DIGITS = re.compile(r'[0-9]{1,9}')
 
@@ -78,6 +82,8 @@
     :param expected_tokens: the client's estimate of the output tokens; 0
         if it gives none.
     :param has_token_usage: whether the client stated its tokens.
+    :param shared_parts: ids of the parts of the prompt that other requests
+        may share, in order: all but the last one.
     """
 
     attempt: str
@@ -86,6 +92,7 @@
     output_tokens: int
     expected_tokens: int
     has_token_usage: bool
+    shared_parts: tuple[str, ...] = ()
 
 
 def read(headers):
@@ -119,6 +126,7 @@
             output_tokens=tokens[1],
             expected_tokens=_parse_number(by_name.get(_LENGTH_HINT, '')),
             has_token_usage=usage is not None,
+            shared_parts=_parse_shared_parts(by_name.get(_PROMPT_PARTS, '')),
         )
     )
 
@@ -176,6 +184,24 @@
     return int(prompt), int(output)
 
 
+def _parse_shared_parts(text):
+    """Return the ids of all parts of a prompt but the last one.
+
+    :param text: entries ID:TOKENS, separated by commas.
+    """
+    part_ids = [
+        entry.partition(':')[0].strip().lower()
+        for entry in text.split(',')[:-1][:MAX_PROMPT_PARTS]
+    ]
+    return tuple(
+        dict.fromkeys(
+            part_id
+            for part_id in part_ids
+            if 0 < len(part_id) <= MAX_PART_ID_LENGTH
+        )
+    )
+
+
 def _parse_number(text):
     return int(text) if _DIGITS.fullmatch(text) else 0
 
--- a/bulrushrudder/tests/platform/headers_tests.py
+++ b/bulrushrudder/tests/platform/headers_tests.py
@@ -14,6 +14,22 @@
         self.assertEqual(parsed.prompt_tokens, 1460)
         self.assertEqual(parsed.output_tokens, 80)
         self.assertEqual(parsed.expected_tokens, 70)
+        self.assertEqual(parsed.shared_parts, ('5c1e07a2', '91bd3f06'))
+
+    def test_malformed_parts_of_prompt_are_left_out(self):
+        for value, expected in (
+            ('', ()),
+            ('5c1e07a2', ()),
+            ('5C1E07A2:1,5c1e07a2:1, ,:3,last:1', ('5c1e07a2',)),
+            ('x' * 65 + ':1,last:1', ()),
+        ):
+            with self.subTest(value):
+                pairs = [
+                    (n, value if n == 'Prompt-Prefix' else v)
+                    for n, v in builders.CLIENT_HEADERS
+                ]
+                parsed = headers.read(pairs).unwrap()
+                self.assertEqual(parsed.shared_parts, expected)
 
     def test_rejects_invalid_numbers(self):
         for name, value in (
