--- a/bulrushrudder/tests/builders/runners.py
+++ b/bulrushrudder/tests/builders/runners.py
@@ -85,14 +85,25 @@
         self.calls = []
         self.connections = 0
         self.port = None
+        self._listener = None
+        self._writers = set()
 
     async def start(self, stack):
         """Listen until the exit stack closes."""
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        stack.callback(server.close)
-        self.port = server.sockets[0].getsockname()[1]
+        self._listener = await asyncio.start_server(
+            self._serve, '127.0.0.1', 0
+        )
+        stack.callback(self._listener.close)
+        self.port = self._listener.sockets[0].getsockname()[1]
         return self
 
+    async def crash(self, writer):
+        """Close all connections and accept no more; a step of an answer."""
+        self._listener.close()
+        for connected in self._writers:
+            connected.transport.abort()
+        raise ConnectionResetError('the runner crashed')
+
     def server(self, server_id='i-1', kind='decode', **changes):
         """Return the BackendServer of this runner."""
         return fleet.server(
@@ -101,6 +112,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         number = self.connections
         try:
             while True:
@@ -116,6 +128,8 @@
             writer.close()
         except asyncio.CancelledError:
             writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
 
 
 async def _read(reader, number):
