Quarantine prompt parts that crash backend servers

Callers lost drafts by the dozen while one part of a prompt crashed one decode server after the other: ten in 22 s, and nothing ended it.

Cause: on the platform no failed attempt was told from a crash, and what could be quarantined was a whole request, while no two requests of the incident are alike. Both are of one class: the evidence was tied to the identity of one request, not to what requests have in common.

Evidence: in each of ten recorded crashes the server refuses connections at once, and the one attempt without output has the same parts.

A server that refuses connections after a failure has crashed. A request that has crashed a server is not repeated from the second crash of a part on. Output of any request with a part clears it. Where another quarantined part was there in all crashes of a part, a request with only one of them runs, so that parts which sound requests share are not refused for long. Reports are kept for 30 s while no control process can be reached.

Ruled out: isolation of suspects as on the product's own interface, which would run one suspect at a time on a server.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -175,6 +175,7 @@
         """
         self.services.leaving = True
         self.services.draining = True
+        self.services.crash_reporter.stopping = True
         handovers = self._hand_over_roles()
         await self.services.finish()
         await self._canceller.finish(self._remaining_s(CANCEL_TIMEOUT_S))
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+from bulrushrudder.entry import crash_reporter
 from bulrushrudder.lifecycle import reachability
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.utils import tasks
@@ -24,6 +25,7 @@
     :param control_client: the ControlClient, which proposes commands.
     :param canceller: the Canceller.
     :param call_registrar: the CallRegistrar.
+    :ivar crash_reporter: the CrashReporter of this process.
     :ivar retries: the RetryPolicy of this process.
     :ivar reachability: backend servers that could not be reached lately.
     :ivar running: the RequestExecutions in flight.
@@ -62,6 +64,9 @@
         self.control_client = control_client
         self.canceller = canceller
         self.call_registrar = call_registrar
+        self.crash_reporter = crash_reporter.CrashReporter(
+            view, control_client
+        )
         self.retries = retries.RetryPolicy()
         self.reachability = reachability.Reachability()
         self.running = set()
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -126,7 +126,15 @@
     'suspect reported',
     'A backend server crashed while it ran a request; after two isolated '
     'crashes, in which no other request was suspected, the request is '
-    'quarantined.',
+    'quarantined. Parts are those of its prompt that others share, if it '
+    'had not produced output.',
+)
+PART_QUARANTINED = Event(
+    1107,
+    Level.WARNING,
+    'part quarantined',
+    'Backend servers crashed under several requests that share a part of '
+    'their prompts; requests with it are refused.',
 )
 STOP_PENDING = Event(
     1106,
--- a/bulrushrudder/lifecycle/actions.py
+++ b/bulrushrudder/lifecycle/actions.py
@@ -97,6 +97,21 @@
     isolated: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportEarlyCrash:
+    """Commit that a server crashed before the request produced output.
+
+    :param server: the server that crashed.
+    """
+
+    server: ids.ServerId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearParts:
+    """Commit that the parts of the prompt crash no server."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClearSuspect:
     """Commit that a suspect request finished without a crash."""
@@ -177,6 +192,8 @@
     | StartDecode
     | Inspect
     | ReportCrash
+    | ReportEarlyCrash
+    | ClearParts
     | ClearSuspect
     | BackOff
     | CancelAttempt
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -118,6 +118,11 @@
     quarantined: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantined:
+    """The request was quarantined after its place had been granted."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackOffEnded:
     """The delay before the next attempt is over."""
@@ -162,6 +167,7 @@
     | AttemptFailed
     | Inspected
     | CrashReported
+    | Quarantined
     | BackOffEnded
     | AccessLost
     | TimeEnded
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -10,8 +10,10 @@
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import job as jobs
+from bulrushrudder.lifecycle import output_progress
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.lifecycle import states
+from bulrushrudder.lifecycle import suspicion
 
 MAX_EXCLUDED_SERVERS = 4
 # Wait for servers on which the request has not failed; after it, servers
@@ -67,6 +69,7 @@
         self._prompt_tokens = job.prompt_tokens
         self._charged = job.cost
         self._produced = []
+        self._progress = output_progress.OutputProgress()
 
     @property
     def ended(self):
@@ -92,7 +95,7 @@
         """
         match event:
             case events.TokenArrived():
-                return self._token_arrived(event)
+                return self._token_arrived(event, now_s)
             case events.TokensGranted():
                 return self._tokens_granted(now_s)
             case events.StepRefused(refusal=refusal):
@@ -123,6 +126,8 @@
                 return self._inspected(event, now_s)
             case events.CrashReported():
                 return self._crash_reported(event, now_s)
+            case events.Quarantined():
+                return self._quarantined(event)
         raise AssertionError(f'unknown event {event!r}')
 
     def _transition(self, trigger):
@@ -193,6 +198,7 @@
             attempt, event.place, event.prefill, event.decode
         )
         self._place = None
+        self._progress.start_attempt()
         if not event.prefill and self._retained is None:
             self._transition('start_transfer')
             return [self._start_decode(ids.ServerId(''), '')]
@@ -253,7 +259,7 @@
             result.append(actions.BeginAnswer(event.head))
         return result
 
-    def _token_arrived(self, event):
+    def _token_arrived(self, event, now_s):
         if not self._is_current(event, 'decoding', 'streaming'):
             return [_drop(event)]
         if event.index < len(self._produced):
@@ -265,7 +271,10 @@
         if self.state == 'decoding':
             self._transition('start_stream')
         self._produced.append(event.text)
-        return [actions.Relay(event.index, event.text)]
+        relay = actions.Relay(event.index, event.text)
+        if self._progress.record(now_s) and self.job.parts:
+            return [relay, actions.ClearParts()]
+        return [relay]
 
     def _decoded(self, event):
         if not self._is_current(event, 'decoding', 'streaming'):
@@ -278,6 +287,8 @@
         cleanup = [actions.ReleasePlace(self._allocation.place)]
         if self._isolation is not jobs.Isolation.NONE:
             cleanup.append(actions.ClearSuspect(self.job.fingerprint))
+        if self._progress.confirm() and self.job.parts:
+            cleanup.append(actions.ClearParts())
         done = actions.Complete(
             self._prompt_tokens, event.tokens, event.finish_reason
         )
@@ -333,7 +344,7 @@
         if not self._is_current(event, 'inspecting'):
             return [_drop(event)]
         if event.crashed:
-            return [*self._release_all(), *self._crashed()]
+            return [*self._release_all(), *self._crashed(now_s)]
         released = self._release_retained()
         if event.handle is not None and self.job.repeatable:
             self._retain(self._allocation.decode, event.handle)
@@ -341,7 +352,15 @@
             released += self._release_all()
         return [*released, *self._retry(now_s)]
 
-    def _crashed(self):
+    def _crashed(self, now_s):
+        if self.job.parts is None:
+            return self._report_crash()
+        if self._progress.confirmed:
+            return self._retry(now_s)
+        self._transition('report')
+        return [actions.ReportEarlyCrash(self._failed_server)]
+
+    def _report_crash(self):
         isolated = self._isolation is not jobs.Isolation.NONE
         if isolated:
             self._own_crashes += 1
@@ -365,6 +384,14 @@
             )
         return self._retry(now_s)
 
+    def _quarantined(self, event):
+        if self.state not in states.RUNNING:
+            return [_drop(event)]
+        refusal = suspicion.PART_QUARANTINED
+        if self._sent:
+            return self._abort(refusal.reason, refusal.detail)
+        return self._refuse(refusal)
+
     def _retry(self, now_s):
         reason = self._failures[-1]
         if self._sent and not self.job.repeatable:
--- a/bulrushrudder/lifecycle/suspicion.py
+++ b/bulrushrudder/lifecycle/suspicion.py
@@ -7,6 +7,13 @@
     outcomes.Reason.REQUEST_QUARANTINED,
     'the request crashed backend servers and is not run again',
 )
+# Seconds; a quarantine ends only if the part is found to be sound.
+PART_RETRY_AFTER_S = 30.0
+PART_QUARANTINED = outcomes.not_run(
+    outcomes.Reason.REQUEST_QUARANTINED,
+    'backend servers crashed under requests that share a part of the prompt',
+    PART_RETRY_AFTER_S,
+)
 
 
 def isolation_of(suspect):
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -178,9 +178,10 @@
         }
 
     async def inspect(self, server, attempt):
-        """Check whether a server still accepts connections.
+        """Check whether a server has crashed.
 
-        No part of an attempt can be taken over in any case.
+        It has if it refuses connections. No part of an attempt can be taken
+        over in any case.
         """
         listening = await self._pool.check(server)
         log.emit(
@@ -189,7 +190,8 @@
             attempt=str(attempt),
             connections=listening.value,
         )
-        return events.Inspected(attempt, False, None)
+        crashed = listening is connections.Listening.REFUSES
+        return events.Inspected(attempt, crashed, None)
 
     async def cancel(self, server, targets):
         """Free the results of prefills that no decode has fetched.
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -271,10 +271,13 @@
                 _STOPPING, request_headers.attempt, admitted.route.id
             )
         fingerprint = _fingerprint(forwarded_call, admitted)
-        isolation = self._model_calls.isolation(fingerprint)
-        if isolation is None:
+        parts = tuple(
+            f'{service.id}/{part}' for part in request_headers.shared_parts
+        )
+        suspects = self._services.view.state.suspect_parts
+        if suspects.refuses(fingerprint, parts):
             return self._refuse(
-                suspicion.QUARANTINED,
+                suspicion.PART_QUARANTINED,
                 request_headers.attempt,
                 admitted.route.id,
             )
@@ -284,7 +287,7 @@
             admitted,
             service,
             fingerprint,
-            isolation,
+            parts,
         )
         sink = answers.RelayedAnswer(http_request, request_headers.attempt)
         await self._model_calls.run(
@@ -319,7 +322,7 @@
         admitted,
         service,
         fingerprint,
-        isolation,
+        parts,
     ):
         target = admitted.route.target
         account = admitted.account
@@ -359,7 +362,6 @@
             first_token_lead_s=GRANT_TO_FIRST_EVENT_S,
             repeatable=target.repetition is not types.Repetition.NOTHING,
             fingerprint=fingerprint,
-            isolation=isolation,
             deadline_s=forwarded_call.deadline_s,
             jitter=random.random(),
             content=forwarded_call,
@@ -369,7 +371,7 @@
             expected_tokens=request_headers.expected_tokens,
             event_tokens=service.engine.event_tokens,
             accepts_late_answer=True,
-            parts=request_headers.shared_parts,
+            parts=parts,
             waiting_since_s=received_s - spent_s,
         )
 
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -19,6 +19,7 @@
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
+from bulrushrudder.state import suspect_parts
 from bulrushrudder.storage import records
 
 TAG_BY_TYPE = python_types.MappingProxyType(
@@ -98,6 +99,9 @@
         quarantine.ReportCrash: 260,
         quarantine.ClearSuspect: 261,
         quarantine.QuarantineSnapshot: 262,
+        suspect_parts.ReportEarlyCrash: 263,
+        suspect_parts.ClearParts: 264,
+        suspect_parts.SuspectPartsSnapshot: 265,
         consensus_types.Command: 280,
         consensus_types.Configuration: 281,
         consensus_types.TermStart: 282,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -16,9 +16,11 @@
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
+from bulrushrudder.state import suspect_parts
 
-# Snapshots of earlier versions have no pool targets.
+# Snapshots of earlier versions have neither of these.
 NO_POOLS = pool_targets.PoolTargetsSnapshot(())
+NO_SUSPECT_PARTS = suspect_parts.SuspectPartsSnapshot(())
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +38,7 @@
     accounts: accounts.AccountsSnapshot
     intents: intents.IntentsSnapshot
     pools: pool_targets.PoolTargetsSnapshot = NO_POOLS
+    suspects: suspect_parts.SuspectPartsSnapshot = NO_SUSPECT_PARTS
 
 
 class State:
@@ -53,6 +56,7 @@
         self.accounts = accounts.Accounts(self.sessions)
         self.intents = intents.Intents()
         self.pool_targets = pool_targets.PoolTargets()
+        self.suspect_parts = suspect_parts.SuspectParts()
 
     def snapshot(self):
         """Return the state as a StateSnapshot."""
@@ -65,6 +69,7 @@
             accounts=self.accounts.snapshot(),
             intents=self.intents.snapshot(),
             pools=self.pool_targets.snapshot(),
+            suspects=self.suspect_parts.snapshot(),
         )
 
     def restore(self, snapshot):
@@ -77,6 +82,7 @@
         self.accounts.restore(snapshot.accounts)
         self.intents.restore(snapshot.intents)
         self.pool_targets.restore(snapshot.pools)
+        self.suspect_parts.restore(snapshot.suspects)
         for environment in types.Environment:
             self._lower_floors(environment)
 
@@ -112,6 +118,8 @@
                 return self.servers.apply(index, command)
             case quarantine.ReportCrash() | quarantine.ClearSuspect():
                 return self.quarantine.apply(index, command)
+            case suspect_parts.ReportEarlyCrash() | suspect_parts.ClearParts():
+                return self.suspect_parts.apply(index, command)
             case (
                 accounts.ClaimAccount()
                 | accounts.SetFloor()
--- a/bulrushrudder/tests/lifecycle/request_tests.py
+++ b/bulrushrudder/tests/lifecycle/request_tests.py
@@ -220,3 +220,100 @@
         )
         returned = self.handle(events.PrefillDone(started.attempt, 'kv', 6))
         self.assertIsNone(find_action(returned, actions.RefundTokens))
+
+
+class EarlyCrashTests(RequestTestCase):
+    """Tests with a prompt that is known by its parts."""
+
+    def start_decode(self, **changes):
+        self.start(parts=('first', 'part'), **changes)
+        self.run_prefill()
+        self.handle(events.TransferDone(self.attempt, 'head'))
+
+    def crash(self):
+        self.fail_attempt(FAILED, sent=True)
+        return self.handle(events.Inspected(self.attempt, True, None))
+
+    def test_crash_before_output_is_reported(self):
+        self.start_decode()
+        returned = self.crash()
+        report = find_action(returned, actions.ReportEarlyCrash)
+        self.assertEqual(report.server, 'decode-1')
+        returned = self.handle(events.CrashReported(False))
+        self.assertIsNotNone(find_action(returned, actions.Refuse))
+
+    def test_crash_right_after_first_output_is_reported(self):
+        self.start_decode()
+        self.handle(events.TokenArrived(self.attempt, 0, b'x'))
+        returned = self.crash()
+        self.assertIsNotNone(find_action(returned, actions.ReportEarlyCrash))
+
+    def test_crash_after_steady_output_is_not_reported(self):
+        self.start_decode(repeatable=True, attempts=2)
+        self.handle(events.TokenArrived(self.attempt, 0, b'x'))
+        self.now_s += 0.2
+        self.handle(events.TokenArrived(self.attempt, 1, b'x'))
+        returned = self.crash()
+        self.assertIsNone(find_action(returned, actions.ReportEarlyCrash))
+        self.assertIsNotNone(find_action(returned, actions.BackOff))
+
+    def repeat(self):
+        """Start the second attempt."""
+        returned = self.handle(events.BackOffEnded())
+        self.place = find_action(returned, actions.RequestPlace)
+        started = find_action(
+            self.grant_place('decode-2'), actions.StartPrefill
+        )
+        self.attempt = started.attempt
+        self.handle(events.PrefillDone(self.attempt, 'handle', 6))
+        self.handle(events.TransferDone(self.attempt, 'head'))
+
+    def test_second_attempt_that_crashes_a_server_is_reported(self):
+        self.start_decode(repeatable=True, attempts=3)
+        self.handle(events.TokenArrived(self.attempt, 0, b'x'))
+        self.crash()
+        self.handle(events.CrashReported(False))
+        self.now_s += 0.2
+        self.repeat()
+        returned = self.crash()
+        self.assertIsNotNone(find_action(returned, actions.ReportEarlyCrash))
+
+    def test_failure_without_crash_is_not_reported(self):
+        self.start_decode()
+        self.fail_attempt(FAILED, sent=True)
+        returned = self.handle(events.Inspected(self.attempt, False, None))
+        self.assertIsNone(find_action(returned, actions.ReportEarlyCrash))
+
+    def test_quarantined_request_is_not_repeated(self):
+        self.start_decode(repeatable=True, attempts=2)
+        self.crash()
+        returned = self.handle(events.CrashReported(True))
+        refusal = find_action(returned, actions.Refuse).refusal
+        self.assertIs(refusal.reason, outcomes.Reason.REQUEST_QUARANTINED)
+        self.assertIs(refusal.execution, outcomes.Execution.RAN)
+
+    def test_request_quarantined_before_decode_has_not_run(self):
+        self.start(parts=('first', 'part'))
+        self.run_prefill()
+        returned = self.handle(events.Quarantined())
+        refusal = find_action(returned, actions.Refuse).refusal
+        self.assertIs(refusal.execution, outcomes.Execution.NOT_RUN)
+        self.assertGreater(refusal.retry_after_s, 1.0)
+        self.assertIsNotNone(find_action(returned, actions.ReleasePlace))
+
+    def test_parts_are_cleared_once_output_is_steady(self):
+        self.start_decode()
+        cleared = []
+        for index in range(40):
+            returned = self.handle(
+                events.TokenArrived(self.attempt, index, b'x')
+            )
+            cleared.append(find_action(returned, actions.ClearParts))
+        self.assertIsNone(cleared[0])
+        self.assertEqual(sum(a is not None for a in cleared), 1)
+
+    def test_parts_of_short_answer_are_cleared_at_its_end(self):
+        self.start_decode()
+        self.handle(events.TokenArrived(self.attempt, 0, b'x'))
+        returned = self.handle(events.DecodeDone(self.attempt, 1, 'stop'))
+        self.assertIsNotNone(find_action(returned, actions.ClearParts))
--- a/bulrushrudder/tests/state/snapshot_tests.py
+++ b/bulrushrudder/tests/state/snapshot_tests.py
@@ -7,6 +7,8 @@
 from bulrushrudder.state import quarantine
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
+from bulrushrudder.state import suspect_parts
+from bulrushrudder.tests.builders import crashes
 from bulrushrudder.tests.builders import documents
 from bulrushrudder.tests.builders import fleet
 
@@ -26,6 +28,10 @@
     quarantine.ReportCrash('f2', ids.ServerId('decode-2'), 2, False),
     quarantine.ClearSuspect('f1'),
     quarantine.ClearSuspect('f2'),
+    crashes.report('r1', ('p1', 'p2'), 1, view=0),
+    crashes.report('r2', ('p1', 'p2'), 2, view=15),
+    suspect_parts.ClearParts(('p2',)),
+    crashes.report('r3', ('p1',), 3, view=16),
 )
 
 
