Take no stream without an event for complete when its connection closes

A caller could get an empty answer that looked complete: a stream that states neither a length nor chunks ends with its connection, and a server that crashed before the first event closed it. At an event boundary, the close is the only sign of the end, so it counts only after an event. The new test failed before with DecodeDone of no tokens.

Also tested, and held before: such streams that end at an event, are reset, or end within an event; resumed ones with nothing left; the check for a crash; and changes that are acknowledged when one disk of five, or two of nine, are lost while all other machines lose power.

--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -89,7 +89,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
-    """End of a complete response."""
+    """End of a complete response.
+
+    :param at_close: whether only the close of the connection marks it.
+    """
+
+    at_close: bool = False
 
 
 class Connection(asyncio.Protocol):
@@ -195,7 +200,7 @@
         """End a response that is delimited by the close of the connection."""
         if not self._ended and self._has_head and not self._self_delimited:
             self._not_reusable = True
-            self._end()
+            self._end(at_close=True)
 
     def connection_lost(self, error):
         """Fail a call that is in progress."""
@@ -263,9 +268,9 @@
     def _is_interim(self):
         return 100 <= self._status < 200
 
-    def _end(self):
+    def _end(self, at_close=False):
         self._ended = True
-        self._put(End())
+        self._put(End(at_close))
 
     def _reject(self, detail):
         """Fail the call and close the connection, so that no more comes."""
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -263,6 +263,11 @@
                 failed = _invalid_reply(detail, True).failure()
                 yield [_attempt_failed(attempt, server, failed)]
                 return
+            case connections.End(at_close=True) if index == 0:
+                detail = 'decode: connection closed before the first event'
+                failed = _invalid_reply(detail, True).failure()
+                yield [_attempt_failed(attempt, server, failed)]
+                return
             case connections.End():
                 yield [events.DecodeDone(attempt, index, 'stop')]
                 return
--- a/bulrushrudder/tests/builders/runners.py
+++ b/bulrushrudder/tests/builders/runners.py
@@ -56,6 +56,12 @@
     ).encode()
 
 
+def stream_head_without_length(attempt=ATTEMPT):
+    """Return the head of a stream that ends with its connection."""
+    framed = stream_head(attempt)
+    return framed.replace(b'Transfer-Encoding: chunked\r\n', b'')
+
+
 def event(number):
     """Return one event of a stream as bytes."""
     return f'id: {number}\ndata: piece-{number}\n\n'.encode()
@@ -97,9 +103,13 @@
         self.port = self._listener.sockets[0].getsockname()[1]
         return self
 
+    def stop_listening(self):
+        """Refuse new connections."""
+        self._listener.close()
+
     async def crash(self, writer):
         """Close all connections and accept no more; a step of an answer."""
-        self._listener.close()
+        self.stop_listening()
         for connected in self._writers:
             connected.transport.abort()
         raise ConnectionResetError('the runner crashed')
--- a/bulrushrudder/tests/consensus/seeds_tests.py
+++ b/bulrushrudder/tests/consensus/seeds_tests.py
@@ -5,6 +5,7 @@
 
 SEEDS = ('a', 'b', 'c')
 FIVE = ('a', 'b', 'c', 'd', 'e')
+NINE = (*FIVE, 'f', 'g', 'h', 'i')
 # A silent voter is removed after 10 s; its replacement then catches up.
 REPLACEMENT_TIMEOUT_S = 16.0
 
@@ -85,6 +86,39 @@
         group.run(10.0)
         self.assertEqual(group.leaders(), [])
 
+    def check_lost_disks(self, addresses, lost, seed):
+        """Lose disks while all other processes lose power.
+
+        It happens at the moment at which a change is acknowledged.
+        """
+        group = cluster.Cluster(addresses, seed, SEEDS)
+        group.run(5.0)
+        group.may_found = False
+        (leader,) = group.leaders()
+        accepted = len(group.oracle.accepted)
+        group.propose(leader, b'change')
+        while len(group.oracle.accepted) == accepted:
+            group.run(cluster.STEP_S)
+        for address in addresses:
+            group.kill(address)
+        for address in lost:
+            group.wipe(address)
+        for address in addresses:
+            group.start(address)
+        group.run(2 * REPLACEMENT_TIMEOUT_S)
+        group.check_converged()
+
+    def test_change_outlives_lost_disk_when_all_others_lose_power(self):
+        for seed in range(4):
+            for lost in FIVE:
+                with self.subTest(f'{seed} {lost}'):
+                    self.check_lost_disks(FIVE, lost, seed)
+
+    def test_change_outlives_two_of_nine_disks_when_all_lose_power(self):
+        for seed, lost in enumerate(('ab', 'ad', 'de', 'hi', 'ci')):
+            with self.subTest(f'{seed} {lost}'):
+                self.check_lost_disks(NINE, lost, seed)
+
     def test_elects_leader_within_2_s_of_total_power_loss(self):
         for seed in range(10):
             with self.subTest(seed):
--- a/bulrushrudder/tests/platform/engines_tests.py
+++ b/bulrushrudder/tests/platform/engines_tests.py
@@ -25,6 +25,10 @@
     writer.close()
 
 
+async def pause_briefly(writer):
+    await asyncio.sleep(0.05)
+
+
 class EnginesTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
@@ -155,6 +159,58 @@
         )
         self.assertIsInstance(received[-1], events.AttemptFailed)
 
+    async def decode_without_length(self, *steps, produced=()):
+        return await self.decode(
+            runners.stream_head_without_length(), *steps, produced=produced
+        )
+
+    async def test_stream_without_length_or_chunks_ends_at_close(self):
+        whole = runners.event(1) + runners.event(2)
+        received = await self.decode_without_length(whole, end)
+        self.assertEqual(received[-1], events.DecodeDone(ATTEMPT, 2, 'stop'))
+
+    async def test_stream_without_length_fails_at_reset_after_an_event(self):
+        received = await self.decode_without_length(
+            runners.event(1), pause_briefly, runners.reset
+        )
+        self.assertIsInstance(received[-1], events.AttemptFailed)
+
+    async def test_stream_without_length_that_ends_within_event_fails(self):
+        whole = runners.event(1) + runners.event(2)
+        for size in range(len(runners.event(1)) + 1, len(whole)):
+            with self.subTest(size):
+                received = await self.decode_without_length(whole[:size], end)
+                self.assertIsInstance(received[-1], events.AttemptFailed)
+                self.assertEqual(len(received), 3)
+
+    async def test_stream_without_length_that_has_no_event_fails(self):
+        received = await self.decode_without_length(end)
+        self.assertIsInstance(received[-1], events.AttemptFailed)
+        self.assertTrue(received[-1].sent)
+
+    async def test_resumed_stream_without_length_may_have_no_more_events(self):
+        received = await self.decode_without_length(
+            end, produced=(runners.event(1),)
+        )
+        self.assertEqual(received[-1], events.DecodeDone(ATTEMPT, 1, 'stop'))
+
+    async def test_inspection_tells_whether_server_has_crashed(self):
+        server = await self.start(runners.answer())
+        inspected = await self.client.inspect(server, ATTEMPT)
+        self.assertFalse(inspected.crashed)
+        self.assertEqual(self.runner.calls, [])
+        self.runner.stop_listening()
+        inspected = await self.client.inspect(server, ATTEMPT)
+        self.assertTrue(inspected.crashed)
+
+    async def test_concurrent_inspections_share_one_connection(self):
+        server = await self.start(runners.answer())
+        await asyncio.gather(
+            *[self.client.inspect(server, ATTEMPT) for _ in range(5)]
+        )
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.runner.connections, 1)
+
     async def test_stream_that_sends_bytes_but_no_event_times_out(self):
         async def trickle(writer):
             for byte in runners.event(2)[:-1] * 100:
