--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -398,6 +398,7 @@
             return _server_left(action)
         if not action.produced and self._is_quarantined():
             return events.Quarantined()
+        self._view_when_sent = self._services.view.index
         return await self._services.engines.prefill(server, action, self._job)
 
     async def _decode(self, action):
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -302,7 +302,7 @@
         self._sent = self._sent or event.sent
         if event.sent and self.state == 'transferring':
             self._runs += 1
-        if event.sent and event.reason not in _NOT_INSPECTED:
+        if self._may_have_crashed_server(event):
             return self._inspect_server(event.reason, event.server)
         self._record_failure(event.reason, event.server)
         if self._can_reuse_prefill(event):
@@ -310,6 +310,15 @@
             return self._retry(now_s)
         return [*self._release_all(), *self._retry(now_s)]
 
+    def _may_have_crashed_server(self, event):
+        if event.sent:
+            return event.reason not in _NOT_INSPECTED
+        return (
+            self.state == 'prefilling'
+            and self.job.parts is not None
+            and event.reason is outcomes.Reason.BACKEND_FAILED
+        )
+
     def _can_reuse_prefill(self, event):
         """Return whether another decode server may fetch the KV cache.
 
@@ -376,6 +385,8 @@
     def _crash_reported(self, event, now_s):
         if self.state != 'reporting':
             return [_drop(event)]
+        if event.quarantined and self.job.parts is not None:
+            return self._end_quarantined()
         if event.quarantined or self._own_crashes >= MAX_OWN_CRASHES:
             reason = outcomes.Reason.REQUEST_QUARANTINED
             return self._abort(
@@ -387,6 +398,9 @@
     def _quarantined(self, event):
         if self.state not in states.RUNNING:
             return [_drop(event)]
+        return self._end_quarantined()
+
+    def _end_quarantined(self):
         refusal = suspicion.PART_QUARANTINED
         if self._sent:
             return self._abort(refusal.reason, refusal.detail)
--- a/bulrushrudder/tests/builders/crashing_pool.py
+++ b/bulrushrudder/tests/builders/crashing_pool.py
@@ -1,4 +1,4 @@
-"""A pool of decode runners that crash on one part of a prompt."""
+"""A pool of runners that crash on one part of a prompt."""
 
 import functools
 
@@ -6,69 +6,80 @@
 
 PREFILL_REPLY = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
 EVENTS = 3
-PREFILL_ID = 'i-prefill'
+STEADY_ID = 'i-steady'
 
 
 class CrashingPool:
-    """Decode runners; each that crashes is replaced by another one.
+    """Runners of one stage; each that crashes is replaced by another one.
 
     :param fleet: the PlatformFleet.
     :param part: id of the part that crashes a runner which begins an
         answer on it.
-    :ivar arrivals: how many calls with the part reached a decode runner.
+    :param stage: the stage, prefill or decode; one runner of the other
+        stage never crashes.
+    :ivar arrivals: how many calls with the part reached such a runner.
     :ivar crashes: how many runners have crashed.
     """
 
-    def __init__(self, fleet, part):
+    def __init__(self, fleet, part, stage='decode'):
         self._fleet = fleet
         self._part = part
-        self._prefill = None
+        self._stage = stage
+        self._steady_stage = 'decode' if stage == 'prefill' else 'prefill'
+        self._steady = None
         self._started = 0
-        self._decodes_by_id = {}
+        self._runners_by_id = {}
         self._crashed_ids = set()
         self.arrivals = 0
         self.crashes = 0
 
     async def start(self, size):
-        """Start a prefill runner and some decode runners."""
-        self._prefill = await self._fleet.add_runner(
-            _prefill, PREFILL_ID, stage='prefill'
+        """Start the steady runner and some that crash."""
+        self._steady = await self._fleet.add_runner(
+            _answer, STEADY_ID, stage=self._steady_stage
         )
         for _ in range(size):
-            await self._add_decode()
+            await self._add_runner()
         return self
 
     async def renew(self):
         """Replace crashed runners and renew the announcements of others."""
         for crashed_id in tuple(self._crashed_ids):
-            crashed = self._decodes_by_id.pop(crashed_id)
+            crashed = self._runners_by_id.pop(crashed_id)
             await self._fleet.send_heartbeat(
-                crashed, crashed_id, state='draining'
+                crashed, crashed_id, state='draining', stage=self._stage
             )
-            await self._add_decode()
+            await self._add_runner()
         self._crashed_ids.clear()
         await self._fleet.send_heartbeat(
-            self._prefill, PREFILL_ID, stage='prefill'
+            self._steady, STEADY_ID, stage=self._steady_stage
         )
-        for decode_id, decode in self._decodes_by_id.items():
-            await self._fleet.send_heartbeat(decode, decode_id)
+        for runner_id, runner in self._runners_by_id.items():
+            await self._fleet.send_heartbeat(
+                runner, runner_id, stage=self._stage
+            )
 
-    async def _add_decode(self):
+    async def _add_runner(self):
         self._started += 1
-        decode_id = f'i-{self._started}'
-        self._decodes_by_id[decode_id] = await self._fleet.add_runner(
-            functools.partial(self._reply, decode_id), decode_id
+        runner_id = f'i-{self._started}'
+        self._runners_by_id[runner_id] = await self._fleet.add_runner(
+            functools.partial(self._reply, runner_id),
+            runner_id,
+            stage=self._stage,
         )
 
-    def _reply(self, decode_id, call):
+    def _reply(self, runner_id, call):
         entries = call.headers['Prompt-Prefix'].split(',')
         if self._part not in [e.partition(':')[0] for e in entries]:
-            return [runners.stream(1, EVENTS)]
+            return _answer(call)
         self.arrivals += 1
         self.crashes += 1
-        self._crashed_ids.add(decode_id)
-        return [runners.stream_head(), self._decodes_by_id[decode_id].crash]
+        self._crashed_ids.add(runner_id)
+        head = [] if self._stage == 'prefill' else [runners.stream_head()]
+        return [*head, self._runners_by_id[runner_id].crash]
 
 
-def _prefill(call):
-    return [runners.answer(PREFILL_REPLY)]
+def _answer(call):
+    if call.headers.get('Stage') == 'prefill':
+        return [runners.answer(PREFILL_REPLY)]
+    return [runners.stream(1, EVENTS)]
--- a/bulrushrudder/tests/lifecycle/request_tests.py
+++ b/bulrushrudder/tests/lifecycle/request_tests.py
@@ -278,6 +278,20 @@
         returned = self.crash()
         self.assertIsNotNone(find_action(returned, actions.ReportEarlyCrash))
 
+    def test_prefill_that_crashes_its_server_is_reported(self):
+        self.start(parts=('first', 'part'))
+        started = find_action(
+            self.grant_place('decode-1'), actions.StartPrefill
+        )
+        self.attempt = started.attempt
+        self.fail_attempt(FAILED, sent=False, server='prefill-1')
+        returned = self.handle(events.Inspected(self.attempt, True, None))
+        report = find_action(returned, actions.ReportEarlyCrash)
+        self.assertEqual(report.server, 'prefill-1')
+        returned = self.handle(events.CrashReported(True))
+        refusal = find_action(returned, actions.Refuse).refusal
+        self.assertIs(refusal.execution, outcomes.Execution.NOT_RUN)
+
     def test_failure_without_crash_is_not_reported(self):
         self.start_decode()
         self.fail_attempt(FAILED, sent=True)
--- a/bulrushrudder/tests/platform/crashing_parts_tests.py
+++ b/bulrushrudder/tests/platform/crashing_parts_tests.py
@@ -56,12 +56,12 @@
         except aiohttp.ClientError:
             return None
 
-    async def crash_runners(self, route):
+    async def crash_runners(self, route, stage='decode'):
         """Send requests with the part until no more are to be sent.
 
         :returns: the CrashingPool.
         """
-        pool = crashing_pool.CrashingPool(self.fleet, PART)
+        pool = crashing_pool.CrashingPool(self.fleet, PART, stage)
         await pool.start(POOL_SIZE)
         for _ in range(REQUESTS):
             await self.send(route, 'aa', PART)
@@ -80,6 +80,12 @@
         self.assertGreater(pool.crashes, 1)
         self.assertLessEqual(pool.arrivals, MAX_ARRIVALS)
 
+    async def test_part_that_crashes_prefill_servers_is_stopped_too(self):
+        async with asyncio.timeout(TIMEOUT_S):
+            pool = await self.crash_runners('once', 'prefill')
+        self.assertGreater(pool.crashes, 1)
+        self.assertLessEqual(pool.arrivals, MAX_ARRIVALS)
+
     async def test_sound_requests_with_the_other_parts_are_served(self):
         async with asyncio.timeout(TIMEOUT_S):
             pool = await self.crash_runners('once')
