Quarantine calls that crash servers of plain services

A failed call whose server refuses connections afterwards is reported by its fingerprint to the same table; answers clear it. A call that is not tried again is answered without waiting for the check.

--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -36,6 +36,8 @@
     :param deadline_s: monotonic seconds by which the caller must have
         the final answer.
     :param request_id: identifies the call in logs.
+    :param fingerprint: the same for every resend of the call; empty if
+        crashes under the call are not recorded.
     :param content: encoded call of a callers' interface that encodes
         calls itself; sent instead of the other fields and opaque here.
     """
@@ -49,6 +51,7 @@
     attempts: int = 1
     deadline_s: float = math.inf
     request_id: str = ''
+    fingerprint: str = ''
     content: object = None
 
 
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -19,7 +19,9 @@
 from bulrushrudder.idempotency import actions
 from bulrushrudder.idempotency import events
 from bulrushrudder.idempotency import fingerprints
+from bulrushrudder.lifecycle import suspicion
 from bulrushrudder.state import intents
+from bulrushrudder.state import suspect_parts
 
 CALL_ID_HEADER = 'Idempotency-Key'
 REPLAYED_HEADER = 'Idempotency-Replayed'
@@ -32,6 +34,8 @@
 # Limit on servers tried for one call, also when none of them ran it; each
 # further try also takes from the retry budget.
 MAX_TRIES = 4
+# Longest wait for the record of a crash before the next try.
+CRASH_CHECK_TIMEOUT_S = 0.5
 _NO_SERVER = outcomes.not_run(
     outcomes.Reason.NO_SERVER, 'no backend server of the service is up', 1.0
 )
@@ -102,6 +106,8 @@
         :param call: the Call.
         :returns: an Answered or a Failed event.
         """
+        if self._is_quarantined(call, suspect_parts.MIN_CRASHES):
+            return events.Failed(suspicion.QUARANTINED)
         charged = await self._charge(admitted)
         match charged:
             case result.Failure(refusal):
@@ -141,6 +147,7 @@
             timeout_s = min(call.timeout_s, left_s)
             bounded_call = dataclasses.replace(call, timeout_s=timeout_s)
             started_s = loop.time()
+            view = self._services.view.index
             latest = await self._services.service_router.call(
                 server, bounded_call
             )
@@ -149,15 +156,62 @@
             self._log_try(bounded_call, server, latest, took_s)
             sent = _merged(sent, latest)
             runs += _may_have_run(latest)
+            checking = self._record_result(server, call, latest, view)
             if not _should_try_again(latest, call) or runs >= call.attempts:
                 return sent
             tried.append(server.id)
-            now_s = loop.time()
-            if now_s >= call.deadline_s or len(tried) >= MAX_TRIES:
-                return sent
-            if not self._services.retries.take_retry(now_s):
+            if not await self._may_try_again(call, tried, checking):
                 return sent
 
+    async def _may_try_again(self, call, tried, checking):
+        """Return whether time, crashes and the retry budget allow a try.
+
+        :param tried: ids of the servers that were tried.
+        :param checking: the task that checks for a crash, or None.
+        """
+        loop = asyncio.get_running_loop()
+        if loop.time() >= call.deadline_s or len(tried) >= MAX_TRIES:
+            return False
+        if checking is not None:
+            await asyncio.wait({checking}, timeout=CRASH_CHECK_TIMEOUT_S)
+        if self._is_quarantined(call, suspect_parts.MIN_CRASHES_BEFORE_REPEAT):
+            return False
+        return self._services.retries.take_retry(loop.time())
+
+    def _is_quarantined(self, call, min_crashes):
+        suspects = self._services.view.state.suspect_parts
+        return suspects.refuses(call.fingerprint, (), min_crashes)
+
+    def _record_result(self, server, call, latest, view):
+        """Record what the result of a try says about the call.
+
+        :param view: index of the log that had been applied at its start.
+        :returns: the task that checks for a crash, or None.
+        """
+        services = self._services
+        if not call.fingerprint:
+            return None
+        match latest:
+            case result.Success():
+                keys = (call.fingerprint,)
+                if services.view.state.suspect_parts.known(keys):
+                    services.spawn(services.crash_reporter.clear(keys))
+            case result.Failure(
+                outcomes.Refusal(
+                    reason=outcomes.Reason.BACKEND_FAILED,
+                    execution=outcomes.Execution.UNKNOWN,
+                )
+            ):
+                report = suspect_parts.ReportEarlyCrash(
+                    call.fingerprint, (), server.id, server.incarnation, view
+                )
+                return services.spawn(self._check_for_crash(server, report))
+        return None
+
+    async def _check_for_crash(self, server, report):
+        if await self._services.service_router.has_crashed(server):
+            await self._services.crash_reporter.report(report)
+
     def _log_try(self, call, server, latest, took_s):
         """Log the outcome of a call at one server, and the view used."""
         match latest:
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -56,6 +56,10 @@
                     server.id, server.incarnation, succeeded, _now_s()
                 )
 
+    async def has_crashed(self, server):
+        """Return whether a server has crashed, after a call to it failed."""
+        return await self._client.has_crashed(server)
+
     def _selector(self, service):
         selector = self._selectors_by_service.get(service)
         if selector is None:
--- a/bulrushrudder/lifecycle/suspicion.py
+++ b/bulrushrudder/lifecycle/suspicion.py
@@ -3,16 +3,17 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.lifecycle import job
 
+# A quarantine ends only if the request or part is found to be sound.
+RETRY_AFTER_S = 30.0
 QUARANTINED = outcomes.not_run(
     outcomes.Reason.REQUEST_QUARANTINED,
     'the request crashed backend servers and is not run again',
+    RETRY_AFTER_S,
 )
-# Seconds; a quarantine ends only if the part is found to be sound.
-PART_RETRY_AFTER_S = 30.0
 PART_QUARANTINED = outcomes.not_run(
     outcomes.Reason.REQUEST_QUARANTINED,
     'backend servers crashed under requests that share a part of the prompt',
-    PART_RETRY_AFTER_S,
+    RETRY_AFTER_S,
 )
 
 
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -248,6 +248,7 @@
             attempts=target.attempts,
             deadline_s=forwarded_call.deadline_s,
             request_id=request_headers.attempt,
+            fingerprint=_fingerprint(forwarded_call, admitted),
             content=forwarded_call,
         )
         sent = await self._service_calls.send(admitted, service_id, call)
--- a/bulrushrudder/platform/services.py
+++ b/bulrushrudder/platform/services.py
@@ -51,6 +51,11 @@
             detail = f'no answer in {call.timeout_s:.3f} s'
             return _refusal(calls.CallFailure(reason, detail, True))
 
+    async def has_crashed(self, server):
+        """Return whether a server refuses connections."""
+        listening = await self._pool.check(server)
+        return listening is connections.Listening.REFUSES
+
     async def _read_answer(self, opened, attempt):
         match await calls.read_head(opened, attempt):
             case result.Failure(failed):
--- a/bulrushrudder/tests/platform/crashing_parts_tests.py
+++ b/bulrushrudder/tests/platform/crashing_parts_tests.py
@@ -28,6 +28,18 @@
             'max_attempts': 1,
         }
     )
+    content['routes'].append(
+        {
+            **platform.ROUTE,
+            'name': 'r-lookup',
+            'path_prefix': '/lookup/',
+            'route_type': 'idempotent',
+            'timeout_ms': 2000,
+            'target_latency_ms': 500,
+            'service': 'portal',
+            'resumable': False,
+        }
+    )
     return content
 
 
@@ -86,6 +98,21 @@
         self.assertGreater(pool.crashes, 1)
         self.assertLessEqual(pool.arrivals, MAX_ARRIVALS)
 
+    async def test_call_that_crashes_plain_servers_is_stopped(self):
+        pool = crashing_pool.ServicePool(self.fleet, b'deadly')
+        await pool.start(POOL_SIZE)
+        async with asyncio.timeout(TIMEOUT_S):
+            for _ in range(REQUESTS):
+                await self.call_service('same', b'deadly')
+                await pool.renew()
+        self.assertGreater(pool.crashes, 1)
+        self.assertLessEqual(pool.arrivals, MAX_ARRIVALS)
+        self.assertEqual(await self.call_service('same', b'sound'), 200)
+
+    async def call_service(self, path, body):
+        async with self.fleet.call(f'/lookup/{path}', body=body) as response:
+            return response.status
+
     async def test_sound_requests_with_the_other_parts_are_served(self):
         async with asyncio.timeout(TIMEOUT_S):
             pool = await self.crash_runners('once')
