Forget suspect parts that do not change any more

A part stayed suspect until a request with it succeeded, so that two crashes weeks apart would have added up, and a quarantine had no end when an engine was mended.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -10,6 +10,7 @@
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.lifecycle import suspect_expiry
 from bulrushrudder.membership import tracker
 from bulrushrudder.observers import leases
 from bulrushrudder.protocol import codec
@@ -19,6 +20,7 @@
 from bulrushrudder.state import documents
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
+from bulrushrudder.state import suspect_parts
 
 TICK_INTERVAL_S = 0.5
 FORWARD_TIMEOUT_S = 3.0
@@ -38,6 +40,7 @@
         self._log_feed = log_feed.LogFeed(self.node)
         self._leases = leases.Leases()
         self._tracker = tracker.Tracker()
+        self._suspect_expiry = suspect_expiry.SuspectExpiry()
         self._was_leader = False
 
     async def handle(self, link, message):
@@ -134,12 +137,22 @@
             self._was_leader = True
             self._leases.renew_all(_now_s())
             self._tracker = tracker.Tracker()
+            self._suspect_expiry = suspect_expiry.SuspectExpiry()
         await self._track(tracker.Ticked())
+        await self._forget_suspects()
         by_vm = self.node.state.sessions.by_vm
         for command in self._leases.expire(by_vm, _now_s()):
             log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
             await self.node.propose(command)
 
+    async def _forget_suspects(self):
+        """Clear prompt parts whose retention is over."""
+        suspects = self.node.state.suspect_parts
+        expired = self._suspect_expiry.expired(suspects.by_part, _now_s())
+        if expired:
+            log.emit(catalogue.SUSPECTS_FORGOTTEN, parts=','.join(expired))
+            await self.node.propose(suspect_parts.ClearParts(expired))
+
     def _report_observers(self):
         """Report the observers of this process to the leader."""
         address = self.node.leader_address
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -136,6 +136,13 @@
     'Backend servers crashed under several requests that share a part of '
     'their prompts; requests with it are refused.',
 )
+SUSPECTS_FORGOTTEN = Event(
+    1108,
+    Level.INFO,
+    'suspects forgotten',
+    'Suspect or quarantined prompt parts did not change for as long as they '
+    'are kept; requests with them run again.',
+)
 STOP_PENDING = Event(
     1106,
     Level.WARNING,
