Move crash evidence and jobs out of two long modules

What crashes say about a request leaves entry/execution, and the building of jobs leaves platform/entry_api. No behaviour changes, but that a request which is quarantined when it arrives counts in the estimate of earlier waits too.

--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -10,19 +10,15 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.entry import crash_evidence
 from bulrushrudder.entry import server_feedback
 from bulrushrudder.entry import tracing
-from bulrushrudder.events import catalogue
-from bulrushrudder.events import log
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import request as lifecycle
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.state import quarantine
-from bulrushrudder.state import results
-from bulrushrudder.state import suspect_parts
 
-CRASH_REPORT_TIMEOUT_S = 1.0
 # Upper bound on the run time of a request, whatever its deadline.
 MAX_RUN_S = 900.0
 
@@ -54,8 +50,7 @@
         self._step_task = None
         self._final_actions = []
         self._charge = None
-        self._view_when_sent = 0
-        self._has_crashed_server = False
+        self._crashes = crash_evidence.CrashEvidence(job, services)
         self._loop = asyncio.get_running_loop()
         self._feedback = server_feedback.ServerFeedback(job.event_tokens)
         self._trace = tracing.Trace(
@@ -155,10 +150,18 @@
                 await self._handle(await self._prefill(action))
             case actions.Inspect():
                 await self._handle(await self._inspect(action))
-            case actions.ReportCrash():
-                await self._handle(await self._report_crash(action))
-            case actions.ReportEarlyCrash():
-                await self._handle(await self._report_early_crash(action))
+            case actions.ReportCrash(server=server_id):
+                quarantined = await self._crashes.report_isolated(
+                    action, self._servers_by_id[server_id]
+                )
+                await self._handle(events.CrashReported(quarantined))
+            case actions.ReportEarlyCrash(server=server_id):
+                await self._crashes.report_early_crash(
+                    self._servers_by_id[server_id]
+                )
+                await self._handle(
+                    events.CrashReported(self._crashes.is_quarantined())
+                )
             case actions.BackOff():
                 await asyncio.sleep(action.delay_s)
                 await self._handle(events.BackOffEnded())
@@ -223,7 +226,7 @@
                 command = quarantine.ClearSuspect(fingerprint)
                 services.spawn(services.control_client.propose(command))
             case actions.ClearParts():
-                self._clear_parts()
+                self._crashes.clear_parts()
             case actions.DropEvent(kind=kind):
                 services.metrics.count_dropped_event(kind)
             case _:
@@ -329,76 +332,15 @@
         if server is not None:
             self._servers_by_id[server_id] = server
 
-    async def _report_crash(self, action):
-        server = self._servers_by_id[action.server]
-        command = quarantine.ReportCrash(
-            action.fingerprint,
-            action.server,
-            server.incarnation,
-            action.isolated,
-        )
-        log.emit(
-            catalogue.SUSPECT_REPORTED,
-            fingerprint=action.fingerprint,
-            server=action.server,
-            isolated=action.isolated,
-        )
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CRASH_REPORT_TIMEOUT_S):
-                outcome = await self._services.control_client.propose(command)
-                if isinstance(outcome, results.Accepted):
-                    await self._services.control_client.wait_for_index(
-                        outcome.index
-                    )
-        suspects = self._services.view.state.quarantine
-        suspect = suspects.by_fingerprint.get(action.fingerprint)
-        quarantined = suspect is not None and suspect.quarantined
-        return events.CrashReported(quarantined)
-
-    async def _report_early_crash(self, action):
-        """Report a crash; wait for its effect if the request is repeated."""
-        self._has_crashed_server = True
-        job = self._job
-        reporting = self._services.spawn(
-            self._services.crash_reporter.report(
-                suspect_parts.ReportEarlyCrash(
-                    job.fingerprint,
-                    job.parts,
-                    action.server,
-                    self._servers_by_id[action.server].incarnation,
-                    self._view_when_sent,
-                )
-            )
-        )
-        if job.repeatable:
-            await asyncio.wait({reporting}, timeout=CRASH_REPORT_TIMEOUT_S)
-        return events.CrashReported(self._is_quarantined())
-
-    def _clear_parts(self):
-        services = self._services
-        if services.view.state.suspect_parts.known(self._job.parts):
-            services.spawn(services.crash_reporter.clear(self._job.parts))
-
-    def _is_quarantined(self):
-        """Return whether a part of the prompt is quarantined now."""
-        if self._job.parts is None:
-            return False
-        min_crashes = suspect_parts.MIN_CRASHES
-        if self._has_crashed_server:
-            min_crashes = suspect_parts.MIN_CRASHES_BEFORE_REPEAT
-        return self._services.view.state.suspect_parts.refuses(
-            self._job.fingerprint, self._job.parts, min_crashes
-        )
-
     # Calls to engines.
 
     async def _prefill(self, action):
         server = self._servers_by_id.get(action.server)
         if server is None:
             return _server_left(action)
-        if not action.produced and self._is_quarantined():
+        if not action.produced and self._crashes.is_quarantined():
             return events.Quarantined()
-        self._view_when_sent = self._services.view.index
+        self._crashes.record_sent()
         return await self._services.engines.prefill(server, action, self._job)
 
     async def _decode(self, action):
@@ -407,10 +349,10 @@
         if server is None or (action.source and source is None):
             await self._handle(_server_left(action))
             return
-        if not action.produced and self._is_quarantined():
+        if not action.produced and self._crashes.is_quarantined():
             await self._handle(events.Quarantined())
             return
-        self._view_when_sent = self._services.view.index
+        self._crashes.record_sent()
         stream = self._services.engines.decode(
             server, action, source, self._job
         )
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -1,13 +1,11 @@
 """HTTP API of an entry process for clients and the load balancer."""
 
 import asyncio
-import hashlib
 import random
 
 from aiohttp import web
 from returns import result
 
-from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.documents import types
 from bulrushrudder.engines import connections
@@ -17,14 +15,13 @@
 from bulrushrudder.entry import model_calls
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
-from bulrushrudder.entry import waits
 from bulrushrudder.idempotency import events
-from bulrushrudder.lifecycle import job as jobs
 from bulrushrudder.lifecycle import suspicion
 from bulrushrudder.platform import answers
 from bulrushrudder.platform import calls
 from bulrushrudder.platform import engines
 from bulrushrudder.platform import headers
+from bulrushrudder.platform import jobs as platform_jobs
 from bulrushrudder.platform import services as plain_services
 from bulrushrudder.utils import authentication
 from bulrushrudder.utils import web as web_utils
@@ -34,31 +31,15 @@
 # another one. Healthy servers are slower only in the tail.
 ATTEMPT_TIMEOUT_TARGETS = 3.0
 SHUTDOWN_TIMEOUT_S = 1.0
-# Clients abandon a stream without any event after the longest of: this
-# time, a multiple of the latency target, a multiple of the target pause
-# between events.
-MIN_CLIENT_WAIT_S = 2.0
-CLIENT_WAIT_TARGETS = 4.0
-CLIENT_WAIT_PAUSES = 8.0
-# The first event has to reach the client before that time ends.
-USABLE_CLIENT_WAIT_SHARE = 0.95
-# From the grant of a place to the first event, for a long prompt.
-GRANT_TO_FIRST_EVENT_S = 0.5
 # While the process stops, it accepts new streams for this time only, and
 # only those whose estimated duration, with a margin, ends before the stop
 # deadline. Length estimates are medians: half of the answers are longer.
 STREAM_CUTOFF_AFTER_STOP_S = 2.0
-ESTIMATED_TOKEN_S = 0.0045
 LENGTH_ESTIMATE_MARGIN = 1.6
-# A client's retry starts only if this share of its estimated duration
-# fits into the client's remaining time: estimates are off by a factor of
-# 1.5. First attempts are not checked.
-MIN_RUN_SHARE = 0.7
 # The document limits the headers as a whole; this bounds a single one.
 MAX_FIELD_BYTES = 64 * 1024
 # Colon, blank and line end of a header line.
 HEADER_LINE_EXTRA_BYTES = 4
-_FINGERPRINT_BYTES = 16
 _STOPPING = outcomes.not_run(
     outcomes.Reason.SHUTTING_DOWN, 'this VM is shutting down', 0.05
 )
@@ -107,7 +88,7 @@
         self._services = shared
         self._model_calls = model_calls.ModelCalls(shared)
         self._service_calls = service_calls.ServiceCalls(shared)
-        self._waits = waits.WaitEstimator()
+        self._jobs = platform_jobs.JobBuilder(shared)
 
     def application(self):
         """Return the aiohttp application for clients."""
@@ -248,7 +229,7 @@
             attempts=target.attempts,
             deadline_s=forwarded_call.deadline_s,
             request_id=request_headers.attempt,
-            fingerprint=_fingerprint(forwarded_call, admitted),
+            fingerprint=platform_jobs.fingerprint(forwarded_call, admitted),
             content=forwarded_call,
         )
         sent = await self._service_calls.send(admitted, service_id, call)
@@ -271,25 +252,16 @@
             return self._refuse(
                 _STOPPING, request_headers.attempt, admitted.route.id
             )
-        fingerprint = _fingerprint(forwarded_call, admitted)
-        parts = tuple(
-            f'{service.id}/{part}' for part in request_headers.shared_parts
+        job = self._jobs.build(
+            forwarded_call, request_headers, admitted, service
         )
         suspects = self._services.view.state.suspect_parts
-        if suspects.refuses(fingerprint, parts):
+        if suspects.refuses(job.fingerprint, job.parts):
             return self._refuse(
                 suspicion.PART_QUARANTINED,
                 request_headers.attempt,
                 admitted.route.id,
             )
-        job = self._build_job(
-            forwarded_call,
-            request_headers,
-            admitted,
-            service,
-            fingerprint,
-            parts,
-        )
         sink = answers.RelayedAnswer(http_request, request_headers.attempt)
         await self._model_calls.run(
             job, admitted, request_headers.attempt, sink
@@ -311,71 +283,11 @@
             request_headers.expected_tokens or request_headers.output_tokens
         )
         needed_s = (
-            GRANT_TO_FIRST_EVENT_S
-            + tokens * ESTIMATED_TOKEN_S * LENGTH_ESTIMATE_MARGIN
+            platform_jobs.GRANT_TO_FIRST_EVENT_S
+            + tokens * platform_jobs.ESTIMATED_TOKEN_S * LENGTH_ESTIMATE_MARGIN
         )
         return _now_s() + needed_s < self._services.stop_deadline_s
 
-    def _build_job(
-        self,
-        forwarded_call,
-        request_headers,
-        admitted,
-        service,
-        fingerprint,
-        parts,
-    ):
-        target = admitted.route.target
-        account = admitted.account
-        received_s = forwarded_call.deadline_s - forwarded_call.timeout_s
-        first_token_deadline_s = received_s + _client_wait_s(target)
-        spent_s = self._waits.earlier_wait_s(
-            admitted.route.id, forwarded_call.timeout_s, received_s
-        )
-        if spent_s > 0.0:
-            tokens = (
-                request_headers.expected_tokens
-                or request_headers.output_tokens
-            )
-            needed_s = tokens * ESTIMATED_TOKEN_S * MIN_RUN_SHARE
-            first_token_deadline_s = min(
-                first_token_deadline_s, forwarded_call.deadline_s - needed_s
-            )
-        cost = request_headers.prompt_tokens + request_headers.output_tokens
-        if account and not (
-            account.by_tokens and request_headers.has_token_usage
-        ):
-            cost = account.call_tokens
-        return jobs.Job(
-            request=ids.RequestId(str(self._services.next_request_number())),
-            owner=self._services.owner,
-            account=account.id if account else None,
-            model=ids.ModelId(service.id),
-            prompt='',
-            prompt_tokens=request_headers.prompt_tokens,
-            output_tokens=request_headers.output_tokens,
-            cost=cost,
-            interactive=False,
-            patience_s=max(
-                0.0, first_token_deadline_s - GRANT_TO_FIRST_EVENT_S - _now_s()
-            ),
-            first_token_deadline_s=first_token_deadline_s,
-            first_token_lead_s=GRANT_TO_FIRST_EVENT_S,
-            repeatable=target.repetition is not types.Repetition.NOTHING,
-            fingerprint=fingerprint,
-            deadline_s=forwarded_call.deadline_s,
-            jitter=random.random(),
-            content=forwarded_call,
-            attempts=target.attempts,
-            prefill_counts_as_run=False,
-            charge_is_final=True,
-            expected_tokens=request_headers.expected_tokens,
-            event_tokens=service.engine.event_tokens,
-            accepts_late_answer=True,
-            parts=parts,
-            waiting_since_s=received_s - spent_s,
-        )
-
     def _refuse(self, refusal, attempt, route):
         refusals.record(self._services, refusal, attempt or 'none', route)
         return answers.refuse(refusal, attempt)
@@ -411,16 +323,6 @@
     )
 
 
-def _client_wait_s(target):
-    """Return the seconds by which a client needs its first event."""
-    client_wait_s = max(
-        MIN_CLIENT_WAIT_S,
-        CLIENT_WAIT_TARGETS * target.answer_s,
-        CLIENT_WAIT_PAUSES * target.between_events_s,
-    )
-    return client_wait_s * USABLE_CLIENT_WAIT_SHARE
-
-
 def _draw_service(target):
     """Draw the service for a call, with the weights of the shares."""
     if len(target.shares) == 1:
@@ -429,19 +331,5 @@
     return random.choices(target.shares, weights)[0].service
 
 
-def _fingerprint(forwarded_call, admitted):
-    """Return a digest that is the same for every resend of a call."""
-    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    account = admitted.account.id if admitted.account else ''
-    for part in (
-        forwarded_call.target.encode(),
-        account.encode(),
-        forwarded_call.body,
-    ):
-        digest.update(len(part).to_bytes(8, 'big'))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 def _now_s():
     return asyncio.get_running_loop().time()
