Try quarantined parts again from time to time

Servers that crash in a loop for a reason of their own leave many parts quarantined, and nothing cleared them once the servers were mended, as no request with them ran: callers would have been refused for an hour. A report that is not committed in time is logged.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -139,19 +139,23 @@
             self._tracker = tracker.Tracker()
             self._suspect_expiry = suspect_expiry.SuspectExpiry()
         await self._track(tracker.Ticked())
-        await self._forget_suspects()
+        await self._advance_suspects()
         by_vm = self.node.state.sessions.by_vm
         for command in self._leases.expire(by_vm, _now_s()):
             log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
             await self.node.propose(command)
 
-    async def _forget_suspects(self):
-        """Clear prompt parts whose retention is over."""
+    async def _advance_suspects(self):
+        """Forget suspect prompt parts, and try quarantined ones."""
         suspects = self.node.state.suspect_parts
-        expired = self._suspect_expiry.expired(suspects.by_part, _now_s())
-        if expired:
-            log.emit(catalogue.SUSPECTS_FORGOTTEN, parts=','.join(expired))
-            await self.node.propose(suspect_parts.ClearParts(expired))
+        due = self._suspect_expiry.due(suspects.by_part, _now_s())
+        if due.forgotten:
+            parts = ','.join(due.forgotten)
+            log.emit(catalogue.SUSPECTS_FORGOTTEN, parts=parts)
+            await self.node.propose(suspect_parts.ClearParts(due.forgotten))
+        if due.tried:
+            log.emit(catalogue.PARTS_TRIED, parts=','.join(due.tried))
+            await self.node.propose(suspect_parts.TryParts(due.tried))
 
     def _report_observers(self):
         """Report the observers of this process to the leader."""
--- a/bulrushrudder/entry/crash_reporter.py
+++ b/bulrushrudder/entry/crash_reporter.py
@@ -38,9 +38,18 @@
             server=command.server,
             parts=','.join(command.parts),
         )
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + RETENTION_S
-        while loop.time() < end_s and not self.stopping:
+        try:
+            async with asyncio.timeout(RETENTION_S):
+                await self._commit(command)
+        except TimeoutError:
+            log.emit(
+                catalogue.CRASH_REPORT_DROPPED,
+                fingerprint=command.request,
+                server=command.server,
+            )
+
+    async def _commit(self, command):
+        while not self.stopping:
             outcome = await self._control_client.propose(command)
             if isinstance(outcome, results.Accepted):
                 await self._control_client.wait_for_index(outcome.index)
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -140,8 +140,19 @@
     1108,
     Level.INFO,
     'suspects forgotten',
-    'Suspect or quarantined prompt parts did not change for as long as they '
-    'are kept; requests with them run again.',
+    'Suspect prompt parts did not change for as long as they are kept.',
+)
+PARTS_TRIED = Event(
+    1109,
+    Level.INFO,
+    'parts tried',
+    'Requests with quarantined prompt parts run again until the next crash.',
+)
+CRASH_REPORT_DROPPED = Event(
+    1110,
+    Level.WARNING,
+    'crash report dropped',
+    'The report of a crash could not be committed for as long as it is kept.',
 )
 STOP_PENDING = Event(
     1106,
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -102,6 +102,7 @@
         suspect_parts.ReportEarlyCrash: 263,
         suspect_parts.ClearParts: 264,
         suspect_parts.SuspectPartsSnapshot: 265,
+        suspect_parts.TryParts: 266,
         consensus_types.Command: 280,
         consensus_types.Configuration: 281,
         consensus_types.TermStart: 282,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -118,7 +118,11 @@
                 return self.servers.apply(index, command)
             case quarantine.ReportCrash() | quarantine.ClearSuspect():
                 return self.quarantine.apply(index, command)
-            case suspect_parts.ReportEarlyCrash() | suspect_parts.ClearParts():
+            case (
+                suspect_parts.ReportEarlyCrash()
+                | suspect_parts.ClearParts()
+                | suspect_parts.TryParts()
+            ):
                 return self.suspect_parts.apply(index, command)
             case (
                 accounts.ClaimAccount()
--- a/bulrushrudder/state/suspect_parts.py
+++ b/bulrushrudder/state/suspect_parts.py
@@ -52,6 +52,13 @@
     parts: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TryParts:
+    """Let requests with quarantined parts run until the next crash."""
+
+    parts: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartCrash:
     """A crash of one incarnation of a server."""
@@ -70,6 +77,8 @@
         to MIN_REQUESTS.
     :param rounds: number of rounds that they belong to.
     :param round_start: index of the log at which the latest round began.
+    :param trials: how often requests were let run since the part was
+        quarantined at first.
     """
 
     part: str
@@ -77,6 +86,7 @@
     requests: tuple[str, ...]
     rounds: int
     round_start: int
+    trials: int = 0
 
     def is_quarantined(self, min_crashes=MIN_CRASHES):
         """Return whether requests with the part are refused.
@@ -157,6 +167,8 @@
                 return self._report(index, command)
             case ClearParts(parts=parts):
                 return self._clear(index, parts)
+            case TryParts(parts=parts):
+                return self._try(index, parts)
         raise AssertionError(f'unknown command {command!r}')
 
     def _report(self, index, command):
@@ -174,6 +186,17 @@
             del self.by_part[part]
         return results.Accepted(index)
 
+    def _try(self, index, parts):
+        for part in self.known(parts):
+            suspect = self.by_part[part]
+            if suspect.is_quarantined():
+                self.by_part[part] = dataclasses.replace(
+                    suspect,
+                    crashes=suspect.crashes[1 - MIN_CRASHES :],
+                    trials=suspect.trials + 1,
+                )
+        return results.Accepted(index)
+
     def _evict_surplus(self):
         surplus = len(self.by_part) - MAX_PARTS
         if surplus <= 0:
@@ -198,4 +221,10 @@
     requests = known.requests
     if command.request not in requests:
         requests = (*requests, command.request)[:MIN_REQUESTS]
-    return SuspectPart(known.part, crashes, requests, rounds, round_start)
+    return dataclasses.replace(
+        known,
+        crashes=crashes,
+        requests=requests,
+        rounds=rounds,
+        round_start=round_start,
+    )
--- a/bulrushrudder/tests/state/snapshot_tests.py
+++ b/bulrushrudder/tests/state/snapshot_tests.py
@@ -32,6 +32,7 @@
     crashes.report('r2', ('p1', 'p2'), 2, view=15),
     suspect_parts.ClearParts(('p2',)),
     crashes.report('r3', ('p1',), 3, view=16),
+    suspect_parts.TryParts(('p1',)),
 )
 
 
