--- a/bulrushrudder/tests/state/suspect_parts_tests.py
+++ b/bulrushrudder/tests/state/suspect_parts_tests.py
@@ -140,6 +140,7 @@
             (0.0, 0.05, 0),
             (0.0, 0.3, 2),
             (0.1, 0.3, 1),
+            (0.3, 0.3, 1),
             (0.0, 0.8, 2),
         ):
             for seed in SEEDS:
