Log what backend servers state about themselves

The logs could not tell whether a limit was dropped at the border or stayed with the VM that received it. Each VM now reads the headers of every answer into data classes and logs each change. No decision uses them yet.

--- /dev/null
+++ b/bulrushrudder/backpressure/__init__.py
@@ -0,0 +1,1 @@
+"""What backend servers state about the work that they take."""
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import enum
+import functools
 import re
 
 import httptools
@@ -74,10 +75,18 @@
 
         :param name: name of the header in lowercase.
         """
-        for header_name, value in self.headers:
-            if header_name.lower() == name:
-                return value
-        return None
+        return next(iter(self.values(name)), None)
+
+    def values(self, name):
+        """Return all values of a header, in order.
+
+        :param name: name of the header in lowercase.
+        """
+        return [
+            value
+            for header_name, value in self.headers
+            if header_name.lower() == name
+        ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +106,10 @@
     at_close: bool = False
 
 
+def _ignore_head(*_):
+    """Ignore the head of a response."""
+
+
 class Connection(asyncio.Protocol):
     """One connection, whose response is read in parts."""
 
@@ -108,6 +121,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._waiter = None
+        self._on_head = _ignore_head
         self._status = 0
         self._headers = []
         self._self_delimited = False
@@ -124,13 +138,15 @@
         """Return whether the connection can be reused for another call."""
         return self._ended and not self._not_reusable and not self._closed
 
-    def send(self, data, without_body):
+    def send(self, data, without_body, on_head):
         """Send a call.
 
         :param data: the complete request in bytes.
         :param without_body: whether the response has no body regardless
             of its headers, as after HEAD.
+        :param on_head: function of the Head, called when it arrives.
         """
+        self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._parts.clear()
         self._buffered = 0
@@ -239,6 +255,7 @@
         self._has_head = True
         head = Head(self._status, tuple(self._headers))
         self._self_delimited = _is_self_delimited(head)
+        self._on_head(head)
         self._put(head)
         if self._without_body:
             self._not_reusable = True
@@ -309,9 +326,14 @@
 
 
 class ConnectionPool:
-    """Pool of idle connections by server."""
+    """Pool of idle connections by server.
 
-    def __init__(self):
+    :param on_head: function of the BackendServer, the monotonic seconds at
+        which the call was sent, and the Head; called when a head arrives.
+    """
+
+    def __init__(self, on_head=_ignore_head):
+        self._on_head = on_head
         self._idle_by_server = collections.defaultdict(list)
         self._checks_by_server = {}
 
@@ -337,7 +359,12 @@
                 return
             case result.Success(connection):
                 pass
-        connection.send(data, without_body)
+        sent_s = asyncio.get_running_loop().time()
+        connection.send(
+            data,
+            without_body,
+            functools.partial(self._on_head, server, sent_s),
+        )
         try:
             yield result.Success(connection)
         finally:
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -8,6 +8,7 @@
 from bulrushrudder.core import ids
 from bulrushrudder.entry import access
 from bulrushrudder.entry import authority_client
+from bulrushrudder.entry import backpressure_monitor
 from bulrushrudder.entry import balancing
 from bulrushrudder.entry import call_registrar
 from bulrushrudder.entry import cancelling
@@ -85,6 +86,9 @@
         self.coordinator_client = coordinator_client.CoordinatorClient(
             self._owner, self.view, roles
         )
+        self._backpressure = backpressure_monitor.BackpressureMonitor(
+            self.view
+        )
         self.metrics = metrics_entry.EntryMetrics()
         self.services = None
         self._canceller = None
@@ -103,7 +107,9 @@
         log.emit(catalogue.ENTRY_STARTED, callers=str(callers))
 
     async def _make_services(self, stack):
-        engines, services_client = await self._interface.clients(stack)
+        engines, services_client = await self._interface.clients(
+            stack, self._backpressure.record
+        )
         self._canceller = cancelling.Canceller(
             self._settings.vm, self.view, engines, self.metrics
         )
@@ -140,6 +146,7 @@
             self.control_client.run(),
             self._authority_client.run(),
             self._call_registrar.run(),
+            self._backpressure.run(),
             self.coordinator_client.run(),
             balancing.PoolBalancer(
                 self.view, self.coordinator_client, self.control_client
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -361,6 +361,32 @@
     'A backend server gets no new requests: it is leaving, is silent, or is '
     'excluded for a change of its kind.',
 )
+SERVER_LIMIT_STATED = Event(
+    4011,
+    Level.INFO,
+    'server limit stated',
+    'A backend server stated in an answer how many requests a second it '
+    'takes from all VMs together; without a number, the limit has ended.',
+)
+SERVER_LEAVING_STATED = Event(
+    4012,
+    Level.INFO,
+    'server leaving stated',
+    'A backend server stated in an answer that it is leaving.',
+)
+SERVER_PAUSE_STATED = Event(
+    4013,
+    Level.INFO,
+    'server pause stated',
+    'A backend server refused a request of this VM and asked for a pause.',
+)
+STATEMENT_INVALID = Event(
+    4014,
+    Level.WARNING,
+    'statement invalid',
+    'A header by which a backend server states something about itself '
+    'cannot be read; it is ignored. At most one line a server and minute.',
+)
 SPARE_TOKENS_GRANTED = Event(
     5101,
     Level.INFO,
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -23,6 +23,7 @@
 from bulrushrudder.platform import headers
 from bulrushrudder.platform import jobs as platform_jobs
 from bulrushrudder.platform import services as plain_services
+from bulrushrudder.platform import statements
 from bulrushrudder.utils import authentication
 from bulrushrudder.utils import web as web_utils
 
@@ -48,12 +49,18 @@
 class Interface:
     """The platform's interface of an entry process."""
 
-    async def clients(self, stack):
+    async def clients(self, stack, record_statements):
         """Return the EngineClient and the ServiceClient.
 
         :param stack: an AsyncExitStack that owns their connections.
+        :param record_statements: function of a server, the seconds at which
+            a request was sent, and the Statements in its answer.
         """
-        pool = connections.ConnectionPool()
+        pool = connections.ConnectionPool(
+            lambda server, sent_s, head: record_statements(
+                server, sent_s, statements.read(head)
+            )
+        )
         stack.callback(pool.close)
         return engines.EngineClient(pool), plain_services.ServiceClient(pool)
 
--- a/bulrushrudder/tests/layout_tests.py
+++ b/bulrushrudder/tests/layout_tests.py
@@ -20,6 +20,7 @@
     'membership',
     'lifecycle',
     'overload',
+    'backpressure',
 )
 IO_MODULES = frozenset(
     {
@@ -72,6 +73,8 @@
     'Length-Hint',
     'Not-Executed',
     'Prompt-Prefix',
+    'Server-Leaving',
+    'Server-Limit',
     'Server-Signature',
     'Token-Usage',
     'api_keys',
