Keep to the limit that a backend server names, over all VMs

Callers' servers in need got up to 59 requests in 4 s where 24 were allowed.

The border now reads statements of every answer; the coordinator of a model or plain service paces the requests to limited servers, on behalf of all VMs, and commits the limits to the log for VMs and coordinators that start later. A request that limits leave no time for is refused at once.

--- a/bulrushrudder/entry/backpressure_monitor.py
+++ b/bulrushrudder/entry/backpressure_monitor.py
@@ -4,6 +4,7 @@
 
 from bulrushrudder.backpressure import statements
 from bulrushrudder.backpressure import table
+from bulrushrudder.entry import limit_reports
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 
@@ -14,11 +15,14 @@
     """Keeps the StatementTable of this process.
 
     :param view: the View of the log.
+    :param coordinator_client: the CoordinatorClient.
     :ivar table: the StatementTable.
     """
 
-    def __init__(self, view):
+    def __init__(self, view, coordinator_client):
         self._view = view
+        self._coordinator_client = coordinator_client
+        self._limit_reports = limit_reports.LimitReports()
         self.table = table.StatementTable()
 
     def record(self, server, sent_s, stated):
@@ -31,12 +35,34 @@
         answer = statements.Answer(sent_s, _now_s(), stated)
         for change in self.table.record(server, answer):
             _log_change(server, change, answer)
+        self._report_limit(server, answer)
+
+    def requests_per_s(self, server):
+        """Return the limit of a server, None without one.
+
+        The statements that this VM has received go before the log.
+        """
+        stated = self.table.requests_per_s(server)
+        if stated is not None:
+            return stated
+        return self._view.state.servers.requests_per_s(server)
+
+    def _report_limit(self, server, answer):
+        stated = self.table.requests_per_s(server)
+        recorded = self._view.state.servers.requests_per_s(server)
+        host = None
+        if stated is not None or recorded is not None:
+            host = self._coordinator_client.host_of(server.serves[0])
+        if self._limit_reports.is_due(server, stated, recorded, host, answer):
+            self._coordinator_client.report_limit(server, stated)
 
     async def run(self):
         """Forget servers that are gone until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self.table.forget_absent(self._view.state.servers.by_id, _now_s())
+            present = self._view.state.servers.by_id
+            self.table.forget_absent(present, _now_s())
+            self._limit_reports.retain(present.keys())
 
 
 def _log_change(server, change, answer):
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -17,6 +17,9 @@
 REPORT_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.05
 HANDOVER_WAIT_S = 0.2
+# A coordinator decides on calls to plain services at once, and these have
+# latency targets of some 100 ms.
+CALL_REPLY_MARGIN_S = 0.6
 
 
 class CoordinatorClient:
@@ -128,6 +131,39 @@
             message = place_messages.ReportCache(model, change)
             await self._directory.send(_role_key(model), message, self.serve)
 
+    def report_limit(self, server, requests_per_s):
+        """Tell the coordinators of a server which limit it states.
+
+        :param requests_per_s: None if it states none any more.
+        """
+        for model in server.serves:
+            message = place_messages.ReportLimit(
+                model, server.id, server.incarnation, requests_per_s
+            )
+            self._spawn(
+                self._directory.send(_role_key(model), message, self.serve)
+            )
+
+    def host_of(self, model):
+        """Return the Owner in charge of a model or a service, or None."""
+        vm = self._directory.host_of(_role_key(model))
+        session = self._view.state.sessions.by_vm.get(vm)
+        return session.owner if session else None
+
+    async def request_call(self, message):
+        """Ask for a limited server for a call to a plain service.
+
+        :param message: a CallRequest message.
+        :returns: a CallGranted or CallDeferred message, or a LinkError.
+        """
+        return await self._directory.ask(
+            _role_key(message.model),
+            message,
+            0.0,
+            self.serve,
+            CALL_REPLY_MARGIN_S,
+        )
+
     async def serve(self, message):
         """Handle a message to a coordinator on this VM.
 
@@ -155,6 +191,17 @@
                 self._host.handle_event(
                     model, events.AllocationsRestored(allocations)
                 )
+            case place_messages.CallRequest():
+                return await self._host.request_call(message)
+            case place_messages.ReportLimit(model=model):
+                self._host.handle_event(
+                    model,
+                    events.LimitReported(
+                        message.server,
+                        message.incarnation,
+                        message.requests_per_s,
+                    ),
+                )
             case place_messages.ReportLoad(model=model, report=report):
                 self._host.handle_event(model, report)
             case place_messages.ReportCache(model=model, change=change):
@@ -168,6 +215,13 @@
         """
         return self._host.wanted_prefills_by_model()
 
+    def limits_by_model(self):
+        """Return pairs of incarnation and limit by server, by model.
+
+        It covers the models and services whose coordinators run here.
+        """
+        return self._host.limits_by_model()
+
     async def hand_over(self):
         """Close the coordinators here and redirect their queued requests.
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -84,12 +84,39 @@
                 coordinator.Coordinator(ready_s=self._ready_s(now_s)), now_s
             )
             self._hosted_by_model[model] = hosted
-        if isinstance(event, events.PlacementRequested):
+            for limit in self._recorded_limits(model):
+                hosted.coordinator.handle(limit, now_s)
+        if isinstance(event, events.PlacementRequested | events.CallRequested):
             hosted.last_request_s = now_s
         for change in (*self._view_changes(model, hosted), event):
             for action in hosted.coordinator.handle(change, now_s):
                 self._perform(action)
 
+    async def request_call(self, message):
+        """Decide on a CallRequest message.
+
+        :returns: a CallGranted, CallDeferred or CoordinatorMoved message.
+        """
+        if self._closed:
+            return place_messages.CoordinatorMoved()
+        call = self._pending_replies.open()
+        limits = tuple(_limit_reported(limit) for limit in message.limits)
+        self.handle_event(
+            message.model,
+            events.CallRequested(call, limits, message.max_wait_s),
+        )
+        return await self._pending_replies.wait(call)
+
+    def limits_by_model(self):
+        """Return pairs of incarnation and limit by server, by model.
+
+        It covers the models and services whose coordinators run here.
+        """
+        return {
+            model: hosted.coordinator.limits_by_id
+            for model, hosted in self._hosted_by_model.items()
+        }
+
     def reconcile(self, message):
         """Reconcile a coordinator with a ReportHolds message.
 
@@ -164,6 +191,16 @@
             return now_s + TAKEOVER_GRACE_S
         return now_s
 
+    def _recorded_limits(self, model):
+        """Yield the limits that an earlier coordinator has recorded."""
+        servers = self._view.state.servers
+        for server in servers.by_served.get(model, {}).values():
+            requests_per_s = servers.requests_per_s(server)
+            if requests_per_s is not None:
+                yield events.LimitReported(
+                    server.id, server.incarnation, requests_per_s
+                )
+
     def _view_changes(self, model, hosted):
         """Yield events for changes of the view that a coordinator missed."""
         if hosted.index == self._view.index:
@@ -193,6 +230,14 @@
                     int(reason), action.retry_after_s
                 )
                 self._pending_replies.resolve(call, refused)
+            case actions.GrantCall(call=call):
+                granted = place_messages.CallGranted(
+                    action.server, action.wait_s
+                )
+                self._pending_replies.resolve(call, granted)
+            case actions.DeferCall(call=call):
+                deferred = place_messages.CallDeferred(action.retry_after_s)
+                self._pending_replies.resolve(call, deferred)
             case actions.RequestAllocations(owner=owner, numbers=numbers):
                 self._unknown_holds_by_owner[owner] = numbers
 
@@ -227,6 +272,13 @@
         return self._latency_targets.find(model, interactive)
 
 
+def _limit_reported(message):
+    """Return the event for a ReportLimit message."""
+    return events.LimitReported(
+        message.server, message.incarnation, message.requests_per_s
+    )
+
+
 class _LatencyTargets:
     """The strictest latency targets among the routes to each model.
 
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -10,10 +10,12 @@
 from bulrushrudder.entry import authority_client
 from bulrushrudder.entry import backpressure_monitor
 from bulrushrudder.entry import balancing
+from bulrushrudder.entry import call_permits
 from bulrushrudder.entry import call_registrar
 from bulrushrudder.entry import cancelling
 from bulrushrudder.entry import control_client
 from bulrushrudder.entry import coordinator_client
+from bulrushrudder.entry import limit_sharing
 from bulrushrudder.entry import own_interface
 from bulrushrudder.entry import role_directory
 from bulrushrudder.entry import service_router
@@ -87,7 +89,7 @@
             self._owner, self.view, roles
         )
         self._backpressure = backpressure_monitor.BackpressureMonitor(
-            self.view
+            self.view, self.coordinator_client
         )
         self.metrics = metrics_entry.EntryMetrics()
         self.services = None
@@ -129,6 +131,9 @@
             self.control_client,
             self._canceller,
             self._call_registrar,
+            call_permits.CallPermits(
+                router, self._backpressure, self.coordinator_client
+            ),
         )
 
     def _limit_retries(self):
@@ -151,6 +156,9 @@
             balancing.PoolBalancer(
                 self.view, self.coordinator_client, self.control_client
             ).run(),
+            limit_sharing.LimitSharing(
+                self.view, self.coordinator_client, self.control_client
+            ).run(),
             self._canceller.run(),
             access.AccessMonitor(self.services).run(),
             self._keep_session_open(),
@@ -258,6 +266,8 @@
                 | place_messages.RestoreAllocations()
                 | place_messages.ReportLoad()
                 | place_messages.ReportCache()
+                | place_messages.ReportLimit()
+                | place_messages.CallRequest()
             ):
                 return await self.coordinator_client.serve(message)
         return None
--- a/bulrushrudder/entry/role_directory.py
+++ b/bulrushrudder/entry/role_directory.py
@@ -44,7 +44,9 @@
         self._suspects_by_vm = {}
         self._probe_tasks = set()
 
-    async def ask(self, key, request, patience_s, serve):
+    async def ask(
+        self, key, request, patience_s, serve, margin_s=REPLY_MARGIN_S
+    ):
         """Send a request to the host of a role and wait for the reply.
 
         A VM that does not reply becomes suspect.
@@ -54,15 +56,14 @@
         :param patience_s: seconds that the host may take.
         :param serve: coroutine function that handles the message if this
             VM hosts the role.
+        :param margin_s: seconds that the reply may take in addition.
         :returns: the reply, or a LinkError.
         """
         vm = self.host_of(key)
         address = self._remote_address(vm)
         if address is None:
             return result.Success(await serve(request))
-        answer = await self._peers.ask(
-            address, request, patience_s + REPLY_MARGIN_S
-        )
+        answer = await self._peers.ask(address, request, patience_s + margin_s)
         if isinstance(answer, result.Failure):
             self._add_suspect(vm, address)
         return answer
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -36,9 +36,6 @@
 MAX_TRIES = 4
 # Longest wait for the record of a crash before the next try.
 CRASH_CHECK_TIMEOUT_S = 0.5
-_NO_SERVER = outcomes.not_run(
-    outcomes.Reason.NO_SERVER, 'no backend server of the service is up', 1.0
-)
 
 
 class ServiceCalls:
@@ -138,11 +135,15 @@
         self._services.retries.record_admission()
         tried = []
         runs = 0
-        sent = result.Failure(_NO_SERVER)
+        sent = None
         while True:
-            server = self._services.service_router.choose(service, tried)
-            if server is None:
-                return sent
+            match await self._services.call_permits.choose(
+                service, call, tried
+            ):
+                case result.Failure(refusal):
+                    return result.Failure(refusal) if sent is None else sent
+                case result.Success(server):
+                    pass
             left_s = call.deadline_s - loop.time()
             timeout_s = min(call.timeout_s, left_s)
             bounded_call = dataclasses.replace(call, timeout_s=timeout_s)
@@ -154,7 +155,7 @@
             took_s = loop.time() - started_s
             self._services.metrics.observe_call(service, took_s)
             self._log_try(bounded_call, server, latest, took_s)
-            sent = _merged(sent, latest)
+            sent = latest if sent is None else _merged(sent, latest)
             runs += _may_have_run(latest)
             checking = self._record_result(server, call, latest, view)
             if not _should_try_again(latest, call) or runs >= call.attempts:
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -26,13 +26,17 @@
         self._selectors_by_service = {}
         self._versions_by_service = {}
 
-    def choose(self, service, tried=()):
-        """Return a server for a call to a service, or None.
+    def candidates(self, service, tried=()):
+        """Return servers for a call to a service, the best one first.
 
         :param tried: ids of servers that this call was sent to before.
         """
-        selector = self._selector(service)
-        server_id = selector.choose(_now_s(), tried)
+        ranked = self._selector(service).ranked(_now_s(), tried)
+        by_id = self._view.state.servers.by_id
+        return [by_id[server_id] for server_id in ranked if server_id in by_id]
+
+    def server(self, server_id):
+        """Return a server by id, or None."""
         return self._view.state.servers.by_id.get(server_id)
 
     async def call(self, server, call):
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -25,6 +25,7 @@
     :param control_client: the ControlClient, which proposes commands.
     :param canceller: the Canceller.
     :param call_registrar: the CallRegistrar.
+    :param call_permits: the CallPermits.
     :ivar crash_reporter: the CrashReporter of this process.
     :ivar retries: the RetryPolicy of this process.
     :ivar reachability: backend servers that could not be reached lately.
@@ -53,6 +54,7 @@
         control_client,
         canceller,
         call_registrar,
+        call_permits,
     ):
         self.owner = owner
         self.view = view
@@ -64,6 +66,7 @@
         self.control_client = control_client
         self.canceller = canceller
         self.call_registrar = call_registrar
+        self.call_permits = call_permits
         self.crash_reporter = crash_reporter.CrashReporter(
             view, control_client
         )
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -380,6 +380,13 @@
     'server pause stated',
     'A backend server refused a request of this VM and asked for a pause.',
 )
+CALL_DEFERRED = Event(
+    1211,
+    Level.INFO,
+    'call deferred',
+    'A call was refused because all backend servers of its plain service '
+    'limit their requests, and none takes it in time.',
+)
 STATEMENT_INVALID = Event(
     4014,
     Level.WARNING,
--- a/bulrushrudder/overload/return_times.py
+++ b/bulrushrudder/overload/return_times.py
@@ -33,14 +33,18 @@
         self._granted_s.append(now_s)
         self._drop_old(now_s)
 
+    def pace(self, now_s):
+        """Return the pace at which places are granted, per second."""
+        self._drop_old(now_s)
+        return max(MIN_PACE, len(self._granted_s) / PACE_WINDOW_S)
+
     def next_delay_s(self, backlog, now_s):
         """Return the seconds after which a refused caller should retry.
 
         :param backlog: number of requests that are still queued.
         :param now_s: monotonic seconds.
         """
-        self._drop_old(now_s)
-        pace = max(MIN_PACE, len(self._granted_s) / PACE_WINDOW_S)
+        pace = self.pace(now_s)
         return_s = max(
             now_s + MIN_DELAY_S,
             now_s + backlog / pace,
--- a/bulrushrudder/placement/actions.py
+++ b/bulrushrudder/placement/actions.py
@@ -39,3 +39,26 @@
 
     owner: ids.Owner
     numbers: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantCall:
+    """A call to a plain service may go to a limited server.
+
+    :param wait_s: seconds until it may be sent.
+    """
+
+    call: int
+    server: ids.ServerId
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeferCall:
+    """No limited server of a plain service takes a call in time.
+
+    :param retry_after_s: seconds after which its caller should retry.
+    """
+
+    call: int
+    retry_after_s: float
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from bulrushrudder.backpressure import rate_limiter
 from bulrushrudder.placement import decode_server
 from bulrushrudder.placement import events
 from bulrushrudder.placement import prefills
@@ -16,6 +17,7 @@
 FAILING_SERVER_COST_S = 1.0
 ISOLATION_MARGIN_S = 0.5
 MAX_PREFILL_PLANS = 3
+NO_LIMITS = rate_limiter.RateLimiter()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,11 +59,13 @@
     :param claimed: decode servers whose memory other requests wait for.
     :param max_prefill_wait_s: seconds that the prefill may wait for its
         server.
+    :param limiter: paces the requests to servers that state a limit.
     """
 
     spare_pieces: int = 0
     claimed: frozenset[str] = frozenset()
     max_prefill_wait_s: float = MAX_PREFILL_WAIT_S
+    limiter: rate_limiter.RateLimiter = NO_LIMITS
 
 
 def choose(request, prefill_pool, decode_pool, constraints, now_s):
@@ -74,11 +78,17 @@
     max_prefill_wait_s = constraints.max_prefill_wait_s
     if request.isolation is not events.Isolation.NONE:
         max_prefill_wait_s = 0.0
+    limiter = constraints.limiter
     plans = [
         plan
-        for plan in prefill_pool.plans(request, now_s)
+        for plan in prefill_pool.plans(
+            request, now_s, len(limiter.limited(prefill_pool.by_id))
+        )
         if plan.start_s <= now_s + max_prefill_wait_s
+        and limiter.wait_s(_server_id(plan), now_s) == 0
     ]
+    if not plans and limiter.total_requests_per_s(prefill_pool.by_id):
+        return _choose_decode_only(request, decode_pool, constraints, now_s)
     if not plans:
         return Blocked()
     plans.sort(
@@ -86,9 +96,10 @@
     )
     candidates = [
         known
-        for known in decode_pool.candidates(request.excluded)
-        if known.server.id not in constraints.claimed
-        and known.can_share(request.isolation)
+        for known in _decode_candidates(
+            request, decode_pool, constraints, now_s
+        )
+        if known.can_share(request.isolation)
     ]
     with_memory = [
         c
@@ -120,10 +131,11 @@
     """
     candidates = [
         known
-        for known in decode_pool.candidates(request.excluded)
+        for known in _decode_candidates(
+            request, decode_pool, constraints, now_s
+        )
         if known.server.can_prefill
         and known.read_free_s <= now_s + MAX_PREFILL_WAIT_S
-        and known.server.id not in constraints.claimed
         and known.can_share(request.isolation)
         and known.has_memory(request, constraints.spare_pieces, now_s)
         and decode_pool.fits(known, request, 0.0)
@@ -140,6 +152,18 @@
     return Placement(None, best, start_s, end_s, end_s)
 
 
+def _decode_candidates(request, decode_pool, constraints, now_s):
+    """Return the decode servers that may take a request now."""
+    limiter = constraints.limiter
+    limited = len(limiter.limited(decode_pool.by_id))
+    return [
+        known
+        for known in decode_pool.candidates(request.excluded, limited)
+        if known.server.id not in constraints.claimed
+        and limiter.wait_s(known.server.id, now_s) == 0
+    ]
+
+
 def book(placement, prefill_pool, request):
     """Book the prefill and the links of a placement."""
     if placement.prefill is None:
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -2,28 +2,25 @@
 
 import collections
 import dataclasses
-import math
 
+from bulrushrudder.backpressure import rate_limiter
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.overload import return_times
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import balance
+from bulrushrudder.placement import call_limits
 from bulrushrudder.placement import choice
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
+from bulrushrudder.placement import flooding
 from bulrushrudder.placement import prefills
 
 MAX_BOOKED_AHEAD = 6
 # Accounts of a queue class that are considered for one grant.
 MAX_QUEUE_HEADS = 8
-# A flooding account is held back once it holds this part of its share.
-FLOOD_MIN_HELD_SHARE = 0.5
-# With more free places than this multiple of the reserve, a flooding
-# account is not constrained.
-AMPLE_RESERVE_FACTOR = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +61,7 @@
         self._known_owners = {}
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
+        self._limiter = rate_limiter.RateLimiter()
 
     @property
     def queue_length(self):
@@ -82,6 +80,14 @@
             grant.allocation for grant in self._grants_by_hold.values()
         )
 
+    @property
+    def limits_by_id(self):
+        """Return pairs of incarnation and limit by server.
+
+        It covers the servers that have stated a limit, or its end.
+        """
+        return self._limiter.limits_by_id
+
     def wanted_prefills(self):
         """Return the target number of prefill servers, None if unknown."""
         work = self._average_work.work
@@ -102,7 +108,15 @@
     def _apply(self, event, now_s):
         match event:
             case events.PlacementRequested():
-                self._enqueue(event, now_s)
+                return self._enqueue(event, now_s)
+            case events.LimitReported():
+                self._update_limit(event, now_s)
+            case events.CallRequested():
+                return [
+                    call_limits.decide(
+                        event, self._limiter, self._return_times, now_s
+                    )
+                ]
             case events.PlaceReleased(hold=hold):
                 self._record_measurements(event, now_s)
                 self._release(hold, now_s)
@@ -130,7 +144,19 @@
         tokens = request.prompt_tokens + request.output_tokens
         self._demand.record(request.account, request.weight, tokens, now_s)
         self._record_work(request)
+        if self._backlog_s(now_s) > request.patience_s:
+            return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         self._queue.add(request, now_s, self._lead_s(request))
+        return []
+
+    def _backlog_s(self, now_s):
+        """Return the seconds of work that is queued, 0 without limits."""
+        if not (
+            self._limiter.limited(self._decodes.by_id)
+            or self._limiter.limited(self._prefills.by_id)
+        ):
+            return 0.0
+        return len(self._queue) / self._return_times.pace(now_s)
 
     def _record_work(self, request):
         """Add the expected server time of a request to the average."""
@@ -182,6 +208,7 @@
 
     def _update_servers(self, servers, now_s):
         by_id = {server.id: server for server in servers}
+        self._limiter.retain({s.id: s.incarnation for s in servers})
         for pool, kind in (
             (self._prefills, 'prefill'),
             (self._decodes, 'decode'),
@@ -195,6 +222,15 @@
                     pool.join(server)
                     self._count_restored(server.id, now_s)
 
+    def _update_limit(self, event, now_s):
+        known = self._decodes.by_id.get(event.server)
+        known = known or self._prefills.by_id.get(event.server)
+        if known and known.server.incarnation != event.incarnation:
+            return
+        self._limiter.update(
+            event.server, event.incarnation, event.requests_per_s, now_s
+        )
+
     def _reconcile(self, event, now_s):
         """Release holds that an owner lacks and request unknown ones."""
         last = self._last_report_by_owner.get(event.owner, -1)
@@ -273,7 +309,7 @@
 
     def _dispatch(self, now_s):
         decided = [
-            self._refuse(queued, outcomes.Reason.NO_SERVER, now_s)
+            self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
             for queued in self._queue.expired(now_s)
         ]
         self._queue.demote(now_s)
@@ -295,26 +331,30 @@
         for queue_class in fair_queue.QueueClass:
             blocked = False
             for queued in self._queue.heads(queue_class, MAX_QUEUE_HEADS):
-                flooding = self._is_flooding(queued.request.account)
-                result = self._place(queued, flooding, claimed, now_s)
+                held_back = self._is_flooding(queued.request.account)
+                result = self._place(queued, held_back, claimed, now_s)
                 match result:
                     case actions.Grant() | actions.Refuse():
                         return result
                     case choice.Blocked(claimed=str(server)):
                         claimed |= {server}
-                blocked = blocked or not flooding
+                blocked = blocked or not held_back
             if blocked:
                 return None
         return None
 
-    def _place(self, queued, flooding, claimed, now_s):
+    def _place(self, queued, held_back, claimed, now_s):
         """Return the Grant or Refuse for a queued request, or Blocked."""
         request = queued.request
         if request.isolation is events.Isolation.ALONE:
             claimed = self._drain_for(request, claimed)
-        constraints = choice.Constraints(claimed=claimed)
-        if flooding:
-            constraints = self._flood_constraints(claimed, now_s)
+        constraints = choice.Constraints(
+            claimed=claimed, limiter=self._limiter
+        )
+        if held_back:
+            constraints = flooding.constraints(
+                constraints, self._demand, self._decodes, now_s
+            )
         if constraints is None:
             return choice.Blocked()
         placement = choice.choose(
@@ -330,7 +370,7 @@
                 if rate_reported and first_token_s > target_s:
                     return self._refuse_unreachable(queued, now_s)
                 return self._grant(queued, placement, now_s)
-        return choice.Blocked() if flooding else placement
+        return choice.Blocked() if held_back else placement
 
     def _drain_for(self, request, claimed):
         """Reserve one decode server for a request that must run alone.
@@ -346,38 +386,22 @@
 
     def _is_flooding(self, account):
         """Return whether an account floods and already holds enough."""
-        if not self._demand.is_flooding(account):
-            return False
-        share = self._demand.share(account, self._decodes.places)
-        return (
-            self._grant_count_by_account[account]
-            >= share * FLOOD_MIN_HELD_SHARE
+        held = self._grant_count_by_account[account]
+        return flooding.is_flooding(
+            account, held, self._demand, self._decodes.places
         )
 
-    def _flood_constraints(self, claimed, now_s):
-        """Return the Constraints of flooding accounts, None to block them."""
-        pool = self._decodes
-        reserve = self._demand.reserve(pool.places, pool.mean_hold_s, now_s)
-        free = pool.places - pool.held_places
-        if free <= reserve:
-            return None
-        if free > reserve * AMPLE_RESERVE_FACTOR:
-            return choice.Constraints(claimed=claimed)
-        reserve_per_server = reserve / max(1, len(pool.by_id))
-        pieces = math.ceil(reserve_per_server * pool.large_pieces)
-        return choice.Constraints(pieces, claimed, 0.0)
-
     def _refuse_unreachable(self, queued, now_s):
         self._queue.remove(queued.request.hold)
         reason = outcomes.Reason.TARGET_UNREACHABLE
-        return self._refuse(queued, reason, now_s)
+        return self._refuse(queued.request, reason, now_s)
 
-    def _refuse(self, queued, reason, now_s):
-        hold = queued.request.hold
+    def _refuse(self, request, reason, now_s):
+        hold = request.hold
         self._drained_server_by_hold.pop(hold, None)
         self._holds_by_owner[hold.owner].discard(hold)
         delay_s = self._return_times.next_delay_s(len(self._queue), now_s)
-        return actions.Refuse(queued.request.call, hold, reason, delay_s)
+        return actions.Refuse(request.call, hold, reason, delay_s)
 
     def _grant(self, queued, placement, now_s):
         request = queued.request
@@ -385,6 +409,7 @@
         self._queue.grant(queued)
         self._return_times.record_grant(now_s)
         choice.book(placement, self._prefills, request)
+        self._take_from_limits(placement, now_s)
         allocation = events.Allocation(
             request.hold,
             request.account,
@@ -405,6 +430,13 @@
             request.call, request.hold, allocation.prefill, allocation.decode
         )
 
+    def _take_from_limits(self, placement, now_s):
+        """Count the requests of a placement to limited servers."""
+        self._limiter.take(placement.decode.server.id, now_s)
+        prefill = _id_of(placement.prefill)
+        if prefill:
+            self._limiter.take(prefill, now_s)
+
 
 def _id_of(plan):
     """Return the id of a plan's server, empty without a plan."""
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -95,12 +95,15 @@
             known.steps.observe(event.running, event.step_s)
             self._update_limit(known)
 
-    def candidates(self, excluded):
-        """Return the least filled servers of each zone, without a scan."""
+    def candidates(self, excluded, further=0):
+        """Return the least filled servers of each zone, without a scan.
+
+        :param further: number of further candidates of each zone.
+        """
         return [
             self.by_id[server_id]
             for index in self._index_by_zone.values()
-            for server_id in index.lowest(CANDIDATES_PER_ZONE)
+            for server_id in index.lowest(CANDIDATES_PER_ZONE + further)
             if server_id not in excluded
         ]
 
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -176,6 +176,33 @@
     owners: tuple[ids.Owner, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitReported:
+    """A server has stated how many requests it takes from all VMs.
+
+    :param requests_per_s: None if it states no limit.
+    """
+
+    server: ids.ServerId
+    incarnation: int
+    requests_per_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRequested:
+    """A call to a plain service asks for one of several limited servers.
+
+    :param call: correlates the resulting action with this event.
+    :param limits: the servers in order of preference, with the limits that
+        the caller's VM knows.
+    :param max_wait_s: seconds that the call can wait.
+    """
+
+    call: int
+    limits: tuple[LimitReported, ...]
+    max_wait_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
     """A timer tick, so that deadlines and free times are checked."""
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -114,12 +114,15 @@
         """Return whether there is a server, idle or busy, to choose from."""
         return any(server_id not in excluded for server_id in self.by_id)
 
-    def plans(self, request, now_s):
-        """Return candidate prefills, without a scan."""
+    def plans(self, request, now_s, further=0):
+        """Return candidate prefills, without a scan.
+
+        :param further: number of further candidates of each zone.
+        """
         ids = {
             server_id
             for index in self._index_by_zone.values()
-            for server_id in index.lowest(CANDIDATES_PER_ZONE)
+            for server_id in index.lowest(CANDIDATES_PER_ZONE + further)
         }
         ids |= {
             server_id for server_id, _ in self.prefixes.matches(request.prefix)
--- a/bulrushrudder/placement/server_selector.py
+++ b/bulrushrudder/placement/server_selector.py
@@ -72,6 +72,13 @@
         :param tried: ids of servers already tried for the call.
         :returns: the id of the server, or None if there is none.
         """
+        return next(iter(self.ranked(now_s, tried)), None)
+
+    def ranked(self, now_s, tried=()):
+        """Return the ids of some servers for a call, the best one first.
+
+        :param tried: ids of servers already tried for the call.
+        """
         for server_id in self._on_probation:
             self._update_index(server_id, now_s)
         candidates = [
@@ -82,7 +89,7 @@
         ]
         if not candidates and not tried:
             candidates = self._first_to_be_readmitted()
-        return min(candidates, key=self._cost, default=None)
+        return sorted(candidates, key=self._cost)
 
     def record_call_start(self, server_id, incarnation, now_s):
         """Record that a call is sent to a server."""
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -136,3 +136,53 @@
 
     model: ids.ModelId
     change: events.CacheChanged
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportLimit:
+    """Tells a coordinator what limit a server has stated.
+
+    :param model: id of the model or plain service of the server.
+    :param requests_per_s: for all VMs together; None if it states none.
+    """
+
+    model: str
+    server: ids.ServerId
+    incarnation: int
+    requests_per_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRequest:
+    """Asks to call one of several limited servers of a plain service.
+
+    :param model: id of the plain service.
+    :param limits: the servers in order of preference, with the limits that
+        the sender knows.
+    :param max_wait_s: seconds that the call can wait.
+    """
+
+    model: str
+    limits: tuple[ReportLimit, ...]
+    max_wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallGranted:
+    """Grants a call to a limited server.
+
+    :param wait_s: seconds until the call may be sent.
+    """
+
+    server: ids.ServerId
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallDeferred:
+    """States that no limited server takes the call in time.
+
+    :param retry_after_s: seconds after which its caller should come back.
+    """
+
+    retry_after_s: float
--- a/bulrushrudder/standins/entry_path.py
+++ b/bulrushrudder/standins/entry_path.py
@@ -297,6 +297,7 @@
             self.log,
             cancels,
             None,
+            None,
         )
         self.services.append(services)
         tasks.spawn(self._stack, cancels.run())
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -114,6 +114,7 @@
                 servers.JoinServer()
                 | servers.LeaveServer()
                 | servers.LoseServer()
+                | servers.SetServerLimit()
             ):
                 return self.servers.apply(index, command)
             case quarantine.ReportCrash() | quarantine.ClearSuspect():
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -90,6 +90,18 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetServerLimit:
+    """Record how many requests a server takes from all VMs together.
+
+    :param requests_per_s: None if it no longer states a limit.
+    """
+
+    id: ids.ServerId
+    incarnation: int
+    requests_per_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownIncarnation:
     """The latest known incarnation of a backend server.
@@ -108,6 +120,7 @@
 
     present: tuple[BackendServer, ...]
     incarnations: tuple[KnownIncarnation, ...]
+    limits: tuple[SetServerLimit, ...] = ()
 
 
 class Servers:
@@ -123,6 +136,7 @@
         self.by_id: dict[ids.ServerId, BackendServer] = {}
         self.by_served: dict[str, dict[ids.ServerId, BackendServer]] = {}
         self.versions_by_served: dict[str, int] = {}
+        self._limits_by_id: dict[ids.ServerId, SetServerLimit] = {}
         self._known_by_id: dict[ids.ServerId, KnownIncarnation] = {}
 
     def snapshot(self):
@@ -130,8 +144,16 @@
         return ServersSnapshot(
             tuple(self.by_id.values()),
             tuple(self._known_by_id.values()),
+            tuple(self._limits_by_id.values()),
         )
 
+    def requests_per_s(self, server):
+        """Return the recorded limit of a server, None without one."""
+        limit = self._limits_by_id.get(server.id)
+        if limit is None or limit.incarnation != server.incarnation:
+            return None
+        return limit.requests_per_s
+
     def restore(self, snapshot):
         """Replace the table by a ServersSnapshot."""
         for server in tuple(self.by_id.values()):
@@ -141,6 +163,7 @@
         self._known_by_id = {
             known.id: known for known in snapshot.incarnations
         }
+        self._limits_by_id = {limit.id: limit for limit in snapshot.limits}
 
     def apply(self, index, command):
         """Apply a committed command and return its result."""
@@ -151,6 +174,8 @@
                 return self._leave(index, command)
             case LoseServer():
                 return self._lose(index, command)
+            case SetServerLimit():
+                return self._set_limit(index, command)
         raise AssertionError(f'unknown command {command!r}')
 
     def _join(self, index, server):
@@ -164,8 +189,11 @@
             return results.Rejected(
                 f'incarnation {server.incarnation} of {server.id} has left'
             )
+        limit = self._limits_by_id.get(server.id)
         self._remove(server.id)
         self._add(server)
+        if limit is not None and limit.incarnation == server.incarnation:
+            self._limits_by_id[server.id] = limit
         self._record_incarnation(
             server.id, server.incarnation, known.last_left
         )
@@ -194,6 +222,19 @@
         self._remove(command.id)
         return results.Accepted(index)
 
+    def _set_limit(self, index, command):
+        present = self.by_id.get(command.id)
+        if present is None or present.incarnation != command.incarnation:
+            return results.Rejected(
+                f'incarnation {command.incarnation} of {command.id} is not '
+                'present'
+            )
+        if command.requests_per_s is None:
+            self._limits_by_id.pop(command.id, None)
+        else:
+            self._limits_by_id[command.id] = command
+        return results.Accepted(index)
+
     def _known(self, server_id):
         return self._known_by_id.get(
             server_id, KnownIncarnation(server_id, -1)
@@ -211,6 +252,7 @@
 
     def _remove(self, server_id):
         removed = self.by_id.pop(server_id, None)
+        self._limits_by_id.pop(server_id, None)
         for served in removed.serves if removed else ():
             self.by_served[served].pop(server_id, None)
             self._increment_version(served)
--- a/bulrushrudder/tests/state/snapshot_tests.py
+++ b/bulrushrudder/tests/state/snapshot_tests.py
@@ -20,6 +20,8 @@
     servers.JoinServer(fleet.server('decode-2')),
     servers.LeaveServer(ids.ServerId('decode-2'), 1),
     servers.JoinServer(fleet.server('decode-2')),
+    servers.SetServerLimit(ids.ServerId('decode-1'), 1, 2.5),
+    servers.SetServerLimit(ids.ServerId('decode-2'), 1, 2.5),
     sessions.CloseSession(fleet.owner()),
     state_documents.PromoteDocument(1, 'd2', 'iva'),
     quarantine.ReportCrash('f1', ids.ServerId('decode-2'), 1, True),
