--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -284,6 +284,7 @@
                 kind=server.kind,
                 serves=' '.join(server.serves),
                 zone=server.zone,
+                software=server.software,
             )
         case servers.LeaveServer():
             _log_left(command, 'leaving')
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -25,6 +25,7 @@
         self._waited_s = waited_s
         self._parts = ','.join(parts or ())
         self._attempt_tokens = 0
+        self._decode = ''
 
     def event(self, event):
         """Log an event that marks progress or failure of the request."""
@@ -33,6 +34,7 @@
                 self._attempt_tokens += 1
             case events.PlaceGranted(prefill=prefill, decode=decode):
                 self._attempt_tokens = 0
+                self._decode = decode
                 self._emit(
                     catalogue.PLACE_GRANTED,
                     prefill=prefill,
@@ -44,7 +46,11 @@
             case events.PrefillDone(prompt_tokens=tokens):
                 self._emit(catalogue.PREFILL_DONE, tokens=tokens)
             case events.TransferDone():
-                self._emit(catalogue.DECODE_STARTED)
+                self._emit(
+                    catalogue.DECODE_STARTED,
+                    server=self._decode,
+                    software=self._software(),
+                )
             case events.CallerGone():
                 self._emit(catalogue.CALLER_GONE)
             case events.AttemptFailed():
@@ -76,6 +82,11 @@
             case actions.Complete(tokens=tokens):
                 self._emit(catalogue.REQUEST_ANSWERED, tokens=tokens)
 
+    def _software(self):
+        """Return the software version of the current decode server."""
+        server = self._view.state.servers.by_id.get(self._decode)
+        return server.software if server else ''
+
     def _emit(self, event, **fields):
         elapsed_s = self._clock.time() - self._started_s
         log.emit(
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -361,6 +361,13 @@
     'A backend server gets no new requests: it is leaving, is silent, or is '
     'excluded for a change of its kind.',
 )
+STREAM_TAKEN_UP = Event(
+    1212,
+    Level.INFO,
+    'stream taken up',
+    'A caller takes up again a stream that broke off, after the given event; '
+    'the stream began with the request named as resumed.',
+)
 SERVER_LIMIT_STATED = Event(
     4011,
     Level.INFO,
--- a/bulrushrudder/platform/announcements.py
+++ b/bulrushrudder/platform/announcements.py
@@ -16,14 +16,15 @@
     prefill_base_s=0.04, prefill_tokens_per_s=31_000.0, token_s=0.0042
 )
 _MAX_PORT = 65535
+MAX_VERSION_LENGTH = 200
 
 
 class AnnouncementModel(pydantic.BaseModel):
     """The body of a runner's heartbeat.
 
-    ``born`` is the start time of the runner in Unix milliseconds.
-    ``slots`` is the number of requests that it runs concurrently. Only
-    engines have a ``stage``.
+    ``version`` is that of its software. ``born`` is the start time of the
+    runner in Unix milliseconds. ``slots`` is the number of requests that it
+    runs concurrently. Only engines have a ``stage``.
     """
 
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
@@ -31,6 +32,7 @@
     service: str
     address: str
     zone: str
+    version: str = pydantic.Field(default='', max_length=MAX_VERSION_LENGTH)
     slots: int = pydantic.Field(ge=1)
     state: str = pydantic.Field(pattern='^(ready|draining)$')
     stage: str | None = pydantic.Field(
@@ -121,4 +123,5 @@
         allocates_memory_gradually=True,
         can_prefill=True,
         initial_speed=INITIAL_SPEED,
+        software=heartbeat.version,
     )
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -15,6 +15,8 @@
 from bulrushrudder.entry import model_calls
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_calls
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.idempotency import events
 from bulrushrudder.lifecycle import suspicion
 from bulrushrudder.platform import answers
@@ -262,6 +264,13 @@
         job = self._jobs.build(
             forwarded_call, request_headers, admitted, service
         )
+        if request_headers.last_event:
+            log.emit(
+                catalogue.STREAM_TAKEN_UP,
+                request=request_headers.attempt,
+                resumed=request_headers.resumed,
+                last_event=request_headers.last_event,
+            )
         suspects = self._services.view.state.suspect_parts
         if suspects.refuses(job.fingerprint, job.parts):
             return self._refuse(
--- a/bulrushrudder/platform/headers.py
+++ b/bulrushrudder/platform/headers.py
@@ -20,6 +20,7 @@
 CACHE_SOURCE = 'Kv-Source'
 NOT_RUN = 'not-executed'
 LAST_EVENT = 'Last-Event-Id'
+RESUMED = 'Resumes'
 _TOKEN_USAGE = 'token-usage'
 _LENGTH_HINT = 'length-hint'
 _PROMPT_PARTS = 'prompt-prefix'
@@ -84,6 +85,10 @@
     :param has_token_usage: whether the client stated its tokens.
     :param shared_parts: ids of the parts of the prompt that other requests
         may share, in order: all but the last one.
+    :param last_event: id of the last event that the client has; empty for
+        a request that takes no stream up again.
+    :param resumed: id of the attempt that brought the first event of the
+        stream that the client takes up again; empty if not stated.
     """
 
     attempt: str
@@ -93,6 +98,8 @@
     expected_tokens: int
     has_token_usage: bool
     shared_parts: tuple[str, ...] = ()
+    last_event: str = ''
+    resumed: str = ''
 
 
 def read(headers):
@@ -127,6 +134,8 @@
             expected_tokens=_parse_number(by_name.get(_LENGTH_HINT, '')),
             has_token_usage=usage is not None,
             shared_parts=_parse_shared_parts(by_name.get(_PROMPT_PARTS, '')),
+            last_event=by_name.get(LAST_EVENT.lower(), ''),
+            resumed=by_name.get(RESUMED.lower(), ''),
         )
     )
 
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -47,6 +47,7 @@
     :param run_id: identifies the run of the server, for servers that
         check it in each request; empty for others.
     :param initial_speed: speed assumed before any measurement.
+    :param software: version of its software; empty if it states none.
     """
 
     id: ids.ServerId
@@ -65,6 +66,7 @@
     allocates_memory_gradually: bool = False
     can_prefill: bool = False
     initial_speed: InitialSpeed = UNKNOWN_SPEED
+    software: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/tests/layout_tests.py
+++ b/bulrushrudder/tests/layout_tests.py
@@ -73,6 +73,7 @@
     'Length-Hint',
     'Not-Executed',
     'Prompt-Prefix',
+    'Resumes',
     'Server-Leaving',
     'Server-Limit',
     'Server-Signature',
