--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -32,6 +32,8 @@
     def __init__(self, stack):
         self._stack = stack
         self.entry = None
+        self._entry_stack = None
+        self._settings = None
         self.session = None
         self._sequence = 0
 
@@ -50,14 +52,27 @@
         self.control = await control_process.start(
             self._stack, fleet_settings, interface=control_api.Interface()
         )
-        self.entry = entry_process.EntryProcess(
-            fleet_settings, entry_api.Interface()
-        )
-        await self.entry.start(self._stack)
+        self._settings = fleet_settings
+        await self._start_entry()
         await self.wait_until(lambda: self.control.node.is_ready_leader)
         await self.wait_until(lambda: self.entry.view.state.sessions.by_vm)
         return self
 
+    async def _start_entry(self):
+        self._entry_stack = await self._stack.enter_async_context(
+            contextlib.AsyncExitStack()
+        )
+        self.entry = entry_process.EntryProcess(
+            self._settings, entry_api.Interface()
+        )
+        await self.entry.start(self._entry_stack)
+
+    async def restart_entry(self):
+        """End the entry process without a stop, and start it again."""
+        await self._entry_stack.aclose()
+        await self._start_entry()
+        await self.wait_until(lambda: self.entry.view.lookups.document.version)
+
     async def wait_until(self, condition):
         """Wait until a condition is true."""
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/bulrushrudder/tests/builders/stating_runners.py
+++ b/bulrushrudder/tests/builders/stating_runners.py
@@ -94,7 +94,7 @@
 
     def _reply(self, runner_id, call):
         stated = self.stated_by_id[runner_id]
-        if call.method == 'DELETE':
+        if 'Attempt-Id' not in call.headers:
             return [runners.answer(headers=stated)]
         now_s = asyncio.get_running_loop().time()
         self.arrivals_by_id[runner_id].append(now_s)
