Let a stream go on only at the software version that began it

The version of an announcement was dropped at the border; where a stream began was known to one VM at most and lost with it; streams that were taken up again were refused for the time of a whole answer.

Places for a stream are now asked for at its version. While a model has servers of several versions, entries tell the control processes where streams began; a VM that does not know one asks them, and refuses what is unknown. The check for time left no longer counts the whole answer.

--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -113,6 +113,14 @@
             return None
         return self._address_of(leader.address)
 
+    def other_addresses(self):
+        """Return the config Addresses of the other members."""
+        return [
+            self._address_of(member.address)
+            for member in self.replica.members
+            if member.id != self.replica.id
+        ]
+
     async def run(self):
         """Run until cancelled, or until the disk fails."""
         await self._driver.run()
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -7,16 +7,19 @@
 from bulrushrudder.consensus import messages as consensus_messages
 from bulrushrudder.control import log_feed
 from bulrushrudder.control import status
+from bulrushrudder.control import stream_registry
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import suspect_expiry
+from bulrushrudder.membership import software_expiry
 from bulrushrudder.membership import tracker
 from bulrushrudder.observers import leases
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import status_messages
+from bulrushrudder.protocol import stream_messages
 from bulrushrudder.state import documents
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
@@ -41,6 +44,8 @@
         self._leases = leases.Leases()
         self._tracker = tracker.Tracker()
         self._suspect_expiry = suspect_expiry.SuspectExpiry()
+        self._software_expiry = software_expiry.SoftwareExpiry()
+        self._streams = stream_registry.StreamRegistry(self.node, peers)
         self._was_leader = False
 
     async def handle(self, link, message):
@@ -64,6 +69,10 @@
                     if noted
                     else log_messages.NotLeader()
                 )
+            case stream_messages.RecordStreams():
+                self._streams.record(message)
+            case stream_messages.FindStream():
+                return await self._streams.find(message)
             case status_messages.StatusRequest():
                 return self._own_status() or log_messages.NotLeader()
             case log_messages.Forward() | log_messages.ReadIndexRequest():
@@ -138,13 +147,21 @@
             self._leases.renew_all(_now_s())
             self._tracker = tracker.Tracker()
             self._suspect_expiry = suspect_expiry.SuspectExpiry()
+            self._software_expiry = software_expiry.SoftwareExpiry()
         await self._track(tracker.Ticked())
         await self._advance_suspects()
+        await self._forget_softwares()
         by_vm = self.node.state.sessions.by_vm
         for command in self._leases.expire(by_vm, _now_s()):
             log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
             await self.node.propose(command)
 
+    async def _forget_softwares(self):
+        """Forget software versions that have had no server for long."""
+        absent = self.node.state.servers.absent_softwares()
+        for model, software in self._software_expiry.due(absent, _now_s()):
+            await self.node.propose(servers.ForgetSoftware(model, software))
+
     async def _advance_suspects(self):
         """Forget suspect prompt parts, and try quarantined ones."""
         suspects = self.node.state.suspect_parts
--- a/bulrushrudder/entry/control_client.py
+++ b/bulrushrudder/entry/control_client.py
@@ -123,6 +123,28 @@
         answer = await self._link.ask(request, PROPOSE_TIMEOUT_S)
         return answer == result.Success(messages.Acknowledged())
 
+    async def ask(self, request, timeout_s):
+        """Send a request to the control process and wait for its reply.
+
+        :returns: the reply, or a LinkError.
+        """
+        if self._link is None:
+            return result.Failure(
+                errors.LinkError(
+                    errors.LinkProblem.CLOSED,
+                    'not connected to a control process',
+                    False,
+                )
+            )
+        return await self._link.ask(request, timeout_s)
+
+    def send(self, message):
+        """Send a message without a reply; return whether it was sent."""
+        if self._link is None:
+            return False
+        self._link.send(message)
+        return True
+
     async def wait_for_index(self, index):
         """Wait until the view includes an index of the log."""
         while self._view.index < index:
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -263,6 +263,7 @@
             isolation=events.Isolation(message.isolation),
             expected_tokens=message.expected_tokens,
             accepts_late_answer=message.accepts_late_answer,
+            software=message.software,
         )
 
     def _latency_target(self, model, interactive):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -47,6 +47,7 @@
         self._request = lifecycle.Request(job, services.retries)
         self._servers_by_id = {}
         self._next_action = None
+        self._software = ''
         self._step_task = None
         self._final_actions = []
         self._charge = None
@@ -176,6 +177,17 @@
         self._trace.event(event)
         self._feedback.event(event, now_s)
         self._record_failure(event)
+        self._record_stream(event)
+
+    def _record_stream(self, event):
+        """Record at which software version a new stream begins."""
+        match event:
+            case events.PlaceGranted(software=software):
+                self._software = software
+            case events.TokenArrived(index=0) if self._job.stream:
+                self._services.stream_recorder.begin(
+                    self._job.stream, self._job.model, self._software
+                )
 
     async def _perform(self, next_actions):
         """Perform actions in order, with two exceptions.
@@ -285,13 +297,18 @@
             expected_tokens=job.expected_tokens,
             accepts_late_answer=job.accepts_late_answer,
             waited_s=self._waited_s(),
+            software=action.software,
         )
         match await self._services.coordinator_client.request_place(message):
             case result.Success(granted):
                 self._remember_server(granted.prefill)
                 self._remember_server(granted.decode)
+                decode = self._servers_by_id.get(granted.decode)
                 return events.PlaceGranted(
-                    action.place, granted.prefill, granted.decode
+                    action.place,
+                    granted.prefill,
+                    granted.decode,
+                    decode.software if decode else '',
                 )
             case result.Failure(refusal):
                 return events.StepRefused(refusal)
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -152,6 +152,7 @@
             self._authority_client.run(),
             self._call_registrar.run(),
             self._backpressure.run(),
+            self.services.stream_recorder.run(),
             self.coordinator_client.run(),
             balancing.PoolBalancer(
                 self.view, self.coordinator_client, self.control_client
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -4,6 +4,7 @@
 import math
 
 from bulrushrudder.entry import crash_reporter
+from bulrushrudder.entry import stream_recorder
 from bulrushrudder.lifecycle import reachability
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.utils import tasks
@@ -26,6 +27,7 @@
     :param canceller: the Canceller.
     :param call_registrar: the CallRegistrar.
     :param call_permits: the CallPermits.
+    :ivar stream_recorder: the StreamRecorder of this process.
     :ivar crash_reporter: the CrashReporter of this process.
     :ivar retries: the RetryPolicy of this process.
     :ivar reachability: backend servers that could not be reached lately.
@@ -70,6 +72,9 @@
         self.crash_reporter = crash_reporter.CrashReporter(
             view, control_client
         )
+        self.stream_recorder = stream_recorder.StreamRecorder(
+            view, control_client
+        )
         self.retries = retries.RetryPolicy()
         self.reachability = reachability.Reachability()
         self.running = set()
--- a/bulrushrudder/lifecycle/actions.py
+++ b/bulrushrudder/lifecycle/actions.py
@@ -32,12 +32,15 @@
     :param patience_s: seconds to wait until servers are free.
     :param excluded: servers on which the request failed.
     :param isolation: which other requests may share the servers.
+    :param software: version that the decode server must have; None for
+        any.
     """
 
     place: ids.RequestId
     patience_s: float
     excluded: tuple[ids.ServerId, ...]
     isolation: job.Isolation
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -24,11 +24,13 @@
 
     :param place: id of the request for a place.
     :param prefill: empty if the decode server processes the prompt.
+    :param software: version of the software of the decode server.
     """
 
     place: ids.RequestId
     prefill: ids.ServerId
     decode: ids.ServerId
+    software: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -54,6 +54,10 @@
     :param prefill_counts_as_run: whether a prefill counts as a run.
     :param waiting_since_s: monotonic time since which the caller waits,
         including earlier attempts of its own; None if unknown.
+    :param stream: the caller's id of the stream that the request begins;
+        empty if callers cannot take it up again.
+    :param software: version of the software that began the stream which
+        the request takes up again; None for a new stream.
     :param charge_is_final: whether the charge is final once the request
         has run, so that unused tokens are not refunded.
     """
@@ -85,3 +89,5 @@
     prefill_counts_as_run: bool = True
     charge_is_final: bool = False
     waiting_since_s: float | None = None
+    stream: str = ''
+    software: str | None = None
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -69,6 +69,10 @@
         self._prompt_tokens = job.prompt_tokens
         self._charged = job.cost
         self._produced = []
+        # Versions of the software that began the stream, and of the decode
+        # server of the current attempt.
+        self._stream_software = job.software
+        self._decode_software = ''
         self._progress = output_progress.OutputProgress()
 
     @property
@@ -166,7 +170,11 @@
             patience_s = min(patience_s, EXCLUSION_PATIENCE_S)
         return [
             actions.RequestPlace(
-                self._place, patience_s, self._excluded, self._isolation
+                self._place,
+                patience_s,
+                self._excluded,
+                self._isolation,
+                self._stream_software,
             )
         ]
 
@@ -198,6 +206,7 @@
             attempt, event.place, event.prefill, event.decode
         )
         self._place = None
+        self._decode_software = event.software
         self._progress.start_attempt()
         if not event.prefill and self._retained is None:
             self._transition('start_transfer')
@@ -271,6 +280,8 @@
         if self.state == 'decoding':
             self._transition('start_stream')
         self._produced.append(event.text)
+        if self._stream_software is None:
+            self._stream_software = self._decode_software
         relay = actions.Relay(event.index, event.text)
         if self._progress.record(now_s) and self.job.parts:
             return [relay, actions.ClearParts()]
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -155,11 +155,14 @@
 def _decode_candidates(request, decode_pool, constraints, now_s):
     """Return the decode servers that may take a request now."""
     limiter = constraints.limiter
-    limited = len(limiter.limited(decode_pool.by_id))
+    further = len(limiter.limited(decode_pool.by_id))
+    if request.software is not None:
+        further = len(decode_pool.by_id)
     return [
         known
-        for known in decode_pool.candidates(request.excluded, limited)
+        for known in decode_pool.candidates(request.excluded, further)
         if known.server.id not in constraints.claimed
+        and request.software in (None, known.server.software)
         and limiter.wait_s(known.server.id, now_s) == 0
     ]
 
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -346,6 +346,11 @@
     def _place(self, queued, held_back, claimed, now_s):
         """Return the Grant or Refuse for a queued request, or Blocked."""
         request = queued.request
+        if request.software is not None and not self._decodes.has_software(
+            request.software
+        ):
+            self._queue.remove(request.hold)
+            return self._refuse(request, outcomes.Reason.NO_SERVER, now_s)
         if request.isolation is events.Isolation.ALONE:
             claimed = self._drain_for(request, claimed)
         constraints = choice.Constraints(
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -107,6 +107,13 @@
             if server_id not in excluded
         ]
 
+    def has_software(self, software):
+        """Return whether a server has a software version."""
+        return any(
+            known.present and known.server.software == software
+            for known in self.by_id.values()
+        )
+
     def fits(self, known, request, lead_s):
         """Return whether a place is free by the time it is needed.
 
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -52,6 +52,8 @@
     :param expected_tokens: estimated output tokens, 0 if unknown.
     :param accepts_late_answer: whether an answer after the target is still
         useful.
+    :param software: version that the decode server must have; None for
+        any.
     """
 
     call: int
@@ -70,6 +72,7 @@
     isolation: Isolation = Isolation.NONE
     expected_tokens: int = 0
     accepts_late_answer: bool = False
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -46,6 +46,11 @@
 _STOPPING = outcomes.not_run(
     outcomes.Reason.SHUTTING_DOWN, 'this VM is shutting down', 0.05
 )
+_STREAM_UNKNOWN = outcomes.not_run(
+    outcomes.Reason.STREAM_UNKNOWN,
+    'it is not known which software version began the stream',
+    0.5,
+)
 
 
 class Interface:
@@ -261,16 +266,16 @@
             return self._refuse(
                 _STOPPING, request_headers.attempt, admitted.route.id
             )
+        software = None
+        if request_headers.last_event:
+            software = await self._find_software(request_headers, service)
+            if software is None:
+                return self._refuse(
+                    _STREAM_UNKNOWN, request_headers.attempt, admitted.route.id
+                )
         job = self._jobs.build(
-            forwarded_call, request_headers, admitted, service
+            forwarded_call, request_headers, admitted, service, software
         )
-        if request_headers.last_event:
-            log.emit(
-                catalogue.STREAM_TAKEN_UP,
-                request=request_headers.attempt,
-                resumed=request_headers.resumed,
-                last_event=request_headers.last_event,
-            )
         suspects = self._services.view.state.suspect_parts
         if suspects.refuses(job.fingerprint, job.parts):
             return self._refuse(
@@ -284,6 +289,20 @@
         )
         return sink.response
 
+    async def _find_software(self, request_headers, service):
+        """Return the version that began a stream, None if unknown."""
+        software = await self._services.stream_recorder.find(
+            request_headers.resumed, service.id
+        )
+        log.emit(
+            catalogue.STREAM_TAKEN_UP,
+            request=request_headers.attempt,
+            resumed=request_headers.resumed,
+            last_event=request_headers.last_event,
+            software=software,
+        )
+        return software
+
     def _can_finish_before_stop(self, request_headers):
         """Return whether a stream likely ends before the stop deadline.
 
--- a/bulrushrudder/platform/jobs.py
+++ b/bulrushrudder/platform/jobs.py
@@ -38,13 +38,17 @@
         self._services = shared
         self._waits = waits.WaitEstimator()
 
-    def build(self, forwarded_call, request_headers, admitted, service):
+    def build(
+        self, forwarded_call, request_headers, admitted, service, software
+    ):
         """Return the Job of a call.
 
         :param forwarded_call: the ForwardedCall.
         :param request_headers: the RequestHeaders.
         :param admitted: the AdmittedCall.
         :param service: the Service that has the engines.
+        :param software: version of the software that began the stream which
+            the call takes up again; None for a new stream.
         """
         target = admitted.route.target
         account = admitted.account
@@ -53,7 +57,7 @@
         spent_s = self._waits.earlier_wait_s(
             admitted.route.id, forwarded_call.timeout_s, received_s
         )
-        if spent_s > 0.0:
+        if spent_s > 0.0 and software is None:
             tokens = (
                 request_headers.expected_tokens
                 or request_headers.output_tokens
@@ -97,6 +101,8 @@
                 f'{service.id}/{part}' for part in request_headers.shared_parts
             ),
             waiting_since_s=received_s - spent_s,
+            stream=request_headers.attempt if software is None else '',
+            software=software,
         )
 
 
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -25,6 +25,8 @@
         useful.
     :param waited_s: seconds that the caller has waited, over all
         attempts; they count against the target.
+    :param software: version that the decode server must have; None for
+        any.
     """
 
     request: ids.RequestId
@@ -42,6 +44,7 @@
     expected_tokens: int = 0
     accepts_late_answer: bool = False
     waited_s: float = 0.0
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -9,6 +9,7 @@
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import status_messages
+from bulrushrudder.protocol import stream_messages
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.state import accounts
 from bulrushrudder.state import documents as state_documents
@@ -66,6 +67,9 @@
         place_messages.CallRequest: 71,
         place_messages.CallGranted: 72,
         place_messages.CallDeferred: 73,
+        stream_messages.RecordStreams: 80,
+        stream_messages.FindStream: 81,
+        stream_messages.StreamFound: 82,
         consensus_messages.VoteRequest: 100,
         consensus_messages.VoteResponse: 101,
         consensus_messages.AppendRequest: 102,
@@ -84,6 +88,7 @@
         servers.LeaveServer: 205,
         servers.LoseServer: 220,
         servers.SetServerLimit: 221,
+        servers.ForgetSoftware: 222,
         accounts.ClaimAccount: 230,
         accounts.SetFloor: 231,
         accounts.ReleaseAccount: 232,
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -115,6 +115,7 @@
                 | servers.LeaveServer()
                 | servers.LoseServer()
                 | servers.SetServerLimit()
+                | servers.ForgetSoftware()
             ):
                 return self.servers.apply(index, command)
             case quarantine.ReportCrash() | quarantine.ClearSuspect():
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -104,6 +104,22 @@
     requests_per_s: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForgetSoftware:
+    """Forget a software version that no server of a model has any more."""
+
+    model: str
+    software: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownSoftware:
+    """A software version that servers of a model have or had lately."""
+
+    model: str
+    software: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownIncarnation:
     """The latest known incarnation of a backend server.
@@ -123,6 +139,7 @@
     present: tuple[BackendServer, ...]
     incarnations: tuple[KnownIncarnation, ...]
     limits: tuple[SetServerLimit, ...] = ()
+    softwares: tuple[KnownSoftware, ...] = ()
 
 
 class Servers:
@@ -132,12 +149,16 @@
     :ivar by_served: the same servers by model or service, then by id.
     :ivar versions_by_served: counters by model or service, incremented
         whenever its servers change.
+    :ivar mixed_models: models whose streams of the last time may have
+        begun at several software versions.
     """
 
     def __init__(self):
         self.by_id: dict[ids.ServerId, BackendServer] = {}
         self.by_served: dict[str, dict[ids.ServerId, BackendServer]] = {}
         self.versions_by_served: dict[str, int] = {}
+        self.mixed_models: frozenset[str] = frozenset()
+        self._softwares_by_model: dict[str, list[str]] = {}
         self._limits_by_id: dict[ids.ServerId, SetServerLimit] = {}
         self._known_by_id: dict[ids.ServerId, KnownIncarnation] = {}
 
@@ -147,8 +168,31 @@
             tuple(self.by_id.values()),
             tuple(self._known_by_id.values()),
             tuple(self._limits_by_id.values()),
+            tuple(
+                KnownSoftware(model, software)
+                for model, known in self._softwares_by_model.items()
+                for software in known
+            ),
         )
 
+    def softwares(self, model):
+        """Return the versions that servers of a model have or had lately."""
+        return tuple(self._softwares_by_model.get(model, ()))
+
+    def absent_softwares(self):
+        """Return pairs of model and known version without a server."""
+        present = {
+            (served, server.software)
+            for server in self.by_id.values()
+            for served in server.serves
+        }
+        return [
+            (model, software)
+            for model, known in self._softwares_by_model.items()
+            for software in known
+            if (model, software) not in present
+        ]
+
     def requests_per_s(self, server):
         """Return the recorded limit of a server, None without one."""
         limit = self._limits_by_id.get(server.id)
@@ -166,6 +210,12 @@
             known.id: known for known in snapshot.incarnations
         }
         self._limits_by_id = {limit.id: limit for limit in snapshot.limits}
+        self._softwares_by_model = {}
+        for known in snapshot.softwares:
+            self._learn_software(known.model, known.software)
+        for server in snapshot.present:
+            self._learn_softwares(server)
+        self._update_mixed_models()
 
     def apply(self, index, command):
         """Apply a committed command and return its result."""
@@ -178,6 +228,11 @@
                 return self._lose(index, command)
             case SetServerLimit():
                 return self._set_limit(index, command)
+            case ForgetSoftware(model=model, software=software):
+                if (model, software) in self.absent_softwares():
+                    self._softwares_by_model[model].remove(software)
+                    self._update_mixed_models()
+                return results.Accepted(index)
         raise AssertionError(f'unknown command {command!r}')
 
     def _join(self, index, server):
@@ -246,8 +301,26 @@
         known = KnownIncarnation(server_id, incarnation, last_left)
         self._known_by_id[server_id] = known
 
+    def _learn_softwares(self, server):
+        for served in server.serves:
+            self._learn_software(served, server.software)
+
+    def _learn_software(self, model, software):
+        known = self._softwares_by_model.setdefault(model, [])
+        if software not in known:
+            known.append(software)
+
+    def _update_mixed_models(self):
+        self.mixed_models = frozenset(
+            model
+            for model, known in self._softwares_by_model.items()
+            if len(known) > 1
+        )
+
     def _add(self, server):
         self.by_id[server.id] = server
+        self._learn_softwares(server)
+        self._update_mixed_models()
         for served in server.serves:
             self.by_served.setdefault(served, {})[server.id] = server
             self._increment_version(served)
