Heed servers that state that they are leaving, or want a pause

A server that stated in its answers that it was leaving went on to get all requests until its announcement said so; one that refused a request with a time to come back got the next one at once.

From the moment of such an answer, this VM grants, calls and dispatches no new work to that server. That it is leaving is committed, at most once a VM, so that other VMs and coordinators know; a pause is this VM's alone. If all servers of a service leave or pause, requests are refused at once, with the time until the earliest place.

--- a/bulrushrudder/entry/backpressure_monitor.py
+++ b/bulrushrudder/entry/backpressure_monitor.py
@@ -7,6 +7,8 @@
 from bulrushrudder.entry import limit_reports
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.state import servers
+from bulrushrudder.utils import tasks
 
 SWEEP_INTERVAL_S = 5.0
 
@@ -15,15 +17,21 @@
     """Keeps the StatementTable of this process.
 
     :param view: the View of the log.
+    :param statement_table: the StatementTable.
     :param coordinator_client: the CoordinatorClient.
+    :param control_client: the ControlClient, which proposes commands.
     :ivar table: the StatementTable.
     """
 
-    def __init__(self, view, coordinator_client):
+    def __init__(
+        self, view, statement_table, coordinator_client, control_client
+    ):
         self._view = view
         self._coordinator_client = coordinator_client
+        self._control_client = control_client
         self._limit_reports = limit_reports.LimitReports()
-        self.table = table.StatementTable()
+        self._tasks = set()
+        self.table = statement_table
 
     def record(self, server, sent_s, stated):
         """Apply the statements of an answer that has just arrived.
@@ -35,8 +43,44 @@
         answer = statements.Answer(sent_s, _now_s(), stated)
         for change in self.table.record(server, answer):
             _log_change(server, change, answer)
+            if isinstance(change, table.LeavingStated):
+                self._spread_leaving(server)
         self._report_limit(server, answer)
 
+    def takes_work(self, server):
+        """Return whether a server may get new work of this VM now."""
+        return self.table.takes_work(server, _now_s())
+
+    def unavailable(self, candidates):
+        """Return the ids of the servers that take no work of this VM.
+
+        :param candidates: BackendServers by id.
+        """
+        return self.table.unavailable(candidates, _now_s())
+
+    def retry_after_s(self, candidates):
+        """Return the seconds until one of some servers takes work.
+
+        :param candidates: BackendServers that take none now.
+        :returns: the seconds, or None if all of them are leaving.
+        """
+        ends = [
+            self.table.paused_until_s(server)
+            for server in candidates
+            if not self.table.is_leaving(server)
+        ]
+        return max(0.0, min(ends) - _now_s()) if ends else None
+
+    def _spread_leaving(self, server):
+        """Commit that a server is leaving, for all other VMs."""
+        if server.id not in self._view.state.servers.by_id:
+            return
+        command = servers.LeaveServer(server.id, server.incarnation)
+        task = asyncio.create_task(self._control_client.propose(command))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(tasks.log_exception)
+
     def requests_per_s(self, server):
         """Return the limit of a server, None without one.
 
--- a/bulrushrudder/entry/call_permits.py
+++ b/bulrushrudder/entry/call_permits.py
@@ -13,6 +13,7 @@
 MAX_WAIT_SHARE = 0.25
 MAX_WAIT_S = 1.0
 UNREACHABLE_RETRY_AFTER_S = 0.5
+MIN_RETRY_AFTER_S = 0.05
 NO_SERVER = outcomes.not_run(
     outcomes.Reason.NO_SERVER, 'no backend server of the service is up', 1.0
 )
@@ -37,9 +38,12 @@
         :param tried: ids of servers that this call was sent to before.
         :returns: the BackendServer, or a Refusal.
         """
-        candidates = self._router.candidates(service, tried)
+        by_id = self._router.servers(service)
+        unavailable = self._monitor.unavailable(by_id)
+        candidates = self._router.candidates(service, (*tried, *unavailable))
+        candidates = [c for c in candidates if self._monitor.takes_work(c)]
         if not candidates:
-            return result.Failure(NO_SERVER)
+            return self._none_available([by_id[u] for u in unavailable])
         if self._monitor.requests_per_s(candidates[0]) is None:
             return result.Success(candidates[0])
         limited, unlimited = self._split(candidates)
@@ -49,17 +53,28 @@
             case place_messages.CallGranted(server=server_id, wait_s=wait_s):
                 await asyncio.sleep(wait_s)
                 server = self._router.server(server_id)
-                return (
-                    result.Success(server)
-                    if server is not None
-                    else result.Failure(NO_SERVER)
-                )
+                if server is not None and self._monitor.takes_work(server):
+                    return result.Success(server)
+                return result.Failure(NO_SERVER)
             case _ if unlimited:
                 return result.Success(unlimited[0])
             case place_messages.CallDeferred(retry_after_s=retry_after_s):
                 return _deferred(call, service, retry_after_s)
         return _deferred(call, service, UNREACHABLE_RETRY_AFTER_S)
 
+    def _none_available(self, unavailable):
+        """Return the Refusal of a call that no server takes now."""
+        retry_after_s = self._monitor.retry_after_s(unavailable)
+        if retry_after_s is None:
+            return result.Failure(NO_SERVER)
+        return result.Failure(
+            outcomes.not_run(
+                outcomes.Reason.NO_SERVER,
+                'all backend servers of the service asked for a pause',
+                max(MIN_RETRY_AFTER_S, retry_after_s),
+            )
+        )
+
     def _split(self, candidates):
         """Return the servers with a limit, and those without one."""
         limited = []
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -31,12 +31,14 @@
     :param owner: the Owner that identifies this process.
     :param view: the View of the log.
     :param directory: the RoleDirectory.
+    :param statements: the StatementTable of this process.
     """
 
-    def __init__(self, owner, view, directory):
+    def __init__(self, owner, view, directory, statements):
         self._owner = owner
         self._view = view
         self._directory = directory
+        self._statements = statements
         self._local_holds = local_holds.LocalHolds(owner)
         self._host = coordinator_host.CoordinatorHost(view)
         self._coordinator_vms_by_model = {}
@@ -75,15 +77,15 @@
             answer = await self._ask_once(place_request)
             match answer:
                 case result.Success(place_messages.PlaceGranted() as granted):
-                    departed = self._departed_servers(granted)
-                    if not departed:
+                    unusable = self._unusable_servers(granted)
+                    if not unusable:
                         return answer
                     await self.release(
                         place_request.request, place_request.model
                     )
                     place_request = dataclasses.replace(
                         place_request,
-                        excluded=(*place_request.excluded, *departed),
+                        excluded=(*place_request.excluded, *unusable),
                     )
                 case result.Success(place_messages.PlaceRefused() as refused):
                     return _refusal(refused)
@@ -265,14 +267,20 @@
             self._directory.send(_role_key(model), message, self.serve)
         )
 
-    def _departed_servers(self, granted):
-        servers_by_id = self._view.state.servers.by_id
+    def _unusable_servers(self, granted):
+        """Return the granted servers that have left or take no work."""
         return tuple(
-            server
-            for server in (granted.prefill, granted.decode)
-            if server and server not in servers_by_id
+            server_id
+            for server_id in (granted.prefill, granted.decode)
+            if server_id and not self._takes_work(server_id)
         )
 
+    def _takes_work(self, server_id):
+        server = self._view.state.servers.by_id.get(server_id)
+        if server is None:
+            return False
+        return self._statements.takes_work(server, _now_s())
+
     def _check_coordinator_vms(self):
         """Report local holds to new coordinators and close moved ones."""
         for model in self._local_holds.models:
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -21,6 +21,7 @@
 
 # Upper bound on the run time of a request, whatever its deadline.
 MAX_RUN_S = 900.0
+LEAVING_RETRY_AFTER_S = 1.0
 
 
 class RequestExecution:
@@ -282,6 +283,9 @@
 
     async def _ask_place(self, action):
         job = self._job
+        paused = self._all_decode_servers_unavailable()
+        if paused is not None:
+            return events.StepRefused(paused)
         message = place_messages.PlaceRequest(
             request=action.place,
             owner=job.owner,
@@ -322,9 +326,39 @@
     def _avoided_servers(self):
         servers = self._services.view.state.servers
         candidates = servers.by_served.get(self._job.model, {})
-        return self._services.reachability.servers_to_avoid(
+        unreachable = self._services.reachability.servers_to_avoid(
             candidates.values(), self._loop.time()
         )
+        return (
+            *unreachable,
+            *self._services.backpressure.unavailable(candidates),
+        )
+
+    def _all_decode_servers_unavailable(self):
+        """Return a Refusal if no decode server takes work of this VM.
+
+        :returns: None if one takes work, or if there is none at all.
+        """
+        servers = self._services.view.state.servers
+        decodes = [
+            server
+            for server in servers.by_served.get(self._job.model, {}).values()
+            if server.kind == 'decode'
+        ]
+        backpressure = self._services.backpressure
+        if not decodes or any(map(backpressure.takes_work, decodes)):
+            return None
+        return outcomes.not_run(
+            outcomes.Reason.NO_SERVER,
+            'all decode servers of the model are leaving or pause',
+            backpressure.retry_after_s(decodes) or LEAVING_RETRY_AFTER_S,
+        )
+
+    def _takes_work(self, server):
+        """Return whether a granted server still takes work."""
+        return server is not None and self._services.backpressure.takes_work(
+            server
+        )
 
     def _record_failure(self, event):
         match event:
@@ -353,7 +387,7 @@
 
     async def _prefill(self, action):
         server = self._servers_by_id.get(action.server)
-        if server is None:
+        if not self._takes_work(server):
             return _server_left(action)
         if not action.produced and self._crashes.is_quarantined():
             return events.Quarantined()
@@ -363,7 +397,7 @@
     async def _decode(self, action):
         server = self._servers_by_id.get(action.server)
         source = self._servers_by_id.get(action.source)
-        if server is None or (action.source and source is None):
+        if not self._takes_work(server) or (action.source and source is None):
             await self._handle(_server_left(action))
             return
         if not action.produced and self._crashes.is_quarantined():
@@ -410,6 +444,6 @@
         action.attempt,
         action.server,
         outcomes.Reason.BACKEND_UNREACHABLE,
-        'the backend server is no longer registered; nothing was sent',
+        'the backend server has left or takes no work; nothing was sent',
         sent=False,
     )
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+from bulrushrudder.backpressure import table
 from bulrushrudder.config import settings_watcher
 from bulrushrudder.core import ids
 from bulrushrudder.entry import access
@@ -85,11 +86,15 @@
         self._call_registrar = call_registrar.CallRegistrar(
             self._owner, self.view, self.control_client, settings.environment
         )
+        statements = table.StatementTable()
         self.coordinator_client = coordinator_client.CoordinatorClient(
-            self._owner, self.view, roles
+            self._owner, self.view, roles, statements
         )
         self._backpressure = backpressure_monitor.BackpressureMonitor(
-            self.view, self.coordinator_client
+            self.view,
+            statements,
+            self.coordinator_client,
+            self.control_client,
         )
         self.metrics = metrics_entry.EntryMetrics()
         self.services = None
@@ -134,6 +139,7 @@
             call_permits.CallPermits(
                 router, self._backpressure, self.coordinator_client
             ),
+            self._backpressure,
         )
 
     def _limit_retries(self):
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -35,6 +35,10 @@
         by_id = self._view.state.servers.by_id
         return [by_id[server_id] for server_id in ranked if server_id in by_id]
 
+    def servers(self, service):
+        """Return the servers of a service by id."""
+        return self._view.state.servers.by_served.get(service, {})
+
     def server(self, server_id):
         """Return a server by id, or None."""
         return self._view.state.servers.by_id.get(server_id)
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -27,6 +27,7 @@
     :param canceller: the Canceller.
     :param call_registrar: the CallRegistrar.
     :param call_permits: the CallPermits.
+    :param backpressure: the BackpressureMonitor.
     :ivar stream_recorder: the StreamRecorder of this process.
     :ivar crash_reporter: the CrashReporter of this process.
     :ivar retries: the RetryPolicy of this process.
@@ -57,6 +58,7 @@
         canceller,
         call_registrar,
         call_permits,
+        backpressure,
     ):
         self.owner = owner
         self.view = view
@@ -69,6 +71,7 @@
         self.canceller = canceller
         self.call_registrar = call_registrar
         self.call_permits = call_permits
+        self.backpressure = backpressure
         self.crash_reporter = crash_reporter.CrashReporter(
             view, control_client
         )
--- a/bulrushrudder/standins/entry_path.py
+++ b/bulrushrudder/standins/entry_path.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 from returns import result
 
+from bulrushrudder.backpressure import table
 from bulrushrudder.config import settings
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
@@ -24,6 +25,7 @@
 from bulrushrudder.documents import types
 from bulrushrudder.engines import client
 from bulrushrudder.entry import access
+from bulrushrudder.entry import backpressure_monitor
 from bulrushrudder.entry import cancelling
 from bulrushrudder.entry import frontend
 from bulrushrudder.entry import shared_services
@@ -298,6 +300,9 @@
             cancels,
             None,
             None,
+            backpressure_monitor.BackpressureMonitor(
+                self.log.view, table.StatementTable(), None, self.log
+            ),
         )
         self.services.append(services)
         tasks.spawn(self._stack, cancels.run())
--- a/bulrushrudder/tests/builders/coordinator_fleet.py
+++ b/bulrushrudder/tests/builders/coordinator_fleet.py
@@ -2,6 +2,7 @@
 
 from returns import result
 
+from bulrushrudder.backpressure import table
 from bulrushrudder.core import ids
 from bulrushrudder.documents import types
 from bulrushrudder.entry import coordinator_client
@@ -58,7 +59,10 @@
                 sessions.OpenSession(owner, ids.Zone('a'), '127.0.0.1', 1)
             )
             self.clients_by_vm[name] = coordinator_client.CoordinatorClient(
-                owner, self.view, FakeDirectory(self)
+                owner,
+                self.view,
+                FakeDirectory(self),
+                table.StatementTable(),
             )
 
     def apply(self, command):
