--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -11,6 +11,7 @@
 
 from bulrushrudder.core import outcomes
 from bulrushrudder.entry import crash_evidence
+from bulrushrudder.entry import server_availability
 from bulrushrudder.entry import server_feedback
 from bulrushrudder.entry import tracing
 from bulrushrudder.lifecycle import actions
@@ -21,7 +22,6 @@
 
 # Upper bound on the run time of a request, whatever its deadline.
 MAX_RUN_S = 900.0
-LEAVING_RETRY_AFTER_S = 1.0
 
 
 class RequestExecution:
@@ -52,6 +52,9 @@
         self._step_task = None
         self._final_actions = []
         self._charge = None
+        self._availability = server_availability.ServerAvailability(
+            services, job.model
+        )
         self._crashes = crash_evidence.CrashEvidence(job, services)
         self._loop = asyncio.get_running_loop()
         self._feedback = server_feedback.ServerFeedback(job.event_tokens)
@@ -283,9 +286,9 @@
 
     async def _ask_place(self, action):
         job = self._job
-        paused = self._all_decode_servers_unavailable()
-        if paused is not None:
-            return events.StepRefused(paused)
+        refusal = self._availability.refusal()
+        if refusal is not None:
+            return events.StepRefused(refusal)
         message = place_messages.PlaceRequest(
             request=action.place,
             owner=job.owner,
@@ -295,7 +298,7 @@
             output_tokens=job.output_tokens,
             interactive=job.interactive,
             patience_s=action.patience_s,
-            excluded=(*action.excluded, *self._avoided_servers()),
+            excluded=(*action.excluded, *self._availability.avoided()),
             isolation=int(action.isolation),
             prefix=job.prefix,
             expected_tokens=job.expected_tokens,
@@ -323,43 +326,6 @@
             return 0.0
         return self._loop.time() - self._job.waiting_since_s
 
-    def _avoided_servers(self):
-        servers = self._services.view.state.servers
-        candidates = servers.by_served.get(self._job.model, {})
-        unreachable = self._services.reachability.servers_to_avoid(
-            candidates.values(), self._loop.time()
-        )
-        return (
-            *unreachable,
-            *self._services.backpressure.unavailable(candidates),
-        )
-
-    def _all_decode_servers_unavailable(self):
-        """Return a Refusal if no decode server takes work of this VM.
-
-        :returns: None if one takes work, or if there is none at all.
-        """
-        servers = self._services.view.state.servers
-        decodes = [
-            server
-            for server in servers.by_served.get(self._job.model, {}).values()
-            if server.kind == 'decode'
-        ]
-        backpressure = self._services.backpressure
-        if not decodes or any(map(backpressure.takes_work, decodes)):
-            return None
-        return outcomes.not_run(
-            outcomes.Reason.NO_SERVER,
-            'all decode servers of the model are leaving or pause',
-            backpressure.retry_after_s(decodes) or LEAVING_RETRY_AFTER_S,
-        )
-
-    def _takes_work(self, server):
-        """Return whether a granted server still takes work."""
-        return server is not None and self._services.backpressure.takes_work(
-            server
-        )
-
     def _record_failure(self, event):
         match event:
             case events.AttemptFailed(
@@ -387,7 +353,7 @@
 
     async def _prefill(self, action):
         server = self._servers_by_id.get(action.server)
-        if not self._takes_work(server):
+        if not self._availability.takes_work(server):
             return _server_left(action)
         if not action.produced and self._crashes.is_quarantined():
             return events.Quarantined()
@@ -397,7 +363,9 @@
     async def _decode(self, action):
         server = self._servers_by_id.get(action.server)
         source = self._servers_by_id.get(action.source)
-        if not self._takes_work(server) or (action.source and source is None):
+        if not self._availability.takes_work(server) or (
+            action.source and source is None
+        ):
             await self._handle(_server_left(action))
             return
         if not action.produced and self._crashes.is_quarantined():
--- /dev/null
+++ b/bulrushrudder/entry/server_availability.py
@@ -0,0 +1,60 @@
+"""Which backend servers of a model a request may use."""
+
+import asyncio
+
+from bulrushrudder.core import outcomes
+
+LEAVING_RETRY_AFTER_S = 1.0
+
+
+class ServerAvailability:
+    """What this VM knows about the servers of a model.
+
+    :param services: the SharedServices of this process.
+    :param model: id of the model.
+    """
+
+    def __init__(self, services, model):
+        self._services = services
+        self._model = model
+
+    def avoided(self):
+        """Return the ids of the servers that placement must not choose.
+
+        They could not be reached lately, or take no work of this VM.
+        """
+        candidates = self._candidates()
+        unreachable = self._services.reachability.servers_to_avoid(
+            candidates.values(), asyncio.get_running_loop().time()
+        )
+        unavailable = self._services.backpressure.unavailable(candidates)
+        return (*unreachable, *unavailable)
+
+    def refusal(self):
+        """Return a Refusal if no decode server takes work of this VM.
+
+        :returns: None if one takes work, or if there is none at all.
+        """
+        decodes = [
+            server
+            for server in self._candidates().values()
+            if server.kind == 'decode'
+        ]
+        backpressure = self._services.backpressure
+        if not decodes or any(map(backpressure.takes_work, decodes)):
+            return None
+        return outcomes.not_run(
+            outcomes.Reason.NO_SERVER,
+            'all decode servers of the model are leaving or pause',
+            backpressure.retry_after_s(decodes) or LEAVING_RETRY_AFTER_S,
+        )
+
+    def takes_work(self, server):
+        """Return whether a granted server, or None, still takes work."""
+        return server is not None and self._services.backpressure.takes_work(
+            server
+        )
+
+    def _candidates(self):
+        servers = self._services.view.state.servers
+        return servers.by_served.get(self._model, {})
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 
-from bulrushrudder.backpressure import rate_limiter
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.overload import return_times
@@ -16,6 +15,7 @@
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
 from bulrushrudder.placement import flooding
+from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
 
 MAX_BOOKED_AHEAD = 6
@@ -61,7 +61,7 @@
         self._known_owners = {}
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
-        self._limiter = rate_limiter.RateLimiter()
+        self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
 
     @property
     def queue_length(self):
@@ -86,7 +86,7 @@
 
         It covers the servers that have stated a limit, or its end.
         """
-        return self._limiter.limits_by_id
+        return self._limits.limiter.limits_by_id
 
     def wanted_prefills(self):
         """Return the target number of prefill servers, None if unknown."""
@@ -110,11 +110,14 @@
             case events.PlacementRequested():
                 return self._enqueue(event, now_s)
             case events.LimitReported():
-                self._update_limit(event, now_s)
+                self._limits.update(event, now_s)
             case events.CallRequested():
                 return [
                     call_limits.decide(
-                        event, self._limiter, self._return_times, now_s
+                        event,
+                        self._limits.limiter,
+                        self._return_times,
+                        now_s,
                     )
                 ]
             case events.PlaceReleased(hold=hold):
@@ -144,20 +147,14 @@
         tokens = request.prompt_tokens + request.output_tokens
         self._demand.record(request.account, request.weight, tokens, now_s)
         self._record_work(request)
-        if self._backlog_s(now_s) > request.patience_s:
+        backlog_s = self._limits.backlog_s(
+            len(self._queue), self._return_times.pace(now_s)
+        )
+        if backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         self._queue.add(request, now_s, self._lead_s(request))
         return []
 
-    def _backlog_s(self, now_s):
-        """Return the seconds of work that is queued, 0 without limits."""
-        if not (
-            self._limiter.limited(self._decodes.by_id)
-            or self._limiter.limited(self._prefills.by_id)
-        ):
-            return 0.0
-        return len(self._queue) / self._return_times.pace(now_s)
-
     def _record_work(self, request):
         """Add the expected server time of a request to the average."""
         prefill_s = self._prefills.work_s(request)
@@ -208,7 +205,7 @@
 
     def _update_servers(self, servers, now_s):
         by_id = {server.id: server for server in servers}
-        self._limiter.retain({s.id: s.incarnation for s in servers})
+        self._limits.update_servers(servers)
         for pool, kind in (
             (self._prefills, 'prefill'),
             (self._decodes, 'decode'),
@@ -222,15 +219,6 @@
                     pool.join(server)
                     self._count_restored(server.id, now_s)
 
-    def _update_limit(self, event, now_s):
-        known = self._decodes.by_id.get(event.server)
-        known = known or self._prefills.by_id.get(event.server)
-        if known and known.server.incarnation != event.incarnation:
-            return
-        self._limiter.update(
-            event.server, event.incarnation, event.requests_per_s, now_s
-        )
-
     def _reconcile(self, event, now_s):
         """Release holds that an owner lacks and request unknown ones."""
         last = self._last_report_by_owner.get(event.owner, -1)
@@ -354,7 +342,7 @@
         if request.isolation is events.Isolation.ALONE:
             claimed = self._drain_for(request, claimed)
         constraints = choice.Constraints(
-            claimed=claimed, limiter=self._limiter
+            claimed=claimed, limiter=self._limits.limiter
         )
         if held_back:
             constraints = flooding.constraints(
@@ -414,7 +402,6 @@
         self._queue.grant(queued)
         self._return_times.record_grant(now_s)
         choice.book(placement, self._prefills, request)
-        self._take_from_limits(placement, now_s)
         allocation = events.Allocation(
             request.hold,
             request.account,
@@ -425,6 +412,7 @@
             request.isolation,
             request.expected_tokens,
         )
+        self._limits.take(allocation, now_s)
         self._allocate(
             allocation,
             request.between_tokens_s,
@@ -435,13 +423,6 @@
             request.call, request.hold, allocation.prefill, allocation.decode
         )
 
-    def _take_from_limits(self, placement, now_s):
-        """Count the requests of a placement to limited servers."""
-        self._limiter.take(placement.decode.server.id, now_s)
-        prefill = _id_of(placement.prefill)
-        if prefill:
-            self._limiter.take(prefill, now_s)
-
 
 def _id_of(plan):
     """Return the id of a plan's server, empty without a plan."""
