Look only at servers that leave or pause, and wake for unsent records

Each request looked at every server that this VM had an answer of, which grows with the fleet; entries woke 50 times a second for records of streams, also with nothing to send.

--- a/bulrushrudder/backpressure/table.py
+++ b/bulrushrudder/backpressure/table.py
@@ -68,6 +68,7 @@
 
     def __init__(self):
         self._known_by_id = {}
+        self._held_back_ids = set()
 
     def record(self, server, answer):
         """Apply the statements of an answer.
@@ -83,7 +84,10 @@
         changes = (
             _apply(known, statement, answer) for statement in answer.statements
         )
-        return tuple(change for change in changes if change is not None)
+        changes = tuple(change for change in changes if change is not None)
+        if known.leaving or known.paused_until_s > answer.received_s:
+            self._held_back_ids.add(server.id)
+        return changes
 
     def requests_per_s(self, server):
         """Return the limit that a server stated last, None without one."""
@@ -112,12 +116,16 @@
 
         :param candidates: BackendServers by id.
         """
-        return tuple(
-            server_id
-            for server_id in self._known_by_id
-            if (server := candidates.get(server_id)) is not None
-            and not self.takes_work(server, now_s)
-        )
+        unavailable = []
+        for server_id in tuple(self._held_back_ids):
+            known = self._known_by_id[server_id]
+            if not known.leaving and known.paused_until_s <= now_s:
+                self._held_back_ids.discard(server_id)
+                continue
+            server = candidates.get(server_id)
+            if server is not None and not self.takes_work(server, now_s):
+                unavailable.append(server_id)
+        return tuple(unavailable)
 
     def forget_absent(self, present, now_s):
         """Forget servers that have been absent for RETENTION_S.
@@ -130,6 +138,7 @@
             for server_id, known in self._known_by_id.items()
             if server_id in present or known.answered_s > cutoff_s
         }
+        self._held_back_ids &= self._known_by_id.keys()
 
     def _known(self, server):
         """Return the record of a server, None if a newer one is known."""
--- a/bulrushrudder/entry/stream_recorder.py
+++ b/bulrushrudder/entry/stream_recorder.py
@@ -1,13 +1,16 @@
 """Records where streams begin, and finds where others began."""
 
 import asyncio
+import contextlib
 
 from returns import result
 
 from bulrushrudder.lifecycle import stream_origins
 from bulrushrudder.protocol import stream_messages
 
-SEND_INTERVAL_S = 0.02
+# Records that come within this time go in one message.
+BATCH_S = 0.02
+VERSION_CHECK_INTERVAL_S = 0.25
 FIND_TIMEOUT_S = 1.0
 MAX_RECORDS_IN_MESSAGE = 500
 
@@ -28,6 +31,7 @@
         self._origins_by_model = {}
         self._mixed_models = frozenset()
         self._unsent = []
+        self._has_unsent = asyncio.Event()
 
     def begin(self, stream, model, software):
         """Record that a stream has its first event.
@@ -43,6 +47,7 @@
         record = stream_origins.StreamRecord(stream, software)
         if origins.add(record, _now_s()) and model in self._mixed_models:
             self._unsent.append(record)
+            self._has_unsent.set()
 
     async def find(self, stream, model):
         """Return the version at which a stream began, None if unknown."""
@@ -62,7 +67,11 @@
     async def run(self):
         """Send records to the control processes until cancelled."""
         while True:
-            await asyncio.sleep(SEND_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(VERSION_CHECK_INTERVAL_S):
+                    await self._has_unsent.wait()
+            await asyncio.sleep(BATCH_S)
+            self._has_unsent.clear()
             self._check_versions()
             self._send()
 
