Fall back to ejected servers also while others leave or pause

A call was refused although a server was up: servers that take no call counted as tried ones, and a call that was tried before does not fall back to ejected servers. The new test fails on that.

--- a/bulrushrudder/entry/call_permits.py
+++ b/bulrushrudder/entry/call_permits.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.core import units
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.protocol import place_messages
@@ -40,8 +41,7 @@
         """
         by_id = self._router.servers(service)
         unavailable = self._monitor.unavailable(by_id)
-        candidates = self._router.candidates(service, (*tried, *unavailable))
-        candidates = [c for c in candidates if self._monitor.takes_work(c)]
+        candidates = self._router.candidates(service, tried, unavailable)
         if not candidates:
             return self._none_available([by_id[u] for u in unavailable])
         if self._monitor.requests_per_s(candidates[0]) is None:
@@ -120,7 +120,7 @@
         catalogue.CALL_DEFERRED,
         request=call.request_id,
         service=service,
-        retry_after_ms=round(retry_after_s * 1000),
+        retry_after_ms=round(retry_after_s * units.MS_PER_SECOND),
     )
     return result.Failure(
         outcomes.not_run(
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -26,12 +26,13 @@
         self._selectors_by_service = {}
         self._versions_by_service = {}
 
-    def candidates(self, service, tried=()):
+    def candidates(self, service, tried=(), unavailable=()):
         """Return servers for a call to a service, the best one first.
 
         :param tried: ids of servers that this call was sent to before.
+        :param unavailable: ids of servers that take no call.
         """
-        ranked = self._selector(service).ranked(_now_s(), tried)
+        ranked = self._selector(service).ranked(_now_s(), tried, unavailable)
         by_id = self._view.state.servers.by_id
         return [by_id[server_id] for server_id in ranked if server_id in by_id]
 
--- a/bulrushrudder/placement/server_selector.py
+++ b/bulrushrudder/placement/server_selector.py
@@ -74,21 +74,25 @@
         """
         return next(iter(self.ranked(now_s, tried)), None)
 
-    def ranked(self, now_s, tried=()):
+    def ranked(self, now_s, tried=(), unavailable=()):
         """Return the ids of some servers for a call, the best one first.
 
         :param tried: ids of servers already tried for the call.
+        :param unavailable: ids of servers that take no call.
         """
+        passed_over = {*tried, *unavailable}
         for server_id in self._on_probation:
             self._update_index(server_id, now_s)
         candidates = [
             server_id
             for index in self._indexes_by_zone.values()
-            for server_id in index.lowest(CANDIDATES_PER_ZONE + len(tried))
-            if server_id not in tried
+            for server_id in index.lowest(
+                CANDIDATES_PER_ZONE + len(passed_over)
+            )
+            if server_id not in passed_over
         ]
         if not candidates and not tried:
-            candidates = self._first_to_be_readmitted()
+            candidates = self._first_to_be_readmitted(unavailable)
         return sorted(candidates, key=self._cost)
 
     def record_call_start(self, server_id, incarnation, now_s):
@@ -150,11 +154,11 @@
         if known.calls == 0 or known.present:
             del self._servers_by_id[server_id]
 
-    def _first_to_be_readmitted(self):
+    def _first_to_be_readmitted(self, unavailable):
         readmissions = [
             (known.ejected_until_s, server_id)
             for server_id, known in self._servers_by_id.items()
-            if known.present
+            if known.present and server_id not in unavailable
         ]
         return [min(readmissions)[1]] if readmissions else []
 
--- a/bulrushrudder/tests/placement/server_selector_tests.py
+++ b/bulrushrudder/tests/placement/server_selector_tests.py
@@ -38,6 +38,12 @@
         self.assertEqual(chosen[:3], ['near'] * 3)
         self.assertIn('far', chosen)
 
+    def test_ejected_server_is_chosen_if_the_others_take_no_call(self):
+        self.selector.update_servers([server('one'), server('two')])
+        self.fail('one', server_selector.FAILURES_TO_EJECT, 0.0)
+        ranked = self.selector.ranked(1.0, unavailable=('two',))
+        self.assertEqual(ranked, ['one'])
+
     def test_ejected_server_gets_one_trial_call(self):
         self.selector.update_servers([server('one'), server('two')])
         self.fail('one', server_selector.FAILURES_TO_EJECT, 0.0)
