Refuse for a backlog only where all servers of a kind are limited

After a take-over, one limited server among many was enough to refuse requests at once: the pace of grants is not measured yet and counted as 1 a second.

--- a/bulrushrudder/placement/pool_limits.py
+++ b/bulrushrudder/placement/pool_limits.py
@@ -31,17 +31,24 @@
         self.limiter.retain({s.id: s.incarnation for s in servers})
 
     def backlog_s(self, queued, pace):
-        """Return the seconds of work that is queued, 0 without limits.
+        """Return the seconds of work that is queued.
+
+        It is 0 unless all servers of a kind are limited, because the work
+        then goes to those without a limit.
 
         :param queued: number of queued requests.
-        :param pace: grants per second.
+        :param pace: measured grants per second; low after a take-over,
+            when nothing has been granted yet.
         """
-        if not (
-            self.limiter.limited(self._decodes.by_id)
-            or self.limiter.limited(self._prefills.by_id)
-        ):
-            return 0.0
-        return queued / pace
+        totals = [
+            total
+            for total in (
+                self.limiter.total_requests_per_s(self._decodes.by_id),
+                self.limiter.total_requests_per_s(self._prefills.by_id),
+            )
+            if total is not None
+        ]
+        return queued / max(pace, min(totals)) if totals else 0.0
 
     def take(self, allocation, now_s):
         """Count the requests of an Allocation to limited servers."""
--- a/bulrushrudder/tests/placement/server_limits_tests.py
+++ b/bulrushrudder/tests/placement/server_limits_tests.py
@@ -77,6 +77,19 @@
         self.assertEqual([r.call for r in refused], [5, 6, 7, 8, 9])
         self.assertGreaterEqual(refused[0].retry_after_s, 3.0)
 
+    def test_new_coordinator_does_not_refuse_for_a_pace_not_yet_measured(
+        self,
+    ):
+        for limited in (1, 20):
+            taking_over = coordinator.Coordinator(ready_s=0.3)
+            taking_over.handle(places.servers_changed(decodes=20), 0.0)
+            for number in range(limited):
+                taking_over.handle(limit(f'decode-{number}', 2.0), 0.0)
+            for number in range(1, 41):
+                request = places.placement_request(number, patience_s=3.0)
+                decided = taking_over.handle(request, 0.1)
+                self.assertEqual(places.refusals(decided), [])
+
     def test_limit_of_an_earlier_incarnation_does_not_bind(self):
         self.handle(places.servers_changed(incarnation=2))
         self.handle(limit('decode-0', 1.0))
