--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,8 @@
-"""A runner is replaced while a prompt for it is read at a slow runner.
+"""A runner leaves as its cut from control heals; a heartbeat comes late.
 
-Decode runners are replaced one after the other: the new one registers,
-and the old one reports that it is draining. At that time a long prompt,
-whose place on the old runner has been granted, is read at the prefill
-runner, which works four times as long as usual for that time.
+The link between one of three runners and the core is cut for 5 s. As it
+heals, the runner sends DELETE and goes on serving for drain_ms and a
+little longer. Heartbeats that the cut held up arrive after that.
 """
 
 import asyncio
@@ -14,109 +13,87 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from lib import clients  # noqa: E402
+from lib import links  # noqa: E402
 from lib import platform  # noqa: E402
 from lib import servers  # noqa: E402
 
-ROUNDS = 2
-PROMPT_TOKENS = 20_000
-PREFILL_TOKENS_PER_S = 33_333
-SLOW_FACTOR = 4
-EVENTS = 6
-EVENT_S = 0.06
+CUT_S = 5.0
 DRAIN_S = 2.0
-# An old runner serves for drain_ms and a little longer.
-EXIT_AFTER_S = 2.7
+# The runner serves for drain_ms and a little longer.
+EXIT_AFTER_S = 3.0
+CLIENTS = 12
+WORK_S = 0.045
 
 
-async def case(fleet, trouble):
-    """Return whether a request reached a runner after drain_ms."""
-    record = fleet.record
-    edge = fleet.edges[0]
-    prompt_s = PROMPT_TOKENS / PREFILL_TOKENS_PER_S
-    reading = asyncio.Event()
+async def answer(server, received, writer):
+    """Run a request of the plain service."""
+    server.begin(received)
+    await asyncio.sleep(WORK_S)
+    server.write_answer(received, writer, b'done ' * 160)
 
-    async def answer(server, received, writer):
-        if received.headers.get('stage') == 'prefill':
-            # The runner in zone a is the slow one.
-            slow = trouble and server.zone == 'a'
-            took_s = prompt_s * (SLOW_FACTOR if slow else 1)
-            record.write(f'{server.id}: reads the prompt of '
-                         f'{received.attempt} for {took_s:.1f} s')
-            reading.set()
-            await asyncio.sleep(took_s)
-            server.write_prefill_answer(received, writer, PROMPT_TOKENS)
-            return
-        server.begin(received)
-        await server.write_stream(received, writer, EVENTS, EVENT_S)
-
-    async def engine(stack, stage, zone):
-        return await servers.Server(
-            record, fleet.controls, 'engines', zone, answer, stage, 64
-        ).start(stack)
 
+async def case(fleet, trouble):
+    """Return whether requests reached the runner after drain_ms."""
+    record = fleet.record
     async with contextlib.AsyncExitStack() as stack:
         fleet.start()
         await fleet.put_configuration(
-            platform.configuration(platform.stream_route('draft'))
+            platform.configuration(
+                platform.route('book', 'non_idempotent', 'plain', 1200)
+            )
         )
-        # One of seven runners is slow: a share of 0.14.
-        for stage, zone in (
-            ('prefill', 'a'),
-            ('prefill', 'b'),
-            ('decode', 'b'),
-            ('decode', 'b'),
-            ('decode', 'b'),
-            ('decode', 'b'),
-        ):
-            await engine(stack, stage, zone)
-        old = await engine(stack, 'decode', 'a')
+        runners = [
+            servers.Server(record, fleet.controls, 'plain', zone, answer)
+            for zone in 'abb'
+        ]
+        leaving = runners[0]
+        links_by_address = {}
+        for machine in fleet.controls:
+            address = machine.address('control_plane')
+            link = await links.Link(address).start(stack)
+            links_by_address[address] = link
+        leaving.reach = lambda address: links_by_address[address].address
+        for runner in runners:
+            await runner.start(stack)
         await fleet.wait_until_ready()
         await asyncio.sleep(1.0)
-        late = []
-        outcomes = []
+        done = asyncio.Event()
+        served = 0
 
-        async def draft(number):
-            client = clients.Client(record, edge.address('frontend'))
-            _, got = await client.send(
-                f'/draft/{number}',
-                deadline_ms=14000,
-                Model='m',
-                Token_Usage=f'{PROMPT_TOKENS},84',
-                Prompt_Prefix=f'5c1e07a2:200,{number:08x}:19800',
-            )
-            outcomes.append((got.status, got.whole))
+        async def load():
+            nonlocal served
+            client = clients.Client(record, fleet.edges[0].address('frontend'))
+            while not done.is_set():
+                _, got = await client.send('/book/1')
+                served += got.status == 200
+                await asyncio.sleep(0.02)
             client.close()
 
-        for number in range(ROUNDS):
-            reading.clear()
-            sending = asyncio.create_task(draft(number))
-            async with asyncio.timeout(5.0):
-                await reading.wait()
-            new = await engine(stack, 'decode', 'a')
-            old.state = 'draining'
-            while not await old.beat():
-                pass
-            drained_s = record.now_s()
-            record.write(f'{old.id}: draining was acknowledged')
-            await asyncio.sleep(EXIT_AFTER_S)
-            await old.leave()
-            old.crash()
-            record.write(f'{old.id}: exits')
-            late += [
-                (old.id, attempt, at_s - drained_s)
-                for attempt, at_s in old.arrivals
-                if at_s > drained_s + DRAIN_S
-            ]
-            await sending
-            old = new
-            await asyncio.sleep(1.0)
-    for server_id, attempt, after_s in late:
-        record.write(
-            f'DRAIN: {attempt} reached {server_id} {after_s:.3f} s after '
-            'its draining was acknowledged'
-        )
-    broken_off = sum(not whole for _, whole in outcomes)
-    record.write(f'{len(outcomes)} streams, {broken_off} not whole')
+        loads = [asyncio.create_task(load()) for _ in range(CLIENTS)]
+        await asyncio.sleep(2.0)
+        if trouble:
+            record.write(f'{leaving.id}: cut from the core')
+            for link in links_by_address.values():
+                link.cut()
+        await asyncio.sleep(CUT_S)
+        for link in links_by_address.values():
+            link.heal()
+        leaving.stop_beats()
+        gone_s = await leaving.leave()
+        await asyncio.sleep(EXIT_AFTER_S)
+        leaving.crash()
+        record.write(f'{leaving.id}: exits')
+        await asyncio.sleep(2.0)
+        done.set()
+        await asyncio.gather(*loads)
+    late = [at_s for _, at_s in leaving.arrivals if at_s > gone_s + DRAIN_S]
+    record.write(f'{served} requests were served')
+    record.write(
+        f'DRAIN: {len(late)} requests reached {leaving.id} later than '
+        f'{DRAIN_S} s after it was acknowledged as gone'
+    )
+    if not served:
+        raise platform.CannotRun('no request was served')
     return bool(late)
 
 
