--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,7 @@
 
 CLIENTS = 8
 # Seconds of load before, during and after each time of trouble.
-WINDOWS = 3
+WINDOWS = 5
 CALM_S, TROUBLE_S = 2.0, 5.0
 # Below the doses on the site, 0.45 and 0.03.
 REJECT_EVERY = 5
