Match answers to calls before anything in them counts

Cause: a head with Not-Executed or status 421 was taken as "not run" before its attempt id was compared, so that a late second copy of a rejection counted for the next call on the connection.

Change: the connection itself compares the echoed id, skips a foreign response and waits for the true one; statements in foreign heads do not count; a call does not use a connection that has carried its id; reports and orders use connections of their own. The pool moves to a module of its own.

--- /dev/null
+++ b/bulrushrudder/engines/connection_pool.py
@@ -0,0 +1,176 @@
+"""Pool of persistent connections to backend servers.
+
+Calls are never retried here.
+"""
+
+import asyncio
+import collections
+import contextlib
+import enum
+import functools
+
+from returns import result
+
+from bulrushrudder.engines import connections
+
+# Many round trips between zones. TCP retransmits a lost SYN only after
+# 1 s, so a new connection is faster.
+CONNECT_TIMEOUT_S = 0.35
+
+
+class Listening(enum.Enum):
+    """Whether a server accepts connections."""
+
+    ACCEPTS = 'accepts'
+    REFUSES = 'refuses'
+    UNKNOWN = 'unknown'
+
+
+class ConnectionPool:
+    """Pool of idle connections by server.
+
+    :param id_header: lowercase name of the header in which responses echo
+        the id of their call.
+    :param on_head: function of the BackendServer, the monotonic seconds at
+        which the call was sent, and the Head; called when a head arrives.
+    """
+
+    def __init__(self, id_header, on_head=connections.ignore_head):
+        self._id_header = id_header
+        self._on_head = on_head
+        self._idle_by_server = collections.defaultdict(list)
+        self._checks_by_server = {}
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self,
+        server,
+        call,
+        idle_s=connections.DEFAULT_IDLE_TIMEOUT_S,
+    ):
+        """Send a call over an idle or a new connection.
+
+        Yields a Success with the Connection, or a Failure with a
+        Problem.
+
+        :param server: the BackendServer.
+        :param call: the Call.
+        :param idle_s: longest idle time in seconds of a connection to
+            reuse; 0 for a new connection.
+        """
+        match await self._connect(server, call.id, idle_s):
+            case result.Failure(problem):
+                yield result.Failure(problem)
+                return
+            case result.Success(connection):
+                pass
+        sent_s = asyncio.get_running_loop().time()
+        connection.send(
+            call,
+            functools.partial(self._on_head, server, sent_s),
+        )
+        try:
+            yield result.Success(connection)
+        finally:
+            self._release(server, connection)
+
+    async def check(self, server):
+        """Find out whether a server accepts connections.
+
+        Concurrent checks of a server share one connection, which is kept
+        for later calls.
+
+        :param server: the BackendServer.
+        :returns: a Listening; UNKNOWN if it does not react in time.
+        """
+        key = _server_key(server)
+        checking = self._checks_by_server.get(key)
+        if checking is None:
+            checking = asyncio.create_task(self._check(server))
+            self._checks_by_server[key] = checking
+            checking.add_done_callback(
+                lambda _: self._checks_by_server.pop(key, None)
+            )
+        return await asyncio.shield(checking)
+
+    async def _check(self, server):
+        try:
+            connection = await self._open(server)
+        except ConnectionRefusedError:
+            return Listening.REFUSES
+        except (OSError, TimeoutError):
+            return Listening.UNKNOWN
+        self._release(server, connection)
+        return Listening.ACCEPTS
+
+    def close(self):
+        """Close all idle connections and end all checks."""
+        for checking in list(self._checks_by_server.values()):
+            checking.cancel()
+        for idle in self._idle_by_server.values():
+            for connection in idle:
+                connection.abort()
+        self._idle_by_server.clear()
+
+    async def _connect(self, server, call_id, idle_s):
+        idle = self._idle_by_server[_server_key(server)]
+        now_s = asyncio.get_running_loop().time()
+        kept = []
+        found = None
+        while idle and idle_s > 0.0 and found is None:
+            connection = idle.pop()
+            fresh = now_s - connection.last_used_s <= idle_s
+            if not (
+                connection.usable
+                and now_s < connection.reusable_until_s
+                and fresh
+            ):
+                connection.abort()
+            elif connection.has_carried(call_id):
+                kept.append(connection)
+            else:
+                found = connection
+        idle += reversed(kept)
+        if found is not None:
+            return result.Success(found)
+        return await self._dial(server)
+
+    async def _dial(self, server):
+        try:
+            connection = await self._open(server)
+        except (OSError, TimeoutError) as error:
+            detail = repr(error)
+            return result.Failure(
+                connections.Problem(
+                    connections.ProblemKind.UNREACHABLE, detail, sent=False
+                )
+            )
+        return result.Success(connection)
+
+    async def _open(self, server):
+        """Open a connection.
+
+        :raises OSError: if the server cannot be reached.
+        :raises TimeoutError: if it does not react in time.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                lambda: connections.Connection(self._id_header),
+                server.host,
+                server.port,
+            )
+        return connection
+
+    def _release(self, server, connection):
+        if not connection.usable:
+            connection.abort()
+            return
+        now_s = asyncio.get_running_loop().time()
+        connection.last_used_s = now_s
+        connection.reusable_until_s = now_s + connection.idle_timeout_s()
+        self._idle_by_server[_server_key(server)].append(connection)
+
+
+def _server_key(server):
+    return server.host, server.port, server.id, server.incarnation
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -7,20 +7,14 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import enum
-import functools
 import re
 
 import httptools
-from returns import result
 
 from bulrushrudder.utils import sockets
 
-# Many round trips between zones. TCP retransmits a lost SYN only after
-# 1 s, so a new connection is faster.
-CONNECT_TIMEOUT_S = 0.35
 # Servers that state no idle timeout close idle connections after some
 # seconds.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
@@ -32,6 +26,11 @@
 # several times the size of their data.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_PER_BODY_BYTE = 8
+# A late copy of an answer precedes the answer to the next call.
+MAX_SKIPPED_RESPONSES = 2
+# A call is not sent on a connection that carried one with the same id among
+# this many calls: the id would not tell a late copy from the answer.
+REMEMBERED_CALLS = 64
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*(\d+)', re.IGNORECASE)
 
 
@@ -43,14 +42,6 @@
     INVALID = 'invalid'
 
 
-class Listening(enum.Enum):
-    """Whether a server accepts connections."""
-
-    ACCEPTS = 'accepts'
-    REFUSES = 'refuses'
-    UNKNOWN = 'unknown'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
     """A call without a complete response.
@@ -106,14 +97,52 @@
     at_close: bool = False
 
 
-def _ignore_head(*_):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A call as it is sent over a connection.
+
+    :param data: the complete request in bytes.
+    :param id: the id that the server echoes in its response; empty if the
+        call has none.
+    :param without_body: whether the response has no body regardless of its
+        headers, as after HEAD.
+    """
+
+    data: bytes
+    id: str = ''
+    without_body: bool = False
+
+
+class Match(enum.Enum):
+    """How the id in a response compares with that of the call."""
+
+    SAME = 'same'
+    MISSING = 'missing'
+    OTHER = 'other'
+
+
+def ignore_head(*_):
     """Ignore the head of a response."""
 
 
 class Connection(asyncio.Protocol):
-    """One connection, whose response is read in parts."""
+    """One connection, whose response is read in parts.
+
+    A server may send a second copy of a response late, when the next call
+    has arrived. A response with the id of another call is skipped, so that
+    neither its status nor what it states counts for this one.
+
+    :param id_header: lowercase name of the header in which responses echo
+        the id of their call.
+    """
 
-    def __init__(self):
+    def __init__(self, id_header):
+        self._id_header = id_header
+        self._call = None
+        self._earlier_ids = collections.deque(maxlen=REMEMBERED_CALLS)
+        self._calls = 0
+        self._skipped = 0
+        self._skipping = False
         self._transport = None
         self._parser = None
         self._parts = collections.deque()
@@ -121,12 +150,11 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._waiter = None
-        self._on_head = _ignore_head
+        self._on_head = ignore_head
         self._status = 0
         self._headers = []
         self._self_delimited = False
         self._has_head = False
-        self._without_body = False
         self._ended = True
         self._closed = False
         self._not_reusable = False
@@ -138,14 +166,17 @@
         """Return whether the connection can be reused for another call."""
         return self._ended and not self._not_reusable and not self._closed
 
-    def send(self, data, without_body, on_head):
+    def has_carried(self, call_id):
+        """Return whether a recent call on this connection had an id."""
+        return bool(call_id) and call_id in self._earlier_ids
+
+    def send(self, call, on_head):
         """Send a call.
 
-        :param data: the complete request in bytes.
-        :param without_body: whether the response has no body regardless
-            of its headers, as after HEAD.
+        :param call: the Call.
         :param on_head: function of the Head, called when it arrives.
         """
+        self._call = call
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._parts.clear()
@@ -157,8 +188,12 @@
         self._self_delimited = False
         self._has_head = False
         self._ended = False
-        self._without_body = without_body
-        self._transport.write(data)
+        self._skipped = 0
+        self._skipping = False
+        self._calls += 1
+        if call.id:
+            self._earlier_ids.append(call.id)
+        self._transport.write(call.data)
 
     def idle_timeout_s(self):
         """Return how many seconds the connection may stay idle."""
@@ -252,18 +287,20 @@
         self._status = self._parser.get_status_code()
         if self._is_interim():
             return
-        self._has_head = True
         head = Head(self._status, tuple(self._headers))
+        if not self._belongs_to_call(head):
+            return
+        self._has_head = True
         self._self_delimited = _is_self_delimited(head)
         self._on_head(head)
         self._put(head)
-        if self._without_body:
+        if self._call.without_body:
             self._not_reusable = True
             self._end()
 
     def on_body(self, data):
         """Queue a chunk of the body."""
-        if not self._ended:
+        if not self._ended and not self._skipping:
             self._body_bytes += len(data)
             self._track_buffered(len(data))
             self._put(BodyChunk(data))
@@ -275,6 +312,10 @@
         if self._is_interim():
             self._headers = []
             return
+        if self._skipping:
+            self._skipping = False
+            self._headers = []
+            return
         if not self._parser.should_keep_alive():
             self._not_reusable = True
         if self._transport.get_write_buffer_size():
@@ -282,6 +323,32 @@
             self._not_reusable = True
         self._end()
 
+    def _belongs_to_call(self, head):
+        """Return whether a response answers the call; skip it otherwise.
+
+        A connection that has brought a foreign response is not reused.
+        """
+        match = _compare_id(head.header(self._id_header), self._call.id)
+        first_call = self._calls == 1
+        if match is Match.SAME or (match is Match.MISSING and first_call):
+            return True
+        self._not_reusable = True
+        self._skipped += 1
+        copy = match is Match.OTHER and not first_call
+        if (
+            copy
+            and self._skipped <= MAX_SKIPPED_RESPONSES
+            and _is_self_delimited(head)
+            and self._parser.should_keep_alive()
+        ):
+            self._skipping = True
+            return False
+        self._reject(
+            f'status {head.status} with call id '
+            f'{head.header(self._id_header)!r}, expected {self._call.id!r}'
+        )
+        return False
+
     def _is_interim(self):
         return 100 <= self._status < 200
 
@@ -317,146 +384,20 @@
             self._transport.resume_reading()
 
 
+def _compare_id(echoed, call_id):
+    """Return the Match of an echoed id.
+
+    :param echoed: the id in the response, or None.
+    :param call_id: the id of the call; empty if it has none.
+    """
+    if echoed == (call_id or None):
+        return Match.SAME
+    return Match.MISSING if echoed is None else Match.OTHER
+
+
 def _is_self_delimited(head):
     """Return whether a response ends without closing the connection."""
     if head.status in (204, 304):
         return True
     names = {name.lower() for name, _ in head.headers}
     return 'content-length' in names or 'transfer-encoding' in names
-
-
-class ConnectionPool:
-    """Pool of idle connections by server.
-
-    :param on_head: function of the BackendServer, the monotonic seconds at
-        which the call was sent, and the Head; called when a head arrives.
-    """
-
-    def __init__(self, on_head=_ignore_head):
-        self._on_head = on_head
-        self._idle_by_server = collections.defaultdict(list)
-        self._checks_by_server = {}
-
-    @contextlib.asynccontextmanager
-    async def call(
-        self, server, data, without_body=False, idle_s=DEFAULT_IDLE_TIMEOUT_S
-    ):
-        """Send a call over an idle or a new connection.
-
-        Yields a Success with the Connection, or a Failure with a
-        Problem.
-
-        :param server: the BackendServer.
-        :param data: the complete request in bytes.
-        :param without_body: whether the response has no body regardless
-            of its headers, as after HEAD.
-        :param idle_s: longest idle time in seconds of a connection to
-            reuse.
-        """
-        match await self._connect(server, idle_s):
-            case result.Failure(problem):
-                yield result.Failure(problem)
-                return
-            case result.Success(connection):
-                pass
-        sent_s = asyncio.get_running_loop().time()
-        connection.send(
-            data,
-            without_body,
-            functools.partial(self._on_head, server, sent_s),
-        )
-        try:
-            yield result.Success(connection)
-        finally:
-            self._release(server, connection)
-
-    async def check(self, server):
-        """Find out whether a server accepts connections.
-
-        Concurrent checks of a server share one connection, which is kept
-        for later calls.
-
-        :param server: the BackendServer.
-        :returns: a Listening; UNKNOWN if it does not react in time.
-        """
-        key = _server_key(server)
-        checking = self._checks_by_server.get(key)
-        if checking is None:
-            checking = asyncio.create_task(self._check(server))
-            self._checks_by_server[key] = checking
-            checking.add_done_callback(
-                lambda _: self._checks_by_server.pop(key, None)
-            )
-        return await asyncio.shield(checking)
-
-    async def _check(self, server):
-        try:
-            connection = await _open(server)
-        except ConnectionRefusedError:
-            return Listening.REFUSES
-        except (OSError, TimeoutError):
-            return Listening.UNKNOWN
-        self._release(server, connection)
-        return Listening.ACCEPTS
-
-    def close(self):
-        """Close all idle connections and end all checks."""
-        for checking in list(self._checks_by_server.values()):
-            checking.cancel()
-        for idle in self._idle_by_server.values():
-            for connection in idle:
-                connection.abort()
-        self._idle_by_server.clear()
-
-    async def _connect(self, server, idle_s):
-        idle = self._idle_by_server[_server_key(server)]
-        now_s = asyncio.get_running_loop().time()
-        while idle:
-            connection = idle.pop()
-            fresh = now_s - connection.last_used_s <= idle_s
-            if (
-                connection.usable
-                and now_s < connection.reusable_until_s
-                and fresh
-            ):
-                return result.Success(connection)
-            connection.abort()
-        return await _dial(server)
-
-    def _release(self, server, connection):
-        if not connection.usable:
-            connection.abort()
-            return
-        now_s = asyncio.get_running_loop().time()
-        connection.last_used_s = now_s
-        connection.reusable_until_s = now_s + connection.idle_timeout_s()
-        self._idle_by_server[_server_key(server)].append(connection)
-
-
-async def _dial(server):
-    try:
-        connection = await _open(server)
-    except (OSError, TimeoutError) as error:
-        detail = repr(error)
-        return result.Failure(
-            Problem(ProblemKind.UNREACHABLE, detail, sent=False)
-        )
-    return result.Success(connection)
-
-
-async def _open(server):
-    """Open a connection.
-
-    :raises OSError: if the server cannot be reached.
-    :raises TimeoutError: if it does not react in time.
-    """
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(CONNECT_TIMEOUT_S):
-        _, connection = await loop.create_connection(
-            Connection, server.host, server.port
-        )
-    return connection
-
-
-def _server_key(server):
-    return server.host, server.port, server.id, server.incarnation
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import connections
 from bulrushrudder.platform import headers
 
@@ -35,7 +36,7 @@
     timeout_s: float = 0.0
 
     def encode(self, server, now_s, *extra):
-        """Return the request to one runner as bytes.
+        """Return the connections Call to one runner.
 
         :param server: the BackendServer.
         :param now_s: monotonic seconds.
@@ -50,9 +51,10 @@
             (headers.EXPECTED_INSTANCE, server.run_id),
             *extra,
         ]
-        return headers.encode_request(
+        data = headers.encode_request(
             self.method, self.target, pairs, self.body
         )
+        return connections.Call(data, self.attempt, self.method == 'HEAD')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,13 +77,21 @@
     return CallFailure(reason, problem.detail, problem.sent)
 
 
-def check(head, attempt):
-    """Check that an answer belongs to the call and that the call ran.
+def pool(on_head=connections.ignore_head):
+    """Return a ConnectionPool to runners.
 
-    Status 421 means that the runner at this address is not the expected
-    instance.
+    :param on_head: as for ConnectionPool.
+    """
+    return connection_pool.ConnectionPool(headers.ATTEMPT.lower(), on_head)
+
+
+def check(head):
+    """Check that the call of an answer ran.
+
+    Only an answer to this call, which the connection has matched by its
+    attempt id, says that the call did not run. Status 421 means that the
+    runner at this address is not the expected instance.
 
-    :param attempt: the attempt id that the runner must echo.
     :returns: a CallFailure, or None if the head is valid.
     """
     if head.header(headers.NOT_RUN) is not None or head.status == 421:
@@ -91,14 +101,13 @@
         return CallFailure(
             reason, f'runner did not run the call, status {head.status}', False
         )
-    echoed = head.header(headers.ATTEMPT.lower())
-    if echoed != attempt:
-        detail = f'answer echoes attempt id {echoed}, expected {attempt}'
+    if head.header(headers.ATTEMPT.lower()) is None:
+        detail = f'answer without attempt id, status {head.status}'
         return CallFailure(outcomes.Reason.BACKEND_FAILED, detail, True)
     return None
 
 
-async def read_head(opened, attempt):
+async def read_head(opened):
     """Read and check the head of an answer.
 
     :param opened: a Connection, or the Problem of opening it.
@@ -112,7 +121,7 @@
         case connections.Problem():
             return result.Failure(failure_from(part))
         case connections.Head():
-            failed = check(part, attempt)
+            failed = check(part)
             if failed is None:
                 return result.Success(part)
             if failed.sent:
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -5,11 +5,11 @@
 
 from bulrushrudder.core import digests
 from bulrushrudder.documents import types
-from bulrushrudder.engines import connections
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.metrics import control as metrics_control
 from bulrushrudder.platform import announcements
+from bulrushrudder.platform import calls
 from bulrushrudder.platform import configuration
 from bulrushrudder.platform import orders
 from bulrushrudder.protocol import codec
@@ -169,7 +169,7 @@
 
         :param stack: an AsyncExitStack that owns its connections.
         """
-        pool = connections.ConnectionPool()
+        pool = calls.pool()
         stack.callback(pool.close)
         return orders.OrderClient(pool)
 
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -12,6 +12,7 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
+from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import connections
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -64,7 +65,7 @@
         """
         attempt = action.attempt
         forwarded_call = job.content
-        data = forwarded_call.encode(
+        call = forwarded_call.encode(
             server, _now_s(), (headers.STAGE, 'prefill')
         )
         timeout_s = (
@@ -73,10 +74,8 @@
         )
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._pool.call(server, data) as opened:
-                    outcome = await self._read_prefill_reply(
-                        opened, forwarded_call.attempt
-                    )
+                async with self._pool.call(server, call) as opened:
+                    outcome = await self._read_prefill_reply(opened)
         except TimeoutError:
             reason = outcomes.Reason.BACKEND_SILENT
             outcome = result.Failure(
@@ -100,8 +99,8 @@
             'unreachable: prefill neither succeeded nor failed'
         )
 
-    async def _read_prefill_reply(self, opened, attempt):
-        head = await calls.read_head(opened, attempt)
+    async def _read_prefill_reply(self, opened):
+        head = await calls.read_head(opened)
         if isinstance(head, result.Failure):
             return head
         body = await calls.read_body(opened.unwrap())
@@ -126,9 +125,9 @@
         :param source: the server that has the result of the prefill.
         """
         attempt = action.attempt
-        data = _encode_decode_call(server, action, source, job)
+        call = _encode_decode_call(server, action, source, job)
         try:
-            async with self._pool.call(server, data) as opened:
+            async with self._pool.call(server, call) as opened:
                 stream_batches = self._follow_stream(
                     opened, server, action, job
                 )
@@ -149,7 +148,7 @@
     async def _follow_stream(self, opened, server, action, job):
         attempt = action.attempt
         async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S):
-            head = await calls.read_head(opened, job.content.attempt)
+            head = await calls.read_head(opened)
         match head:
             case result.Failure(failed):
                 yield [_attempt_failed(attempt, server, failed)]
@@ -190,7 +189,7 @@
             attempt=str(attempt),
             connections=listening.value,
         )
-        crashed = listening is connections.Listening.REFUSES
+        crashed = listening is connection_pool.Listening.REFUSES
         return events.Inspected(attempt, crashed, None)
 
     async def cancel(self, server, targets):
@@ -217,14 +216,14 @@
             ('Host', f'{server.host}:{server.port}'),
             (headers.EXPECTED_INSTANCE, server.run_id),
         ]
-        data = headers.encode_request(
-            'DELETE', _HANDLE_PATH + handle, pairs, b''
+        call = connections.Call(
+            headers.encode_request('DELETE', _HANDLE_PATH + handle, pairs, b'')
         )
         with contextlib.suppress(TimeoutError):
             # The runner discards a result that is not freed when its
             # retention time ends.
             async with asyncio.timeout(FREE_HANDLE_TIMEOUT_S):
-                async with self._pool.call(server, data) as opened:
+                async with self._pool.call(server, call) as opened:
                     if isinstance(opened, result.Success):
                         await opened.unwrap().part()
                         await calls.read_body(opened.unwrap())
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -8,7 +8,6 @@
 
 from bulrushrudder.core import outcomes
 from bulrushrudder.documents import types
-from bulrushrudder.engines import connections
 from bulrushrudder.engines import services
 from bulrushrudder.entry import admission
 from bulrushrudder.entry import bodies
@@ -63,7 +62,7 @@
         :param record_statements: function of a server, the seconds at which
             a request was sent, and the Statements in its answer.
         """
-        pool = connections.ConnectionPool(
+        pool = calls.pool(
             lambda server, sent_s, head: record_statements(
                 server, sent_s, statements.read(head)
             )
--- a/bulrushrudder/platform/orders.py
+++ b/bulrushrudder/platform/orders.py
@@ -93,17 +93,23 @@
         return None
 
     async def _request(self, server, method, path, body):
-        """Return the status and body of an answer, or an error message."""
+        """Return the status and body of an answer, or an error message.
+
+        Answers to reports and orders have no id, so each is read from a
+        connection of its own, on which no copy of another one can arrive.
+        """
         pairs = [
             ('Host', f'{server.host}:{server.port}'),
             (headers.EXPECTED_INSTANCE, server.run_id),
         ]
         if body:
             pairs.append(('Content-Type', 'application/json'))
-        data = headers.encode_request(method, path, pairs, body)
+        call = connections.Call(
+            headers.encode_request(method, path, pairs, body)
+        )
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                async with self._pool.call(server, data) as opened:
+                async with self._pool.call(server, call, 0.0) as opened:
                     return await _read_response(opened)
         except TimeoutError:
             return result.Failure(f'no answer in {ANSWER_TIMEOUT_S} s')
--- a/bulrushrudder/platform/services.py
+++ b/bulrushrudder/platform/services.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import connections
 from bulrushrudder.engines import services
 from bulrushrudder.platform import calls
@@ -36,16 +37,13 @@
             if call.repeatable
             else MAX_IDLE_NOT_REPEATABLE_S
         )
-        data = forwarded_call.encode(server, asyncio.get_running_loop().time())
-        without_body = forwarded_call.method == 'HEAD'
+        encoded = forwarded_call.encode(
+            server, asyncio.get_running_loop().time()
+        )
         try:
             async with asyncio.timeout(call.timeout_s):
-                async with self._pool.call(
-                    server, data, without_body, idle_s
-                ) as opened:
-                    return await self._read_answer(
-                        opened, forwarded_call.attempt
-                    )
+                async with self._pool.call(server, encoded, idle_s) as opened:
+                    return await self._read_answer(opened)
         except TimeoutError:
             reason = outcomes.Reason.BACKEND_SILENT
             detail = f'no answer in {call.timeout_s:.3f} s'
@@ -54,10 +52,10 @@
     async def has_crashed(self, server):
         """Return whether a server refuses connections."""
         listening = await self._pool.check(server)
-        return listening is connections.Listening.REFUSES
+        return listening is connection_pool.Listening.REFUSES
 
-    async def _read_answer(self, opened, attempt):
-        match await calls.read_head(opened, attempt):
+    async def _read_answer(self, opened):
+        match await calls.read_head(opened):
             case result.Failure(failed):
                 return _refusal(failed)
             case result.Success(head):
--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -5,16 +5,14 @@
 
 from returns import result
 
+from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import connections
 from bulrushrudder.tests.builders import runners
 
 TEST_TIMEOUT_S = 3.0
 GET = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
-WITHOUT_LENGTH = (
-    b'HTTP/1.1 200 OK\r\nAttempt-Id: '
-    + runners.ATTEMPT.encode()
-    + b'\r\n\r\nhalf'
-)
+WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\nhalf'
+answer = functools.partial(runners.answer, attempt='')
 
 
 async def end(writer):
@@ -40,7 +38,7 @@
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
-        self.pool = connections.ConnectionPool()
+        self.pool = connection_pool.ConnectionPool('attempt-id')
         self.stack.callback(self.pool.close)
 
     async def start(self, *steps):
@@ -48,11 +46,12 @@
         self.runner = await runner.start(self.stack)
         return self.runner.server()
 
-    async def call(self, server, data=GET, **terms):
+    async def call(self, server, data=GET, call_id='', **terms):
         """Return all parts of the response to one call."""
         parts = []
+        call = connections.Call(data, call_id)
         async with asyncio.timeout(TEST_TIMEOUT_S):
-            async with self.pool.call(server, data, **terms) as opened:
+            async with self.pool.call(server, call, **terms) as opened:
                 match opened:
                     case result.Failure(problem):
                         return [problem]
@@ -67,28 +66,51 @@
         self.assertIsInstance(last, connections.End)
 
     async def test_reuses_connection_after_complete_response(self):
-        server = await self.start(runners.answer(b'one'))
+        server = await self.start(answer(b'one'))
         for _ in range(3):
             await self.check_complete(server, b'one')
         self.assertEqual(self.runner.connections, 1)
 
+    async def test_call_with_id_of_earlier_call_uses_another_connection(self):
+        runner = runners.Runner(
+            lambda call: [runners.answer(attempt=call.headers['Attempt-Id'])]
+        )
+        server = (await runner.start(self.stack)).server()
+        for call_id, connection in (('a', 1), ('a', 2), ('b', 2), ('c', 2)):
+            data = GET.replace(b'Host: x', b'Attempt-Id: ' + call_id.encode())
+            await self.call(server, data, call_id)
+            self.assertEqual(runner.calls[-1].connection, connection)
+
+    async def test_does_not_reuse_connection_after_skipped_response(self):
+        def reply(call):
+            copy = runners.answer(b'old', attempt='a')
+            sent = runners.answer(attempt=call.headers['Attempt-Id'])
+            return [copy + sent if call.headers['Attempt-Id'] == 'b' else sent]
+
+        runner = runners.Runner(reply)
+        server = (await runner.start(self.stack)).server()
+        for call_id, connection in (('a', 1), ('b', 1), ('c', 2)):
+            data = GET.replace(b'Host: x', b'Attempt-Id: ' + call_id.encode())
+            parts = await self.call(server, data, call_id)
+            self.assertEqual(parts[0].header('attempt-id'), call_id)
+            self.assertIsInstance(parts[-1], connections.End)
+            self.assertEqual(runner.calls[-1].connection, connection)
+
     async def test_does_not_reuse_connection_after_extra_bytes(self):
-        server = await self.start(runners.answer(b'one') + b'more')
+        server = await self.start(answer(b'one') + b'more')
         for _ in range(2):
             await self.check_complete(server, b'one')
         self.assertEqual(self.runner.connections, 2)
 
     async def test_does_not_reuse_connection_after_second_response(self):
-        server = await self.start(
-            runners.answer(b'one') + runners.answer(b'two')
-        )
+        server = await self.start(answer(b'one') + answer(b'two'))
         for _ in range(2):
             await self.check_complete(server, b'one')
         self.assertEqual(self.runner.connections, 2)
 
     async def test_closes_idle_connection_that_receives_bytes(self):
         server = await self.start(
-            runners.answer(b'one'), pause_briefly, runners.answer(b'late')
+            answer(b'one'), pause_briefly, answer(b'late')
         )
         await self.check_complete(server, b'one')
         await asyncio.sleep(0.2)
@@ -99,14 +121,14 @@
         self,
     ):
         server = await self.start(
-            runners.answer(b'one', headers=[('Connection', 'close')])
+            answer(b'one', headers=[('Connection', 'close')])
         )
         for _ in range(2):
             await self.check_complete(server, b'one')
         self.assertEqual(self.runner.connections, 2)
 
     async def test_does_not_reuse_connection_idle_for_too_long(self):
-        server = await self.start(runners.answer(b'one'))
+        server = await self.start(answer(b'one'))
         await self.check_complete(server, b'one')
         await asyncio.sleep(0.05)
         await self.check_complete(server, b'one', idle_s=0.01)
@@ -114,7 +136,7 @@
 
     async def test_does_not_reuse_connection_past_keep_alive_timeout(self):
         server = await self.start(
-            runners.answer(b'one', headers=[('Keep-Alive', 'timeout=0')])
+            answer(b'one', headers=[('Keep-Alive', 'timeout=0')])
         )
         for _ in range(2):
             await self.check_complete(server, b'one')
@@ -122,7 +144,7 @@
 
     async def test_does_not_reuse_connection_after_early_response(self):
         async def serve(reader, writer):
-            writer.write(runners.answer(b'early'))
+            writer.write(answer(b'early'))
             await asyncio.sleep(1.0)
             writer.close()
 
@@ -147,7 +169,7 @@
         self.assertTrue(parts[-1].sent)
 
     async def test_truncated_response_is_a_problem(self):
-        whole = runners.answer(b'a body of some length')
+        whole = answer(b'a body of some length')
         for size in range(1, len(whole)):
             with self.subTest(size):
                 server = await self.start(whole[:size], end)
@@ -157,7 +179,7 @@
 
     async def test_skips_interim_responses(self):
         interim = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
-        server = await self.start(interim + runners.answer(b'one'))
+        server = await self.start(interim + answer(b'one'))
         await self.check_complete(server, b'one')
 
     async def test_rejects_reply_without_status_line(self):
@@ -213,7 +235,9 @@
         server = await self.start(pause_briefly)
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.02):
-                async with self.pool.call(server, GET) as opened:
+                async with self.pool.call(
+                    server, connections.Call(GET)
+                ) as opened:
                     await opened.unwrap().part()
         self.assertEqual(sum(map(len, self.pool._idle_by_server.values())), 0)
 
--- a/bulrushrudder/tests/platform/engines_tests.py
+++ b/bulrushrudder/tests/platform/engines_tests.py
@@ -5,7 +5,6 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
-from bulrushrudder.engines import connections
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.platform import calls
@@ -33,7 +32,7 @@
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
-        pool = connections.ConnectionPool()
+        pool = calls.pool()
         self.stack.callback(pool.close)
         self.client = engines.EngineClient(pool)
         forwarded_call = calls.ForwardedCall(
