Bound the bytes that answers of backend servers may take

Cause: the lifecycle kept the text of every event and compared neither their number nor their bytes with what the request had asked for. On related paths, bodies of plain services had a bound of 16 MB each but none together, and none at all on the product's own interface; heartbeats could have 8 MB.

Change: output is kept only within what the stated tokens allow and some more, after which the attempt has failed; answers that are being read share a bound, above which the largest is given up; heartbeats have 64 KB.

--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from bulrushrudder.engines import connections
+from bulrushrudder.engines import kept_bytes
 
 # Many round trips between zones. TCP retransmits a lost SYN only after
 # 1 s, so a new connection is faster.
@@ -38,6 +39,7 @@
     def __init__(self, id_header, on_head=connections.ignore_head):
         self._id_header = id_header
         self._on_head = on_head
+        self._kept_bytes = kept_bytes.KeptBytes()
         self._idle_by_server = collections.defaultdict(list)
         self._checks_by_server = {}
 
@@ -72,6 +74,7 @@
         try:
             yield result.Success(connection)
         finally:
+            connection.release()
             self._release(server, connection)
 
     async def check(self, server):
@@ -156,7 +159,9 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
-                lambda: connections.Connection(self._id_header),
+                lambda: connections.Connection(
+                    self._id_header, self._kept_bytes
+                ),
                 server.host,
                 server.port,
             )
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -134,10 +134,12 @@
 
     :param id_header: lowercase name of the header in which responses echo
         the id of their call.
+    :param kept_bytes: the KeptBytes of the process.
     """
 
-    def __init__(self, id_header):
+    def __init__(self, id_header, kept_bytes):
         self._id_header = id_header
+        self._kept_bytes = kept_bytes
         self._call = None
         self._earlier_ids = collections.deque(maxlen=REMEMBERED_CALLS)
         self._calls = 0
@@ -214,6 +216,14 @@
             self._track_buffered(-len(part.data))
         return part
 
+    def keep(self, size):
+        """Record how many bytes of the response its reader keeps."""
+        self._kept_bytes.update(self, size, self._give_up)
+
+    def release(self):
+        """Record that the reader is done with the response."""
+        self._kept_bytes.release(self)
+
     def abort(self):
         """Close the connection immediately."""
         self._not_reusable = True
@@ -300,10 +310,11 @@
 
     def on_body(self, data):
         """Queue a chunk of the body."""
-        if not self._ended and not self._skipping:
-            self._body_bytes += len(data)
-            self._track_buffered(len(data))
-            self._put(BodyChunk(data))
+        if self._ended or self._skipping:
+            return
+        self._body_bytes += len(data)
+        self._track_buffered(len(data))
+        self._put(BodyChunk(data))
 
     def on_message_complete(self):
         """Queue the end of the response."""
@@ -361,6 +372,9 @@
         self._fail(ProblemKind.INVALID, detail)
         self.abort()
 
+    def _give_up(self):
+        self._reject('the answers being read take too much memory')
+
     def _fail(self, kind, detail):
         if self._ended:
             return
--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -7,8 +7,10 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.engines import kept_bytes
 
 CONNECT_TIMEOUT_S = 2.0
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 HOP_BY_HOP = frozenset(
     {
         'connection',
@@ -64,6 +66,10 @@
     body: bytes
 
 
+class BodyTooLargeError(Exception):
+    """The body of a response exceeds the limit."""
+
+
 class ServiceClient:
     """Forwards calls to plain services.
 
@@ -72,6 +78,7 @@
 
     def __init__(self, session):
         self._session = session
+        self._kept_bytes = kept_bytes.KeptBytes()
 
     async def call(self, server, call):
         """Forward one call.
@@ -92,9 +99,11 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await self._read_body(response)
         except aiohttp.ClientConnectorError as error:
             return result.Failure(_refusal(error, False))
+        except BodyTooLargeError as error:
+            return result.Failure(_refusal(error, True))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return result.Failure(_refusal(error, True))
         headers = _filter_headers(
@@ -102,6 +111,22 @@
         )
         return result.Success(Reply(response.status, tuple(headers), body))
 
+    async def _read_body(self, response):
+        """Read the body of a response.
+
+        :raises BodyTooLargeError: if it exceeds the limit.
+        """
+        body = bytearray()
+        try:
+            async for data in response.content.iter_any():
+                body += data
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise BodyTooLargeError
+                self._kept_bytes.update(response, len(body), response.close)
+        finally:
+            self._kept_bytes.release(response)
+        return bytes(body)
+
 
 def _filter_headers(headers, excluded):
     return [
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -10,6 +10,7 @@
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import job as jobs
+from bulrushrudder.lifecycle import output
 from bulrushrudder.lifecycle import output_progress
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.lifecycle import states
@@ -68,7 +69,7 @@
         self._has_run = False
         self._prompt_tokens = job.prompt_tokens
         self._charged = job.cost
-        self._produced = []
+        self._output = output.Output(job.output_tokens)
         # Versions of the software that began the stream, and of the decode
         # server of the current attempt.
         self._stream_software = job.software
@@ -215,7 +216,7 @@
             self._transition('start_prefill')
             return [
                 actions.StartPrefill(
-                    attempt, event.prefill, tuple(self._produced)
+                    attempt, event.prefill, self._output.texts()
                 )
             ]
         self._transition('start_transfer')
@@ -231,7 +232,7 @@
             self._allocation.decode,
             source,
             handle,
-            tuple(self._produced),
+            self._output.texts(),
         )
 
     def _prefilled(self, event):
@@ -240,7 +241,7 @@
         self._transition('start_transfer')
         self._sent = self._sent or self.job.prefill_counts_as_run
         self._has_run = self._has_run or self.job.prefill_counts_as_run
-        if not self._produced and not self.job.charge_is_final:
+        if not self._output and not self.job.charge_is_final:
             self._prompt_tokens = event.prompt_tokens
         if self._exceeds_charge():
             reason = outcomes.Reason.COST_ABOVE_BURST
@@ -271,15 +272,15 @@
     def _token_arrived(self, event, now_s):
         if not self._is_current(event, 'decoding', 'streaming'):
             return [_drop(event)]
-        if event.index < len(self._produced):
+        if event.index < len(self._output):
             return [_drop(event)]
-        if event.index > len(self._produced):
+        is_next = event.index == len(self._output)
+        if not is_next or not self._output.add(event.text):
             return self._inspect_server(
                 outcomes.Reason.BACKEND_FAILED, self._allocation.decode
             )
         if self.state == 'decoding':
             self._transition('start_stream')
-        self._produced.append(event.text)
         if self._stream_software is None:
             self._stream_software = self._decode_software
         relay = actions.Relay(event.index, event.text)
@@ -290,7 +291,7 @@
     def _decoded(self, event):
         if not self._is_current(event, 'decoding', 'streaming'):
             return [_drop(event)]
-        if event.tokens != len(self._produced):
+        if event.tokens != len(self._output):
             return self._inspect_server(
                 outcomes.Reason.BACKEND_FAILED, self._allocation.decode
             )
@@ -480,7 +481,7 @@
         return self._abort(event.reason, event.detail)
 
     def _time_ended(self, event):
-        if self.ended or (event.unless_output_started and self._produced):
+        if self.ended or (event.unless_output_started and self._output):
             return []
         self._sent = self._sent or self._may_be_running()
         reason = outcomes.Reason.DEADLINE_PASSED
@@ -540,7 +541,7 @@
     def _refund_unused(self):
         if self.job.charge_is_final:
             return []
-        used = self._prompt_tokens + len(self._produced)
+        used = self._prompt_tokens + len(self._output)
         return self._refund(self._charged - used)
 
     def _refund(self, tokens):
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -140,27 +140,31 @@
 
     :returns: the bytes, or a CallFailure.
     """
-    chunks = []
-    size = 0
+    body = bytearray()
     while True:
         part = await connection.part()
         match part:
             case connections.BodyChunk(data=data):
-                chunks.append(data)
-                size += len(data)
-                if size > MAX_RESPONSE_BYTES:
-                    detail = (
-                        f'answer of {size} bytes or more, '
-                        f'at most {MAX_RESPONSE_BYTES} are allowed'
-                    )
-                    reason = outcomes.Reason.BACKEND_FAILED
-                    return result.Failure(CallFailure(reason, detail, True))
+                body += data
+                if len(body) > MAX_RESPONSE_BYTES:
+                    connection.abort()
+                    return _body_too_large(len(body))
+                connection.keep(len(body))
             case connections.End():
-                return result.Success(b''.join(chunks))
+                return result.Success(bytes(body))
             case connections.Problem():
                 return result.Failure(failure_from(part))
 
 
+def _body_too_large(size):
+    detail = (
+        f'answer of {size} bytes or more, '
+        f'at most {MAX_RESPONSE_BYTES} are allowed'
+    )
+    reason = outcomes.Reason.BACKEND_FAILED
+    return result.Failure(CallFailure(reason, detail, True))
+
+
 async def _drain(connection):
     """Read a refusal to its end so that the connection can be reused."""
     try:
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -5,6 +5,7 @@
 
 from bulrushrudder.core import digests
 from bulrushrudder.documents import types
+from bulrushrudder.entry import bodies
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.metrics import control as metrics_control
@@ -19,6 +20,8 @@
 from bulrushrudder.utils import web as web_utils
 
 MAX_CONFIGURATION_BYTES = 8 * 1024 * 1024
+# A heartbeat has some hundred bytes.
+MAX_HEARTBEAT_BYTES = 64 * 1024
 OPERATOR = 'platform'
 _PRODUCTION = types.Environment.PRODUCTION
 _PREFIX = '/bulrushrudder'
@@ -53,7 +56,11 @@
         return app
 
     async def _handle_heartbeat(self, request):
-        body = await request.read()
+        match await bodies.read(request, max_bytes=MAX_HEARTBEAT_BYTES):
+            case result.Failure(refusal):
+                return _problem(400, refusal.detail)
+            case result.Success(body):
+                pass
         if not await self._is_state_usable():
             return _problem(503, 'no quorum confirmed the configuration')
         parsed = announcements.read(
--- a/bulrushrudder/tests/lifecycle/request_tests.py
+++ b/bulrushrudder/tests/lifecycle/request_tests.py
@@ -4,6 +4,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
+from bulrushrudder.lifecycle import output
 from bulrushrudder.lifecycle import request
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.tests.builders import jobs
@@ -176,6 +177,43 @@
                 self.assertIs(refusal.execution, execution)
 
 
+class OutputLimitTests(RequestTestCase):
+    def stream(self, texts):
+        """Send the events of a stream; return the actions after the last."""
+        self.start(output_tokens=4)
+        self.run_prefill()
+        returned = self.handle(events.TransferDone(self.attempt))
+        for index, text in enumerate(texts):
+            returned = self.handle(
+                events.TokenArrived(self.attempt, index, text)
+            )
+        return returned
+
+    def test_stream_of_more_events_than_allowed_fails(self):
+        allowed = 4 + output.MAX_EXTRA_EVENTS
+        returned = self.stream([b'x'] * allowed)
+        self.assertIsNotNone(find_action(returned, actions.Relay))
+        returned = self.stream([b'x'] * (allowed + 1))
+        self.assertIsNone(find_action(returned, actions.Relay))
+        self.assertIsNotNone(find_action(returned, actions.Inspect))
+
+    def test_stream_of_more_bytes_than_allowed_fails(self):
+        text = b'x' * (output.MAX_EXTRA_BYTES // 2)
+        returned = self.stream([text] * 2)
+        self.assertIsNotNone(find_action(returned, actions.Relay))
+        returned = self.stream([text] * 3)
+        self.assertIsNone(find_action(returned, actions.Relay))
+        self.assertIsNotNone(find_action(returned, actions.Inspect))
+
+    def test_stream_of_unstated_length_is_limited_too(self):
+        kept = output.Output(0)
+        self.assertTrue(kept.add(b'x' * output.MAX_EXTRA_BYTES))
+        while kept.add(b'x' * 4096):
+            pass
+        size = sum(len(text) for text in kept.texts())
+        self.assertLess(size, 5 * 1024 * 1024)
+
+
 class LatestGrantTests(RequestTestCase):
     """Callers leave at 3.4 s, and a first token takes 0.5 s."""
 
--- /dev/null
+++ b/bulrushrudder/tests/platform/endless_answers_tests.py
@@ -0,0 +1,93 @@
+"""Answers that go on until the router closes the connection."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from bulrushrudder.tests.builders import platform
+from bulrushrudder.tests.builders import platform_fleet
+from bulrushrudder.tests.builders import runners
+from bulrushrudder.tests.builders import scripted_engines
+
+PREFILL_REPLY = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
+MAX_STREAM_BYTES = 1024 * 1024
+TIMEOUT_S = 8.0
+WRITE_BYTES = 16 * 1024
+PLAIN_TIMEOUT_S = 4.0
+
+
+def configuration():
+    content = platform.configuration()
+    content['routes'][0]['resumable'] = False
+    content['routes'].append(
+        {
+            **platform.ROUTE,
+            'name': 'r-book',
+            'path_prefix': '/book/',
+            'route_type': 'non_idempotent',
+            'timeout_ms': PLAIN_TIMEOUT_S * 1000,
+            'service': 'portal',
+            'resumable': False,
+        }
+    )
+    return content
+
+
+def endless_stream(piece):
+    """Return a reply that streams a piece again and again."""
+
+    async def send(writer):
+        while True:
+            writer.write(piece * max(1, WRITE_BYTES // len(piece)))
+            await writer.drain()
+            # The router runs on the same loop.
+            await asyncio.sleep(0)
+
+    def reply(call):
+        if call.headers.get('Stage') == 'prefill':
+            return [runners.answer(PREFILL_REPLY)]
+        return [runners.stream_head(), send]
+
+    return reply
+
+
+class EndlessAnswerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = await self.enterAsyncContext(platform_fleet.running())
+        await self.fleet.put_configuration(configuration())
+        await self.fleet.wait_until(
+            lambda: self.fleet.entry.view.lookups.document.version == 7
+        )
+
+    async def add_engines(self, piece):
+        reply = endless_stream(piece)
+        await self.fleet.add_runner(reply, 'i-a', stage='prefill')
+        return await self.fleet.add_runner(reply, 'i-b')
+
+    async def receive_stream(self):
+        """Return the bytes received until the stream is cut."""
+        size = 0
+        async with asyncio.timeout(TIMEOUT_S):
+            try:
+                async with self.fleet.call('/drafts/1') as response:
+                    async for data in response.content.iter_any():
+                        size += len(data)
+                        if size > MAX_STREAM_BYTES:
+                            break
+            except aiohttp.ClientPayloadError:
+                return size
+        return size
+
+    # Guards against a process that keeps an endless stream until it is
+    # killed for its memory, with all requests in flight.
+
+    async def test_stream_of_more_than_the_request_allows_is_cut(self):
+        for piece in (b'x' * 32768 + b'\n\n', runners.event(1), b'\n\n'):
+            with self.subTest(piece[:8]):
+                await self.add_engines(scripted_engines.chunk(piece))
+                received = await self.receive_stream()
+                self.assertLess(received, MAX_STREAM_BYTES)
+                await self.fleet.wait_until(
+                    lambda: not self.fleet.entry.services.running
+                )
