Search each byte of a stream once, and bound a turn of the loop

Cause: for each chunk the splitter copied and searched the whole incomplete event again, up to 256 KB, without giving way to other tasks. The line splitter of the own interface did the same.

--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -26,6 +26,9 @@
 # several times the size of their data.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_PER_BODY_BYTE = 8
+# Bounds the time on the loop for what has arrived on one connection.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+_RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
 # A late copy of an answer precedes the answer to the next call.
 MAX_SKIPPED_RESPONSES = 2
 # A call is not sent on a connection that carried one with the same id among
@@ -80,11 +83,11 @@
         ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class BodyChunk:
-    """Some bytes of the body of a response."""
+    """Bytes of the body of a response that have arrived so far."""
 
-    data: bytes
+    data: bytearray
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,7 +128,7 @@
     """Ignore the head of a response."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection, whose response is read in parts.
 
     A server may send a second copy of a response late, when the next call
@@ -237,14 +240,21 @@
         self._transport = transport
         sockets.enable_keepalive(transport.get_extra_info('socket'))
 
-    def data_received(self, data):
+    def get_buffer(self, size):
+        """Return the buffer for received data.
+
+        All connections share it, as data is parsed as soon as it is there.
+        """
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, size):
         """Parse received data; close the connection if none is expected."""
         if self._ended:
             self.abort()
             return
-        self._received_bytes += len(data)
+        self._received_bytes += size
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(_RECEIVE_BUFFER[:size])
         except httptools.HttpParserError as error:
             self._reject(type(error).__name__)
             return
@@ -314,7 +324,11 @@
             return
         self._body_bytes += len(data)
         self._track_buffered(len(data))
-        self._put(BodyChunk(data))
+        if self._parts and isinstance(self._parts[-1], BodyChunk):
+            # Small chunks would take many times the memory of their data.
+            self._parts[-1].data += data
+        else:
+            self._put(BodyChunk(bytearray(data)))
 
     def on_message_complete(self):
         """Queue the end of the response."""
--- a/bulrushrudder/engines/lines.py
+++ b/bulrushrudder/engines/lines.py
@@ -15,15 +15,20 @@
 
     def __init__(self, max_bytes=MAX_LINE_BYTES):
         self._max_bytes = max_bytes
-        self._incomplete = b''
+        self._incomplete = bytearray()
 
     def feed(self, data):
         """Add received bytes and return the lines that are complete now.
 
         :raises LineTooLongError: if an incomplete line exceeds the limit.
         """
-        lines = (self._incomplete + data).split(b'\n')
-        self._incomplete = lines.pop()
+        *ended, rest = data.split(b'\n')
+        lines = []
+        for part in ended:
+            self._incomplete += part
+            lines.append(bytes(self._incomplete))
+            self._incomplete.clear()
+        self._incomplete += rest
         if len(self._incomplete) > self._max_bytes:
             raise LineTooLongError(
                 f'line exceeds the limit of {self._max_bytes} bytes'
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -31,6 +31,7 @@
 # Clients abandon a stream after eight pauses of 300 ms.
 BETWEEN_EVENTS_TIMEOUT_S = 2.4
 FREE_HANDLE_TIMEOUT_S = 1.0
+MAX_BATCH_EVENTS = 64
 _HANDLE_PATH = '/bulrushrudder/kv-handle/'
 
 
@@ -250,12 +251,16 @@
     while True:
         async with asyncio.timeout(BETWEEN_EVENTS_TIMEOUT_S):
             texts, last = await _read_complete_events(connection, splitter)
-        if texts:
+        for start in range(0, len(texts), MAX_BATCH_EVENTS):
+            if start:
+                # Other requests get their turn between full batches.
+                await asyncio.sleep(0)
+            batch = texts[start : start + MAX_BATCH_EVENTS]
             yield [
                 events.TokenArrived(attempt, number, text)
-                for number, text in enumerate(texts, index)
+                for number, text in enumerate(batch, index)
             ]
-            index += len(texts)
+            index += len(batch)
         match last:
             case connections.End() if splitter.rest:
                 detail = 'decode: stream ends within an event'
--- a/bulrushrudder/tests/platform/endless_answers_tests.py
+++ b/bulrushrudder/tests/platform/endless_answers_tests.py
@@ -1,6 +1,8 @@
 """Answers that go on until the router closes the connection."""
 
 import asyncio
+import contextlib
+import dataclasses
 import unittest
 
 import aiohttp
@@ -14,6 +16,8 @@
 MAX_STREAM_BYTES = 1024 * 1024
 TIMEOUT_S = 8.0
 WRITE_BYTES = 16 * 1024
+# Callers may get their answer up to 0.5 s late, whatever arrives.
+MAX_STALL_S = 0.25
 PLAIN_TIMEOUT_S = 4.0
 
 
@@ -52,6 +56,33 @@
     return reply
 
 
+@dataclasses.dataclass
+class StallMeter:
+    """The longest time in seconds for which the loop ran nothing else."""
+
+    longest_s: float = 0.0
+
+
+@contextlib.asynccontextmanager
+async def stall_meter():
+    """Measure how long other tasks wait for the loop."""
+    meter = StallMeter()
+
+    async def tick():
+        loop = asyncio.get_running_loop()
+        while True:
+            before_s = loop.time()
+            await asyncio.sleep(0.01)
+            waited_s = loop.time() - before_s
+            meter.longest_s = max(meter.longest_s, waited_s)
+
+    ticking = asyncio.create_task(tick())
+    try:
+        yield meter
+    finally:
+        ticking.cancel()
+
+
 class EndlessAnswerTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = await self.enterAsyncContext(platform_fleet.running())
@@ -91,3 +122,37 @@
                 await self.fleet.wait_until(
                     lambda: not self.fleet.entry.services.running
                 )
+
+    # Guards against a process that answers nobody while it searches an
+    # endless event, or handles endless small ones.
+
+    async def test_endless_small_pieces_do_not_block_the_loop(self):
+        for piece in (b'12345678', b'\n\n', b'x'):
+            with self.subTest(piece):
+                await self.add_engines(scripted_engines.chunk(piece))
+                async with stall_meter() as meter:
+                    received = await self.receive_stream()
+                    await self.fleet.wait_until(
+                        lambda: not self.fleet.entry.services.running
+                    )
+                self.assertLess(received, MAX_STREAM_BYTES)
+                self.assertLess(meter.longest_s, MAX_STALL_S)
+
+    async def test_endless_body_in_small_chunks_does_not_block_the_loop(self):
+        async def send(writer):
+            while True:
+                writer.write(scripted_engines.chunk(b'12345678') * 1000)
+                await writer.drain()
+                await asyncio.sleep(0)
+
+        await self.fleet.add_runner(
+            lambda call: [runners.stream_head(), send],
+            'i-p',
+            service='portal',
+            stage=None,
+            slots=6,
+        )
+        async with stall_meter() as meter:
+            async with self.fleet.call('/book/1') as response:
+                self.assertIn(response.status, (502, 504))
+        self.assertLess(meter.longest_s, MAX_STALL_S)
--- a/bulrushrudder/tests/platform/event_stream_tests.py
+++ b/bulrushrudder/tests/platform/event_stream_tests.py
@@ -23,3 +23,20 @@
         splitter = event_stream.EventSplitter()
         self.assertEqual(splitter.feed(b'id: 1\ndata'), [])
         self.assertEqual(splitter.rest, b'id: 1\ndata')
+
+    def test_event_end_is_found_across_chunks(self):
+        for end in (b'\n\n', b'\r\n\r\n', b'\r\r'):
+            for cut in range(1, len(end)):
+                with self.subTest(end=end, cut=cut):
+                    splitter = event_stream.EventSplitter()
+                    splitter.feed(b'data: a')
+                    self.assertEqual(splitter.feed(end[:cut]), [])
+                    self.assertEqual(
+                        splitter.feed(end[cut:]), [b'data: a' + end]
+                    )
+
+    def test_rejects_event_without_end(self):
+        splitter = event_stream.EventSplitter()
+        splitter.feed(b'x' * event_stream.MAX_EVENT_BYTES)
+        with self.assertRaises(event_stream.EventTooLongError):
+            splitter.feed(b'x')
