Record departures of backend servers that are absent

Cause: a departure was looked up among the servers that may get work. One that control had lost, or set aside for an order, was acknowledged and not recorded, and joined again by a late heartbeat. A second departure within 3 s was acknowledged although the first one had not been committed.

Change: the leader commits each departure whatever its table says, and acknowledges it once the log records that this incarnation cannot join again. A server that states in an answer that it is leaving is committed also while it is absent.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -253,21 +253,28 @@
             return False
         match codec.decode(message.server):
             case result.Success(servers.JoinServer(server=server)):
-                event = tracker.Announced(
-                    server, message.leaving, message.sequence
-                )
-                tracked = await self._track(event)
-                return tracked and not self._still_serves(event)
+                if message.leaving:
+                    return await self._leave(server.id, server.incarnation)
+                event = tracker.Announced(server, False, message.sequence)
+                return await self._track(event)
+            case result.Success(
+                servers.LeaveServer(id=server_id, incarnation=incarnation)
+            ):
+                return await self._leave(server_id, incarnation)
         return False
 
-    def _still_serves(self, event):
-        """Return whether a leaving server may still get new work."""
-        known = self.node.state.servers.by_id.get(event.server.id)
-        return (
-            event.leaving
-            and known is not None
-            and known.incarnation <= event.server.incarnation
-        )
+    async def _leave(self, server_id, incarnation):
+        """Commit that a server left, also if it is absent now.
+
+        :param incarnation: LATEST_INCARNATION for the latest one known.
+        :returns: whether this incarnation cannot join again.
+        """
+        table = self.node.state.servers
+        if incarnation == log_messages.LATEST_INCARNATION:
+            incarnation = max(table.latest_incarnation(server_id), 0)
+        if not table.has_departed(server_id, incarnation):
+            await self._track(tracker.Departed(server_id, incarnation))
+        return table.has_departed(server_id, incarnation)
 
     async def _track(self, event):
         """Commit the changes that result from an event.
--- a/bulrushrudder/entry/backpressure_monitor.py
+++ b/bulrushrudder/entry/backpressure_monitor.py
@@ -72,8 +72,12 @@
         return max(0.0, min(ends) - _now_s()) if ends else None
 
     def _spread_leaving(self, server):
-        """Commit that a server is leaving, for all other VMs."""
-        if server.id not in self._view.state.servers.by_id:
+        """Commit that a server is leaving, for all other VMs.
+
+        A server that is absent now could join again.
+        """
+        table = self._view.state.servers
+        if table.has_departed(server.id, server.incarnation):
             return
         command = servers.LeaveServer(server.id, server.incarnation)
         task = asyncio.create_task(self._control_client.propose(command))
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -23,6 +23,14 @@
     sequence: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departed:
+    """A backend server left permanently."""
+
+    id: ids.ServerId
+    incarnation: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
     """Time has passed."""
@@ -68,8 +76,16 @@
         :param now_s: monotonic seconds.
         """
         match event:
-            case Announced(server=server, leaving=True):
-                return self._leave(server, servers_by_id, now_s)
+            case (
+                Announced(
+                    server=servers.BackendServer(
+                        id=server_id, incarnation=number
+                    ),
+                    leaving=True,
+                )
+                | Departed(id=server_id, incarnation=number)
+            ):
+                return self._leave(server_id, number, servers_by_id)
             case Announced(server=server, sequence=sequence):
                 if self._is_outdated(server, sequence):
                     return []
@@ -78,16 +94,16 @@
                 return self._expire(servers_by_id, now_s)
         raise AssertionError(f'unknown event {event!r}')
 
-    def _leave(self, server, servers_by_id, now_s):
-        """Propose a leave, even if the server is not known (yet).
+    def _leave(self, server_id, incarnation, servers_by_id):
+        """Propose a leave, even if the server is absent.
 
-        Its join may be in flight or arrive late.
+        Its join may be in flight or arrive late, and an earlier proposal
+        may have failed.
         """
-        known = servers_by_id.get(server.id)
-        if known is not None and known.incarnation > server.incarnation:
+        known = servers_by_id.get(server_id)
+        if known is not None and known.incarnation > incarnation:
             return []
-        leave = servers.LeaveServer(server.id, server.incarnation)
-        return self._propose(leave, now_s)
+        return [ProposeCommand(servers.LeaveServer(server_id, incarnation))]
 
     def _is_outdated(self, server, sequence):
         key = server.id, server.incarnation
--- a/bulrushrudder/platform/announcements.py
+++ b/bulrushrudder/platform/announcements.py
@@ -55,7 +55,7 @@
 
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
 
-    born: int | None = None
+    born: int | None = pydantic.Field(default=None, ge=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -4,6 +4,7 @@
 from returns import result
 
 from bulrushrudder.core import digests
+from bulrushrudder.core import ids
 from bulrushrudder.documents import types
 from bulrushrudder.entry import bodies
 from bulrushrudder.events import catalogue
@@ -99,16 +100,33 @@
         return documents.lookups(_PRODUCTION).services_by_id
 
     async def _handle_departure(self, request):
-        server_id = request.match_info['id']
-        born = announcements.read_departure(await request.read())
-        known = self._control.node.state.servers.by_id.get(server_id)
-        if known is None or (born is not None and born < known.incarnation):
-            return web.json_response({})
-        return await self._announce(known, True, 0)
+        """Commit that a runner has left.
+
+        It may be absent here, lost or set aside, or its join may still be
+        on its way: it must not join later.
+        """
+        match await bodies.read(request, max_bytes=MAX_HEARTBEAT_BYTES):
+            case result.Failure(refusal):
+                return _problem(400, refusal.detail)
+            case result.Success(body):
+                pass
+        incarnation = announcements.read_departure(body)
+        if incarnation is None:
+            incarnation = log_messages.LATEST_INCARNATION
+        leave = servers.LeaveServer(
+            ids.ServerId(request.match_info['id']), incarnation
+        )
+        return await self._pass_on(
+            log_messages.Announce(codec.encode(leave), True)
+        )
 
     async def _announce(self, server, leaving, sequence):
         command = codec.encode(servers.JoinServer(server))
-        message = log_messages.Announce(command, leaving, sequence)
+        return await self._pass_on(
+            log_messages.Announce(command, leaving, sequence)
+        )
+
+    async def _pass_on(self, message):
         if await self._control.announce(message):
             return web.json_response({})
         return _problem(503, 'no leader accepted the announcement')
--- a/bulrushrudder/protocol/log_messages.py
+++ b/bulrushrudder/protocol/log_messages.py
@@ -83,11 +83,16 @@
     outcome: bytes
 
 
+# Stands for the incarnation in a LeaveServer whose server did not state it.
+LATEST_INCARNATION = -1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announce:
     """Passes on the announcement of a backend server.
 
-    :param server: an encoded JoinServer command.
+    :param server: an encoded JoinServer command, or the LeaveServer command
+        of a server that says no more than that it has left.
     :param leaving: whether the server is leaving.
     """
 
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -78,7 +78,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveServer:
-    """Remove a backend server; this incarnation cannot join again."""
+    """Remove a backend server; this incarnation cannot join again.
+
+    It may be absent, or not have joined yet.
+    """
 
     id: ids.ServerId
     incarnation: int
@@ -200,6 +203,21 @@
             return None
         return limit.requests_per_s
 
+    def latest_incarnation(self, server_id):
+        """Return the latest known incarnation of a server, -1 for none."""
+        return self._known(server_id).incarnation
+
+    def has_departed(self, server_id, incarnation):
+        """Return whether an incarnation can never join again.
+
+        That holds for servers that are absent too: they may have been lost
+        or set aside before they left.
+        """
+        known = self._known(server_id)
+        return incarnation <= known.last_left or (
+            incarnation < known.incarnation
+        )
+
     def restore(self, snapshot):
         """Replace the table by a ServersSnapshot."""
         for server in tuple(self.by_id.values()):
--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -112,6 +112,17 @@
         ) as response:
             return response.status
 
+    async def send_departure(self, server_id, born=None):
+        """Report that a runner is gone; return the status.
+
+        :param born: the start of the runner; None if it does not state it.
+        """
+        body = b'' if born is None else platform.encoded({'born': born})
+        async with self.session.delete(
+            f'{self._control_url}{PREFIX}/instances/{server_id}', data=body
+        ) as response:
+            return response.status
+
     async def add_runner(self, reply, server_id, **changes):
         """Start a runner and wait until the entry process knows it."""
         runner = await runners.Runner(reply).start(self._stack)
--- a/bulrushrudder/tests/control/server_tests.py
+++ b/bulrushrudder/tests/control/server_tests.py
@@ -21,10 +21,10 @@
         self.leader_address = None
         self.state = machine.State()
         self.replica = types.SimpleNamespace()
-        self._commits = commits
+        self.commits = commits
 
     async def propose(self, command):
-        if not self._commits:
+        if not self.commits:
             return results.Unavailable('no quorum')
         return self.state.apply(self.state.index + 1, command)
 
@@ -52,6 +52,26 @@
         answer = await self.announce(True, False, leaving=True)
         self.assertEqual(answer, log_messages.NotLeader())
 
+    async def test_leave_is_acknowledged_only_once_it_is_recorded(self):
+        # Guards against a second leave that is acknowledged because the
+        # first one was proposed, although it was not committed.
+        for command in (
+            servers.LeaveServer(fleet.server().id, 1),
+            servers.JoinServer(fleet.server()),
+        ):
+            with self.subTest(command):
+                node = FakeNode(True, commits=False)
+                control = _control(node)
+                leave = log_messages.Announce(codec.encode(command), True)
+                for _ in range(2):
+                    answer = await control.handle(None, leave)
+                    self.assertEqual(answer, log_messages.NotLeader())
+                node.commits = True
+                answer = await control.handle(None, leave)
+                self.assertEqual(answer, messages.Acknowledged())
+                departed = node.state.servers.has_departed('decode-1', 1)
+                self.assertTrue(departed)
+
     async def test_rejected_command_is_not_logged_as_joined_server(self):
         handler = logbook.TestHandler()
         node = FakeNode(True, True)
@@ -63,3 +83,7 @@
             await control.handle(None, log_messages.Announce(joined, False))
         names = [r.extra['event'].name for r in handler.records]
         self.assertNotIn('server joined', names)
+
+
+def _control(node):
+    return server.ControlProcess(lambda on_committed: node, None)
