--- /dev/null
+++ b/bulrushrudder/tests/soak/record.py
@@ -0,0 +1,122 @@
+"""What clients, servers and the operator saw, and the rules it breaks."""
+
+import collections
+import dataclasses
+import time
+
+PROMISES = (408, 421, 429, 503)
+CONFIG_APPLY_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """A client's attempt.
+
+    :param sent_s: seconds since the soak began.
+    :param status: 0 without an answer.
+    """
+
+    attempt: str
+    path: str
+    repeatable: bool
+    sent_s: float
+    status: int
+    body: bytes
+    whole: bool
+    signature: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A run that a server began.
+
+    :param body: the whole body of the answer.
+    """
+
+    server: str
+    service: str
+    began_s: float
+    signature: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Break:
+    """A broken rule."""
+
+    rule: str
+    detail: str
+
+
+class Record:
+    """Collects what was seen, and judges it.
+
+    :param file: the text file that it writes to.
+
+    :ivar sent: the Sent attempts of clients.
+    :ivar breaks: rules that were found broken while the soak ran.
+    """
+
+    def __init__(self, file):
+        self._file = file
+        self._began_s = time.monotonic()
+        self.sent = []
+        self._runs_by_attempt = collections.defaultdict(list)
+        self.breaks = []
+
+    def now_s(self):
+        """Return the seconds since the soak began."""
+        return time.monotonic() - self._began_s
+
+    def write(self, text):
+        """Write one line with the time."""
+        self._file.write(f'{self.now_s():8.3f} s  {text}\n')
+
+    def add_sent(self, sent):
+        """Record a client's attempt with what it got."""
+        self.sent.append(sent)
+        self.write(
+            f'client: {sent.attempt} to {sent.path} sent at '
+            f'{sent.sent_s:.3f}: status {sent.status}, '
+            f'{"whole" if sent.whole else "not whole"}'
+        )
+
+    def add_run(self, attempt, run):
+        """Record that a server began to run an attempt."""
+        self._runs_by_attempt[attempt].append(run)
+        self.write(f'{run.server}: runs {attempt}')
+
+    def add_break(self, rule, detail):
+        """Record a broken rule."""
+        self.breaks.append(Break(rule, detail))
+        self.write(f'BROKEN {rule}: {detail}')
+
+    def runs(self, attempt):
+        """Return the Runs of an attempt."""
+        return tuple(self._runs_by_attempt.get(attempt, ()))
+
+    def served(self):
+        """Return the share of attempts that were answered with 200."""
+        served = sum(sent.status == 200 and sent.whole for sent in self.sent)
+        return served / max(1, len(self.sent))
+
+    def judge(self):
+        """Return the Breaks of the whole soak."""
+        breaks = list(self.breaks)
+        for sent in self.sent:
+            breaks += self._judge_sent(sent)
+        return breaks
+
+    def _judge_sent(self, sent):
+        runs = self.runs(sent.attempt)
+        where = f'{sent.attempt} to {sent.path}'
+        if not sent.repeatable and len(runs) > 1:
+            servers = ', '.join(run.server for run in runs)
+            yield Break('TWICE', f'{where} ran at {servers}')
+        if not sent.repeatable and runs and sent.status in PROMISES:
+            detail = f'{where} was answered {sent.status} and ran'
+            yield Break('REFUSED', f'{detail} at {runs[0].server}')
+        if sent.status == 200 and sent.whole:
+            answers = [(run.signature, run.body) for run in runs]
+            if (sent.signature, sent.body) not in answers:
+                yield Break('MIXED', f'{where} got another answer')
--- /dev/null
+++ b/bulrushrudder/tests/soak/servers.py
@@ -0,0 +1,370 @@
+"""Stand-ins of the platform's runners, with faults."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import time
+
+from bulrushrudder.tests.soak import http
+from bulrushrudder.tests.soak import record
+
+PREFIX = '/bulrushrudder'
+HEARTBEAT_S = 1.2
+QUEUE = 3
+PREFILL_S = 0.05
+WORK_S = 0.03
+EVENTS = 6
+EVENT_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sheds:
+    """Rejects requests that it has room for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopiesLate:
+    """Sends a second copy of an answer before the next one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LosesAnswers:
+    """Runs requests and closes the connection without an answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutsAnswers:
+    """Closes the connection within an answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Garbles:
+    """Runs requests and sends bytes that are no answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddsBytes:
+    """Sends additional bytes after an answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fails:
+    """Runs requests and answers with a failure of its own.
+
+    :param status: a status without Not-Executed, so that it does not say
+        that the request has not run.
+    """
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stalls:
+    """Takes seconds for each request."""
+
+    for_s: float
+
+
+Fault = (
+    Sheds
+    | CopiesLate
+    | LosesAnswers
+    | CutsAnswers
+    | Garbles
+    | AddsBytes
+    | Fails
+    | Stalls
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request as it arrived.
+
+    :ivar connection: number of the connection at this server.
+    """
+
+    method: str
+    target: str
+    headers: dict
+    connection: int
+
+    @property
+    def attempt(self):
+        return self.headers.get('attempt-id', '')
+
+
+class Server:
+    """One runner, which lives through several incarnations.
+
+    :param fleet: the Fleet, whose control processes it registers with.
+    :param rng: random.Random that decides which requests a fault meets.
+    :param stage: prefill, decode, or None for a plain service.
+    :ivar fault: the Fault of now, or None.
+    :ivar fault_share: share of the requests that it meets.
+    """
+
+    def __init__(self, fleet, rng, name, service, stage=None, slots=6):
+        self.fault = None
+        self.fault_share = 0.3
+        self.id = ''
+        self._fleet = fleet
+        self._record = fleet.record
+        self._rng = rng
+        self._name = name
+        self._service = service
+        self._stage = stage
+        self._slots = slots
+        self._incarnations = itertools.count(1)
+        self._handles = itertools.count(1)
+        self._address = ('127.0.0.1', 0)
+        self._clear()
+
+    def _clear(self):
+        """Forget what only one incarnation knows."""
+        self._sequence = itertools.count(1)
+        self._connections = itertools.count(1)
+        self._busy = 0
+        self._waiting = []
+        self._writers = set()
+        self._copies = {}
+        self._tasks = set()
+        self._listener = None
+        self._beats = None
+
+    # Life of the runner.
+
+    async def start(self, keeps_id=False):
+        """Start an incarnation.
+
+        :param keeps_id: whether it has the id of the one before.
+        """
+        self._clear()
+        number = next(self._incarnations)
+        if not (keeps_id and self.id):
+            self.id = f'{self._name}-{number}'
+        self._born = int(time.time() * 1000)
+        self._listener = await asyncio.start_server(
+            self._serve, *self._address
+        )
+        self._address = self._listener.sockets[0].getsockname()[:2]
+        self._record.write(f'{self.id}: starts at {self._address}')
+        self._beats = asyncio.create_task(self._beat_forever())
+
+    def crash(self):
+        """End without a word."""
+        self._record.write(f'{self.id}: crashes')
+        self._beats.cancel()
+        self._listener.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _beat_forever(self):
+        while True:
+            await self._beat()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _beat(self):
+        content = {
+            'service': self._service,
+            'address': '{}:{}'.format(*self._address),
+            'zone': 'a',
+            'version': 'v1',
+            'slots': self._slots,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'sequence': next(self._sequence),
+            'born': self._born,
+        }
+        if self._stage:
+            content['stage'] = self._stage
+            content['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
+        body = json.dumps(content).encode()
+        controls = list(self._fleet.controls)
+        self._rng.shuffle(controls)
+        for machine in controls:
+            address = machine.address('control_plane')
+            path = f'{PREFIX}/instances/{self.id}'
+            answer = await http.call(address, 'PUT', path, body)
+            if 200 <= answer.status < 300:
+                return
+
+    # Requests.
+
+    async def _serve(self, reader, writer):
+        connection = next(self._connections)
+        self._writers.add(writer)
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            while True:
+                start, headers = await http.read_head(reader)
+                method, target, _ = start.split()
+                await reader.readexactly(int(headers.get('content-length', 0)))
+                request = Request(method, target, headers, connection)
+                await self._handle(request, writer)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self._writers.discard(writer)
+            with contextlib.suppress(OSError, RuntimeError):
+                writer.close()
+
+    async def _handle(self, request, writer):
+        if request.target.startswith(PREFIX):
+            self._write(request, writer, self._own_answer(request))
+            return
+        expected = request.headers.get('expect-instance')
+        if expected not in (None, self.id):
+            self._reject(request, writer, '421 Misdirected Request')
+            return
+        is_prefill = request.headers.get('stage') == 'prefill'
+        if is_prefill != (self._stage == 'prefill'):
+            self._reject(request, writer, '421 Misdirected Request')
+            return
+        fault = self._fault_of_now()
+        full = self._busy >= self._slots and len(self._waiting) >= QUEUE
+        if full or isinstance(fault, Sheds):
+            self._reject(request, writer, '503 Service Unavailable')
+            return
+        await self._take_slot()
+        try:
+            if is_prefill:
+                await self._prefill(request, writer)
+            else:
+                await self._run(request, writer, fault)
+        finally:
+            self._free_slot()
+
+    def _own_answer(self, request):
+        content = {'busy': False, 'sequence': 0, 'stage': self._stage}
+        body = json.dumps(content).encode()
+        pairs = [('Content-Length', len(body))]
+        return http.head('HTTP/1.1 200 OK', pairs) + body
+
+    def _fault_of_now(self):
+        if self.fault is None or self._rng.random() >= self.fault_share:
+            return None
+        return self.fault
+
+    async def _take_slot(self):
+        if self._busy >= self._slots:
+            turn = asyncio.get_running_loop().create_future()
+            self._waiting.append(turn)
+            await turn
+        self._busy += 1
+
+    def _free_slot(self):
+        self._busy -= 1
+        while self._waiting:
+            turn = self._waiting.pop(0)
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+    def _reject(self, request, writer, status):
+        pairs = [
+            ('Attempt-Id', request.attempt),
+            ('Not-Executed', '1'),
+            ('Content-Length', 0),
+        ]
+        self._record.write(f'{self.id}: rejects {request.attempt}: {status}')
+        rejection = http.head(f'HTTP/1.1 {status}', pairs)
+        self._write(request, writer, rejection)
+
+    def _write(self, request, writer, data):
+        """Write an answer, behind a late copy if one is held back."""
+        copy = self._copies.pop(request.connection, b'')
+        writer.write(copy + data)
+        if isinstance(self._fault_of_now(), CopiesLate):
+            self._copies[request.connection] = data
+
+    async def _prefill(self, request, writer):
+        await asyncio.sleep(PREFILL_S)
+        content = {
+            'kv_handle': f'{next(self._handles):012x}',
+            'token_count': 1000,
+            'version': 1,
+        }
+        self._write(
+            request,
+            writer,
+            self._answer(request, json.dumps(content).encode()),
+        )
+
+    async def _run(self, request, writer, fault):
+        if self._stage == 'decode':
+            body = b''.join(self._events(request))
+        else:
+            body = f'done {request.attempt} '.encode() * 20
+        self._record.add_run(
+            request.attempt,
+            record.Run(
+                self.id,
+                self._service,
+                self._record.now_s(),
+                self._signature(request),
+                body,
+            ),
+        )
+        if isinstance(fault, Stalls):
+            await asyncio.sleep(fault.for_s)
+        await asyncio.sleep(WORK_S)
+        match fault:
+            case LosesAnswers():
+                raise ConnectionResetError
+            case Garbles():
+                writer.write(b'\x00\x01 no answer\r\n\r\n')
+                raise ConnectionResetError
+            case CutsAnswers():
+                writer.write(self._answer(request, body)[:-40])
+                await writer.drain()
+                raise ConnectionResetError
+            case Fails(status=status):
+                failure = self._answer(request, b'', f'{status} Failure')
+                self._write(request, writer, failure)
+            case _ if self._stage == 'decode':
+                await self._stream(request, writer)
+            case AddsBytes():
+                self._write(request, writer, self._answer(request, body))
+                writer.write(b'more')
+            case _:
+                self._write(request, writer, self._answer(request, body))
+
+    def _events(self, request):
+        return [
+            f'id: {number}\ndata: {request.attempt}-{number}\n\n'.encode()
+            for number in range(1, EVENTS + 1)
+        ]
+
+    async def _stream(self, request, writer):
+        pairs = [
+            *self._pairs(request),
+            ('Content-Type', 'text/event-stream'),
+            ('Transfer-Encoding', 'chunked'),
+        ]
+        self._write(request, writer, http.head('HTTP/1.1 200 OK', pairs))
+        for event in self._events(request):
+            writer.write(http.chunk(event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(http.chunk(b''))
+
+    def _answer(self, request, body, status='200 OK'):
+        pairs = [*self._pairs(request), ('Content-Length', len(body))]
+        return http.head(f'HTTP/1.1 {status}', pairs) + body
+
+    def _pairs(self, request):
+        return [
+            ('Attempt-Id', request.attempt),
+            ('Server-Signature', self._signature(request)),
+        ]
+
+    def _signature(self, request):
+        return f'{self.id}.{request.attempt[:6]}'
--- /dev/null
+++ b/bulrushrudder/tests/soak/soak.py
@@ -0,0 +1,208 @@
+"""Plays one seed of the soak and judges it."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import tempfile
+
+from bulrushrudder.tests.soak import clients
+from bulrushrudder.tests.soak import disruptions
+from bulrushrudder.tests.soak import http
+from bulrushrudder.tests.soak import operators
+from bulrushrudder.tests.soak import programs
+from bulrushrudder.tests.soak import record
+from bulrushrudder.tests.soak import servers
+
+CLIENTS = 12
+READY_TIMEOUT_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What a seed plays.
+
+    :param seconds: how long the disruptions last.
+    :param root: the checkout whose programs run.
+    :param disrupts: whether there are disruptions at all.
+    :param kills_at_start: whether a control process is killed while the
+        whole system starts for the first time.
+    """
+
+    seed: int
+    seconds: float = 20.0
+    root: pathlib.Path = programs.ROOT
+    disrupts: bool = True
+    kills_at_start: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a seed has shown.
+
+    :param served: share of the attempts that were answered with 200.
+    """
+
+    plan: Plan
+    breaks: tuple[record.Break, ...]
+    served: float
+
+
+def play(plan, folder=None):
+    """Play a seed and return its Verdict.
+
+    :param folder: where records and logs are kept; a temporary folder if
+        it is None.
+    """
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+        folder = pathlib.Path(folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        seen = record.Record(
+            stack.enter_context(open(folder / 'record.txt', 'w'))
+        )
+        rng = random.Random(plan.seed)
+        fleet = programs.Fleet(folder, seen, rng, plan.root)
+        stack.callback(fleet.end)
+        return asyncio.run(_Soak(plan, fleet, rng).run())
+
+
+class _Soak:
+    def __init__(self, plan, fleet, rng):
+        self._plan = plan
+        self._fleet = fleet
+        self._record = fleet.record
+        self._rng = rng
+        self._operator = operators.Operator(fleet, self._fork())
+        self._pool = [
+            servers.Server(fleet, self._fork(), *terms)
+            for terms in (
+                ('pl-a', 'plain'),
+                ('pl-b', 'plain'),
+                ('pl-c', 'plain'),
+                ('ot-a', 'other'),
+                ('ot-b', 'other'),
+                ('pr-a', 'engines', 'prefill', 64),
+                ('de-a', 'engines', 'decode', 64),
+                ('de-b', 'engines', 'decode', 64),
+            )
+        ]
+        self._disruptions = disruptions.Disruptions(
+            fleet, self._pool, self._fork()
+        )
+
+    def _fork(self):
+        """Return a random.Random that no other part draws from."""
+        return random.Random(self._rng.getrandbits(64))
+
+    async def run(self):
+        """Play the seed and return its Verdict."""
+        async with contextlib.AsyncExitStack() as stack:
+            for machine in self._fleet.machines:
+                machine.start(bootstrap=True)
+            self._spawn(stack, self._fleet.watch())
+            if self._plan.kills_at_start:
+                await self._kill_at_start()
+            if await self._operator.send_first():
+                await self._play(stack)
+        breaks = [*self._record.judge(), *self._judge_configuration()]
+        for broken in breaks:
+            self._record.write(f'{broken.rule}: {broken.detail}')
+        return Verdict(self._plan, tuple(breaks), self._record.served())
+
+    async def _play(self, stack):
+        for server in self._pool:
+            await server.start()
+            stack.callback(server.crash)
+        if not await self._wait_until_ready():
+            self._record.add_break('FAULT', 'the system did not get ready')
+            return
+        tasks = []
+        for _ in range(CLIENTS):
+            client = clients.Client(
+                self._fleet, self._fork(), self._operator.paths
+            )
+            tasks.append(self._spawn(stack, client.run()))
+        tasks.append(self._spawn(stack, self._operate()))
+        if self._plan.disrupts:
+            tasks.append(self._spawn(stack, self._disruptions.run()))
+        await asyncio.wait(tasks, timeout=self._plan.seconds)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        for task in tasks:
+            if not task.cancelled():
+                task.result()
+        await self._recover()
+        await self._operator.read_at_end()
+
+    async def _recover(self):
+        """Bring all machines back."""
+        for machine in self._fleet.machines:
+            if machine.stopped:
+                with contextlib.suppress(ProcessLookupError):
+                    machine.signal(signal.SIGCONT)
+                    machine.signal(signal.SIGKILL)
+                await machine.wait()
+                machine.start()
+
+    async def _kill_at_start(self):
+        machine = self._rng.choice(self._fleet.controls)
+        await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+        machine.signal(signal.SIGKILL)
+        await machine.wait()
+        await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+        machine.start()
+
+    async def _operate(self):
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.3, 2.5))
+            await self._operator.change()
+            await self._operator.read()
+
+    async def _wait_until_ready(self):
+        for machine in self._fleet.edges:
+            deadline_s = self._record.now_s() + READY_TIMEOUT_S
+            while True:
+                answer = await http.call(
+                    machine.address('ready'), 'GET', '/bulrushrudder/readyz'
+                )
+                if answer.status == 200:
+                    break
+                if self._record.now_s() > deadline_s:
+                    return False
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
+        return True
+
+    def _judge_configuration(self):
+        return operators.judge(
+            self._operator.versions,
+            self._record.sent,
+            self._record.runs,
+            self._disruptions.times_s,
+        )
+
+    def _spawn(self, stack, coroutine):
+        task = asyncio.create_task(coroutine)
+        stack.callback(task.cancel)
+        return task
+
+
+def summary(verdict):
+    """Return a Verdict as one line of JSON."""
+    counts = {}
+    for broken in verdict.breaks:
+        counts[broken.rule] = counts.get(broken.rule, 0) + 1
+    return json.dumps(
+        {
+            'seed': verdict.plan.seed,
+            'served': round(verdict.served, 3),
+            'broken': counts,
+            'first': verdict.breaks[0].detail if verdict.breaks else '',
+        }
+    )
