Found the log also after the founder was killed at the first start

Cause: only the first seed may found the log, with a permission that its settings give at the first start alone.

In the simulated cluster, a founder that restarts without the permission leaves five processes without a leader.

Change: the data folder records the permission and its addresses; a process without it says so, and the next seed founds the log.

--- a/bulrushrudder/consensus/discovery.py
+++ b/bulrushrudder/consensus/discovery.py
@@ -1,9 +1,12 @@
 """Discovery of members, and the founding of a new log.
 
-Only the process at the lowest address of the settings may found a log,
-and only once every other address has answered that its log is empty too
-and that it accepts entries from this founder alone. A process with a
-wiped disk therefore joins the existing log instead of founding another.
+Only the process at the lowest address of the settings founds a log, and
+only once every other address has answered that its log is empty too and
+that it accepts entries from this founder alone. A process with a wiped
+disk therefore joins the existing log instead of founding another. If a
+process has lost the permission to found one with its disk, it says so, and
+the next address takes its place: a log that the first one may have founded
+has no entry on any other disk, so nothing in it was committed.
 """
 
 from bulrushrudder.consensus import core as core_types
@@ -22,6 +25,7 @@
         self._last_request_s = None
         self._empty_ids_by_address = {}
         self._learned_addresses = set()
+        self._unpermitted_addresses = set()
 
     def tick(self, core):
         """Query the addresses periodically while there is no leader."""
@@ -38,7 +42,10 @@
             core.send(
                 address,
                 messages.DiscoveryRequest(
-                    core.header(), self._sequence, core.log.is_empty
+                    core.header(),
+                    self._sequence,
+                    core.log.is_empty,
+                    core.identity.may_found,
                 ),
             )
         self._found_if_all_empty(core)
@@ -46,13 +53,15 @@
     def handle_request(self, core, message):
         """Answer a process that has no leader."""
         header = message.header
-        if message.log_empty and header.address == _founder(core):
+        self._record_permission(message)
+        if message.log_empty and header.address == self._founder(core):
             self._bind_to_founder(core, header.sender)
         response = messages.DiscoveryResponse(
             core.header(),
             message.sequence,
             core.log.is_empty,
             tuple(member.address for member in core.members),
+            core.identity.may_found,
         )
         core.send(header.address, response)
         if core.role is core_types.Role.LEADER:
@@ -66,6 +75,7 @@
     def handle_response(self, core, message):
         """Handle the response of another address."""
         self._learned_addresses.update(message.addresses)
+        self._record_permission(message)
         if message.sequence != self._sequence or not core.log.is_empty:
             return
         header = message.header
@@ -102,10 +112,28 @@
         self._sequence += 1
         self._empty_ids_by_address = {}
 
-    def _found_if_all_empty(self, core):
+    def _record_permission(self, message):
+        """Record whether the sender of a message may found a log."""
+        address = message.header.address
+        if message.may_found:
+            self._unpermitted_addresses.discard(address)
+        else:
+            self._unpermitted_addresses.add(address)
+
+    def _founder(self, core):
+        """Return the address of the process that founds the log, or None.
+
+        Addresses that have not answered yet may be permitted.
+        """
+        candidates = set(core.identity.addresses) - self._unpermitted_addresses
         if not core.identity.may_found:
+            candidates.discard(core.identity.address)
+        return min(candidates, default=None)
+
+    def _found_if_all_empty(self, core):
+        if not core.identity.may_found or not core.log.is_empty:
             return
-        if not core.log.is_empty or core.identity.address != _founder(core):
+        if core.identity.address != self._founder(core):
             return
         if set(self._empty_ids_by_address) != set(_other_addresses(core)):
             return
@@ -122,11 +150,6 @@
         core.deadline_s = core.now_s
 
 
-def _founder(core):
-    """Return the address of the process that may found the log."""
-    return min(core.identity.addresses)
-
-
 def _other_addresses(core):
     own = core.identity.address
     return [a for a in core.identity.addresses if a != own]
--- a/bulrushrudder/consensus/messages.py
+++ b/bulrushrudder/consensus/messages.py
@@ -128,11 +128,13 @@
 
     :param sequence: the number of the request, echoed by the response.
     :param log_empty: whether the sender's log is empty.
+    :param may_found: whether the sender may found a log.
     """
 
     header: Header
     sequence: int
     log_empty: bool
+    may_found: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,12 +143,14 @@
 
     :param log_empty: whether the sender's log is empty.
     :param addresses: the addresses of the members known to the sender.
+    :param may_found: whether the sender may found a log.
     """
 
     header: Header
     sequence: int
     log_empty: bool
     addresses: tuple[str, ...] = ()
+    may_found: bool = True
 
 
 Message = (
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -54,7 +54,7 @@
     """
     owner = ids.Owner(ids.VmId(f'{settings.vm}/control'), time.time_ns())
     secret = settings.secrets.cluster
-    data_folder = _open_data_folder(stack, settings.control.data_folder)
+    data_folder = _open_data_folder(stack, settings)
     cluster_peers = peers.Peers(owner, secret, _ignore_message, True)
     stack.callback(cluster_peers.close)
 
@@ -127,8 +127,12 @@
         raise SystemExit(1)
 
 
-def _open_data_folder(stack, folder):
-    match store.open_store(stack, folder):
+def _open_data_folder(stack, settings):
+    folder = settings.control.data_folder
+    founding = store.Founding(
+        settings.may_found, tuple(map(str, settings.controls))
+    )
+    match store.open_store(stack, folder, founding=founding):
         case result.Success(data_folder):
             if data_folder.torn:
                 log.emit(catalogue.TORN_TAIL_TRUNCATED, folder=str(folder))
@@ -143,7 +147,7 @@
         data_folder.id,
         str(settings.control.inner),
         tuple(str(address) for address in settings.controls),
-        settings.may_found,
+        data_folder.may_found,
         settings.seeded,
     )
     return replica.Replica(
--- a/bulrushrudder/storage/folder.py
+++ b/bulrushrudder/storage/folder.py
@@ -13,6 +13,7 @@
 from bulrushrudder.storage import errors
 
 ID_FILE = 'id'
+FOUNDING_FILE = 'may-found'
 LOCK_FILE = 'lock'
 NEW_SUFFIX = '.new'
 ID_BYTES = 8
@@ -73,6 +74,27 @@
     return replace_file(path, ID_FILE, new_id.encode(), calls)
 
 
+def permit_founding(path, addresses, calls):
+    """Record that a log may be founded while this folder has none.
+
+    :param addresses: the control addresses for which this holds.
+    :returns: None, or a WriteError.
+    """
+    if permits_founding(path, addresses):
+        return result.Success(None)
+    return replace_file(path, FOUNDING_FILE, _permission(addresses), calls)
+
+
+def permits_founding(path, addresses):
+    """Return whether an earlier start was permitted to found a log."""
+    file = path / FOUNDING_FILE
+    return file.exists() and file.read_bytes() == _permission(addresses)
+
+
+def _permission(addresses):
+    return '\n'.join(sorted(addresses)).encode()
+
+
 def replace_file(path, name, data, calls):
     """Replace a whole file atomically and durably.
 
--- a/bulrushrudder/storage/store.py
+++ b/bulrushrudder/storage/store.py
@@ -20,6 +20,21 @@
 SYSTEM_CALLS = folder.SystemCalls()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Founding:
+    """Whether a process may found a log.
+
+    :param permitted: whether its settings permit it.
+    :param addresses: the control addresses of the settings.
+    """
+
+    permitted: bool
+    addresses: tuple[str, ...]
+
+
+NO_FOUNDING = Founding(False, ())
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenedStore:
     """An opened data folder with the state read from it.
@@ -27,12 +42,15 @@
     :param id: the member id, created with the folder.
     :param durable: the persistent state of the member.
     :param torn: whether a torn tail of the log was truncated.
+    :param may_found: whether this start, or an earlier one with the same
+        folder and addresses, was permitted to found a log.
     """
 
     id: types.MemberId
     durable: types.PersistentState
     torn: bool
     store: 'Store'
+    may_found: bool = False
 
 
 class Store:
@@ -119,30 +137,39 @@
         return saved
 
 
-def open_store(stack, path, calls=SYSTEM_CALLS):
+def open_store(stack, path, calls=SYSTEM_CALLS, founding=NO_FOUNDING):
     """Open a data folder, or set up an empty one for a new member.
 
     :param stack: an ExitStack that closes the files and the lock.
+    :param founding: the Founding. The folder records its permission, since
+        the process may end before it has founded a log.
     :returns: an OpenedStore, or an OpenError.
     """
     locked = folder.lock(stack, path)
-    return locked.bind(lambda _: _open(stack, path, calls))
+    return locked.bind(lambda _: _open(stack, path, calls, founding))
 
 
-def _open(stack, path, calls):
+def _open(stack, path, calls, founding):
     try:
-        return _load(stack, path, calls)
+        return _load(stack, path, calls, founding)
     except OSError as error:
         problem = error.strerror or repr(error)
         return result.Failure(errors.FolderUnusable(str(path), problem))
 
 
-def _load(stack, path, calls):
+def _load(stack, path, calls, founding):
     created = _create(path, calls)
+    if founding.permitted:
+        created = created.bind(
+            lambda _: folder.permit_founding(path, founding.addresses, calls)
+        )
     if isinstance(created, result.Failure):
         problem = created.failure().problem
         return result.Failure(errors.FolderUnusable(str(path), problem))
-    return _read_files(stack, path, calls)
+    may_found = folder.permits_founding(path, founding.addresses)
+    return _read_files(stack, path, calls).map(
+        lambda opened: dataclasses.replace(opened, may_found=may_found)
+    )
 
 
 def _create(path, calls):
@@ -198,7 +225,12 @@
     store = Store(path, opened_file, calls)
     stack.callback(store.close)
     return result.Success(
-        OpenedStore(types.MemberId(id_), replayed.unwrap(), scan.torn, store)
+        OpenedStore(
+            types.MemberId(id_),
+            replayed.unwrap(),
+            scan.torn,
+            store,
+        )
     )
 
 
--- a/bulrushrudder/tests/builders/cluster.py
+++ b/bulrushrudder/tests/builders/cluster.py
@@ -28,10 +28,14 @@
 
 
 class Disk:
-    """The state of a member that survives a crash: whole, synced batches."""
+    """The state of a member that survives a crash: whole, synced batches.
 
-    def __init__(self, member_id):
+    :param may_found: whether the first start was permitted to found a log.
+    """
+
+    def __init__(self, member_id, may_found=True):
         self.id = types.MemberId(member_id)
+        self.may_found = may_found
         self.durable = types.EMPTY_STATE
 
     def with_own_voter(self, members):
@@ -273,7 +277,7 @@
     def start(self, address):
         disk = self.disks_by_address.get(address)
         if disk is None:
-            disk = Disk(f'disk-{next(self._numbers)}')
+            disk = Disk(f'disk-{next(self._numbers)}', self.may_found)
             self.disks_by_address[address] = disk
         self.processes_by_address[address] = Process(
             self, address, disk, self.random.random
@@ -285,7 +289,7 @@
             disk.id,
             address,
             self.seeds or self.addresses,
-            self.may_found,
+            disk.may_found,
             bool(self.seeds),
         )
 
--- a/bulrushrudder/tests/consensus/seeds_tests.py
+++ b/bulrushrudder/tests/consensus/seeds_tests.py
@@ -77,6 +77,48 @@
         group.run(2.0)
         self.assertEqual(voters(group), disk_ids(group, FIVE))
 
+    # Guards against a system that never starts because the founder ended
+    # before it had founded the log.
+
+    def test_founder_killed_before_it_founds_does_so_after_restart(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                group = cluster.Cluster(FIVE, seed, SEEDS)
+                group.kill('a')
+                group.run(1.0)
+                group.may_found = False
+                group.start('a')
+                group.run(5.0)
+                self.assertEqual(voters(group), disk_ids(group, FIVE))
+
+    def test_next_seed_founds_when_the_first_has_lost_its_disk(self):
+        for seed in range(20):
+            for lost in ('a', 'ab'):
+                for began_s in (0.0, 0.1, 0.3, 0.6):
+                    with self.subTest(f'{seed} {lost} {began_s}'):
+                        self.check_lost_founders(seed, lost, began_s)
+
+    def check_lost_founders(self, seed, lost, began_s):
+        group = cluster.Cluster(FIVE, seed, SEEDS)
+        group.run(began_s)
+        if group.oracle.committed():
+            return
+        group.may_found = False
+        for address in lost:
+            group.wipe(address)
+            group.start(address)
+        group.run(8.0)
+        self.assertEqual(voters(group), disk_ids(group, FIVE))
+        self.assertEqual(
+            len(
+                {
+                    p.replica.cluster
+                    for p in group.processes_by_address.values()
+                }
+            ),
+            1,
+        )
+
     def test_founds_no_second_log_when_all_disks_are_empty(self):
         group = seeded_cluster()
         for address in FIVE:
--- a/bulrushrudder/tests/storage/store_tests.py
+++ b/bulrushrudder/tests/storage/store_tests.py
@@ -77,6 +77,21 @@
         with self.opened() as wiped:
             self.assertNotEqual(wiped.id, first.id)
 
+    def test_folder_keeps_permission_to_found_until_deleted(self):
+        for permitted, addresses, expected in (
+            (False, ('a', 'b'), False),
+            (True, ('a', 'b'), True),
+            (False, ('b', 'a'), True),
+            (False, ('a', 'c'), False),
+        ):
+            founding = store.Founding(permitted, addresses)
+            with contextlib.ExitStack() as stack:
+                opened = store.open_store(stack, self.path, founding=founding)
+                self.assertIs(opened.unwrap().may_found, expected)
+        shutil.rmtree(self.path)
+        with self.opened() as wiped:
+            self.assertFalse(wiped.may_found)
+
     def test_missing_id_or_log_is_reported_as_damage(self):
         for name in ('id', 'log'):
             with self.subTest(name):
