Identify a route on the platform by its host and prefix

Cause: the name was taken as the id, and documents keep one route an id.

Change: the id is name, host and prefix; the host is compared in lowercase.

--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -74,6 +74,13 @@
             )
         return kind
 
+    def location(self):
+        """Return the host and path that identify the route.
+
+        Several routes may have one name.
+        """
+        return f'{self.host.lower()}{self.path_prefix}'
+
     def shares(self):
         """Return the Shares of the services of this route."""
         if self.split is None:
@@ -102,7 +109,7 @@
             repetition=repetition,
         )
         return types.Route(
-            id=ids.RouteId(self.name),
+            id=ids.RouteId(f'{self.name} {self.location()}'),
             method='',
             path=self.path_prefix,
             target=target,
@@ -226,7 +233,7 @@
     def _check_references(self):
         services = [service.name for service in self.services]
         _check_unique('service', services)
-        _check_unique('route', [(r.host, r.path_prefix) for r in self.routes])
+        _check_unique('route', [route.location() for route in self.routes])
         _check_unique('tenant', [tenant.name for tenant in self.tenants])
         all_keys = [k for t in self.tenants for k in set(t.api_keys)]
         _check_unique('key', all_keys)
--- a/bulrushrudder/tests/soak/soak_tests.py
+++ b/bulrushrudder/tests/soak/soak_tests.py
@@ -16,3 +16,9 @@
 
     def test_rules_hold_while_everything_is_disrupted(self):
         self.check(seed=2, seconds=12.0)
+
+    # Guards against a system that does not start because the founder of
+    # the log was killed before it had founded it.
+
+    def test_system_starts_while_a_control_process_is_killed(self):
+        self.check(seed=108, seconds=2.0, disrupts=False, kills_at_start=True)
