Pass on no promise that a server has not given

Cause: the status of a plain service was passed on as it was. For callers 408, 421, 429 and 503 mean "not run and never will be"; for servers only Not-Executed or 421 do.

The new test fails on the code before for 408, 429 and 503.

Change: without Not-Executed such a status is answered 502 for calls that must not be repeated.

--- a/bulrushrudder/platform/services.py
+++ b/bulrushrudder/platform/services.py
@@ -14,6 +14,8 @@
 # can't be sent again then, so it only uses a connection that was in use
 # within this time.
 MAX_IDLE_NOT_REPEATABLE_S = 0.5
+# Statuses that tell callers that the call has not run.
+PROMISES = frozenset({408, 421, 429, 503})
 
 
 class ServiceClient:
@@ -43,7 +45,7 @@
         try:
             async with asyncio.timeout(call.timeout_s):
                 async with self._pool.call(server, encoded, idle_s) as opened:
-                    return await self._read_answer(opened)
+                    return await self._read_answer(opened, call.repeatable)
         except TimeoutError:
             reason = outcomes.Reason.BACKEND_SILENT
             detail = f'no answer in {call.timeout_s:.3f} s'
@@ -54,10 +56,17 @@
         listening = await self._pool.check(server)
         return listening is connection_pool.Listening.REFUSES
 
-    async def _read_answer(self, opened):
+    async def _read_answer(self, opened, repeatable):
         match await calls.read_head(opened):
             case result.Failure(failed):
                 return _refusal(failed)
+            case result.Success(head) if (
+                head.status in PROMISES and not repeatable
+            ):
+                # Callers read these as "not run and never will be", which
+                # the runner has not said.
+                opened.unwrap().abort()
+                return _refusal(_without_promise(head))
             case result.Success(head):
                 pass
         match await calls.read_body(opened.unwrap()):
@@ -72,6 +81,11 @@
         )
 
 
+def _without_promise(head):
+    detail = f'status {head.status} does not say that the call has not run'
+    return calls.CallFailure(outcomes.Reason.BACKEND_FAILED, detail, True)
+
+
 def _refusal(failed):
     execution = outcomes.Execution.NOT_RUN
     if failed.sent:
--- a/bulrushrudder/tests/platform/path_tests.py
+++ b/bulrushrudder/tests/platform/path_tests.py
@@ -136,6 +136,31 @@
                 status, _ = await self.text(path, headers=headers)
                 self.assertEqual(status, expected)
 
+    # Guards against a promise ("not run") that the runner did not give.
+
+    async def test_status_without_not_executed_is_no_promise(self):
+        await self.configure()
+        for status in (408, 429, 503):
+            with self.subTest(status):
+                failure = runners.answer(b'mine', status=f'{status} Failure')
+                runner = await self.add_portal_runner(
+                    lambda call, failure=failure: [failure], f'i-{status}'
+                )
+                got, body = await self.text('/non_idempotent/1')
+                self.assertEqual(got, 502)
+                self.assertNotEqual(body, b'mine')
+                self.assertEqual(len(runner.calls), 1)
+                await self.fleet.send_departure(
+                    f'i-{status}', platform.HEARTBEAT['born']
+                )
+
+    async def test_failure_of_repeatable_call_is_returned_as_it_is(self):
+        await self.configure()
+        failure = runners.answer(b'mine', status='503 Failure')
+        await self.add_portal_runner(lambda call: [failure])
+        answer = await self.text('/idempotent/1')
+        self.assertEqual(answer, (503, b'mine'))
+
     # Limits on callers.
 
     async def configure_limits(self, **limits):
