Ignore SIGHUP until a service can reload its settings

The operator saw: a process that had just started ended by itself when its settings changed (rule FAULT).

Cause: the default action of SIGHUP ends a process; the handler was installed after all imports.

Change: the first statement ignores the signal for services.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -38,7 +38,9 @@
     shutil.rmtree(folder, ignore_errors=True)
     start = BUILD / 'bulrushrudder_start.py'
     start.write_text(
-        'import sys\nfrom bulrushrudder.commands import program\n'
+        'import sys\nfrom bulrushrudder import start\n'
+        'start.ignore_hangup(sys.argv[1:])\n'
+        'from bulrushrudder.commands import program\n'
         'sys.exit(program.main())\n'
     )
     excluded = [f'--exclude-module={name}' for name in EXCLUDED_MODULES]
