Follow a silent stream for as long as its client waits

Cause: the time between events was a constant in place of the wait that target and pause of the route give.

Change: jobs carry the wait of their caller; streams that no server can take up are followed for it, before the head and between events.

--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -58,6 +58,8 @@
         empty if callers cannot take it up again.
     :param software: version of the software that began the stream which
         the request takes up again; None for a new stream.
+    :param event_wait_s: seconds without an event after which callers leave a
+        stream; 0 if unknown.
     :param charge_is_final: whether the charge is final once the request
         has run, so that unused tokens are not refunded.
     """
@@ -91,3 +93,4 @@
     waiting_since_s: float | None = None
     stream: str = ''
     software: str | None = None
+    event_wait_s: float = 0.0
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -28,7 +28,8 @@
 PREFILL_TIMEOUT_TOKENS_PER_S = 10_000.0
 # A transfer takes at most 2 s; the first token follows it.
 FIRST_EVENT_TIMEOUT_S = 4.0
-# Clients abandon a stream after eight pauses of 300 ms.
+# Another runner can take up a stream that is silent for this time. Without
+# one, the stream is followed for as long as its client waits.
 BETWEEN_EVENTS_TIMEOUT_S = 2.4
 FREE_HANDLE_TIMEOUT_S = 1.0
 MAX_BATCH_EVENTS = 64
@@ -148,7 +149,8 @@
 
     async def _follow_stream(self, opened, server, action, job):
         attempt = action.attempt
-        async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S):
+        timeout_s = _timeout_s(job, FIRST_EVENT_TIMEOUT_S)
+        async with asyncio.timeout(timeout_s):
             head = await calls.read_head(opened)
         match head:
             case result.Failure(failed):
@@ -165,7 +167,11 @@
         self._forget_handle(action.handle)
         yield [events.TransferDone(attempt, head.unwrap())]
         async for batch in _read_events(
-            opened.unwrap(), server, attempt, len(action.produced)
+            opened.unwrap(),
+            server,
+            attempt,
+            len(action.produced),
+            _timeout_s(job, BETWEEN_EVENTS_TIMEOUT_S),
         ):
             yield batch
 
@@ -241,15 +247,21 @@
     return job.content.encode(server, _now_s(), *extra)
 
 
-async def _read_events(connection, server, attempt, index):
+def _timeout_s(job, timeout_s):
+    """Return for how many seconds a silent runner is waited for."""
+    return timeout_s if job.repeatable else max(timeout_s, job.event_wait_s)
+
+
+async def _read_events(connection, server, attempt, index, timeout_s):
     """Yield lists of the events of a decode.
 
+    :param timeout_s: seconds in which the next event must be complete.
     :raises TimeoutError: if no event is complete in time, whatever bytes
         arrive.
     """
     splitter = event_stream.EventSplitter()
     while True:
-        async with asyncio.timeout(BETWEEN_EVENTS_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             texts, last = await _read_complete_events(connection, splitter)
         for start in range(0, len(texts), MAX_BATCH_EVENTS):
             if start:
--- a/bulrushrudder/platform/jobs.py
+++ b/bulrushrudder/platform/jobs.py
@@ -53,7 +53,9 @@
         target = admitted.route.target
         account = admitted.account
         received_s = forwarded_call.deadline_s - forwarded_call.timeout_s
-        first_token_deadline_s = received_s + _client_wait_s(target)
+        first_token_deadline_s = (
+            received_s + _client_wait_s(target) * USABLE_CLIENT_WAIT_SHARE
+        )
         spent_s = self._waits.earlier_wait_s(
             admitted.route.id, forwarded_call.timeout_s, received_s
         )
@@ -103,6 +105,7 @@
             waiting_since_s=received_s - spent_s,
             stream=request_headers.attempt if software is None else '',
             software=software,
+            event_wait_s=_client_wait_s(target),
         )
 
 
@@ -121,13 +124,12 @@
 
 
 def _client_wait_s(target):
-    """Return the seconds by which a client needs its first event."""
-    client_wait_s = max(
+    """Return the seconds without an event after which a client leaves."""
+    return max(
         MIN_CLIENT_WAIT_S,
         CLIENT_WAIT_TARGETS * target.answer_s,
         CLIENT_WAIT_PAUSES * target.between_events_s,
     )
-    return client_wait_s * USABLE_CLIENT_WAIT_SHARE
 
 
 def _now_s():
--- a/bulrushrudder/tests/platform/engines_tests.py
+++ b/bulrushrudder/tests/platform/engines_tests.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -238,6 +239,35 @@
             received = await self.decode(*steps, scripted_engines.chunk(b''))
         self.assertEqual(received[-1], events.DecodeDone(ATTEMPT, 5, 'stop'))
 
+    # Guards against a sound stream that is cut while its client waits.
+
+    async def test_silent_stream_is_followed_while_its_client_waits(self):
+        async def pause(writer):
+            await asyncio.sleep(0.5)
+
+        steps = [
+            runners.stream_head(),
+            scripted_engines.chunk(runners.event(1)),
+            pause,
+            scripted_engines.chunk(runners.event(2)),
+            scripted_engines.chunk(b''),
+        ]
+        for wait_s, repeatable, whole in (
+            (1.0, False, True),
+            (0.3, False, False),
+            (1.0, True, False),
+        ):
+            self.job = dataclasses.replace(
+                self.job, event_wait_s=wait_s, repeatable=repeatable
+            )
+            with (
+                self.subTest(wait_s=wait_s, repeatable=repeatable),
+                mock.patch.object(engines, 'BETWEEN_EVENTS_TIMEOUT_S', 0.2),
+            ):
+                received = await self.decode(*steps)
+                done = isinstance(received[-1], events.DecodeDone)
+                self.assertIs(done, whole)
+
     async def test_event_without_end_fails_and_closes_connection(self):
         closed = asyncio.Event()
 
