Send no decode to a server that has left since the grant

Cause: the decode of a granted place was sent to its server whatever had happened during the prefill; only what the server said in answers was asked.

The new test fails on the code before.

Change: prefill and decode are not sent to a server whose departure the view has; the result of the prefill is kept for another decode server.

--- a/bulrushrudder/entry/server_availability.py
+++ b/bulrushrudder/entry/server_availability.py
@@ -50,10 +50,16 @@
         )
 
     def takes_work(self, server):
-        """Return whether a granted server, or None, still takes work."""
-        return server is not None and self._services.backpressure.takes_work(
-            server
-        )
+        """Return whether a granted server, or None, still takes work.
+
+        It may have left since the grant, during a long prefill.
+        """
+        if server is None:
+            return False
+        table = self._services.view.state.servers
+        if table.has_departed(server.id, server.incarnation):
+            return False
+        return self._services.backpressure.takes_work(server)
 
     def _candidates(self):
         servers = self._services.view.state.servers
--- a/bulrushrudder/tests/platform/departures_tests.py
+++ b/bulrushrudder/tests/platform/departures_tests.py
@@ -12,6 +12,54 @@
 BORN = platform.HEARTBEAT['born']
 
 
+PREFILL_REPLY = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
+
+
+class LongPrefillTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a decode that is sent to a server that has left."""
+
+    async def asyncSetUp(self):
+        self.fleet = await self.enterAsyncContext(platform_fleet.running())
+        await self.fleet.put_configuration(platform.CONFIGURATION)
+        await self.fleet.wait_until(
+            lambda: self.fleet.entry.view.lookups.document.version == 7
+        )
+
+    async def test_decode_goes_to_another_server_after_departure(self):
+        prefilling = asyncio.Event()
+        left = asyncio.Event()
+
+        async def wait(writer):
+            prefilling.set()
+            await left.wait()
+
+        def prefill(call):
+            if call.method == 'DELETE':
+                return [runners.answer(attempt='')]
+            return [wait, runners.answer(PREFILL_REPLY)]
+
+        def decode(call):
+            return [runners.stream(1, 3)]
+
+        await self.fleet.add_runner(prefill, 'i-p', stage='prefill')
+        leaving = await self.fleet.add_runner(decode, 'i-d')
+        call = asyncio.create_task(self.call())
+        await prefilling.wait()
+        staying = await self.fleet.add_runner(decode, 'i-e')
+        await self.fleet.send_departure('i-d', BORN)
+        view = self.fleet.entry.view.state.servers
+        await self.fleet.wait_until(lambda: 'i-d' not in view.by_id)
+        left.set()
+        status, body = await call
+        self.assertEqual((status, body.count(b'data:')), (200, 3))
+        self.assertEqual(leaving.calls, [])
+        self.assertEqual(len(staying.calls), 1)
+
+    async def call(self):
+        async with self.fleet.call('/drafts/1') as response:
+            return response.status, await response.read()
+
+
 class DepartureTests(unittest.IsolatedAsyncioTestCase):
     """Guards against work for a runner that was acknowledged as gone."""
 
