--- a/bulrushrudder/tests/storage/store_tests.py
+++ b/bulrushrudder/tests/storage/store_tests.py
@@ -237,6 +237,8 @@
         )
         self.write(save(entry(1)))
         with self.opened(calls) as opened:
+            self.assertEqual(synced, ['file or folder'])
+            synced.clear()
             opened.store.save([save(entry(2)), save(entry(3), entry(4))])
             self.assertEqual(synced, ['data'])
             snapshot = types.Snapshot(3, 1, MEMBERS, b'state')
