Take a tenant without a rate as unlimited, whatever its burst

Evidence: the test of such a tenant fails on the code before.

Change: only a rate limits; a rate without a burst allows what comes in a second, where before nothing passed.

--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -1,5 +1,7 @@
 """Converts the platform's configuration into a Document."""
 
+import math
+
 import pydantic
 from returns import result
 
@@ -206,12 +208,16 @@
 
     def build(self):
         """Return the ClientAccount data class."""
-        limited = self.rate_per_s > 0 or self.burst > 0
+        # A burst without a rate limits nothing; a rate without a burst
+        # allows what comes in a second.
+        limited = self.rate_per_s > 0
         by_tokens = self.unit == 'tokens'
         return types.ClientAccount(
             id=ids.AccountId(self.name),
             rate=self.rate_per_s if limited else float(UNLIMITED_TOKENS),
-            burst=int(self.burst) if limited else UNLIMITED_TOKENS,
+            burst=math.ceil(self.burst or self.rate_per_s)
+            if limited
+            else UNLIMITED_TOKENS,
             weight=1.0,
             key_digests=tuple(keys.digest(key) for key in self.api_keys),
             rank=self.priority,
--- a/bulrushrudder/tests/platform/configuration_tests.py
+++ b/bulrushrudder/tests/platform/configuration_tests.py
@@ -59,9 +59,19 @@
 
     def test_account_without_rate_is_unlimited(self):
         changed = builders.configuration()
-        changed['tenants'][0].update(rate_per_s=0, burst=0)
+        for burst in (0, 5000):
+            with self.subTest(burst):
+                changed['tenants'][0].update(rate_per_s=0, burst=burst)
+                parsed = configuration.read(builders.encoded(changed)).unwrap()
+                self.assertGreater(parsed.accounts[0].rate, 1e8)
+                self.assertGreater(parsed.accounts[0].burst, 1e8)
+
+    def test_account_without_burst_may_spend_its_rate(self):
+        changed = builders.configuration()
+        changed['tenants'][0].update(rate_per_s=300.5, burst=0)
         parsed = configuration.read(builders.encoded(changed)).unwrap()
-        self.assertGreater(parsed.accounts[0].rate, 1e8)
+        self.assertEqual(parsed.accounts[0].rate, 300.5)
+        self.assertEqual(parsed.accounts[0].burst, 301)
 
 
 def remove_routes(changed):
