Answer heartbeats with integers above 64 bits with 400

Links and log carry integers of 64 bits; the model now has that bound, also for the start time in a departure, which counts as not stated.

--- a/bulrushrudder/platform/announcements.py
+++ b/bulrushrudder/platform/announcements.py
@@ -16,6 +16,8 @@
     prefill_base_s=0.04, prefill_tokens_per_s=31_000.0, token_s=0.0042
 )
 _MAX_PORT = 65535
+# Integers on the log and on links have 64 bits.
+MAX_INTEGER = 2**63 - 1
 MAX_VERSION_LENGTH = 200
 
 
@@ -33,13 +35,13 @@
     address: str
     zone: str
     version: str = pydantic.Field(default='', max_length=MAX_VERSION_LENGTH)
-    slots: int = pydantic.Field(ge=1)
+    slots: int = pydantic.Field(ge=1, le=MAX_INTEGER)
     state: str = pydantic.Field(pattern='^(ready|draining)$')
     stage: str | None = pydantic.Field(
         default=None, pattern='^(prefill|decode)$'
     )
-    sequence: int = pydantic.Field(ge=0)
-    born: int = pydantic.Field(default=0, ge=0)
+    sequence: int = pydantic.Field(ge=0, le=MAX_INTEGER)
+    born: int = pydantic.Field(default=0, ge=0, le=MAX_INTEGER)
 
     @pydantic.field_validator('address')
     @classmethod
@@ -55,7 +57,7 @@
 
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
 
-    born: int | None = pydantic.Field(default=None, ge=0)
+    born: int | None = pydantic.Field(default=None, ge=0, le=MAX_INTEGER)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/tests/platform/announcements_tests.py
+++ b/bulrushrudder/tests/platform/announcements_tests.py
@@ -61,6 +61,9 @@
             builders.heartbeat(stage='both'),
             builders.heartbeat(slots=None),
             builders.heartbeat(born=1.5),
+            builders.heartbeat(born=2**63),
+            builders.heartbeat(slots=2**63),
+            builders.heartbeat(sequence=2**70),
         ):
             with self.subTest(body):
                 self.assertIsInstance(read(body), result.Failure)
@@ -69,5 +72,11 @@
 class DepartureTests(unittest.TestCase):
     def test_reads_optional_incarnation(self):
         self.assertEqual(announcements.read_departure(b'{"born":7}'), 7)
-        for body in (b'', b'{}', b'{', b'{"born":"7"}'):
+        for body in (
+            b'',
+            b'{}',
+            b'{',
+            b'{"born":"7"}',
+            b'{"born":%d}' % 2**63,
+        ):
             self.assertIsNone(announcements.read_departure(body))
