Judge departures in the soak, and describe what was found

Servers of the soak leave by a heartbeat or a report, with a heartbeat that was held up behind it; a request later than 2 s after the acknowledgement breaks DRAIN, where all machines were in touch. Faults of servers move to a module of their own.

--- a/bulrushrudder/tests/soak/disruptions.py
+++ b/bulrushrudder/tests/soak/disruptions.py
@@ -3,19 +3,19 @@
 import asyncio
 import signal
 
-from bulrushrudder.tests.soak import servers
+from bulrushrudder.tests.soak import faults
 
 SERVER_FAULTS = (
-    servers.Sheds(),
-    servers.CopiesLate(),
-    servers.LosesAnswers(),
-    servers.CutsAnswers(),
-    servers.Garbles(),
-    servers.AddsBytes(),
-    servers.Fails(500),
-    servers.Fails(503),
-    servers.Fails(429),
-    servers.Stalls(2.0),
+    faults.Sheds(),
+    faults.CopiesLate(),
+    faults.LosesAnswers(),
+    faults.CutsAnswers(),
+    faults.Garbles(),
+    faults.AddsBytes(),
+    faults.Fails(500),
+    faults.Fails(503),
+    faults.Fails(429),
+    faults.Stalls(2.0),
 )
 
 
@@ -62,7 +62,11 @@
 
     async def _restart_servers(self):
         server = self._rng.choice(self._pool)
-        server.crash()
+        if self._rng.random() < 0.5:
+            server.crash()
+        else:
+            late_s = self._rng.choice((None, 0.3, 2.2))
+            await server.leave(self._rng.random() < 0.5, late_s)
         await asyncio.sleep(self._rng.uniform(0.1, 3.0))
         await server.start(keeps_id=self._rng.random() < 0.5)
 
--- a/bulrushrudder/tests/soak/servers.py
+++ b/bulrushrudder/tests/soak/servers.py
@@ -7,6 +7,7 @@
 import json
 import time
 
+from bulrushrudder.tests.soak import faults
 from bulrushrudder.tests.soak import http
 from bulrushrudder.tests.soak import record
 
@@ -17,66 +18,10 @@
 WORK_S = 0.03
 EVENTS = 6
 EVENT_S = 0.02
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sheds:
-    """Rejects requests that it has room for."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CopiesLate:
-    """Sends a second copy of an answer before the next one."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LosesAnswers:
-    """Runs requests and closes the connection without an answer."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CutsAnswers:
-    """Closes the connection within an answer."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Garbles:
-    """Runs requests and sends bytes that are no answer."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AddsBytes:
-    """Sends additional bytes after an answer."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fails:
-    """Runs requests and answers with a failure of its own.
-
-    :param status: a status without Not-Executed, so that it does not say
-        that the request has not run.
-    """
-
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stalls:
-    """Takes seconds for each request."""
-
-    for_s: float
-
-
-Fault = (
-    Sheds
-    | CopiesLate
-    | LosesAnswers
-    | CutsAnswers
-    | Garbles
-    | AddsBytes
-    | Fails
-    | Stalls
-)
+# A server that leaves goes on serving for the first time, and no request
+# may reach it after the second one.
+EXIT_AFTER_S = 3.0
+DRAIN_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,12 +49,15 @@
     :param stage: prefill, decode, or None for a plain service.
     :ivar fault: the Fault of now, or None.
     :ivar fault_share: share of the requests that it meets.
+    :ivar late_arrivals: seconds of the acknowledgement that the server has
+        left, and of a request that came later than DRAIN_S after it.
     """
 
     def __init__(self, fleet, rng, name, service, stage=None, slots=6):
         self.fault = None
         self.fault_share = 0.3
         self.id = ''
+        self.late_arrivals = []
         self._fleet = fleet
         self._record = fleet.record
         self._rng = rng
@@ -133,6 +81,7 @@
         self._tasks = set()
         self._listener = None
         self._beats = None
+        self._gone_s = None
 
     # Life of the runner.
 
@@ -163,19 +112,45 @@
         for task in self._tasks:
             task.cancel()
 
+    async def leave(self, drains, late_s):
+        """Leave, go on serving for some time, and end.
+
+        :param drains: whether it says so in a heartbeat; else it reports
+            that it is gone.
+        :param late_s: seconds after which a heartbeat that was held up
+            arrives; None if there is none.
+        """
+        late = self._heartbeat('ready')
+        self._beats.cancel()
+        if drains:
+            acknowledged = await self._announce(
+                'PUT', self._heartbeat('draining')
+            )
+        else:
+            body = json.dumps({'born': self._born}).encode()
+            acknowledged = await self._announce('DELETE', body)
+        if acknowledged:
+            self._gone_s = self._record.now_s()
+            self._record.write(f'{self.id}: acknowledged as gone')
+        if late_s is not None:
+            await asyncio.sleep(late_s)
+            await self._announce('PUT', late)
+        await asyncio.sleep(EXIT_AFTER_S - (late_s or 0.0))
+        self.crash()
+
     async def _beat_forever(self):
         while True:
-            await self._beat()
+            await self._announce('PUT', self._heartbeat('ready'))
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def _beat(self):
+    def _heartbeat(self, state):
         content = {
             'service': self._service,
             'address': '{}:{}'.format(*self._address),
             'zone': 'a',
             'version': 'v1',
             'slots': self._slots,
-            'state': 'ready',
+            'state': state,
             'cold_remaining_ms': 0,
             'sequence': next(self._sequence),
             'born': self._born,
@@ -183,15 +158,22 @@
         if self._stage:
             content['stage'] = self._stage
             content['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
-        body = json.dumps(content).encode()
+        return json.dumps(content).encode()
+
+    async def _announce(self, method, body):
+        """Send an announcement, to the next node if one does not answer.
+
+        :returns: whether it was acknowledged.
+        """
         controls = list(self._fleet.controls)
         self._rng.shuffle(controls)
         for machine in controls:
             address = machine.address('control_plane')
             path = f'{PREFIX}/instances/{self.id}'
-            answer = await http.call(address, 'PUT', path, body)
+            answer = await http.call(address, method, path, body)
             if 200 <= answer.status < 300:
-                return
+                return True
+        return False
 
     # Requests.
 
@@ -228,9 +210,13 @@
         if is_prefill != (self._stage == 'prefill'):
             self._reject(request, writer, '421 Misdirected Request')
             return
+        now_s = self._record.now_s()
+        if self._gone_s is not None and now_s > self._gone_s + DRAIN_S:
+            self.late_arrivals.append((self._gone_s, now_s))
+            self._record.write(f'{self.id}: {request.attempt} comes late')
         fault = self._fault_of_now()
         full = self._busy >= self._slots and len(self._waiting) >= QUEUE
-        if full or isinstance(fault, Sheds):
+        if full or isinstance(fault, faults.Sheds):
             self._reject(request, writer, '503 Service Unavailable')
             return
         await self._take_slot()
@@ -282,7 +268,7 @@
         """Write an answer, behind a late copy if one is held back."""
         copy = self._copies.pop(request.connection, b'')
         writer.write(copy + data)
-        if isinstance(self._fault_of_now(), CopiesLate):
+        if isinstance(self._fault_of_now(), faults.CopiesLate):
             self._copies[request.connection] = data
 
     async def _prefill(self, request, writer):
@@ -313,25 +299,25 @@
                 body,
             ),
         )
-        if isinstance(fault, Stalls):
+        if isinstance(fault, faults.Stalls):
             await asyncio.sleep(fault.for_s)
         await asyncio.sleep(WORK_S)
         match fault:
-            case LosesAnswers():
+            case faults.LosesAnswers():
                 raise ConnectionResetError
-            case Garbles():
+            case faults.Garbles():
                 writer.write(b'\x00\x01 no answer\r\n\r\n')
                 raise ConnectionResetError
-            case CutsAnswers():
+            case faults.CutsAnswers():
                 writer.write(self._answer(request, body)[:-40])
                 await writer.drain()
                 raise ConnectionResetError
-            case Fails(status=status):
+            case faults.Fails(status=status):
                 failure = self._answer(request, b'', f'{status} Failure')
                 self._write(request, writer, failure)
             case _ if self._stage == 'decode':
                 await self._stream(request, writer)
-            case AddsBytes():
+            case faults.AddsBytes():
                 self._write(request, writer, self._answer(request, body))
                 writer.write(b'more')
             case _:
--- a/bulrushrudder/tests/soak/soak.py
+++ b/bulrushrudder/tests/soak/soak.py
@@ -109,7 +109,11 @@
                 await self._kill_at_start()
             if await self._operator.send_first():
                 await self._play(stack)
-        breaks = [*self._record.judge(), *self._judge_configuration()]
+        breaks = [
+            *self._record.judge(),
+            *self._judge_configuration(),
+            *self._judge_departures(),
+        ]
         for broken in breaks:
             self._record.write(f'{broken.rule}: {broken.detail}')
         return Verdict(self._plan, tuple(breaks), self._record.served())
@@ -187,6 +191,24 @@
             self._disruptions.times_s,
         )
 
+    def _judge_departures(self):
+        """Yield Breaks of requests to servers that had left.
+
+        Only machines that were in touch all the while are judged.
+        """
+        for server in self._pool:
+            for gone_s, at_s in server.late_arrivals:
+                began_s = gone_s - operators.CONTACT_S
+                if not any(
+                    began_s < disrupted_s < at_s
+                    for disrupted_s in self._disruptions.times_s
+                ):
+                    yield record.Break(
+                        'DRAIN',
+                        f'{server.id} got a request {at_s - gone_s:.2f} s '
+                        'after it was acknowledged as gone',
+                    )
+
     def _spawn(self, stack, coroutine):
         task = asyncio.create_task(coroutine)
         stack.callback(task.cancel)
