--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -13,6 +13,7 @@
 
 from bulrushrudder.engines import connections
 from bulrushrudder.engines import kept_bytes
+from bulrushrudder.engines import responses
 
 # Many round trips between zones. TCP retransmits a lost SYN only after
 # 1 s, so a new connection is faster.
@@ -144,8 +145,8 @@
         except (OSError, TimeoutError) as error:
             detail = repr(error)
             return result.Failure(
-                connections.Problem(
-                    connections.ProblemKind.UNREACHABLE, detail, sent=False
+                responses.Problem(
+                    responses.ProblemKind.UNREACHABLE, detail, sent=False
                 )
             )
         return result.Success(connection)
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -7,12 +7,12 @@
 
 import asyncio
 import collections
-import dataclasses
 import enum
 import re
 
 import httptools
 
+from bulrushrudder.engines import responses
 from bulrushrudder.utils import sockets
 
 # Servers that state no idle timeout close idle connections after some
@@ -37,85 +37,6 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*(\d+)', re.IGNORECASE)
 
 
-class ProblemKind(enum.Enum):
-    """Kinds of failure of a call."""
-
-    UNREACHABLE = 'unreachable'
-    BROKEN = 'broken'
-    INVALID = 'invalid'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """A call without a complete response.
-
-    :param sent: whether the server may have received the call.
-    """
-
-    kind: ProblemKind
-    detail: str
-    sent: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Head:
-    """Status and headers of a response."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-    def header(self, name):
-        """Return the value of a header, or None.
-
-        :param name: name of the header in lowercase.
-        """
-        return next(iter(self.values(name)), None)
-
-    def values(self, name):
-        """Return all values of a header, in order.
-
-        :param name: name of the header in lowercase.
-        """
-        return [
-            value
-            for header_name, value in self.headers
-            if header_name.lower() == name
-        ]
-
-
-@dataclasses.dataclass(slots=True)
-class BodyChunk:
-    """Bytes of the body of a response that have arrived so far."""
-
-    data: bytearray
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class End:
-    """End of a complete response.
-
-    :param at_close: whether only the close of the connection marks it.
-    """
-
-    at_close: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """A call as it is sent over a connection.
-
-    :param data: the complete request in bytes.
-    :param id: the id that the server echoes in its response; empty if the
-        call has none.
-    :param without_body: whether the response has no body regardless of its
-        headers, as after HEAD.
-    """
-
-    data: bytes
-    id: str = ''
-    without_body: bool = False
-
-
 class Match(enum.Enum):
     """How the id in a response compares with that of the call."""
 
@@ -178,7 +99,7 @@
     def send(self, call, on_head):
         """Send a call.
 
-        :param call: the Call.
+        :param call: the responses.Call.
         :param on_head: function of the Head, called when it arrives.
         """
         self._call = call
@@ -210,12 +131,12 @@
         return DEFAULT_IDLE_TIMEOUT_S
 
     async def part(self):
-        """Wait for the next Head, BodyChunk, End or Problem."""
+        """Wait for the next Head, BodyChunk, End or responses.Problem."""
         while not self._parts:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         part = self._parts.popleft()
-        if isinstance(part, BodyChunk):
+        if isinstance(part, responses.BodyChunk):
             self._track_buffered(-len(part.data))
         return part
 
@@ -277,7 +198,7 @@
         """Fail a call that is in progress."""
         self._closed = True
         self._fail(
-            ProblemKind.BROKEN,
+            responses.ProblemKind.BROKEN,
             repr(error)
             if error
             else 'connection closed before the response was complete',
@@ -307,7 +228,7 @@
         self._status = self._parser.get_status_code()
         if self._is_interim():
             return
-        head = Head(self._status, tuple(self._headers))
+        head = responses.Head(self._status, tuple(self._headers))
         if not self._belongs_to_call(head):
             return
         self._has_head = True
@@ -324,11 +245,11 @@
             return
         self._body_bytes += len(data)
         self._track_buffered(len(data))
-        if self._parts and isinstance(self._parts[-1], BodyChunk):
+        if self._parts and isinstance(self._parts[-1], responses.BodyChunk):
             # Small chunks would take many times the memory of their data.
             self._parts[-1].data += data
         else:
-            self._put(BodyChunk(bytearray(data)))
+            self._put(responses.BodyChunk(bytearray(data)))
 
     def on_message_complete(self):
         """Queue the end of the response."""
@@ -379,11 +300,11 @@
 
     def _end(self, at_close=False):
         self._ended = True
-        self._put(End(at_close))
+        self._put(responses.End(at_close))
 
     def _reject(self, detail):
         """Fail the call and close the connection, so that no more comes."""
-        self._fail(ProblemKind.INVALID, detail)
+        self._fail(responses.ProblemKind.INVALID, detail)
         self.abort()
 
     def _give_up(self):
@@ -394,7 +315,7 @@
             return
         self._ended = True
         self._not_reusable = True
-        self._put(Problem(kind, detail, True))
+        self._put(responses.Problem(kind, detail, True))
 
     def _put(self, part):
         self._parts.append(part)
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -8,6 +8,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import connections
+from bulrushrudder.engines import responses
 from bulrushrudder.platform import headers
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -54,7 +55,7 @@
         data = headers.encode_request(
             self.method, self.target, pairs, self.body
         )
-        return connections.Call(data, self.attempt, self.method == 'HEAD')
+        return responses.Call(data, self.attempt, self.method == 'HEAD')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +73,7 @@
 def failure_from(problem):
     """Return the CallFailure for a Problem of a connection."""
     reason = outcomes.Reason.BACKEND_FAILED
-    if problem.kind is connections.ProblemKind.UNREACHABLE:
+    if problem.kind is responses.ProblemKind.UNREACHABLE:
         reason = outcomes.Reason.BACKEND_UNREACHABLE
     return CallFailure(reason, problem.detail, problem.sent)
 
@@ -118,9 +119,9 @@
             return result.Failure(failure_from(problem))
     part = await opened.unwrap().part()
     match part:
-        case connections.Problem():
+        case responses.Problem():
             return result.Failure(failure_from(part))
-        case connections.Head():
+        case responses.Head():
             failed = check(part)
             if failed is None:
                 return result.Success(part)
@@ -144,15 +145,15 @@
     while True:
         part = await connection.part()
         match part:
-            case connections.BodyChunk(data=data):
+            case responses.BodyChunk(data=data):
                 body += data
                 if len(body) > MAX_RESPONSE_BYTES:
                     connection.abort()
                     return _body_too_large(len(body))
                 connection.keep(len(body))
-            case connections.End():
+            case responses.End():
                 return result.Success(bytes(body))
-            case connections.Problem():
+            case responses.Problem():
                 return result.Failure(failure_from(part))
 
 
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -13,7 +13,7 @@
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.engines import connection_pool
-from bulrushrudder.engines import connections
+from bulrushrudder.engines import responses
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import events
@@ -223,7 +223,7 @@
             ('Host', f'{server.host}:{server.port}'),
             (headers.EXPECTED_INSTANCE, server.run_id),
         ]
-        call = connections.Call(
+        call = responses.Call(
             headers.encode_request('DELETE', _HANDLE_PATH + handle, pairs, b'')
         )
         with contextlib.suppress(TimeoutError):
@@ -274,20 +274,20 @@
             ]
             index += len(batch)
         match last:
-            case connections.End() if splitter.rest:
+            case responses.End() if splitter.rest:
                 detail = 'decode: stream ends within an event'
                 failed = _invalid_reply(detail, True).failure()
                 yield [_attempt_failed(attempt, server, failed)]
                 return
-            case connections.End(at_close=True) if index == 0:
+            case responses.End(at_close=True) if index == 0:
                 detail = 'decode: connection closed before the first event'
                 failed = _invalid_reply(detail, True).failure()
                 yield [_attempt_failed(attempt, server, failed)]
                 return
-            case connections.End():
+            case responses.End():
                 yield [events.DecodeDone(attempt, index, 'stop')]
                 return
-            case connections.Problem():
+            case responses.Problem():
                 failed = calls.failure_from(last)
                 yield [_attempt_failed(attempt, server, failed)]
                 return
@@ -301,16 +301,16 @@
     while True:
         part = await connection.part()
         match part:
-            case connections.BodyChunk(data=data):
+            case responses.BodyChunk(data=data):
                 try:
                     texts = splitter.feed(data)
                 except event_stream.EventTooLongError as error:
                     connection.abort()
-                    kind = connections.ProblemKind.INVALID
-                    return [], connections.Problem(kind, str(error), True)
+                    kind = responses.ProblemKind.INVALID
+                    return [], responses.Problem(kind, str(error), True)
                 if texts:
                     return texts, None
-            case connections.End() | connections.Problem():
+            case responses.End() | responses.Problem():
                 return [], part
 
 
--- a/bulrushrudder/platform/orders.py
+++ b/bulrushrudder/platform/orders.py
@@ -12,7 +12,7 @@
 from returns import result
 
 from bulrushrudder.control import kind_orders
-from bulrushrudder.engines import connections
+from bulrushrudder.engines import responses
 from bulrushrudder.platform import calls
 from bulrushrudder.platform import headers
 
@@ -104,7 +104,7 @@
         ]
         if body:
             pairs.append(('Content-Type', 'application/json'))
-        call = connections.Call(
+        call = responses.Call(
             headers.encode_request(method, path, pairs, body)
         )
         try:
@@ -120,7 +120,7 @@
         case result.Failure(problem):
             return result.Failure(problem.detail)
     head = await opened.unwrap().part()
-    if isinstance(head, connections.Problem):
+    if isinstance(head, responses.Problem):
         return result.Failure(head.detail)
     body = await calls.read_body(opened.unwrap())
     match body:
--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from bulrushrudder.engines import connection_pool
-from bulrushrudder.engines import connections
+from bulrushrudder.engines import responses
 from bulrushrudder.tests.builders import runners
 
 TEST_TIMEOUT_S = 3.0
@@ -49,7 +49,7 @@
     async def call(self, server, data=GET, call_id='', **terms):
         """Return all parts of the response to one call."""
         parts = []
-        call = connections.Call(data, call_id)
+        call = responses.Call(data, call_id)
         async with asyncio.timeout(TEST_TIMEOUT_S):
             async with self.pool.call(server, call, **terms) as opened:
                 match opened:
@@ -63,7 +63,7 @@
         head, *pieces, last = await self.call(server, **terms)
         self.assertEqual(head.status, 200)
         self.assertEqual(b''.join(p.data for p in pieces), body)
-        self.assertIsInstance(last, connections.End)
+        self.assertIsInstance(last, responses.End)
 
     async def test_reuses_connection_after_complete_response(self):
         server = await self.start(answer(b'one'))
@@ -93,7 +93,7 @@
             data = GET.replace(b'Host: x', b'Attempt-Id: ' + call_id.encode())
             parts = await self.call(server, data, call_id)
             self.assertEqual(parts[0].header('attempt-id'), call_id)
-            self.assertIsInstance(parts[-1], connections.End)
+            self.assertIsInstance(parts[-1], responses.End)
             self.assertEqual(runner.calls[-1].connection, connection)
 
     async def test_does_not_reuse_connection_after_extra_bytes(self):
@@ -155,7 +155,7 @@
         body = bytes(16 * 1024 * 1024)
         head = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body)
         parts = await self.call(server, head + body)
-        self.assertIsInstance(parts[-1], connections.End)
+        self.assertIsInstance(parts[-1], responses.End)
         self.assertEqual(sum(map(len, self.pool._idle_by_server.values())), 0)
 
     async def test_response_without_length_ends_at_close(self):
@@ -165,7 +165,7 @@
     async def test_response_without_length_fails_at_reset(self):
         server = await self.start(WITHOUT_LENGTH, pause_briefly, runners.reset)
         parts = await self.call(server)
-        self.assertIsInstance(parts[-1], connections.Problem)
+        self.assertIsInstance(parts[-1], responses.Problem)
         self.assertTrue(parts[-1].sent)
 
     async def test_truncated_response_is_a_problem(self):
@@ -174,7 +174,7 @@
             with self.subTest(size):
                 server = await self.start(whole[:size], end)
                 parts = await self.call(server)
-                self.assertIsInstance(parts[-1], connections.Problem)
+                self.assertIsInstance(parts[-1], responses.Problem)
                 self.assertTrue(parts[-1].sent)
 
     async def test_skips_interim_responses(self):
@@ -185,14 +185,14 @@
     async def test_rejects_reply_without_status_line(self):
         server = await self.start(b'\x00\x01 nothing\r\n\r\n')
         (problem,) = await self.call(server)
-        self.assertIs(problem.kind, connections.ProblemKind.INVALID)
+        self.assertIs(problem.kind, responses.ProblemKind.INVALID)
         self.assertTrue(problem.sent)
 
     async def test_refused_connection_counts_as_not_sent(self):
         server = await self.start()
         unreachable = runners.fleet.server('i-1', port=1)
         (problem,) = await self.call(unreachable)
-        self.assertIs(problem.kind, connections.ProblemKind.UNREACHABLE)
+        self.assertIs(problem.kind, responses.ProblemKind.UNREACHABLE)
         self.assertFalse(problem.sent)
         self.assertEqual(server.port, self.runner.port)
 
@@ -213,7 +213,7 @@
                     start, functools.partial(send_without_end, sent, piece)
                 )
                 parts = await self.call(server)
-                self.assertIs(parts[-1].kind, connections.ProblemKind.INVALID)
+                self.assertIs(parts[-1].kind, responses.ProblemKind.INVALID)
                 async with asyncio.timeout(TEST_TIMEOUT_S):
                     await sent.wait()
 
@@ -236,11 +236,11 @@
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.02):
                 async with self.pool.call(
-                    server, connections.Call(GET)
+                    server, responses.Call(GET)
                 ) as opened:
                     await opened.unwrap().part()
         self.assertEqual(sum(map(len, self.pool._idle_by_server.values())), 0)
 
 
 def _is_last(part):
-    return isinstance(part, connections.End | connections.Problem)
+    return isinstance(part, responses.End | responses.Problem)
--- a/bulrushrudder/tests/platform/statements_tests.py
+++ b/bulrushrudder/tests/platform/statements_tests.py
@@ -1,14 +1,14 @@
 import unittest
 
 from bulrushrudder.backpressure import statements
-from bulrushrudder.engines import connections
+from bulrushrudder.engines import responses
 from bulrushrudder.platform import statements as reader
 
 NO_LIMIT = statements.RateLimit(None)
 
 
 def read(*headers, status=200):
-    return reader.read(connections.Head(status, headers))
+    return reader.read(responses.Head(status, headers))
 
 
 class ReadTests(unittest.TestCase):
