Take up a resumable stream that breaks off late

Cause: a place was of use only until the time by which the first event has to come, also when output had begun.

Evidence: the new tests of lifecycle/request_tests and platform/path_tests fail on the code before.

Change: once output has begun, a place is of use for as long as the caller waits after the last event.

Result: both pass.

--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
@@ -70,6 +71,7 @@
         self._prompt_tokens = job.prompt_tokens
         self._charged = job.cost
         self._output = output.Output(job.output_tokens)
+        self._last_event_s = 0.0
         # Versions of the software that began the stream, and of the decode
         # server of the current attempt.
         self._stream_software = job.software
@@ -155,10 +157,7 @@
 
     def _request_place(self, now_s):
         job = self.job
-        latest_grant_s = min(
-            job.deadline_s,
-            job.first_token_deadline_s - job.first_token_lead_s,
-        )
+        latest_grant_s = self._latest_grant_s()
         if now_s >= latest_grant_s:
             return self._abort(
                 outcomes.Reason.DEADLINE_PASSED,
@@ -179,6 +178,20 @@
             )
         ]
 
+    def _latest_grant_s(self):
+        """Return the monotonic seconds until which a place is of use.
+
+        Once output has begun, callers wait from event to event.
+        """
+        job = self.job
+        if not self._output:
+            event_deadline_s = job.first_token_deadline_s
+        elif job.event_wait_s:
+            event_deadline_s = self._last_event_s + job.event_wait_s
+        else:
+            event_deadline_s = math.inf
+        return min(job.deadline_s, event_deadline_s - job.first_token_lead_s)
+
     def _step_refused(self, refusal, now_s):
         if self.state not in ('waiting_for_tokens', 'queued'):
             return [_drop(refusal)]
@@ -279,6 +292,7 @@
             return self._inspect_server(
                 outcomes.Reason.BACKEND_FAILED, self._allocation.decode
             )
+        self._last_event_s = now_s
         if self.state == 'decoding':
             self._transition('start_stream')
         if self._stream_software is None:
--- a/bulrushrudder/tests/lifecycle/request_tests.py
+++ b/bulrushrudder/tests/lifecycle/request_tests.py
@@ -214,6 +214,45 @@
         self.assertLess(size, 5 * 1024 * 1024)
 
 
+class ResumedStreamTests(RequestTestCase):
+    """Guards against a stream that is lost because it broke off late."""
+
+    def break_off(self, after_s, **changes):
+        """Break a stream off some time after its last event.
+
+        :returns: the actions after the back-off.
+        """
+        self.start(
+            repeatable=True,
+            attempts=0,
+            first_token_deadline_s=3.0,
+            first_token_lead_s=0.5,
+            deadline_s=14.0,
+            **changes,
+        )
+        self.run_prefill()
+        self.handle(events.TransferDone(self.attempt))
+        self.now_s = 8.0
+        self.handle(events.TokenArrived(self.attempt, 0, b'x'))
+        self.now_s += after_s
+        self.fail_attempt(FAILED, sent=True)
+        returned = self.handle(events.Inspected(self.attempt, False, None))
+        self.assertIsNotNone(find_action(returned, actions.BackOff))
+        return self.handle(events.BackOffEnded())
+
+    def test_stream_that_breaks_off_late_is_taken_up(self):
+        for wait_s in (3.6, 0.0):
+            with self.subTest(wait_s):
+                returned = self.break_off(0.1, event_wait_s=wait_s)
+                place = find_action(returned, actions.RequestPlace)
+                self.assertIsNotNone(place)
+                self.assertGreater(place.patience_s, 0.0)
+
+    def test_stream_whose_caller_has_left_is_not_taken_up(self):
+        returned = self.break_off(3.2, event_wait_s=3.6)
+        self.assertIsNone(find_action(returned, actions.RequestPlace))
+
+
 class LatestGrantTests(RequestTestCase):
     """Callers leave at 3.4 s, and a first token takes 0.5 s."""
 
--- a/bulrushrudder/tests/platform/path_tests.py
+++ b/bulrushrudder/tests/platform/path_tests.py
@@ -9,6 +9,7 @@
 from bulrushrudder.tests.builders import platform
 from bulrushrudder.tests.builders import platform_fleet
 from bulrushrudder.tests.builders import runners
+from bulrushrudder.tests.builders import scripted_engines
 
 TIMEOUT_S = 20.0
 PREFILL_REPLY = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
@@ -309,6 +310,29 @@
             self.assertEqual(await self.text('/drafts/1'), (200, whole))
         self.assertGreater(len(broken.calls), 0)
 
+    async def test_stream_that_breaks_off_late_is_completed(self):
+        # A client waits 3.6 s for the first event, and as long between any.
+        async def pause(writer):
+            await asyncio.sleep(1.6)
+
+        def slow_and_cut(call):
+            if call.headers.get('Stage') == 'prefill':
+                return [runners.answer(PREFILL_REPLY)]
+            first, second, third = (
+                scripted_engines.chunk(runners.event(n)) for n in (1, 2, 3)
+            )
+            head = runners.stream_head()
+            return [head + first, pause, second, pause, third[:9], close]
+
+        await self.configure()
+        await self.fleet.add_runner(engine, 'i-a', stage='prefill')
+        await self.fleet.add_runner(slow_and_cut, 'i-b')
+        running = asyncio.create_task(self.text('/drafts/1'))
+        await asyncio.sleep(1.0)
+        await self.fleet.add_runner(engine, 'i-c')
+        status, body = await running
+        self.assertEqual((status, body.count(b'data:')), (200, 5))
+
     async def test_stream_that_is_not_resumable_is_aborted_and_logged(self):
         await self.configure()
         await self.fleet.add_runner(engine, 'i-p', stage='prefill')
