--- a/bulrushrudder/tests/soak/__main__.py
+++ b/bulrushrudder/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import pathlib
+import signal
 import sys
 
 import fire
@@ -32,7 +33,10 @@
     ]
     folders = [pathlib.Path(folder) / str(plan.seed) for plan in plans]
     broken = 0
-    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+    _exit_at_sigterm()
+    with concurrent.futures.ProcessPoolExecutor(
+        jobs, initializer=_exit_at_sigterm
+    ) as pool:
         for verdict in pool.map(soak.play, plans, folders):
             broken += bool(verdict.breaks)
             print(soak.summary(verdict), flush=True)
@@ -40,5 +44,10 @@
     sys.exit(1 if broken else 0)
 
 
+def _exit_at_sigterm():
+    """End by an exception at SIGTERM, so that all programs are ended."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+
+
 if __name__ == '__main__':
     fire.Fire(main)
