Judge requests without an answer in the soak, and describe the changes

A request from a kept connection that ran at a server without any trouble and got no answer counts for LOST while all machines were in touch.

--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -99,7 +99,7 @@
     def send(self, call, on_head):
         """Send a call.
 
-        :param call: the responses.Call.
+        :param call: the Call.
         :param on_head: function of the Head, called when it arrives.
         """
         self._call = call
@@ -131,7 +131,7 @@
         return DEFAULT_IDLE_TIMEOUT_S
 
     async def part(self):
-        """Wait for the next Head, BodyChunk, End or responses.Problem."""
+        """Wait for the next Head, BodyChunk, End or Problem."""
         while not self._parts:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -6,6 +6,9 @@
 
 PROMISES = (408, 421, 429, 503)
 CONFIG_APPLY_S = 2.0
+# Faults of a server last at most this long.
+TROUBLE_S = 5.0
+MAX_CLOSED = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,17 +16,22 @@
     """A client's attempt.
 
     :param sent_s: seconds since the soak began.
+    :param ended_s: seconds at which the client had its answer or left.
     :param status: 0 without an answer.
+    :param closed: whether the connection, kept from an earlier request,
+        ended before the answer did.
     """
 
     attempt: str
     path: str
     repeatable: bool
     sent_s: float
+    ended_s: float
     status: int
     body: bytes
     whole: bool
     signature: str
+    closed: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +62,8 @@
     :param file: the text file that it writes to.
 
     :ivar sent: the Sent attempts of clients.
+    :ivar troubles_by_server: seconds at which a server began or ceased to
+        misbehave, started, left or ended.
     :ivar breaks: rules that were found broken while the soak ran.
     """
 
@@ -61,6 +71,7 @@
         self._file = file
         self._began_s = time.monotonic()
         self.sent = []
+        self.troubles_by_server = collections.defaultdict(list)
         self._runs_by_attempt = collections.defaultdict(list)
         self.breaks = []
 
@@ -86,6 +97,20 @@
         self._runs_by_attempt[attempt].append(run)
         self.write(f'{run.server}: runs {attempt}')
 
+    def add_trouble(self, server, text):
+        """Record that a server begins or ceases to misbehave."""
+        self.troubles_by_server[server].append(self.now_s())
+        self.write(f'{server}: {text}')
+
+    def ran_soundly(self, sent):
+        """Return whether an attempt ran at a server without any trouble."""
+        runs = self._runs_by_attempt.get(sent.attempt, ())
+        return bool(runs) and not any(
+            run.began_s - TROUBLE_S < trouble_s < sent.ended_s
+            for run in runs
+            for trouble_s in self.troubles_by_server[run.server]
+        )
+
     def add_break(self, rule, detail):
         """Record a broken rule."""
         self.breaks.append(Break(rule, detail))
@@ -107,6 +132,26 @@
             breaks += self._judge_sent(sent)
         return breaks
 
+    def judge_closed(self, is_calm):
+        """Yield a Break if too many sound requests got no answer.
+
+        :param is_calm: function of the seconds at which a request was sent
+            and ended; whether all machines were in touch.
+        """
+        closed = [
+            sent
+            for sent in self.sent
+            if sent.closed
+            and is_calm(sent.sent_s, sent.ended_s)
+            and self.ran_soundly(sent)
+        ]
+        if len(closed) > MAX_CLOSED:
+            yield Break(
+                'LOST',
+                f'{len(closed)} requests at sound servers got no answer, '
+                f'{closed[0].attempt} to {closed[0].path} among them',
+            )
+
     def _judge_sent(self, sent):
         runs = self.runs(sent.attempt)
         where = f'{sent.attempt} to {sent.path}'
