--- a/bulrushrudder/tests/platform/endless_answers_tests.py
+++ b/bulrushrudder/tests/platform/endless_answers_tests.py
@@ -123,6 +123,38 @@
                     lambda: not self.fleet.entry.services.running
                 )
 
+    # Guards against a bound that cuts long but sound answers.
+
+    async def test_long_sound_stream_and_body_are_whole(self):
+        events = [
+            f'id: {n}\ndata: {"x" * 2000}\n\n'.encode() for n in range(1, 171)
+        ]
+        chunks = [scripted_engines.chunk(event) for event in events]
+
+        def reply(call):
+            if call.headers.get('Stage') == 'prefill':
+                return [runners.answer(PREFILL_REPLY)]
+            end = scripted_engines.chunk(b'')
+            return [runners.stream_head(), *chunks, end]
+
+        await self.fleet.add_runner(reply, 'i-a', stage='prefill')
+        await self.fleet.add_runner(reply, 'i-b')
+        usage = {'Token-Usage': '1460,2040'}
+        async with self.fleet.call('/drafts/1', headers=usage) as response:
+            self.assertEqual(await response.read(), b''.join(events))
+        body = b'y' * (8 * 1024 * 1024)
+        await self.fleet.add_runner(
+            lambda call: [runners.answer(body)],
+            'i-p',
+            service='portal',
+            stage=None,
+            slots=6,
+        )
+        async with self.fleet.call('/book/1') as response:
+            self.assertEqual(
+                (response.status, await response.read()), (200, body)
+            )
+
     # Guards against a process that answers nobody while it searches an
     # endless event, or handles endless small ones.
 
