Log when an entry process refuses new calls, and how many it abandons

Hypotheses for the calls that were cut off at stops could not be told apart: 'entry stopped' said that all requests were finished while 60 were in flight. Two events say when calls are refused and how many are left when the time to stop has run out. No logic is changed.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -198,8 +198,11 @@
         self.services.leaving = True
         self.services.draining = True
         self.services.crash_reporter.stopping = True
+        log.emit(catalogue.ENTRY_DRAINING, calls=self.services.calls)
         handovers = self._hand_over_roles()
         await self.services.finish()
+        if self.services.calls:
+            log.emit(catalogue.CALLS_ABANDONED, calls=self.services.calls)
         await self._canceller.finish(self._remaining_s(CANCEL_TIMEOUT_S))
         await asyncio.wait(
             handovers, timeout=self._remaining_s(ROLE_HANDOVER_TIMEOUT_S)
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -161,6 +161,19 @@
     'Another stop signal arrived; the process still waits until the given '
     'number of calls is answered. Killing it would cut off their answers.',
 )
+ENTRY_DRAINING = Event(
+    1006,
+    Level.INFO,
+    'entry draining',
+    'The entry process refuses new calls from now on; the given number of '
+    'calls is in flight.',
+)
+CALLS_ABANDONED = Event(
+    1007,
+    Level.WARNING,
+    'calls abandoned',
+    'The time to stop ran out before the given number of calls was answered.',
+)
 HTTP_INVALID = Event(
     1502,
     Level.WARNING,
