--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -27,10 +27,12 @@
     """A control process, an entry process and an HTTP session to call them.
 
     :param stack: an AsyncExitStack that owns them.
+    :param entry_changes: fields of the EntrySettings that differ.
     """
 
-    def __init__(self, stack):
+    def __init__(self, stack, **entry_changes):
         self._stack = stack
+        self._entry_changes = entry_changes
         self.entry = None
         self._entry_stack = None
         self._settings = None
@@ -40,7 +42,7 @@
     async def start(self):
         """Start both processes and wait for a leader."""
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
-        fleet_settings = _settings(pathlib.Path(folder))
+        fleet_settings = _settings(pathlib.Path(folder), self._entry_changes)
         self._control_url = f'http://{fleet_settings.control.operators}'
         self._callers_url = f'http://{fleet_settings.entry.callers}'
         self._ready_url = f'http://{fleet_settings.entry.ready}'
@@ -73,6 +75,20 @@
         await self._start_entry()
         await self.wait_until(lambda: self.entry.view.lookups.document.version)
 
+    async def stop_entry(self):
+        """Stop the entry process as after SIGTERM; return the seconds."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await self.entry.leave()
+        await self.entry.stop()
+        await self._entry_stack.aclose()
+        return loop.time() - began_s
+
+    async def connect(self):
+        """Return the reader and writer of a new connection of a client."""
+        address = self._settings.entry.callers
+        return await asyncio.open_connection(address.host, address.port)
+
     async def wait_until(self, condition):
         """Wait until a condition is true."""
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -179,13 +195,13 @@
 
 
 @contextlib.asynccontextmanager
-async def running():
+async def running(**entry_changes):
     """Start a PlatformFleet; stop it on exit."""
     async with contextlib.AsyncExitStack() as stack:
-        yield await PlatformFleet(stack).start()
+        yield await PlatformFleet(stack, **entry_changes).start()
 
 
-def _settings(folder):
+def _settings(folder, entry_changes):
     callers, ready, shown, inner, operators, other, control = (
         builders.addresses(7)
     )
@@ -194,7 +210,13 @@
         zone=ids.Zone('a'),
         environment=types.Environment.PRODUCTION,
         entry=settings.EntrySettings(
-            callers, None, shown, inner, ready=ready, stale_s=3600.0
+            callers,
+            None,
+            shown,
+            inner,
+            ready=ready,
+            stale_s=3600.0,
+            **entry_changes,
         ),
         control=settings.ControlSettings(operators, other, control, folder),
         controls=(control,),
