Accept calls at a stop for a fixed time, and answer all that was accepted

Cause: nothing bounded the time in which calls are accepted. The platform's interface asked a flag that was set only when no call was in flight, and the wait for that ended at 92% of the time to stop. Class of fault: a stop that waits for work to cease without ceasing to take work.

One plan now holds the times of a stop (lifecycle/shutdown.py, no I/O): calls are accepted until balancers have noticed, by the time at which they arrive; then they are refused at once as not run, uploads too; accepted ones are finished; a second before the process is killed, what is left gets a final answer that says what is known; then the listener accepts what the kernel has queued, closes, and answers are flushed. Only accepted calls are waited for.

--- a/bulrushrudder/entry/admission.py
+++ b/bulrushrudder/entry/admission.py
@@ -12,6 +12,10 @@
 # confirmed as current within this time; control processes confirm it four
 # times a second. Otherwise the refusal is temporary, with this delay.
 CONFIRMED_VIEW_AGE_S = 1.0
+# Other VMs serve the call at once.
+SHUTTING_DOWN = outcomes.not_run(
+    outcomes.Reason.SHUTTING_DOWN, 'this VM is shutting down', 0.05
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,9 +49,7 @@
     :returns: an AdmittedCall, or a Refusal.
     """
     if draining:
-        return _refuse(
-            outcomes.Reason.SHUTTING_DOWN, 'this VM is shutting down', 1.0
-        )
+        return result.Failure(SHUTTING_DOWN)
     route = view.lookups.route_of(method, path, host)
     if route is None and _may_be_outdated(view, now_s):
         return _refuse(
--- a/bulrushrudder/entry/bodies.py
+++ b/bulrushrudder/entry/bodies.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.entry import admission
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BODY_TIMEOUT_S = 20.0
@@ -38,6 +39,19 @@
         return result.Failure(_MALFORMED_BODY)
 
 
+async def read_while_accepting(in_flight, http_request, **limits):
+    """Read a body unless the process starts to refuse calls meanwhile.
+
+    :param in_flight: the CallsInFlight of the process.
+    :param limits: as for read().
+    """
+    try:
+        async with in_flight.upload():
+            return await read(http_request, **limits)
+    except TimeoutError:
+        return result.Failure(admission.SHUTTING_DOWN)
+
+
 async def _read_up_to(http_request, max_bytes):
     chunks = []
     size = 0
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -113,6 +113,11 @@
             if not isinstance(action, actions.Refuse):
                 self._perform_nowait(action)
 
+    def end_for_shutdown(self):
+        """End the request because the process must exit."""
+        reason = outcomes.Reason.SHUTTING_DOWN
+        self.interrupt(events.TimeEnded(reason=reason))
+
     def caller_gone(self):
         """End the request because its caller has disconnected or stalled."""
         self.interrupt(events.CallerGone())
--- a/bulrushrudder/entry/frontend.py
+++ b/bulrushrudder/entry/frontend.py
@@ -44,15 +44,13 @@
     async def _ready(self, http_request):
         now_s = asyncio.get_running_loop().time()
         fresh = self._services.view.is_fresh(now_s)
-        stopping = self._services.leaving or self._services.draining
-        ready = fresh and not stopping
+        ready = fresh and not self._services.leaving
         return web.json_response(
             {'ready': ready}, status=200 if ready else 503
         )
 
     async def _call(self, http_request):
         request_id = self._request_id(http_request)
-        self._services.calls += 1
         try:
             return await self._serve(http_request, request_id)
         except Exception as error:
@@ -60,23 +58,29 @@
                 http_request, error, type(error).__name__
             )
             return self._refuse(http_request, refusal, request_id)
-        finally:
-            self._services.calls -= 1
 
     async def _serve(self, http_request, request_id):
         admitted = self._admit(http_request)
         if isinstance(admitted, result.Failure):
             return self._refuse(http_request, admitted.failure(), request_id)
-        body = await bodies.read(http_request, self._body_timeout_s)
+        in_flight = self._services.in_flight
+        body = await bodies.read_while_accepting(
+            in_flight, http_request, timeout_s=self._body_timeout_s
+        )
         if isinstance(body, result.Failure):
             return self._refuse(http_request, body.failure(), request_id)
         # Check again: the key may have been withdrawn during the upload.
         admitted = self._admit(http_request)
         if isinstance(admitted, result.Failure):
             return self._refuse(http_request, admitted.failure(), request_id)
-        return await self._dispatch(
-            http_request, request_id, admitted.unwrap(), body.unwrap()
-        )
+        try:
+            async with in_flight.call():
+                return await self._dispatch(
+                    http_request, request_id, admitted.unwrap(), body.unwrap()
+                )
+        except TimeoutError:
+            refusal = refusals.at_shutdown(http_request)
+            return self._refuse(http_request, refusal, request_id)
 
     async def _dispatch(self, http_request, request_id, admitted, body):
         match admitted.route.target:
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -9,6 +9,7 @@
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import backend_api
 from bulrushrudder.entry import frontend
+from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import sockets
 from bulrushrudder.utils import web
 
@@ -42,18 +43,22 @@
     async def listen(self, stack, settings, entry):
         """Listen for callers and backend servers.
 
+        :returns: the HttpListener for callers.
+
         :param stack: an AsyncExitStack that owns the listeners.
         :param settings: the Settings of the VM.
         :param entry: the EntryProcess.
         """
         callers_api = frontend.Frontend(entry.services)
-        await web.listen(
-            stack,
+        callers = http_listener.HttpListener(
             callers_api.application(),
-            settings.entry.callers,
-            cancel_handlers=True,
-            shutdown_timeout_s=ANSWER_DRAIN_TIMEOUT_S,
+            http_listener.Options(
+                cancel_handlers=True,
+                closes_connections=lambda: entry.services.leaving,
+                shutdown_timeout_s=ANSWER_DRAIN_TIMEOUT_S,
+            ),
         )
+        await callers.open(stack, settings.entry.callers)
         backends = backend_api.BackendApi(
             entry.control_client,
             entry.view,
@@ -63,3 +68,4 @@
         await web.listen(
             stack, backends.application(), settings.entry.backends
         )
+        return callers
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -24,6 +24,7 @@
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import retries
+from bulrushrudder.lifecycle import shutdown
 from bulrushrudder.limits import spare
 from bulrushrudder.metrics import entry as metrics_entry
 from bulrushrudder.metrics import listener as metrics_listener
@@ -39,12 +40,13 @@
 
 SESSION_RETRY_DELAY_S = 0.2
 SESSION_CHECK_INTERVAL_S = 1.0
-# Share of the stop timeout after which requests in flight are cut off. The
-# rest is left to close the session before the process is killed.
-DRAIN_SHARE = 0.92
 CANCEL_TIMEOUT_S = 5.0
 ROLE_HANDOVER_TIMEOUT_S = 4.0
 SESSION_CLOSE_TIMEOUT_S = 0.4
+# Requests that are on their way when the listener closes are refused within
+# this time.
+LAST_REQUESTS_S = 0.2
+FLUSH_TIMEOUT_S = 60.0
 
 
 class EntryProcess:
@@ -99,6 +101,7 @@
         self.metrics = metrics_entry.EntryMetrics()
         self.services = None
         self._canceller = None
+        self._callers = None
 
     async def start(self, stack):
         """Open listeners and clients, and start the background tasks.
@@ -177,17 +180,18 @@
 
         New calls are still served during that time.
         """
-        now_s = asyncio.get_running_loop().time()
-        stop_s = self._settings.entry.stop_s
-        if stop_s is not None:
-            self.services.stop_deadline_s = now_s + stop_s * DRAIN_SHARE
-        self.services.stop_requested_s = now_s
-        self.services.leaving = True
+        entry_settings = self._settings.entry
+        self._begin_shutdown(entry_settings.balancer_s)
         log.emit(catalogue.ENTRY_STOPPING, calls=self.services.calls)
         self.services.spawn(
             self.control_client.propose(self._open_session_command(False))
         )
-        await asyncio.sleep(self._settings.entry.balancer_s)
+        await asyncio.sleep(self.services.shutdown.accept_until_s - _now_s())
+
+    def _begin_shutdown(self, balancer_s):
+        self.services.begin_shutdown(
+            shutdown.plan(_now_s(), balancer_s, self._settings.entry.stop_s)
+        )
 
     async def stop(self):
         """Refuse new work and finish the requests in flight.
@@ -195,20 +199,20 @@
         The session is closed last, because other VMs treat the attempts of
         a closed session as orphans and cancel them.
         """
-        self.services.leaving = True
-        self.services.draining = True
+        if self.services.accepts():
+            self._begin_shutdown(0.0)
         self.services.crash_reporter.stopping = True
         log.emit(catalogue.ENTRY_DRAINING, calls=self.services.calls)
         handovers = self._hand_over_roles()
+        self._callers.close_idle()
         await self.services.finish()
-        if self.services.calls:
-            log.emit(catalogue.CALLS_ABANDONED, calls=self.services.calls)
         await self._canceller.finish(self._remaining_s(CANCEL_TIMEOUT_S))
         await asyncio.wait(
             handovers, timeout=self._remaining_s(ROLE_HANDOVER_TIMEOUT_S)
         )
         for handover in handovers:
             handover.cancel()
+        await self._stop_listening()
         with contextlib.suppress(TimeoutError):
             # A session that is not closed in time expires with its lease.
             async with asyncio.timeout(SESSION_CLOSE_TIMEOUT_S):
@@ -217,6 +221,12 @@
                 )
         log.emit(catalogue.ENTRY_STOPPED)
 
+    async def _stop_listening(self):
+        """Refuse connections, and let callers take their answers."""
+        await self._callers.stop_accepting()
+        await asyncio.sleep(self._remaining_s(LAST_REQUESTS_S))
+        await self._callers.flush(self._remaining_s(FLUSH_TIMEOUT_S))
+
     def _hand_over_roles(self):
         """Start to hand accounts and coordinators over to other VMs.
 
@@ -237,10 +247,7 @@
         :param limit_s: limit of the step; the deadline of the stop may
             leave less.
         """
-        left_s = (
-            self.services.stop_deadline_s - asyncio.get_running_loop().time()
-        )
-        return max(0.0, min(limit_s, left_s))
+        return self.services.shutdown.left_s(_now_s(), limit_s)
 
     def log_pending_calls(self):
         """Log the number of calls that the stop still waits for."""
@@ -256,7 +263,9 @@
             self._handle,
         )
         stack.callback(inner.close)
-        await self._interface.listen(stack, self._settings, self)
+        self._callers = await self._interface.listen(
+            stack, self._settings, self
+        )
         app = metrics_listener.application(self.metrics)
         await web.listen(stack, app, settings.entry.metrics)
 
@@ -320,6 +329,10 @@
     return spare.SpareTokens(bounds.spare_tokens, bounds.spare_window_s)
 
 
+def _now_s():
+    return asyncio.get_running_loop().time()
+
+
 async def _ignore_message(link_, message):
     """Ignore messages; peers send only replies on dialled links."""
 
--- a/bulrushrudder/entry/refusals.py
+++ b/bulrushrudder/entry/refusals.py
@@ -40,6 +40,21 @@
     )
 
 
+def at_shutdown(http_request):
+    """Return the Refusal of a call that the process could not finish.
+
+    :raises ConnectionError: if the answer has begun; it closes the
+        connection so that the caller sees an incomplete answer.
+    """
+    if http_request.writer.output_size > 0:
+        raise ConnectionError('the answer was cut off by a shutdown')
+    return outcomes.Refusal(
+        outcomes.Reason.SHUTTING_DOWN,
+        outcomes.Execution.UNKNOWN,
+        'this VM stopped before the call was answered',
+    )
+
+
 def record(services, refusal, request_id, route):
     """Count and log a refusal, with the index and age of the view.
 
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -1,16 +1,19 @@
 """Services that the requests of an entry process share."""
 
 import asyncio
-import math
 
+from bulrushrudder.entry import calls_in_flight
 from bulrushrudder.entry import crash_reporter
 from bulrushrudder.entry import stream_recorder
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.lifecycle import reachability
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.utils import tasks
 
-CALLS_POLL_S = 0.02
 MAX_TASKS_WAIT_S = 60.0
+# Time to answer calls that could not be finished.
+FINAL_ANSWER_S = 0.15
 
 
 class SharedServices:
@@ -33,16 +36,8 @@
     :ivar retries: the RetryPolicy of this process.
     :ivar reachability: backend servers that could not be reached lately.
     :ivar running: the RequestExecutions in flight.
-    :ivar leaving: whether the process reports unready to the load
-        balancer.
-    :ivar draining: whether it refuses new work.
-    :ivar closing: whether it refuses all calls, since none are in flight
-        any more.
-    :ivar stop_requested_s: monotonic seconds at which the stop was
-        requested, infinite before.
-    :ivar stop_deadline_s: monotonic seconds at which work still in flight
-        is abandoned; infinite before a stop or without a limit on it.
-    :ivar calls: number of calls in flight.
+    :ivar shutdown: the Shutdown, or None if no stop was requested.
+    :ivar in_flight: the CallsInFlight.
     """
 
     def __init__(
@@ -81,15 +76,45 @@
         self.retries = retries.RetryPolicy()
         self.reachability = reachability.Reachability()
         self.running = set()
-        self.leaving = False
-        self.draining = False
-        self.closing = False
-        self.stop_requested_s = math.inf
-        self.stop_deadline_s = math.inf
-        self.calls = 0
+        self.shutdown = None
+        self.in_flight = calls_in_flight.CallsInFlight()
         self._tasks = set()
         self._last_request_number = 0
 
+    @property
+    def calls(self):
+        """Return the number of accepted calls that are not answered."""
+        return self.in_flight.number
+
+    @property
+    def leaving(self):
+        """Return whether the process reports unready to balancers."""
+        return self.shutdown is not None
+
+    @property
+    def draining(self):
+        """Return whether the process refuses new calls."""
+        return not self.accepts()
+
+    def accepts(self, needed_s=0.0):
+        """Return whether a call that arrives now is accepted.
+
+        :param needed_s: seconds that the call needs.
+        """
+        if self.shutdown is None:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        return self.shutdown.accepts(now_s, needed_s)
+
+    def begin_shutdown(self, planned):
+        """Begin a stop, or change its times.
+
+        :param planned: the Shutdown.
+        """
+        self.shutdown = planned
+        self.in_flight.end_uploads(planned.accept_until_s)
+        self.in_flight.end_calls(planned.finish_until_s + FINAL_ANSWER_S)
+
     def server(self, server_id):
         """Return a backend server by id, or None."""
         return self.view.state.servers.by_id.get(server_id)
@@ -111,14 +136,20 @@
         return task
 
     async def finish(self):
-        """Wait for all calls in flight and all spawned tasks.
+        """Finish all accepted calls and all spawned tasks.
 
-        Returns at the deadline of the stop even if work is left.
+        Calls that are not finished in time get a final answer.
         """
+        until_s = self.shutdown.finish_until_s
+        await self.in_flight.wait_until_finished(until_s)
+        if self.calls:
+            log.emit(catalogue.CALLS_ABANDONED, calls=self.calls)
+            for execution in tuple(self.running):
+                execution.end_for_shutdown()
+            await self.in_flight.wait_until_finished(
+                until_s + 2 * FINAL_ANSWER_S
+            )
         loop = asyncio.get_running_loop()
-        while self.calls and loop.time() < self.stop_deadline_s:
-            await asyncio.sleep(CALLS_POLL_S)
-        self.closing = True
-        while self._tasks and loop.time() < self.stop_deadline_s:
-            left_s = min(self.stop_deadline_s - loop.time(), MAX_TASKS_WAIT_S)
+        while self._tasks and loop.time() < self.shutdown.end_s:
+            left_s = self.shutdown.left_s(loop.time(), MAX_TASKS_WAIT_S)
             await asyncio.wait(self._tasks, timeout=left_s)
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -144,13 +144,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimeEnded:
-    """A deadline of the request has passed.
+    """The time of the request has run out.
 
     :param unless_output_started: whether a request that has produced output
         continues.
+    :param reason: the reason that its caller is told.
     """
 
     unless_output_started: bool = False
+    reason: outcomes.Reason = outcomes.Reason.DEADLINE_PASSED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -498,9 +498,8 @@
         if self.ended or (event.unless_output_started and self._output):
             return []
         self._sent = self._sent or self._may_be_running()
-        reason = outcomes.Reason.DEADLINE_PASSED
         return self._abort(
-            reason, 'the deadline passed before the answer was complete'
+            event.reason, 'the time ran out before the answer was complete'
         )
 
     def _caller_gone(self):
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -26,6 +26,7 @@
 from bulrushrudder.platform import services as plain_services
 from bulrushrudder.platform import statements
 from bulrushrudder.utils import authentication
+from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import web as web_utils
 
 # A server that has not answered a repeatable call within this multiple of
@@ -42,9 +43,6 @@
 MAX_FIELD_BYTES = 64 * 1024
 # Colon, blank and line end of a header line.
 HEADER_LINE_EXTRA_BYTES = 4
-_STOPPING = outcomes.not_run(
-    outcomes.Reason.SHUTTING_DOWN, 'this VM is shutting down', 0.05
-)
 _STREAM_UNKNOWN = outcomes.not_run(
     outcomes.Reason.STREAM_UNKNOWN,
     'it is not known which software version began the stream',
@@ -76,19 +74,23 @@
         :param stack: an AsyncExitStack that owns the listeners.
         :param settings: the Settings.
         :param entry: the EntryProcess.
+        :returns: the HttpListener for clients.
         """
         api = EntryApi(entry.services)
-        await web_utils.listen(
-            stack,
+        clients = http_listener.HttpListener(
             api.application(),
-            settings.entry.callers,
-            cancel_handlers=True,
-            get_timeouts=api.connection_timeouts,
-            shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
-            decompresses_bodies=False,
-            max_field_bytes=MAX_FIELD_BYTES,
+            http_listener.Options(
+                cancel_handlers=True,
+                get_timeouts=api.connection_timeouts,
+                closes_connections=lambda: entry.services.leaving,
+                shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+                decompresses_bodies=False,
+                max_field_bytes=MAX_FIELD_BYTES,
+            ),
         )
+        await clients.open(stack, settings.entry.callers)
         await web_utils.listen(stack, api.readiness(), settings.entry.ready)
+        return clients
 
 
 class EntryApi:
@@ -113,8 +115,8 @@
         """Return the ConnectionTimeouts of the document in force."""
         bounds = self._services.view.lookups.document.bounds
         if bounds is None:
-            return web_utils.DEFAULT_TIMEOUTS
-        return web_utils.ConnectionTimeouts(bounds.header_s, bounds.idle_s)
+            return http_listener.DEFAULT_TIMEOUTS
+        return http_listener.ConnectionTimeouts(bounds.header_s, bounds.idle_s)
 
     def readiness(self):
         """Return the aiohttp application for readiness checks."""
@@ -124,26 +126,18 @@
 
     async def _ready(self, http_request):
         shared = self._services
-        stopping = shared.leaving or shared.draining
         known = shared.view.lookups.document.version > 0
-        ready = known and not stopping
+        ready = known and not shared.leaving
         return web.json_response(
             {'ready': ready}, status=200 if ready else 503
         )
 
     async def _call(self, http_request):
-        self._services.calls += 1
         try:
-            response = await self._serve(http_request)
-            if self._services.leaving:
-                # Makes the client reconnect, to another VM.
-                response.force_close()
-            return response
+            return await self._serve(http_request)
         except Exception as error:
             refusal = refusals.from_exception(http_request, error, repr(error))
             return answers.refuse(refusal, None)
-        finally:
-            self._services.calls -= 1
 
     async def _serve(self, http_request):
         received_s = _now_s()
@@ -173,6 +167,21 @@
         forwarded_call = _build_forwarded_call(
             http_request, pairs, request_headers, admitted, body, received_s
         )
+        try:
+            async with self._services.in_flight.call():
+                return await self._dispatch(
+                    http_request, forwarded_call, request_headers, admitted
+                )
+        except TimeoutError:
+            return self._refuse(
+                refusals.at_shutdown(http_request),
+                request_headers.attempt,
+                admitted.route.id,
+            )
+
+    async def _dispatch(
+        self, http_request, forwarded_call, request_headers, admitted
+    ):
         service_id = _draw_service(admitted.route.target)
         service = self._services.view.lookups.services_by_id[service_id]
         if service.engine is None:
@@ -205,7 +214,9 @@
         max_bytes = bodies.MAX_BODY_BYTES
         if bounds is not None:
             max_bytes = bounds.max_body_bytes
-        return await bodies.read(http_request, max_bytes=max_bytes)
+        return await bodies.read_while_accepting(
+            self._services.in_flight, http_request, max_bytes=max_bytes
+        )
 
     def _admit(self, http_request):
         path, _, _ = http_request.raw_path.partition('?')
@@ -213,7 +224,7 @@
         return admission.admit(
             self._services.view,
             _now_s(),
-            self._services.closing,
+            self._services.draining,
             http_request.method,
             path,
             authentication.bearer_token(http_request),
@@ -263,7 +274,9 @@
     ):
         if not self._can_finish_before_stop(request_headers):
             return self._refuse(
-                _STOPPING, request_headers.attempt, admitted.route.id
+                admission.SHUTTING_DOWN,
+                request_headers.attempt,
+                admitted.route.id,
             )
         software = None
         if request_headers.last_event:
@@ -308,10 +321,10 @@
         Because estimates may be wrong, no stream is accepted later than
         STREAM_CUTOFF_AFTER_STOP_S after the request to stop.
         """
-        if (
-            _now_s()
-            > self._services.stop_requested_s + STREAM_CUTOFF_AFTER_STOP_S
-        ):
+        planned = self._services.shutdown
+        if planned is None:
+            return True
+        if _now_s() > planned.requested_s + STREAM_CUTOFF_AFTER_STOP_S:
             return False
         tokens = (
             request_headers.expected_tokens or request_headers.output_tokens
@@ -320,7 +333,7 @@
             platform_jobs.GRANT_TO_FIRST_EVENT_S
             + tokens * platform_jobs.ESTIMATED_TOKEN_S * LENGTH_ESTIMATE_MARGIN
         )
-        return _now_s() + needed_s < self._services.stop_deadline_s
+        return self._services.accepts(needed_s)
 
     def _refuse(self, refusal, attempt, route):
         refusals.record(self._services, refusal, attempt or 'none', route)
--- a/bulrushrudder/tests/entry/stop_tests.py
+++ b/bulrushrudder/tests/entry/stop_tests.py
@@ -31,6 +31,8 @@
 BALANCER_S = 0.4
 CALL_DURATION_S = 0.8
 TOKENS = 40
+CALLERS = 40
+CALLER_PAUSE_S = 0.1
 TOKEN_INTERVAL_S = 0.03
 START_TIMEOUT_S = 5.0
 
@@ -163,6 +165,27 @@
         self.assertEqual(closed, [sessions.CloseSession(owner)])
         self.assertEqual(self.calls_at_close, 0)
 
+    async def test_stop_ends_while_callers_go_on(self):
+        statuses = []
+
+        async def go_on():
+            with contextlib.suppress(aiohttp.ClientError):
+                while True:
+                    statuses.append((await self.file())[0])
+                    await asyncio.sleep(CALLER_PAUSE_S)
+
+        callers = [asyncio.create_task(go_on()) for _ in range(CALLERS)]
+        await self.wait_until_running()
+        loop = asyncio.get_running_loop()
+        await self.entry.leave()
+        began_s = loop.time()
+        await self.entry.stop()
+        took_s = loop.time() - began_s
+        await self.entry_stack.aclose()
+        await asyncio.gather(*callers)
+        self.assertLess(took_s, CALL_DURATION_S + START_TIMEOUT_S)
+        self.assertEqual(set(statuses), {200, 503})
+
     def hold_account(self):
         """Make the entry the holder of the account of the document."""
         owner = self.entry.services.owner
