Play planned stops in the soak, with clients that go on

Judges are those of the platform's rules on planned work, and of our own promises: a stop ends in time and by itself, refusals come at once, readiness stays down.

A seed that was played before gets a folder of its own: data left by an earlier play gave false breaks of CONFIG.

--- a/bulrushrudder/tests/soak/__main__.py
+++ b/bulrushrudder/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Plays seeds of the soak by hand: python -m bulrushrudder.tests.soak."""
 
 import concurrent.futures
+import itertools
 import pathlib
 import signal
 import sys
@@ -20,18 +21,27 @@
     root=str(programs.ROOT),
     disrupts=True,
     kills_at_start=False,
+    stops=False,
 ):
     """Play seeds and print a line for each.
 
     :param first: the first seed.
     :param jobs: seeds that are played at a time.
+    :param folder: where records and logs are kept; a seed that was played
+        there before gets another folder.
     :param root: the checkout whose programs run.
+    :param stops: play planned stops only.
     """
     plans = [
-        soak.Plan(seed, seconds, pathlib.Path(root), disrupts, kills_at_start)
+        soak.Plan(
+            seed, seconds, pathlib.Path(root), disrupts, kills_at_start, stops
+        )
         for seed in range(first, first + count)
     ]
-    folders = [pathlib.Path(folder) / str(plan.seed) for plan in plans]
+    folders = [
+        _free(pathlib.Path(folder).resolve() / str(plan.seed))
+        for plan in plans
+    ]
     broken = 0
     _exit_at_sigterm()
     with concurrent.futures.ProcessPoolExecutor(
@@ -44,6 +54,15 @@
     sys.exit(1 if broken else 0)
 
 
+def _free(folder):
+    """Return a folder that keeps no data of an earlier play."""
+    numbers = itertools.count(2)
+    free = folder
+    while free.exists():
+        free = folder.with_name(f'{folder.name}-{next(numbers)}')
+    return free
+
+
 def _exit_at_sigterm():
     """End by an exception at SIGTERM, so that all programs are ended."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
--- a/bulrushrudder/tests/soak/clients.py
+++ b/bulrushrudder/tests/soak/clients.py
@@ -88,11 +88,7 @@
             ('Content-Length', 3),
         ]
         if path.startswith('/draft'):
-            pairs += [
-                ('Model', 'm'),
-                ('Token-Usage', '1000,84'),
-                ('Prompt-Prefix', f'aa:200,{attempt}:800'),
-            ]
+            pairs += prompt(attempt)
         return http.head(f'POST {path} HTTP/1.1', pairs) + b'abc'
 
     async def _open(self):
@@ -109,3 +105,12 @@
         if self._writer is not None:
             self._writer.transport.abort()
         self._writer = self._reader = None
+
+
+def prompt(attempt):
+    """Return the headers that describe the prompt of an attempt."""
+    return [
+        ('Model', 'm'),
+        ('Token-Usage', '1000,84'),
+        ('Prompt-Prefix', f'aa:200,{attempt}:800'),
+    ]
--- a/bulrushrudder/tests/soak/disruptions.py
+++ b/bulrushrudder/tests/soak/disruptions.py
@@ -21,6 +21,14 @@
 )
 
 
+def is_calm(times_s, began_s, ended_s):
+    """Return whether no disruption touches a span of time.
+
+    :param times_s: seconds at which machines were disrupted.
+    """
+    return not any(began_s - CONTACT_S < at_s < ended_s for at_s in times_s)
+
+
 class Disruptions:
     """Disrupts machines and servers until cancelled.
 
@@ -56,9 +64,7 @@
 
         :param began_s: seconds since the soak began.
         """
-        return not any(
-            began_s - CONTACT_S < at_s < ended_s for at_s in self.times_s
-        )
+        return is_calm(self.times_s, began_s, ended_s)
 
     async def _repeat(self, disrupt):
         while True:
--- a/bulrushrudder/tests/soak/http.py
+++ b/bulrushrudder/tests/soak/http.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 CONNECT_TIMEOUT_S = 1.0
+# A body with a length is read in pieces of so many bytes.
+PIECE = 65536
 
 
 @dataclasses.dataclass
@@ -39,18 +41,39 @@
     return start, {n.strip().lower(): v.strip() for n, _, v in pairs}
 
 
-async def read_answer(reader, answer):
-    """Read an answer; what has arrived stays if it is cut off."""
-    start, answer.headers = await read_head(reader)
-    answer.status = int(start.split()[1])
-    if answer.headers.get('transfer-encoding') == 'chunked':
+async def read_body(reader, headers, for_s=0.0):
+    """Yield the pieces of a body.
+
+    :param for_s: seconds that a reader takes for a large body.
+    """
+    if headers.get('transfer-encoding') == 'chunked':
         while size := int(await reader.readuntil(b'\r\n'), 16):
-            answer.body += await reader.readexactly(size)
+            yield await reader.readexactly(size)
             await reader.readexactly(2)
         await reader.readexactly(2)
-    else:
-        length = int(answer.headers.get('content-length', 0))
-        answer.body = await reader.readexactly(length)
+        return
+    left = length = int(headers.get('content-length', 0))
+    while left:
+        piece = await reader.readexactly(min(left, PIECE))
+        left -= len(piece)
+        yield piece
+        if for_s:
+            await asyncio.sleep(for_s * len(piece) / max(length, 2**18))
+
+
+async def read_answer(reader, answer, for_s=0.0):
+    """Read an answer; what has arrived stays if it is cut off.
+
+    :param for_s: seconds that a reader takes for a large body.
+    """
+    start, answer.headers = await read_head(reader)
+    answer.status = int(start.split()[1])
+    body = bytearray()
+    try:
+        async for piece in read_body(reader, answer.headers, for_s):
+            body += piece
+    finally:
+        answer.body = bytes(body)
     answer.whole = True
 
 
--- a/bulrushrudder/tests/soak/operators.py
+++ b/bulrushrudder/tests/soak/operators.py
@@ -44,14 +44,16 @@
 
     :param fleet: the Fleet.
     :param rng: random.Random.
+    :param timeout_ms: the timeout of routes to plain services.
     :ivar versions: the Versions in the order in which they were sent.
     """
 
-    def __init__(self, fleet, rng):
+    def __init__(self, fleet, rng, timeout_ms=1500):
         self.versions = []
         self._fleet = fleet
         self._record = fleet.record
         self._rng = rng
+        self._timeout_ms = timeout_ms
         self._number = 0
         self._added = 0
         # Nothing says that the names of routes differ.
@@ -200,7 +202,7 @@
         content = {
             'version': self._number,
             'routes': [
-                _route(self._name(prefix), prefix, service)
+                _route(self._name(prefix), prefix, service, self._timeout_ms)
                 for prefix, service in self._services_by_path.items()
             ],
             'services': [
@@ -236,6 +238,16 @@
         return version
 
 
+def timeout_s(timeout_ms):
+    """Return a function of a path that returns its timeout in seconds."""
+
+    def of_path(path):
+        route = _route('', path, _service_of(path), timeout_ms)
+        return route['timeout_ms'] / 1000
+
+    return of_path
+
+
 def judge(versions, sent, runs, is_calm):
     """Yield Breaks of requests that were handled by an old version.
 
@@ -285,7 +297,11 @@
     }
 
 
-def _route(name, prefix, service):
+def _service_of(path):
+    return 'engines' if path.startswith('/draft') else 'plain'
+
+
+def _route(name, prefix, service, timeout_ms):
     stream = service == 'engines'
     return {
         'name': name,
@@ -296,8 +312,8 @@
         else 'idempotent'
         if prefix == '/look/'
         else 'non_idempotent',
-        'timeout_ms': 14000 if stream else 1500,
-        'target_latency_ms': 900 if stream else 150,
+        'timeout_ms': 14000 if stream else timeout_ms,
+        'target_latency_ms': 900 if stream else timeout_ms // 10,
         'priority': 1,
         'service': service,
         'max_attempts': 2,
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -34,6 +34,7 @@
 
     :param fleet: the Fleet.
     :param role: name of a role in the deploy file.
+    :ivar starts: how often the program was started.
     :ivar stopped: whether the soak ended the program, or has paused it.
     """
 
@@ -42,10 +43,26 @@
         self.role = role
         self.ip = ip
         self.zone = zone
+        self.starts = 0
         self.stopped = True
         self._fleet = fleet
         self._process = None
 
+    @property
+    def process(self):
+        """Return a name of the running program that no other has."""
+        return f'{self.name}/{self.starts}'
+
+    @property
+    def log(self):
+        """Return the path of the log of all starts."""
+        return self._fleet.folder / f'{self.name}.log'
+
+    @property
+    def exit_code(self):
+        """Return the exit code; None while the program runs."""
+        return self._process.poll()
+
     def address(self, port_name):
         """Return the address and port of a listener."""
         return self.ip, PORTS[port_name]
@@ -67,10 +84,11 @@
             'PYTHONPATH': str(fleet.root),
             **role.get('env', {}),
         }
-        with open(fleet.folder / f'{self.name}.log', 'ab') as log:
+        with open(self.log, 'ab') as log:
             self._process = subprocess.Popen(
                 words, cwd=fleet.root, env=environment, stdout=log, stderr=log
             )
+        self.starts += 1
         self.stopped = False
         fleet.record.write(f'{self.name}: started')
 
--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -2,6 +2,9 @@
 
 import collections
 import dataclasses
+import enum
+import hashlib
+import math
 import time
 
 PROMISES = (408, 421, 429, 503)
@@ -9,6 +12,17 @@
 # Faults of a server last at most this long.
 TROUBLE_S = 5.0
 MAX_CLOSED = 3
+# Longer bodies are kept as a digest.
+MAX_KEPT = 4096
+
+
+class Ending(enum.Enum):
+    """How a client's attempt ended."""
+
+    ANSWERED = 'answered'
+    LEFT = 'left by the client'
+    CLOSED = 'closed without a whole answer'
+    RESET = 'reset without a whole answer'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +34,11 @@
     :param status: 0 without an answer.
     :param closed: whether the connection, kept from an earlier request,
         ended before the answer did.
+    :param process: the process that took the connection.
+    :param last_byte_s: when the request had been sent; None if it was not
+        sent as a whole.
+    :param due_s: when it had been sent and the answer before it was read.
+    :param deadline_s: seconds from sent_s on that the client waits.
     """
 
     attempt: str
@@ -32,6 +51,11 @@
     whole: bool
     signature: str
     closed: bool
+    process: str = ''
+    last_byte_s: float | None = None
+    due_s: float | None = None
+    ending: Ending = Ending.ANSWERED
+    deadline_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +89,7 @@
     :ivar troubles_by_server: seconds at which a server began or ceased to
         misbehave, started, left or ended.
     :ivar breaks: rules that were found broken while the soak ran.
+    :ivar arrived: attempts that reached a server.
     """
 
     def __init__(self, file):
@@ -74,6 +99,8 @@
         self.troubles_by_server = collections.defaultdict(list)
         self._runs_by_attempt = collections.defaultdict(list)
         self.breaks = []
+        self.arrived = set()
+        self._ends_by_run = {}
 
     def now_s(self):
         """Return the seconds since the soak began."""
@@ -89,7 +116,8 @@
         self.write(
             f'client: {sent.attempt} to {sent.path} sent at '
             f'{sent.sent_s:.3f}: status {sent.status}, '
-            f'{"whole" if sent.whole else "not whole"}'
+            f'{"whole" if sent.whole else "not whole"}, {sent.ending.value}'
+            f' {sent.process}'
         )
 
     def add_run(self, attempt, run):
@@ -97,6 +125,24 @@
         self._runs_by_attempt[attempt].append(run)
         self.write(f'{run.server}: runs {attempt}')
 
+    def end_run(self, attempt, server):
+        """Record that a server is no longer at work on an attempt."""
+        self._ends_by_run[attempt, server] = self.now_s()
+        self.write(f'{server}: ends {attempt}')
+
+    def worked_until_s(self, attempt):
+        """Return when the last server ended its work on an attempt.
+
+        :returns: seconds; 0 if there was none, infinity if it goes on.
+        """
+        return max(
+            (
+                self._ends_by_run.get((attempt, run.server), math.inf)
+                for run in self.runs(attempt)
+            ),
+            default=0.0,
+        )
+
     def add_trouble(self, server, text):
         """Record that a server begins or ceases to misbehave."""
         self.troubles_by_server[server].append(self.now_s())
@@ -165,3 +211,16 @@
             answers = [(run.signature, run.body) for run in runs]
             if (sent.signature, sent.body) not in answers:
                 yield Break('MIXED', f'{where} got another answer')
+
+
+def condensed(body):
+    """Return a body as it is kept, which may be a digest."""
+    if len(body) <= MAX_KEPT:
+        return body
+    return hashlib.blake2b(body).digest()
+
+
+def filler(attempt, size):
+    """Return so many bytes that belong to an attempt."""
+    pattern = f'{attempt} '.encode()
+    return (pattern * (size // len(pattern) + 1))[:size]
--- a/bulrushrudder/tests/soak/servers.py
+++ b/bulrushrudder/tests/soak/servers.py
@@ -10,14 +10,14 @@
 from bulrushrudder.tests.soak import faults
 from bulrushrudder.tests.soak import http
 from bulrushrudder.tests.soak import record
+from bulrushrudder.tests.soak import works
 
 PREFIX = '/bulrushrudder'
 HEARTBEAT_S = 1.2
 QUEUE = 3
 PREFILL_S = 0.05
-WORK_S = 0.03
-EVENTS = 6
-EVENT_S = 0.02
+# How often a server at work looks whether its caller has left.
+LOOK_S = 0.05
 # A server that leaves goes on serving for the first time, and no request
 # may reach it after the second one.
 EXIT_AFTER_S = 3.0
@@ -29,12 +29,14 @@
     """A request as it arrived.
 
     :ivar connection: number of the connection at this server.
+    :ivar reader: what the connection sends behind the request.
     """
 
     method: str
     target: str
     headers: dict
     connection: int
+    reader: asyncio.StreamReader
 
     @property
     def attempt(self):
@@ -47,13 +49,16 @@
     :param fleet: the Fleet, whose control processes it registers with.
     :param rng: random.Random that decides which requests a fault meets.
     :param stage: prefill, decode, or None for a plain service.
+    :param draw: function of rng that returns the Work for a call.
     :ivar fault: the Fault of now, or None.
     :ivar fault_share: share of the requests that it meets.
     :ivar late_arrivals: seconds of the acknowledgement that the server has
         left, and of a request that came later than DRAIN_S after it.
     """
 
-    def __init__(self, fleet, rng, name, service, stage=None, slots=6):
+    def __init__(
+        self, fleet, rng, name, service, stage=None, slots=6, draw=works.quick
+    ):
         self.fault = None
         self.fault_share = 0.0
         self.id = ''
@@ -65,6 +70,7 @@
         self._service = service
         self._stage = stage
         self._slots = slots
+        self._draw = draw
         self._incarnations = itertools.count(1)
         self._handles = itertools.count(1)
         self._address = ('127.0.0.1', 0)
@@ -186,8 +192,11 @@
             while True:
                 start, headers = await http.read_head(reader)
                 method, target, _ = start.split()
-                await reader.readexactly(int(headers.get('content-length', 0)))
-                request = Request(method, target, headers, connection)
+                body = b''.join(
+                    [piece async for piece in http.read_body(reader, headers)]
+                )
+                request = Request(method, target, headers, connection, reader)
+                self._check_body(request, body)
                 await self._handle(request, writer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
@@ -202,6 +211,7 @@
         if request.target.startswith(PREFIX):
             self._write(request, writer, self._own_answer(request))
             return
+        self._record.arrived.add(request.attempt)
         expected = request.headers.get('expect-instance')
         if expected not in (None, self.id):
             self._reject(request, writer, '421 Misdirected Request')
@@ -294,10 +304,12 @@
         )
 
     async def _run(self, request, writer, fault):
+        work = self._draw(self._rng)
         if self._stage == 'decode':
-            body = b''.join(self._events(request))
+            body = b''.join(works.events(request.attempt, work))
         else:
             body = f'done {request.attempt} '.encode() * 20
+            body += record.filler(request.attempt, work.filler)
         self._record.add_run(
             request.attempt,
             record.Run(
@@ -305,12 +317,19 @@
                 self._service,
                 self._record.now_s(),
                 self._signature(request),
-                body,
+                record.condensed(body),
             ),
         )
+        try:
+            await self._execute(request, writer, fault, work, body)
+            await writer.drain()
+        finally:
+            self._record.end_run(request.attempt, self.id)
+
+    async def _execute(self, request, writer, fault, work, body):
         if isinstance(fault, faults.Stalls):
             await asyncio.sleep(fault.for_s)
-        await asyncio.sleep(WORK_S)
+        await self._work(request, work.takes_s)
         match fault:
             case faults.LosesAnswers():
                 raise ConnectionResetError
@@ -325,30 +344,43 @@
                 failure = self._answer(request, b'', f'{status} Failure')
                 self._write(request, writer, failure)
             case _ if self._stage == 'decode':
-                await self._stream(request, writer)
+                await self._stream(request, writer, work)
             case faults.AddsBytes():
                 self._write(request, writer, self._answer(request, body))
                 writer.write(b'more')
             case _:
                 self._write(request, writer, self._answer(request, body))
 
-    def _events(self, request):
-        return [
-            f'id: {number}\ndata: {request.attempt}-{number}\n\n'.encode()
-            for number in range(1, EVENTS + 1)
-        ]
+    async def _work(self, request, for_s):
+        """Work until the time has passed or the connection is closed."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + for_s
+        while (left_s := until_s - loop.time()) > 0:
+            if request.reader.at_eof():
+                raise ConnectionResetError
+            await asyncio.sleep(min(left_s, LOOK_S))
+
+    def _check_body(self, request, body):
+        """Check that a body is the one that the client sent."""
+        size = request.headers.get('body-size')
+        if size is None or request.method != 'POST':
+            return
+        if body != record.filler(request.attempt, int(size)):
+            self._record.add_break(
+                'UNASKED', f'{request.attempt} reached {self.id} changed'
+            )
 
-    async def _stream(self, request, writer):
+    async def _stream(self, request, writer, work):
         pairs = [
             *self._pairs(request),
             ('Content-Type', 'text/event-stream'),
             ('Transfer-Encoding', 'chunked'),
         ]
         self._write(request, writer, http.head('HTTP/1.1 200 OK', pairs))
-        for event in self._events(request):
+        for event in works.events(request.attempt, work):
             writer.write(http.chunk(event))
             await writer.drain()
-            await asyncio.sleep(EVENT_S)
+            await self._work(request, work.gap_s)
         writer.write(http.chunk(b''))
 
     def _answer(self, request, body, status='200 OK'):
--- a/bulrushrudder/tests/soak/soak.py
+++ b/bulrushrudder/tests/soak/soak.py
@@ -11,14 +11,36 @@
 
 from bulrushrudder.tests.soak import clients
 from bulrushrudder.tests.soak import disruptions
+from bulrushrudder.tests.soak import going_on
 from bulrushrudder.tests.soak import http
 from bulrushrudder.tests.soak import operators
 from bulrushrudder.tests.soak import programs
 from bulrushrudder.tests.soak import record
 from bulrushrudder.tests.soak import servers
+from bulrushrudder.tests.soak import stop_judges
+from bulrushrudder.tests.soak import stops
+from bulrushrudder.tests.soak import works
 
 CLIENTS = 12
+STOPS_CLIENTS = 32
+STOPS_TIMEOUT_MS = 6000
 READY_TIMEOUT_S = 30.0
+LAG_STEP_S = 0.05
+# Name, service, stage and slots of the servers.
+POOL = (
+    ('pl-a', 'plain'),
+    ('pl-b', 'plain'),
+    ('pl-c', 'plain'),
+    ('ot-a', 'other'),
+    ('ot-b', 'other'),
+    ('pr-a', 'engines', 'prefill', 64),
+    ('de-a', 'engines', 'decode', 64),
+    ('de-b', 'engines', 'decode', 64),
+)
+# Slow calls need more places if none is to wait for one.
+STOPS_POOL = tuple(
+    (*terms[:2], *(terms[2:3] or (None,)), 64) for terms in POOL
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +52,8 @@
     :param disrupts: whether there are disruptions at all.
     :param kills_at_start: whether a control process is killed while the
         whole system starts for the first time.
+    :param stops: whether planned stops are all that is played, at clients
+        that go on and servers that take their time.
     """
 
     seed: int
@@ -37,6 +61,7 @@
     root: pathlib.Path = programs.ROOT
     disrupts: bool = True
     kills_at_start: bool = False
+    stops: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,11 +69,15 @@
     """What a seed has shown.
 
     :param served: share of the attempts that were answered with 200.
+    :param stops: planned stops of machines that clients reach.
+    :param lag_s: the longest time that the soak itself was held up.
     """
 
     plan: Plan
     breaks: tuple[record.Break, ...]
     served: float
+    stops: int = 0
+    lag_s: float = 0.0
 
 
 def play(plan, folder=None):
@@ -77,23 +106,21 @@
         self._fleet = fleet
         self._record = fleet.record
         self._rng = rng
-        self._operator = operators.Operator(fleet, self._fork())
+        self._lag_s = 0.0
+        self._operator = operators.Operator(
+            fleet,
+            self._fork(),
+            *((STOPS_TIMEOUT_MS,) if plan.stops else ()),
+        )
+        draw = works.varied if plan.stops else works.quick
         self._pool = [
-            servers.Server(fleet, self._fork(), *terms)
-            for terms in (
-                ('pl-a', 'plain'),
-                ('pl-b', 'plain'),
-                ('pl-c', 'plain'),
-                ('ot-a', 'other'),
-                ('ot-b', 'other'),
-                ('pr-a', 'engines', 'prefill', 64),
-                ('de-a', 'engines', 'decode', 64),
-                ('de-b', 'engines', 'decode', 64),
-            )
+            servers.Server(fleet, self._fork(), *terms, draw=draw)
+            for terms in (STOPS_POOL if plan.stops else POOL)
         ]
         self._disruptions = disruptions.Disruptions(
             fleet, self._pool, self._fork()
         )
+        self._stops = stops.Stops(fleet, self._fork())
 
     def _fork(self):
         """Return a random.Random that no other part draws from."""
@@ -113,11 +140,18 @@
             *self._record.judge(),
             *self._judge_configuration(),
             *self._judge_departures(),
-            *self._record.judge_closed(self._disruptions.is_calm),
+            *self._record.judge_closed(self._is_calm),
+            *stop_judges.judge(self._record, self._plays()),
         ]
         for broken in breaks:
             self._record.write(f'{broken.rule}: {broken.detail}')
-        return Verdict(self._plan, tuple(breaks), self._record.served())
+        return Verdict(
+            self._plan,
+            tuple(breaks),
+            self._record.served(),
+            len(self._stops.stops),
+            self._lag_s,
+        )
 
     async def _play(self, stack):
         for server in self._pool:
@@ -126,16 +160,18 @@
         if not await self._wait_until_ready():
             self._record.add_break('FAULT', 'the system did not get ready')
             return
-        tasks = []
-        for _ in range(CLIENTS):
-            client = clients.Client(
-                self._fleet, self._fork(), self._operator.paths
-            )
-            tasks.append(self._spawn(stack, client.run()))
+        self._spawn(stack, self._watch_lag())
+        tasks = [
+            self._spawn(stack, client.run()) for client in self._clients()
+        ]
         tasks.append(self._spawn(stack, self._operate()))
-        if self._plan.disrupts:
-            tasks.append(self._spawn(stack, self._disruptions.run()))
-        await asyncio.wait(tasks, timeout=self._plan.seconds)
+        if self._plan.stops:
+            tasks.append(self._spawn(stack, self._stops.probe()))
+            await self._stops.run(self._plan.seconds)
+        else:
+            if self._plan.disrupts:
+                tasks.append(self._spawn(stack, self._disruptions.run()))
+            await asyncio.wait(tasks, timeout=self._plan.seconds)
         for task in tasks:
             task.cancel()
         await asyncio.wait(tasks)
@@ -145,6 +181,25 @@
         await self._recover()
         await self._operator.read_at_end()
 
+    def _clients(self):
+        kind, count = clients.Client, CLIENTS
+        if self._plan.stops:
+            kind, count = going_on.Client, STOPS_CLIENTS
+        return [
+            kind(self._fleet, self._fork(), self._operator.paths)
+            for _ in range(count)
+        ]
+
+    async def _watch_lag(self):
+        """Note how long the loop of the soak itself is held up."""
+        while True:
+            began_s = self._record.now_s()
+            await asyncio.sleep(LAG_STEP_S)
+            lag_s = self._record.now_s() - began_s - LAG_STEP_S
+            if lag_s > LAG_STEP_S:
+                self._record.write(f'soak: held up for {lag_s:.3f} s')
+            self._lag_s = max(self._lag_s, lag_s)
+
     async def _recover(self):
         """Bring all machines back."""
         for machine in self._fleet.machines:
@@ -189,7 +244,23 @@
             self._operator.versions,
             self._record.sent,
             self._record.runs,
-            self._disruptions.is_calm,
+            self._is_calm,
+        )
+
+    def _is_calm(self, began_s, ended_s):
+        """Return whether all machines were in touch for some time."""
+        return self._disruptions.is_calm(
+            began_s, ended_s
+        ) and disruptions.is_calm(self._stops.times_s, began_s, ended_s)
+
+    def _plays(self):
+        return stop_judges.Plays(
+            tuple(self._stops.stops),
+            tuple(self._stops.core_stops),
+            tuple(self._stops.hangups),
+            tuple(self._stops.probes),
+            tuple(self._disruptions.times_s),
+            operators.timeout_s(STOPS_TIMEOUT_MS),
         )
 
     def _judge_departures(self):
@@ -199,7 +270,7 @@
         """
         for server in self._pool:
             for gone_s, at_s in server.late_arrivals:
-                if self._disruptions.is_calm(gone_s, at_s):
+                if self._is_calm(gone_s, at_s):
                     yield record.Break(
                         'DRAIN',
                         f'{server.id} got a request {at_s - gone_s:.2f} s '
@@ -222,6 +293,8 @@
             'seed': verdict.plan.seed,
             'served': round(verdict.served, 3),
             'broken': counts,
+            'stops': verdict.stops,
+            'lag_s': round(verdict.lag_s, 3),
             'first': verdict.breaks[0].detail if verdict.breaks else '',
         }
     )
--- /dev/null
+++ b/bulrushrudder/tests/soak/stop_judges.py
@@ -0,0 +1,194 @@
+"""Judges what clients and servers saw around planned stops."""
+
+import dataclasses
+
+from bulrushrudder.tests.soak import disruptions
+from bulrushrudder.tests.soak import programs
+from bulrushrudder.tests.soak import record
+
+GRACE_S = programs.STOP_GRACE_S
+LOSS_SLACK_S = 0.2
+# Servers still at work on calls that were sent until the first time may be
+# broken off in the last sixth of the grace period.
+LONG_SENT_S = 3.0
+LONG_WORK_S = GRACE_S * 5 / 6
+PLANNED_S = GRACE_S + 1.0
+REFUSAL_S = 0.5
+NOT_READY_S = 1.0
+# deploy/entry.yaml
+BALANCER_S = 2.5
+# A stop ends so long after its last call, which makes 4 s in all for a
+# machine whose calls are quick.
+LEAVE_S = 1.5
+REFUSALS = (429, 503)
+CUT = (record.Ending.CLOSED, record.Ending.RESET)
+SIGKILLED = -9
+SIGTERMED = -15
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plays:
+    """What was played.
+
+    :param stops: the Stops of machines that clients reach.
+    :param core_stops: the Stops of machines of the core.
+    :param hangups: processes that got SIGHUP, and seconds.
+    :param probes: the Probes.
+    :param unplanned_s: seconds of unplanned disruptions.
+    :param timeout_s: the timeout of a path's route; a function of the path.
+    """
+
+    stops: tuple
+    core_stops: tuple
+    hangups: tuple
+    probes: tuple
+    unplanned_s: tuple
+    timeout_s: object
+
+
+def judge(seen, plays):
+    """Yield the Breaks of planned stops.
+
+    :param seen: the Record.
+    """
+    calls = [sent for sent in seen.sent if sent.process]
+    for call in calls:
+        if _is_cut(seen, plays, call):
+            yield record.Break(_rule_of_cut(plays, call), _cut(seen, call))
+        yield from _judge_refusal(plays, call)
+    for stop in plays.stops:
+        yield from _judge_end(stop)
+        yield from _judge_length(seen, plays, stop, calls)
+        yield from _judge_readiness(plays, stop)
+    for stop in plays.core_stops:
+        yield from _judge_end(stop)
+
+
+def _is_cut(seen, plays, call):
+    """Return whether a call ended without the answer that was owed."""
+    if call.ending not in CUT or call.last_byte_s is None:
+        return False
+    if any(
+        call.sent_s - disruptions.CONTACT_S < at_s < call.ended_s
+        for at_s in plays.unplanned_s
+    ):
+        return False
+    if _was_over(plays, call) or _server_broke_off(seen, call):
+        return False
+    if _worked_long(seen, plays, call):
+        return False
+    passed_on = call.attempt in seen.arrived
+    return passed_on or call.ended_s - call.due_s > LOSS_SLACK_S
+
+
+def _was_over(plays, call):
+    """Return whether the deadline or the timeout was reached."""
+    most_s = min(call.deadline_s, plays.timeout_s(call.path))
+    return call.ended_s - call.sent_s >= most_s
+
+
+def _server_broke_off(seen, call):
+    return bool(seen.runs(call.attempt)) and not seen.ran_soundly(call)
+
+
+def _worked_long(seen, plays, call):
+    """Return whether a server was at work almost until the kill."""
+    return any(
+        call.last_byte_s <= stop.began_s + LONG_SENT_S
+        and seen.worked_until_s(call.attempt) >= stop.began_s + LONG_WORK_S
+        for stop in plays.stops
+        if stop.process == call.process
+    )
+
+
+def _rule_of_cut(plays, call):
+    """Return LOST around planned work, and CUT at other times."""
+    around_stop = any(
+        stop.process == call.process
+        and stop.began_s < call.ended_s
+        and call.sent_s < stop.began_s + PLANNED_S
+        for stop in plays.stops
+    )
+    around_hangup = any(
+        process == call.process
+        and call.sent_s < at_s + record.CONFIG_APPLY_S
+        and at_s < call.ended_s
+        for process, at_s in plays.hangups
+    )
+    return 'LOST' if around_stop or around_hangup else 'CUT'
+
+
+def _cut(seen, call):
+    passed_on = 'passed on' if call.attempt in seen.arrived else 'not passed'
+    return (
+        f'{call.attempt} to {call.path} at {call.process}, sent '
+        f'{call.sent_s:.3f} to {call.last_byte_s:.3f}, {passed_on}, '
+        f'{call.ending.value} at {call.ended_s:.3f}, status {call.status}'
+    )
+
+
+def _judge_refusal(plays, call):
+    """Yield a Break if a process that stops refuses a call late."""
+    if call.status not in REFUSALS or call.due_s is None:
+        return
+    late_s = call.ended_s - call.due_s
+    if late_s > REFUSAL_S and any(
+        stop.process == call.process and stop.began_s < call.ended_s
+        for stop in plays.stops
+    ):
+        yield record.Break(
+            'LATE',
+            f'{call.attempt} to {call.path} at {call.process} got '
+            f'{call.status} {late_s:.3f} s after its last byte, at '
+            f'{call.ended_s:.3f}',
+        )
+
+
+def _judge_end(stop):
+    """Yield a Break if a process did not end by itself and in time."""
+    took_s = stop.ended_s - stop.began_s
+    if stop.exit_code == SIGKILLED:
+        yield record.Break(
+            'STOP', f'{stop.process} had to be killed after {took_s:.2f} s'
+        )
+    # A process that has just been started has no handler yet.
+    elif stop.exit_code and (stop.was_ready or stop.exit_code != SIGTERMED):
+        yield record.Break(
+            'FAULT',
+            f'{stop.process} ended {took_s:.2f} s after SIGTERM with exit '
+            f'code {stop.exit_code}',
+        )
+
+
+def _judge_length(seen, plays, stop, calls):
+    """Yield a Break if a stop goes on after its last call has ended."""
+    closes_s = stop.began_s + BALANCER_S
+    accepted_s = [
+        call.ended_s
+        for call in calls
+        if call.process == stop.process and call.sent_s < closes_s
+    ]
+    last_s = max([closes_s, *accepted_s])
+    if stop.ended_s > last_s + LEAVE_S:
+        yield record.Break(
+            'STOP',
+            f'{stop.process} ended {stop.ended_s - stop.began_s:.2f} s after '
+            f'SIGTERM; the last call sent before it closes ended after '
+            f'{last_s - stop.began_s:.2f} s',
+        )
+
+
+def _judge_readiness(plays, stop):
+    """Yield a Break if a process that stops says that it is ready."""
+    for probe in plays.probes:
+        if (
+            probe.process == stop.process
+            and stop.began_s + NOT_READY_S < probe.sent_s < stop.ended_s
+            and probe.status == 200
+        ):
+            yield record.Break(
+                'DRAIN',
+                f'{stop.process} was ready '
+                f'{probe.sent_s - stop.began_s:.2f} s after SIGTERM',
+            )
+            return
