Show calls that are cut off at planned stops, in a seeded play

Seed 5 of the planned stops fails: calls to edge-2 that were passed on end without an answer when the process is killed 8 s after SIGTERM.

--- a/bulrushrudder/tests/soak/going_on.py
+++ b/bulrushrudder/tests/soak/going_on.py
@@ -37,8 +37,8 @@
     """A client that sends calls until it is cancelled.
 
     It stays at a machine until that refuses connections. A share of the
-    clients goes on after an answer with Connection: close, and a share
-    reads slowly.
+    clients goes on after an answer with Connection: close and does not
+    wait as told, and a share reads slowly.
 
     :param fleet: the Fleet.
     :param rng: random.Random of this client.
@@ -61,9 +61,12 @@
         """Send calls until cancelled."""
         try:
             while True:
+                pause_s = self._rng.uniform(0.0, 0.05)
                 if self._is_open() or await self._open():
-                    await self._play(manners.draw(self._rng))
-                await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+                    retry_after_s = await self._play(manners.draw(self._rng))
+                    if self._leaves:
+                        pause_s = max(pause_s, min(0.5, retry_after_s))
+                await asyncio.sleep(pause_s)
         finally:
             self._close()
 
@@ -100,7 +103,10 @@
         return True
 
     async def _play(self, manner):
-        """Send one call or two, and read the answers."""
+        """Send one call or two, and read the answers.
+
+        :returns: seconds after which the client is asked to come back.
+        """
         count = 2 if isinstance(manner, manners.Pipelined) else 1
         calls = [self._new_call() for _ in range(count)]
         sending = asyncio.create_task(self._send(calls, manner))
@@ -115,6 +121,7 @@
         elif self._leaves and self._says_close(calls[-1]):
             self._close()
             self._machine = self._rng.choice(self._fleet.edges)
+        return float(calls[-1].answer.headers.get('retry-after', 0.0))
 
     def _says_close(self, call):
         return call.answer.headers.get('connection', '').lower() == 'close'
--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -113,9 +113,10 @@
     def add_sent(self, sent):
         """Record a client's attempt with what it got."""
         self.sent.append(sent)
+        due = '' if sent.due_s is None else f', due from {sent.due_s:.3f}'
         self.write(
             f'client: {sent.attempt} to {sent.path} sent at '
-            f'{sent.sent_s:.3f}: status {sent.status}, '
+            f'{sent.sent_s:.3f}{due}: status {sent.status}, '
             f'{"whole" if sent.whole else "not whole"}, {sent.ending.value}'
             f' {sent.process}'
         )
--- a/bulrushrudder/tests/soak/soak_tests.py
+++ b/bulrushrudder/tests/soak/soak_tests.py
@@ -10,6 +10,7 @@
         verdict = soak.play(soak.Plan(**terms))
         self.assertEqual(verdict.breaks, ())
         self.assertGreater(verdict.served, 0.5)
+        return verdict
 
     def test_rules_hold_without_disruptions(self):
         self.check(seed=1, seconds=4.0, disrupts=False)
@@ -22,3 +23,10 @@
 
     def test_system_starts_while_a_control_process_is_killed(self):
         self.check(seed=108, seconds=2.0, disrupts=False, kills_at_start=True)
+
+    # Guards against calls that are passed on and cut off, because a process
+    # takes calls until it is killed as long as clients go on.
+
+    def test_no_call_is_cut_off_while_machines_stop_as_planned(self):
+        verdict = self.check(seed=5, seconds=5.0, stops=True)
+        self.assertGreater(verdict.stops, 0)
--- a/bulrushrudder/tests/soak/stop_judges.py
+++ b/bulrushrudder/tests/soak/stop_judges.py
@@ -122,7 +122,8 @@
     passed_on = 'passed on' if call.attempt in seen.arrived else 'not passed'
     return (
         f'{call.attempt} to {call.path} at {call.process}, sent '
-        f'{call.sent_s:.3f} to {call.last_byte_s:.3f}, {passed_on}, '
+        f'{call.sent_s:.3f} to {call.last_byte_s:.3f}, due from '
+        f'{call.due_s:.3f}, {passed_on}, '
         f'{call.ending.value} at {call.ended_s:.3f}, status {call.status}'
     )
 
