--- a/bulrushrudder/tests/soak/faults.py
+++ b/bulrushrudder/tests/soak/faults.py
@@ -61,3 +61,5 @@
     | Fails
     | Stalls
 )
+# A server with these ends the connection before the answer is complete.
+BREAKING_OFF = (LosesAnswers, CutsAnswers, Garbles)
--- a/bulrushrudder/tests/soak/going_on.py
+++ b/bulrushrudder/tests/soak/going_on.py
@@ -111,12 +111,12 @@
         calls = [self._new_call() for _ in range(count)]
         sending = asyncio.create_task(self._send(calls, manner))
         try:
-            endings = [await self._read(call) for call in calls]
+            ending = await self._read_all(calls)
         finally:
             sending.cancel()
             with contextlib.suppress(OSError, asyncio.CancelledError):
                 await sending
-        if any(ending is not record.Ending.ANSWERED for ending in endings):
+        if ending is not record.Ending.ANSWERED:
             self._close()
         elif self._leaves and self._says_close(calls[-1]):
             self._close()
@@ -156,6 +156,20 @@
         self._writer.write(http.chunk(b''))
         await self._writer.drain()
 
+    async def _read_all(self, calls):
+        """Read answers until one does not come.
+
+        :returns: the Ending of all calls from there on.
+        """
+        ending = record.Ending.ANSWERED
+        for call in calls:
+            if ending is record.Ending.ANSWERED:
+                ending = await self._read(call)
+            else:
+                # Nothing can be told from bytes behind a missing answer.
+                self._record.add_sent(self._seen(call, ending))
+        return ending
+
     async def _read(self, call):
         """Read an answer and record what came.
 
--- a/bulrushrudder/tests/soak/http.py
+++ b/bulrushrudder/tests/soak/http.py
@@ -22,6 +22,25 @@
     whole: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request as it arrived.
+
+    :ivar connection: number of the connection at this server.
+    :ivar reader: what the connection sends behind the request.
+    """
+
+    method: str
+    target: str
+    headers: dict
+    connection: int
+    reader: asyncio.StreamReader
+
+    @property
+    def attempt(self):
+        return self.headers.get('attempt-id', '')
+
+
 def head(start, pairs):
     """Return the head of a request or an answer as bytes."""
     lines = [start, *(f'{name}: {value}' for name, value in pairs)]
--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -90,6 +90,7 @@
         misbehave, started, left or ended.
     :ivar breaks: rules that were found broken while the soak ran.
     :ivar arrived: attempts that reached a server.
+    :ivar broken_off: attempts at which a server ended the connection.
     """
 
     def __init__(self, file):
@@ -100,6 +101,7 @@
         self._runs_by_attempt = collections.defaultdict(list)
         self.breaks = []
         self.arrived = set()
+        self.broken_off = set()
         self._ends_by_run = {}
 
     def now_s(self):
--- a/bulrushrudder/tests/soak/servers.py
+++ b/bulrushrudder/tests/soak/servers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import itertools
 import json
 import time
@@ -24,25 +23,6 @@
 DRAIN_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A request as it arrived.
-
-    :ivar connection: number of the connection at this server.
-    :ivar reader: what the connection sends behind the request.
-    """
-
-    method: str
-    target: str
-    headers: dict
-    connection: int
-    reader: asyncio.StreamReader
-
-    @property
-    def attempt(self):
-        return self.headers.get('attempt-id', '')
-
-
 class Server:
     """One runner, which lives through several incarnations.
 
@@ -83,6 +63,7 @@
         self._busy = 0
         self._waiting = []
         self._writers = set()
+        self._running = set()
         self._copies = {}
         self._tasks = set()
         self._listener = None
@@ -111,6 +92,7 @@
     def crash(self):
         """End without a word."""
         self._record.add_trouble(self.id, 'crashes')
+        self._record.broken_off |= self._running
         self._beats.cancel()
         self._listener.close()
         for writer in self._writers:
@@ -195,7 +177,9 @@
                 body = b''.join(
                     [piece async for piece in http.read_body(reader, headers)]
                 )
-                request = Request(method, target, headers, connection, reader)
+                request = http.Request(
+                    method, target, headers, connection, reader
+                )
                 self._check_body(request, body)
                 await self._handle(request, writer)
                 await writer.drain()
@@ -320,16 +304,20 @@
                 record.condensed(body),
             ),
         )
+        self._running.add(request.attempt)
         try:
             await self._execute(request, writer, fault, work, body)
             await writer.drain()
         finally:
+            self._running.discard(request.attempt)
             self._record.end_run(request.attempt, self.id)
 
     async def _execute(self, request, writer, fault, work, body):
         if isinstance(fault, faults.Stalls):
             await asyncio.sleep(fault.for_s)
         await self._work(request, work.takes_s)
+        if isinstance(fault, faults.BREAKING_OFF):
+            self._record.broken_off.add(request.attempt)
         match fault:
             case faults.LosesAnswers():
                 raise ConnectionResetError
--- a/bulrushrudder/tests/soak/stop_judges.py
+++ b/bulrushrudder/tests/soak/stop_judges.py
@@ -56,6 +56,7 @@
         if _is_cut(seen, plays, call):
             yield record.Break(_rule_of_cut(plays, call), _cut(seen, call))
         yield from _judge_refusal(plays, call)
+        yield from _judge_silence(plays, call)
     for stop in plays.stops:
         yield from _judge_end(stop)
         yield from _judge_length(seen, plays, stop, calls)
@@ -73,7 +74,7 @@
         for at_s in plays.unplanned_s
     ):
         return False
-    if _was_over(plays, call) or _server_broke_off(seen, call):
+    if _was_over(plays, call) or call.attempt in seen.broken_off:
         return False
     if _worked_long(seen, plays, call):
         return False
@@ -87,10 +88,6 @@
     return call.ended_s - call.sent_s >= most_s
 
 
-def _server_broke_off(seen, call):
-    return bool(seen.runs(call.attempt)) and not seen.ran_soundly(call)
-
-
 def _worked_long(seen, plays, call):
     """Return whether a server was at work almost until the kill."""
     return any(
@@ -145,6 +142,21 @@
         )
 
 
+def _judge_silence(plays, call):
+    """Yield a Break if a call has no answer at its route's timeout."""
+    if call.ending is not record.Ending.LEFT or call.status:
+        return
+    if call.due_s is None:
+        return
+    silent_s = call.ended_s - call.due_s
+    if silent_s > plays.timeout_s(call.path) + REFUSAL_S:
+        yield record.Break(
+            'SILENT',
+            f'{call.attempt} to {call.path} at {call.process}, sent '
+            f'{call.sent_s:.3f}, had no answer after {silent_s:.3f} s',
+        )
+
+
 def _judge_end(stop):
     """Yield a Break if a process did not end by itself and in time."""
     took_s = stop.ended_s - stop.began_s
