--- a/bulrushrudder/tests/soak/going_on.py
+++ b/bulrushrudder/tests/soak/going_on.py
@@ -167,6 +167,7 @@
                 ending = await self._read(call)
             else:
                 # Nothing can be told from bytes behind a missing answer.
+                self._expect(call)
                 self._record.add_sent(self._seen(call, ending))
         return ending
 
@@ -175,8 +176,7 @@
 
         :returns: the Ending.
         """
-        if call.due_s is not None:
-            call.due_s = max(call.due_s, self._record.now_s())
+        self._expect(call)
         left_s = call.sent_s + DEADLINE_S - self._record.now_s()
         ending = record.Ending.ANSWERED
         try:
@@ -191,6 +191,11 @@
         self._record.add_sent(self._seen(call, ending))
         return ending
 
+    def _expect(self, call):
+        """Note that no other answer comes before that of a call."""
+        if call.due_s is not None:
+            call.due_s = max(call.due_s, self._record.now_s())
+
     async def _read_answer(self, answer):
         if self._reads_slowly:
             await http.read_answer(self._reader, answer, SLOW_READ_S)
--- a/bulrushrudder/tests/soak/soak.py
+++ b/bulrushrudder/tests/soak/soak.py
@@ -54,6 +54,7 @@
         whole system starts for the first time.
     :param stops: whether planned stops are all that is played, at clients
         that go on and servers that take their time.
+    :param server_faults: whether servers misbehave beside planned stops.
     """
 
     seed: int
@@ -62,6 +63,7 @@
     disrupts: bool = True
     kills_at_start: bool = False
     stops: bool = False
+    server_faults: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,6 +169,10 @@
         tasks.append(self._spawn(stack, self._operate()))
         if self._plan.stops:
             tasks.append(self._spawn(stack, self._stops.probe()))
+            if self._plan.server_faults:
+                tasks.append(
+                    self._spawn(stack, self._disruptions.run_servers())
+                )
             await self._stops.run(self._plan.seconds)
         else:
             if self._plan.disrupts:
@@ -261,6 +267,7 @@
             tuple(self._stops.probes),
             tuple(self._disruptions.times_s),
             operators.timeout_s(STOPS_TIMEOUT_MS),
+            self._plan.server_faults,
         )
 
     def _judge_departures(self):
