--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -123,6 +123,11 @@
             f' {sent.process}'
         )
 
+    def add_arrival(self, attempt, server):
+        """Record that an attempt reached a server."""
+        self.arrived.add(attempt)
+        self.write(f'{server}: gets {attempt}')
+
     def add_run(self, attempt, run):
         """Record that a server began to run an attempt."""
         self._runs_by_attempt[attempt].append(run)
