--- a/bulrushrudder/tests/soak/going_on.py
+++ b/bulrushrudder/tests/soak/going_on.py
@@ -61,7 +61,7 @@
         """Send calls until cancelled."""
         try:
             while True:
-                pause_s = self._rng.uniform(0.0, 0.05)
+                pause_s = manners.draw_pause_s(self._rng)
                 if self._is_open() or await self._open():
                     retry_after_s = await self._play(manners.draw(self._rng))
                     if self._leaves:
@@ -113,10 +113,11 @@
         try:
             ending = await self._read_all(calls)
         finally:
+            has_sent = sending.done()
             sending.cancel()
             with contextlib.suppress(OSError, asyncio.CancelledError):
                 await sending
-        if ending is not record.Ending.ANSWERED:
+        if ending is not record.Ending.ANSWERED or not has_sent:
             self._close()
         elif self._leaves and self._says_close(calls[-1]):
             self._close()
@@ -137,6 +138,9 @@
         match manner:
             case manners.InChunks(pauses_s=pauses_s):
                 await self._send_in_chunks(calls[0], pauses_s)
+            case manners.HalfSent(after_s=after_s):
+                await self._send_half(calls[0], after_s)
+                return
             case _:
                 self._writer.write(b''.join(map(_whole, calls)))
                 await self._writer.drain()
@@ -156,6 +160,13 @@
         self._writer.write(http.chunk(b''))
         await self._writer.drain()
 
+    async def _send_half(self, call, after_s):
+        head = _head(call, CHUNK, ('Content-Length', CHUNK))
+        half = record.filler(call.attempt, CHUNK // 2)
+        self._writer.write(head + half)
+        await asyncio.sleep(after_s)
+        self._close()
+
     async def _read_all(self, calls):
         """Read answers until one does not come.
 
--- a/bulrushrudder/tests/soak/manners.py
+++ b/bulrushrudder/tests/soak/manners.py
@@ -23,14 +23,33 @@
     """Sends a second request before it has read the first answer."""
 
 
-Manner = AtOnce | InChunks | Pipelined
+@dataclasses.dataclass(frozen=True, slots=True)
+class HalfSent:
+    """Sends half of a body and leaves.
+
+    :param after_s: seconds after which the client leaves.
+    """
+
+    after_s: float
+
+
+Manner = AtOnce | InChunks | Pipelined | HalfSent
+
+
+def draw_pause_s(rng):
+    """Draw the seconds for which a client lets a connection idle."""
+    if rng.random() < 0.05:
+        return rng.uniform(1.0, 5.0)
+    return rng.uniform(0.0, 0.05)
 
 
 def draw(rng):
     """Draw a Manner."""
     share = rng.random()
-    if share < 0.55:
+    if share < 0.53:
         return AtOnce()
+    if share < 0.55:
+        return HalfSent(rng.uniform(0.5, 6.0))
     if share < 0.70:
         return Pipelined()
     if share < 0.85:
