--- a/bulrushrudder/tests/soak/going_on.py
+++ b/bulrushrudder/tests/soak/going_on.py
@@ -62,24 +62,28 @@
         try:
             while True:
                 pause_s = manners.draw_pause_s(self._rng)
-                if self._is_open() or await self._open():
-                    retry_after_s = await self._play(manners.draw(self._rng))
+                if self.is_open() or await self.open():
+                    retry_after_s = await self.play(manners.draw(self._rng))
                     if self._leaves:
                         pause_s = max(pause_s, min(0.5, retry_after_s))
                 await asyncio.sleep(pause_s)
         finally:
-            self._close()
+            self.close()
 
-    def _is_open(self):
+    def is_open(self):
+        """Return whether the next call goes on an open connection."""
         if self._writer is None:
             return False
         if self._reader.at_eof() or self._writer.is_closing():
-            self._close()
+            self.close()
             return False
         return True
 
-    async def _open(self):
-        """Connect to the machine, or choose another if it refuses."""
+    async def open(self):
+        """Connect to the machine, or choose another if it refuses.
+
+        :returns: whether the connection is open.
+        """
         self._process = self._machine.process
         opened = socket.socket()
         if self._reads_slowly:
@@ -102,7 +106,7 @@
         self._writer.transport.set_write_buffer_limits(0)
         return True
 
-    async def _play(self, manner):
+    async def play(self, manner):
         """Send one call or two, and read the answers.
 
         :returns: seconds after which the client is asked to come back.
@@ -118,9 +122,9 @@
             with contextlib.suppress(OSError, asyncio.CancelledError):
                 await sending
         if ending is not record.Ending.ANSWERED or not has_sent:
-            self._close()
+            self.close()
         elif self._leaves and self._says_close(calls[-1]):
-            self._close()
+            self.close()
             self._machine = self._rng.choice(self._fleet.edges)
         return float(calls[-1].answer.headers.get('retry-after', 0.0))
 
@@ -165,7 +169,7 @@
         half = record.filler(call.attempt, CHUNK // 2)
         self._writer.write(head + half)
         await asyncio.sleep(after_s)
-        self._close()
+        self.close()
 
     async def _read_all(self, calls):
         """Read answers until one does not come.
@@ -233,7 +237,8 @@
             DEADLINE_S,
         )
 
-    def _close(self):
+    def close(self):
+        """Close the connection, if one is open."""
         if self._writer is not None:
             self._writer.transport.abort()
         self._writer = self._reader = None
