--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -9,6 +9,7 @@
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import reachability
 from bulrushrudder.lifecycle import retries
+from bulrushrudder.lifecycle import shutdown
 from bulrushrudder.utils import tasks
 
 MAX_TASKS_WAIT_S = 60.0
@@ -138,9 +139,12 @@
     async def finish(self):
         """Finish all accepted calls and all spawned tasks.
 
-        Calls that are not finished in time get a final answer.
+        Calls that are not finished in time get a final answer; without a
+        shutdown, there is no limit.
         """
-        until_s = self.shutdown.finish_until_s
+        loop = asyncio.get_running_loop()
+        planned = self.shutdown or shutdown.plan(loop.time(), 0.0)
+        until_s = planned.finish_until_s
         await self.in_flight.wait_until_finished(until_s)
         if self.calls:
             log.emit(catalogue.CALLS_ABANDONED, calls=self.calls)
@@ -149,7 +153,6 @@
             await self.in_flight.wait_until_finished(
                 until_s + 2 * FINAL_ANSWER_S
             )
-        loop = asyncio.get_running_loop()
-        while self._tasks and loop.time() < self.shutdown.end_s:
-            left_s = self.shutdown.left_s(loop.time(), MAX_TASKS_WAIT_S)
+        while self._tasks and loop.time() < planned.end_s:
+            left_s = planned.left_s(loop.time(), MAX_TASKS_WAIT_S)
             await asyncio.wait(self._tasks, timeout=left_s)
--- a/bulrushrudder/standins/entry_path.py
+++ b/bulrushrudder/standins/entry_path.py
@@ -39,6 +39,7 @@
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
+from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import ports
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web as web_listeners
@@ -314,7 +315,10 @@
         callers_frontend = frontend.Frontend(services)
         address = settings.Address(ports.LOOPBACK, 0)
         port = await web_listeners.listen(
-            self._stack, callers_frontend.application(), address, True
+            self._stack,
+            callers_frontend.application(),
+            address,
+            http_listener.Options(cancel_handlers=True),
         )
         return f'http://{ports.LOOPBACK}:{port}'
 
--- a/bulrushrudder/tests/soak/disruptions.py
+++ b/bulrushrudder/tests/soak/disruptions.py
@@ -21,6 +21,14 @@
 )
 
 
+def is_calm(times_s, began_s, ended_s):
+    """Return whether no disruption touches a span of time.
+
+    :param times_s: seconds at which machines were disrupted.
+    """
+    return not any(began_s - CONTACT_S < at_s < ended_s for at_s in times_s)
+
+
 class Disruptions:
     """Disrupts machines and servers until cancelled.
 
@@ -40,13 +48,22 @@
 
     async def run(self):
         """Run several series at once, so that they overlap."""
+        if self._disrupts_machines:
+            await self._run(self._disrupt_edges, self._disrupt_controls)
+        else:
+            await self._run()
+
+    async def run_servers(self):
+        """Disrupt servers only."""
+        await self._run()
+
+    async def _run(self, *more):
         series = [
             self._disrupt_servers,
             self._disrupt_servers,
             self._restart_servers,
+            *more,
         ]
-        if self._disrupts_machines:
-            series += [self._disrupt_edges, self._disrupt_controls]
         async with asyncio.TaskGroup() as group:
             for disrupt in series:
                 group.create_task(self._repeat(disrupt))
@@ -56,9 +73,7 @@
 
         :param began_s: seconds since the soak began.
         """
-        return not any(
-            began_s - CONTACT_S < at_s < ended_s for at_s in self.times_s
-        )
+        return is_calm(self.times_s, began_s, ended_s)
 
     async def _repeat(self, disrupt):
         while True:
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -72,6 +72,9 @@
     max_field_bytes: int = MAX_FIELD_BYTES
 
 
+DEFAULT_OPTIONS = Options()
+
+
 class HttpListener:
     """Accepts connections for an aiohttp application.
 
--- a/bulrushrudder/utils/web.py
+++ b/bulrushrudder/utils/web.py
@@ -9,14 +9,17 @@
 _PRESERVED_HEADERS = frozenset({'Allow', 'Retry-After'})
 
 
-async def listen(stack, application, address):
+async def listen(
+    stack, application, address, options=http_listener.DEFAULT_OPTIONS
+):
     """Serve an application until the exit stack closes.
 
     :param stack: an AsyncExitStack that owns the listener.
     :param address: a config Address; with port 0, any free port is used.
+    :param options: the Options of the listener.
     :returns: the port number.
     """
-    opened = http_listener.HttpListener(application, http_listener.Options())
+    opened = http_listener.HttpListener(application, options)
     await opened.open(stack, address)
     return opened.port
 
