--- a/bulrushrudder/tests/soak/stop_judges_tests.py
+++ b/bulrushrudder/tests/soak/stop_judges_tests.py
@@ -134,6 +134,12 @@
         self.check([], sent=CALL(ended_s=100.9, **refused))
         self.check(['LATE'], sent=CALL(ended_s=101.1, **refused))
 
+    def test_refusals_by_a_process_that_stops_are_not_owed_an_answer(self):
+        seen = SEEN(CALL(status=503, whole=True))
+        seen.sent.append(CALL(status=200, whole=True))
+        seen.sent.append(CALL(status=503, whole=True, ended_s=99.9))
+        self.assertEqual(planned_stops.served(seen), 0.5)
+
     def test_call_without_an_answer_at_its_timeout_breaks_the_promise(self):
         silent = CALL(ended_s=107.1, ending=record.Ending.LEFT)
         self.check(['SILENT'], sent=silent)
