Do not take a standstill of this process for an unreachable server

Beside load, callers saw resumable streams end in the middle, and new calls sent to the server that had just failed.

Cause: opening a connection is bounded at 0.35 s of wall-clock time. A process that stands still for longer, on a busy VM or for its garbage collector, finds the timer expired before it reads that the connection is open. The runner that should take up a stream then counts as unreachable, is avoided for 3 s, and the stream goes back to the runner that broke it, which uses up the last attempt of the route.

Evidence: in a trial, a connection to the second runner that failed after 0.35 s ended the stream (ClientPayloadError), and the next two calls as well, after "attempt failed, BACKEND_UNREACHABLE, TimeoutError()". In the whole suite beside 6 busy processes and other work (load 20 to 25), the collector stopped the process for 0.22 to 0.54 s, 0.06 to 0.14 s of it processor time. The new test of the pool stops the process for 0.7 s while it connects; it failed 3 of 3 times with "UNREACHABLE, TimeoutError()".

The limit now counts seconds in which the loop ran: a standstill uses up a tenth of it at most. A server that does not react is still given up, after as long as before.

--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -14,6 +14,7 @@
 from bulrushrudder.engines import connections
 from bulrushrudder.engines import kept_bytes
 from bulrushrudder.engines import responses
+from bulrushrudder.utils import timeouts
 
 # Many round trips between zones. TCP retransmits a lost SYN only after
 # 1 s, so a new connection is faster.
@@ -158,7 +159,7 @@
         :raises TimeoutError: if it does not react in time.
         """
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with timeouts.running_timeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
                 lambda: connections.Connection(
                     self._id_header, self._kept_bytes
--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import functools
+import time
 import unittest
 
 from returns import result
@@ -71,6 +72,18 @@
             await self.check_complete(server, b'one')
         self.assertEqual(self.runner.connections, 1)
 
+    # Guards against a server that is taken for unreachable because this
+    # process stood still, which ended resumable streams.
+    async def test_connects_to_server_after_standstill_of_this_process(self):
+        server = await self.start(answer(b'one'))
+        calling = asyncio.create_task(self.call(server))
+        checking = asyncio.create_task(self.pool.check(server))
+        await asyncio.sleep(0)
+        time.sleep(2 * connection_pool.CONNECT_TIMEOUT_S)
+        head, *_ = await calling
+        self.assertIsInstance(head, responses.Head)
+        self.assertIs(await checking, connection_pool.Listening.ACCEPTS)
+
     async def test_call_with_id_of_earlier_call_uses_another_connection(self):
         runner = runners.Runner(
             lambda call: [runners.answer(attempt=call.headers['Attempt-Id'])]
