Keep the leases of servers through a standstill of the leader

After a leader had stood still for 3 s, callers were refused with NO_SERVER: its next tick expelled every backend server as silent, before it had read the announcements that had arrived meanwhile.

The new tests of the tracker, which need no clock, failed with "['decode-1'] != []".

A tracker without any event for 1 s, twice the time between two ticks, now takes it that it could not hear, and extends the leases by the time that it missed. Slow commits alone extend nothing as long as other servers announce themselves. A server that stays silent after the standstill is lost when the rest of its lease is over, which a second test checks.

--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -6,6 +6,9 @@
 from bulrushrudder.state import servers
 
 LEASE_S = 3.0
+# Twice the time between two ticks. Without an event for longer, this
+# process stood still and could not hear the servers.
+STANDSTILL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +52,9 @@
     Renewals are kept in memory; only changes become commands. A server
     that left never returns under the same incarnation; one whose lease
     expired returns with its next announcement. A new Tracker starts
-    with a full lease for every server.
+    with a full lease for every server. A standstill of this process does
+    not use up leases: announcements that arrived meanwhile are not read
+    before its next tick.
     """
 
     def __init__(self):
@@ -57,6 +62,7 @@
         self._sequence_by_incarnation: dict[tuple[ids.ServerId, int], int] = {}
         self._proposed_s_by_command = {}
         self._excluded_until_s_by_id = {}
+        self._last_event_s = None
 
     def exclude(self, server_id, until_s):
         """Ignore announcements of a server, except that it leaves.
@@ -75,6 +81,7 @@
         :param servers_by_id: the servers in the replicated state.
         :param now_s: monotonic seconds.
         """
+        self._extend_leases_after_standstill(now_s)
         match event:
             case (
                 Announced(
@@ -94,6 +101,15 @@
                 return self._expire(servers_by_id, now_s)
         raise AssertionError(f'unknown event {event!r}')
 
+    def _extend_leases_after_standstill(self, now_s):
+        last_s, self._last_event_s = self._last_event_s, now_s
+        if last_s is None or now_s - last_s <= STANDSTILL_S:
+            return
+        self._renewed_s_by_id = {
+            server_id: renewed_s + now_s - last_s
+            for server_id, renewed_s in self._renewed_s_by_id.items()
+        }
+
     def _leave(self, server_id, incarnation, servers_by_id):
         """Propose a leave, even if the server is absent.
 
--- a/bulrushrudder/tests/membership/tracker_tests.py
+++ b/bulrushrudder/tests/membership/tracker_tests.py
@@ -23,6 +23,35 @@
             self.table.apply(self.index, command)
         return commands
 
+    def lost(self, now_s):
+        """Return the ids of the servers whose lease has expired."""
+        proposed = self.tracker.handle(
+            tracker.Ticked(), self.table.by_id, now_s
+        )
+        return [action.command.id for action in proposed]
+
+    # Guards against a leader that stood still and expels all servers,
+    # before it has read their announcements.
+    def test_standstill_of_tracker_does_not_use_up_leases(self):
+        server = fleet.server()
+        self.announce(server, 0.0, sequence=1)
+        self.assertEqual(self.lost(1.0), [])
+        after_s = 1.0 + 2 * tracker.LEASE_S
+        self.assertEqual(self.lost(after_s), [])
+        self.announce(server, after_s, sequence=2)
+        self.assertEqual(self.lost(after_s + tracker.LEASE_S), [])
+
+    def test_server_that_is_silent_after_standstill_is_lost(self):
+        server = fleet.server()
+        self.announce(server, 0.0, sequence=1)
+        self.lost(1.0)
+        now_s = 1.0 + 2 * tracker.LEASE_S
+        ends_s = now_s + tracker.LEASE_S - 1.0
+        while now_s < ends_s:
+            self.assertEqual(self.lost(now_s), [])
+            now_s += 0.25
+        self.assertEqual(self.lost(now_s + 0.25), [server.id])
+
     def test_late_announcement_changes_nothing(self):
         self.announce(fleet.server(kind='prefill'), 0.0, sequence=4)
         self.announce(fleet.server(kind='decode'), 1.0, sequence=5)
