Answer the requests of operators and servers before a control process stops

Operators and backend servers got closed connections instead of answers when a control process was told to stop. The exit stack was closed at once: the log stopped first, so that requests which waited for a commit, for a quorum or for their body could not end, and were cut off a second later. New requests were accepted until then and shared their fate.

A stop now begins with a phase of its own, before anything is closed. New requests get 503 with 'Retry-After: 0'. Leadership is transferred while the log goes on and the requests in flight are finished. A body that is not whole after 0.5 s, and a request without an outcome after 2 s, get a 503 that says so. After a failure of the disk there is no such wait, as nothing can be committed any more. 'control stopping' says how many requests are in flight.

Before, 5 of the 9 new tests failed on loopback sockets: no answer (status 0) to a PUT and a heartbeat without a quorum where 503 is due, to a call on a kept connection, to a body whose rest comes 0.1 s after the stop (200) or never (503), and to a call sent as the processes stop one after the other. Now all pass.

--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -14,7 +14,9 @@
 from bulrushrudder.control import kind_orders
 from bulrushrudder.control import node
 from bulrushrudder.control import operator_api
+from bulrushrudder.control import requests_in_flight
 from bulrushrudder.control import server
+from bulrushrudder.control import stopping as control_stopping
 from bulrushrudder.core import ids
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -76,10 +78,12 @@
     metrics = metrics_control.ControlMetrics()
     interface = interface or OwnInterface()
     operators_app = interface.application(control, settings, metrics)
+    in_flight = requests_in_flight.RequestsInFlight()
+    operators_app.middlewares.insert(0, in_flight.guard)
     await web.listen(stack, operators_app, settings.control.operators)
     metrics_app = metrics_listener.application(metrics)
     await web.listen(stack, metrics_app, settings.control.metrics)
-    tasks.spawn(stack, control.node.run())
+    log_task = tasks.spawn(stack, control.node.run())
     tasks.spawn(stack, control.run())
     order_client = interface.order_client(stack)
     if order_client is not None:
@@ -88,7 +92,9 @@
             control, order_client, settings.vm, lease_s
         )
         tasks.spawn(stack, order_sender.run())
-    stack.push_async_callback(control.node.transfer_leadership)
+    stack.push_async_callback(
+        control_stopping.stop, control, in_flight, log_task
+    )
     log.emit(
         catalogue.CONTROL_STARTED,
         inner=str(settings.control.inner),
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -226,6 +226,14 @@
     'The lease of an entry process ran out without contact; its session is '
     'closed.',
 )
+CONTROL_STOPPING = Event(
+    2006,
+    Level.INFO,
+    'control stopping',
+    'A stop was requested, or the disk has failed: leadership is '
+    'transferred, new requests are refused, and the given number of '
+    'requests is finished.',
+)
 DATA_FOLDER_UNUSABLE = Event(
     2201,
     Level.ERROR,
