Log that the control process has stopped once it has

'control stopped' was written when the stop began, before leadership was transferred and requests were finished, so that a log said nothing of how long a stop took or what it cut off. It is now the last thing that a process does, after its listeners, its links and its data folder are closed.

The test failed before: the event came while a PUT was in flight ('AssertionError: False is not true').

--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -54,6 +54,7 @@
     :returns: the ControlProcess.
     :raises SystemExit: if the data folder cannot be used.
     """
+    last_callbacks = stack.enter_context(contextlib.ExitStack())
     owner = ids.Owner(ids.VmId(f'{settings.vm}/control'), time.time_ns())
     secret = settings.secrets.cluster
     data_folder = _open_data_folder(stack, settings)
@@ -100,7 +101,7 @@
         inner=str(settings.control.inner),
         member=data_folder.id,
     )
-    stack.callback(log.emit, catalogue.CONTROL_STOPPED)
+    last_callbacks.callback(log.emit, catalogue.CONTROL_STOPPED)
     return control
 
 
--- a/bulrushrudder/tests/platform/control_stop_tests.py
+++ b/bulrushrudder/tests/platform/control_stop_tests.py
@@ -3,6 +3,8 @@
 import dataclasses
 import unittest
 
+import logbook
+
 from bulrushrudder.platform import control_api
 from bulrushrudder.tests.builders import control_fleet
 from bulrushrudder.tests.builders import platform
@@ -41,6 +43,10 @@
 CUT_OFF = Answer(0)
 
 
+def names(handler):
+    return [record.extra['event'].name for record in handler.records]
+
+
 async def read_answer(reader):
     """Return the Answer to a request that was sent."""
     with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -180,3 +186,20 @@
         statuses, took_s = await stopping
         self.assertEqual(statuses, [200])
         self.assertLess(took_s, MAX_STOP_S)
+
+    # Guards against a log event that claims the end too early.
+
+    async def test_stopped_is_logged_last(self):
+        handler = logbook.TestHandler()
+        follower = self.fleet.followers[0]
+        self.fleet.leader.delay_messages(DELAY_S)
+        answered = asyncio.create_task(call(follower, put(2)))
+        await asyncio.sleep(0.05)
+        follower.stopping.request()
+        with handler.applicationbound():
+            while 'control stopped' not in names(handler):
+                await asyncio.sleep(0.01)
+            self.assertTrue(answered.done())
+            with self.assertRaises(ConnectionRefusedError):
+                await follower.connect()
+        await follower.task
