Answer entry processes before a stopping control process closes links

Proposals of entry processes that were in flight when a control process was told to stop ended as 'the change may have taken effect' although their outcome was about to come: the links to the leader were closed first, and accepted links were cut with the event loop, with whatever was unsent. New proposals were taken until then.

A stopping process now answers the proposals that it has taken, refuses new ones as without effect, and then ends its side of each link, so that observers have read everything before they change over to another process. Those of other control processes follow when all requests are answered.

--- a/bulrushrudder/control/log_feed.py
+++ b/bulrushrudder/control/log_feed.py
@@ -42,6 +42,10 @@
         self._send_members(observer)
         self._send_log(observer)
 
+    def has(self, link):
+        """Return whether an observer uses a link."""
+        return any(observer.link is link for observer in self._observers)
+
     def send_all(self):
         """Send new commands and addresses to all open links."""
         self._observers = [
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -11,6 +11,7 @@
 from bulrushrudder.config import settings_watcher
 from bulrushrudder.consensus import core
 from bulrushrudder.consensus import replica
+from bulrushrudder.control import accepted_links
 from bulrushrudder.control import kind_orders
 from bulrushrudder.control import node
 from bulrushrudder.control import operator_api
@@ -72,8 +73,14 @@
         )
 
     control = server.ControlProcess(make_node, cluster_peers)
+    links = accepted_links.AcceptedLinks()
     listener = await link.listen(
-        settings.control.inner, owner, secret, control.handle
+        settings.control.inner,
+        owner,
+        secret,
+        control.handle,
+        links.remove,
+        links.add,
     )
     stack.callback(listener.close)
     metrics = metrics_control.ControlMetrics()
@@ -94,7 +101,8 @@
         )
         tasks.spawn(stack, order_sender.run())
     stack.push_async_callback(
-        control_stopping.stop, control, in_flight, log_task
+        control_stopping.stop,
+        control_stopping.Parts(control, in_flight, links, listener, log_task),
     )
     log.emit(
         catalogue.CONTROL_STARTED,
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -27,6 +27,7 @@
 
 TICK_INTERVAL_S = 0.5
 FORWARD_TIMEOUT_S = 3.0
+STOPPING = 'the control process is stopping; the change had no effect'
 
 
 class ControlProcess:
@@ -35,9 +36,11 @@
     :param make_node: function that returns the Node; its argument is a
         function to call after each batch of committed commands.
     :param peers: the Peers, with links to the other control processes.
+    :ivar stopping: whether new proposals of other processes are refused.
     """
 
     def __init__(self, make_node, peers):
+        self.stopping = False
         self.node = make_node(self._on_committed)
         self._peers = peers
         self._log_feed = log_feed.LogFeed(self.node)
@@ -60,7 +63,9 @@
                 self._leases.record_contact(link.peer, index, _now_s())
                 await self._confirm_view(link, number)
             case log_messages.Propose(command=data):
-                outcome = await self._propose(data)
+                outcome = results.Unavailable(STOPPING)
+                if not self.stopping:
+                    outcome = await self._propose(data)
                 return log_messages.Proposed(codec.encode(outcome))
             case log_messages.Announce():
                 noted = await self.announce(message)
@@ -115,6 +120,10 @@
                 return leader_status
         return None
 
+    def is_observer(self, link):
+        """Return whether the process at the other end follows the log."""
+        return self._log_feed.has(link)
+
     def _own_status(self):
         if not self.node.is_ready_leader:
             return None
--- a/bulrushrudder/control/stopping.py
+++ b/bulrushrudder/control/stopping.py
@@ -1,31 +1,59 @@
 """Stops a control process without cutting off what it has accepted."""
 
 import asyncio
+import dataclasses
 
+from bulrushrudder.control import accepted_links
+from bulrushrudder.control import requests_in_flight
+from bulrushrudder.control import server
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 
 UPLOAD_TIMEOUT_S = 0.5
 # An election after the loss of another process takes up to 1.4 s.
 FINISH_TIMEOUT_S = 2.0
+LINKS_TIMEOUT_S = 0.5
 
 
-async def stop(control, in_flight, log_task):
-    """Transfer leadership and finish the requests in flight.
-
-    The log goes on meanwhile, as requests wait for its commits.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What a stop has to finish.
 
     :param control: the ControlProcess.
     :param in_flight: the RequestsInFlight of operators and servers.
+    :param links: the AcceptedLinks of other processes.
+    :param link_listener: the asyncio server that accepts them.
     :param log_task: the task that runs the log; it has ended if the disk
         has failed.
     """
+
+    control: server.ControlProcess
+    in_flight: requests_in_flight.RequestsInFlight
+    links: accepted_links.AcceptedLinks
+    link_listener: asyncio.Server
+    log_task: asyncio.Task
+
+
+async def stop(parts):
+    """Transfer leadership and finish the requests in flight.
+
+    The log goes on meanwhile, as requests wait for its commits. Observers
+    change over to another process as soon as they have their answers.
+
+    :param parts: the Parts.
+    """
+    control, in_flight = parts.control, parts.in_flight
+    control.stopping = True
     in_flight.refuse()
     log.emit(catalogue.CONTROL_STOPPING, requests=in_flight.number)
-    if log_task.done():
+    if parts.log_task.done():
         await in_flight.finish(0.0, 0.0)
         return
     await asyncio.gather(
         control.node.transfer_leadership(),
         in_flight.finish(UPLOAD_TIMEOUT_S, FINISH_TIMEOUT_S),
+        parts.links.finish(FINISH_TIMEOUT_S, control.is_observer),
     )
+    parts.link_listener.close()
+    parts.links.refuse()
+    await parts.links.finish(LINKS_TIMEOUT_S)
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -44,6 +44,7 @@
         silence timeouts.
     :ivar peer: the Owner at the other end, None before the handshake.
     :ivar closed: event that is set once the link is closed.
+    :ivar requests: number of requests of the peer without a response.
     """
 
     def __init__(
@@ -72,8 +73,10 @@
                 liveness.SHORT_HEARTBEAT_INTERVAL_S,
                 liveness.SHORT_SILENCE_TIMEOUT_S,
             )
+        self._ended = False
         self.peer = None
         self.closed = asyncio.Event()
+        self.requests = 0
 
     async def handshake(self, secret, dialled):
         """Check the protocol version and the cluster secret of the peer.
@@ -138,7 +141,7 @@
 
         :returns: None, or the LinkProblem that prevented it.
         """
-        if self.closed.is_set():
+        if self.closed.is_set() or self._ended:
             return errors.LinkProblem.CLOSED
         body = codec.encode(message)
         if len(body) > frames.MAX_FRAME_BYTES:
@@ -204,6 +207,12 @@
             self.close()
             log.emit(catalogue.LINK_CLOSED, peer=str(self.peer), detail=reason)
 
+    def end(self):
+        """Send no more; the peer closes the link when it has read all."""
+        if not self._ended and not self.closed.is_set():
+            self._ended = True
+            self._writer.write_eof()
+
     def close(self):
         """Close the link; pending requests get a LinkError."""
         if self.closed.is_set():
@@ -243,9 +252,13 @@
         future.set_result(result.Success(_decode(body)))
 
     async def _respond(self, call, request):
-        response = await self._handler(self, request)
-        if response is not None:
-            self.send(messages.Response(call, codec.encode(response)))
+        self.requests += 1
+        try:
+            response = await self._handler(self, request)
+            if response is not None:
+                self.send(messages.Response(call, codec.encode(response)))
+        finally:
+            self.requests -= 1
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -346,7 +359,9 @@
     return await link.handshake(secret, True)
 
 
-async def listen(address, owner, secret, handler, on_closed=None):
+async def listen(
+    address, owner, secret, handler, on_closed=None, on_opened=None
+):
     """Accept links from other processes.
 
     :param address: a config Address.
@@ -354,6 +369,7 @@
     :param secret: the cluster secret.
     :param handler: serves messages of the peers, see Link.
     :param on_closed: called with each accepted link when it has closed.
+    :param on_opened: called with each accepted link after its handshake.
     :returns: the asyncio server.
     """
 
@@ -363,6 +379,8 @@
             handshake = await link.handshake(secret, False)
             if isinstance(handshake, result.Failure):
                 return
+            if on_opened is not None:
+                on_opened(link)
             await link.run()
         except asyncio.CancelledError:
             # The process is stopping; asyncio would log the cancelled task.
--- a/bulrushrudder/tests/builders/control_fleet.py
+++ b/bulrushrudder/tests/builders/control_fleet.py
@@ -97,10 +97,19 @@
             member = Member(member_settings, self._interface)
             self.members.append(member)
         self._stack.push_async_callback(self._stop)
+        await self.wait_until_ready()
+        return self
+
+    async def wait_until_ready(self):
+        """Wait until all processes follow one leader."""
         async with asyncio.timeout(START_TIMEOUT_S):
             while not self._is_ready():
                 await asyncio.sleep(0.02)
-        return self
+
+    def restart(self, member):
+        """Start a process that has stopped again."""
+        place = self.members.index(member)
+        self.members[place] = Member(member.settings, self._interface)
 
     @property
     def leader(self):
@@ -108,7 +117,9 @@
         leaders = [
             member
             for member in self.members
-            if not member.task.done() and member.node.is_ready_leader
+            if not member.task.done()
+            and member.control is not None
+            and member.node.is_ready_leader
         ]
         return leaders[0] if leaders else None
 
