Finish orders to servers that were sent before a control process stops

A stop cancelled the task that sends orders, and with it the connection to a server whose answer was due: nothing said whether the server had taken the order. Until leadership was gone, new orders could begin, and servers were taken out of work for them.

The sender is now stopped first. An order that was sent gets its answer and its log line; one that was not is given up and its server readmitted.

Both new tests need OrderSender.stop(), which did not exist.

--- a/bulrushrudder/control/kind_orders.py
+++ b/bulrushrudder/control/kind_orders.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
@@ -97,13 +98,20 @@
         # By server id and model.
         self._busy_until_s_by_key = {}
         self._last_join_by_model = {}
+        self._stopping_event = asyncio.Event()
 
     async def run(self):
-        """Send orders that are due, until cancelled."""
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+        """Send orders that are due, until stopped or cancelled."""
+        while not self._stopping_event.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._stopping_event.wait()
             await self.check()
 
+    def stop(self):
+        """Send no more orders; run() ends when those sent are answered."""
+        self._stopping_event.set()
+
     async def check(self):
         """Send the orders that are due."""
         self._track_joins()
@@ -135,7 +143,7 @@
 
     def _may_order(self):
         node = self._control.node
-        if not node.is_ready_leader:
+        if not node.is_ready_leader or self._stopping_event.is_set():
             self._leading_since_s = None
             return False
         now_s = _now_s()
@@ -182,7 +190,8 @@
         await asyncio.sleep(EXCLUSION_DELAY_S)
         term = self._term
         expires_s = _suspendable_now_s() + self._lease_s * ORDER_VALIDITY_SHARE
-        if await self._control.node.read_index_as_leader() is None:
+        confirmed = await self._control.node.read_index_as_leader()
+        if confirmed is None or self._stopping_event.is_set():
             for server, _ in orders:
                 self._control.readmit(server)
             return
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -93,17 +93,15 @@
     await web.listen(stack, metrics_app, settings.control.metrics)
     log_task = tasks.spawn(stack, control.node.run())
     tasks.spawn(stack, control.run())
-    order_client = interface.order_client(stack)
-    if order_client is not None:
-        lease_s = settings.control.order_lease_s
-        order_sender = kind_orders.OrderSender(
-            control, order_client, settings.vm, lease_s
-        )
-        tasks.spawn(stack, order_sender.run())
-    stack.push_async_callback(
-        control_stopping.stop,
-        control_stopping.Parts(control, in_flight, links, listener, log_task),
+    parts = control_stopping.Parts(
+        control,
+        in_flight,
+        links,
+        listener,
+        log_task,
+        *_start_orders(stack, settings, control, interface),
     )
+    stack.push_async_callback(control_stopping.stop, parts)
     log.emit(
         catalogue.CONTROL_STARTED,
         inner=str(settings.control.inner),
@@ -113,6 +111,21 @@
     return control
 
 
+def _start_orders(stack, settings, control, interface):
+    """Start to send orders to servers.
+
+    :returns: the OrderSender and its task, or nothing if the servers of the
+        interface accept no orders.
+    """
+    order_client = interface.order_client(stack)
+    if order_client is None:
+        return ()
+    order_sender = kind_orders.OrderSender(
+        control, order_client, settings.vm, settings.control.order_lease_s
+    )
+    return order_sender, tasks.spawn(stack, order_sender.run())
+
+
 async def run(settings, stopping, interface=None):
     """Run the control process until it is stopped.
 
--- a/bulrushrudder/control/stopping.py
+++ b/bulrushrudder/control/stopping.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from bulrushrudder.control import accepted_links
+from bulrushrudder.control import kind_orders
 from bulrushrudder.control import requests_in_flight
 from bulrushrudder.control import server
 from bulrushrudder.events import catalogue
@@ -25,6 +26,8 @@
     :param link_listener: the asyncio server that accepts them.
     :param log_task: the task that runs the log; it has ended if the disk
         has failed.
+    :param order_sender: the OrderSender; None if servers accept no orders.
+    :param order_task: the task that runs it, or None.
     """
 
     control: server.ControlProcess
@@ -32,6 +35,8 @@
     links: accepted_links.AcceptedLinks
     link_listener: asyncio.Server
     log_task: asyncio.Task
+    order_sender: kind_orders.OrderSender | None = None
+    order_task: asyncio.Task | None = None
 
 
 async def stop(parts):
@@ -45,6 +50,8 @@
     control, in_flight = parts.control, parts.in_flight
     control.stopping = True
     in_flight.refuse()
+    if parts.order_sender is not None:
+        parts.order_sender.stop()
     log.emit(catalogue.CONTROL_STOPPING, requests=in_flight.number)
     if parts.log_task.done():
         await in_flight.finish(0.0, 0.0)
@@ -53,7 +60,14 @@
         control.node.transfer_leadership(),
         in_flight.finish(UPLOAD_TIMEOUT_S, FINISH_TIMEOUT_S),
         parts.links.finish(FINISH_TIMEOUT_S, control.is_observer),
+        _finish_orders(parts.order_task),
     )
     parts.link_listener.close()
     parts.links.refuse()
     await parts.links.finish(LINKS_TIMEOUT_S)
+
+
+async def _finish_orders(order_task):
+    """Wait for the answers to orders that were sent."""
+    if order_task is not None:
+        await asyncio.wait([order_task], timeout=FINISH_TIMEOUT_S)
--- a/bulrushrudder/tests/builders/control_fleet.py
+++ b/bulrushrudder/tests/builders/control_fleet.py
@@ -161,9 +161,10 @@
 
 
 def _settings(folder, count):
-    inner = builders.addresses(count)
+    addresses = builders.addresses(3 * count)
+    inner = addresses[:count]
     for number, address in enumerate(inner, 1):
-        operators, metrics = builders.addresses(2)
+        operators, metrics = addresses[count + 2 * number - 2 :][:2]
         data_folder = folder / str(number)
         data_folder.mkdir()
         yield settings.Settings(
--- a/bulrushrudder/tests/control/kind_orders_tests.py
+++ b/bulrushrudder/tests/control/kind_orders_tests.py
@@ -1,7 +1,10 @@
+import asyncio
 import types
 import unittest
 from unittest import mock
 
+import logbook
+
 from bulrushrudder.control import kind_orders
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import fleet
@@ -15,9 +18,12 @@
     def __init__(self):
         self.answer = kind_orders.OrderAccepted()
         self.orders = []
+        self.answered_event = asyncio.Event()
+        self.answered_event.set()
 
     async def order(self, server, order):
         self.orders.append((server.id, order))
+        await self.answered_event.wait()
         return self.answer
 
 
@@ -182,3 +188,42 @@
         table.apply(9, servers.JoinServer(changed))
         await self.step(1.0)
         self.assertEqual(self.order_client.orders, [])
+
+    # Guard against an order that is cut off or sent as its process stops.
+
+    async def test_stop_waits_for_answer_to_order_in_flight(self):
+        handler = logbook.TestHandler()
+        self.order_client.answered_event.clear()
+        await self.step(0.0)
+        self.now_s += 10.0
+        with (
+            handler.applicationbound(),
+            mock.patch.object(kind_orders, 'CHECK_INTERVAL_S', 0.01),
+        ):
+            running = asyncio.create_task(self.sender.run())
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(self.order_client.orders), 1)
+            self.sender.stop()
+            await asyncio.sleep(0.05)
+            self.assertFalse(running.done())
+            self.order_client.answered_event.set()
+            async with asyncio.timeout(1.0):
+                await running
+        ((outcome, event),) = [
+            (record.extra['fields']['outcome'], record.message)
+            for record in handler.records
+        ]
+        self.assertEqual((outcome, event), ('taken', 'kind change ordered'))
+
+    async def test_stop_before_order_is_sent_readmits_server(self):
+        await self.step(0.0)
+        self.now_s += 10.0
+        with mock.patch.object(kind_orders, 'EXCLUSION_DELAY_S', 0.1):
+            checking = asyncio.create_task(self.sender.check())
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(self.control.excluded), 1)
+            self.sender.stop()
+            await checking
+        await self.step(10.0)
+        self.assertEqual(self.order_client.orders, [])
+        self.assertEqual(self.control.excluded, set())
