Refuse operators' requests until the listener of a stopping process closes

Clients that went on while a control process stopped got connections that closed without an answer: the listener was closed at once, with what the kernel had queued, and connections were closed while requests were read.

The listener now outlasts the requests in flight. Refusals tell clients to connect elsewhere; then the listener stops accepting, answers what had been queued, and sends what is unsent before the process ends.

--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -26,6 +26,7 @@
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import peers
 from bulrushrudder.storage import store
+from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
 
@@ -88,7 +89,11 @@
     operators_app = interface.application(control, settings, metrics)
     in_flight = requests_in_flight.RequestsInFlight()
     operators_app.middlewares.insert(0, in_flight.guard)
-    await web.listen(stack, operators_app, settings.control.operators)
+    operators_listener = http_listener.HttpListener(
+        operators_app,
+        http_listener.Options(closes_connections=lambda: in_flight.refusing),
+    )
+    await operators_listener.open(stack, settings.control.operators)
     metrics_app = metrics_listener.application(metrics)
     await web.listen(stack, metrics_app, settings.control.metrics)
     log_task = tasks.spawn(stack, control.node.run())
@@ -96,6 +101,7 @@
     parts = control_stopping.Parts(
         control,
         in_flight,
+        operators_listener,
         links,
         listener,
         log_task,
--- a/bulrushrudder/control/stopping.py
+++ b/bulrushrudder/control/stopping.py
@@ -9,11 +9,16 @@
 from bulrushrudder.control import server
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.utils import http_listener as listeners
 
 UPLOAD_TIMEOUT_S = 0.5
 # An election after the loss of another process takes up to 1.4 s.
 FINISH_TIMEOUT_S = 2.0
 LINKS_TIMEOUT_S = 0.5
+# Requests that are on their way when the listener closes are refused
+# within this time.
+REFUSE_S = 0.2
+FLUSH_TIMEOUT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +27,7 @@
 
     :param control: the ControlProcess.
     :param in_flight: the RequestsInFlight of operators and servers.
+    :param http_listener: the HttpListener that accepts those.
     :param links: the AcceptedLinks of other processes.
     :param link_listener: the asyncio server that accepts them.
     :param log_task: the task that runs the log; it has ended if the disk
@@ -32,6 +38,7 @@
 
     control: server.ControlProcess
     in_flight: requests_in_flight.RequestsInFlight
+    http_listener: listeners.HttpListener
     links: accepted_links.AcceptedLinks
     link_listener: asyncio.Server
     log_task: asyncio.Task
@@ -47,24 +54,38 @@
 
     :param parts: the Parts.
     """
-    control, in_flight = parts.control, parts.in_flight
-    control.stopping = True
-    in_flight.refuse()
+    parts.control.stopping = True
+    parts.in_flight.refuse()
     if parts.order_sender is not None:
         parts.order_sender.stop()
-    log.emit(catalogue.CONTROL_STOPPING, requests=in_flight.number)
+    log.emit(catalogue.CONTROL_STOPPING, requests=parts.in_flight.number)
     if parts.log_task.done():
-        await in_flight.finish(0.0, 0.0)
-        return
+        await parts.in_flight.finish(0.0, 0.0)
+    else:
+        await _finish(parts)
+    await _close(parts)
+
+
+async def _finish(parts):
+    """Transfer leadership, and answer what has been accepted."""
+    control = parts.control
     await asyncio.gather(
         control.node.transfer_leadership(),
-        in_flight.finish(UPLOAD_TIMEOUT_S, FINISH_TIMEOUT_S),
+        parts.in_flight.finish(UPLOAD_TIMEOUT_S, FINISH_TIMEOUT_S),
         parts.links.finish(FINISH_TIMEOUT_S, control.is_observer),
         _finish_orders(parts.order_task),
     )
+
+
+async def _close(parts):
+    """Close listeners and links; nothing unread or unsent is lost."""
+    await parts.http_listener.stop_accepting()
     parts.link_listener.close()
     parts.links.refuse()
-    await parts.links.finish(LINKS_TIMEOUT_S)
+    await asyncio.gather(
+        parts.links.finish(LINKS_TIMEOUT_S), asyncio.sleep(REFUSE_S)
+    )
+    await parts.http_listener.flush(FLUSH_TIMEOUT_S)
 
 
 async def _finish_orders(order_task):
--- a/bulrushrudder/tests/platform/control_stop_tests.py
+++ b/bulrushrudder/tests/platform/control_stop_tests.py
@@ -13,6 +13,8 @@
 # Longer than listeners give handlers when they are closed.
 DELAY_S = 1.2
 MAX_STOP_S = 3.0
+CLIENTS = 8
+PAUSE_STEP_S = 0.01
 
 
 def put(version):
@@ -139,7 +141,7 @@
         writer.write(put(3))
         refused = await read_answer(reader)
         writer.close()
-        self.assertEqual((refused.status, refused.retry_after), (503, '0'))
+        self.assertEqual(refused, Answer(503, '0', 'close'))
         statuses, _ = await stopping
         self.assertEqual(statuses, [200])
         self.assertEqual(await self.adopted(), 2)
@@ -168,6 +170,41 @@
         await stopping
         self.assertEqual(await self.adopted(), 2)
 
+    async def go_on(self, member, answers, pause_s):
+        """Send requests on kept and new connections until refused.
+
+        :param pause_s: seconds between an answer and the next request.
+        """
+        while True:
+            try:
+                reader, writer = await member.connect()
+            except ConnectionRefusedError:
+                return
+            answer = Answer(200)
+            while answer.status == 200 and answer.connection != 'close':
+                with contextlib.suppress(ConnectionError):
+                    writer.write(heartbeat())
+                answer = await read_answer(reader)
+                answers.append(answer)
+                await asyncio.sleep(pause_s)
+            writer.close()
+
+    async def test_stop_ends_and_answers_while_clients_go_on(self):
+        for member in (self.fleet.leader, self.fleet.followers[0]):
+            answers = []
+            clients = [
+                asyncio.create_task(
+                    self.go_on(member, answers, client * PAUSE_STEP_S)
+                )
+                for client in range(CLIENTS)
+            ]
+            await asyncio.sleep(0.3)
+            took_s = await member.stop()
+            await asyncio.gather(*clients)
+            self.assertGreater(len(answers), CLIENTS)
+            self.assertEqual(answers.count(CUT_OFF), 0, len(answers))
+            self.assertLess(took_s, MAX_STOP_S)
+
     async def test_all_processes_stop_one_after_the_other(self):
         members = [*self.fleet.followers, self.fleet.leader]
         for number, member in enumerate(members, 2):
