--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -11,10 +11,13 @@
 from bulrushrudder.config import settings_watcher
 from bulrushrudder.consensus import core
 from bulrushrudder.consensus import replica
+from bulrushrudder.control import accepted_links
 from bulrushrudder.control import kind_orders
 from bulrushrudder.control import node
 from bulrushrudder.control import operator_api
+from bulrushrudder.control import requests_in_flight
 from bulrushrudder.control import server
+from bulrushrudder.control import stopping as control_stopping
 from bulrushrudder.core import ids
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -23,6 +26,7 @@
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import peers
 from bulrushrudder.storage import store
+from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
 
@@ -52,6 +56,7 @@
     :returns: the ControlProcess.
     :raises SystemExit: if the data folder cannot be used.
     """
+    last_callbacks = stack.enter_context(contextlib.ExitStack())
     owner = ids.Owner(ids.VmId(f'{settings.vm}/control'), time.time_ns())
     secret = settings.secrets.cluster
     data_folder = _open_data_folder(stack, settings)
@@ -69,35 +74,64 @@
         )
 
     control = server.ControlProcess(make_node, cluster_peers)
+    links = accepted_links.AcceptedLinks()
     listener = await link.listen(
-        settings.control.inner, owner, secret, control.handle
+        settings.control.inner,
+        owner,
+        secret,
+        control.handle,
+        links.remove,
+        links.add,
     )
     stack.callback(listener.close)
     metrics = metrics_control.ControlMetrics()
     interface = interface or OwnInterface()
     operators_app = interface.application(control, settings, metrics)
-    await web.listen(stack, operators_app, settings.control.operators)
+    in_flight = requests_in_flight.RequestsInFlight()
+    operators_app.middlewares.insert(0, in_flight.guard)
+    operators_listener = http_listener.HttpListener(
+        operators_app,
+        http_listener.Options(closes_connections=lambda: in_flight.refusing),
+    )
+    await operators_listener.open(stack, settings.control.operators)
     metrics_app = metrics_listener.application(metrics)
     await web.listen(stack, metrics_app, settings.control.metrics)
-    tasks.spawn(stack, control.node.run())
+    log_task = tasks.spawn(stack, control.node.run())
     tasks.spawn(stack, control.run())
-    order_client = interface.order_client(stack)
-    if order_client is not None:
-        lease_s = settings.control.order_lease_s
-        order_sender = kind_orders.OrderSender(
-            control, order_client, settings.vm, lease_s
-        )
-        tasks.spawn(stack, order_sender.run())
-    stack.push_async_callback(control.node.transfer_leadership)
+    parts = control_stopping.Parts(
+        control,
+        in_flight,
+        operators_listener,
+        links,
+        listener,
+        log_task,
+        *_start_orders(stack, settings, control, interface),
+    )
+    stack.push_async_callback(control_stopping.stop, parts)
     log.emit(
         catalogue.CONTROL_STARTED,
         inner=str(settings.control.inner),
         member=data_folder.id,
     )
-    stack.callback(log.emit, catalogue.CONTROL_STOPPED)
+    last_callbacks.callback(log.emit, catalogue.CONTROL_STOPPED)
     return control
 
 
+def _start_orders(stack, settings, control, interface):
+    """Start to send orders to servers.
+
+    :returns: the OrderSender and its task, or nothing if the servers of the
+        interface accept no orders.
+    """
+    order_client = interface.order_client(stack)
+    if order_client is None:
+        return ()
+    order_sender = kind_orders.OrderSender(
+        control, order_client, settings.vm, settings.control.order_lease_s
+    )
+    return order_sender, tasks.spawn(stack, order_sender.run())
+
+
 async def run(settings, stopping, interface=None):
     """Run the control process until it is stopped.
 
