Keep links between followers open, so that a successor is ready at once

After a control process had been restarted and the leader was stopped, its successor was elected at once but could not answer for about a second: configurations were not accepted, and entry processes changed over. The successor had no link to the restarted member, so its first message was dropped, and entries are sent again only after 1 s.

Control processes now keep a link to each member open, also while they do not lead.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -95,6 +95,10 @@
         """
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
+            # A message without an open link is dropped. The first one of a
+            # new leader would then be repeated only a second later.
+            for address in self.node.other_addresses():
+                self._peers.keep_open(address)
             if self.node.is_ready_leader:
                 await self._tick_as_leader()
             else:
--- a/bulrushrudder/protocol/peers.py
+++ b/bulrushrudder/protocol/peers.py
@@ -72,6 +72,13 @@
         if open_link is not None and not open_link.closed.is_set():
             open_link.send(message)
             return
+        self.keep_open(address)
+
+    def keep_open(self, address):
+        """Dial a process in the background unless a link is open."""
+        open_link = self._links_by_address.get(address)
+        if open_link is not None and not open_link.closed.is_set():
+            return
         if address in self._dialling_addresses:
             return
         self._dialling_addresses.add(address)
--- a/bulrushrudder/tests/control/stop_tests.py
+++ b/bulrushrudder/tests/control/stop_tests.py
@@ -4,6 +4,7 @@
 from returns import result
 
 from bulrushrudder.control import process
+from bulrushrudder.control import server
 from bulrushrudder.core import ids
 from bulrushrudder.documents import types as document_types
 from bulrushrudder.entry import control_client
@@ -22,6 +23,8 @@
 STALE_S = 3.0
 # Time in which a change has to be in force.
 MAX_VIEW_AGE_S = 2.0
+# Entries change over to another control process after this time.
+MAX_SUCCESSION_S = control_client.FAILOVER_TIMEOUT_S
 
 
 def open_session(vm):
@@ -125,6 +128,45 @@
         self.assertGreater(len(accepted), 10)
         self.assertLess(max(ages_s), MAX_VIEW_AGE_S)
 
+    # Guards against a successor whose first message to a member that was
+    # restarted is dropped, and sent again a second later.
+
+    async def test_successor_is_ready_soon_after_a_member_was_restarted(self):
+        # The leader prefers the first of the others as its successor.
+        order = [m.id for m in self.fleet.leader.node.replica.members]
+        member = max(
+            self.fleet.followers, key=lambda m: order.index(m.node.replica.id)
+        )
+        await member.stop()
+        self.fleet.restart(member)
+        await self.fleet.wait_until_ready()
+        await asyncio.sleep(1.0)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        stopping = asyncio.create_task(self.fleet.leader.stop())
+        await self._wait_for_successor()
+        self.assertLess(loop.time() - began_s, MAX_SUCCESSION_S)
+        await stopping
+
+    async def test_followers_keep_links_to_each_other_open(self):
+        for member in self.fleet.followers:
+            member.control._peers.close()
+        await asyncio.sleep(1.5 * server.TICK_INTERVAL_S)
+        for member in self.fleet.followers:
+            links_by_address = member.control._peers._links_by_address
+            closed = [
+                address
+                for address in member.node.other_addresses()
+                if links_by_address[address].closed.is_set()
+            ]
+            self.assertEqual(closed, [])
+
+    async def _wait_for_successor(self):
+        before = self.fleet.leader
+        async with asyncio.timeout(TIMEOUT_S):
+            while self.fleet.leader in (before, None):
+                await asyncio.sleep(0.01)
+
     def _follow(self):
         observed = view.View(document_types.Environment.PRODUCTION, STALE_S)
         client = control_client.ControlClient(
