Test that a control process whose disk fails ends at once

A process whose disk failed waited two seconds for a successor that it could no longer ask, with requests in flight, and answered them when their own time ran out. Since stops have a phase of their own they end at once in that case; this test was still missing.

--- a/bulrushrudder/tests/builders/control_fleet.py
+++ b/bulrushrudder/tests/builders/control_fleet.py
@@ -36,15 +36,22 @@
     """One control process.
 
     :ivar stopping: the StopSignal, which stands for signals.
+    :ivar exit_code: the exit code of a process that has ended itself.
     """
 
     def __init__(self, member_settings, interface):
         self.settings = member_settings
         self.stopping = stop_signal.StopSignal()
         self._interface = _CapturingInterface(interface)
-        self.task = asyncio.create_task(
-            process.run(member_settings, self.stopping, self._interface)
-        )
+        self.exit_code = None
+        self.task = asyncio.create_task(self._run())
+
+    async def _run(self):
+        try:
+            await process.run(self.settings, self.stopping, self._interface)
+        except SystemExit as error:
+            # Raised in a task, it would end the loop of the test.
+            self.exit_code = error.code
 
     @property
     def control(self):
--- a/bulrushrudder/tests/platform/control_stop_tests.py
+++ b/bulrushrudder/tests/platform/control_stop_tests.py
@@ -4,8 +4,10 @@
 import unittest
 
 import logbook
+from returns import result
 
 from bulrushrudder.platform import control_api
+from bulrushrudder.storage import errors
 from bulrushrudder.tests.builders import control_fleet
 from bulrushrudder.tests.builders import platform
 
@@ -13,6 +15,7 @@
 # Longer than listeners give handlers when they are closed.
 DELAY_S = 1.2
 MAX_STOP_S = 3.0
+MAX_FAILED_STOP_S = 1.0
 CLIENTS = 8
 PAUSE_STEP_S = 0.01
 
@@ -224,6 +227,22 @@
         self.assertEqual(statuses, [200])
         self.assertLess(took_s, MAX_STOP_S)
 
+    # Guards against a process whose disk has failed and that waits for a
+    # successor it can no longer ask.
+
+    async def test_failed_disk_ends_process_soon_and_answers(self):
+        leader = self.fleet.leader
+        leader.node._driver._store.save = lambda batch: result.Failure(
+            errors.SyncFailed('injected')
+        )
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        answer = await call(leader, put(2))
+        await leader.task
+        self.assertEqual(leader.exit_code, 1)
+        self.assertEqual(answer.status, 503)
+        self.assertLess(loop.time() - began_s, MAX_FAILED_STOP_S)
+
     # Guards against a log event that claims the end too early.
 
     async def test_stopped_is_logged_last(self):
