Silence the dead entry in the test of orphans

OrphanTests.test_peers_cancel_attempts_of_dead_entry failed beside load with TimeoutError: attempts of the dead entry were not all freed within 3 s; also with "12 != 6".

Cause: the test's dead entry was not dead. It replaced a method of the running requests that had been called long before, so the entry saw its streams end, inspected, and started each request anew under the same owner, beyond what its peers had cancelled. The test passed when one of its checks fell between the end of all first attempts and the start of the second ones; held up, the checks missed that moment, and the second attempts ran for 20 s. "12 != 6" came from the six results of prefills that were still held 0.2 s after the first decode had begun.

The log of a run shows "retry decided" and "decode started" by the dead entry after its orphans were cancelled.

The entry now sends nothing from its death on, as when its VM has lost power: its connections stay open, and a request whose stream ends waits for good. The test begins when six attempts decode and nothing else is held, in place of 0.2 s after the first. What is checked is as before and no longer met by chance: peers free all attempts within 3 s of time in which the process can get on.

--- a/bulrushrudder/tests/entry/path_tests.py
+++ b/bulrushrudder/tests/entry/path_tests.py
@@ -49,6 +49,21 @@
     )
 
 
+def silence(services):
+    """Make an entry send nothing any more, as when its VM has lost power.
+
+    Its connections stay open, so that engines go on with its attempts.
+
+    :param services: the SharedServices of an entry whose requests decode.
+    """
+
+    async def wait_forever(*args):
+        await asyncio.Event().wait()
+
+    services.canceller.cancel = lambda server, attempt: None
+    services.engines = python_types.SimpleNamespace(inspect=wait_forever)
+
+
 class PathTestCase(unittest.IsolatedAsyncioTestCase):
     terms = python_types.MappingProxyType({})
 
@@ -131,6 +146,14 @@
                 return found
         return None
 
+    def decoding_attempts(self):
+        """Return how many attempts the decode engines hold."""
+        return sum(
+            len(found.held_by_attempt)
+            for name, found in self.path.engines_by_id.items()
+            if name.startswith('d')
+        )
+
     async def wait_until_running(self):
         await self.settle(lambda: self.engine_running(), START_POLL_S)
         return self.engine_running()
@@ -282,24 +305,26 @@
 
 
 class OrphanTests(PathTestCase):
+    # Guards against a dead entry that goes on in the test: it repeated what
+    # its peers had cancelled, and attempts were held again.
     async def test_peers_cancel_attempts_of_dead_entry(self):
-        await self.start(entries=3, token_s=0.05)
+        await self.start(entries=3, token_s=0.05, cache_s=CACHE_S)
+        # The peers have to see the session of an entry before it closes.
         await asyncio.sleep(0.3)
         calls = [
             asyncio.create_task(self.stream(f'p{n}', self.urls[0], 400))
             for n in range(6)
         ]
-        await self.wait_until_running()
-        await asyncio.sleep(0.2)
+        await self.settle(
+            lambda: (
+                self.decoding_attempts() == 6
+                and len(self.path.held_attempts()) == 6
+            )
+        )
         dead = self.path.services[0]
-        dead.canceller.cancel = lambda server, attempt: None
-        for running in tuple(dead.running):
-            running.run = None
-        self.assertEqual(len(self.path.held_attempts()), 6)
+        silence(dead)
         self.path.log.commit(sessions.CloseSession(dead.owner))
-        async with asyncio.timeout(SETTLE_TIMEOUT_S):
-            while self.path.held_attempts():
-                await asyncio.sleep(0.02)
+        await self.settle(lambda: not self.path.held_attempts())
         for call in calls:
             call.cancel()
 
