Let the runners of the test of resumable streams go on living

PathTests.test_resumable_stream_is_completed_by_another_runner failed beside load. The third is in the test: its runners announce themselves once, and a server without announcements leaves after 3 s. A slow run loses them and gets 503 NO_SERVER.

The runners of this test now send heartbeats every 0.5 s, as real ones do. What is checked stays as it is.

--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -18,8 +18,10 @@
 from bulrushrudder.tests.builders import platform
 from bulrushrudder.tests.builders import runners
 from bulrushrudder.tests.builders import settings as builders
+from bulrushrudder.utils import tasks
 
 START_TIMEOUT_S = 20.0
+HEARTBEAT_INTERVAL_S = 0.5
 PREFIX = '/bulrushrudder'
 
 
@@ -148,6 +150,20 @@
         await self.wait_until(lambda: server_id in table.by_id)
         return runner
 
+    async def add_lasting_runner(self, reply, server_id, **changes):
+        """Start a runner that goes on sending heartbeats.
+
+        Without them, it counts as silent after the lease of a server.
+        """
+        runner = await self.add_runner(reply, server_id, **changes)
+        tasks.spawn(self._stack, self._renew(runner, server_id, changes))
+        return runner
+
+    async def _renew(self, runner, server_id, changes):
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await self.send_heartbeat(runner, server_id, **changes)
+
     async def ready(self):
         """Return the status of the readiness check."""
         async with self.session.get(
--- a/bulrushrudder/tests/platform/path_tests.py
+++ b/bulrushrudder/tests/platform/path_tests.py
@@ -300,11 +300,13 @@
         self.assertEqual(status, 200)
         self.assertNotIn('Kv-Source', decode.calls[0].headers)
 
+    # Guards against runners that count as silent in the middle of the test,
+    # and against the loss of calls to a process that stood still.
     async def test_resumable_stream_is_completed_by_another_runner(self):
         await self.configure()
-        await self.fleet.add_runner(engine, 'i-p', stage='prefill')
-        broken = await self.fleet.add_runner(cut, 'i-d', zone='a')
-        await self.fleet.add_runner(engine, 'i-e', zone='b')
+        await self.fleet.add_lasting_runner(engine, 'i-p', stage='prefill')
+        broken = await self.fleet.add_lasting_runner(cut, 'i-d', zone='a')
+        await self.fleet.add_lasting_runner(engine, 'i-e', zone='b')
         whole = b''.join(runners.event(n) for n in range(1, 6))
         for _ in range(4):
             self.assertEqual(await self.text('/drafts/1'), (200, whole))
