--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -159,7 +159,7 @@
         :raises TimeoutError: if it does not react in time.
         """
         loop = asyncio.get_running_loop()
-        async with timeouts.running_timeout(CONNECT_TIMEOUT_S):
+        async with timeouts.RunningTimeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
                 lambda: connections.Connection(
                     self._id_header, self._kept_bytes
