Follow streams and prefills through a standstill of this process

A VM that did not run the process for longer than the limits on runners, 0.7 s and some for a prefill, 4 s for the first event and 2.4 s between events, then gave up all of them at once, though the answers had arrived: callers' prefills were repeated and streams began again at other runners, which takes from the retry budget and from the attempts of the route.

The limits now count seconds in which the loop ran. What callers wait for is bounded by the deadlines of the request, which stay on the clock.

--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -20,6 +20,7 @@
 from bulrushrudder.platform import calls
 from bulrushrudder.platform import event_stream
 from bulrushrudder.platform import headers
+from bulrushrudder.utils import timeouts
 
 # Runners prefill about 30 tokens a ms. The timeout allows for a few
 # queued prompts or a server several times slower, because repeating a
@@ -75,7 +76,7 @@
             + job.prompt_tokens / PREFILL_TIMEOUT_TOKENS_PER_S
         )
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeouts.RunningTimeout(timeout_s):
                 async with self._pool.call(server, call) as opened:
                     outcome = await self._read_prefill_reply(opened)
         except TimeoutError:
@@ -150,7 +151,7 @@
     async def _follow_stream(self, opened, server, action, job):
         attempt = action.attempt
         timeout_s = _timeout_s(job, FIRST_EVENT_TIMEOUT_S)
-        async with asyncio.timeout(timeout_s):
+        async with timeouts.RunningTimeout(timeout_s):
             head = await calls.read_head(opened)
         match head:
             case result.Failure(failed):
@@ -261,7 +262,7 @@
     """
     splitter = event_stream.EventSplitter()
     while True:
-        async with asyncio.timeout(timeout_s):
+        async with timeouts.RunningTimeout(timeout_s):
             texts, last = await _read_complete_events(connection, splitter)
         for start in range(0, len(texts), MAX_BATCH_EVENTS):
             if start:
--- a/bulrushrudder/tests/platform/engines_tests.py
+++ b/bulrushrudder/tests/platform/engines_tests.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 import unittest
 from unittest import mock
 
@@ -16,6 +17,7 @@
 from bulrushrudder.tests.builders import scripted_engines
 
 TIMEOUT_S = 3.0
+SHORT_LIMIT_S = 0.3
 ATTEMPT = ids.AttemptId(ids.RequestId('1'), fleet.owner(), 1)
 SOURCE = fleet.server('i-0', kind='prefill', host='10.0.0.9', port=80)
 PREFILL_REPLY = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
@@ -29,6 +31,11 @@
     await asyncio.sleep(0.05)
 
 
+async def stand_still(writer):
+    """Stop this process for longer than SHORT_LIMIT_S."""
+    time.sleep(2 * SHORT_LIMIT_S)
+
+
 class EnginesTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
@@ -85,6 +92,18 @@
                 self.assertIsInstance(event, events.AttemptFailed)
                 self.assertFalse(event.sent)
 
+    # Guards against an answer that has arrived and is not read, because
+    # this process stood still.
+    async def test_reads_answer_that_arrived_during_standstill(self):
+        limit = mock.patch.object(
+            engines, 'PREFILL_TIMEOUT_BASE_S', SHORT_LIMIT_S
+        )
+        with limit:
+            event = await self.prefill(
+                stand_still, runners.answer(PREFILL_REPLY)
+            )
+        self.assertIsInstance(event, events.PrefillDone)
+
     async def test_cancel_frees_result_that_was_not_fetched(self):
         server = await self.start(runners.answer(PREFILL_REPLY))
         action = actions.StartPrefill(ATTEMPT, server.id, ())
@@ -123,6 +142,27 @@
         self.assertEqual(call.headers['Kv-Source'], place)
         self.assertNotIn('Last-Event-Id', call.headers)
 
+    # Guards against a stream that is cut although its server goes on,
+    # because this process stood still.
+    async def test_follows_stream_through_standstill(self):
+        first, second = (
+            scripted_engines.chunk(runners.event(n)) for n in (1, 2)
+        )
+        limits = mock.patch.multiple(
+            engines,
+            FIRST_EVENT_TIMEOUT_S=SHORT_LIMIT_S,
+            BETWEEN_EVENTS_TIMEOUT_S=SHORT_LIMIT_S,
+        )
+        with limits:
+            received = await self.decode(
+                stand_still,
+                runners.stream_head() + first,
+                pause_briefly,
+                stand_still,
+                second + scripted_engines.chunk(b''),
+            )
+        self.assertEqual(received[-1], events.DecodeDone(ATTEMPT, 2, 'stop'))
+
     async def test_resumes_stream_after_last_event(self):
         produced = (runners.event(1), runners.event(2))
         received = await self.decode(runners.stream(3, 4), produced=produced)
