Let the time of all processes go on while their VM is suspended

What callers saw: after a VM had been suspended, its entry process took its view of the log and its leases of accounts for as old as they were before. It went on to check keys against an outdated document and to grant tokens beside the successor of its accounts for up to the rest of the lease.

Cause: all times in a process come from its event loop or from time.monotonic, and both stand still while the VM is suspended.

Change: the processes run on an event loop by CLOCK_BOOTTIME; the replica takes its time from the loop too. A suspension is now the same to them as a freeze, after which overdue timers fire at once.

In the test fleet each process has a clock of its own.

--- a/bulrushrudder/commands/demo.py
+++ b/bulrushrudder/commands/demo.py
@@ -1,12 +1,12 @@
 """The demo command: the whole request path in one process."""
 
-import asyncio
 import contextlib
 
 from bulrushrudder.commands import errors
 from bulrushrudder.events import log
 from bulrushrudder.standins import deployment
 from bulrushrudder.standins import engine
+from bulrushrudder.utils import event_loop
 
 PROMPT = 'Draft the functional analysis of the Croatian distributor.'
 OUTPUT_TOKENS = 8
@@ -36,7 +36,7 @@
 def demo():
     """Serve a few requests with stand-in backend servers, then stop."""
     with log.human_handler(level='WARNING').applicationbound():
-        asyncio.run(_demo())
+        event_loop.run(_demo())
 
 
 async def _demo():
--- a/bulrushrudder/commands/service.py
+++ b/bulrushrudder/commands/service.py
@@ -10,6 +10,7 @@
 from bulrushrudder.commands import errors
 from bulrushrudder.config import settings_file
 from bulrushrudder.events import log
+from bulrushrudder.utils import event_loop
 from bulrushrudder.utils import stop_signal
 
 
@@ -59,7 +60,7 @@
     gc.enable()
     handler = log.bounded_handler(sys.stdout.fileno(), log_format)
     with handler.applicationbound():
-        asyncio.run(_run_until_signal(run, settings))
+        event_loop.run(_run_until_signal(run, settings))
 
 
 async def _run_until_signal(run, settings):
--- a/bulrushrudder/control/driver.py
+++ b/bulrushrudder/control/driver.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import time
 
 from returns import result
 
@@ -77,7 +76,7 @@
         :returns: whether the process goes on; if not, the disk has
             failed and the loop ends.
         """
-        now_s = time.monotonic()
+        now_s = _now_s()
         if self._unsaved is not None:
             self._decline(self._take_inbox())
             if now_s < self._next_save_s:
@@ -114,7 +113,7 @@
         Messages come before the tick: after a slow sync, a member must
         hear its peers before it judges that they are silent.
         """
-        now_s = time.monotonic()
+        now_s = _now_s()
         ticks = []
         if now_s - self._last_tick_s >= TICK_INTERVAL_S:
             self._last_tick_s = now_s
@@ -185,3 +184,7 @@
 
 def _size(entries):
     return sum(len(getattr(e.payload, 'data', b'')) for e in entries)
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import itertools
-import time
 
 from returns import result
 
@@ -138,8 +137,8 @@
         :returns: the Outcome of the command.
         """
         data = codec.encode(command)
-        deadline_s = time.monotonic() + PROPOSE_TIMEOUT_S
-        while (left_s := deadline_s - time.monotonic()) > 0:
+        deadline_s = _now_s() + PROPOSE_TIMEOUT_S
+        while (left_s := deadline_s - _now_s()) > 0:
             outcome = await self._try_propose(data, left_s)
             if outcome is not None:
                 return outcome
@@ -231,8 +230,8 @@
         if self.replica.role is not core.Role.LEADER:
             return
         self._driver.put(events.LeadershipTransferRequested())
-        deadline_s = time.monotonic() + LEADERSHIP_TRANSFER_TIMEOUT_S
-        while time.monotonic() < deadline_s:
+        deadline_s = _now_s() + LEADERSHIP_TRANSFER_TIMEOUT_S
+        while _now_s() < deadline_s:
             await asyncio.sleep(RETRY_INTERVAL_S)
             alone = len(types.voters(self.replica.members)) == 1
             if alone or self.replica.role is not core.Role.LEADER:
@@ -267,8 +266,8 @@
         return await self._retry_read_index()
 
     async def _retry_read_index(self):
-        deadline_s = time.monotonic() + READ_INDEX_TIMEOUT_S
-        while time.monotonic() < deadline_s:
+        deadline_s = _now_s() + READ_INDEX_TIMEOUT_S
+        while _now_s() < deadline_s:
             index = await self._try_read_index()
             if index is not None:
                 return await self._wait_for_index(index, deadline_s)
@@ -295,7 +294,7 @@
         :returns: the index, or None if the deadline has passed.
         """
         try:
-            async with asyncio.timeout(deadline_s - time.monotonic()):
+            async with asyncio.timeout(deadline_s - _now_s()):
                 while self.index < index:
                     self._applied_event.clear()
                     await self._applied_event.wait()
@@ -424,3 +423,7 @@
 
 def _decode(data):
     return codec.decode(data).unwrap()
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -151,7 +151,10 @@
         settings.seeded,
     )
     return replica.Replica(
-        identity, data_folder.durable, random.random, time.monotonic()
+        identity,
+        data_folder.durable,
+        random.random,
+        asyncio.get_running_loop().time(),
     )
 
 
--- a/bulrushrudder/tests/builders/limits_fleet.py
+++ b/bulrushrudder/tests/builders/limits_fleet.py
@@ -80,9 +80,10 @@
     """An entry process without its I/O.
 
     :ivar pending_requests: by id, the event of each unanswered token
-        request and the monotonic seconds at which it was sent.
+        request and the seconds of its clock at which it was sent.
     :ivar cut: whether the process can neither send nor receive.
     :ivar paused: whether the process is suspended.
+    :ivar lag_s: seconds by which its clock is behind true time.
     :ivar pending_round: number and log index of its open confirmation round.
     """
 
@@ -95,6 +96,7 @@
         self.charges = []
         self.cut = False
         self.paused = False
+        self.lag_s = 0.0
         self.pending_round = None
 
     @property
@@ -171,8 +173,12 @@
     def close_session(self, vm):
         self.commit(sessions.CloseSession(self.by_vm[vm].owner))
 
+    def clock_s(self, process):
+        """Return the time by the clock of a process."""
+        return self.now_s - process.lag_s
+
     def begin_round(self, process):
-        number = process.view.begin_round(self.now_s)
+        number = process.view.begin_round(self.clock_s(process))
         process.pending_round = number, len(self.commands)
 
     def end_round(self, process):
@@ -211,9 +217,9 @@
         processes = self.by_vm.values()
         return sum(
             process.authority.spendable(
-                self.account, process.log_view(), self.now_s
+                self.account, process.log_view(), self.clock_s(process)
             )
-            + process.slices.left(self.account, self.now_s)
+            + process.slices.left(self.account, self.clock_s(process))
             for process in processes
         )
 
@@ -240,7 +246,8 @@
         if process.paused:
             return
         accounts_by_id = process.view.lookups.accounts_by_id
-        for refund in process.slices.sweep(accounts_by_id, self.now_s):
+        now_s = self.clock_s(process)
+        for refund in process.slices.sweep(accounts_by_id, now_s):
             self._send_refund(process, refund)
         self.handle(process, events.Ticked())
 
@@ -250,10 +257,11 @@
         :returns: the id of the token request, or None if none is sent: a
             slice has the tokens, or the process cannot ask.
         """
-        if process.paused or not process.view.is_fresh(self.now_s):
+        now_s = self.clock_s(process)
+        if process.paused or not process.view.is_fresh(now_s):
             return None
         account = process.view.lookups.accounts_by_id[self.account]
-        charge = process.slices.take(account, tokens, self.now_s)
+        charge = process.slices.take(account, tokens, now_s)
         if charge is not None:
             self.oracle.take(tokens, self.now_s)
             process.charges.append(charge)
@@ -266,12 +274,10 @@
             token_request,
             self.account,
             tokens,
-            process.slices.slice_tokens_wanted(
-                self.account, tokens, self.now_s
-            ),
+            process.slices.slice_tokens_wanted(self.account, tokens, now_s),
             self.now_s + patience_s,
         )
-        process.pending_requests[token_request] = event, self.now_s
+        process.pending_requests[token_request] = event, now_s
         self.send_to_authority(process, event)
         return token_request
 
@@ -289,7 +295,8 @@
     def refund(self, process, charge, tokens):
         """Refund the unused tokens of a request that has ended."""
         process.charges.remove(charge)
-        refund = process.slices.refund(charge, tokens, self.now_s)
+        now_s = self.clock_s(process)
+        refund = process.slices.refund(charge, tokens, now_s)
         if refund is None:
             self.oracle.credit(tokens, self.now_s)
             return
@@ -323,7 +330,9 @@
                 self.handle(process, packet.content)
 
     def handle(self, process, event):
-        found = process.authority.handle(event, process.log_view(), self.now_s)
+        found = process.authority.handle(
+            event, process.log_view(), self.clock_s(process)
+        )
         for action in found:
             match action:
                 case actions.Propose(command=command):
--- a/bulrushrudder/tests/control/node_tests.py
+++ b/bulrushrudder/tests/control/node_tests.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import tempfile
-import time
 import unittest
 from unittest import mock
 
@@ -71,7 +70,10 @@
             data_folder = opened.unwrap()
             identity = core.Identity(data_folder.id, ADDRESS, (ADDRESS,))
             member = replica.Replica(
-                identity, data_folder.durable, lambda: 0.0, time.monotonic()
+                identity,
+                data_folder.durable,
+                lambda: 0.0,
+                asyncio.get_running_loop().time(),
             )
             running = node.Node(
                 member,
