Let a leader that was paused expire no lease, and a former leader nothing

What callers saw: after the leading control process had been frozen for some seconds, no backend server was left for up to a heartbeat, and after more than 6 s no session either: requests were refused, roles moved, and attempts of live entries counted as orphans.

Cause: the resumed process judged by its clock that all servers and sessions had been silent, though it had only not listened. It still held itself for the leader, and its proposals were forwarded to the successor, which committed them. It depends on which of two overdue timers comes first, the driver's, which ends the leadership, or the one of the leases.

Evidence, failing before: control/paused_leader_tests, sessions and servers left after a pause of 8 s: (0, 0) instead of (1, 1), with and without a successor.

Change: what a leader decides is proposed by itself or not at all. A watch compares the times at which the process runs; after a gap of more than a second all leases are renewed, as when another leader takes over. It is asked again before each judgement, so the order of timers is of no account. 'session expired' is logged once that is committed.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -1,11 +1,13 @@
 """Serves the log to other processes."""
 
 import asyncio
+import contextlib
 
 from returns import result
 
 from bulrushrudder.consensus import messages as consensus_messages
 from bulrushrudder.control import log_feed
+from bulrushrudder.control import pauses
 from bulrushrudder.control import status
 from bulrushrudder.control import stream_registry
 from bulrushrudder.documents import types
@@ -24,8 +26,10 @@
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.state import suspect_parts
+from bulrushrudder.utils import tasks
 
 TICK_INTERVAL_S = 0.5
+PAUSE_WATCH_INTERVAL_S = 0.2
 FORWARD_TIMEOUT_S = 3.0
 
 
@@ -47,6 +51,7 @@
         self._software_expiry = software_expiry.SoftwareExpiry()
         self._streams = stream_registry.StreamRegistry(self.node, peers)
         self._was_leader = False
+        self._pauses = pauses.PauseWatch()
 
     async def handle(self, link, message):
         """Handle a message of another process.
@@ -88,13 +93,38 @@
 
         A process that does not lead reports its observers to the leader.
         """
+        async with contextlib.AsyncExitStack() as stack:
+            tasks.spawn(stack, self._watch_pauses())
+            while True:
+                await asyncio.sleep(TICK_INTERVAL_S)
+                await self.check()
+
+    async def check(self):
+        """Expire leases as leader, or report observers to the leader."""
+        if self.node.is_ready_leader:
+            await self._tick_as_leader()
+        else:
+            self._was_leader = False
+            self._report_observers()
+
+    async def _watch_pauses(self):
         while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            if self.node.is_ready_leader:
-                await self._tick_as_leader()
-            else:
-                self._was_leader = False
-                self._report_observers()
+            self.observe_time()
+            await asyncio.sleep(PAUSE_WATCH_INTERVAL_S)
+
+    def observe_time(self):
+        """Renew all leases if this process was paused until now.
+
+        Neither sessions nor servers have been silent then; nobody has
+        listened to them.
+
+        :returns: the present time in seconds.
+        """
+        now_s = _now_s()
+        if self._pauses.observe(now_s):
+            self._leases.renew_all(now_s)
+            self._tracker.renew_all(now_s)
+        return now_s
 
     async def status(self):
         """Return the leader's Status.
@@ -148,19 +178,42 @@
             self._tracker = tracker.Tracker()
             self._suspect_expiry = suspect_expiry.SuspectExpiry()
             self._software_expiry = software_expiry.SoftwareExpiry()
-        await self._track(tracker.Ticked())
+        await self._expire_servers()
         await self._advance_suspects()
         await self._forget_softwares()
         by_vm = self.node.state.sessions.by_vm
-        for command in self._leases.expire(by_vm, _now_s()):
-            log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
-            await self.node.propose(command)
+        for command in self._leases.expire(by_vm, self.observe_time()):
+            if await self._commit_as_leader(command):
+                log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
+
+    async def _expire_servers(self):
+        servers_by_id = self.node.state.servers.by_id
+        actions = self._tracker.handle(
+            tracker.Ticked(), servers_by_id, self.observe_time()
+        )
+        for action in actions:
+            if await self._commit_as_leader(action.command):
+                _log_change(action.command, 'silent')
+
+    async def _commit_as_leader(self, command):
+        """Commit what this process has decided as the leader.
+
+        Unlike other proposals, it is not forwarded to a successor: that
+        one has heard more.
+
+        :returns: whether it was accepted.
+        """
+        data = codec.encode(command)
+        outcome = await self.node.propose_as_leader(data)
+        return isinstance(outcome, results.Accepted)
 
     async def _forget_softwares(self):
         """Forget software versions that have had no server for long."""
         absent = self.node.state.servers.absent_softwares()
         for model, software in self._software_expiry.due(absent, _now_s()):
-            await self.node.propose(servers.ForgetSoftware(model, software))
+            await self._commit_as_leader(
+                servers.ForgetSoftware(model, software)
+            )
 
     async def _advance_suspects(self):
         """Forget suspect prompt parts, and try quarantined ones."""
@@ -169,10 +222,12 @@
         if due.forgotten:
             parts = ','.join(due.forgotten)
             log.emit(catalogue.SUSPECTS_FORGOTTEN, parts=parts)
-            await self.node.propose(suspect_parts.ClearParts(due.forgotten))
+            await self._commit_as_leader(
+                suspect_parts.ClearParts(due.forgotten)
+            )
         if due.tried:
             log.emit(catalogue.PARTS_TRIED, parts=','.join(due.tried))
-            await self.node.propose(suspect_parts.TryParts(due.tried))
+            await self._commit_as_leader(suspect_parts.TryParts(due.tried))
 
     def _report_observers(self):
         """Report the observers of this process to the leader."""
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -65,6 +65,10 @@
         """
         self._excluded_until_s_by_id[server_id] = until_s
 
+    def renew_all(self, now_s):
+        """Give every server a full lease."""
+        self._renewed_s_by_id = dict.fromkeys(self._renewed_s_by_id, now_s)
+
     def readmit(self, server_id):
         """Accept announcements of an excluded server again."""
         self._excluded_until_s_by_id.pop(server_id, None)
