Check the permission of an order after its connection is open

What servers saw: an order of a holder whose lease had run out, beside the orders of a later one.

Cause: the permission was checked before the connection was opened. A suspension or a freeze while connecting was not noticed. Since the clock of the loop counts suspensions, the order needs no clock of its own.

Change: a call to a server may state until when it may be sent. The pool compares it with the clock between connecting and sending, with no await after it. An order that was not sent is reported as refused.

--- a/bulrushrudder/control/kind_orders.py
+++ b/bulrushrudder/control/kind_orders.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import dataclasses
-import time
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -38,8 +37,8 @@
     :param kind: the kind to change to.
     :param holder: name of the process that sends it.
     :param fence: fencing number; increases with each leader.
-    :param expires_s: seconds of CLOCK_BOOTTIME after which it must not be
-        sent any more, since another leader may send orders from then on.
+    :param expires_s: seconds of the loop's clock after which it must not
+        be sent any more, since another leader may send orders from then on.
     """
 
     kind: str
@@ -47,11 +46,6 @@
     fence: int
     expires_s: float
 
-    @property
-    def expired(self):
-        """Return whether the order must not be sent any more."""
-        return _suspendable_now_s() > self.expires_s
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderAccepted:
@@ -181,7 +175,7 @@
             await self._control.exclude(server, until_s)
         await asyncio.sleep(EXCLUSION_DELAY_S)
         term = self._term
-        expires_s = _suspendable_now_s() + self._lease_s * ORDER_VALIDITY_SHARE
+        expires_s = _now_s() + self._lease_s * ORDER_VALIDITY_SHARE
         if await self._control.node.read_index_as_leader() is None:
             for server, _ in orders:
                 self._control.readmit(server)
@@ -229,8 +223,3 @@
 
 def _now_s():
     return asyncio.get_running_loop().time()
-
-
-def _suspendable_now_s():
-    """Return seconds of a clock that also runs while a VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -18,6 +18,11 @@
 # Many round trips between zones. TCP retransmits a lost SYN only after
 # 1 s, so a new connection is faster.
 CONNECT_TIMEOUT_S = 0.35
+_EXPIRED = responses.Problem(
+    responses.ProblemKind.EXPIRED,
+    'the permission to send it ran out',
+    sent=False,
+)
 
 
 class Listening(enum.Enum):
@@ -68,6 +73,10 @@
             case result.Success(connection):
                 pass
         sent_s = asyncio.get_running_loop().time()
+        if sent_s > call.expires_s:
+            self._release(server, connection)
+            yield result.Failure(_EXPIRED)
+            return
         connection.send(
             call,
             functools.partial(self._on_head, server, sent_s),
--- a/bulrushrudder/engines/responses.py
+++ b/bulrushrudder/engines/responses.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 class ProblemKind(enum.Enum):
@@ -10,6 +11,7 @@
     UNREACHABLE = 'unreachable'
     BROKEN = 'broken'
     INVALID = 'invalid'
+    EXPIRED = 'expired'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,8 +78,11 @@
         call has none.
     :param without_body: whether the response has no body regardless of its
         headers, as after HEAD.
+    :param expires_s: seconds of the loop's clock after which it must not
+        be sent.
     """
 
     data: bytes
     id: str = ''
     without_body: bool = False
+    expires_s: float = math.inf
--- a/bulrushrudder/platform/orders.py
+++ b/bulrushrudder/platform/orders.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import math
 
 import pydantic
 from returns import result
@@ -64,12 +65,8 @@
                 'expect': report.sequence,
             }
         )
-        if order.expired:
-            return kind_orders.OrderRefused(
-                'the permission to send it ran out', False
-            )
         answer = await self._request(
-            server, 'POST', _ORDER_PATH, body.encode()
+            server, 'POST', _ORDER_PATH, body.encode(), order.expires_s
         )
         match answer:
             case result.Success((status, _)) if status in (200, 202):
@@ -79,7 +76,13 @@
                     f'runner refused the order, status {status}',
                     status == _FENCED_STATUS,
                 )
-            case result.Failure(detail):
+            case result.Failure(
+                responses.Problem(
+                    kind=responses.ProblemKind.EXPIRED, detail=detail
+                )
+            ):
+                return kind_orders.OrderRefused(detail, False)
+            case result.Failure(responses.Problem(detail=detail)):
                 return kind_orders.OrderOutcomeUnknown(detail)
         raise AssertionError('unreachable: order neither answered nor failed')
 
@@ -92,11 +95,14 @@
                     return None
         return None
 
-    async def _request(self, server, method, path, body):
-        """Return the status and body of an answer, or an error message.
+    async def _request(self, server, method, path, body, expires_s=math.inf):
+        """Return the status and body of an answer, or a Problem.
 
         Answers to reports and orders have no id, so each is read from a
         connection of its own, on which no copy of another one can arrive.
+
+        :param expires_s: seconds of the loop's clock after which it must
+            not be sent.
         """
         pairs = [
             ('Host', f'{server.host}:{server.port}'),
@@ -105,25 +111,32 @@
         if body:
             pairs.append(('Content-Type', 'application/json'))
         call = responses.Call(
-            headers.encode_request(method, path, pairs, body)
+            headers.encode_request(method, path, pairs, body),
+            expires_s=expires_s,
         )
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 async with self._pool.call(server, call, 0.0) as opened:
                     return await _read_response(opened)
         except TimeoutError:
-            return result.Failure(f'no answer in {ANSWER_TIMEOUT_S} s')
+            return _broken(f'no answer in {ANSWER_TIMEOUT_S} s')
 
 
 async def _read_response(opened):
     match opened:
         case result.Failure(problem):
-            return result.Failure(problem.detail)
+            return result.Failure(problem)
     head = await opened.unwrap().part()
     if isinstance(head, responses.Problem):
-        return result.Failure(head.detail)
+        return result.Failure(head)
     body = await calls.read_body(opened.unwrap())
     match body:
         case result.Failure(failed):
-            return result.Failure(failed.detail)
+            return _broken(failed.detail)
     return result.Success((head.status, body.unwrap()))
+
+
+def _broken(detail):
+    """Return the Problem of a request that may have been received."""
+    broken = responses.ProblemKind.BROKEN
+    return result.Failure(responses.Problem(broken, detail, sent=True))
--- a/bulrushrudder/tests/control/kind_orders_tests.py
+++ b/bulrushrudder/tests/control/kind_orders_tests.py
@@ -83,7 +83,7 @@
         self.assertEqual(
             (order.kind, order.holder, order.fence), ('decode', 'core-1', 7)
         )
-        self.assertFalse(order.expired)
+        self.assertGreater(order.expires_s, self.now_s)
         self.assertEqual(self.control.excluded, {server})
 
     async def test_new_term_waits_for_lease_again(self):
@@ -151,17 +151,19 @@
         await self.step(0.5)
         self.assertEqual(len(self.order_client.orders), 1)
 
-    async def test_order_expires_while_vm_is_suspended(self):
-        boottime = mock.patch.object(
-            kind_orders, '_suspendable_now_s', return_value=50.0
-        )
-        with boottime as now_s:
-            await self.step(0.0)
-            await self.step(10.0)
-            ((_, order),) = self.order_client.orders
-            self.assertFalse(order.expired)
-            now_s.return_value = 50.0 + LEASE_S
-            self.assertTrue(order.expired)
+    async def test_order_expires_within_lease_after_its_quorum_round(self):
+        round_s = 120.0
+
+        async def read_index():
+            self.now_s = round_s + 0.5
+            return 1
+
+        self.control.node.read_index_as_leader = read_index
+        await self.step(0.0)
+        await self.step(round_s - self.now_s)
+        ((_, order),) = self.order_client.orders
+        self.assertGreater(order.expires_s, self.now_s)
+        self.assertLess(order.expires_s, round_s + LEASE_S)
 
     async def test_server_that_leaves_does_not_delay_orders(self):
         await self.step(0.0)
--- a/bulrushrudder/tests/platform/late_copies_tests.py
+++ b/bulrushrudder/tests/platform/late_copies_tests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import time
 import unittest
 
 from bulrushrudder.control import kind_orders
@@ -159,7 +158,7 @@
                 'prefill',
                 'core-1',
                 3,
-                time.clock_gettime(time.CLOCK_BOOTTIME) + 5.0,
+                asyncio.get_running_loop().time() + 5.0,
             )
             outcome = await orders.OrderClient(pool).order(
                 runner.server(), order
