Send no order in a term that has ended

What servers saw: orders under the fencing number of a former term, and orders within the lease of a leader that came between two terms of the same process.

Cause: a leader that lost and regained the leadership while it excluded servers had its new term confirmed by the quorum round, and then sent the orders of the old one, without waiting out the lease again.

Evidence, failing before: control/kind_orders_tests, the term changes from 7 to 9 before the quorum round: an order with fence=7 was sent instead of none.

Change: after the quorum round the term must be the one in which the lease was waited out. A server is excluded by the leader alone; a former leader had the exclusion committed by its successor.

--- a/bulrushrudder/control/kind_orders.py
+++ b/bulrushrudder/control/kind_orders.py
@@ -176,7 +176,7 @@
         await asyncio.sleep(EXCLUSION_DELAY_S)
         term = self._term
         expires_s = _now_s() + self._lease_s * ORDER_VALIDITY_SHARE
-        if await self._control.node.read_index_as_leader() is None:
+        if not await self._leads_in(term):
             for server, _ in orders:
                 self._control.readmit(server)
             return
@@ -192,6 +192,12 @@
             )
         )
 
+    async def _leads_in(self, term):
+        """Return whether a quorum confirms the leadership in a term."""
+        node = self._control.node
+        index = await node.read_index_as_leader()
+        return index is not None and node.replica.term == term
+
     async def _send(self, server, model, order, until_s):
         """Send an order to a server and record until when it is pending.
 
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -285,9 +285,8 @@
         """
         self._tracker.exclude(server.id, until_s)
         lose = servers.LoseServer(server.id, server.incarnation)
-        match await self.node.propose(lose):
-            case results.Accepted():
-                _log_change(lose, 'set aside')
+        if await self._commit_as_leader(lose):
+            _log_change(lose, 'set aside')
 
     def readmit(self, server):
         """Let an excluded server join again with its next announcement."""
--- a/bulrushrudder/tests/control/kind_orders_tests.py
+++ b/bulrushrudder/tests/control/kind_orders_tests.py
@@ -104,6 +104,19 @@
         self.assertEqual(self.order_client.orders, [])
         self.assertEqual(self.control.excluded, set())
 
+    async def test_sends_no_order_if_its_term_ends_before_quorum_round(self):
+        # Guards against an order under the fencing number of a former term,
+        # within the lease of the leader that came between.
+        async def read_index():
+            self.control.node.replica.term = 9
+            return 1
+
+        self.control.node.read_index_as_leader = read_index
+        await self.step(0.0)
+        await self.step(10.0)
+        self.assertEqual(self.order_client.orders, [])
+        self.assertEqual(self.control.excluded, set())
+
     async def test_sends_one_order_per_pool_at_a_time(self):
         await self.step(0.0)
         await self.step(10.0)
