Order the processes of a VM by what they have seen, not by its time of day

What callers saw: an entry process that started after the time of day had been set back had no session until the one of its predecessor expired, up to 6 s. The accounts that the predecessor held could not be claimed meanwhile: calls were refused although their accounts had tokens. And a delayed command of the predecessor replaced the session of the live process, after which another VM granted tokens beside it.

Cause: the log ordered the processes of a VM by their incarnation, which is the time of day at their start.

With whole processes on sockets (platform/stepping_clocks_tests): no session 3 s after a restart with the clock set back by 8 s.

Change: a process opens its session once its view is confirmed, and says which open session of its VM it has seen and up to where it has applied the log. It may replace that session only; and only a process that has seen the claim of a holder shows that the holder has ended. Commands without these fields, from earlier logs, follow the former rule. The fuzz test of limits restarts processes with clocks that are wrong by 8 s either way and delays what they commit.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -284,11 +284,15 @@
 
     async def _keep_session_open(self):
         """Open the session, and reopen it if the leader expired it."""
-        command = self._open_session_command(self._settings.entry.hosts_roles)
+        hosts_roles = self._settings.entry.hosts_roles
         while not self.services.leaving:
             if self._has_session():
                 await asyncio.sleep(SESSION_CHECK_INTERVAL_S)
                 continue
+            if self.view.confirmed_s is None:
+                await asyncio.sleep(SESSION_RETRY_DELAY_S)
+                continue
+            command = self._open_session_command(hosts_roles)
             match await self.control_client.propose(command):
                 case results.Accepted(index=index):
                     await self.control_client.wait_for_index(index)
@@ -306,6 +310,8 @@
             address=entry_settings.inner.host,
             port=entry_settings.inner.port,
             hosts_roles=hosts_roles,
+            replaces=self.view.state.sessions.incarnation(self._owner.vm),
+            seen_index=self.view.index,
         )
 
     def _has_session(self):
--- a/bulrushrudder/state/accounts.py
+++ b/bulrushrudder/state/accounts.py
@@ -165,7 +165,9 @@
             floor_number=0,
             released=False,
             previous_released=row.released,
-            previous_process_ended=self._has_ended(row.holder),
+            previous_process_ended=self._sessions.has_ended(
+                row.holder, row.epoch
+            ),
         )
         self._put(claimed)
         return results.Accepted(index)
@@ -209,14 +211,6 @@
         session = self._sessions.by_vm.get(owner.vm)
         return session is not None and session.owner == owner
 
-    def _has_ended(self, owner):
-        """Return whether a later process of the same VM has a session."""
-        session = self._sessions.by_vm.get(owner.vm)
-        return (
-            session is not None
-            and session.owner.incarnation > owner.incarnation
-        )
-
     def _put(self, row):
         accounts_by_id = self._accounts_by_environment.get(row.environment, {})
         account = accounts_by_id.get(row.account)
--- a/bulrushrudder/state/sessions.py
+++ b/bulrushrudder/state/sessions.py
@@ -13,6 +13,11 @@
     :param address: host of the inner listener.
     :param port: port of the inner listener.
     :param hosts_roles: whether the VM may host roles for the fleet.
+    :param replaces: incarnation of the VM's open session that the process
+        has seen; 0 for none.
+    :param seen_index: index up to which the process had applied the log;
+        None in a log of an earlier version, whose processes were ordered
+        by their incarnations alone.
     """
 
     owner: ids.Owner
@@ -20,6 +25,8 @@
     address: str
     port: int
     hosts_roles: bool = True
+    replaces: int = 0
+    seen_index: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +64,11 @@
         self.by_vm = {session.owner.vm: session for session in snapshot.open}
         self._update_hosts()
 
+    def incarnation(self, vm):
+        """Return the incarnation of a VM's open session, 0 for none."""
+        session = self.by_vm.get(vm)
+        return session.owner.incarnation if session else 0
+
     def apply(self, index, command):
         """Apply a committed command and return its result."""
         match command:
@@ -68,9 +80,9 @@
 
     def _open(self, index, command):
         session = self.by_vm.get(command.owner.vm)
-        if session and session.owner.incarnation > command.owner.incarnation:
+        if session and not _may_replace(command, session):
             return results.Rejected(
-                f'incarnation {command.owner.incarnation} is older than '
+                f'incarnation {command.owner.incarnation} does not succeed '
                 f'{session.owner.incarnation}, which has an open session'
             )
         self.by_vm[command.owner.vm] = command
@@ -88,6 +100,22 @@
         self._update_hosts()
         return results.Accepted(index)
 
+    def has_ended(self, owner, index):
+        """Return whether a later process of its VM has a session.
+
+        Processes of a VM do not overlap. One that has seen what another
+        one did before it opened its session is the later one; the time of
+        day may have stepped between their starts.
+
+        :param index: log index of something that the owner has done.
+        """
+        session = self.by_vm.get(owner.vm)
+        if session is None or session.owner == owner:
+            return False
+        if session.seen_index is None:
+            return session.owner.incarnation > owner.incarnation
+        return session.seen_index >= index
+
     def _update_hosts(self):
         hosts_by_vm = {
             vm: session
@@ -95,3 +123,16 @@
             if session.hosts_roles
         }
         self.hosts_by_vm = hosts_by_vm or self.by_vm
+
+
+def _may_replace(opening, session):
+    """Return whether a session may be replaced by one that is opened.
+
+    A command that was delayed must not replace the session of a later
+    process.
+    """
+    if opening.owner == session.owner:
+        return True
+    if opening.seen_index is None:
+        return opening.owner.incarnation > session.owner.incarnation
+    return opening.replaces == session.owner.incarnation
--- a/bulrushrudder/tests/builders/limits_fleet.py
+++ b/bulrushrudder/tests/builders/limits_fleet.py
@@ -23,6 +23,8 @@
 
 ENVIRONMENT = types.Environment.TRIAL
 TOLERANCE_TOKENS = 1e-6
+# The time of day is wrong by this much at most.
+WRONG_CLOCK_S = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,7 +135,7 @@
         self.granted = {}
         self.counted_refunds = set()
         self.waited = 0
-        self.incarnation = 0
+        self.starts = 0
         self.last_request_number = 0
         self.set_limits(rate, burst)
         for number in range(vms):
@@ -160,15 +162,39 @@
             )
         )
 
-    def start(self, vm):
-        self.incarnation += 1
-        owner = fleet.owner(vm, self.incarnation)
-        self.by_vm[vm] = Process(owner)
-        self.open_session(vm)
+    def start(self, vm, clock_step_s=0, delayed=False):
+        """Start a process, which ends the one that its VM ran before.
+
+        :param clock_step_s: seconds by which the time of day is wrong.
+        :param delayed: whether its session is opened by a packet.
+        """
+        self.starts += 1
+        # Starts are a second apart; the last digits keep them distinct.
+        incarnation = (
+            self.starts + WRONG_CLOCK_S + clock_step_s
+        ) * 1000 + self.starts
+        self.by_vm[vm] = Process(fleet.owner(vm, incarnation))
+        self.catch_up(self.by_vm[vm])
+        opening = self.opening(vm)
+        if delayed:
+            self.packets.append(Packet(None, opening))
+        else:
+            self.commit(opening)
+
+    def opening(self, vm):
+        """Return the command that opens the session of a VM's process."""
+        process = self.by_vm[vm]
+        return sessions.OpenSession(
+            process.owner,
+            ids.Zone('a'),
+            '127.0.0.1',
+            1,
+            replaces=process.view.state.sessions.incarnation(vm),
+            seen_index=process.view.index,
+        )
 
     def open_session(self, vm):
-        owner = self.by_vm[vm].owner
-        self.commit(sessions.OpenSession(owner, ids.Zone('a'), '127.0.0.1', 1))
+        self.commit(self.opening(vm))
 
     def close_session(self, vm):
         self.commit(sessions.CloseSession(self.by_vm[vm].owner))
--- a/bulrushrudder/tests/limits/fuzz_tests.py
+++ b/bulrushrudder/tests/limits/fuzz_tests.py
@@ -78,6 +78,19 @@
             fleet.advance(0.5)
             self.deliver_all(1)
 
+    @stateful.rule(
+        vm=VMS,
+        wrong_s=st.sampled_from((-8, 0, 8)),
+        delayed=st.booleans(),
+    )
+    def restart_with_wrong_clock(self, vm, wrong_s, delayed):
+        self.fleet.start(vm, wrong_s, delayed)
+
+    @stateful.rule(vm=VMS)
+    def crash_while_starting(self, vm):
+        self.fleet.start(vm, 8, delayed=True)
+        self.fleet.start(vm, -8)
+
     @stateful.rule()
     def recover(self):
         for process in tuple(self.fleet.by_vm.values()):
--- /dev/null
+++ b/bulrushrudder/tests/platform/stepping_clocks_tests.py
@@ -0,0 +1,40 @@
+"""Whole processes whose VM has a time of day that steps."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+from bulrushrudder.tests.builders import platform
+from bulrushrudder.tests.builders import platform_fleet
+
+STEP_NS = 8_000_000_000
+# Less than the lease of a session, after which any process may open one.
+TAKEOVER_TIMEOUT_S = 3.0
+
+
+class RestartTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against a process that has no session until the one of its
+    # predecessor has expired, because the time of day was set back.
+
+    async def asyncSetUp(self):
+        self.fleet = await self.enterAsyncContext(platform_fleet.running())
+        await self.fleet.put_configuration(platform.CONFIGURATION)
+        await self.fleet.wait_until(
+            lambda: self.fleet.entry.view.lookups.document.version == 7
+        )
+
+    def owners(self):
+        by_vm = self.fleet.entry.view.state.sessions.by_vm
+        return [session.owner for session in by_vm.values()]
+
+    async def test_entry_opens_its_session_after_clock_was_set_back(self):
+        (before,) = self.owners()
+        earlier_ns = time.time_ns() - STEP_NS
+        with mock.patch.object(time, 'time_ns', lambda: earlier_ns):
+            await self.fleet.restart_entry()
+        async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
+            while self.owners() == [before]:
+                await asyncio.sleep(0.02)
+        (after,) = self.owners()
+        self.assertLess(after.incarnation, before.incarnation)
