Cancel no attempts of a process whose clock was set back

What callers saw: requests of an entry process that had started after the time of day of its VM was set back ended in the middle, cancelled by other VMs.

Cause: an order for the orphans of a gone process covers all incarnations of its VM up to that one, and the incarnation is the time of day at the start. The live process had a lower one.

Evidence, failing before: entry/cancelling_tests, the gone process has incarnation 100 and the live one 92: [Owner(vm='vm2', incarnation=100)] was ordered instead of nothing.

Change: right before an order is sent, owners are left out up to whose incarnation the order would reach a process with an open session. Orphans of the gone process end by themselves then.

--- a/bulrushrudder/entry/cancelling.py
+++ b/bulrushrudder/entry/cancelling.py
@@ -86,20 +86,26 @@
             task.add_done_callback(self._tasks.discard)
             task.add_done_callback(tasks.log_exception)
 
-    def _is_active_again(self, target):
-        """Return whether an owner taken for gone has a session again.
+    def _reaches_live_process(self, target):
+        """Return whether an order for an owner would reach live attempts.
 
-        Its attempts are not orphans in that case.
+        An order covers all incarnations of a VM up to that of the owner.
+        The owner may have a session again; a process that started after
+        the time of day was set back has a lower incarnation.
         """
         session = self._view.state.sessions.by_vm.get(target.vm)
-        return session is not None and session.owner == target
+        return (
+            session is not None
+            and session.owner.incarnation <= target.incarnation
+        )
 
     async def _send(self, order):
         server = order.server
         active = {
             target
             for target in order.targets
-            if isinstance(target, ids.Owner) and self._is_active_again(target)
+            if isinstance(target, ids.Owner)
+            and self._reaches_live_process(target)
         }
         targets = [target for target in order.targets if target not in active]
         match await self._engines.cancel(server, targets):
