Show that permissions go by no clock that steps

A layout test names the modules that read a clock other than the event loop's, and fails for any other: the two that tell processes of a VM apart, the log, a command that waits, and a stand-in. A test with whole processes on sockets serves calls while the time of day steps by 8 s either way.

--- a/bulrushrudder/tests/layout_tests.py
+++ b/bulrushrudder/tests/layout_tests.py
@@ -91,6 +91,22 @@
     'uncached_tokens',
     '/bulrushrudder/',
 )
+# Permissions go by the event loop's clock. Other clocks are read to tell
+# processes of a VM apart, to stamp and count lines of the log, in commands
+# and by stand-ins.
+ALLOWED_CLOCKS = {
+    'commands/waiting.py': {'monotonic'},
+    'control/process.py': {'time_ns'},
+    'entry/process.py': {'time_ns'},
+    'events/log.py': {'now'},
+    'events/output.py': {'monotonic'},
+    'standins/fleet.py': {'time_ns'},
+    'utils/event_loop.py': {'clock_gettime'},
+}
+CLOCK_MODULES = frozenset({'time', 'datetime'})
+NO_CLOCKS = frozenset({'sleep', 'datetime', 'UTC', 'CLOCK_BOOTTIME'})
+# They measure durations.
+MEASURING_PACKAGES = ('benchmarks', 'capacity')
 PROCESS_AND_THREAD_CALLS = frozenset(
     {
         'fork',
@@ -185,6 +201,41 @@
                 self.assertEqual(calls & PROCESS_AND_THREAD_CALLS, set())
 
 
+def clocks_read(path):
+    """Return the functions of the modules of clocks that a file uses."""
+    found = {
+        name.split('.')[1]
+        for name in iter_imports(path)
+        if name.split('.')[0] in CLOCK_MODULES and '.' in name
+    }
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Attribute) and not isinstance(
+            node.value, ast.Call
+        ):
+            root = ast.unparse(node.value).split('.')[0]
+            if root in CLOCK_MODULES:
+                found.add(node.attr)
+    return found - NO_CLOCKS
+
+
+class ClocksTests(unittest.TestCase):
+    # Guards against a permission that goes by a clock which steps, or which
+    # stands still while the VM is suspended.
+
+    def test_only_event_loop_reads_a_clock_for_permissions(self):
+        for path in source_files('.'):
+            name = str(path.relative_to(ROOT))
+            if name.startswith(MEASURING_PACKAGES):
+                continue
+            with self.subTest(name):
+                allowed = ALLOWED_CLOCKS.get(name, set())
+                self.assertEqual(clocks_read(path), allowed)
+
+    def test_detects_clock_that_is_read(self):
+        path = ROOT / 'entry' / 'process.py'
+        self.assertEqual(clocks_read(path), {'time_ns'})
+
+
 class PatternsTests(unittest.TestCase):
     def test_class_patterns_name_classes(self):
         for path in source_files('.'):
--- a/bulrushrudder/tests/platform/stepping_clocks_tests.py
+++ b/bulrushrudder/tests/platform/stepping_clocks_tests.py
@@ -7,13 +7,17 @@
 
 from bulrushrudder.tests.builders import platform
 from bulrushrudder.tests.builders import platform_fleet
+from bulrushrudder.tests.builders import runners
 
+STEP_S = 8.0
 STEP_NS = 8_000_000_000
+CALLS = 12
+PREFILL_REPLY = b'{"kv_handle":"3fa09c41b7d5","token_count":1460,"version":1}'
 # Less than the lease of a session, after which any process may open one.
 TAKEOVER_TIMEOUT_S = 3.0
 
 
-class RestartTests(unittest.IsolatedAsyncioTestCase):
+class SteppingClocksTests(unittest.IsolatedAsyncioTestCase):
     # Guards against a process that has no session until the one of its
     # predecessor has expired, because the time of day was set back.
 
@@ -38,3 +42,31 @@
                 await asyncio.sleep(0.02)
         (after,) = self.owners()
         self.assertLess(after.incarnation, before.incarnation)
+
+    async def test_calls_are_served_while_time_of_day_steps(self):
+        # Guards against a view, a key, tokens or a place whose validity goes
+        # by the time of day.
+        await self.fleet.add_runner(
+            lambda call: [runners.answer(PREFILL_REPLY)],
+            'i-p',
+            stage='prefill',
+        )
+        await self.fleet.add_runner(lambda call: [runners.stream(1, 3)], 'i-d')
+        read = time.time
+        statuses = []
+        for number in range(CALLS):
+            step_s = STEP_S * (number % 3 - 1)
+            with (
+                mock.patch.object(time, 'time', lambda: read() + step_s),
+                mock.patch.object(
+                    time, 'time_ns', lambda: int((read() + step_s) * 1e9)
+                ),
+            ):
+                statuses.append(await self.call())
+                await asyncio.sleep(0.1)
+        self.assertEqual(statuses, [200] * CALLS)
+
+    async def call(self):
+        async with self.fleet.call('/drafts/1') as response:
+            await response.read()
+            return response.status
