Check a key again when a call that waited may be sent

What callers saw: a call that had waited for tokens or for a server was sent although its key had been withdrawn, or its view had become too old to tell, meanwhile. Calls to plain services were never checked again; requests to models were every 0.25 s, so one that was paused while it waited was sent first.

Cause: the permission was checked after the body had been read, and not after the waits that follow.

Change: a try of a service, and a grant of tokens or of a place, is preceded by the check. Such a call has not run, its tokens are refunded.

--- a/bulrushrudder/entry/access.py
+++ b/bulrushrudder/entry/access.py
@@ -43,10 +43,32 @@
             self._check_request(running, view, now_s)
 
     def _check_request(self, running, view, now_s):
-        match admission.check_again(view, now_s, running.admitted):
-            case result.Failure(refusal):
-                stale = refusal.reason is outcomes.Reason.VIEW_STALE
-                cut = view.lookups.document.cut_on_withdrawal and not stale
-                running.interrupt(
-                    events.AccessLost(refusal.reason, refusal.detail, cut)
-                )
+        lost = _find_loss(view, now_s, running.admitted)
+        if lost is not None:
+            running.interrupt(lost)
+
+
+def loss_before(event, view, now_s, admitted):
+    """Return the AccessLost that goes before an event, if any.
+
+    A request may have been paused while it waited for a grant, and then
+    goes on before the next periodic check.
+
+    :param event: an event of the request.
+    :param admitted: its AdmittedCall.
+    :returns: a tuple of at most one event.
+    """
+    match event:
+        case events.TokensGranted() | events.PlaceGranted():
+            lost = _find_loss(view, now_s, admitted)
+            return () if lost is None else (lost,)
+    return ()
+
+
+def _find_loss(view, now_s, admitted):
+    match admission.check_again(view, now_s, admitted):
+        case result.Failure(refusal):
+            stale = refusal.reason is outcomes.Reason.VIEW_STALE
+            cut = view.lookups.document.cut_on_withdrawal and not stale
+            return events.AccessLost(refusal.reason, refusal.detail, cut)
+    return None
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.entry import access
 from bulrushrudder.entry import crash_evidence
 from bulrushrudder.entry import server_availability
 from bulrushrudder.entry import server_feedback
@@ -173,8 +174,13 @@
 
     async def _handle(self, event):
         now_s = self._loop.time()
-        self._observe(event, now_s)
-        await self._perform(self._request.handle(event, now_s))
+        view = self._services.view
+        lost = access.loss_before(event, view, now_s, self.admitted)
+        next_actions = []
+        for handled in (*lost, event):
+            self._observe(handled, now_s)
+            next_actions += self._request.handle(handled, now_s)
+        await self._perform(next_actions)
 
     def _observe(self, event, now_s):
         """Log an event and record what it says about the servers."""
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -12,6 +12,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.core import units
 from bulrushrudder.engines import services as plain_services
+from bulrushrudder.entry import admission
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_router
 from bulrushrudder.events import catalogue
@@ -111,7 +112,7 @@
                 return events.Failed(refusal)
             case result.Success(charge):
                 pass
-        match await self._try_servers(service, call):
+        match await self._try_servers(admitted, service, call):
             case result.Failure(refusal):
                 await self._refund(charge, refusal)
                 return events.Failed(refusal)
@@ -126,9 +127,12 @@
             f'unreachable: {service} gave neither a Reply nor a Refusal'
         )
 
-    async def _try_servers(self, service, call):
+    async def _try_servers(self, admitted, service, call):
         """Try servers until one answers or no further try is allowed.
 
+        Access is checked again before each try, since the call may have
+        waited for tokens or for a server.
+
         :returns: a Reply, or a Refusal that says whether the call ran.
         """
         loop = asyncio.get_running_loop()
@@ -137,12 +141,19 @@
         runs = 0
         sent = None
         while True:
-            match await self._services.call_permits.choose(
+            chosen = await self._services.call_permits.choose(
                 service, call, tried
-            ):
-                case result.Failure(refusal):
+            )
+            allowed = admission.check_again(
+                self._services.view, loop.time(), admitted
+            )
+            match chosen, allowed:
+                case (result.Failure(refusal), _) | (
+                    _,
+                    result.Failure(refusal),
+                ):
                     return result.Failure(refusal) if sent is None else sent
-                case result.Success(server):
+                case result.Success(server), _:
                     pass
             left_s = call.deadline_s - loop.time()
             timeout_s = min(call.timeout_s, left_s)
--- a/bulrushrudder/tests/entry/path_tests.py
+++ b/bulrushrudder/tests/entry/path_tests.py
@@ -252,6 +252,27 @@
         await self.check_all_released()
         return seen
 
+    async def test_key_that_is_withdrawn_with_the_grant_starts_nothing(self):
+        # Guards against a request that is sent before the next periodic
+        # check of its key, as after a pause.
+        await self.start()
+        request_place = self.path.coordinator.request_place
+
+        async def withdraw_and_grant(place_request):
+            self.path.put_in_force(document(2, 'brk_other'))
+            return await request_place(place_request)
+
+        with mock.patch.object(
+            self.path.coordinator, 'request_place', withdraw_and_grant
+        ):
+            seen = await self.stream('too late')
+        self.assertEqual(seen.status, 401)
+        self.assertIn('"not run"', seen.text)
+        await self.check_all_released()
+        runs = [found.runs for found in self.path.engines_by_id.values()]
+        self.assertEqual(sum(runs), 0)
+        self.assertEqual(self.path.authority.spent_by_account['acme'], 0)
+
     async def test_withdrawn_key_does_not_end_running_stream(self):
         self.assertTrue((await self.stream_through_withdrawal(False)).whole)
 
