Withdraw the intent of a call that a full register has refused

What callers saw: a call was refused as not run because the register of its account was full; when it came again under its id, as told, it was answered that a call with this id was still running, for ever.

Cause: an intent that gets no answer, as when the leader changes, is proposed again. The answer of the full register to the first proposal may arrive late, after the second one was accepted; the call then ended and left its intent open.

Evidence, failing before: idempotency/call_tests, with the table of the register and without I/O: <Phase.OPEN> instead of <Phase.WITHDRAWN>.

Change: if the intent was proposed more than once, the caller is answered at once and the intent is withdrawn. A call whose only proposal was rejected ends at once as before, without a further commit.

--- a/bulrushrudder/idempotency/call.py
+++ b/bulrushrudder/idempotency/call.py
@@ -66,6 +66,7 @@
         self._registration = registration
         self._pending_command = None
         self._proposed_s = None
+        self._proposals = 0
         self._caller_answered = False
         self._final_action = None
         self._answer_due_s = None
@@ -97,7 +98,7 @@
             case events.RegisterRead():
                 return self._register_read(event, now_s)
             case events.RegisterFull():
-                return self._register_full()
+                return self._register_full(now_s)
             case events.Answered(answer=answer):
                 return self._answered(answer, now_s)
             case events.Failed(refusal=refusal):
@@ -110,6 +111,7 @@
     def _propose(self, command, now_s):
         self._pending_command = command
         self._proposed_s = now_s
+        self._proposals += 1
         return [actions.Propose(command)]
 
     def _retry_proposal(self, now_s):
@@ -168,7 +170,12 @@
         self._transition('end')
         return [action]
 
-    def _register_full(self):
+    def _register_full(self, now_s):
+        """Refuse the call, which is not sent any more.
+
+        If the intent was proposed again, another proposal may be accepted
+        all the same, so it is withdrawn.
+        """
         if self.state != 'opening':
             return []
         refusal = outcomes.not_run(
@@ -176,7 +183,12 @@
             'the client account has reached its limit of '
             f'{self._registration.max_entries} registered ids',
         )
-        return self._end(actions.Refuse(refusal))
+        if self._proposals == 1:
+            return self._end(actions.Refuse(refusal))
+        self._transition('give_up')
+        self._final_action = actions.Refuse(refusal)
+        result = self._close(intents.Phase.WITHDRAWN, None, now_s)
+        return [*result, *self._answer_caller()]
 
     def _answered(self, answer, now_s):
         if self.state != 'sending':
