Ask again for a limited server after a pause

What servers saw: more requests in a moment than the limit that they had stated, after an entry process had been paused: calls that a coordinator had spread over the next second were sent together.

Cause: the time of a grant was waited for, and not compared with the clock afterwards.

Evidence, failing before: entry/call_permits_tests, a pause of 3 s during the wait: one question to the coordinator instead of two.

Change: a grant that is more than a second late is asked for again. The call's deadline bounds that.

--- a/bulrushrudder/entry/call_permits.py
+++ b/bulrushrudder/entry/call_permits.py
@@ -15,6 +15,9 @@
 MAX_WAIT_S = 1.0
 UNREACHABLE_RETRY_AFTER_S = 0.5
 MIN_RETRY_AFTER_S = 0.05
+# A grant is used at most this long after its time. Later ones, as after a
+# pause, would be used together.
+MAX_LATENESS_S = 1.0
 NO_SERVER = outcomes.not_run(
     outcomes.Reason.NO_SERVER, 'no backend server of the service is up', 1.0
 )
@@ -48,10 +51,13 @@
             return result.Success(candidates[0])
         limited, unlimited = self._split(candidates)
         max_wait_s = 0.0 if unlimited else self._max_wait_s(call)
+        asked_s = _now_s()
         answer = await self._ask(service, limited, max_wait_s)
         match answer:
             case place_messages.CallGranted(server=server_id, wait_s=wait_s):
                 await asyncio.sleep(wait_s)
+                if _now_s() - asked_s > wait_s + MAX_LATENESS_S:
+                    return await self.choose(service, call, tried)
                 server = self._router.server(server_id)
                 if server is not None and self._monitor.takes_work(server):
                     return result.Success(server)
@@ -87,7 +93,7 @@
         return limited, unlimited
 
     def _max_wait_s(self, call):
-        left_s = call.deadline_s - asyncio.get_running_loop().time()
+        left_s = call.deadline_s - _now_s()
         return max(0.0, min(MAX_WAIT_S, left_s * MAX_WAIT_SHARE))
 
     async def _ask(self, service, limited, max_wait_s):
@@ -115,6 +121,10 @@
         return None
 
 
+def _now_s():
+    return asyncio.get_running_loop().time()
+
+
 def _deferred(call, service, retry_after_s):
     log.emit(
         catalogue.CALL_DEFERRED,
