Let a process replace only the session that it found at its start

What callers would have seen: after a VM had been replaced while its former process was cut off or frozen, that process took the session back from its successor when it returned.

Evidence, failing before: platform/stepping_clocks_tests, on sockets: the session went back to the former process within 3 s.

Change: a process names the session that it found when its view was first confirmed; once it has had a session, it opens one only if none is open.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -285,23 +285,30 @@
     async def _keep_session_open(self):
         """Open the session, and reopen it if the leader expired it."""
         hosts_roles = self._settings.entry.hosts_roles
+        # A process may replace the session that it finds when it starts. A
+        # later one is of its successor.
+        replaces = None
         while not self.services.leaving:
             if self._has_session():
+                replaces = 0
                 await asyncio.sleep(SESSION_CHECK_INTERVAL_S)
                 continue
             if self.view.confirmed_s is None:
                 await asyncio.sleep(SESSION_RETRY_DELAY_S)
                 continue
-            command = self._open_session_command(hosts_roles)
+            if replaces is None:
+                replaces = self.view.state.sessions.incarnation(self._owner.vm)
+            command = self._open_session_command(hosts_roles, replaces)
             match await self.control_client.propose(command):
                 case results.Accepted(index=index):
                     await self.control_client.wait_for_index(index)
             await asyncio.sleep(SESSION_RETRY_DELAY_S)
 
-    def _open_session_command(self, hosts_roles):
+    def _open_session_command(self, hosts_roles, replaces=0):
         """Return the command that opens the session of this process.
 
         :param hosts_roles: whether the VM hosts roles for the fleet.
+        :param replaces: incarnation of the session that it may replace.
         """
         entry_settings = self._settings.entry
         return sessions.OpenSession(
@@ -310,7 +317,7 @@
             address=entry_settings.inner.host,
             port=entry_settings.inner.port,
             hosts_roles=hosts_roles,
-            replaces=self.view.state.sessions.incarnation(self._owner.vm),
+            replaces=replaces,
             seen_index=self.view.index,
         )
 
--- a/bulrushrudder/state/sessions.py
+++ b/bulrushrudder/state/sessions.py
@@ -14,7 +14,7 @@
     :param port: port of the inner listener.
     :param hosts_roles: whether the VM may host roles for the fleet.
     :param replaces: incarnation of the VM's open session that the process
-        has seen; 0 for none.
+        found when it started; 0 for none, or once it has had a session.
     :param seen_index: index up to which the process had applied the log;
         None in a log of an earlier version, whose processes were ordered
         by their incarnations alone.
--- a/bulrushrudder/tests/builders/limits_fleet.py
+++ b/bulrushrudder/tests/builders/limits_fleet.py
@@ -175,13 +175,14 @@
         ) * 1000 + self.starts
         self.by_vm[vm] = Process(fleet.owner(vm, incarnation))
         self.catch_up(self.by_vm[vm])
-        opening = self.opening(vm)
+        sessions_seen = self.by_vm[vm].view.state.sessions
+        opening = self.opening(vm, sessions_seen.incarnation(vm))
         if delayed:
             self.packets.append(Packet(None, opening))
         else:
             self.commit(opening)
 
-    def opening(self, vm):
+    def opening(self, vm, replaces=0):
         """Return the command that opens the session of a VM's process."""
         process = self.by_vm[vm]
         return sessions.OpenSession(
@@ -189,7 +190,7 @@
             ids.Zone('a'),
             '127.0.0.1',
             1,
-            replaces=process.view.state.sessions.incarnation(vm),
+            replaces=replaces,
             seen_index=process.view.index,
         )
 
--- a/bulrushrudder/tests/platform/stepping_clocks_tests.py
+++ b/bulrushrudder/tests/platform/stepping_clocks_tests.py
@@ -5,6 +5,8 @@
 import unittest
 from unittest import mock
 
+from bulrushrudder.core import ids
+from bulrushrudder.state import sessions
 from bulrushrudder.tests.builders import platform
 from bulrushrudder.tests.builders import platform_fleet
 from bulrushrudder.tests.builders import runners
@@ -70,3 +72,20 @@
         async with self.fleet.call('/drafts/1') as response:
             await response.read()
             return response.status
+
+    async def test_entry_does_not_reopen_its_session_beside_its_successor(self):
+        # Guards against a process that was cut off while its VM was replaced
+        # and takes the session back when it returns.
+        (before,) = self.owners()
+        successor = ids.Owner(before.vm, before.incarnation - 1)
+        opening = sessions.OpenSession(
+            successor,
+            ids.Zone('a'),
+            '127.0.0.1',
+            1,
+            replaces=before.incarnation,
+            seen_index=self.fleet.entry.view.index,
+        )
+        await self.fleet.entry.control_client.propose(opening)
+        await asyncio.sleep(TAKEOVER_TIMEOUT_S)
+        self.assertEqual(self.owners(), [successor])
