Run the test of the driver's order on an event loop

The driver takes its time from the event loop since it counts suspensions; this test called it without one and ended with 'no running event loop'. What it asserts is unchanged.

--- a/bulrushrudder/tests/control/driver_tests.py
+++ b/bulrushrudder/tests/control/driver_tests.py
@@ -18,8 +18,10 @@
         return []
 
 
-class OrderTests(unittest.TestCase):
-    def test_messages_are_handled_before_tick_and_proposals_after_it(self):
+class OrderTests(unittest.IsolatedAsyncioTestCase):
+    async def test_messages_are_handled_before_tick_and_proposals_after_it(
+        self,
+    ):
         replica = RecordingReplica()
         proposed = events.Proposed(1, (b'x',))
         store = types.SimpleNamespace(
