--- a/bulrushrudder/control/kind_orders.py
+++ b/bulrushrudder/control/kind_orders.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import time
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -39,8 +38,8 @@
     :param kind: the kind to change to.
     :param holder: name of the process that sends it.
     :param fence: fencing number; increases with each leader.
-    :param expires_s: seconds of CLOCK_BOOTTIME after which it must not be
-        sent any more, since another leader may send orders from then on.
+    :param expires_s: seconds of the loop's clock after which it must not
+        be sent any more, since another leader may send orders from then on.
     """
 
     kind: str
@@ -48,11 +47,6 @@
     fence: int
     expires_s: float
 
-    @property
-    def expired(self):
-        """Return whether the order must not be sent any more."""
-        return _suspendable_now_s() > self.expires_s
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderAccepted:
@@ -189,9 +183,9 @@
             await self._control.exclude(server, until_s)
         await asyncio.sleep(EXCLUSION_DELAY_S)
         term = self._term
-        expires_s = _suspendable_now_s() + self._lease_s * ORDER_VALIDITY_SHARE
-        confirmed = await self._control.node.read_index_as_leader()
-        if confirmed is None or self._stopping_event.is_set():
+        expires_s = _now_s() + self._lease_s * ORDER_VALIDITY_SHARE
+        leads = await self._leads_in(term)
+        if not leads or self._stopping_event.is_set():
             for server, _ in orders:
                 self._control.readmit(server)
             return
@@ -207,6 +201,12 @@
             )
         )
 
+    async def _leads_in(self, term):
+        """Return whether a quorum confirms the leadership in a term."""
+        node = self._control.node
+        index = await node.read_index_as_leader()
+        return index is not None and node.replica.term == term
+
     async def _send(self, server, model, order, until_s):
         """Send an order to a server and record until when it is pending.
 
@@ -238,8 +238,3 @@
 
 def _now_s():
     return asyncio.get_running_loop().time()
-
-
-def _suspendable_now_s():
-    """Return seconds of a clock that also runs while a VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -117,7 +117,7 @@
                 return events.Failed(refusal)
             case result.Success(charge):
                 pass
-        match await self._try_servers(service, call):
+        match await self._try_servers(admitted, service, call):
             case result.Failure(refusal):
                 await self._refund(charge, refusal)
                 return events.Failed(refusal)
@@ -132,9 +132,12 @@
             f'unreachable: {service} gave neither a Reply nor a Refusal'
         )
 
-    async def _try_servers(self, service, call):
+    async def _try_servers(self, admitted, service, call):
         """Try servers until one answers or no further try is allowed.
 
+        Access is checked again before each try, since the call may have
+        waited for tokens or for a server.
+
         :returns: a Reply, or a Refusal that says whether the call ran.
         """
         loop = asyncio.get_running_loop()
@@ -143,10 +146,17 @@
         runs = 0
         sent = None
         while True:
-            match await self._choose(service, call, tried):
-                case result.Failure(refusal):
+            chosen = await self._choose(service, call, tried)
+            allowed = admission.check_again(
+                self._services.view, loop.time(), admitted
+            )
+            match chosen, allowed:
+                case (result.Failure(refusal), _) | (
+                    _,
+                    result.Failure(refusal),
+                ):
                     return result.Failure(refusal) if sent is None else sent
-                case result.Success(server):
+                case result.Success(server), _:
                     pass
             left_s = call.deadline_s - loop.time()
             timeout_s = min(call.timeout_s, left_s)
--- a/bulrushrudder/tests/builders/limits_fleet.py
+++ b/bulrushrudder/tests/builders/limits_fleet.py
@@ -23,6 +23,8 @@
 
 ENVIRONMENT = types.Environment.TRIAL
 TOLERANCE_TOKENS = 1e-6
+# The time of day is wrong by this much at most.
+WRONG_CLOCK_S = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,9 +82,10 @@
     """An entry process without its I/O.
 
     :ivar pending_requests: by id, the event of each unanswered token
-        request and the monotonic seconds at which it was sent.
+        request and the seconds of its clock at which it was sent.
     :ivar cut: whether the process can neither send nor receive.
     :ivar paused: whether the process is suspended.
+    :ivar lag_s: seconds by which its clock is behind true time.
     :ivar pending_round: number and log index of its open confirmation round.
     """
 
@@ -95,6 +98,7 @@
         self.charges = []
         self.cut = False
         self.paused = False
+        self.lag_s = 0.0
         self.pending_round = None
 
     @property
@@ -131,7 +135,7 @@
         self.granted = {}
         self.counted_refunds = set()
         self.waited = 0
-        self.incarnation = 0
+        self.starts = 0
         self.last_request_number = 0
         self.set_limits(rate, burst)
         for number in range(vms):
@@ -158,21 +162,50 @@
             )
         )
 
-    def start(self, vm):
-        self.incarnation += 1
-        owner = fleet.owner(vm, self.incarnation)
-        self.by_vm[vm] = Process(owner)
-        self.open_session(vm)
+    def start(self, vm, clock_step_s=0, delayed=False):
+        """Start a process, which ends the one that its VM ran before.
+
+        :param clock_step_s: seconds by which the time of day is wrong.
+        :param delayed: whether its session is opened by a packet.
+        """
+        self.starts += 1
+        # Starts are a second apart; the last digits keep them distinct.
+        incarnation = (
+            self.starts + WRONG_CLOCK_S + clock_step_s
+        ) * 1000 + self.starts
+        self.by_vm[vm] = Process(fleet.owner(vm, incarnation))
+        self.catch_up(self.by_vm[vm])
+        sessions_seen = self.by_vm[vm].view.state.sessions
+        opening = self.opening(vm, sessions_seen.incarnation(vm))
+        if delayed:
+            self.packets.append(Packet(None, opening))
+        else:
+            self.commit(opening)
+
+    def opening(self, vm, replaces=0):
+        """Return the command that opens the session of a VM's process."""
+        process = self.by_vm[vm]
+        return sessions.OpenSession(
+            process.owner,
+            ids.Zone('a'),
+            '127.0.0.1',
+            1,
+            replaces=replaces,
+            seen_index=process.view.index,
+        )
 
     def open_session(self, vm):
-        owner = self.by_vm[vm].owner
-        self.commit(sessions.OpenSession(owner, ids.Zone('a'), '127.0.0.1', 1))
+        self.commit(self.opening(vm))
 
     def close_session(self, vm):
         self.commit(sessions.CloseSession(self.by_vm[vm].owner))
 
+    def clock_s(self, process):
+        """Return the time by the clock of a process."""
+        return self.now_s - process.lag_s
+
     def begin_round(self, process):
-        number = process.view.begin_round(self.now_s)
+        number = process.view.begin_round(self.clock_s(process))
         process.pending_round = number, len(self.commands)
 
     def end_round(self, process):
@@ -211,9 +244,9 @@
         processes = self.by_vm.values()
         return sum(
             process.authority.spendable(
-                self.account, process.log_view(), self.now_s
+                self.account, process.log_view(), self.clock_s(process)
             )
-            + process.slices.left(self.account, self.now_s)
+            + process.slices.left(self.account, self.clock_s(process))
             for process in processes
         )
 
@@ -240,7 +273,8 @@
         if process.paused:
             return
         accounts_by_id = process.view.lookups.accounts_by_id
-        for refund in process.slices.sweep(accounts_by_id, self.now_s):
+        now_s = self.clock_s(process)
+        for refund in process.slices.sweep(accounts_by_id, now_s):
             self._send_refund(process, refund)
         self.handle(process, events.Ticked())
 
@@ -250,10 +284,11 @@
         :returns: the id of the token request, or None if none is sent: a
             slice has the tokens, or the process cannot ask.
         """
-        if process.paused or not process.view.is_fresh(self.now_s):
+        now_s = self.clock_s(process)
+        if process.paused or not process.view.is_fresh(now_s):
             return None
         account = process.view.lookups.accounts_by_id[self.account]
-        charge = process.slices.take(account, tokens, self.now_s)
+        charge = process.slices.take(account, tokens, now_s)
         if charge is not None:
             self.oracle.take(tokens, self.now_s)
             process.charges.append(charge)
@@ -266,12 +301,10 @@
             token_request,
             self.account,
             tokens,
-            process.slices.slice_tokens_wanted(
-                self.account, tokens, self.now_s
-            ),
+            process.slices.slice_tokens_wanted(self.account, tokens, now_s),
             self.now_s + patience_s,
         )
-        process.pending_requests[token_request] = event, self.now_s
+        process.pending_requests[token_request] = event, now_s
         self.send_to_authority(process, event)
         return token_request
 
@@ -289,7 +322,8 @@
     def refund(self, process, charge, tokens):
         """Refund the unused tokens of a request that has ended."""
         process.charges.remove(charge)
-        refund = process.slices.refund(charge, tokens, self.now_s)
+        now_s = self.clock_s(process)
+        refund = process.slices.refund(charge, tokens, now_s)
         if refund is None:
             self.oracle.credit(tokens, self.now_s)
             return
@@ -323,7 +357,9 @@
                 self.handle(process, packet.content)
 
     def handle(self, process, event):
-        found = process.authority.handle(event, process.log_view(), self.now_s)
+        found = process.authority.handle(
+            event, process.log_view(), self.clock_s(process)
+        )
         for action in found:
             match action:
                 case actions.Propose(command=command):
