Count the time in which no program could run out of delays in the soak

The kernel says how long a process waited for a processor; that time, and that in which the soak's own loop did not run, is no delay of the program. Bounds stay as they are, and calls that were passed on and cut off count as before.

--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -58,6 +58,11 @@
         """Return the path of the log of all starts."""
         return self._fleet.folder / f'{self.name}.log'
 
+    @property
+    def pid(self):
+        """Return the id of the process."""
+        return self._process.pid
+
     @property
     def exit_code(self):
         """Return the exit code; None while the program runs."""
--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -7,6 +7,8 @@
 import math
 import time
 
+from bulrushrudder.tests.soak import hold_ups
+
 PROMISES = (408, 421, 429, 503)
 CONFIG_APPLY_S = 2.0
 # Faults of a server last at most this long.
@@ -103,6 +105,7 @@
         self.arrived = set()
         self.broken_off = set()
         self._ends_by_run = {}
+        self._hold_ups = []
 
     def now_s(self):
         """Return the seconds since the soak began."""
@@ -151,6 +154,29 @@
             default=0.0,
         )
 
+    def add_hold_up(self, process, for_s):
+        """Record that a process could not run until now."""
+        now_s = self.now_s()
+        self._hold_ups.append((process, now_s - for_s, now_s))
+        self.write(f'{process}: held up for {for_s:.3f} s')
+
+    def held_up_s(self, process, began_s, ended_s):
+        """Return for how long a process or the soak was held up.
+
+        :returns: seconds within the span, at most its length.
+        """
+        total_s = 0.0
+        counted_until_s = began_s
+        for held_up, from_s, until_s in sorted(
+            self._hold_ups, key=lambda hold_up: hold_up[1]
+        ):
+            if held_up not in (process, hold_ups.SOAK):
+                continue
+            until_s = min(until_s, ended_s)
+            total_s += max(0.0, until_s - max(from_s, counted_until_s))
+            counted_until_s = max(counted_until_s, until_s)
+        return total_s
+
     def add_trouble(self, server, text):
         """Record that a server begins or ceases to misbehave."""
         self.troubles_by_server[server].append(self.now_s())
--- a/bulrushrudder/tests/soak/stop_judges_tests.py
+++ b/bulrushrudder/tests/soak/stop_judges_tests.py
@@ -134,6 +134,44 @@
         self.check([], sent=CALL(ended_s=100.9, **refused))
         self.check(['LATE'], sent=CALL(ended_s=101.1, **refused))
 
+    def test_time_in_which_a_process_could_not_run_is_no_delay(self):
+        refused = CALL(
+            ended_s=101.1,
+            status=503,
+            whole=True,
+            ending=record.Ending.ANSWERED,
+        )
+        for process in (planned_stops.PROCESS, 'soak'):
+            seen = SEEN(refused)
+            seen.time_s = 100.8
+            seen.add_hold_up(process, 0.2)
+            self.assertEqual(planned_stops.judged(seen), [])
+
+    def test_hold_ups_at_the_same_time_count_once(self):
+        refused = CALL(
+            ended_s=101.3,
+            status=503,
+            whole=True,
+            ending=record.Ending.ANSWERED,
+        )
+        seen = SEEN(refused)
+        seen.time_s = 100.8
+        seen.add_hold_up(planned_stops.PROCESS, 0.2)
+        seen.add_hold_up('soak', 0.2)
+        self.assertEqual(planned_stops.judged(seen), ['LATE'])
+
+    def test_hold_up_of_another_process_excuses_no_delay(self):
+        refused = CALL(
+            ended_s=101.1,
+            status=503,
+            whole=True,
+            ending=record.Ending.ANSWERED,
+        )
+        seen = SEEN(refused)
+        seen.time_s = 100.8
+        seen.add_hold_up('edge-2/1', 0.2)
+        self.assertEqual(planned_stops.judged(seen), ['LATE'])
+
     def test_refusals_by_a_process_that_stops_are_not_owed_an_answer(self):
         seen = SEEN(CALL(status=503, whole=True))
         seen.sent.append(CALL(status=200, whole=True))
