--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -56,46 +56,28 @@
     :returns: the ControlProcess.
     :raises SystemExit: if the data folder cannot be used.
     """
+    # Runs after everything else has been closed.
     last_callbacks = stack.enter_context(contextlib.ExitStack())
     owner = ids.Owner(ids.VmId(f'{settings.vm}/control'), time.time_ns())
-    secret = settings.secrets.cluster
     data_folder = _open_data_folder(stack, settings)
-    cluster_peers = peers.Peers(owner, secret, _ignore_message, True)
-    stack.callback(cluster_peers.close)
-
-    def make_node(on_committed):
-        return node.Node(
-            _replica(settings, data_folder),
-            data_folder.store,
-            cluster_peers,
-            config.parse_address,
-            on_committed,
-            on_failed or _exit,
-        )
-
-    control = server.ControlProcess(make_node, cluster_peers)
+    control = _make_control(
+        stack, settings, owner, data_folder, on_failed or _exit
+    )
     links = accepted_links.AcceptedLinks()
-    listener = await link.listen(
+    link_listener = await link.listen(
         settings.control.inner,
         owner,
-        secret,
+        settings.secrets.cluster,
         control.handle,
         links.remove,
         links.add,
     )
-    stack.callback(listener.close)
-    metrics = metrics_control.ControlMetrics()
+    stack.callback(link_listener.close)
     interface = interface or OwnInterface()
-    operators_app = interface.application(control, settings, metrics)
     in_flight = requests_in_flight.RequestsInFlight()
-    operators_app.middlewares.insert(0, in_flight.guard)
-    operators_listener = http_listener.HttpListener(
-        operators_app,
-        http_listener.Options(closes_connections=lambda: in_flight.refusing),
+    operators_listener = await _listen(
+        stack, settings, control, interface, in_flight
     )
-    await operators_listener.open(stack, settings.control.operators)
-    metrics_app = metrics_listener.application(metrics)
-    await web.listen(stack, metrics_app, settings.control.metrics)
     log_task = tasks.spawn(stack, control.node.run())
     tasks.spawn(stack, control.run())
     parts = control_stopping.Parts(
@@ -103,7 +85,7 @@
         in_flight,
         operators_listener,
         links,
-        listener,
+        link_listener,
         log_task,
         *_start_orders(stack, settings, control, interface),
     )
@@ -117,6 +99,44 @@
     return control
 
 
+def _make_control(stack, settings, owner, data_folder, on_failed):
+    cluster_peers = peers.Peers(
+        owner, settings.secrets.cluster, _ignore_message, True
+    )
+    stack.callback(cluster_peers.close)
+
+    def make_node(on_committed):
+        return node.Node(
+            _replica(settings, data_folder),
+            data_folder.store,
+            cluster_peers,
+            config.parse_address,
+            on_committed,
+            on_failed,
+        )
+
+    return server.ControlProcess(make_node, cluster_peers)
+
+
+async def _listen(stack, settings, control, interface, in_flight):
+    """Listen for operators, and for readers of the metrics.
+
+    :param in_flight: the RequestsInFlight of the operators.
+    :returns: the HttpListener for operators.
+    """
+    metrics = metrics_control.ControlMetrics()
+    operators_app = interface.application(control, settings, metrics)
+    operators_app.middlewares.insert(0, in_flight.guard)
+    operators_listener = http_listener.HttpListener(
+        operators_app,
+        http_listener.Options(closes_connections=lambda: in_flight.refusing),
+    )
+    await operators_listener.open(stack, settings.control.operators)
+    metrics_app = metrics_listener.application(metrics)
+    await web.listen(stack, metrics_app, settings.control.metrics)
+    return operators_listener
+
+
 def _start_orders(stack, settings, control, interface):
     """Start to send orders to servers.
 
