Test that requests which arrive as a listener closes are answered

It was written for one stop of 66 of real processes in which 5 of 8 clients that went on got no answer, beside the test suite on a machine with a load of 20 on 8 cores; that stop is not explained.

--- a/bulrushrudder/tests/platform/control_stop_tests.py
+++ b/bulrushrudder/tests/platform/control_stop_tests.py
@@ -149,6 +149,27 @@
         self.assertEqual(statuses, [200])
         self.assertEqual(await self.adopted(), 2)
 
+    async def test_requests_that_arrive_as_the_listener_closes_are_refused(
+        self,
+    ):
+        follower = self.fleet.followers[0]
+        connections = [await follower.connect() for _ in range(CLIENTS)]
+        for reader, writer in connections:
+            writer.write(get())
+            self.assertEqual((await read_answer(reader)).status, 200)
+
+        async def send_all():
+            """Send requests as the last step of the stop finishes."""
+            await asyncio.sleep(0.1)
+            for _, writer in connections:
+                writer.write(get())
+
+        follower.node.transfer_leadership = send_all
+        await follower.stop()
+        for reader, writer in connections:
+            self.assertEqual((await read_answer(reader)).status, 503)
+            writer.close()
+
     async def test_slow_upload_is_answered_and_holds_up_no_stop(self):
         follower = self.fleet.followers[0]
         reader, writer = await follower.connect()
