Leave out calls cut far from planned work while the soak's servers were silent

A stream's route ends it after such a pause. Only cuts far from planned work are left out, for pauses of more than 2 s; around a stop, silence excuses nothing, as before.

--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -14,6 +14,8 @@
 # Faults of a server last at most this long.
 TROUBLE_S = 5.0
 MAX_CLOSED = 3
+# A stream with such a pause is taken for a broken one.
+SILENCE_S = 2.0
 # Longer bodies are kept as a digest.
 MAX_KEPT = 4096
 
@@ -160,6 +162,16 @@
         self._hold_ups.append((process, now_s - for_s, now_s))
         self.write(f'{process}: held up for {for_s:.3f} s')
 
+    def were_servers_silent(self, began_s, ended_s):
+        """Return whether servers, which the soak runs, fell silent."""
+        return any(
+            process == hold_ups.SOAK
+            and until_s - from_s > SILENCE_S
+            and from_s < ended_s
+            and began_s < until_s
+            for process, from_s, until_s in self._hold_ups
+        )
+
     def held_up_s(self, process, began_s, ended_s):
         """Return for how long a process or the soak was held up.
 
--- a/bulrushrudder/tests/soak/stop_judges_tests.py
+++ b/bulrushrudder/tests/soak/stop_judges_tests.py
@@ -30,6 +30,19 @@
     def test_cut_by_another_stop_is_no_cut_of_this_one(self):
         self.check(['CUT'], stops=(planned_stops.stop(process='edge-2/1'),))
 
+    def test_silence_of_servers_excuses_only_cuts_far_from_planned_work(self):
+        seen = SEEN(CALL())
+        seen.time_s = 100.9
+        seen.add_hold_up('soak', 2.1)
+        self.check([], seen, stops=())
+        self.check(['LOST'], seen)
+
+    def test_shorter_pause_of_servers_excuses_no_cut(self):
+        seen = SEEN(CALL())
+        seen.time_s = 100.9
+        seen.add_hold_up('soak', 1.9)
+        self.check(['CUT'], seen, stops=())
+
     def test_cut_after_a_hangup_is_lost(self):
         hangups = ((planned_stops.PROCESS, 99.0),)
         self.check(['LOST'], stops=(), hangups=hangups)
