--- a/bulrushrudder/tests/soak/soak_tests.py
+++ b/bulrushrudder/tests/soak/soak_tests.py
@@ -6,6 +6,8 @@
 class SoakTests(unittest.TestCase):
     """Short plays of seeds; many more are played by hand."""
 
+    maxDiff = None
+
     def check(self, **terms):
         verdict = soak.play(soak.Plan(**terms))
         self.assertEqual(verdict.breaks, ())
