Keep plays of one seed at the same time on networks of their own

The network of a play is drawn from its seed and was tested only for a moment, before any program listened. Two plays of seed 5 that began together shared it: 'core-1 ended by itself', and answers of one play came to the clients of the other (121 MIXED).

--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -165,7 +165,7 @@
         self.deploy = tomllib.loads(
             (self.root / 'deploy' / 'system.toml').read_text()
         )
-        network = _free_network(rng)
+        network, self._claim = _claim_network(rng)
         self.controls = [
             Machine(self, f'core-{n}', 'control', f'{network}.{n}', zone)
             for n, zone in zip(range(1, controls + 1), 'abcabc', strict=False)
@@ -184,6 +184,7 @@
         """End all programs that this fleet started."""
         for machine in self.machines:
             machine.end()
+        self._claim.close()
 
     async def watch(self):
         """Record programs that end by themselves, until cancelled."""
@@ -193,17 +194,29 @@
             await asyncio.sleep(0.05)
 
 
-def _free_network(rng):
-    """Return the first three numbers of a loopback network not in use."""
+def _claim_network(rng):
+    """Claim a loopback network, also before another play of the seed.
+
+    :returns: its first three numbers, and a socket that claims it until
+        it is closed.
+    """
     while True:
         network = f'127.{rng.randint(16, 250)}.{rng.randint(1, 250)}'
+        claim = socket.socket()
+        try:
+            claim.bind((f'{network}.254', INNER_PORT))
+            claim.listen()
+        except OSError:
+            claim.close()
+            continue
         with socket.socket() as opened:
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 opened.bind((f'{network}.1', PORTS['control_plane']))
             except OSError:
+                claim.close()
                 continue
-        return network
+        return network, claim
 
 
 def _render(template, fields):
