--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -35,7 +35,8 @@
     1002,
     Level.INFO,
     'entry stopping',
-    'The entry process accepts no new requests and finishes those in flight.',
+    'The entry process was told to stop and reports unready; it accepts '
+    'calls until event 1006.',
 )
 ENTRY_STOPPED = Event(
     1003,
