Show that a group of replaced machines bears no tolerated loss

In virtual time, five machines are replaced one after the other by empty ones; whenever no machine counts as lost, each configuration that is committed, or pending on a disk, has to keep a quorum without any one disk.

--- a/bulrushrudder/tests/builders/cluster.py
+++ b/bulrushrudder/tests/builders/cluster.py
@@ -306,14 +306,14 @@
         if lost is None:
             return False
         living = {d.id for d in self.disks_by_address.values()} - {lost.id}
-        in_force = self._configurations_in_force()
+        in_force = self.configurations_in_force()
         return all(
             len(living.intersection(types.voters(members)))
             >= types.quorum(members)
             for members in (*in_force, *map(lost.with_own_voter, in_force))
         )
 
-    def _configurations_in_force(self):
+    def configurations_in_force(self):
         """Return the last committed configuration and all pending ones."""
         found_by_index = dict(configurations(self.oracle.committed()))
         last = max(found_by_index, default=0)
--- /dev/null
+++ b/bulrushrudder/tests/consensus/replaced_machines_tests.py
@@ -0,0 +1,58 @@
+"""Machines that are replaced one after the other by empty ones."""
+
+import unittest
+
+from bulrushrudder.tests.builders import replacements
+
+RESTART_S = 1.0
+
+
+def failures_by_seed(play, seeds):
+    """Return what went wrong with each seed.
+
+    :param play: function of a seed that raises AssertionError.
+    """
+    found = {}
+    for seed in seeds:
+        try:
+            play(seed)
+        except AssertionError as error:
+            found[seed] = str(error)
+    return found
+
+
+def replace_in_series(size, tolerance, seed, count, pause_s):
+    """Replace machines at random, then lose power and disks."""
+    fleet = replacements.Fleet(size, tolerance, seed)
+    fleet.propose()
+    fleet.group.run(RESTART_S)
+    for _ in range(count):
+        lost = fleet.pick(tolerance)
+        for address in lost:
+            fleet.lose(address)
+        fleet.group.run(RESTART_S)
+        for _ in lost:
+            fleet.add()
+        fleet.group.run(replacements.CATCH_UP_S)
+        fleet.propose()
+        fleet.run_checked(pause_s - replacements.CATCH_UP_S)
+    fleet.lose_power(fleet.pick(tolerance))
+
+
+class ReplacedMachinesTests(unittest.TestCase):
+    maxDiff = None
+
+    # Guards against a group that keeps machines as voters which are gone,
+    # so that it elects no leader after a tolerated loss.
+
+    def test_elects_leader_after_six_replacements_and_a_lost_disk(self):
+        failures = failures_by_seed(
+            lambda seed: replace_in_series(5, 1, seed, 6, 5.0), range(10)
+        )
+        self.assertEqual(failures, {})
+
+    def test_elects_leader_after_nine_replacements_in_quick_succession(self):
+        failures = failures_by_seed(
+            lambda seed: replace_in_series(5, 1, seed, 9, 4.2), range(10)
+        )
+        self.assertEqual(failures, {})
