Log changes of members, and how many more may be lost

Operators and engineers on call could not see why a group of control processes elected no leader: changes of members left no line in any log, and no metric or status said how many voters may be lost; only the files on disk showed the members. The two hypotheses of the incident (lost voters that stay, learners that are removed and added again) could not be told apart.

The leader now emits an action for each member that a change concerns, with the reason, the voters that result and the number of them that may be lost. The process logs it (events 2301 to 2304), and every control process logs committed members (2305). The status and the metric bulrushrudder_tolerable_losses give that number at any time.

What decides whether a member has responded moves from leadership.py to liveness.py, as membership and the metric ask too.

--- a/bulrushrudder/commands/status.py
+++ b/bulrushrudder/commands/status.py
@@ -22,6 +22,7 @@
     print(f'leader: {content["leader"]}, term {content["term"]}')
     print(f'index: {content["index"]}')
     print(f'one more control VM can be lost now: {can_lose}')
+    print(f'control VMs that can be lost now: {content["tolerable_losses"]}')
     for member in content['members']:
         print(_format_member(member))
     for session in content['sessions']:
--- a/bulrushrudder/consensus/actions.py
+++ b/bulrushrudder/consensus/actions.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 
 from bulrushrudder.consensus import messages
 from bulrushrudder.consensus import types
@@ -85,6 +86,40 @@
     index: int
 
 
+class MemberChange(enum.Enum):
+    """What a change of members does to one of them."""
+
+    ADDED = 'added'
+    PROMOTED = 'promoted'
+    REMOVED = 'removed'
+    MOVED = 'moved'
+
+
+class ChangeReason(enum.Enum):
+    """Why a leader changes a member."""
+
+    ASKED = 'asked for the log'
+    CAUGHT_UP = 'caught up'
+    ADDRESS_REUSED = 'another data folder uses its address'
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """The leader appended a change of a member; it is not committed yet.
+
+    :param member: the member; if it is removed, as it was before.
+    :param voters: the ids of the voters after the change.
+    :param tolerable_losses: how many more voters may be lost then.
+    """
+
+    change: MemberChange
+    member: types.Member
+    reason: ChangeReason
+    voters: tuple[types.MemberId, ...]
+    tolerable_losses: int
+
+
 Action = (
     SaveEntries
     | SaveSnapshot
@@ -94,4 +129,5 @@
     | ProposalAppended
     | NotLeader
     | ReadIndexConfirmed
+    | MemberChanged
 )
--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -4,6 +4,7 @@
 
 from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import core as core_types
+from bulrushrudder.consensus import liveness
 from bulrushrudder.consensus import messages
 from bulrushrudder.consensus import types
 
@@ -140,7 +141,7 @@
 
 def tick(core):
     """Send heartbeats; step down without a quorum."""
-    if not has_quorum(core):
+    if not liveness.has_quorum(core):
         core.become_follower(core.hard_state.term, None)
         core.reset_election_timer()
         return
@@ -152,41 +153,6 @@
         _send_heartbeats(core)
 
 
-def has_quorum(core, members=None):
-    """Return whether a majority of voters responded recently."""
-    members = core.members if members is None else members
-    live = [id_ for id_ in types.voters(members) if is_live(core, id_)]
-    return len(live) >= types.quorum(members)
-
-
-def is_live(core, member_id):
-    """Return whether a member has responded recently.
-
-    The longest election timeout applies. A new leader allows every
-    member that long for its first response.
-    """
-    if member_id == core.id:
-        return True
-    timeout_s = core_types.ELECTION_TIMEOUT_S + core_types.ELECTION_JITTER_S
-    return silence_s(core, member_id) < timeout_s
-
-
-def silence_s(core, member_id):
-    """Return seconds since a member responded or leadership began."""
-    last_response_s = core.leadership.started_s
-    if has_responded(core, member_id):
-        last_response_s = core.leadership.progress_by_id[
-            member_id
-        ].last_response_s
-    return core.now_s - last_response_s
-
-
-def has_responded(core, member_id):
-    """Return whether a member has responded to this leader."""
-    known = core.leadership.progress_by_id.get(member_id)
-    return known is not None and known.last_response_s is not None
-
-
 def match_index(core, member_id):
     """Return the last index up to which a member's log matches."""
     if member_id == core.id:
@@ -232,7 +198,7 @@
     others = [
         id_
         for id_ in types.voters(core.members)
-        if id_ != core.id and is_live(core, id_)
+        if id_ != core.id and liveness.is_live(core, id_)
     ]
     if not others:
         return
--- /dev/null
+++ b/bulrushrudder/consensus/liveness.py
@@ -0,0 +1,57 @@
+"""Which members have responded to this leader recently."""
+
+from bulrushrudder.consensus import core as core_types
+from bulrushrudder.consensus import types
+
+
+def has_quorum(core, members=None):
+    """Return whether a majority of voters responded recently."""
+    members = core.members if members is None else members
+    live = [id_ for id_ in types.voters(members) if is_live(core, id_)]
+    return len(live) >= types.quorum(members)
+
+
+def tolerable_losses(core, members):
+    """Return how many live voters may be lost so that a quorum remains.
+
+    :param members: the members of a configuration.
+    :returns: a negative number if there is no quorum.
+    """
+    voters = types.voters(members)
+    live = [id_ for id_ in voters if is_responsive(core, id_)]
+    return len(live) - types.quorum(members)
+
+
+def is_responsive(core, member_id):
+    """Return whether a member has responded to this leader recently."""
+    answered = has_responded(core, member_id)
+    known = answered or member_id == core.id
+    return known and is_live(core, member_id)
+
+
+def is_live(core, member_id):
+    """Return whether a member has responded recently.
+
+    The longest election timeout applies. A new leader allows every
+    member that long for its first response.
+    """
+    if member_id == core.id:
+        return True
+    timeout_s = core_types.ELECTION_TIMEOUT_S + core_types.ELECTION_JITTER_S
+    return silence_s(core, member_id) < timeout_s
+
+
+def silence_s(core, member_id):
+    """Return seconds since a member responded or leadership began."""
+    last_response_s = core.leadership.started_s
+    if has_responded(core, member_id):
+        last_response_s = core.leadership.progress_by_id[
+            member_id
+        ].last_response_s
+    return core.now_s - last_response_s
+
+
+def has_responded(core, member_id):
+    """Return whether a member has responded to this leader."""
+    known = core.leadership.progress_by_id.get(member_id)
+    return known is not None and known.last_response_s is not None
--- a/bulrushrudder/consensus/membership.py
+++ b/bulrushrudder/consensus/membership.py
@@ -12,6 +12,8 @@
 import dataclasses
 
 from bulrushrudder.consensus import leadership
+from bulrushrudder.consensus import liveness
+from bulrushrudder.consensus import member_changes
 from bulrushrudder.consensus import types
 
 MAX_PROMOTION_LAG_ENTRIES = 64
@@ -32,6 +34,7 @@
     members = _next_members(core)
     core.leadership.newcomers_by_id.clear()
     if members is not None and members != core.members:
+        core.actions += member_changes.between(core, core.members, members)
         leadership.append(core, [types.Configuration(members)])
 
 
@@ -64,19 +67,12 @@
         return False
     members = [_promoted(m, candidate) for m in core.members]
     voters = types.voters(core.members)
-    live = [id_ for id_ in voters if is_responsive(core, id_)]
+    live = [id_ for id_ in voters if liveness.is_responsive(core, id_)]
     return len(live) >= types.quorum(members) or len(voters) == 1
 
 
-def is_responsive(core, member_id):
-    """Return whether a member has responded to this leader recently."""
-    answered = leadership.has_responded(core, member_id)
-    known = answered or member_id == core.id
-    return known and leadership.is_live(core, member_id)
-
-
 def _if_quorum_remains(core, members):
-    return members if leadership.has_quorum(core, members) else None
+    return members if liveness.has_quorum(core, members) else None
 
 
 def _promoted(member, candidate):
@@ -137,17 +133,17 @@
 
 
 def _is_promotable(core, member):
-    if not leadership.has_responded(core, member.id):
+    if not liveness.has_responded(core, member.id):
         return False
     match_index = leadership.match_index(core, member.id)
     caught_up = match_index + MAX_PROMOTION_LAG_ENTRIES >= core.commit_index
-    live = leadership.is_live(core, member.id)
+    live = liveness.is_live(core, member.id)
     return caught_up and live and _is_configured(core, member)
 
 
 def _is_removable(core, member):
     """Return whether a voter that does not respond may be removed."""
-    if member.id == core.id or leadership.is_live(core, member.id):
+    if member.id == core.id or liveness.is_live(core, member.id):
         return False
     replaced = any(
         other.address == member.address
@@ -164,4 +160,4 @@
 
 
 def _is_silent(core, member):
-    return leadership.silence_s(core, member.id) >= SILENCE_TIMEOUT_S
+    return liveness.silence_s(core, member.id) >= SILENCE_TIMEOUT_S
--- a/bulrushrudder/consensus/replica.py
+++ b/bulrushrudder/consensus/replica.py
@@ -9,6 +9,7 @@
 from bulrushrudder.consensus import events
 from bulrushrudder.consensus import follower
 from bulrushrudder.consensus import leadership
+from bulrushrudder.consensus import liveness
 from bulrushrudder.consensus import membership
 from bulrushrudder.consensus import messages
 from bulrushrudder.consensus import types
@@ -86,6 +87,16 @@
         """
         return leadership.has_committed_in_term(self._core)
 
+    @property
+    def tolerable_losses(self):
+        """Return how many more voters may be lost so that a quorum remains.
+
+        :returns: None if this replica does not lead.
+        """
+        if self._core.role is not core_types.Role.LEADER:
+            return None
+        return liveness.tolerable_losses(self._core, self.members)
+
     def set_control_addresses(self, addresses):
         """Replace the control addresses after the settings changed."""
         self._core.identity = dataclasses.replace(
@@ -94,7 +105,7 @@
 
     def is_responsive(self, member_id):
         """Return whether a member has responded to this leader recently."""
-        return membership.is_responsive(self._core, member_id)
+        return liveness.is_responsive(self._core, member_id)
 
     def match_index(self, member_id):
         """Return the last index up to which a member's log matches."""
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -11,6 +11,7 @@
 from bulrushrudder.consensus import events
 from bulrushrudder.consensus import types
 from bulrushrudder.control import driver
+from bulrushrudder.control import member_log
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.protocol import codec
@@ -338,6 +339,8 @@
                 self._resolve(token, index)
             case actions.NotLeader(token=token):
                 self._resolve(token, None)
+            case actions.MemberChanged():
+                member_log.log_change(action, self.replica.term)
 
     def _refuse(self, token, error):
         detail = NO_DISK
@@ -362,6 +365,8 @@
         match entry.payload:
             case types.Command(data=data):
                 return self.state.apply(entry.index, _decode(data))
+            case types.Configuration():
+                member_log.log_committed(entry)
         self.state.skip_index(entry.index)
         return None
 
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -124,7 +124,9 @@
     :param in_flight: the RequestsInFlight of the operators.
     :returns: the HttpListener for operators.
     """
-    metrics = metrics_control.ControlMetrics()
+    metrics = metrics_control.ControlMetrics(
+        lambda: control.node.replica.tolerable_losses
+    )
     operators_app = interface.application(control, settings, metrics)
     operators_app.middlewares.insert(0, in_flight.guard)
     operators_listener = http_listener.HttpListener(
--- a/bulrushrudder/control/status.py
+++ b/bulrushrudder/control/status.py
@@ -1,6 +1,5 @@
 """The status of the log, as the leader reports it to operators."""
 
-from bulrushrudder.consensus import types
 from bulrushrudder.protocol import status_messages
 
 
@@ -16,7 +15,8 @@
         leader=replica.leader.address,
         term=replica.term,
         index=replica.commit_index,
-        can_lose_one=can_lose_one(replica),
+        can_lose_one=replica.tolerable_losses > 0,
+        tolerable_losses=replica.tolerable_losses,
         members=tuple(_member(replica, m) for m in replica.members),
         sessions=tuple(
             _session(session, replica.commit_index, leases, now_s)
@@ -25,13 +25,6 @@
     )
 
 
-def can_lose_one(replica):
-    """Return whether a quorum remains if any one live voter is lost."""
-    voters = types.voters(replica.members)
-    live = [id_ for id_ in voters if replica.is_responsive(id_)]
-    return len(live) - 1 >= types.quorum(replica.members)
-
-
 def _member(replica, member):
     match_index = replica.match_index(member.id)
     return status_messages.MemberStatus(
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -278,6 +278,40 @@
     'process stops; replace the disk, or start the process again if the '
     'disk is sound.',
 )
+MEMBER_ADDED = Event(
+    2301,
+    Level.INFO,
+    'member added',
+    'The leader added a control process that asked for the log; it gets '
+    'the log and does not vote yet.',
+)
+MEMBER_PROMOTED = Event(
+    2302,
+    Level.INFO,
+    'member promoted',
+    'The leader made a control process that has caught up a voter. The '
+    'number of further voters that may be lost is given.',
+)
+MEMBER_REMOVED = Event(
+    2303,
+    Level.INFO,
+    'member removed',
+    'The leader removed a control process for the given reason. If it is '
+    'running, it joins again by itself.',
+)
+MEMBER_MOVED = Event(
+    2304,
+    Level.INFO,
+    'member moved',
+    'A control process has come back at another address.',
+)
+MEMBERS_COMMITTED = Event(
+    2305,
+    Level.INFO,
+    'members committed',
+    'A change of members is committed, as known to this process; repeated '
+    'for the changes in its log when it starts again.',
+)
 DOCUMENT_ACCEPTED = Event(
     2101,
     Level.INFO,
--- a/bulrushrudder/metrics/control.py
+++ b/bulrushrudder/metrics/control.py
@@ -16,9 +16,14 @@
 
 
 class ControlMetrics:
-    """The metrics of one control process."""
+    """The metrics of one control process.
 
-    def __init__(self):
+    :param tolerable_losses: function that returns how many more voters
+        may be lost, or None if this process does not lead.
+    """
+
+    def __init__(self, tolerable_losses=lambda: None):
+        self._tolerable_losses = tolerable_losses
         self.registry = aioprometheus.Registry()
         self._submissions = aioprometheus.Counter(
             'bulrushrudder_submissions_total',
@@ -30,6 +35,12 @@
             'Calls to the operators listener without its secret.',
             registry=self.registry,
         )
+        self._losses = aioprometheus.Gauge(
+            'bulrushrudder_tolerable_losses',
+            'Control processes that may be lost so that a quorum remains; '
+            '-1 if this process does not lead.',
+            registry=self.registry,
+        )
 
     def count_submission(self, environment, outcome):
         """Count a submission or promotion.
@@ -50,4 +61,6 @@
 
         :param accept: values of the Accept header.
         """
+        losses = self._tolerable_losses()
+        self._losses.set({}, -1 if losses is None else losses)
         return aioprometheus.render(self.registry, accept)
--- a/bulrushrudder/protocol/status_messages.py
+++ b/bulrushrudder/protocol/status_messages.py
@@ -51,6 +51,7 @@
     :param index: the index of the last committed entry.
     :param can_lose_one: whether the quorum would survive the loss of any
         one more control VM.
+    :param tolerable_losses: how many more control VMs may be lost.
     """
 
     leader: str
@@ -59,3 +60,4 @@
     can_lose_one: bool
     members: tuple[MemberStatus, ...]
     sessions: tuple[SessionStatus, ...]
+    tolerable_losses: int = 0
--- a/bulrushrudder/tests/builders/cluster.py
+++ b/bulrushrudder/tests/builders/cluster.py
@@ -196,6 +196,8 @@
                 pending = PendingProposal(term, self.proposals.pop(token))
                 self.pending_by_index[first] = pending
                 self._accept_committed(first)
+            case actions.MemberChanged():
+                self.cluster.member_changes.append(action)
             case actions.ReadIndexConfirmed(token=token, index=index):
                 if index < self.min_read_indexes.pop(token):
                     raise AssertionError(f'read index {index} is stale')
@@ -254,6 +256,7 @@
         of the processes.
     :ivar may_found: whether a process that starts may found the log.
     :ivar blocked: pairs of sender and receiver that cannot communicate.
+    :ivar member_changes: the MemberChanged actions of all leaders.
     """
 
     def __init__(self, addresses, seed, seeds=()):
@@ -267,6 +270,7 @@
         self.duplication = 0.0
         self.delay_s = 0.02
         self.blocked = set()
+        self.member_changes = []
         self.processes_by_address = {}
         self.disks_by_address = {}
         self._numbers = itertools.count(1)
--- a/bulrushrudder/tests/commands/operators_tests.py
+++ b/bulrushrudder/tests/commands/operators_tests.py
@@ -115,6 +115,7 @@
         status = await command_line.run('status', self.control, self.secret)
         self.assertEqual((status.code, status.problems), (0, ''))
         self.assertIn('can be lost now: no', status.output)
+        self.assertIn('VMs that can be lost now: 0', status.output)
 
     async def test_errors_are_printed_without_traceback(self):
         bad = self.folder / 'bad.yaml'
