Count the silence of a learner from when it was added

A process that replaced a lost one got its vote up to 5 s late: the leader added it as a learner, removed it with the next change and added it again, up to eight times.

A member that had not answered this leader counted as silent since the leader took over, so that a learner added by a leader of more than 10 s was silent at once, and the next tick removed it, unless its first answer had come by then. Silence now counts from when the member was added, if that is later; what is known of a member is dropped when it is removed. A learner that asked for the log again was also moved to the end of the members, which was a change of its own that held up others; it now keeps its place.

--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -24,6 +24,7 @@
     :ivar match_index: the last index up to which its log is known to
         match.
     :ivar next_index: the index of the next entry to send.
+    :ivar known_since_s: when it was added or leadership began.
     :ivar in_flight_since_s: when the unanswered entries were sent, or
         None.
     :ivar last_response_s: when it last responded, or None.
@@ -33,6 +34,7 @@
 
     match_index: int
     next_index: int
+    known_since_s: float
     in_flight_since_s: float | None
     last_response_s: float | None
     acknowledged_round: int
@@ -107,6 +109,15 @@
     _advance_commit(core)
 
 
+def change_members(core, members):
+    """Append a configuration; forget the progress of removed members."""
+    kept = {member.id for member in members}
+    for member in core.members:
+        if member.id not in kept:
+            core.leadership.progress_by_id.pop(member.id, None)
+    append(core, [types.Configuration(members)])
+
+
 def propose(core, event):
     """Append the commands of a proposal, or decline it."""
     is_leader = core.role is core_types.Role.LEADER
@@ -244,6 +255,7 @@
         known = Progress(
             match_index=0,
             next_index=core.log.last_index + 1,
+            known_since_s=core.now_s,
             in_flight_since_s=None,
             last_response_s=None,
             acknowledged_round=0,
--- a/bulrushrudder/consensus/liveness.py
+++ b/bulrushrudder/consensus/liveness.py
@@ -42,13 +42,17 @@
 
 
 def silence_s(core, member_id):
-    """Return seconds since a member responded or leadership began."""
-    last_response_s = core.leadership.started_s
-    if has_responded(core, member_id):
-        last_response_s = core.leadership.progress_by_id[
-            member_id
-        ].last_response_s
-    return core.now_s - last_response_s
+    """Return seconds since a member last responded.
+
+    Before its first response, they count from when it was added or
+    leadership began.
+    """
+    progress = core.leadership.progress_by_id.get(member_id)
+    if progress is None:
+        return core.now_s - core.leadership.started_s
+    if progress.last_response_s is None:
+        return core.now_s - progress.known_since_s
+    return core.now_s - progress.last_response_s
 
 
 def has_responded(core, member_id):
--- a/bulrushrudder/consensus/membership.py
+++ b/bulrushrudder/consensus/membership.py
@@ -35,7 +35,7 @@
     core.leadership.newcomers_by_id.clear()
     if members is not None and members != core.members:
         core.actions += member_changes.between(core, core.members, members)
-        leadership.append(core, [types.Configuration(members)])
+        leadership.change_members(core, members)
 
 
 def _next_members(core):
@@ -93,26 +93,21 @@
 def _learners(core):
     """Return the learners after removals, with newcomers added."""
     newcomers_by_id = core.leadership.newcomers_by_id
-    known = {m.id for m in core.members}
     reused = set(newcomers_by_id.values())
     remaining = [
-        m
+        dataclasses.replace(m, address=newcomers_by_id.get(m.id, m.address))
         for m in core.members
         if not m.voter
-        and m.address not in reused
+        and (m.id in newcomers_by_id or m.address not in reused)
         and not (_may_be_removed(core, m) and _is_silent(core, m))
     ]
-    rejoined = [
-        types.Member(m.id, newcomers_by_id[m.id], voter=False)
-        for m in core.members
-        if not m.voter and m.id in newcomers_by_id
-    ]
+    known = {m.id for m in core.members}
     joined = [
         types.Member(id_, address, voter=False)
         for id_, address in newcomers_by_id.items()
         if id_ not in known
     ]
-    return [*remaining, *rejoined, *joined]
+    return [*remaining, *joined]
 
 
 def _is_voter_address(core, address):
--- a/bulrushrudder/tests/builders/cluster.py
+++ b/bulrushrudder/tests/builders/cluster.py
@@ -256,6 +256,8 @@
         of the processes.
     :ivar may_found: whether a process that starts may found the log.
     :ivar blocked: pairs of sender and receiver that cannot communicate.
+    :ivar late_s_by_address: seconds by which messages of a sender, as one
+        with a slow disk, arrive later.
     :ivar member_changes: the MemberChanged actions of all leaders.
     """
 
@@ -270,6 +272,7 @@
         self.duplication = 0.0
         self.delay_s = 0.02
         self.blocked = set()
+        self.late_s_by_address = {}
         self.member_changes = []
         self.processes_by_address = {}
         self.disks_by_address = {}
@@ -332,8 +335,9 @@
             return
         copies = 2 if self.random.random() < self.duplication else 1
         for _ in range(copies):
-            due_s = self.now_s + self.random.random() * self.delay_s
             sender = process.replica._core.identity.address
+            due_s = self.now_s + self.random.random() * self.delay_s
+            due_s += self.late_s_by_address.get(sender, 0.0)
             packet = (due_s, next(self._numbers), sender, address, message)
             heapq.heappush(self._in_flight, packet)
 
--- a/bulrushrudder/tests/builders/replacements.py
+++ b/bulrushrudder/tests/builders/replacements.py
@@ -128,6 +128,14 @@
         self.group.run(RECOVERY_TIMEOUT_S)
         self.group.check_converged()
 
+    def changes_of(self, member_id):
+        """Return the changes that leaders have made to a member."""
+        return [
+            change
+            for change in self.group.member_changes
+            if change.member.id == member_id
+        ]
+
     def describe(self):
         """Return the machines and the voters that their disks hold."""
         addresses_by_id = {
--- a/bulrushrudder/tests/consensus/replaced_machines_tests.py
+++ b/bulrushrudder/tests/consensus/replaced_machines_tests.py
@@ -2,9 +2,12 @@
 
 import unittest
 
+from bulrushrudder.tests.builders import cluster
 from bulrushrudder.tests.builders import replacements
 
 RESTART_S = 1.0
+LONG_LED_S = 12.0
+LATE_S = 0.3
 
 
 def failures_by_seed(play, seeds):
@@ -56,3 +59,40 @@
             lambda seed: replace_in_series(5, 1, seed, 9, 4.2), range(10)
         )
         self.assertEqual(failures, {})
+
+
+class LearnerTests(unittest.TestCase):
+    # Guards against a learner that is removed and added again, which
+    # counted as silent for as long as the leader had led.
+
+    def test_learner_whose_first_answer_is_late_is_added_once(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                fleet = replacements.Fleet(5, 1, seed)
+                fleet.group.run(LONG_LED_S)
+                added = fleet.add()
+                fleet.group.late_s_by_address[added] = LATE_S
+                fleet.add()
+                fleet.group.run(2 * replacements.CATCH_UP_S)
+                member = fleet.group.disks_by_address[added].id
+                self.assertEqual(
+                    [c.change.value for c in fleet.changes_of(member)],
+                    ['added', 'promoted'],
+                )
+
+    def test_learner_that_asks_again_changes_no_members(self):
+        group = cluster.Cluster('abc', 1)
+        group.run(replacements.CATCH_UP_S)
+        group.addresses = tuple('abcde')
+        for address in 'de':
+            group.start(address)
+        group.run(replacements.CATCH_UP_S)
+        (leader,) = group.leaders()
+        log = group.processes_by_address[leader].replica.log
+        before = log.configuration_index()
+        self.assertEqual(len(log.members()), 5)
+        for address in 'de':
+            group.kill(address)
+            group.start(address)
+            group.run(replacements.CATCH_UP_S)
+        self.assertEqual(log.configuration_index(), before)
