Let a process with late answers find the log

An empty process whose messages took 0.5 s or longer to and fro, as one with a slow disk, never joined: it asks for the log each 0.5 s, and dropped the answers to all requests but the last. The age of an answer matters only for founding, where all addresses have to be empty at the same time. An answer of a member that has a log now counts, unless it answers a request from before the process accepted another founder.

test_process_whose_answers_are_late_becomes_voter failed for answers that are 0.6 s and 0.9 s late: no member within 8 s.

--- a/bulrushrudder/consensus/discovery.py
+++ b/bulrushrudder/consensus/discovery.py
@@ -22,6 +22,7 @@
 
     def __init__(self):
         self._sequence = 0
+        self._sequence_when_bound = 0
         self._last_request_s = None
         self._empty_ids_by_address = {}
         self._learned_addresses = set()
@@ -76,23 +77,34 @@
         """Handle the response of another address."""
         self._learned_addresses.update(message.addresses)
         self._record_permission(message)
-        if message.sequence != self._sequence or not core.log.is_empty:
+        if not core.log.is_empty:
             return
         header = message.header
         if not message.log_empty:
-            if core.hard_state.cluster != header.cluster:
-                core.save(cluster=header.cluster)
+            self._follow_log(core, message)
             return
-        if header.cluster == core.id:
+        if message.sequence == self._sequence and header.cluster == core.id:
             self._empty_ids_by_address[header.address] = header.sender
             self._found_if_all_empty(core)
 
+    def _follow_log(self, core, message):
+        """Accept entries of a log that exists.
+
+        The response may answer an earlier request, as a member with a slow
+        disk responds late, but none from before a founder was accepted.
+        """
+        if message.sequence < self._sequence_when_bound:
+            return
+        if core.hard_state.cluster != message.header.cluster:
+            core.save(cluster=message.header.cluster)
+
     def _bind_to_founder(self, core, founder):
         """Accept entries from this founder alone while the log is empty."""
         if not core.log.is_empty or core.hard_state.cluster == founder:
             return
         core.save(cluster=founder)
         self._invalidate_requests()
+        self._sequence_when_bound = self._sequence
 
     def _targets(self, core):
         """Return the other addresses to query.
--- a/bulrushrudder/tests/consensus/replaced_machines_tests.py
+++ b/bulrushrudder/tests/consensus/replaced_machines_tests.py
@@ -96,3 +96,15 @@
             group.start(address)
             group.run(replacements.CATCH_UP_S)
         self.assertEqual(log.configuration_index(), before)
+
+    # Guards against a process with a slow disk that never finds the log,
+    # as it had asked again before it was answered.
+
+    def test_process_whose_answers_are_late_becomes_voter(self):
+        for late_s in (0.4, 0.6, 0.9):
+            with self.subTest(late_s):
+                fleet = replacements.Fleet(5, 1, seed=1)
+                added = fleet.add()
+                fleet.group.late_s_by_address[added] = late_s
+                fleet.group.run(2 * replacements.CATCH_UP_S)
+                fleet.group.check_converged()
