Take voters that are gone out of the quorum as soon as others have joined

After some control machines had been replaced and everything had lost power, one disk with it, no leader was elected and the configuration did not come back; with quicker replacements the log stopped before that.

A voter that was gone stayed one for 10 s or more after it fell silent, while its successor was made a voter once it had caught up: five voters became seven, three of them gone, and then no further one could be lost. The time was a guess from silence that had nothing to do with the number of losses that the group has to bear.

Membership is now one decision, which never lowers the number of further voters that may be lost: from an even number of voters one that is gone is removed at once, as the quorum gets smaller; a learner that has caught up is promoted if a quorum is left should it fail at once; else, with an odd number of voters, one that is gone gives way to it. A voter is gone once it has been silent for 2 s, or once another data folder uses its address and it does not respond. Without a learner an odd number of voters keeps those that are silent, so that a group does not shrink while machines are down. With an even number and a voter that does not respond, no further learner is promoted, or the group would keep the lost voter as one of an odd number. The silence of the former leader counts from when its successor last heard it. A process that this leader has promoted twice and removed has to respond for 10 s before the third time, so that a machine that stalls again and again does not come and go. Voters whose addresses have left the settings go by the same rules, and after 10 s without a learner, as before.

--- a/bulrushrudder/consensus/core.py
+++ b/bulrushrudder/consensus/core.py
@@ -63,6 +63,7 @@
         self.leader = None
         self.leadership = None
         self.last_leader_contact_s = None
+        self._former_leader = None
         self.votes = set()
         self.pre_vote = True
         self.actions = []
@@ -140,6 +141,17 @@
         self.leader = leader
         self.votes = set()
 
+    def record_leader_contact(self):
+        """Record that the leader, which is another member, was heard."""
+        self.last_leader_contact_s = self.now_s
+        self._former_leader = self.leader
+        self.reset_election_timer()
+
+    def take_former_leader(self):
+        """Return when the leader before this one was heard, by its id."""
+        former, self._former_leader = self._former_leader, None
+        return {} if former is None else {former: self.last_leader_contact_s}
+
     def has_recent_leader(self):
         """Return whether a leader was active within ELECTION_TIMEOUT_S."""
         if self.role is Role.LEADER:
--- a/bulrushrudder/consensus/follower.py
+++ b/bulrushrudder/consensus/follower.py
@@ -100,8 +100,7 @@
             f'two leaders in term {header.term}: {header.sender} and {core.id}'
         )
     core.become_follower(header.term, header.sender)
-    core.last_leader_contact_s = core.now_s
-    core.reset_election_timer()
+    core.record_leader_contact()
     return True
 
 
--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -1,5 +1,6 @@
 """The leader's side of replication."""
 
+import collections
 import dataclasses
 
 from bulrushrudder.consensus import actions
@@ -28,6 +29,7 @@
     :ivar in_flight_since_s: when the unanswered entries were sent, or
         None.
     :ivar last_response_s: when it last responded, or None.
+    :ivar steady_since_s: since when it has responded without a gap.
     :ivar acknowledged_round: the latest quorum round that it answered.
     :ivar snapshot_offset: bytes of the snapshot that it has received.
     """
@@ -37,6 +39,7 @@
     known_since_s: float
     in_flight_since_s: float | None
     last_response_s: float | None
+    steady_since_s: float
     acknowledged_round: int
     snapshot_offset: int
 
@@ -64,6 +67,9 @@
     :ivar round: the number of the latest quorum round.
     :ivar successor: the target of a leadership transfer, or None.
     :ivar transfer_end_s: when a transfer that has not succeeded ends.
+    :ivar heard_s_by_id: when this member, as a follower, last heard the
+        leader that it succeeds.
+    :ivar promotions_by_id: how often members were promoted.
     :ivar newcomers_by_id: addresses of processes that may join, from
         their discovery requests.
     """
@@ -76,6 +82,8 @@
     pending_reads: list[PendingRead]
     successor: types.MemberId | None
     newcomers_by_id: dict[types.MemberId, str]
+    heard_s_by_id: dict[types.MemberId, float]
+    promotions_by_id: collections.Counter
     transfer_end_s: float = 0.0
 
 
@@ -92,6 +100,8 @@
         pending_reads=[],
         successor=None,
         newcomers_by_id={},
+        heard_s_by_id=core.take_former_leader(),
+        promotions_by_id=collections.Counter(),
     )
     append(core, [types.TermStart()])
 
@@ -111,6 +121,9 @@
 
 def change_members(core, members):
     """Append a configuration; forget the progress of removed members."""
+    before = types.voters(core.members)
+    promoted = set(types.voters(members)) - set(before)
+    core.leadership.promotions_by_id.update(promoted)
     kept = {member.id for member in members}
     for member in core.members:
         if member.id not in kept:
@@ -242,6 +255,8 @@
     if message.header.sender not in {m.id for m in core.members}:
         return None
     progress = _progress(core, message.header.sender)
+    if not liveness.is_live(core, message.header.sender):
+        progress.steady_since_s = core.now_s
     progress.last_response_s = core.now_s
     progress.acknowledged_round = max(
         progress.acknowledged_round, message.round
@@ -258,6 +273,7 @@
             known_since_s=core.now_s,
             in_flight_since_s=None,
             last_response_s=None,
+            steady_since_s=core.now_s,
             acknowledged_round=0,
             snapshot_offset=0,
         )
--- a/bulrushrudder/consensus/liveness.py
+++ b/bulrushrudder/consensus/liveness.py
@@ -55,6 +55,20 @@
     return core.now_s - progress.last_response_s
 
 
+def unheard_s(core, member_id):
+    """Return seconds since a member was heard, also as the former leader."""
+    heard_s = core.leadership.heard_s_by_id.get(member_id)
+    if heard_s is None or has_responded(core, member_id):
+        return silence_s(core, member_id)
+    return core.now_s - heard_s
+
+
+def steady_s(core, member_id):
+    """Return seconds since which a member has responded without a gap."""
+    progress = core.leadership.progress_by_id.get(member_id)
+    return core.now_s - progress.steady_since_s if progress else 0.0
+
+
 def has_responded(core, member_id):
     """Return whether a member has responded to this leader."""
     known = core.leadership.progress_by_id.get(member_id)
--- a/bulrushrudder/consensus/membership.py
+++ b/bulrushrudder/consensus/membership.py
@@ -2,11 +2,14 @@
 
 Operators only edit the addresses in the settings. A process that sends a
 discovery request joins as a learner and is promoted to voter once it has
-caught up. A voter is removed when another data folder uses its address,
-or when it is silent and its address is no longer in the settings. If the
-settings contain seeds, a silent voter is removed once a learner can
-replace it, or if the number of voters is even, which makes the quorum
-smaller.
+caught up. A voter that does not respond is gone if another data folder uses
+its address. If the settings contain seeds, or no longer its address, it is
+also gone once it has been silent for some time.
+
+No change lowers the number of further live voters that may be lost. With an
+even number of voters the quorum is smaller without one that is gone, so it
+is removed at once. With an odd number it is removed only if a learner can
+take its place, so that a group does not shrink while processes are down.
 """
 
 import dataclasses
@@ -17,7 +20,12 @@
 from bulrushrudder.consensus import types
 
 MAX_PROMOTION_LAG_ENTRIES = 64
-SILENCE_TIMEOUT_S = 10.0
+# Longer than a voter counts as live after its last response.
+VOTER_TIMEOUT_S = 2.0
+# For learners, and for voters that no learner replaces.
+REMOVAL_TIMEOUT_S = 10.0
+STEADY_S = 10.0
+MAX_QUICK_PROMOTIONS = 2
 
 
 def tick(core):
@@ -33,73 +41,42 @@
         return
     members = _next_members(core)
     core.leadership.newcomers_by_id.clear()
-    if members is not None and members != core.members:
-        core.actions += member_changes.between(core, core.members, members)
-        leadership.change_members(core, members)
+    if members == core.members:
+        return
+    core.actions += member_changes.between(core, core.members, members)
+    leadership.change_members(core, members)
 
 
 def _next_members(core):
-    """Return the members after the next change, or None."""
-    learners = _learners(core)
-    if learners != [m for m in core.members if not m.voter]:
-        return (*_voters(core), *learners)
-    candidate = next((m for m in learners if _is_promotable(core, m)), None)
-    removable = next(
-        (m for m in _voters(core) if _is_removable(core, m)), None
-    )
-    if removable is not None and (
-        candidate or _is_dispensable(core, removable)
-    ):
-        return _if_quorum_remains(
-            core, tuple(m for m in core.members if m.id != removable.id)
-        )
+    """Return the members after the next change, if one is due."""
+    members = _with_newcomers(core)
+    if members != core.members:
+        return members
+    gone = _gone_voters(core)
+    candidate = next((m for m in members if _is_promotable(core, m)), None)
+    if _is_larger_than_needed(members):
+        if gone:
+            return _without(core, gone[0])
+        if _may_lose_voter_soon(core):
+            return members
     if candidate is not None and _is_promotion_safe(core, candidate):
-        return tuple(_promoted(m, candidate) for m in core.members)
-    return None
-
-
-def _is_promotion_safe(core, candidate):
-    """Return whether a quorum remains if the candidate fails at once.
-
-    With a single voter this cannot be met, so a second one is accepted.
-    """
-    if _is_voter_address(core, candidate.address):
-        return False
-    members = [_promoted(m, candidate) for m in core.members]
-    voters = types.voters(core.members)
-    live = [id_ for id_ in voters if liveness.is_responsive(core, id_)]
-    return len(live) >= types.quorum(members) or len(voters) == 1
-
-
-def _if_quorum_remains(core, members):
-    return members if liveness.has_quorum(core, members) else None
-
-
-def _promoted(member, candidate):
-    if member.id != candidate.id:
-        return member
-    return dataclasses.replace(member, voter=True)
+        return tuple(_promoted(m, candidate) for m in members)
+    if gone and candidate is not None:
+        return _without(core, gone[0])
+    abandoned = [m for m in gone if _is_abandoned(core, m)]
+    return _without(core, abandoned[0]) if abandoned else members
 
 
-def _voters(core):
-    newcomers_by_id = core.leadership.newcomers_by_id
-    return [
-        dataclasses.replace(m, address=newcomers_by_id.get(m.id, m.address))
-        for m in core.members
-        if m.voter
-    ]
-
-
-def _learners(core):
-    """Return the learners after removals, with newcomers added."""
+def _with_newcomers(core):
+    """Return the members with newcomers and without silent learners."""
     newcomers_by_id = core.leadership.newcomers_by_id
     reused = set(newcomers_by_id.values())
     remaining = [
         dataclasses.replace(m, address=newcomers_by_id.get(m.id, m.address))
         for m in core.members
-        if not m.voter
-        and (m.id in newcomers_by_id or m.address not in reused)
-        and not (_may_be_removed(core, m) and _is_silent(core, m))
+        if m.voter
+        or m.id in newcomers_by_id
+        or not (m.address in reused or _is_lost_learner(core, m))
     ]
     known = {m.id for m in core.members}
     joined = [
@@ -107,52 +84,128 @@
         for id_, address in newcomers_by_id.items()
         if id_ not in known
     ]
-    return [*remaining, *joined]
+    return (*remaining, *joined)
 
 
-def _is_voter_address(core, address):
-    return any(m.voter and m.address == address for m in core.members)
+def _is_lost_learner(core, member):
+    silence_s = liveness.silence_s(core, member.id)
+    return _may_be_removed(core, member) and silence_s >= REMOVAL_TIMEOUT_S
 
 
-def _is_dispensable(core, member):
-    """Return whether a voter can be removed without a replacement."""
-    if core.identity.seeded:
-        return len(types.voters(core.members)) % 2 == 0
-    return not _is_configured(core, member)
+def _gone_voters(core):
+    """Return the voters that are gone, the most certain ones first."""
+    gone = [m for m in core.members if m.voter and _is_gone(core, m)]
+    return sorted(
+        gone,
+        key=lambda m: (
+            not _is_address_reused(core, m),
+            -liveness.unheard_s(core, m.id),
+        ),
+    )
 
 
-def _is_configured(core, member):
-    if core.identity.seeded:
+def _is_gone(core, member):
+    if liveness.is_live(core, member.id):
+        return False
+    if _is_address_reused(core, member):
         return True
-    return member.address in core.identity.addresses
+    unheard_s = liveness.unheard_s(core, member.id)
+    return _may_be_removed(core, member) and unheard_s >= VOTER_TIMEOUT_S
+
+
+def _may_lose_voter_soon(core):
+    """Return whether a voter is about to be gone.
+
+    It goes before a further learner is promoted, or else the group could
+    keep it: it is not removed from an odd number of voters.
+    """
+    return any(
+        m.voter
+        and not liveness.is_responsive(core, m.id)
+        and (_may_be_removed(core, m) or _is_address_reused(core, m))
+        for m in core.members
+    )
+
+
+def _is_address_reused(core, member):
+    """Return whether another data folder uses the member's address."""
+    return any(
+        other.address == member.address and other.id != member.id
+        for other in core.members
+    )
+
+
+def _is_abandoned(core, member):
+    """Return whether a voter may go although no learner replaces it.
+
+    The operator has taken its address out of the settings.
+    """
+    if _is_configured(core, member):
+        return False
+    return liveness.unheard_s(core, member.id) >= REMOVAL_TIMEOUT_S
+
+
+def _may_be_removed(core, member):
+    return core.identity.seeded or not _is_configured(core, member)
+
+
+def _is_configured(core, member):
+    return core.identity.seeded or member.address in core.identity.addresses
+
+
+def _is_larger_than_needed(members):
+    """Return whether the quorum is smaller with one voter less.
+
+    One voter alone is never preferred to two, as it has the only copy.
+    """
+    count = len(types.voters(members))
+    return count > 2 and count % 2 == 0
+
+
+def _without(core, member):
+    """Return the members without one, if a quorum of them is live."""
+    members = tuple(m for m in core.members if m.id != member.id)
+    return members if liveness.has_quorum(core, members) else core.members
 
 
 def _is_promotable(core, member):
-    if not liveness.has_responded(core, member.id):
+    if member.voter or not liveness.is_responsive(core, member.id):
         return False
     match_index = leadership.match_index(core, member.id)
     caught_up = match_index + MAX_PROMOTION_LAG_ENTRIES >= core.commit_index
-    live = liveness.is_live(core, member.id)
-    return caught_up and live and _is_configured(core, member)
+    return (
+        caught_up and _is_configured(core, member) and _is_steady(core, member)
+    )
 
 
-def _is_removable(core, member):
-    """Return whether a voter that does not respond may be removed."""
-    if member.id == core.id or liveness.is_live(core, member.id):
-        return False
-    replaced = any(
-        other.address == member.address
-        for other in core.members
-        if other.id != member.id
-    )
-    if replaced:
+def _is_steady(core, member):
+    """Return whether a learner is likely to go on responding.
+
+    One that this leader has promoted before, and removed, has to show it.
+    """
+    promotions = core.leadership.promotions_by_id.get(member.id, 0)
+    if promotions < MAX_QUICK_PROMOTIONS:
         return True
-    return _may_be_removed(core, member) and _is_silent(core, member)
+    return liveness.steady_s(core, member.id) >= STEADY_S
 
 
-def _may_be_removed(core, member):
-    return core.identity.seeded or not _is_configured(core, member)
+def _is_promotion_safe(core, candidate):
+    """Return whether a quorum remains if the candidate fails at once.
+
+    With a single voter this cannot be met, so a second one is accepted.
+    """
+    members = [_promoted(m, candidate) for m in core.members]
+    voters = [m for m in core.members if m.voter]
+    reliable = [
+        m
+        for m in voters
+        if liveness.is_responsive(core, m.id)
+        and not _is_address_reused(core, m)
+    ]
+    return len(reliable) >= types.quorum(members) or len(voters) == 1
 
 
-def _is_silent(core, member):
-    return liveness.silence_s(core, member.id) >= SILENCE_TIMEOUT_S
+def _promoted(member, candidate):
+    if member.id != candidate.id:
+        return member
+    return dataclasses.replace(member, voter=True)
