Keep two candidates from splitting the votes again and again

After the loss of a leader a group of which every voter was needed was without one for up to 4 s: members whose timers ran out within the same moment granted each other the pre-vote and then refused each other the vote, several times in a row. The next change of members came as much later, so that the voter that was gone still counted when the next loss was due.

A member that has just begun a pre-vote, or granted one, now refuses the pre-vote of a candidate with a smaller id and an equal log for 0.15 s. Votes themselves are granted as before.

--- a/bulrushrudder/consensus/core.py
+++ b/bulrushrudder/consensus/core.py
@@ -66,6 +66,7 @@
         self._former_leader = None
         self.votes = set()
         self.pre_vote = True
+        self.pre_vote_choice = None
         self.actions = []
         self.now_s = now_s
         self.deadline_s = now_s
--- a/bulrushrudder/consensus/election.py
+++ b/bulrushrudder/consensus/election.py
@@ -1,10 +1,25 @@
 """Leader election: campaigns of this member and votes for others."""
 
+import dataclasses
+
 from bulrushrudder.consensus import core as core_types
 from bulrushrudder.consensus import leadership
 from bulrushrudder.consensus import messages
 from bulrushrudder.consensus import types
 
+PRE_VOTE_CHOICE_S = 0.15
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PreVoteChoice:
+    """The candidate for which this member gave its last pre-vote.
+
+    :param made_s: when it did, in monotonic seconds.
+    """
+
+    candidate: types.MemberId
+    made_s: float
+
 
 def tick(core):
     """Start a pre-vote when the election timer has expired."""
@@ -34,7 +49,11 @@
     if not message.pre_vote and header.term > core.hard_state.term:
         core.become_follower(header.term, None)
     granted = _may_vote(core, message)
-    if granted and not message.pre_vote:
+    if message.pre_vote:
+        granted = granted and not _prefers_other(core, message)
+        if granted:
+            core.pre_vote_choice = PreVoteChoice(header.sender, core.now_s)
+    elif granted:
         core.save(vote=header.sender)
         core.reset_election_timer()
     _respond(core, message, granted)
@@ -57,6 +76,8 @@
     core.role = core_types.Role.CANDIDATE
     core.leader = None
     core.pre_vote = pre_vote
+    if pre_vote:
+        core.pre_vote_choice = PreVoteChoice(core.id, core.now_s)
     core.votes = {core.id}
     if not pre_vote:
         core.save(term=core.hard_state.term + 1, vote=core.id)
@@ -106,6 +127,22 @@
     )
 
 
+def _prefers_other(core, message):
+    """Return whether a pre-vote of another member goes before this one.
+
+    Of members that begin at the same moment, several would else win their
+    pre-votes, and none the election.
+    """
+    choice = core.pre_vote_choice
+    if choice is None or core.now_s - choice.made_s >= PRE_VOTE_CHOICE_S:
+        return False
+    equal_logs = (message.last_term, message.last_index) == (
+        core.log.last_term,
+        core.log.last_index,
+    )
+    return equal_logs and choice.candidate > message.header.sender
+
+
 def _respond(core, message, granted):
     term = message.header.term if granted else core.hard_state.term
     response = messages.VoteResponse(
