--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -1,9 +1,11 @@
 """The leader's side of replication."""
 
+import collections
 import dataclasses
 
 from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import core as core_types
+from bulrushrudder.consensus import liveness
 from bulrushrudder.consensus import messages
 from bulrushrudder.consensus import types
 
@@ -23,17 +25,21 @@
     :ivar match_index: the last index up to which its log is known to
         match.
     :ivar next_index: the index of the next entry to send.
+    :ivar known_since_s: when it was added or leadership began.
     :ivar in_flight_since_s: when the unanswered entries were sent, or
         None.
     :ivar last_response_s: when it last responded, or None.
+    :ivar steady_since_s: since when it has responded without a gap.
     :ivar acknowledged_round: the latest quorum round that it answered.
     :ivar snapshot_offset: bytes of the snapshot that it has received.
     """
 
     match_index: int
     next_index: int
+    known_since_s: float
     in_flight_since_s: float | None
     last_response_s: float | None
+    steady_since_s: float
     acknowledged_round: int
     snapshot_offset: int
 
@@ -61,6 +67,9 @@
     :ivar round: the number of the latest quorum round.
     :ivar successor: the target of a leadership transfer, or None.
     :ivar transfer_end_s: when a transfer that has not succeeded ends.
+    :ivar heard_s_by_id: when this member, as a follower, last heard the
+        leader that it succeeds.
+    :ivar promotions_by_id: how often members were promoted.
     :ivar newcomers_by_id: addresses of processes that may join, from
         their discovery requests.
     """
@@ -73,6 +82,8 @@
     pending_reads: list[PendingRead]
     successor: types.MemberId | None
     newcomers_by_id: dict[types.MemberId, str]
+    heard_s_by_id: dict[types.MemberId, float]
+    promotions_by_id: collections.Counter
     transfer_end_s: float = 0.0
 
 
@@ -89,6 +100,8 @@
         pending_reads=[],
         successor=None,
         newcomers_by_id={},
+        heard_s_by_id=core.take_former_leader(),
+        promotions_by_id=collections.Counter(),
     )
     append(core, [types.TermStart()])
 
@@ -106,6 +119,18 @@
     _advance_commit(core)
 
 
+def change_members(core, members):
+    """Append a configuration; forget the progress of removed members."""
+    before = types.voters(core.members)
+    promoted = set(types.voters(members)) - set(before)
+    core.leadership.promotions_by_id.update(promoted)
+    kept = {member.id for member in members}
+    for member in core.members:
+        if member.id not in kept:
+            core.leadership.progress_by_id.pop(member.id, None)
+    append(core, [types.Configuration(members)])
+
+
 def propose(core, event):
     """Append the commands of a proposal, or decline it."""
     is_leader = core.role is core_types.Role.LEADER
@@ -140,7 +165,7 @@
 
 def tick(core):
     """Send heartbeats; step down without a quorum."""
-    if not has_quorum(core):
+    if not liveness.has_quorum(core):
         core.become_follower(core.hard_state.term, None)
         core.reset_election_timer()
         return
@@ -152,41 +177,6 @@
         _send_heartbeats(core)
 
 
-def has_quorum(core, members=None):
-    """Return whether a majority of voters responded recently."""
-    members = core.members if members is None else members
-    live = [id_ for id_ in types.voters(members) if is_live(core, id_)]
-    return len(live) >= types.quorum(members)
-
-
-def is_live(core, member_id):
-    """Return whether a member has responded recently.
-
-    The longest election timeout applies. A new leader allows every
-    member that long for its first response.
-    """
-    if member_id == core.id:
-        return True
-    timeout_s = core_types.ELECTION_TIMEOUT_S + core_types.ELECTION_JITTER_S
-    return silence_s(core, member_id) < timeout_s
-
-
-def silence_s(core, member_id):
-    """Return seconds since a member responded or leadership began."""
-    last_response_s = core.leadership.started_s
-    if has_responded(core, member_id):
-        last_response_s = core.leadership.progress_by_id[
-            member_id
-        ].last_response_s
-    return core.now_s - last_response_s
-
-
-def has_responded(core, member_id):
-    """Return whether a member has responded to this leader."""
-    known = core.leadership.progress_by_id.get(member_id)
-    return known is not None and known.last_response_s is not None
-
-
 def match_index(core, member_id):
     """Return the last index up to which a member's log matches."""
     if member_id == core.id:
@@ -232,7 +222,7 @@
     others = [
         id_
         for id_ in types.voters(core.members)
-        if id_ != core.id and is_live(core, id_)
+        if id_ != core.id and liveness.is_live(core, id_)
     ]
     if not others:
         return
@@ -265,6 +255,8 @@
     if message.header.sender not in {m.id for m in core.members}:
         return None
     progress = _progress(core, message.header.sender)
+    if not liveness.is_live(core, message.header.sender):
+        progress.steady_since_s = core.now_s
     progress.last_response_s = core.now_s
     progress.acknowledged_round = max(
         progress.acknowledged_round, message.round
@@ -278,8 +270,10 @@
         known = Progress(
             match_index=0,
             next_index=core.log.last_index + 1,
+            known_since_s=core.now_s,
             in_flight_since_s=None,
             last_response_s=None,
+            steady_since_s=core.now_s,
             acknowledged_round=0,
             snapshot_offset=0,
         )
--- /dev/null
+++ b/bulrushrudder/tests/consensus/replaced_machines_tests.py
@@ -0,0 +1,110 @@
+"""Machines that are replaced one after the other by empty ones."""
+
+import unittest
+
+from bulrushrudder.tests.builders import cluster
+from bulrushrudder.tests.builders import replacements
+
+RESTART_S = 1.0
+LONG_LED_S = 12.0
+LATE_S = 0.3
+
+
+def failures_by_seed(play, seeds):
+    """Return what went wrong with each seed.
+
+    :param play: function of a seed that raises AssertionError.
+    """
+    found = {}
+    for seed in seeds:
+        try:
+            play(seed)
+        except AssertionError as error:
+            found[seed] = str(error)
+    return found
+
+
+def replace_in_series(size, tolerance, seed, count, pause_s):
+    """Replace machines at random, then lose power and disks."""
+    fleet = replacements.Fleet(size, tolerance, seed)
+    fleet.propose()
+    fleet.group.run(RESTART_S)
+    for _ in range(count):
+        lost = fleet.pick(tolerance)
+        for address in lost:
+            fleet.lose(address)
+        fleet.group.run(RESTART_S)
+        for _ in lost:
+            fleet.add()
+        fleet.group.run(replacements.CATCH_UP_S)
+        fleet.propose()
+        fleet.run_checked(pause_s - replacements.CATCH_UP_S)
+    fleet.lose_power(fleet.pick(tolerance))
+
+
+class ReplacedMachinesTests(unittest.TestCase):
+    maxDiff = None
+
+    # Guards against a group that keeps machines as voters which are gone,
+    # so that it elects no leader after a tolerated loss.
+
+    def test_elects_leader_after_six_replacements_and_a_lost_disk(self):
+        failures = failures_by_seed(
+            lambda seed: replace_in_series(5, 1, seed, 6, 5.0), range(10)
+        )
+        self.assertEqual(failures, {})
+
+    def test_elects_leader_after_nine_replacements_in_quick_succession(self):
+        failures = failures_by_seed(
+            lambda seed: replace_in_series(5, 1, seed, 9, 4.2), range(10)
+        )
+        self.assertEqual(failures, {})
+
+
+class LearnerTests(unittest.TestCase):
+    # Guards against a learner that is removed and added again, which
+    # counted as silent for as long as the leader had led.
+
+    def test_learner_whose_first_answer_is_late_is_added_once(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                fleet = replacements.Fleet(5, 1, seed)
+                fleet.group.run(LONG_LED_S)
+                added = fleet.add()
+                fleet.group.late_s_by_address[added] = LATE_S
+                fleet.add()
+                fleet.group.run(2 * replacements.CATCH_UP_S)
+                member = fleet.group.disks_by_address[added].id
+                self.assertEqual(
+                    [c.change.value for c in fleet.changes_of(member)],
+                    ['added', 'promoted'],
+                )
+
+    def test_learner_that_asks_again_changes_no_members(self):
+        group = cluster.Cluster('abc', 1)
+        group.run(replacements.CATCH_UP_S)
+        group.addresses = tuple('abcde')
+        for address in 'de':
+            group.start(address)
+        group.run(replacements.CATCH_UP_S)
+        (leader,) = group.leaders()
+        log = group.processes_by_address[leader].replica.log
+        before = log.configuration_index()
+        self.assertEqual(len(log.members()), 5)
+        for address in 'de':
+            group.kill(address)
+            group.start(address)
+            group.run(replacements.CATCH_UP_S)
+        self.assertEqual(log.configuration_index(), before)
+
+    # Guards against a process with a slow disk that never finds the log,
+    # as it had asked again before it was answered.
+
+    def test_process_whose_answers_are_late_becomes_voter(self):
+        for late_s in (0.4, 0.6, 0.9):
+            with self.subTest(late_s):
+                fleet = replacements.Fleet(5, 1, seed=1)
+                added = fleet.add()
+                fleet.group.late_s_by_address[added] = late_s
+                fleet.group.run(2 * replacements.CATCH_UP_S)
+                fleet.group.check_converged()
