--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -7,9 +7,6 @@
 
 import asyncio
 import contextlib
-import hashlib
-import hmac
-import secrets
 import socket
 
 from returns import result
@@ -19,8 +16,10 @@
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import frames
+from bulrushrudder.protocol import handshakes
 from bulrushrudder.protocol import liveness
 from bulrushrudder.protocol import messages
+from bulrushrudder.protocol import tunnel_messages
 
 CHECK_INTERVAL_S = 0.25
 SHORT_CHECK_INTERVAL_S = 0.1
@@ -29,7 +28,10 @@
 SHORT_CONNECT_TIMEOUT_S = 0.7
 MAX_HANDSHAKE_BYTES = 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
-NONCE_BYTES = 16
+
+
+class InvalidMessageError(Exception):
+    """The peer sent bytes that are not a valid message."""
 
 
 class Link:
@@ -87,46 +89,27 @@
         """
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                problem = await self._authenticate(secret, dialled)
+                shaken = await handshakes.authenticate(
+                    self, self._owner, secret, dialled
+                )
         except (
             TimeoutError,
             OSError,
             EOFError,
-            _InvalidMessageError,
+            InvalidMessageError,
         ) as error:
-            problem = f'handshake failed: {error!r}'
-        if problem is None:
-            return result.Success(self)
+            shaken = result.Failure(f'handshake failed: {error!r}')
+        match shaken:
+            case result.Success(peer):
+                self.peer = peer
+                return result.Success(self)
+        problem = shaken.failure()
         log.emit(catalogue.LINK_REFUSED, detail=problem)
         self.close()
         return result.Failure(
             errors.LinkError(errors.LinkProblem.REFUSED, problem, False)
         )
 
-    async def _authenticate(self, secret, dialled):
-        nonce = secrets.token_bytes(NONCE_BYTES)
-        self.send(messages.Hello(messages.VERSION, self._owner, nonce))
-        hello = await self._read_message(MAX_HANDSHAKE_BYTES)
-        if not isinstance(hello, messages.Hello):
-            return 'the peer sent no Hello message'
-        if hello.version != messages.VERSION:
-            return (
-                f'the peer speaks protocol version {hello.version},'
-                f' expected {messages.VERSION}'
-            )
-        signature = _signature(secret, hello.nonce, dialled)
-        self.send(messages.Proof(signature))
-        proof = await self._read_message(MAX_HANDSHAKE_BYTES)
-        expected = _signature(secret, nonce, not dialled)
-        if not isinstance(proof, messages.Proof):
-            return 'the peer sent no Proof message'
-        if not hmac.compare_digest(proof.signature, expected):
-            return (
-                'the signature of the peer does not match the cluster secret'
-            )
-        self.peer = hello.owner
-        return None
-
     def send(self, message):
         """Send a one-way message.
 
@@ -185,8 +168,22 @@
         finally:
             self._pending_by_call.pop(call, None)
 
-    async def run(self):
-        """Receive and handle messages until the link closes."""
+    async def receive(self):
+        """Return the next message of a link that does not run.
+
+        :raises InvalidMessageError: if it is none.
+        :raises OSError: if the link breaks.
+        :raises EOFError: if the peer closes the link.
+        """
+        return await self._read_message(MAX_HANDSHAKE_BYTES)
+
+    async def run(self, serve_tunnel=None):
+        """Receive and handle messages until the link closes.
+
+        :param serve_tunnel: coroutine function of the link, an OpenTunnel
+            and the link's reader and writer; the link is a tunnel for as
+            long as it runs.
+        """
         _enable_tcp_keepalive(self._writer)
         self._liveness.record_message(_now_s())
         monitor = asyncio.create_task(self._monitor())
@@ -196,8 +193,17 @@
             while True:
                 message = await self._read_message()
                 self._liveness.record_message(_now_s())
+                if serve_tunnel and isinstance(
+                    message, tunnel_messages.OpenTunnel
+                ):
+                    monitor.cancel()
+                    await serve_tunnel(
+                        self, message, self._reader, self._writer
+                    )
+                    reason = 'the tunnel ended'
+                    break
                 self._dispatch(message)
-        except _InvalidMessageError as error:
+        except InvalidMessageError as error:
             reason = f'invalid message: {error}'
             log.emit(catalogue.MESSAGE_INVALID, detail=str(error))
         except (OSError, EOFError) as error:
@@ -286,11 +292,7 @@
         try:
             return _decode(await frames.read(self._reader, max_bytes))
         except frames.InvalidFrameError as error:
-            raise _InvalidMessageError(str(error)) from error
-
-
-class _InvalidMessageError(Exception):
-    """The peer sent bytes that are not a valid message."""
+            raise InvalidMessageError(str(error)) from error
 
 
 def _now_s():
@@ -311,12 +313,7 @@
         case result.Success(message):
             return message
         case result.Failure(error):
-            raise _InvalidMessageError(error.problem)
-
-
-def _signature(secret, nonce, dialled):
-    role = b'dialled' if dialled else b'accepted'
-    return hmac.digest(secret, role + nonce, hashlib.sha256)
+            raise InvalidMessageError(error.problem)
 
 
 def _failure(problem, detail, sent):
@@ -360,7 +357,13 @@
 
 
 async def listen(
-    address, owner, secret, handler, on_closed=None, on_opened=None
+    address,
+    owner,
+    secret,
+    handler,
+    on_closed=None,
+    on_opened=None,
+    serve_tunnel=None,
 ):
     """Accept links from other processes.
 
@@ -370,6 +373,7 @@
     :param handler: serves messages of the peers, see Link.
     :param on_closed: called with each accepted link when it has closed.
     :param on_opened: called with each accepted link after its handshake.
+    :param serve_tunnel: as for Link.run.
     :returns: the asyncio server.
     """
 
@@ -381,7 +385,7 @@
                 return
             if on_opened is not None:
                 on_opened(link)
-            await link.run()
+            await link.run(serve_tunnel)
         except asyncio.CancelledError:
             # The process is stopping; asyncio would log the cancelled task.
             link.close()
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -11,6 +11,7 @@
 from bulrushrudder.protocol import status_messages
 from bulrushrudder.protocol import stream_messages
 from bulrushrudder.protocol import token_messages
+from bulrushrudder.protocol import tunnel_messages
 from bulrushrudder.state import accounts
 from bulrushrudder.state import documents as state_documents
 from bulrushrudder.state import intents
@@ -30,6 +31,9 @@
         messages.Heartbeat: 3,
         messages.Request: 4,
         messages.Response: 5,
+        tunnel_messages.OpenTunnel: 6,
+        tunnel_messages.TunnelOpened: 7,
+        tunnel_messages.TunnelRefused: 8,
         log_messages.Observe: 20,
         log_messages.Entries: 21,
         log_messages.FreshnessResponse: 22,
