Let the connection pool obtain its connections from a network

The pool dialled servers itself. It now asks an object that the entry process is given, so that a connection may be opened in another way, and so that each process of a test has paths of its own. The default dials directly as before, with the same time-out and errors.

--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -13,12 +13,9 @@
 
 from bulrushrudder.engines import connections
 from bulrushrudder.engines import kept_bytes
+from bulrushrudder.engines import network
 from bulrushrudder.engines import responses
-from bulrushrudder.utils import timeouts
 
-# Many round trips between zones. TCP retransmits a lost SYN only after
-# 1 s, so a new connection is faster.
-CONNECT_TIMEOUT_S = 0.35
 _EXPIRED = responses.Problem(
     responses.ProblemKind.EXPIRED,
     'the permission to send it ran out',
@@ -41,9 +38,14 @@
         the id of their call.
     :param on_head: function of the BackendServer, the monotonic seconds at
         which the call was sent, and the Head; called when a head arrives.
+    :param network_: opens connections, an object with the methods of
+        DirectNetwork, which is the default.
     """
 
-    def __init__(self, id_header, on_head=connections.ignore_head):
+    def __init__(
+        self, id_header, on_head=connections.ignore_head, network_=None
+    ):
+        self._network = network_ or network.DirectNetwork()
         self._id_header = id_header
         self._on_head = on_head
         self._kept_bytes = kept_bytes.KeptBytes()
@@ -167,16 +169,10 @@
         :raises OSError: if the server cannot be reached.
         :raises TimeoutError: if it does not react in time.
         """
-        loop = asyncio.get_running_loop()
-        async with timeouts.RunningTimeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(
-                lambda: connections.Connection(
-                    self._id_header, self._kept_bytes
-                ),
-                server.host,
-                server.port,
-            )
-        return connection
+        return await self._network.open(
+            server,
+            lambda: connections.Connection(self._id_header, self._kept_bytes),
+        )
 
     def _release(self, server, connection):
         if not connection.usable:
--- /dev/null
+++ b/bulrushrudder/engines/network.py
@@ -0,0 +1,30 @@
+"""Opens connections to backend servers."""
+
+import asyncio
+
+from bulrushrudder.utils import timeouts
+
+# Many round trips between zones. TCP retransmits a lost SYN only after
+# 1 s, so a new connection is faster.
+CONNECT_TIMEOUT_S = 0.35
+
+
+class DirectNetwork:
+    """Connects to backend servers from this VM."""
+
+    async def open(self, server, protocol_factory):
+        """Open a connection.
+
+        :param server: the BackendServer.
+        :param protocol_factory: function that returns the asyncio protocol
+            of the connection.
+        :returns: the protocol.
+        :raises OSError: if the server cannot be reached.
+        :raises TimeoutError: if it does not react in time.
+        """
+        loop = asyncio.get_running_loop()
+        async with timeouts.RunningTimeout(CONNECT_TIMEOUT_S):
+            _, protocol = await loop.create_connection(
+                protocol_factory, server.host, server.port
+            )
+        return protocol
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -20,12 +20,13 @@
 class OwnInterface:
     """Listeners and clients for the built-in protocols."""
 
-    async def clients(self, stack, record_statements):
+    async def clients(self, stack, record_statements, network):
         """Return the EngineClient and the ServiceClient.
 
         :param stack: an AsyncExitStack that owns their connections.
         :param record_statements: not used, as servers state nothing about
             themselves in the built-in protocol.
+        :param network: not used, as aiohttp opens the connections.
         """
         connector = aiohttp.TCPConnector(
             limit=0,
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -7,6 +7,7 @@
 from bulrushrudder.backpressure import table
 from bulrushrudder.config import settings_watcher
 from bulrushrudder.core import ids
+from bulrushrudder.engines import network
 from bulrushrudder.entry import access
 from bulrushrudder.entry import authority_client
 from bulrushrudder.entry import backpressure_monitor
@@ -58,12 +59,15 @@
     :param settings: the Settings of the VM.
     :param interface: the interface to callers and backend servers, an
         object with the methods of OwnInterface, which is the default.
+    :param network_: opens connections to backend servers, an object with
+        the methods of DirectNetwork, which is the default.
     :ivar services: the SharedServices, once the process has started.
     """
 
-    def __init__(self, settings, interface=None):
+    def __init__(self, settings, interface=None, network_=None):
         self._settings = settings
         self._interface = interface or own_interface.OwnInterface()
+        self._network = network_ or network.DirectNetwork()
         self._owner = ids.Owner(settings.vm, time.time_ns())
         secret = settings.secrets.cluster
         self.view = view.View(settings.environment, settings.entry.stale_s)
@@ -121,7 +125,7 @@
 
     async def _make_services(self, stack):
         engines, services_client = await self._interface.clients(
-            stack, self._backpressure.record
+            stack, self._backpressure.record, self._network
         )
         self._canceller = cancelling.Canceller(
             self._settings.vm, self.view, engines, self.metrics
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -78,12 +78,15 @@
     return CallFailure(reason, problem.detail, problem.sent)
 
 
-def pool(on_head=connections.ignore_head):
+def pool(on_head=connections.ignore_head, network=None):
     """Return a ConnectionPool to runners.
 
     :param on_head: as for ConnectionPool.
+    :param network: as for ConnectionPool.
     """
-    return connection_pool.ConnectionPool(headers.ATTEMPT.lower(), on_head)
+    return connection_pool.ConnectionPool(
+        headers.ATTEMPT.lower(), on_head, network
+    )
 
 
 def check(head):
--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from bulrushrudder.engines import connection_pool
+from bulrushrudder.engines import network
 from bulrushrudder.engines import responses
 from bulrushrudder.tests.builders import runners
 
@@ -79,7 +80,7 @@
         calling = asyncio.create_task(self.call(server))
         checking = asyncio.create_task(self.pool.check(server))
         await asyncio.sleep(0)
-        time.sleep(2 * connection_pool.CONNECT_TIMEOUT_S)
+        time.sleep(2 * network.CONNECT_TIMEOUT_S)
         head, *_ = await calling
         self.assertIsInstance(head, responses.Head)
         self.assertIs(await checking, connection_pool.Listening.ACCEPTS)
