--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -140,6 +140,7 @@
                 connection.usable
                 and now_s < connection.reusable_until_s
                 and fresh
+                and self._network.may_reuse(server, connection)
             ):
                 connection.abort()
             elif connection.has_carried(call_id):
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -59,6 +59,7 @@
     :param id_header: lowercase name of the header in which responses echo
         the id of their call.
     :param kept_bytes: the KeptBytes of the process.
+    :ivar relay: the Owner through which it goes, None if it is direct.
     """
 
     def __init__(self, id_header, kept_bytes):
@@ -86,12 +87,23 @@
         self._not_reusable = False
         self.reusable_until_s = 0.0
         self.last_used_s = 0.0
+        self.relay = None
 
     @property
     def usable(self):
         """Return whether the connection can be reused for another call."""
         return self._ended and not self._not_reusable and not self._closed
 
+    @property
+    def closed(self):
+        """Return whether the connection has ended."""
+        return self._closed
+
+    @property
+    def idle(self):
+        """Return whether the connection has carried a call and can again."""
+        return self.usable and self.last_used_s > 0.0
+
     def has_carried(self, call_id):
         """Return whether a recent call on this connection had an id."""
         return bool(call_id) and call_id in self._earlier_ids
@@ -157,9 +169,9 @@
     # Called by the transport.
 
     def connection_made(self, transport):
-        """Store the transport and enable keepalive on its socket."""
+        """Store the transport and let the kernel watch its path."""
         self._transport = transport
-        sockets.enable_keepalive(transport.get_extra_info('socket'))
+        sockets.watch_path(transport.get_extra_info('socket'))
 
     def get_buffer(self, size):
         """Return the buffer for received data.
--- a/bulrushrudder/engines/network.py
+++ b/bulrushrudder/engines/network.py
@@ -28,3 +28,7 @@
                 protocol_factory, server.host, server.port
             )
         return protocol
+
+    def may_reuse(self, server, connection):
+        """Return whether an idle connection may carry a call."""
+        return True
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -10,6 +10,7 @@
 from bulrushrudder.engines import network
 from bulrushrudder.entry import access
 from bulrushrudder.entry import authority_client
+from bulrushrudder.entry import backend_paths
 from bulrushrudder.entry import backpressure_monitor
 from bulrushrudder.entry import balancing
 from bulrushrudder.entry import call_permits
@@ -59,15 +60,15 @@
     :param settings: the Settings of the VM.
     :param interface: the interface to callers and backend servers, an
         object with the methods of OwnInterface, which is the default.
-    :param network_: opens connections to backend servers, an object with
-        the methods of DirectNetwork, which is the default.
+    :param network_: opens direct connections to backend servers, an object
+        with the methods of DirectNetwork, which is the default.
+    :ivar paths: the BackendPaths.
     :ivar services: the SharedServices, once the process has started.
     """
 
     def __init__(self, settings, interface=None, network_=None):
         self._settings = settings
         self._interface = interface or own_interface.OwnInterface()
-        self._network = network_ or network.DirectNetwork()
         self._owner = ids.Owner(settings.vm, time.time_ns())
         secret = settings.secrets.cluster
         self.view = view.View(settings.environment, settings.entry.stale_s)
@@ -90,7 +91,7 @@
             roles,
             self.control_client,
             settings.environment,
-            _spare_tokens(settings.bounds),
+            spare.of_bounds(settings.bounds),
         )
         self._call_registrar = call_registrar.CallRegistrar(
             self._owner, self.view, self.control_client, settings.environment
@@ -106,6 +107,14 @@
             self.control_client,
         )
         self.metrics = metrics_entry.EntryMetrics()
+        self.paths = backend_paths.BackendPaths(
+            network_ or network.DirectNetwork(),
+            self.view,
+            self._owner,
+            settings,
+            self.metrics,
+            lambda: self.services.leaving,
+        )
         self.services = None
         self._canceller = None
         self._callers = None
@@ -116,6 +125,7 @@
         :param stack: an AsyncExitStack that owns all of them.
         """
         stack.callback(self._peers.close)
+        stack.callback(self.paths.close)
         await self._make_services(stack)
         self._limit_retries()
         await self._listen(stack)
@@ -125,7 +135,7 @@
 
     async def _make_services(self, stack):
         engines, services_client = await self._interface.clients(
-            stack, self._backpressure.record, self._network
+            stack, self._backpressure.record, self.paths.network
         )
         self._canceller = cancelling.Canceller(
             self._settings.vm, self.view, engines, self.metrics
@@ -177,6 +187,7 @@
                 self.view, self.coordinator_client, self.control_client
             ).run(),
             self._canceller.run(),
+            self.paths.network.run(),
             access.AccessMonitor(self.services).run(),
             self._keep_session_open(),
         ):
@@ -203,8 +214,8 @@
     async def stop(self):
         """Refuse new work and finish the requests in flight.
 
-        The session is closed last, because other VMs treat the attempts of
-        a closed session as orphans and cancel them.
+        Other VMs cancel the attempts of a closed session as orphans, so it
+        is closed last.
         """
         if self.services.shutdown is None:
             self._begin_shutdown(0.0)
@@ -214,6 +225,7 @@
         handovers = self._hand_over_roles()
         self._callers.close_idle()
         await self.services.finish()
+        await self.paths.tunnels.finish(self.services.shutdown.finish_until_s)
         await self._canceller.finish(
             self._remaining_s(CANCEL_TIMEOUT_S, LISTENER_CLOSE_S)
         )
@@ -282,11 +294,10 @@
             self._owner,
             settings.secrets.cluster,
             self._handle,
+            serve_tunnel=self.paths.tunnels.serve,
         )
         stack.callback(inner.close)
-        self._callers = await self._interface.listen(
-            stack, self._settings, self
-        )
+        self._callers = await self._interface.listen(stack, settings, self)
         app = metrics_listener.application(self.metrics)
         await web.listen(stack, app, settings.entry.metrics)
 
@@ -356,13 +367,6 @@
         return held is not None and held.owner == self._owner
 
 
-def _spare_tokens(bounds):
-    """Return the SpareTokens that the bounds of the settings allow."""
-    if bounds is None:
-        return spare.NO_SPARE_TOKENS
-    return spare.SpareTokens(bounds.spare_tokens, bounds.spare_window_s)
-
-
 def _now_s():
     return asyncio.get_running_loop().time()
 
--- /dev/null
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -0,0 +1,151 @@
+"""Serves tunnels to backend servers for entry processes of other VMs."""
+
+import asyncio
+import collections
+import contextlib
+
+from returns import result
+
+from bulrushrudder.core import ranking
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+from bulrushrudder.lifecycle import paths
+from bulrushrudder.protocol import tunnel_ends
+from bulrushrudder.protocol import tunnel_messages
+from bulrushrudder.protocol import tunnels
+
+POLL_INTERVAL_S = 0.02
+FLUSH_TIMEOUT_S = 1.0
+
+
+class TunnelServer:
+    """Connects other entry processes to servers of the own view.
+
+    Servers are always dialled directly, so that a tunnel never leads
+    through two VMs.
+
+    :param direct: the DirectNetwork of this VM.
+    :param network: the RoutedNetwork of this VM.
+    :param view: the View of the log.
+    :param metrics: the EntryMetrics.
+    :param is_leaving: function that returns whether the process stops.
+    """
+
+    def __init__(self, direct, network, view, metrics, is_leaving):
+        self._direct = direct
+        self._network = network
+        self._view = view
+        self._metrics = metrics
+        self._is_leaving = is_leaving
+        self._tunnels = set()
+        self._numbers_by_vm = collections.Counter()
+
+    async def serve(self, link, request, reader, writer):
+        """Serve one tunnel until it ends.
+
+        :param link: the Link on which it was asked for.
+        :param request: the OpenTunnel.
+        :param reader: the StreamReader of the link.
+        :param writer: the StreamWriter of the link.
+        """
+        match await self._connect(request):
+            case result.Failure(refused):
+                link.send(refused)
+                await _flush(link, reader)
+                return
+            case result.Success(server_end):
+                pass
+        if reader.at_eof() or writer.transport.is_closing():
+            server_end.transport.abort()
+            return
+        tunnel = tunnel_ends.Tunnel(writer.transport, server_end)
+        link.send(tunnel_messages.TunnelOpened())
+        tunnel.begin(await tunnels.take_rest(reader))
+        vm = link.peer.vm
+        self._tunnels.add(tunnel)
+        self._numbers_by_vm[vm] += 1
+        self._metrics.count_tunnel()
+        if self._numbers_by_vm[vm] == 1:
+            log.emit(catalogue.RELAYING, peer=vm, server=request.server)
+        try:
+            await tunnel.ended.wait()
+        finally:
+            self._tunnels.discard(tunnel)
+            self._numbers_by_vm[vm] -= 1
+            tunnel.abort()
+
+    async def finish(self, until_s):
+        """Wait until no tunnel is left.
+
+        :param until_s: monotonic seconds at which the wait ends.
+        """
+        loop = asyncio.get_running_loop()
+        while self._tunnels and loop.time() < until_s:
+            await asyncio.sleep(
+                max(0.0, min(POLL_INTERVAL_S, until_s - loop.time()))
+            )
+
+    def close(self):
+        """Break all tunnels."""
+        for tunnel in tuple(self._tunnels):
+            tunnel.abort()
+
+    async def _connect(self, request):
+        """Connect to a server.
+
+        :returns: a Success with the ServerEnd, or a Failure with the
+            TunnelRefused.
+        """
+        if self._is_leaving():
+            return _refused(paths.RelayProblem.STOPPING)
+        server = self._view.state.servers.by_id.get(request.server)
+        if server is None or server.incarnation != request.incarnation:
+            return _refused(paths.RelayProblem.UNKNOWN_SERVER)
+        if self._network.is_lost(server) or self._network.paths.is_cut_off():
+            return _refused(paths.RelayProblem.PATH_LOST)
+        try:
+            return result.Success(
+                await self._direct.open(server, tunnel_ends.ServerEnd)
+            )
+        except ConnectionRefusedError:
+            problem = paths.RelayProblem.SERVER_REFUSES
+        except (OSError, TimeoutError):
+            problem = paths.RelayProblem.SERVER_SILENT
+        return _refused(problem, await self._reaches_another(server))
+
+    async def _reaches_another(self, server):
+        """Return whether this VM can connect to another server now.
+
+        One of the same service says most, as a path may be lost to one
+        service only.
+        """
+        servers = self._view.state.servers
+        alike = set()
+        for served in server.serves:
+            alike.update(servers.by_served.get(served, ()))
+        others = alike - {server.id} or servers.by_id.keys() - {server.id}
+        chosen = ranking.choose(server.id, others)
+        if chosen is None:
+            return False
+        try:
+            witness = await self._direct.open(
+                servers.by_id[chosen], tunnel_ends.ServerEnd
+            )
+        except (OSError, TimeoutError):
+            return False
+        witness.transport.abort()
+        return True
+
+
+def _refused(problem, reaches_others=False):
+    return result.Failure(
+        tunnel_messages.TunnelRefused(int(problem), reaches_others)
+    )
+
+
+async def _flush(link, reader):
+    """Let a refusal leave before the link closes."""
+    link.end()
+    with contextlib.suppress(TimeoutError, OSError):
+        async with asyncio.timeout(FLUSH_TIMEOUT_S):
+            await reader.read(1)
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -346,6 +346,27 @@
     'peer reached',
     'A VM that could not be reached is reachable again or has restarted.',
 )
+PATH_LOST = Event(
+    3201,
+    Level.WARNING,
+    'path lost',
+    'This VM cannot connect to a backend server, and the given VM can: '
+    'connections to the server go through other VMs until a direct one '
+    'succeeds.',
+)
+PATH_RESTORED = Event(
+    3202,
+    Level.INFO,
+    'path restored',
+    'This VM connects to a backend server directly again.',
+)
+RELAYING = Event(
+    3203,
+    Level.INFO,
+    'relaying',
+    'This VM begins to relay connections of another VM to backend servers; '
+    'the given server is the first one.',
+)
 VIEW_FRESH = Event(
     3102, Level.INFO, 'view fresh', 'The log view is confirmed as fresh again.'
 )
--- a/bulrushrudder/limits/spare.py
+++ b/bulrushrudder/limits/spare.py
@@ -42,3 +42,13 @@
 
 
 NO_SPARE_TOKENS = SpareTokens(0.0, token_bucket.SLICE_LIFETIME_S)
+
+
+def of_bounds(bounds):
+    """Return the SpareTokens that the bounds of the settings allow.
+
+    :param bounds: the bounds, or None.
+    """
+    if bounds is None:
+        return NO_SPARE_TOKENS
+    return SpareTokens(bounds.spare_tokens, bounds.spare_window_s)
--- a/bulrushrudder/metrics/entry.py
+++ b/bulrushrudder/metrics/entry.py
@@ -56,6 +56,19 @@
             'bulrushrudder_orphan_orders_total',
             'Orders to free all attempts of an entry that is gone.',
         )
+        self.relayed_connections = self._counter(
+            'bulrushrudder_relayed_connections_total',
+            'Connections to servers that were opened through other VMs.',
+        )
+        self.tunnels = self._counter(
+            'bulrushrudder_tunnels_total',
+            'Connections to servers that were opened for other VMs.',
+        )
+        self.lost_paths = aioprometheus.Gauge(
+            'bulrushrudder_lost_paths',
+            'Servers that this VM does not reach directly, though others do.',
+            registry=self.registry,
+        )
         self.first_token = self._histogram(
             'bulrushrudder_first_token_seconds',
             'Seconds to the first token by route and client account.',
@@ -104,6 +117,18 @@
         """Count an order to free all attempts of a lost entry process."""
         self.orphan_orders.inc({})
 
+    def count_relayed_connection(self):
+        """Count a connection that was opened through another VM."""
+        self.relayed_connections.inc({})
+
+    def count_tunnel(self):
+        """Count a connection that was opened for another VM."""
+        self.tunnels.inc({})
+
+    def set_lost_paths(self, number):
+        """Set the number of servers that are not reached directly."""
+        self.lost_paths.set({}, number)
+
     def latency_recorder(self, route, account, started_s):
         """Return a recorder for the token latencies of one request.
 
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -200,7 +200,7 @@
                     await serve_tunnel(
                         self, message, self._reader, self._writer
                     )
-                    reason = 'the tunnel ended'
+                    reason = None
                     break
                 self._dispatch(message)
         except InvalidMessageError as error:
@@ -211,7 +211,10 @@
         finally:
             monitor.cancel()
             self.close()
-            log.emit(catalogue.LINK_CLOSED, peer=str(self.peer), detail=reason)
+            if reason is not None:
+                log.emit(
+                    catalogue.LINK_CLOSED, peer=str(self.peer), detail=reason
+                )
 
     def end(self):
         """Send no more; the peer closes the link when it has read all."""
--- a/bulrushrudder/protocol/tunnels.py
+++ b/bulrushrudder/protocol/tunnels.py
@@ -99,6 +99,4 @@
 
 
 def _unreachable(error):
-    return errors.LinkError(
-        errors.LinkProblem.UNREACHABLE, repr(error), False
-    )
+    return errors.LinkError(errors.LinkProblem.UNREACHABLE, repr(error), False)
