Tell a lost path from a failed server, and test the choice of paths

A VM that cannot connect to a server asks other VMs before it takes the server as failed. While its path is lost, failed calls count neither for the choice of servers nor for the coordinator's verdicts, and a call that was left unanswered has its path examined before the next call.

--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -16,6 +16,7 @@
 from bulrushrudder.engines import network
 from bulrushrudder.engines import responses
 
+ANSWERED_LATELY_S = 0.5
 _EXPIRED = responses.Problem(
     responses.ProblemKind.EXPIRED,
     'the permission to send it ran out',
@@ -90,6 +91,22 @@
             connection.release()
             self._release(server, connection)
 
+    def examine(self, server):
+        """Check in the background why a call was left unanswered.
+
+        A lost path is so found out before the next call. Nothing is done
+        if the server has completed another answer lately.
+
+        :param server: the BackendServer.
+        """
+        now_s = asyncio.get_running_loop().time()
+        last_used_s = max(
+            (c.last_used_s for c in self._idle_by_server[_server_key(server)]),
+            default=0.0,
+        )
+        if now_s - last_used_s > ANSWERED_LATELY_S:
+            self._start_check(server)
+
     async def check(self, server):
         """Find out whether a server accepts connections.
 
@@ -99,6 +116,10 @@
         :param server: the BackendServer.
         :returns: a Listening; UNKNOWN if it does not react in time.
         """
+        return await asyncio.shield(self._start_check(server))
+
+    def _start_check(self, server):
+        """Return the task that checks a server; start it if there is none."""
         key = _server_key(server)
         checking = self._checks_by_server.get(key)
         if checking is None:
@@ -107,7 +128,7 @@
             checking.add_done_callback(
                 lambda _: self._checks_by_server.pop(key, None)
             )
-        return await asyncio.shield(checking)
+        return checking
 
     async def _check(self, server):
         try:
--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -59,11 +59,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """Response of a plain service."""
+    """Response of a plain service.
+
+    :param relay: the VM through which it came; empty if it was direct.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    relay: str = ''
 
 
 class BodyTooLargeError(Exception):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -58,7 +58,9 @@
         )
         self._crashes = crash_evidence.CrashEvidence(job, services)
         self._loop = asyncio.get_running_loop()
-        self._feedback = server_feedback.ServerFeedback(job.event_tokens)
+        self._feedback = server_feedback.ServerFeedback(
+            job.event_tokens, self._doubts
+        )
         self._trace = tracing.Trace(
             request_id,
             services.view,
@@ -347,10 +349,15 @@
                 server=server_id,
             ):
                 server = self._servers_by_id.get(server_id)
-                if server is not None:
+                if server is not None and not self._doubts(server_id):
                     now_s = self._loop.time()
                     self._services.reachability.record_failure(server, now_s)
 
+    def _doubts(self, server_id):
+        """Return whether a failure says nothing about its server."""
+        server = self._servers_by_id.get(server_id)
+        return server is not None and self._services.doubts(server)
+
     def _remember_server(self, server_id):
         """Keep a server's address.
 
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -60,8 +60,8 @@
     :param settings: the Settings of the VM.
     :param interface: the interface to callers and backend servers, an
         object with the methods of OwnInterface, which is the default.
-    :param network_: opens direct connections to backend servers, an object
-        with the methods of DirectNetwork, which is the default.
+    :param network_: opens direct connections to backend servers; a
+        DirectNetwork by default.
     :ivar paths: the BackendPaths.
     :ivar services: the SharedServices, once the process has started.
     """
@@ -144,6 +144,7 @@
             self.view,
             self._settings.zone,
             services_client,
+            self.paths.network.doubts,
         )
         self.services = shared_services.SharedServices(
             self._owner,
@@ -160,6 +161,7 @@
                 router, self._backpressure, self.coordinator_client
             ),
             self._backpressure,
+            self.paths.network.doubts,
         )
 
     def _limit_retries(self):
@@ -194,10 +196,7 @@
             tasks.spawn(stack, coroutine)
 
     async def leave(self):
-        """Report unready and give the load balancer time to notice.
-
-        New calls are still served during that time.
-        """
+        """Report unready, and serve calls until the balancer has noticed."""
         entry_settings = self._settings.entry
         self._begin_shutdown(entry_settings.balancer_s)
         log.emit(catalogue.ENTRY_STOPPING, calls=self.services.calls)
@@ -326,8 +325,8 @@
     async def _keep_session_open(self):
         """Open the session, and reopen it if the leader expired it."""
         hosts_roles = self._settings.entry.hosts_roles
-        # A process may replace the session that it finds when it starts. A
-        # later one is of its successor.
+        # Only a session found at the start may be replaced; a later one is
+        # of a successor.
         replaces = None
         while not self.services.leaving:
             if self._has_session():
--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -40,6 +40,10 @@
         """Return whether the direct path to a server is lost."""
         return self.paths.is_lost(_key(server))
 
+    def doubts(self, server):
+        """Return whether a failed call says nothing about its server."""
+        return self.paths.doubts(_key(server))
+
     async def open(self, server, protocol_factory):
         """Open a connection.
 
--- a/bulrushrudder/entry/server_feedback.py
+++ b/bulrushrudder/entry/server_feedback.py
@@ -22,6 +22,8 @@
     """Measurements of the latest attempt of a request.
 
     :param event_tokens: output tokens in one event of the answer.
+    :param doubts: function of a server id that returns whether a failure
+        says nothing about the server, as the path to it is lost.
     :ivar prefill_s: duration of the last prefill in seconds, 0 if
         unknown.
     :ivar token_s: mean seconds between tokens of the last decode, 0 if
@@ -29,7 +31,8 @@
     :ivar verdict: the Verdict on the decode server of the last place.
     """
 
-    def __init__(self, event_tokens):
+    def __init__(self, event_tokens, doubts=lambda server_id: False):
+        self._doubts = doubts
         self.prefill_s = 0.0
         self.token_s = 0.0
         self._event_tokens = event_tokens
@@ -62,6 +65,7 @@
                 if (
                     server == self._decode_server
                     and reason in _FAILURE_REASONS
+                    and not self._doubts(server)
                 ):
                     self.verdict = place_events.Verdict.FAILED
             case events.TimeEnded() | events.CallerGone():
@@ -71,6 +75,8 @@
         """Record a failure if the decode server produced no token in time."""
         if self._decode_started_s is None:
             return
+        if self._doubts(self._decode_server):
+            return
         if now_s - self._decode_started_s > FIRST_TOKEN_TIMEOUT_S:
             self.verdict = place_events.Verdict.FAILED
 
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -16,6 +16,7 @@
 from bulrushrudder.entry import calls_in_flight
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_router
+from bulrushrudder.entry import tracing
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.idempotency import actions
@@ -242,9 +243,11 @@
 
     def _log_try(self, call, server, latest, took_s):
         """Log the outcome of a call at one server, and the view used."""
+        path = None
         match latest:
             case result.Success(reply):
                 outcome = str(reply.status)
+                path = reply.relay or tracing.DIRECT
             case result.Failure(refusal):
                 outcome = f'{refusal.reason.name}: {refusal.detail}'
         now_s = asyncio.get_running_loop().time()
@@ -253,6 +256,8 @@
             request=call.request_id,
             server=server.id,
             outcome=outcome,
+            path=path,
+            path_lost=self._services.doubts(server),
             took_ms=round(took_s * units.MS_PER_SECOND),
             timeout_ms=round(call.timeout_s * units.MS_PER_SECOND),
             view=self._services.view.index,
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -17,9 +17,12 @@
     :param view: the View of the log.
     :param zone: availability zone of this VM.
     :param client: the ServiceClient that forwards the calls.
+    :param doubts: function of a BackendServer that returns whether a failed
+        call says nothing about it.
     """
 
-    def __init__(self, view, zone, client):
+    def __init__(self, view, zone, client, doubts=lambda server: False):
+        self._doubts = doubts
         self._view = view
         self._zone = zone
         self._client = client
@@ -58,6 +61,8 @@
         try:
             outcome = await self._client.call(server, call)
             succeeded = _succeeded(outcome)
+            if not succeeded and self._doubts(server):
+                succeeded = None
             return outcome
         finally:
             for service in server.serves:
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -32,6 +32,8 @@
     :param call_registrar: the CallRegistrar.
     :param call_permits: the CallPermits.
     :param backpressure: the BackpressureMonitor.
+    :param doubts: function of a BackendServer that returns whether a failed
+        call says nothing about it, as the path of this VM is lost.
     :ivar stream_recorder: the StreamRecorder of this process.
     :ivar crash_reporter: the CrashReporter of this process.
     :ivar retries: the RetryPolicy of this process.
@@ -55,6 +57,7 @@
         call_registrar,
         call_permits,
         backpressure,
+        doubts=lambda server: False,
     ):
         self.owner = owner
         self.view = view
@@ -68,6 +71,7 @@
         self.call_registrar = call_registrar
         self.call_permits = call_permits
         self.backpressure = backpressure
+        self.doubts = doubts
         self.crash_reporter = crash_reporter.CrashReporter(
             view, control_client
         )
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -6,6 +6,9 @@
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 
+# Name of the direct path in logs; any other is the VM that relays.
+DIRECT = 'direct'
+
 
 class Trace:
     """Writes the log events of one request to a model.
@@ -45,11 +48,12 @@
                 )
             case events.PrefillDone(prompt_tokens=tokens):
                 self._emit(catalogue.PREFILL_DONE, tokens=tokens)
-            case events.TransferDone():
+            case events.TransferDone(relay=relay):
                 self._emit(
                     catalogue.DECODE_STARTED,
                     server=self._decode,
                     software=self._software(),
+                    path=relay or DIRECT,
                 )
             case events.CallerGone():
                 self._emit(catalogue.CALLER_GONE)
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -52,10 +52,12 @@
 
     :param head: status and headers of its answer if they are passed to
         callers; opaque to this package.
+    :param relay: the VM through which it comes; empty if it is direct.
     """
 
     attempt: ids.AttemptId
     head: object = None
+    relay: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -170,6 +170,10 @@
         """Return whether the direct path to a server is lost."""
         return isinstance(self._by_server.get(server), Relayed)
 
+    def doubts(self, server):
+        """Return whether a failed call says nothing about its server."""
+        return self.is_lost(server) or self.is_cut_off()
+
     def plan(self, server, now_s):
         """Return the Plan for a new connection to a server."""
         match self._by_server.get(server):
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -80,6 +80,7 @@
                 async with self._pool.call(server, call) as opened:
                     outcome = await self._read_prefill_reply(opened)
         except TimeoutError:
+            self._pool.examine(server)
             reason = outcomes.Reason.BACKEND_SILENT
             outcome = result.Failure(
                 calls.CallFailure(
@@ -138,6 +139,7 @@
                     async for batch in batches:
                         yield batch
         except TimeoutError:
+            self._pool.examine(server)
             reason = outcomes.Reason.BACKEND_SILENT
             yield [
                 events.AttemptFailed(
@@ -166,7 +168,11 @@
                 ]
                 return
         self._forget_handle(action.handle)
-        yield [events.TransferDone(attempt, head.unwrap())]
+        yield [
+            events.TransferDone(
+                attempt, head.unwrap(), _relay_vm(opened.unwrap())
+            )
+        ]
         async for batch in _read_events(
             opened.unwrap(),
             server,
@@ -315,6 +321,11 @@
                 return [], part
 
 
+def _relay_vm(connection):
+    """Return the VM through which a connection goes, '' if it is direct."""
+    return connection.relay.vm if connection.relay else ''
+
+
 def _attempt_failed(attempt, server, failed):
     return events.AttemptFailed(
         attempt, server.id, failed.reason, failed.detail, failed.sent
--- a/bulrushrudder/platform/services.py
+++ b/bulrushrudder/platform/services.py
@@ -47,6 +47,7 @@
                 async with self._pool.call(server, encoded, idle_s) as opened:
                     return await self._read_answer(opened, call.repeatable)
         except TimeoutError:
+            self._pool.examine(server)
             reason = outcomes.Reason.BACKEND_SILENT
             detail = f'no answer in {call.timeout_s:.3f} s'
             return _refusal(calls.CallFailure(reason, detail, True))
@@ -73,8 +74,10 @@
             case result.Failure(failed):
                 return _refusal(failed)
             case result.Success(body):
+                relay = opened.unwrap().relay
+                vm = relay.vm if relay else ''
                 return result.Success(
-                    services.Reply(head.status, head.headers, body)
+                    services.Reply(head.status, head.headers, body, vm)
                 )
         raise AssertionError(
             'unreachable: body of an answer neither read nor failed'
--- /dev/null
+++ b/bulrushrudder/tests/lifecycle/relays_tests.py
@@ -0,0 +1,109 @@
+import unittest
+
+from bulrushrudder.core import ids
+from bulrushrudder.lifecycle import paths
+from bulrushrudder.lifecycle import relays
+from bulrushrudder.state import sessions
+
+SERVER = paths.ServerKey(ids.ServerId('s-1'), 1)
+OTHER = paths.ServerKey(ids.ServerId('s-2'), 1)
+DOWN = relays.Answer(paths.RelayProblem.SERVER_REFUSES, True)
+CUT_OFF = relays.Answer(paths.RelayProblem.SERVER_SILENT, False)
+
+
+def owner(vm):
+    return ids.Owner(ids.VmId(vm), 1)
+
+
+def session(vm, zone, hosts_roles=True):
+    return sessions.OpenSession(
+        owner(vm), ids.Zone(zone), '10.0.0.1', 7700, hosts_roles
+    )
+
+
+class RelaysTests(unittest.TestCase):
+    def setUp(self):
+        self.relays = relays.Relays(owner('a-0'), ids.Zone('a'))
+        self.candidates = self.relays.candidates(
+            [
+                session(f'{zone}-{number}', zone)
+                for zone in 'abc'
+                for number in range(4)
+            ]
+        )
+
+    def batches(self, now_s=0.0, server=SERVER):
+        return self.relays.batches(self.candidates, server, now_s)
+
+    def zone_of(self, chosen):
+        return chosen.vm[0]
+
+    def test_neither_this_vm_nor_one_that_stops_is_a_candidate(self):
+        found = self.relays.candidates(
+            [
+                session('a-0', 'a'),
+                session('b-0', 'b'),
+                session('b-1', 'b', hosts_roles=False),
+            ]
+        )
+        self.assertEqual([c.owner for c in found], [owner('b-0')])
+
+    def test_first_vms_asked_are_of_all_zones(self):
+        first = self.batches()[0]
+        self.assertEqual(self.zone_of(first[0]), 'a')
+        self.assertEqual(sorted(map(self.zone_of, first)), ['a', 'b', 'c'])
+
+    def test_number_of_vms_asked_is_bounded(self):
+        asked = [vm for batch in self.batches() for vm in batch]
+        self.assertEqual(len(asked), relays.MAX_ASKED)
+        self.assertEqual(len(set(asked)), relays.MAX_ASKED)
+
+    def test_vm_that_relayed_lately_is_asked_alone_first(self):
+        self.relays.opened(owner('c-3'), 0.0)
+        self.assertEqual(self.batches(1.0)[0], [owner('c-3')])
+        self.assertEqual(self.batches(1.0, OTHER)[0], [owner('c-3')])
+
+    def test_vms_that_relayed_lately_share_the_load(self):
+        for vm in 'b-1', 'c-3':
+            self.relays.opened(owner(vm), 0.0)
+        asked = []
+        for _ in range(10):
+            ((first,), *_) = self.batches(1.0)
+            self.relays.opened(first, 1.0)
+            asked.append(first.vm)
+        self.assertEqual(asked.count('b-1'), 5)
+        self.assertEqual(asked.count('c-3'), 5)
+
+    def test_vm_that_is_cut_off_itself_is_left_out_for_a_while(self):
+        self.relays.failed(owner('a-1'), SERVER, CUT_OFF, 0.0)
+        self.relays.failed(owner('a-2'), SERVER, None, 0.0)
+        for server in SERVER, OTHER:
+            asked = [
+                vm.vm for batch in self.batches(1.0, server) for vm in batch
+            ]
+            self.assertNotIn('a-1', asked)
+            self.assertNotIn('a-2', asked)
+        later = self.relays.batches(
+            [c for c in self.candidates if c.zone == 'a'], SERVER, 4.0
+        )
+        asked = [vm.vm for batch in later for vm in batch]
+        self.assertIn('a-1', asked)
+
+    def test_vm_that_reaches_other_servers_is_asked_for_those(self):
+        self.relays.failed(owner('a-1'), SERVER, DOWN, 0.0)
+        few = [c for c in self.candidates if c.zone == 'a']
+        asked = [vm for batch in self.batches(1.0) for vm in batch]
+        self.assertNotIn(owner('a-1'), asked)
+        other = self.relays.batches(few, OTHER, 1.0)
+        self.assertIn(owner('a-1'), [vm for batch in other for vm in batch])
+
+    def test_all_are_asked_if_all_have_failed(self):
+        for candidate in self.candidates:
+            self.relays.failed(candidate.owner, SERVER, CUT_OFF, 0.0)
+        self.assertTrue(self.batches(1.0))
+
+    def test_only_a_vm_that_reaches_others_says_that_a_server_is_down(self):
+        self.assertTrue(DOWN.says_down)
+        self.assertFalse(CUT_OFF.says_down)
+        lost = relays.Answer(paths.RelayProblem.PATH_LOST, True)
+        self.assertFalse(lost.says_down)
--- a/bulrushrudder/tests/protocol/tunnels_tests.py
+++ b/bulrushrudder/tests/protocol/tunnels_tests.py
@@ -119,7 +119,7 @@
                 self.assertEqual(reason, problem)
                 return refused
             case opened:
-                self.fail(opened)
+                raise AssertionError(f'opened: {opened!r}')
 
     async def test_unknown_server_is_refused(self):
         await self.check_refused(
