Test callers of entries that are cut off from the backend servers

Callers of an entry VM that had lost its paths to the servers got 503, although other VMs reached them. A builder starts several entry processes on one loop, each with a network that a test cuts: connections refused, hanging or reset, old ones alive, silent, reset, or lost one way.

--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -29,11 +29,14 @@
     """A control process, an entry process and an HTTP session to call them.
 
     :param stack: an AsyncExitStack that owns them.
+    :param network: opens the connections of the entry process to runners;
+        None for direct ones.
     :param entry_changes: fields of the EntrySettings that differ.
     """
 
-    def __init__(self, stack, **entry_changes):
+    def __init__(self, stack, network=None, **entry_changes):
         self._stack = stack
+        self._network = network
         self._entry_changes = entry_changes
         self.entry = None
         self._entry_stack = None
@@ -62,12 +65,17 @@
         await self.wait_until(lambda: self.entry.view.state.sessions.by_vm)
         return self
 
+    @property
+    def settings(self):
+        """Return the Settings of the control and the entry process."""
+        return self._settings
+
     async def _start_entry(self):
         self._entry_stack = await self._stack.enter_async_context(
             contextlib.AsyncExitStack()
         )
         self.entry = entry_process.EntryProcess(
-            self._settings, entry_api.Interface()
+            self._settings, entry_api.Interface(), self._network
         )
         await self.entry.start(self._entry_stack)
 
@@ -171,15 +179,25 @@
         ) as response:
             return response.status
 
-    def call(self, path, method='POST', body=b'x', headers=(), **options):
+    def call(
+        self,
+        path,
+        method='POST',
+        body=b'x',
+        headers=(),
+        address=None,
+        **options,
+    ):
         """Send a call as a client does.
 
+        :param address: the Address of another entry process.
         :returns: the context manager of its response.
         """
         pairs = {**dict(platform.CLIENT_HEADERS), **dict(headers)}
+        url = f'http://{address}' if address else self._callers_url
         return self.session.request(
             method,
-            yarl.URL(f'{self._callers_url}{path}', encoded=True),
+            yarl.URL(f'{url}{path}', encoded=True),
             data=body,
             headers=pairs,
             **options,
--- a/bulrushrudder/tests/builders/runners.py
+++ b/bulrushrudder/tests/builders/runners.py
@@ -13,6 +13,7 @@
 ATTEMPT = '9c41d07be2a35f68'
 HANDLE = '3fa09c41b7d5'
 SIGNATURE = '3e1b.07.5a2.600.0.c9f2a4d1'
+CHECK_INTERVAL_S = 0.01
 reset = scripted_engines.reset
 
 
@@ -93,6 +94,7 @@
         self.port = None
         self._listener = None
         self._writers = set()
+        self._readers_by_writer = {}
 
     async def start(self, stack):
         """Listen until the exit stack closes."""
@@ -103,6 +105,10 @@
         self.port = self._listener.sockets[0].getsockname()[1]
         return self
 
+    def set_reply(self, reply):
+        """Answer later calls with the steps that another function returns."""
+        self._reply = reply
+
     def stop_listening(self):
         """Refuse new connections."""
         self._listener.close()
@@ -114,6 +120,16 @@
             connected.transport.abort()
         raise ConnectionResetError('the runner crashed')
 
+    async def until_closed(self, writer):
+        """Work until the caller closes its connection; a step of an answer.
+
+        :raises ConnectionResetError: once it has closed it.
+        """
+        reader = self._readers_by_writer[writer]
+        while not (reader.at_eof() or reader.exception()):
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        raise ConnectionResetError('the caller has closed the connection')
+
     def server(self, server_id='i-1', kind='decode', **changes):
         """Return the BackendServer of this runner."""
         return fleet.server(
@@ -123,6 +139,7 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
+        self._readers_by_writer[writer] = reader
         number = self.connections
         try:
             while True:
@@ -140,6 +157,7 @@
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
+            del self._readers_by_writer[writer]
 
 
 async def _read(reader, number):
