Reach backend servers through other VMs when the own paths are lost

There was one path only, from the VM that took the call.

A connection is now opened through another entry VM where a direct one is refused, hangs, or is reset before an answer. The tunnel lies below the call, so that deadline, attempts, retry budget, permits and cancelling stay with the entry that took it. What connects but is reset counts too; a relay that has lost its own paths says so at once; a call whose time ends before it has a connection was not sent, and says so.

--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -89,6 +89,7 @@
             yield result.Success(connection)
         finally:
             connection.release()
+            self._network.call_ended(server, connection)
             self._release(server, connection)
 
     def examine(self, server):
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -85,6 +85,7 @@
         self._ended = True
         self._closed = False
         self._not_reusable = False
+        self._broke = False
         self.reusable_until_s = 0.0
         self.last_used_s = 0.0
         self.relay = None
@@ -104,6 +105,16 @@
         """Return whether the connection has carried a call and can again."""
         return self.usable and self.last_used_s > 0.0
 
+    @property
+    def broke_unanswered(self):
+        """Return whether it broke while the head of an answer was due."""
+        return self._closed and self._broke and not self._has_head
+
+    @property
+    def answered(self):
+        """Return whether the latest call has the head of its answer."""
+        return self._has_head
+
     def has_carried(self, call_id):
         """Return whether a recent call on this connection had an id."""
         return bool(call_id) and call_id in self._earlier_ids
@@ -209,6 +220,7 @@
     def connection_lost(self, error):
         """Fail a call that is in progress."""
         self._closed = True
+        self._broke = error is not None and not self._ended
         self._fail(
             responses.ProblemKind.BROKEN,
             repr(error)
--- a/bulrushrudder/engines/network.py
+++ b/bulrushrudder/engines/network.py
@@ -32,3 +32,6 @@
     def may_reuse(self, server, connection):
         """Return whether an idle connection may carry a call."""
         return True
+
+    def call_ended(self, server, connection):
+        """Ignore that a call on a connection has ended."""
--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -10,6 +10,8 @@
 from bulrushrudder.utils import tasks
 
 CHECK_INTERVAL_S = 0.25
+# Connections that are reset are so soon after they open.
+PROBE_S = 0.2
 
 
 class PathLostError(OSError):
@@ -40,6 +42,10 @@
         """Return whether the direct path to a server is lost."""
         return self.paths.is_lost(_key(server))
 
+    def plan(self, server):
+        """Return the Plan for a connection to a server."""
+        return self.paths.plan(_key(server), _now_s())
+
     def doubts(self, server):
         """Return whether a failed call says nothing about its server."""
         return self.paths.doubts(_key(server))
@@ -55,7 +61,7 @@
         :raises OSError: if the server cannot be reached.
         :raises TimeoutError: if it does not react in time.
         """
-        match self.paths.plan(_key(server), _now_s()):
+        match self.plan(server):
             case paths.DirectFirst():
                 return await self._open_direct_first(server, protocol_factory)
             case paths.RelaysFirst():
@@ -80,6 +86,24 @@
             connection.relay
         )
 
+    def call_ended(self, server, connection):
+        """Record what the end of a call says about the direct path.
+
+        :param server: the BackendServer.
+        :param connection: the Connection.
+        """
+        if connection.relay is not None:
+            return
+        if connection.broke_unanswered:
+            self._handle(paths.DirectBroke(_key(server)))
+            self._lost.set()
+        elif (
+            connection.answered
+            and self.paths.breaks(_key(server))
+            and not self.is_lost(server)
+        ):
+            self._handle(paths.DirectWorks(_key(server)))
+
     async def run(self):
         """Probe lost paths and close idle tunnels, while there are any."""
         while True:
@@ -172,6 +196,8 @@
                 )
             case relay_search.NotOpened(down=True, refused=refused):
                 self._handle(paths.FoundDown(key, refused))
+            case relay_search.NotOpened(asked=asked) if asked:
+                self._handle(paths.FoundNoRelay(key))
         self._lost.set()
         return found
 
@@ -181,10 +207,13 @@
         if server is None or server.incarnation != key.incarnation:
             return
         try:
-            await self._direct.open(server, _Probe)
+            probe = await self._direct.open(server, _Probe)
         except (OSError, TimeoutError):
             return
-        self._handle(paths.DirectOpened(key))
+        await asyncio.sleep(PROBE_S)
+        probe.transport.abort()
+        if not probe.broke:
+            self._handle(paths.DirectWorks(key))
 
     def _handle(self, event):
         for action in self.paths.handle(event, _now_s()):
@@ -228,11 +257,22 @@
 
 
 class _Probe(asyncio.Protocol):
-    """A connection that carries nothing."""
+    """A connection that carries nothing.
+
+    :ivar broke: whether it broke, and was not closed.
+    """
+
+    def __init__(self):
+        self.transport = None
+        self.broke = False
 
     def connection_made(self, transport):
-        """Close the connection."""
-        transport.abort()
+        """Store the transport."""
+        self.transport = transport
+
+    def connection_lost(self, error):
+        """Record a break."""
+        self.broke = error is not None
 
 
 def _key(server):
--- a/bulrushrudder/entry/tunnel_server.py
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -15,6 +15,8 @@
 from bulrushrudder.protocol import tunnels
 
 POLL_INTERVAL_S = 0.02
+# A server that accepts no connection within this time may be behind a cut.
+PROMPT_S = 0.1
 FLUSH_TIMEOUT_S = 1.0
 
 
@@ -101,17 +103,47 @@
         server = self._view.state.servers.by_id.get(request.server)
         if server is None or server.incarnation != request.incarnation:
             return _refused(paths.RelayProblem.UNKNOWN_SERVER)
-        if self._network.is_lost(server) or self._network.paths.is_cut_off():
-            return _refused(paths.RelayProblem.PATH_LOST)
+        match self._network.plan(server):
+            case paths.DirectFirst():
+                return await self._dial(server)
+            case paths.DirectOnly(confirmed=True, refused=True):
+                return _refused(paths.RelayProblem.SERVER_REFUSES, True)
+            case paths.DirectOnly(confirmed=True):
+                return _refused(paths.RelayProblem.SERVER_SILENT, True)
+        return _refused(paths.RelayProblem.PATH_LOST)
+
+    async def _dial(self, server):
+        """Dial a server, and another one if it does not accept at once.
+
+        :returns: as _connect.
+        """
+        async with asyncio.TaskGroup() as group:
+            dialling = group.create_task(self._try(server))
+            await asyncio.wait({dialling}, timeout=PROMPT_S)
+            if dialling.done() and isinstance(
+                dialling.result(), result.Success
+            ):
+                return dialling.result()
+            checking = group.create_task(self._reaches_another(server))
+        match dialling.result():
+            case result.Failure(problem):
+                return _refused(problem, checking.result())
+        return dialling.result()
+
+    async def _try(self, server):
+        """Dial a server.
+
+        :returns: a Success with the ServerEnd, or a Failure with the
+            RelayProblem.
+        """
         try:
             return result.Success(
                 await self._direct.open(server, tunnel_ends.ServerEnd)
             )
         except ConnectionRefusedError:
-            problem = paths.RelayProblem.SERVER_REFUSES
+            return result.Failure(paths.RelayProblem.SERVER_REFUSES)
         except (OSError, TimeoutError):
-            problem = paths.RelayProblem.SERVER_SILENT
-        return _refused(problem, await self._reaches_another(server))
+            return result.Failure(paths.RelayProblem.SERVER_SILENT)
 
     async def _reaches_another(self, server):
         """Return whether this VM can connect to another server now.
@@ -127,14 +159,11 @@
         chosen = ranking.choose(server.id, others)
         if chosen is None:
             return False
-        try:
-            witness = await self._direct.open(
-                servers.by_id[chosen], tunnel_ends.ServerEnd
-            )
-        except (OSError, TimeoutError):
-            return False
-        witness.transport.abort()
-        return True
+        match await self._try(servers.by_id[chosen]):
+            case result.Success(witness):
+                witness.transport.abort()
+                return True
+        return False
 
 
 def _refused(problem, reaches_others=False):
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -21,6 +21,10 @@
 IN_USE_S = 3.0
 # A lost path that has not been used for this time is forgotten.
 UNUSED_MEMORY_S = 10.0
+# Direct connections in a row that break before an answer, within a time,
+# after which relays are asked although connections open.
+UNANSWERED_OF_A_CUT = 2
+UNANSWERED_MEMORY_S = 3.0
 # New paths lost in a row that make a VM cut off from all servers.
 PATHS_OF_A_CUT = 2
 MAX_PROBES = 4
@@ -51,6 +55,20 @@
     server: ServerKey
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectWorks:
+    """Event: a direct connection carried an answer, or lasted."""
+
+    server: ServerKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectBroke:
+    """Event: a direct connection broke before an answer."""
+
+    server: ServerKey
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayOpened:
     """Event: a relay opened a tunnel.
@@ -67,16 +85,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundDown:
-    """Event: no VM connects to the server.
+    """Event: a VM that reaches other servers cannot connect to this one.
 
-    :param refused: whether it refuses connections.
+    :param refused: whether the server refuses connections.
     """
 
     server: ServerKey
     refused: bool
 
 
-Event = DirectOpened | RelayOpened | FoundDown
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundNoRelay:
+    """Event: no relay opened a tunnel, and none could say why."""
+
+    server: ServerKey
+
+
+Event = (
+    DirectOpened
+    | DirectWorks
+    | DirectBroke
+    | RelayOpened
+    | FoundDown
+    | FoundNoRelay
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,11 +142,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectOnly:
-    """Plan: connect directly; the server is known to be down.
+    """Plan: connect directly; relays have just failed.
 
-    :param refused: whether it refused connections of a relay.
+    :param confirmed: whether one of them reaches other servers.
+    :param refused: whether the server refused its connections.
     """
 
+    confirmed: bool
     refused: bool
 
 
@@ -137,9 +171,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Down:
-    """A server that no VM connects to."""
+    """A server that no relay connected to."""
 
     until_s: float
+    confirmed: bool
     refused: bool
 
 
@@ -151,6 +186,7 @@
 
     def __init__(self):
         self._by_server = {}
+        self._broken_by_server = {}
         self._lost_in_a_row = set()
         self._cut_since_s = math.inf
 
@@ -164,7 +200,7 @@
     @property
     def idle(self):
         """Return whether there is nothing to probe or to forget."""
-        return not self._by_server
+        return not self._by_server and not self._broken_by_server
 
     def is_lost(self, server):
         """Return whether the direct path to a server is lost."""
@@ -181,13 +217,27 @@
                 path.used_s = now_s
                 return RelaysFirst()
             case Down() as path if now_s < path.until_s:
-                return DirectOnly(path.refused)
-        return RelaysFirst() if self.is_cut_off() else DirectFirst()
+                return DirectOnly(path.confirmed, path.refused)
+        if self.is_cut_off() or self._is_useless(server, now_s):
+            return RelaysFirst()
+        return DirectFirst()
 
     def is_cut_off(self):
         """Return whether new paths fail one after the other."""
         return len(self._lost_in_a_row) >= PATHS_OF_A_CUT
 
+    def breaks(self, server):
+        """Return whether direct connections broke before an answer lately."""
+        return server in self._broken_by_server
+
+    def _is_useless(self, server, now_s):
+        """Return whether direct connections open but carry no answer."""
+        number, last_s = self._broken_by_server.get(server, (0, 0.0))
+        return (
+            number >= UNANSWERED_OF_A_CUT
+            and now_s - last_s < UNANSWERED_MEMORY_S
+        )
+
     def may_reuse(self, server, last_received_s):
         """Return whether an idle direct connection may carry a call.
 
@@ -208,12 +258,25 @@
         match event:
             case DirectOpened(server=server):
                 return self._restore(server, now_s)
+            case DirectWorks(server=server):
+                self._broken_by_server.pop(server, None)
+                return self._restore(server, now_s)
+            case DirectBroke(server=server):
+                number, _ = self._broken_by_server.get(server, (0, 0.0))
+                self._broken_by_server[server] = number + 1, now_s
+                return []
             case RelayOpened():
                 return self._lose(event, now_s)
             case FoundDown(server=server, refused=refused):
-                self._by_server[server] = Down(now_s + DOWN_MEMORY_S, refused)
+                until_s = now_s + DOWN_MEMORY_S
+                self._by_server[server] = Down(until_s, True, refused)
                 self._forget_loss(server)
                 return []
+            case FoundNoRelay(server=server):
+                if not self.is_lost(server):
+                    until_s = now_s + DOWN_MEMORY_S
+                    self._by_server[server] = Down(until_s, False, False)
+                return []
         raise AssertionError(f'unknown event {event!r}')
 
     def due_probes(self, now_s):
@@ -269,6 +332,9 @@
             if ended:
                 del self._by_server[server]
                 self._forget_loss(server)
+        for server, (_, last_s) in tuple(self._broken_by_server.items()):
+            if last_s + UNANSWERED_MEMORY_S <= now_s:
+                del self._broken_by_server[server]
 
     def _forget_loss(self, server):
         self._lost_in_a_row.discard(server)
--- a/bulrushrudder/platform/services.py
+++ b/bulrushrudder/platform/services.py
@@ -42,15 +42,20 @@
         encoded = forwarded_call.encode(
             server, asyncio.get_running_loop().time()
         )
+        sent = False
         try:
             async with asyncio.timeout(call.timeout_s):
                 async with self._pool.call(server, encoded, idle_s) as opened:
+                    sent = isinstance(opened, result.Success)
                     return await self._read_answer(opened, call.repeatable)
         except TimeoutError:
             self._pool.examine(server)
             reason = outcomes.Reason.BACKEND_SILENT
             detail = f'no answer in {call.timeout_s:.3f} s'
-            return _refusal(calls.CallFailure(reason, detail, True))
+            if not sent:
+                reason = outcomes.Reason.BACKEND_UNREACHABLE
+                detail = f'no connection in {call.timeout_s:.3f} s'
+            return _refusal(calls.CallFailure(reason, detail, sent))
 
     async def has_crashed(self, server):
         """Return whether a server refuses connections."""
