--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -13,12 +13,10 @@
 
 from bulrushrudder.engines import connections
 from bulrushrudder.engines import kept_bytes
+from bulrushrudder.engines import network
 from bulrushrudder.engines import responses
-from bulrushrudder.utils import timeouts
 
-# Many round trips between zones. TCP retransmits a lost SYN only after
-# 1 s, so a new connection is faster.
-CONNECT_TIMEOUT_S = 0.35
+ANSWERED_LATELY_S = 0.5
 _EXPIRED = responses.Problem(
     responses.ProblemKind.EXPIRED,
     'the permission to send it ran out',
@@ -41,9 +39,14 @@
         the id of their call.
     :param on_head: function of the BackendServer, the monotonic seconds at
         which the call was sent, and the Head; called when a head arrives.
+    :param network_: opens connections, an object with the methods of
+        DirectNetwork, which is the default.
     """
 
-    def __init__(self, id_header, on_head=connections.ignore_head):
+    def __init__(
+        self, id_header, on_head=connections.ignore_head, network_=None
+    ):
+        self._network = network_ or network.DirectNetwork()
         self._id_header = id_header
         self._on_head = on_head
         self._kept_bytes = kept_bytes.KeptBytes()
@@ -86,8 +89,25 @@
             yield result.Success(connection)
         finally:
             connection.release()
+            self._network.call_ended(server, connection)
             self._release(server, connection)
 
+    def examine(self, server):
+        """Check in the background why a call was left unanswered.
+
+        A lost path is so found out before the next call. Nothing is done
+        if the server has completed another answer lately.
+
+        :param server: the BackendServer.
+        """
+        now_s = asyncio.get_running_loop().time()
+        last_used_s = max(
+            (c.last_used_s for c in self._idle_by_server[_server_key(server)]),
+            default=0.0,
+        )
+        if now_s - last_used_s > ANSWERED_LATELY_S:
+            self._start_check(server)
+
     async def check(self, server):
         """Find out whether a server accepts connections.
 
@@ -97,6 +117,10 @@
         :param server: the BackendServer.
         :returns: a Listening; UNKNOWN if it does not react in time.
         """
+        return await asyncio.shield(self._start_check(server))
+
+    def _start_check(self, server):
+        """Return the task that checks a server; start it if there is none."""
         key = _server_key(server)
         checking = self._checks_by_server.get(key)
         if checking is None:
@@ -105,7 +129,7 @@
             checking.add_done_callback(
                 lambda _: self._checks_by_server.pop(key, None)
             )
-        return await asyncio.shield(checking)
+        return checking
 
     async def _check(self, server):
         try:
@@ -138,6 +162,7 @@
                 connection.usable
                 and now_s < connection.reusable_until_s
                 and fresh
+                and self._network.may_reuse(server, connection)
             ):
                 connection.abort()
             elif connection.has_carried(call_id):
@@ -167,16 +192,10 @@
         :raises OSError: if the server cannot be reached.
         :raises TimeoutError: if it does not react in time.
         """
-        loop = asyncio.get_running_loop()
-        async with timeouts.RunningTimeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(
-                lambda: connections.Connection(
-                    self._id_header, self._kept_bytes
-                ),
-                server.host,
-                server.port,
-            )
-        return connection
+        return await self._network.open(
+            server,
+            lambda: connections.Connection(self._id_header, self._kept_bytes),
+        )
 
     def _release(self, server, connection):
         if not connection.usable:
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -7,8 +7,10 @@
 from bulrushrudder.backpressure import table
 from bulrushrudder.config import settings_watcher
 from bulrushrudder.core import ids
+from bulrushrudder.engines import network
 from bulrushrudder.entry import access
 from bulrushrudder.entry import authority_client
+from bulrushrudder.entry import backend_paths
 from bulrushrudder.entry import backpressure_monitor
 from bulrushrudder.entry import balancing
 from bulrushrudder.entry import call_permits
@@ -58,10 +60,13 @@
     :param settings: the Settings of the VM.
     :param interface: the interface to callers and backend servers, an
         object with the methods of OwnInterface, which is the default.
+    :param network_: opens direct connections to backend servers; a
+        DirectNetwork by default.
+    :ivar paths: the BackendPaths.
     :ivar services: the SharedServices, once the process has started.
     """
 
-    def __init__(self, settings, interface=None):
+    def __init__(self, settings, interface=None, network_=None):
         self._settings = settings
         self._interface = interface or own_interface.OwnInterface()
         self._owner = ids.Owner(settings.vm, time.time_ns())
@@ -86,7 +91,7 @@
             roles,
             self.control_client,
             settings.environment,
-            _spare_tokens(settings.bounds),
+            spare.of_bounds(settings.bounds),
         )
         self._call_registrar = call_registrar.CallRegistrar(
             self._owner, self.view, self.control_client, settings.environment
@@ -102,6 +107,14 @@
             self.control_client,
         )
         self.metrics = metrics_entry.EntryMetrics()
+        self.paths = backend_paths.BackendPaths(
+            network_ or network.DirectNetwork(),
+            self.view,
+            self._owner,
+            settings,
+            self.metrics,
+            lambda: self.services.leaving,
+        )
         self.services = None
         self._canceller = None
         self._callers = None
@@ -112,6 +125,7 @@
         :param stack: an AsyncExitStack that owns all of them.
         """
         stack.callback(self._peers.close)
+        stack.callback(self.paths.close)
         await self._make_services(stack)
         self._limit_retries()
         await self._listen(stack)
@@ -121,7 +135,7 @@
 
     async def _make_services(self, stack):
         engines, services_client = await self._interface.clients(
-            stack, self._backpressure.record
+            stack, self._backpressure.record, self.paths.network
         )
         self._canceller = cancelling.Canceller(
             self._settings.vm, self.view, engines, self.metrics
@@ -130,6 +144,7 @@
             self.view,
             self._settings.zone,
             services_client,
+            self.paths.network.doubts,
         )
         self.services = shared_services.SharedServices(
             self._owner,
@@ -146,6 +161,7 @@
                 router, self._backpressure, self.coordinator_client
             ),
             self._backpressure,
+            self.paths.network.doubts,
         )
 
     def _limit_retries(self):
@@ -173,16 +189,14 @@
                 self.view, self.coordinator_client, self.control_client
             ).run(),
             self._canceller.run(),
+            self.paths.network.run(),
             access.AccessMonitor(self.services).run(),
             self._keep_session_open(),
         ):
             tasks.spawn(stack, coroutine)
 
     async def leave(self):
-        """Report unready and give the load balancer time to notice.
-
-        New calls are still served during that time.
-        """
+        """Report unready, and serve calls until the balancer has noticed."""
         entry_settings = self._settings.entry
         self._begin_shutdown(entry_settings.balancer_s)
         log.emit(catalogue.ENTRY_STOPPING, calls=self.services.calls)
@@ -199,8 +213,8 @@
     async def stop(self):
         """Refuse new work and finish the requests in flight.
 
-        The session is closed last, because other VMs treat the attempts of
-        a closed session as orphans and cancel them.
+        Other VMs cancel the attempts of a closed session as orphans, so it
+        is closed last.
         """
         if self.services.shutdown is None:
             self._begin_shutdown(0.0)
@@ -210,6 +224,7 @@
         handovers = self._hand_over_roles()
         self._callers.close_idle()
         await self.services.finish()
+        await self.paths.tunnels.finish(self.services.shutdown.finish_until_s)
         await self._canceller.finish(
             self._remaining_s(CANCEL_TIMEOUT_S, LISTENER_CLOSE_S)
         )
@@ -278,11 +293,10 @@
             self._owner,
             settings.secrets.cluster,
             self._handle,
+            serve_tunnel=self.paths.tunnels.serve,
         )
         stack.callback(inner.close)
-        self._callers = await self._interface.listen(
-            stack, self._settings, self
-        )
+        self._callers = await self._interface.listen(stack, settings, self)
         app = metrics_listener.application(self.metrics)
         await web.listen(stack, app, settings.entry.metrics)
 
@@ -311,8 +325,8 @@
     async def _keep_session_open(self):
         """Open the session, and reopen it if the leader expired it."""
         hosts_roles = self._settings.entry.hosts_roles
-        # A process may replace the session that it finds when it starts. A
-        # later one is of its successor.
+        # Only a session found at the start may be replaced; a later one is
+        # of a successor.
         replaces = None
         while not self.services.leaving:
             if self._has_session():
@@ -352,13 +366,6 @@
         return held is not None and held.owner == self._owner
 
 
-def _spare_tokens(bounds):
-    """Return the SpareTokens that the bounds of the settings allow."""
-    if bounds is None:
-        return spare.NO_SPARE_TOKENS
-    return spare.SpareTokens(bounds.spare_tokens, bounds.spare_window_s)
-
-
 def _now_s():
     return asyncio.get_running_loop().time()
 
