Log what a refused request was waiting for

In the soak of planned stops, requests to models were refused up to 3 s late beside stops. The line of a refusal has reason and view, but does not say whether the request waited for the tokens of its account or for a place on servers, so two hypotheses could not be told apart: an account whose authority is being handed over, and a model that nobody coordinates. Event 1119 says it, with the number of VMs that host roles.

--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -262,7 +262,7 @@
     def _schedule_step(self, action):
         if isinstance(action, actions.BackOff):
             self._services.metrics.count_retry(action.reason)
-            self._trace.retry(action)
+        self._trace.step(action)
         self._next_action = action
 
     # Calls to authorities and coordinators.
--- a/bulrushrudder/entry/tracing.py
+++ b/bulrushrudder/entry/tracing.py
@@ -26,6 +26,7 @@
         self._parts = ','.join(parts or ())
         self._attempt_tokens = 0
         self._decode = ''
+        self._waits_for = ''
 
     def event(self, event):
         """Log an event that marks progress or failure of the request."""
@@ -65,22 +66,37 @@
                     parts=self._parts,
                 )
 
-    def retry(self, action):
-        """Log the decision to retry."""
-        self._emit(
-            catalogue.RETRY_DECIDED,
-            after=action.reason.name,
-            delay_ms=round(action.delay_s * units.MS_PER_SECOND),
-        )
+    def step(self, action):
+        """Log the decision to retry, and remember what is waited for."""
+        self._waits_for = ''
+        match action:
+            case actions.RequestTokens():
+                self._waits_for = 'tokens'
+            case actions.RequestPlace():
+                self._waits_for = 'place'
+            case actions.BackOff():
+                self._emit(
+                    catalogue.RETRY_DECIDED,
+                    after=action.reason.name,
+                    delay_ms=round(action.delay_s * units.MS_PER_SECOND),
+                )
 
     def end(self, action):
-        """Log that the request was answered.
+        """Log that the request was answered, or waited in vain.
 
-        Refusals are logged by the refusals module.
+        The refusals module logs the reasons of refusals.
         """
         match action:
             case actions.Complete(tokens=tokens):
                 self._emit(catalogue.REQUEST_ANSWERED, tokens=tokens)
+            case actions.Refuse() if self._waits_for:
+                self._emit(
+                    catalogue.WAIT_ENDED,
+                    waited_for=self._waits_for,
+                    hosts=len(self._view.state.sessions.hosts_by_vm),
+                    view=self._view.index,
+                    view_age_ms=self._view.age_ms(self._clock.time()),
+                )
 
     def _software(self):
         """Return the software version of the current decode server."""
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -114,6 +114,13 @@
     'After an attempt failed, it was checked whether its server accepts '
     'connections.',
 )
+WAIT_ENDED = Event(
+    1119,
+    Level.INFO,
+    'wait ended',
+    'A request was refused while it waited for the tokens of its account or '
+    'for a place on servers; so many VMs host roles.',
+)
 ORPHANS_CANCELLED = Event(
     1104,
     Level.INFO,
