Log which VM becomes, or ceases to be, the authority of an account

Events 5102 and 5103 give each claim and release with the epoch that was seen and the outcome in the log.

--- a/bulrushrudder/entry/authority_client.py
+++ b/bulrushrudder/entry/authority_client.py
@@ -9,6 +9,7 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
+from bulrushrudder.entry import account_changes
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.limits import actions
@@ -96,8 +97,9 @@
             return result.Failure(outcomes.not_run(reason, detail))
         if tokens <= 0:
             nothing = ids.TokenRequestId(self._owner, 0)
-            empty_charge = slices.Charge(account_id, 0, nothing, 0, False)
-            return result.Success(empty_charge)
+            return result.Success(
+                slices.Charge(account_id, 0, nothing, 0, False)
+            )
         charge = self._slices.take(account, tokens, now_s)
         if charge is not None:
             return result.Success(charge)
@@ -263,8 +265,9 @@
 
     async def _withdraw(self, token_request, account):
         message = token_messages.WithdrawTokenRequest(token_request, account)
-        role = authority.role(account)
-        await self._directory.send(role, message, self.serve)
+        await self._directory.send(
+            authority.role(account), message, self.serve
+        )
 
     async def _send_refund(self, refund):
         message = token_messages.RefundTokens(
@@ -323,7 +326,8 @@
                     )
 
     async def _propose(self, command):
-        await self._control_client.propose(command)
+        outcome = await self._control_client.propose(command)
+        account_changes.record(command, outcome)
         self._handle_event(events.Ticked())
 
     def _resolve(self, token_request, answer):
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -437,6 +437,20 @@
     'The authority of an account did not answer; the entry process granted '
     "the tokens from its share of the account's spare tokens.",
 )
+ACCOUNT_CLAIMED = Event(
+    5102,
+    Level.INFO,
+    'account claimed',
+    'This VM proposed to become the authority of an account whose row had '
+    'the given epoch; the outcome is that of the log.',
+)
+ACCOUNT_RELEASED = Event(
+    5103,
+    Level.INFO,
+    'account released',
+    'This VM proposed to cease to be the authority of an account; the '
+    'outcome is that of the log.',
+)
 LINES_DROPPED = Event(
     9003,
     Level.WARNING,
