Release accounts that were claimed ahead and never asked for

Services went on from the spare tokens.

Cause: an authority knows an account as held from the first time that it looks at its row. If another VM was preferred by then, as when VMs start one after the other, the holder never released the account, and every claim of the other VM was rejected because the holder has a session. Class: a state that is derived from the log was kept up only for those whom an event had named.

In virtual time a request waited for its whole patience of 10 s (authority_tests, failed).

--- a/bulrushrudder/limits/authority.py
+++ b/bulrushrudder/limits/authority.py
@@ -191,7 +191,10 @@
         held = self._ledgers_by_account
         if self._swept_s is None or now_s - self._swept_s >= SWEEP_INTERVAL_S:
             self._swept_s = now_s
-            return sorted({*held, *self._waiting_by_account})
+            # A claim may have been committed since for an account that
+            # nobody has asked for here.
+            claimed = self._claimed_s_by_account
+            return sorted({*held, *claimed, *self._waiting_by_account})
         busy = {account for account, ledger in held.items() if ledger.busy}
         return sorted(busy | {*self._waiting_by_account})
 
--- a/bulrushrudder/tests/limits/authority_tests.py
+++ b/bulrushrudder/tests/limits/authority_tests.py
@@ -1,6 +1,8 @@
 import unittest
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.core import ranking
+from bulrushrudder.limits import authority
 from bulrushrudder.limits import events
 from bulrushrudder.limits import ledger
 from bulrushrudder.protocol import codec
@@ -89,6 +91,18 @@
                 taken_s = self.seconds_until_granted(1, self.other(holder))
                 self.assertLessEqual(taken_s, HANDOVER_S)
 
+    def test_account_claimed_ahead_is_handed_over_before_its_first_use(self):
+        self.fleet = limits_fleet.Fleet(vms=1, max_preclaimed=1)
+        self.step(STEP_S)
+        self.assertEqual(self.holder(), 'vm0')
+        names = ['vm0', *(f'vm{number}' for number in range(1, 9))]
+        role = authority.role(self.fleet.account)
+        preferred = ranking.choose(role, names)
+        self.assertNotEqual(preferred, 'vm0')
+        self.fleet.start(preferred)
+        taken_s = self.seconds_until_granted(1, preferred)
+        self.assertLessEqual(taken_s, HANDOVER_S)
+
     def test_restarted_holder_is_succeeded_at_once(self):
         holder = self.holder()
         self.fleet.start(holder)
