Keep roles that nobody takes over until accepted requests have ended

Cause: a process that begins to drain closed its coordinators for good and told everybody that they had moved, itself included. If all VMs leave, the log goes on naming one of them for each role, since there is no other; that one answered 'moved' every 50 ms until the patience of the request was over. Its accounts likewise. Class: an order of closing that takes away what accepted work still needs.

Evidence: refusals with CONTROL_UNREACHABLE after 2.9 s beside two draining processes; entry/stop_tests with a request that waits for the only place failed in the same way.

Change: roles move when the log names another VM, as before; what is left is handed over once the accepted requests have ended, before the session is closed. The same holds for calls to services whose servers state limits, which ask the same coordinators.

--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -199,17 +199,19 @@
     async def stop(self):
         """Refuse new work and finish the requests in flight.
 
-        The session is closed last, because other VMs treat the attempts of
-        a closed session as orphans and cancel them.
+        Roles that no other VM has taken over are kept for the accepted
+        requests, which need them until they end. The session is closed
+        last, because other VMs treat the attempts of a closed session as
+        orphans and cancel them.
         """
         if self.services.shutdown is None:
             self._begin_shutdown(0.0)
         self.services.in_flight.end_uploads()
         self.services.crash_reporter.stopping = True
         log.emit(catalogue.ENTRY_DRAINING, calls=self.services.calls)
-        handovers = self._hand_over_roles()
         self._callers.close_idle()
         await self.services.finish()
+        handovers = self._hand_over_roles()
         await self._canceller.finish(
             self._remaining_s(CANCEL_TIMEOUT_S, LISTENER_CLOSE_S)
         )
--- a/bulrushrudder/tests/entry/stop_tests.py
+++ b/bulrushrudder/tests/entry/stop_tests.py
@@ -186,6 +186,30 @@
         self.assertLess(took_s, CALL_DURATION_S + START_TIMEOUT_S)
         self.assertEqual(set(statuses), {200, 503})
 
+    async def wait_for_place(self):
+        """Start a request that waits for the only decode place.
+
+        :returns: the task.
+        """
+        server = fleet.server('decode-1', 'decode')
+        known = self.entry.view.state.servers.by_id[server.id]
+        command = servers.JoinServer(
+            dataclasses.replace(known, incarnation=2, places=1)
+        )
+        self.entry.view.apply(self.entry.view.index + 1, command)
+        first = asyncio.create_task(self.stream('first'))
+        await asyncio.sleep(CALL_DURATION_S / 2)
+        second = asyncio.create_task(self.stream('second'))
+        await self.wait_until_running()
+        self.assertFalse(first.done())
+        return second
+
+    async def test_request_that_waits_for_place_is_served_if_all_leave(self):
+        waiting = await self.wait_for_place()
+        await self.entry.stop()
+        answer = await waiting
+        self.assertTrue(answer.whole, answer.text)
+
     def hold_account(self):
         """Make the entry the holder of the account of the document."""
         owner = self.entry.services.owner
