Debit a retry by the arrivals that it repeats

Cause: the retry budget counted retries. Where a prefill and a decode server share a request, a decode that is rejected is repeated together with its prefill, which makes two arrivals beyond the first of their kind for one debit. Class: a bound is kept on a count of our own decisions, and the rule counts what servers get.

Change: a request keeps count of its prefills and decodes that arrived and of the repeats that were paid; a retry is debited by what it adds, two for prefill and decode, one if the prefill is used again or was never accepted.

--- a/bulrushrudder/benchmarks/requests.py
+++ b/bulrushrudder/benchmarks/requests.py
@@ -298,7 +298,7 @@
     return whole, incomplete, len(replies) - whole - incomplete, crashes
 
 
-def _never_retry(failures, now_s, deadline_s, jitter):
+def _never_retry(failures, now_s, deadline_s, jitter, repeats=1):
     return retries.GiveUp(failures[-1])
 
 
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -9,6 +9,7 @@
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.lifecycle import actions
+from bulrushrudder.lifecycle import arrivals
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import job as jobs
 from bulrushrudder.lifecycle import output
@@ -50,6 +51,7 @@
         self._policy = policy
         self._attempts = 0
         self._runs = 0
+        self._arrivals = arrivals.Arrivals()
         self._answer_begun = False
         self._place_requests = 0
         self._place = None
@@ -251,6 +253,7 @@
     def _prefilled(self, event):
         if not self._is_current(event, 'prefilling'):
             return [_drop(event)]
+        self._arrivals.record_prefill()
         self._transition('start_transfer')
         self._sent = self._sent or self.job.prefill_counts_as_run
         self._has_run = self._has_run or self.job.prefill_counts_as_run
@@ -273,6 +276,7 @@
     def _transferred(self, event):
         if not self._is_current(event, 'transferring'):
             return [_drop(event)]
+        self._arrivals.record_decode()
         self._transition('start_decode')
         self._sent = self._has_run = True
         self._runs += 1
@@ -328,6 +332,8 @@
         self._sent = self._sent or event.sent
         if event.sent and self.state == 'transferring':
             self._runs += 1
+        if event.reason is not outcomes.Reason.BACKEND_UNREACHABLE:
+            self._record_rejected_arrival()
         if self._may_have_crashed_server(event):
             return self._inspect_server(event.reason, event.server)
         self._record_failure(event.reason, event.server)
@@ -336,6 +342,14 @@
             return self._retry(now_s)
         return [*self._release_all(), *self._retry(now_s)]
 
+    def _record_rejected_arrival(self):
+        """Count an arrival that its server has not begun to answer."""
+        match self.state:
+            case 'prefilling':
+                self._arrivals.record_prefill()
+            case 'transferring':
+                self._arrivals.record_decode()
+
     def _may_have_crashed_server(self, event):
         if event.sent:
             return event.reason not in _NOT_INSPECTED
@@ -441,8 +455,13 @@
                 reason,
                 f'all {self.job.attempts} attempts of the route are used',
             )
+        repeats = self._arrivals.unpaid_repeats(self._retained is not None)
         decision = self._policy.decide(
-            self._failures, now_s, self.job.deadline_s, self.job.jitter
+            self._failures,
+            now_s,
+            self.job.deadline_s,
+            self.job.jitter,
+            repeats,
         )
         match decision:
             case retries.GiveUp(reason=give_up_reason):
@@ -451,6 +470,7 @@
                     f'not retried after {reason.name.lower()}',
                 )
             case retries.Retry(delay_s=delay_s):
+                self._arrivals.pay(repeats)
                 self._transition('back_off')
                 return [actions.BackOff(delay_s, reason)]
 
--- a/bulrushrudder/lifecycle/retries.py
+++ b/bulrushrudder/lifecycle/retries.py
@@ -71,13 +71,14 @@
         """Credit the budget for an admitted request."""
         self._balance = min(self._balance + self._ratio, self._max_balance())
 
-    def decide(self, failures, now_s, deadline_s, jitter):
+    def decide(self, failures, now_s, deadline_s, jitter, repeats=1):
         """Decide whether to retry a request; a retry debits the budget.
 
         :param failures: reasons of its failed attempts, oldest first.
         :param now_s: monotonic seconds.
         :param deadline_s: monotonic seconds by which a retry must start.
         :param jitter: at least 0 and below 1.
+        :param repeats: orders to servers that the retry repeats.
         :returns: a Retry or a GiveUp.
         """
         reason = failures[-1]
@@ -87,16 +88,19 @@
         delay_s = back_off_s(len(failures), jitter)
         if now_s + delay_s >= deadline_s:
             return GiveUp(reason)
-        if not self.take_retry(now_s):
+        if not self.take_retry(now_s, repeats):
             return GiveUp(outcomes.Reason.RETRY_BUDGET_SPENT)
         return Retry(delay_s)
 
-    def take_retry(self, now_s):
-        """Debit the budget by one retry; return whether it sufficed."""
+    def take_retry(self, now_s, repeats=1):
+        """Debit the budget by one retry; return whether it sufficed.
+
+        :param repeats: orders to servers that the retry repeats.
+        """
         self._refill(now_s)
-        if self._balance < 1.0:
+        if self._balance < repeats:
             return False
-        self._balance -= 1.0
+        self._balance -= repeats
         return True
 
     def _refill(self, now_s):
