Fetch the same KV cache again after a decode server that was full

Cause: the KV cache was kept only if the decode server could not be reached, though one that sheds has not fetched it either.

Change: both reasons keep it, once; after a second failure the prompt is read again.

--- a/bulrushrudder/lifecycle/arrivals.py
+++ b/bulrushrudder/lifecycle/arrivals.py
@@ -2,12 +2,13 @@
 
 The first prefill and the first decode are the request itself. What comes
 beyond them repeats it and has to be paid for from the retry budget: a
-second attempt may bring one repeat or two.
+second attempt may bring one repeat or two. An order whose server could not
+be reached counts too, as it may have arrived.
 """
 
 
 class Arrivals:
-    """What of a request has reached servers, and which repeats are paid."""
+    """What of a request was sent to servers, and which repeats are paid."""
 
     def __init__(self):
         self._prefills = 0
@@ -15,11 +16,11 @@
         self._paid = 0
 
     def record_prefill(self):
-        """Record that a prefill has reached a server."""
+        """Record that a prefill was sent to a server."""
         self._prefills += 1
 
     def record_decode(self):
-        """Record that a decode has reached a server."""
+        """Record that a decode was sent to a server."""
         self._decodes += 1
 
     def unpaid_repeats(self, reuses_prefill):
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -26,6 +26,10 @@
 _NOT_INSPECTED = frozenset(
     {outcomes.Reason.BACKEND_FULL, outcomes.Reason.TRANSFER_FAILED}
 )
+# After these, a decode server has not fetched the KV cache.
+_LEAVES_PREFILL = frozenset(
+    {outcomes.Reason.BACKEND_UNREACHABLE, outcomes.Reason.BACKEND_FULL}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -332,8 +336,7 @@
         self._sent = self._sent or event.sent
         if event.sent and self.state == 'transferring':
             self._runs += 1
-        if event.reason is not outcomes.Reason.BACKEND_UNREACHABLE:
-            self._record_rejected_arrival()
+        self._record_failed_arrival()
         if self._may_have_crashed_server(event):
             return self._inspect_server(event.reason, event.server)
         self._record_failure(event.reason, event.server)
@@ -342,8 +345,8 @@
             return self._retry(now_s)
         return [*self._release_all(), *self._retry(now_s)]
 
-    def _record_rejected_arrival(self):
-        """Count an arrival that its server has not begun to answer."""
+    def _record_failed_arrival(self):
+        """Count an order that its server has not begun to answer."""
         match self.state:
             case 'prefilling':
                 self._arrivals.record_prefill()
@@ -362,15 +365,15 @@
     def _can_reuse_prefill(self, event):
         """Return whether another decode server may fetch the KV cache.
 
-        If the chosen decode server could not be reached, the prefill
-        server still holds the KV cache for a short time.
+        If the chosen decode server could not be reached or was full, the
+        prefill server still holds the KV cache for a short time.
         """
         return (
             self.state == 'transferring'
             and self._retained is None
             and bool(self._prefill_handle)
             and not self.job.prefill_counts_as_run
-            and event.reason is outcomes.Reason.BACKEND_UNREACHABLE
+            and event.reason in _LEAVES_PREFILL
         )
 
     def _retain(self, source, handle):
