Keep the bound of retries for each service, while processes restart

What servers could see: more repeats than the fleet may send them. The policy claimed that saved budgets, refills and a share of the requests stay below the bound.

The three tests in retries_tests fail on the code before.

Change: a budget for each model and service, and one for all of them, as servers that repeat call services in turn. Of what the bound allows beyond its share of the requests, 0.6 is saved up as before, 0.3 is for processes that start anew, 0.1 is refilled in the window, whose length is now used. The fleet's test of before stands, with the same figures.

Left: a process gets a part of the bound, so where that is below two, as with more than 16 processes for a bound of 54, a retry that needs prefill and decode again is refused; below one, each retry.

--- a/bulrushrudder/benchmarks/requests.py
+++ b/bulrushrudder/benchmarks/requests.py
@@ -278,7 +278,9 @@
             )
         url = await path.add_entry('vm1')
         if not resume:
-            path.services[0].retries = retries.RetryPolicy(0.0)
+            path.services[0].retries = retries.RetryPolicy(
+                retries.Terms(ratio=0.0)
+            )
             path.services[0].retries.decide = _never_retry
         session = await stack.enter_async_context(
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
@@ -298,7 +300,7 @@
     return whole, incomplete, len(replies) - whole - incomplete, crashes
 
 
-def _never_retry(failures, now_s, deadline_s, jitter, repeats=1):
+def _never_retry(failures, *terms):
     return retries.GiveUp(failures[-1])
 
 
@@ -351,7 +353,7 @@
     """
     policy = retries.RetryPolicy()
     if not budget:
-        policy = retries.RetryPolicy(100.0)
+        policy = retries.RetryPolicy(retries.Terms(ratio=100.0))
     rng = random.Random(7)
     orders = 0
     requests = 10000
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -155,6 +155,7 @@
             self.services.retries = retries.policy_for_shared_budget(
                 bounds.retry_share,
                 bounds.retry_extra,
+                bounds.retry_window_s,
                 lambda: len(self.view.state.sessions.by_vm),
             )
 
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -141,7 +141,7 @@
         :returns: a Reply, or a Refusal that says whether the call ran.
         """
         loop = asyncio.get_running_loop()
-        self._services.retries.record_admission()
+        self._services.retries.record_admission(service)
         tried = []
         runs = 0
         sent = None
@@ -175,7 +175,7 @@
             if not _should_try_again(latest, call) or runs >= call.attempts:
                 return sent
             tried.append(server.id)
-            if not await self._may_try_again(call, tried, checking):
+            if not await self._may_try_again(service, call, tried, checking):
                 return sent
 
     async def _choose(self, service, call, tried):
@@ -191,7 +191,7 @@
         except calls_in_flight.Stopped:
             return result.Failure(admission.SHUTTING_DOWN)
 
-    async def _may_try_again(self, call, tried, checking):
+    async def _may_try_again(self, service, call, tried, checking):
         """Return whether time, crashes and the retry budget allow a try.
 
         :param tried: ids of the servers that were tried.
@@ -204,7 +204,7 @@
             await asyncio.wait({checking}, timeout=CRASH_CHECK_TIMEOUT_S)
         if self._is_quarantined(call, suspect_parts.MIN_CRASHES_BEFORE_REPEAT):
             return False
-        return self._services.retries.take_retry(loop.time())
+        return self._services.retries.take_retry(loop.time(), service=service)
 
     def _is_quarantined(self, call, min_crashes):
         suspects = self._services.view.state.suspect_parts
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -465,6 +465,7 @@
             self.job.deadline_s,
             self.job.jitter,
             repeats,
+            self.job.model,
         )
         match decision:
             case retries.GiveUp(reason=give_up_reason):
--- a/bulrushrudder/lifecycle/retries.py
+++ b/bulrushrudder/lifecycle/retries.py
@@ -1,10 +1,11 @@
-"""Retry policy: limits per request, backoff and a retry budget.
+"""Retry policy: limits per request, backoff and retry budgets.
 
-Each process may retry a fixed share of the requests that it admits. The
-same share then holds for the whole fleet without messages between
-processes.
+Each process may repeat orders to servers for a fixed share of the requests
+that it admits. The same share then holds for the whole fleet without
+messages between processes.
 """
 
+import collections.abc
 import dataclasses
 import types
 
@@ -29,9 +30,15 @@
     }
 )
 MAX_RETRIES = 8
-# Share of a fleet-wide retry bound that is distributed to processes. The
-# rest covers refills and processes that others do not yet know of.
-FLEET_BOUND_UTILIZATION = 0.6
+# Shares of the repeats that a fleet-wide bound allows beyond a share of the
+# requests: what processes save up, what those have that start anew, and
+# what is refilled within the window of the bound.
+SAVED_SHARE = 0.6
+START_SHARE = 0.3
+REFILL_SHARE = 0.1
+# Share of the repeats that the bound allows for each request. The rest
+# covers processes that others do not yet know of.
+RATIO_UTILIZATION = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,34 +58,96 @@
     reason: outcomes.Reason
 
 
-class RetryPolicy:
-    """Decides on retries for all requests of a process.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """The terms of a retry budget.
+
+    :param ratio: repeats credited for each admitted request.
+    :param max_balance: function that returns the maximum balance.
+    :param first_balance: function that returns the balance of a process
+        that has just started.
+    :param refill_per_s: function that returns the repeats by which a small
+        balance grows in a second.
+    """
+
+    ratio: float = BUDGET_RATIO
+    max_balance: collections.abc.Callable = lambda: BUDGET_MAX
+    first_balance: collections.abc.Callable = lambda: BUDGET_FLOOR
+    refill_per_s: collections.abc.Callable = lambda: FLOOR_REFILL_PER_S
 
-    Admitted requests credit a budget and retries debit it. While the
-    budget is below BUDGET_FLOOR, it also refills slowly over time.
 
-    :param ratio: retries credited for each admitted request.
-    :param max_balance: function that returns the maximum budget.
+class _Budget:
+    """The repeats that a process may still send.
+
+    Below BUDGET_FLOOR, it also refills slowly over time.
+
+    :param terms: the Terms.
     """
 
-    def __init__(self, ratio=BUDGET_RATIO, max_balance=lambda: BUDGET_MAX):
-        self._ratio = ratio
-        self._max_balance = max_balance
-        self._balance = min(BUDGET_FLOOR, max_balance())
+    def __init__(self, terms):
+        self._terms = terms
+        self._balance = min(terms.first_balance(), terms.max_balance())
         self._last_refill_s = None
 
-    def record_admission(self):
+    def credit(self):
         """Credit the budget for an admitted request."""
-        self._balance = min(self._balance + self._ratio, self._max_balance())
+        terms = self._terms
+        self._balance = min(self._balance + terms.ratio, terms.max_balance())
+
+    def has(self, repeats, now_s):
+        """Return whether the budget suffices for repeats."""
+        self._refill(now_s)
+        return self._balance >= repeats
 
-    def decide(self, failures, now_s, deadline_s, jitter, repeats=1):
-        """Decide whether to retry a request; a retry debits the budget.
+    def debit(self, repeats):
+        """Debit the budget by repeats."""
+        self._balance -= repeats
+
+    def _refill(self, now_s):
+        terms = self._terms
+        floor = min(BUDGET_FLOOR, terms.max_balance())
+        if self._last_refill_s is not None and self._balance < floor:
+            refill = (now_s - self._last_refill_s) * terms.refill_per_s()
+            self._balance = min(self._balance + refill, floor)
+        self._balance = min(self._balance, terms.max_balance())
+        self._last_refill_s = now_s
+
+
+class RetryPolicy:
+    """Decides on retries for all requests of a process.
+
+    Admitted requests credit budgets, and retries debit them: one for each
+    model or service, which keeps others' requests from paying for its
+    repeats, and one for all, since servers call services in turn.
+
+    :param terms: the Terms of each budget; None for those of a fleet
+        without a stated bound.
+    """
+
+    def __init__(self, terms=None):
+        self._terms = terms or Terms()
+        self._total = _Budget(self._terms)
+        self._budgets_by_service = {}
+
+    def record_admission(self, service=''):
+        """Credit the budgets for an admitted request.
+
+        :param service: id of the model or service that it goes to.
+        """
+        self._total.credit()
+        self._budget(service).credit()
+
+    def decide(
+        self, failures, now_s, deadline_s, jitter, repeats=1, service=''
+    ):
+        """Decide whether to retry a request; a retry debits the budgets.
 
         :param failures: reasons of its failed attempts, oldest first.
         :param now_s: monotonic seconds.
         :param deadline_s: monotonic seconds by which a retry must start.
         :param jitter: at least 0 and below 1.
         :param repeats: orders to servers that the retry repeats.
+        :param service: id of the model or service that it goes to.
         :returns: a Retry or a GiveUp.
         """
         reason = failures[-1]
@@ -88,44 +157,55 @@
         delay_s = back_off_s(len(failures), jitter)
         if now_s + delay_s >= deadline_s:
             return GiveUp(reason)
-        if not self.take_retry(now_s, repeats):
+        if not self.take_retry(now_s, repeats, service):
             return GiveUp(outcomes.Reason.RETRY_BUDGET_SPENT)
         return Retry(delay_s)
 
-    def take_retry(self, now_s, repeats=1):
-        """Debit the budget by one retry; return whether it sufficed.
+    def take_retry(self, now_s, repeats=1, service=''):
+        """Debit the budgets by one retry; return whether both sufficed.
 
         :param repeats: orders to servers that the retry repeats.
+        :param service: id of the model or service that it goes to.
         """
-        self._refill(now_s)
-        if self._balance < repeats:
+        budgets = (self._total, self._budget(service))
+        if not all([budget.has(repeats, now_s) for budget in budgets]):
             return False
-        self._balance -= repeats
+        for budget in budgets:
+            budget.debit(repeats)
         return True
 
-    def _refill(self, now_s):
-        floor = min(BUDGET_FLOOR, self._max_balance())
-        if self._last_refill_s is not None and self._balance < floor:
-            refill = (now_s - self._last_refill_s) * FLOOR_REFILL_PER_S
-            self._balance = min(self._balance + refill, floor)
-        self._balance = min(self._balance, self._max_balance())
-        self._last_refill_s = now_s
+    def _budget(self, service):
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = _Budget(self._terms)
+            self._budgets_by_service[service] = budget
+        return budget
 
 
-def policy_for_shared_budget(share, extra, processes):
+def policy_for_shared_budget(share, extra, window_s, processes):
     """Return the policy of one process under a fleet-wide retry bound.
 
-    In any time window the processes together retry at most their saved
-    budgets, their refills and their share of the window's requests; the
-    sum is below the bound.
+    In any window the processes together repeat at most their saved
+    budgets, those of processes that have started anew, their refills and
+    their share of the window's requests to a service; the sum is below the
+    bound if no process starts twice in a window.
 
-    :param share: retries that the bound allows per request.
-    :param extra: further retries that it allows in any window.
+    :param share: repeats that the bound allows per request to a service.
+    :param extra: further repeats that it allows in any window.
+    :param window_s: length of the window in seconds.
     :param processes: function that returns the number of processes.
     """
+
+    def part(extra_share):
+        return extra * extra_share / max(1, processes())
+
     return RetryPolicy(
-        min(BUDGET_RATIO, share * FLEET_BOUND_UTILIZATION),
-        lambda: extra * FLEET_BOUND_UTILIZATION / max(1, processes()),
+        Terms(
+            min(BUDGET_RATIO, share * RATIO_UTILIZATION),
+            lambda: part(SAVED_SHARE),
+            lambda: part(START_SHARE),
+            lambda: part(REFILL_SHARE) / window_s,
+        )
     )
 
 
--- a/bulrushrudder/tests/entry/path_tests.py
+++ b/bulrushrudder/tests/entry/path_tests.py
@@ -358,11 +358,12 @@
 
     async def count_crashes(self, poisons, innocents):
         await self.start(decodes=8, prefills=4, entries=2, cache_s=CACHE_S)
-        with mock.patch.object(retries, 'BUDGET_FLOOR', AMPLE_RETRIES):
-            for found in self.path.services:
-                found.retries = retries.RetryPolicy(
-                    max_balance=lambda: AMPLE_RETRIES
-                )
+        ample = retries.Terms(
+            max_balance=lambda: AMPLE_RETRIES,
+            first_balance=lambda: AMPLE_RETRIES,
+        )
+        for found in self.path.services:
+            found.retries = retries.RetryPolicy(ample)
         calls = [
             self.stream(f'innocent {n}', self.urls[n % 2])
             for n in range(innocents)
--- a/bulrushrudder/tests/lifecycle/arrivals_tests.py
+++ b/bulrushrudder/tests/lifecycle/arrivals_tests.py
@@ -16,6 +16,7 @@
 REQUESTS_PER_S = 20
 FULL = outcomes.Reason.BACKEND_FULL
 PREFILL = ids.ServerId('prefill-1')
+MODEL = ids.ModelId('drafting')
 DECODE = ids.ServerId('decode-1')
 
 
@@ -27,7 +28,9 @@
 
     def __init__(self):
         self.policies = [
-            retries.policy_for_shared_budget(SHARE, EXTRA, lambda: PROCESSES)
+            retries.policy_for_shared_budget(
+                SHARE, EXTRA, WINDOW_S, lambda: PROCESSES
+            )
             for _ in range(PROCESSES)
         ]
         self.repeats = 0
@@ -35,7 +38,7 @@
     def run(self, number, now_s):
         """Run one request until it is given up."""
         policy = self.policies[number % PROCESSES]
-        policy.record_admission()
+        policy.record_admission(MODEL)
         job = jobs.job(
             account=None, prefill_counts_as_run=False, charge_is_final=True
         )
@@ -74,7 +77,7 @@
             for number in range(REQUESTS_PER_S):
                 if second < 20:
                     # Budgets fill up.
-                    fleet.policies[number % PROCESSES].record_admission()
+                    fleet.policies[number % PROCESSES].record_admission(MODEL)
                 else:
                     fleet.run(number, float(second))
         self.assertGreater(fleet.repeats, EXTRA / 2)
--- a/bulrushrudder/tests/lifecycle/retries_tests.py
+++ b/bulrushrudder/tests/lifecycle/retries_tests.py
@@ -5,6 +5,11 @@
 
 FAILED = outcomes.Reason.BACKEND_FAILED
 SPENT = outcomes.Reason.RETRY_BUDGET_SPENT
+# The bound of a fleet, and the service that fails.
+SHARE = 0.2
+EXTRA = 58.0
+WINDOW_S = 10.0
+SERVICE = 'portal'
 REQUESTS_PER_S = 100
 DURATION_S = 30
 
@@ -14,7 +19,7 @@
 
     From second 5 to 25 a third of the orders fail and may be retried.
     """
-    policy = retries.RetryPolicy(ratio)
+    policy = retries.RetryPolicy(retries.Terms(ratio))
     orders = 0
     for number in range(REQUESTS_PER_S * DURATION_S):
         now_s = number / REQUESTS_PER_S
@@ -66,32 +71,100 @@
         self.assertLess(max(delays), 2 * min(delays) + 0.01)
 
 
+class SharedFleet:
+    """Processes that share a bound, and what they sent.
+
+    :param processes: their number.
+    """
+
+    def __init__(self, processes):
+        self._processes = processes
+        self._policies = [self._start() for _ in range(processes)]
+        self.retried_at_s = []
+        self.admitted_at_s = []
+
+    def _start(self):
+        return retries.policy_for_shared_budget(
+            SHARE, EXTRA, WINDOW_S, lambda: self._processes
+        )
+
+    def restart(self, number):
+        """Start a process anew."""
+        self._policies[number] = self._start()
+
+    def admit(self, number, now_s, service=SERVICE):
+        """Admit a request; only those to SERVICE are counted."""
+        policy = self._policies[number % self._processes]
+        policy.record_admission(service)
+        if service == SERVICE:
+            self.admitted_at_s.append(now_s)
+
+    def retry(self, now_s):
+        """Let all processes retry calls to SERVICE while they may."""
+        for policy in self._policies:
+            while policy.take_retry(now_s, service=SERVICE):
+                self.retried_at_s.append(now_s)
+
+    def excess(self):
+        """Return the most retries in a window beyond what is allowed."""
+        return max(
+            _count(self.retried_at_s, since_s)
+            - SHARE * _count(self.admitted_at_s, since_s)
+            - EXTRA
+            for since_s in self.retried_at_s
+        )
+
+
+def _count(times_s, since_s):
+    return sum(since_s <= at_s <= since_s + WINDOW_S for at_s in times_s)
+
+
 class FleetTests(unittest.TestCase):
+    def check(self, fleet):
+        self.assertGreater(len(fleet.retried_at_s), EXTRA / 2)
+        self.assertLessEqual(fleet.excess(), 0.0)
+
     def test_processes_together_stay_below_fleet_bound(self):
-        share, extra, processes, window_s = 0.2, 58.0, 9, 10.0
-        policies = [
-            retries.policy_for_shared_budget(share, extra, lambda: processes)
-            for _ in range(processes)
-        ]
-        retried_at_s = []
-        admitted_at_s = []
+        fleet = SharedFleet(9)
         for step in range(4000):
             now_s = step * 0.01
             # Low load first, so that budgets fill up; then all calls fail.
             if now_s < 15.0 and step % 10:
                 continue
-            policy = policies[step % processes]
-            policy.record_admission()
-            admitted_at_s.append(now_s)
-            while now_s >= 15.0 and policy.take_retry(now_s):
-                retried_at_s.append(now_s)
-        self.assertGreater(len(retried_at_s), extra / 2)
-        for since_s in retried_at_s:
-            until_s = since_s + window_s
-            admitted_count = sum(
-                since_s <= at_s <= until_s for at_s in admitted_at_s
-            )
-            retried_count = sum(
-                since_s <= at_s <= until_s for at_s in retried_at_s
-            )
-            self.assertLessEqual(retried_count, share * admitted_count + extra)
+            fleet.admit(step, now_s)
+            if now_s >= 15.0:
+                fleet.retry(now_s)
+        self.check(fleet)
+
+    def test_retries_of_one_service_are_not_paid_by_requests_to_others(self):
+        fleet = SharedFleet(9)
+        for step in range(4000):
+            now_s = step * 0.01
+            fleet.admit(step, now_s, 'other')
+            if step % 100 == 0:
+                fleet.admit(step, now_s)
+            if now_s >= 15.0:
+                fleet.retry(now_s)
+        self.check(fleet)
+
+    def test_processes_that_restart_stay_below_fleet_bound(self):
+        fleet = SharedFleet(9)
+        for step in range(2500):
+            now_s = step * 0.01
+            if now_s < 15.0:
+                fleet.admit(step, now_s)
+                continue
+            fleet.retry(now_s)
+            if step % 50 == 0 and step < 1500 + 9 * 50:
+                fleet.restart((step - 1500) // 50)
+        self.check(fleet)
+
+    def test_slow_refill_of_many_processes_stays_below_fleet_bound(self):
+        fleet = SharedFleet(30)
+        for step in range(3000):
+            now_s = step * 0.01
+            if now_s < 15.0:
+                fleet.admit(step, now_s)
+            else:
+                fleet.retry(now_s)
+        self.check(fleet)
