Keep the places of two entries apart in the coordinator of the path tests

The suspicion was that a suspect that is granted a server which has just crashed counts that crash as its own. It does not: such an order is not sent, or refused, and neither counts.

Cause: LocalCoordinator, which stands in for the coordinator in path tests and the benchmark of requests, kept its places by the id of the request for a place. Each entry process numbers its requests by itself, so both entries of the test use '10-3'; a grant or a release of one took away the place of the other. A server then looked free, and suspects that must not share a server did: a sound one was there when a deadly one crashed it, and the crash counted as its own, as an isolated one. Two such crashes quarantine. The real coordinator knows a place by its owner and number, as do tokens, attempts and calls; no other table was found that leaves the owner out.

Evidence, beside load 18 to 25: in a traced run 'innocent 8' (NO_OTHER_SUSPECT), 'poison 7' (ALONE), 'poison 9' and 'poison 1' held one server at a time, after the other entry had been granted 10-3, 28-3 and 30-3.

Change: places are kept by owner and id, each entry asks through a client of its own.

--- a/bulrushrudder/standins/entry_path.py
+++ b/bulrushrudder/standins/entry_path.py
@@ -93,6 +93,9 @@
     """Grants places on the servers with the fewest allocations.
 
     The isolation of requests is respected, as by the real coordinator.
+
+    :ivar allocations_by_request: by the owner and the id of a request for a
+        place; entry processes count their requests independently.
     """
 
     def __init__(self, log):
@@ -108,8 +111,9 @@
             decode = self._choose('decode', place_request)
             if prefill and decode:
                 isolation = jobs.Isolation(place_request.isolation)
-                self.allocations_by_request[place_request.request] = (
-                    Allocation(prefill, decode, isolation)
+                key = place_request.owner, place_request.request
+                self.allocations_by_request[key] = Allocation(
+                    prefill, decode, isolation
                 )
                 granted = place_messages.PlaceGranted(prefill, decode)
                 return result.Success(granted)
@@ -120,9 +124,9 @@
                 )
             await asyncio.sleep(PLACE_POLL_INTERVAL_S)
 
-    async def release(self, place, model, prefill_s, token_s, verdict):
-        """Free the place of a request."""
-        self.allocations_by_request.pop(place, None)
+    def release(self, owner, place):
+        """Free the place of a request of an entry."""
+        self.allocations_by_request.pop((owner, place), None)
 
     def _choose(self, kind, place_request):
         candidates = [
@@ -153,6 +157,26 @@
         return isolation == jobs.Isolation.NONE or not suspects
 
 
+class LocalCoordinatorClient:
+    """Asks the LocalCoordinator on behalf of one entry.
+
+    :param coordinator: the LocalCoordinator.
+    :param owner: the Owner that identifies the entry.
+    """
+
+    def __init__(self, coordinator, owner):
+        self._coordinator = coordinator
+        self._owner = owner
+
+    async def request_place(self, place_request):
+        """Wait for a free place; return a PlaceGranted or a Refusal."""
+        return await self._coordinator.request_place(place_request)
+
+    async def release(self, place, model, prefill_s, token_s, verdict):
+        """Free the place of a request."""
+        self._coordinator.release(self._owner, place)
+
+
 class LocalAuthority:
     """Grants every token request and adds up the cost of each account."""
 
@@ -293,7 +317,7 @@
             owner,
             self.log.view,
             self.authority,
-            self.coordinator,
+            LocalCoordinatorClient(self.coordinator, owner),
             engines,
             None,
             metrics,
