--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -74,7 +74,7 @@
 
     async def run(self):
         """Run the request until it has ended."""
-        self._services.retries.record_admission()
+        self._services.retries.record_admission(self._job.model)
         self._services.running.add(self)
         timers = self._start_timers()
         try:
@@ -264,7 +264,7 @@
     def _schedule_step(self, action):
         if isinstance(action, actions.BackOff):
             self._services.metrics.count_retry(action.reason)
-            self._trace.retry(action)
+        self._trace.step(action)
         self._next_action = action
 
     # Calls to authorities and coordinators.
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -171,6 +171,7 @@
             self.services.retries = retries.policy_for_shared_budget(
                 bounds.retry_share,
                 bounds.retry_extra,
+                bounds.retry_window_s,
                 lambda: len(self.view.state.sessions.by_vm),
             )
 
@@ -213,17 +214,18 @@
     async def stop(self):
         """Refuse new work and finish the requests in flight.
 
-        Other VMs cancel the attempts of a closed session as orphans, so it
-        is closed last.
+        Roles that no other VM has taken over are kept for the accepted
+        requests, which need them until they end. Other VMs cancel the
+        attempts of a closed session as orphans, so it is closed last.
         """
         if self.services.shutdown is None:
             self._begin_shutdown(0.0)
         self.services.in_flight.end_uploads()
         self.services.crash_reporter.stopping = True
         log.emit(catalogue.ENTRY_DRAINING, calls=self.services.calls)
-        handovers = self._hand_over_roles()
         self._callers.close_idle()
         await self.services.finish()
+        handovers = self._hand_over_roles()
         await self.paths.tunnels.finish(self.services.shutdown.finish_until_s)
         await self._canceller.finish(
             self._remaining_s(CANCEL_TIMEOUT_S, LISTENER_CLOSE_S)
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -9,6 +9,7 @@
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.lifecycle import actions
+from bulrushrudder.lifecycle import arrivals
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import job as jobs
 from bulrushrudder.lifecycle import output
@@ -25,6 +26,10 @@
 _NOT_INSPECTED = frozenset(
     {outcomes.Reason.BACKEND_FULL, outcomes.Reason.TRANSFER_FAILED}
 )
+# After these, a decode server has not fetched the KV cache.
+_LEAVES_PREFILL = frozenset(
+    {outcomes.Reason.BACKEND_UNREACHABLE, outcomes.Reason.BACKEND_FULL}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +55,7 @@
         self._policy = policy
         self._attempts = 0
         self._runs = 0
+        self._arrivals = arrivals.Arrivals()
         self._answer_begun = False
         self._place_requests = 0
         self._place = None
@@ -251,6 +257,7 @@
     def _prefilled(self, event):
         if not self._is_current(event, 'prefilling'):
             return [_drop(event)]
+        self._arrivals.record_prefill()
         self._transition('start_transfer')
         self._sent = self._sent or self.job.prefill_counts_as_run
         self._has_run = self._has_run or self.job.prefill_counts_as_run
@@ -273,6 +280,7 @@
     def _transferred(self, event):
         if not self._is_current(event, 'transferring'):
             return [_drop(event)]
+        self._arrivals.record_decode()
         self._transition('start_decode')
         self._sent = self._has_run = True
         self._runs += 1
@@ -328,6 +336,7 @@
         self._sent = self._sent or event.sent
         if event.sent and self.state == 'transferring':
             self._runs += 1
+        self._record_failed_arrival()
         if self._may_have_crashed_server(event):
             return self._inspect_server(event.reason, event.server)
         self._record_failure(event.reason, event.server)
@@ -336,6 +345,14 @@
             return self._retry(now_s)
         return [*self._release_all(), *self._retry(now_s)]
 
+    def _record_failed_arrival(self):
+        """Count an order that its server has not begun to answer."""
+        match self.state:
+            case 'prefilling':
+                self._arrivals.record_prefill()
+            case 'transferring':
+                self._arrivals.record_decode()
+
     def _may_have_crashed_server(self, event):
         if event.sent:
             return event.reason not in _NOT_INSPECTED
@@ -348,15 +365,15 @@
     def _can_reuse_prefill(self, event):
         """Return whether another decode server may fetch the KV cache.
 
-        If the chosen decode server could not be reached, the prefill
-        server still holds the KV cache for a short time.
+        If the chosen decode server could not be reached or was full, the
+        prefill server still holds the KV cache for a short time.
         """
         return (
             self.state == 'transferring'
             and self._retained is None
             and bool(self._prefill_handle)
             and not self.job.prefill_counts_as_run
-            and event.reason is outcomes.Reason.BACKEND_UNREACHABLE
+            and event.reason in _LEAVES_PREFILL
         )
 
     def _retain(self, source, handle):
@@ -441,8 +458,14 @@
                 reason,
                 f'all {self.job.attempts} attempts of the route are used',
             )
+        repeats = self._arrivals.unpaid_repeats(self._retained is not None)
         decision = self._policy.decide(
-            self._failures, now_s, self.job.deadline_s, self.job.jitter
+            self._failures,
+            now_s,
+            self.job.deadline_s,
+            self.job.jitter,
+            repeats,
+            self.job.model,
         )
         match decision:
             case retries.GiveUp(reason=give_up_reason):
@@ -451,6 +474,7 @@
                     f'not retried after {reason.name.lower()}',
                 )
             case retries.Retry(delay_s=delay_s):
+                self._arrivals.pay(repeats)
                 self._transition('back_off')
                 return [actions.BackOff(delay_s, reason)]
 
