Find the members that are left from the messages meant for a lost disk

A process that starts with an empty disk asks its seeds for the log. If all of them are gone, or have lost their disks as well and name only each other, it never joined, although the members that were left went on sending to its address, in the name of the disk that had been there: such messages were dropped unread. Their sender's address is now one that it asks.

--- a/bulrushrudder/consensus/discovery.py
+++ b/bulrushrudder/consensus/discovery.py
@@ -87,6 +87,14 @@
             self._empty_ids_by_address[header.address] = header.sender
             self._found_if_all_empty(core)
 
+    def learn_address(self, address):
+        """Learn the address of a member that sent a message.
+
+        Members go on sending to the address of a disk that is gone. The
+        process that uses it now may know no other address that is in use.
+        """
+        self._learned_addresses.add(address)
+
     def _follow_log(self, core, message):
         """Accept entries of a log that exists.
 
--- a/bulrushrudder/consensus/replica.py
+++ b/bulrushrudder/consensus/replica.py
@@ -149,6 +149,7 @@
     def _receive(self, message):
         core = self._core
         if message.header.target not in ('', core.id):
+            self._discovery.learn_address(message.header.address)
             return
         match message:
             case messages.DiscoveryRequest():
--- a/bulrushrudder/tests/consensus/replaced_machines_tests.py
+++ b/bulrushrudder/tests/consensus/replaced_machines_tests.py
@@ -108,3 +108,25 @@
                 fleet.group.late_s_by_address[added] = late_s
                 fleet.group.run(2 * replacements.CATCH_UP_S)
                 fleet.group.check_converged()
+
+
+class LostSeedsTests(unittest.TestCase):
+    # Guards against a process without a disk whose seeds are all gone, and
+    # which never finds the members that are left.
+
+    def test_wiped_machine_whose_seeds_are_gone_becomes_voter(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                fleet = replacements.Fleet(5, 1, seed)
+                fleet.group.seeds = ('x', 'y', 'z')
+                fleet.group.wipe('d')
+                fleet.group.run(RESTART_S)
+                fleet.group.start('d')
+                fleet.group.run(replacements.CATCH_UP_S)
+                fleet.check_machines_vote()
+
+    def test_wiped_seeds_that_name_only_each_other_become_voters(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                fleet = replacements.Fleet(7, 3, seed)
+                fleet.lose_power('abc')
