--- a/bulrushrudder/entry/tunnel_server.py
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -1,8 +1,8 @@
 """Serves tunnels to backend servers for entry processes of other VMs."""
 
 import asyncio
-import collections
 import contextlib
+import math
 
 from returns import result
 
@@ -18,6 +18,9 @@
 # A server that accepts no connection within this time may be behind a cut.
 PROMPT_S = 0.1
 FLUSH_TIMEOUT_S = 1.0
+MAX_TUNNELS = 2000
+# At most one line a VM is logged in this time.
+LOG_INTERVAL_S = 10.0
 
 
 class TunnelServer:
@@ -40,7 +43,12 @@
         self._metrics = metrics
         self._is_leaving = is_leaving
         self._tunnels = set()
-        self._numbers_by_vm = collections.Counter()
+        self._logged_s_by_vm = {}
+
+    @property
+    def number(self):
+        """Return the number of tunnels."""
+        return len(self._tunnels)
 
     async def serve(self, link, request, reader, writer):
         """Serve one tunnel until it ends.
@@ -63,17 +71,13 @@
         tunnel = tunnel_ends.Tunnel(writer.transport, server_end)
         link.send(tunnel_messages.TunnelOpened())
         tunnel.begin(await tunnels.take_rest(reader))
-        vm = link.peer.vm
         self._tunnels.add(tunnel)
-        self._numbers_by_vm[vm] += 1
         self._metrics.count_tunnel()
-        if self._numbers_by_vm[vm] == 1:
-            log.emit(catalogue.RELAYING, peer=vm, server=request.server)
+        self._log(link.peer.vm, request.server)
         try:
             await tunnel.ended.wait()
         finally:
             self._tunnels.discard(tunnel)
-            self._numbers_by_vm[vm] -= 1
             tunnel.abort()
 
     async def finish(self, until_s):
@@ -92,6 +96,18 @@
         for tunnel in tuple(self._tunnels):
             tunnel.abort()
 
+    def _log(self, vm, server_id):
+        """Log that a VM is relayed for, unless that was logged lately."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._logged_s_by_vm.get(vm, -math.inf) >= LOG_INTERVAL_S:
+            self._logged_s_by_vm[vm] = now_s
+            log.emit(
+                catalogue.RELAYING,
+                peer=vm,
+                server=server_id,
+                tunnels=len(self._tunnels),
+            )
+
     async def _connect(self, request):
         """Connect to a server.
 
@@ -100,6 +116,8 @@
         """
         if self._is_leaving():
             return _refused(paths.RelayProblem.STOPPING)
+        if len(self._tunnels) >= MAX_TUNNELS:
+            return _refused(paths.RelayProblem.BUSY)
         server = self._view.state.servers.by_id.get(request.server)
         if server is None or server.incarnation != request.incarnation:
             return _refused(paths.RelayProblem.UNKNOWN_SERVER)
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -364,8 +364,8 @@
     3203,
     Level.INFO,
     'relaying',
-    'This VM begins to relay connections of another VM to backend servers; '
-    'the given server is the first one.',
+    'This VM relays connections of another VM to backend servers, of which '
+    'it has opened one to the given server. At most one line a VM in 10 s.',
 )
 VIEW_FRESH = Event(
     3102, Level.INFO, 'view fresh', 'The log view is confirmed as fresh again.'
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -38,6 +38,7 @@
     UNKNOWN_SERVER = 3
     STOPPING = 4
     PATH_LOST = 5
+    BUSY = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
