Excuse a server only once its direct path has failed

A server that resets connections by itself made its VM take the path as lost until the next probe; failed calls did not count against it meanwhile.

--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -209,10 +209,13 @@
         try:
             probe = await self._direct.open(server, _Probe)
         except (OSError, TimeoutError):
+            self._handle(paths.DirectFailed(key))
             return
         await asyncio.sleep(PROBE_S)
         probe.transport.abort()
-        if not probe.broke:
+        if probe.broke:
+            self._handle(paths.DirectFailed(key))
+        else:
             self._handle(paths.DirectWorks(key))
 
     def _handle(self, event):
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -63,6 +63,13 @@
     server: ServerKey
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectFailed:
+    """Event: a probe did not connect, or did not last."""
+
+    server: ServerKey
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectBroke:
     """Event: a direct connection broke before an answer."""
@@ -105,6 +112,7 @@
 Event = (
     DirectOpened
     | DirectWorks
+    | DirectFailed
     | DirectBroke
     | RelayOpened
     | FoundDown
@@ -163,11 +171,13 @@
     :param since_s: when connecting to it first failed.
     :param used_s: when it was last asked for.
     :param probe_s: when the direct path is to be probed.
+    :param confirmed: whether a direct connection has failed.
     """
 
     since_s: float
     used_s: float
     probe_s: float
+    confirmed: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -209,7 +219,10 @@
 
     def doubts(self, server):
         """Return whether a failed call says nothing about its server."""
-        return self.is_lost(server) or self.is_cut_off()
+        match self._by_server.get(server):
+            case Relayed(confirmed=True):
+                return True
+        return self.is_cut_off()
 
     def plan(self, server, now_s):
         """Return the Plan for a new connection to a server."""
@@ -262,6 +275,11 @@
             case DirectWorks(server=server):
                 self._broken_by_server.pop(server, None)
                 return self._restore(server, now_s)
+            case DirectFailed(server=server):
+                path = self._by_server.get(server)
+                if isinstance(path, Relayed):
+                    path.confirmed = True
+                return []
             case DirectBroke(server=server):
                 number, _ = self._broken_by_server.get(server, (0, 0.0))
                 self._broken_by_server[server] = number + 1, now_s
@@ -308,7 +326,9 @@
             probe_s += PROBE_INTERVAL_S
             self._lost_in_a_row.add(event.server)
             self._cut_since_s = min(self._cut_since_s, event.asked_s)
-        self._by_server[event.server] = Relayed(event.asked_s, now_s, probe_s)
+        self._by_server[event.server] = Relayed(
+            event.asked_s, now_s, probe_s, event.direct_failed
+        )
         return [PathLost(event.server, event.vm)]
 
     def _restore(self, server, now_s):
--- a/bulrushrudder/protocol/tunnel_ends.py
+++ b/bulrushrudder/protocol/tunnel_ends.py
@@ -139,8 +139,9 @@
         self._tunnel.to_server(data)
 
     def eof_received(self):
-        """Close the transport: who dialled closes only what it gives up."""
-        return False
+        """End the tunnel: who dialled closes only what it gives up."""
+        self.transport.abort()
+        return True
 
     def connection_lost(self, error):
         """End the server's connection at once."""
--- a/bulrushrudder/tests/lifecycle/paths_tests.py
+++ b/bulrushrudder/tests/lifecycle/paths_tests.py
@@ -138,6 +138,15 @@
         self.assert_plan(key(1), 1.3, paths.RelaysFirst())
         self.assert_plan(key(2), 1.3, paths.DirectFirst())
 
+    def test_server_that_breaks_connections_is_not_excused(self):
+        for _ in range(2):
+            self.paths.handle(paths.DirectBroke(key(1)), 1.0)
+        self.lose(key(1), 1.1, direct_failed=False)
+        self.assertFalse(self.paths.doubts(key(1)))
+        self.assertEqual(self.paths.due_probes(1.2), [key(1)])
+        self.paths.handle(paths.DirectFailed(key(1)), 1.3)
+        self.assertTrue(self.paths.doubts(key(1)))
+
     def test_answer_makes_up_for_connections_that_broke(self):
         self.paths.handle(paths.DirectBroke(key(1)), 1.0)
         self.paths.handle(paths.DirectWorks(key(1)), 1.1)
