--- a/bulrushrudder/tests/builders/cuttable_network.py
+++ b/bulrushrudder/tests/builders/cuttable_network.py
@@ -51,6 +51,16 @@
 REQUESTS_LOST = Cut(New.HANGING, Old.REQUESTS_LOST)
 
 
+CUTS = {
+    'refused': REFUSED,
+    'hanging': HANGING,
+    'reset': RESET,
+    'old alive': OLD_ALIVE,
+    'answers lost': ANSWERS_LOST,
+    'requests lost': REQUESTS_LOST,
+}
+
+
 class CuttableNetwork(network.DirectNetwork):
     """Connects to servers directly, unless their paths are cut.
 
--- a/bulrushrudder/tests/builders/entries_fleet.py
+++ b/bulrushrudder/tests/builders/entries_fleet.py
@@ -277,6 +277,23 @@
     return [*steps, scripted_engines.chunk(b'')]
 
 
+def slowly(seconds):
+    """Return a reply function of runners that takes some seconds a run."""
+
+    async def work(writer):
+        await asyncio.sleep(seconds)
+
+    def reply(call):
+        if not is_run(call):
+            return generate(call)
+        if call.target.startswith(('/find/', '/book/')):
+            return [work, *book(call)]
+        head, *rest = generate(call)
+        return [head, *rest[:2], work, *rest[2:]]
+
+    return reply
+
+
 async def pause(writer):
     """Wait for the time between two events; a step of an answer."""
     await asyncio.sleep(EVENT_INTERVAL_S)
--- a/bulrushrudder/tests/platform/cut_off_entries_tests.py
+++ b/bulrushrudder/tests/platform/cut_off_entries_tests.py
@@ -1,90 +1,19 @@
 """Callers of VMs whose paths to the backend servers are cut."""
 
 import asyncio
-import collections
 import dataclasses
-import unittest
 
+from bulrushrudder.tests.builders import cut_off_case
 from bulrushrudder.tests.builders import cuttable_network
 from bulrushrudder.tests.builders import entries_fleet
 from bulrushrudder.tests.builders import runners
 
-# Callers are served again this long after a cut, and directly this long
-# after its end.
-CONTACT_S = 3.0
-CALLS = 5
-STREAMS = 4
 CANCEL_S = 0.5
 REFUSAL_S = 1.0
-CUTS = {
-    'refused': cuttable_network.REFUSED,
-    'hanging': cuttable_network.HANGING,
-    'reset': cuttable_network.RESET,
-    'old alive': cuttable_network.OLD_ALIVE,
-    'answers lost': cuttable_network.ANSWERS_LOST,
-    'requests lost': cuttable_network.REQUESTS_LOST,
-}
-PATHS = ('/find/1', '/book/1', '/drafts/1', '/once/1')
-
-
-class CutOffTestCase(unittest.IsolatedAsyncioTestCase):
-    entries = 2
-
-    async def asyncSetUp(self):
-        self.fleet = await self.enterAsyncContext(
-            entries_fleet.running(self.entries)
-        )
-        self.runners_by_id = await self.fleet.add_runners()
-        self.cut_off, self.other = self.fleet.entries[:2]
-
-    async def cut(self, cut, *entries):
-        """Cut paths under load, and wait until calls must be served.
-
-        :param entries: the Entries whose paths are cut.
-        """
-        for entry in self.fleet.entries:
-            for path in PATHS:
-                seen = await entry.call(path)
-                self.assertEqual(seen.status, 200, path)
-        for entry in entries:
-            entry.network.cut(cut)
-        await asyncio.gather(
-            *(
-                entry.call_for(CONTACT_S, path)
-                for entry in entries
-                for path in ('/find/1', '/drafts/1')
-            )
-        )
+CUTS = cuttable_network.CUTS
 
-    def runs(self):
-        """Return how often each attempt was run, without prefills."""
-        return collections.Counter(
-            call.headers['Attempt-Id']
-            for runner in self.runners_by_id.values()
-            for call in runner.calls
-            if entries_fleet.is_run(call)
-        )
 
-    async def check_served(self, *entries):
-        """Check that entry processes serve calls of all kinds."""
-        for entry in entries:
-            for path in ('/find/1', '/book/1'):
-                for _ in range(CALLS):
-                    seen = await entry.call(path)
-                    self.assertEqual(seen.status, 200, (path, seen))
-                    self.assertEqual(seen.body.decode(), seen.attempt)
-                    self.assertEqual(self.runs()[seen.attempt], 1, path)
-            for path in ('/drafts/1', '/once/1'):
-                answers = await asyncio.gather(
-                    *(entry.call(path) for _ in range(STREAMS))
-                )
-                for seen in answers:
-                    self.assertEqual(seen.status, 200, (path, seen))
-                    self.assertEqual(seen.body, entries_fleet.STREAM)
-                    self.assertEqual(self.runs()[seen.attempt], 1, path)
-
-
-class TwoEntriesTests(CutOffTestCase):
+class TwoEntriesTests(cut_off_case.CutOffTestCase):
     # Guards against 503 for callers whose VM has lost its paths to all
     # servers while other VMs reach them.
     async def check_cut(self, name):
@@ -141,18 +70,20 @@
         await self.cut(cuttable_network.REFUSED, self.cut_off)
         await self.check_served(self.cut_off)
         self.cut_off.network.heal()
-        await self.cut_off.call_for(CONTACT_S, '/find/1')
-        await self.cut_off.call_for(CONTACT_S, '/drafts/1')
+        await self.cut_off.call_for(cut_off_case.CONTACT_S, '/find/1')
+        await self.cut_off.call_for(cut_off_case.CONTACT_S, '/drafts/1')
         direct = self.cut_off.network.sent_bytes
         forwarded = self.other.network.sent_bytes
         connections = self.connections()
-        for path in PATHS:
-            for _ in range(CALLS):
+        for path in cut_off_case.PATHS:
+            for _ in range(cut_off_case.CALLS):
                 seen = await self.cut_off.call(path)
                 self.assertEqual(seen.status, 200, (path, seen))
         self.assertGreater(self.cut_off.network.sent_bytes, direct)
         self.assertEqual(self.other.network.sent_bytes, forwarded)
-        self.assertLessEqual(self.connections() - connections, CALLS)
+        self.assertLessEqual(
+            self.connections() - connections, cut_off_case.CALLS
+        )
 
     def connections(self):
         """Return the number of connections to all runners so far."""
@@ -164,7 +95,7 @@
         began, ended = self.work_endlessly()
         attempt = self.fleet.next_attempt()
         calling = asyncio.create_task(self.read(path, attempt))
-        async with asyncio.timeout(CONTACT_S):
+        async with asyncio.timeout(cut_off_case.CONTACT_S):
             await began.wait()
         calling.cancel()
         async with asyncio.timeout(CANCEL_S):
@@ -206,11 +137,11 @@
         return began, ended
 
 
-class CalmFleetTests(CutOffTestCase):
+class CalmFleetTests(cut_off_case.CutOffTestCase):
     # Guards against a cost of cuts on days without one.
     async def test_calls_of_a_calm_fleet_go_directly(self):
-        for path in PATHS:
-            for _ in range(CALLS):
+        for path in cut_off_case.PATHS:
+            for _ in range(cut_off_case.CALLS):
                 seen = await self.cut_off.call(path)
                 self.assertEqual(seen.status, 200, path)
         self.assertEqual(self.other.network.opened, 0)
@@ -256,7 +187,7 @@
         )
 
 
-class ThreeEntriesTests(CutOffTestCase):
+class ThreeEntriesTests(cut_off_case.CutOffTestCase):
     entries = 3
 
     # Guards against VMs without paths that send one another their calls.
@@ -275,7 +206,7 @@
     async def check_all_cut(self, name):
         await self.cut(CUTS[name], *self.fleet.entries)
         runs = self.runs()
-        for path in PATHS:
+        for path in cut_off_case.PATHS:
             seen = await self.cut_off.call(path)
             self.assertEqual(seen.status, 503, (path, seen))
             self.assertLess(seen.took_s, REFUSAL_S, path)
