--- a/bulrushrudder/entry/tunnel_server.py
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -1,8 +1,8 @@
 """Serves tunnels to backend servers for entry processes of other VMs."""
 
 import asyncio
-import collections
 import contextlib
+import math
 
 from returns import result
 
@@ -15,7 +15,12 @@
 from bulrushrudder.protocol import tunnels
 
 POLL_INTERVAL_S = 0.02
+# A server that accepts no connection within this time may be behind a cut.
+PROMPT_S = 0.1
 FLUSH_TIMEOUT_S = 1.0
+MAX_TUNNELS = 2000
+# At most one line a VM is logged in this time.
+LOG_INTERVAL_S = 10.0
 
 
 class TunnelServer:
@@ -38,7 +43,12 @@
         self._metrics = metrics
         self._is_leaving = is_leaving
         self._tunnels = set()
-        self._numbers_by_vm = collections.Counter()
+        self._logged_s_by_vm = {}
+
+    @property
+    def number(self):
+        """Return the number of tunnels."""
+        return len(self._tunnels)
 
     async def serve(self, link, request, reader, writer):
         """Serve one tunnel until it ends.
@@ -61,17 +71,13 @@
         tunnel = tunnel_ends.Tunnel(writer.transport, server_end)
         link.send(tunnel_messages.TunnelOpened())
         tunnel.begin(await tunnels.take_rest(reader))
-        vm = link.peer.vm
         self._tunnels.add(tunnel)
-        self._numbers_by_vm[vm] += 1
         self._metrics.count_tunnel()
-        if self._numbers_by_vm[vm] == 1:
-            log.emit(catalogue.RELAYING, peer=vm, server=request.server)
+        self._log(link.peer.vm, request.server)
         try:
             await tunnel.ended.wait()
         finally:
             self._tunnels.discard(tunnel)
-            self._numbers_by_vm[vm] -= 1
             tunnel.abort()
 
     async def finish(self, until_s):
@@ -90,6 +96,18 @@
         for tunnel in tuple(self._tunnels):
             tunnel.abort()
 
+    def _log(self, vm, server_id):
+        """Log that a VM is relayed for, unless that was logged lately."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._logged_s_by_vm.get(vm, -math.inf) >= LOG_INTERVAL_S:
+            self._logged_s_by_vm[vm] = now_s
+            log.emit(
+                catalogue.RELAYING,
+                peer=vm,
+                server=server_id,
+                tunnels=len(self._tunnels),
+            )
+
     async def _connect(self, request):
         """Connect to a server.
 
@@ -98,20 +116,52 @@
         """
         if self._is_leaving():
             return _refused(paths.RelayProblem.STOPPING)
+        if len(self._tunnels) >= MAX_TUNNELS:
+            return _refused(paths.RelayProblem.BUSY)
         server = self._view.state.servers.by_id.get(request.server)
         if server is None or server.incarnation != request.incarnation:
             return _refused(paths.RelayProblem.UNKNOWN_SERVER)
-        if self._network.is_lost(server) or self._network.paths.is_cut_off():
-            return _refused(paths.RelayProblem.PATH_LOST)
+        match self._network.plan(server):
+            case paths.DirectFirst():
+                return await self._dial(server)
+            case paths.DirectOnly(confirmed=True, refused=True):
+                return _refused(paths.RelayProblem.SERVER_REFUSES, True)
+            case paths.DirectOnly(confirmed=True):
+                return _refused(paths.RelayProblem.SERVER_SILENT, True)
+        return _refused(paths.RelayProblem.PATH_LOST)
+
+    async def _dial(self, server):
+        """Dial a server, and another one if it does not accept at once.
+
+        :returns: as _connect.
+        """
+        async with asyncio.TaskGroup() as group:
+            dialling = group.create_task(self._try(server))
+            await asyncio.wait({dialling}, timeout=PROMPT_S)
+            if dialling.done() and isinstance(
+                dialling.result(), result.Success
+            ):
+                return dialling.result()
+            checking = group.create_task(self._reaches_another(server))
+        match dialling.result():
+            case result.Failure(problem):
+                return _refused(problem, checking.result())
+        return dialling.result()
+
+    async def _try(self, server):
+        """Dial a server.
+
+        :returns: a Success with the ServerEnd, or a Failure with the
+            RelayProblem.
+        """
         try:
             return result.Success(
                 await self._direct.open(server, tunnel_ends.ServerEnd)
             )
         except ConnectionRefusedError:
-            problem = paths.RelayProblem.SERVER_REFUSES
+            return result.Failure(paths.RelayProblem.SERVER_REFUSES)
         except (OSError, TimeoutError):
-            problem = paths.RelayProblem.SERVER_SILENT
-        return _refused(problem, await self._reaches_another(server))
+            return result.Failure(paths.RelayProblem.SERVER_SILENT)
 
     async def _reaches_another(self, server):
         """Return whether this VM can connect to another server now.
@@ -127,14 +177,11 @@
         chosen = ranking.choose(server.id, others)
         if chosen is None:
             return False
-        try:
-            witness = await self._direct.open(
-                servers.by_id[chosen], tunnel_ends.ServerEnd
-            )
-        except (OSError, TimeoutError):
-            return False
-        witness.transport.abort()
-        return True
+        match await self._try(servers.by_id[chosen]):
+            case result.Success(witness):
+                witness.transport.abort()
+                return True
+        return False
 
 
 def _refused(problem, reaches_others=False):
