Announce a planned stop to the leader instead of leaving it to silence

A machine that was taken out as planned counted as a voter like one that was lost without warning: its successor had run for long, and yet for 2 s after the stop no further voter could be lost in a group of three.

A process that was told to stop now says so in its responses to the leader (AppendResponse.departing), repeats its last one at once, and a leader that has transferred its leadership waits until it follows the next one. It stays a learner, so that it gets entries until it ends and answers what it has accepted; the first response of a process that has started again takes the announcement back, and it is promoted. A field instead of a message of its own needs no rule for when it is out of date.

As all voters that are gone become learners now and are removed later, one that was only paused answers the next heartbeat and need not ask for the log again. The new event is 2306.

--- a/bulrushrudder/consensus/actions.py
+++ b/bulrushrudder/consensus/actions.py
@@ -91,6 +91,7 @@
 
     ADDED = 'added'
     PROMOTED = 'promoted'
+    DEMOTED = 'demoted'
     REMOVED = 'removed'
     MOVED = 'moved'
 
@@ -101,6 +102,7 @@
     ASKED = 'asked for the log'
     CAUGHT_UP = 'caught up'
     ADDRESS_REUSED = 'another data folder uses its address'
+    DEPARTED = 'announced that it stops'
     SILENT = 'silent'
 
 
@@ -108,7 +110,7 @@
 class MemberChanged:
     """The leader appended a change of a member; it is not committed yet.
 
-    :param member: the member; if it is removed, as it was before.
+    :param member: the member after the change, or before its removal.
     :param voters: the ids of the voters after the change.
     :param tolerable_losses: how many more voters may be lost then.
     """
--- a/bulrushrudder/consensus/core.py
+++ b/bulrushrudder/consensus/core.py
@@ -67,6 +67,7 @@
         self.votes = set()
         self.pre_vote = True
         self.pre_vote_choice = None
+        self.departing = False
         self.actions = []
         self.now_s = now_s
         self.deadline_s = now_s
--- a/bulrushrudder/consensus/events.py
+++ b/bulrushrudder/consensus/events.py
@@ -51,8 +51,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LeadershipTransferRequested:
-    """The process is stopping: a leader transfers its leadership."""
+class StopRequested:
+    """The process is about to stop.
+
+    A leader transfers its leadership; the next one is told of the departure.
+    """
 
 
 Event = (
@@ -61,5 +64,5 @@
     | Proposed
     | ReadIndexRequested
     | SnapshotTaken
-    | LeadershipTransferRequested
+    | StopRequested
 )
--- a/bulrushrudder/consensus/follower.py
+++ b/bulrushrudder/consensus/follower.py
@@ -29,30 +29,45 @@
 
     def __init__(self):
         self._partial = None
+        self._last_response = None
+
+    def announce_departure(self, core):
+        """Tell the leader that this process is about to stop.
+
+        Repeats the last response, which holds as long as its term lasts.
+        """
+        sent = self._last_response
+        if sent is not None and sent.message.header.term == (
+            core.hard_state.term
+        ):
+            departing = dataclasses.replace(sent.message, departing=True)
+            core.send(sent.address, departing)
 
     def handle_append(self, core, message):
         """Store entries from the leader and advance the commit index."""
         if not _accept_leader(core, message):
+            self._respond(core, message, False, 0)
             return
         previous = message.previous_index
         if previous > core.log.last_index:
-            _respond(core, message, False, core.log.last_index)
+            self._respond(core, message, False, core.log.last_index)
             return
         if not _matches(core, previous, message.previous_term):
-            _respond(core, message, False, previous - 1)
+            self._respond(core, message, False, previous - 1)
             return
         _store_entries(core, message.entries)
         match_index = previous + len(message.entries)
         core.commit_to(min(message.commit_index, match_index))
-        _respond(core, message, True, match_index)
+        self._respond(core, message, True, match_index)
 
     def handle_chunk(self, core, message):
         """Store a chunk of the leader's snapshot; install it when whole."""
         if not _accept_leader(core, message):
+            self._respond(core, message, False, 0)
             return
         if message.index <= core.commit_index:
             self._partial = None
-            _respond(core, message, True, core.commit_index)
+            self._respond(core, message, True, core.commit_index)
             return
         partial = self._partial_for(message)
         if message.offset == len(partial.data):
@@ -65,7 +80,7 @@
             return
         self._partial = None
         _install_snapshot(core, message, bytes(partial.data))
-        _respond(core, message, True, message.index)
+        self._respond(core, message, True, message.index)
 
     def _partial_for(self, message):
         partial = self._partial
@@ -82,6 +97,13 @@
             partial = self._partial = PartialSnapshot(*identity, bytearray())
         return partial
 
+    def _respond(self, core, message, success, index):
+        response = messages.AppendResponse(
+            core.header(), success, index, message.round, core.departing
+        )
+        self._last_response = actions.Send(message.header.address, response)
+        core.actions.append(self._last_response)
+
 
 def _accept_leader(core, message):
     """Follow the sender, unless its term is older than this member's.
@@ -90,7 +112,6 @@
     """
     header = message.header
     if header.term < core.hard_state.term:
-        _respond(core, message, False, 0)
         return False
     if (
         core.role is core_types.Role.LEADER
@@ -133,10 +154,3 @@
         )
     )
     core.actions.append(actions.Restore(snapshot))
-
-
-def _respond(core, message, success, index):
-    response = messages.AppendResponse(
-        core.header(), success, index, message.round
-    )
-    core.send(message.header.address, response)
--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -1,10 +1,10 @@
 """The leader's side of replication."""
 
 import collections
-import dataclasses
 
 from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import core as core_types
+from bulrushrudder.consensus import leader_state
 from bulrushrudder.consensus import liveness
 from bulrushrudder.consensus import messages
 from bulrushrudder.consensus import types
@@ -18,80 +18,11 @@
 TRANSFER_TIMEOUT_S = 1.5
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """Replication progress of another member.
-
-    :ivar match_index: the last index up to which its log is known to
-        match.
-    :ivar next_index: the index of the next entry to send.
-    :ivar known_since_s: when it was added or leadership began.
-    :ivar in_flight_since_s: when the unanswered entries were sent, or
-        None.
-    :ivar last_response_s: when it last responded, or None.
-    :ivar steady_since_s: since when it has responded without a gap.
-    :ivar acknowledged_round: the latest quorum round that it answered.
-    :ivar snapshot_offset: bytes of the snapshot that it has received.
-    """
-
-    match_index: int
-    next_index: int
-    known_since_s: float
-    in_flight_since_s: float | None
-    last_response_s: float | None
-    steady_since_s: float
-    acknowledged_round: int
-    snapshot_offset: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingRead:
-    """A linearizable read that waits for its quorum round.
-
-    :param round: the round that a quorum must acknowledge.
-    :param index: the commit index when the read was requested.
-    """
-
-    token: int
-    round: int
-    index: int
-
-
-@dataclasses.dataclass(slots=True)
-class Leadership:
-    """Volatile state of a leader.
-
-    :ivar term_start_index: the index of the first entry of its term.
-    :ivar started_s: when leadership began.
-    :ivar last_heartbeat_s: when heartbeats were last sent.
-    :ivar round: the number of the latest quorum round.
-    :ivar successor: the target of a leadership transfer, or None.
-    :ivar transfer_end_s: when a transfer that has not succeeded ends.
-    :ivar heard_s_by_id: when this member, as a follower, last heard the
-        leader that it succeeds.
-    :ivar promotions_by_id: how often members were promoted.
-    :ivar newcomers_by_id: addresses of processes that may join, from
-        their discovery requests.
-    """
-
-    term_start_index: int
-    started_s: float
-    last_heartbeat_s: float
-    round: int
-    progress_by_id: dict[types.MemberId, Progress]
-    pending_reads: list[PendingRead]
-    successor: types.MemberId | None
-    newcomers_by_id: dict[types.MemberId, str]
-    heard_s_by_id: dict[types.MemberId, float]
-    promotions_by_id: collections.Counter
-    transfer_end_s: float = 0.0
-
-
 def become_leader(core):
     """Become the leader of the current term."""
     core.role = core_types.Role.LEADER
     core.leader = core.id
-    core.leadership = Leadership(
+    core.leadership = leader_state.Leadership(
         term_start_index=core.log.last_index + 1,
         started_s=core.now_s,
         last_heartbeat_s=core.now_s,
@@ -151,7 +82,9 @@
         return
     core.leadership.round += 1
     core.leadership.pending_reads.append(
-        PendingRead(event.token, core.leadership.round, core.commit_index)
+        leader_state.PendingRead(
+            event.token, core.leadership.round, core.commit_index
+        )
     )
     _send_heartbeats(core)
     _resolve_reads(core)
@@ -190,6 +123,7 @@
     progress = _record_response(core, message)
     if progress is None:
         return
+    progress.departing = message.departing
     if message.success and message.index > progress.match_index:
         progress.match_index = message.index
         progress.next_index = message.index + 1
@@ -216,7 +150,10 @@
 
 
 def transfer(core):
-    """Choose the most up-to-date live voter as successor."""
+    """Choose the most up-to-date live voter as successor.
+
+    One that is about to stop itself is the last choice.
+    """
     if core.role is not core_types.Role.LEADER:
         return
     others = [
@@ -227,7 +164,11 @@
     if not others:
         return
     core.leadership.successor = max(
-        others, key=lambda id_: match_index(core, id_)
+        others,
+        key=lambda id_: (
+            not liveness.is_departing(core, id_),
+            match_index(core, id_),
+        ),
     )
     core.leadership.transfer_end_s = core.now_s + TRANSFER_TIMEOUT_S
     _try_transfer(core)
@@ -267,12 +208,13 @@
 def _progress(core, member_id):
     known = core.leadership.progress_by_id.get(member_id)
     if known is None:
-        known = Progress(
+        known = leader_state.Progress(
             match_index=0,
             next_index=core.log.last_index + 1,
             known_since_s=core.now_s,
             in_flight_since_s=None,
             last_response_s=None,
+            departing=False,
             steady_since_s=core.now_s,
             acknowledged_round=0,
             snapshot_offset=0,
--- a/bulrushrudder/consensus/liveness.py
+++ b/bulrushrudder/consensus/liveness.py
@@ -18,7 +18,7 @@
     :returns: a negative number if there is no quorum.
     """
     voters = types.voters(members)
-    live = [id_ for id_ in voters if is_responsive(core, id_)]
+    live = [id_ for id_ in voters if is_reliable(core, id_)]
     return len(live) - types.quorum(members)
 
 
@@ -29,6 +29,17 @@
     return known and is_live(core, member_id)
 
 
+def is_reliable(core, member_id):
+    """Return whether a member responds and is not about to stop."""
+    return is_responsive(core, member_id) and not is_departing(core, member_id)
+
+
+def is_departing(core, member_id):
+    """Return whether a member announced a stop and is not back yet."""
+    progress = core.leadership.progress_by_id.get(member_id)
+    return progress is not None and progress.departing
+
+
 def is_live(core, member_id):
     """Return whether a member has responded recently.
 
--- a/bulrushrudder/consensus/member_changes.py
+++ b/bulrushrudder/consensus/member_changes.py
@@ -12,26 +12,16 @@
     :param after: the members that follow them.
     """
     before_by_id = {member.id: member for member in before}
-    after_by_id = {member.id: member for member in after}
+    after_ids = {member.id for member in after}
+    removed = [m for m in before if m.id not in after_ids]
     found = [
-        (actions.MemberChange.REMOVED, member, _removal(core, member, after))
-        for member in before
-        if member.id not in after_by_id
+        (actions.MemberChange.REMOVED, m, _loss(core, m, after))
+        for m in removed
     ]
     for member in after:
-        known = before_by_id.get(member.id)
-        if known is None:
-            change = actions.MemberChange.ADDED, actions.ChangeReason.ASKED
-        elif member.voter and not known.voter:
-            change = (
-                actions.MemberChange.PROMOTED,
-                actions.ChangeReason.CAUGHT_UP,
-            )
-        elif member.address != known.address:
-            change = actions.MemberChange.MOVED, actions.ChangeReason.ASKED
-        else:
-            continue
-        found.append((change[0], member, change[1]))
+        change = _change(before_by_id.get(member.id), member)
+        if change is not None:
+            found.append((change, member, _reason(core, change, member)))
     voters = tuple(types.voters(after))
     losses = liveness.tolerable_losses(core, after)
     return [
@@ -40,9 +30,35 @@
     ]
 
 
-def _removal(core, member, after):
-    """Return the ChangeReason for which a member is removed."""
+def _change(before, after):
+    """Return what changes a member that stays or joins, or None."""
+    if before is None:
+        return actions.MemberChange.ADDED
+    if after.voter != before.voter:
+        return (
+            actions.MemberChange.PROMOTED
+            if after.voter
+            else actions.MemberChange.DEMOTED
+        )
+    if after.address != before.address:
+        return actions.MemberChange.MOVED
+    return None
+
+
+def _reason(core, change, member):
+    match change:
+        case actions.MemberChange.PROMOTED:
+            return actions.ChangeReason.CAUGHT_UP
+        case actions.MemberChange.DEMOTED:
+            return _loss(core, member, core.members)
+    return actions.ChangeReason.ASKED
+
+
+def _loss(core, member, after):
+    """Return the ChangeReason for which a member does not stay as it is."""
     others = (*core.members, *after)
     if any(o.address == member.address and o.id != member.id for o in others):
         return actions.ChangeReason.ADDRESS_REUSED
+    if liveness.is_departing(core, member.id):
+        return actions.ChangeReason.DEPARTED
     return actions.ChangeReason.SILENT
--- a/bulrushrudder/consensus/membership.py
+++ b/bulrushrudder/consensus/membership.py
@@ -4,12 +4,13 @@
 discovery request joins as a learner and is promoted to voter once it has
 caught up. A voter that does not respond is gone if another data folder uses
 its address. If the settings contain seeds, or no longer its address, it is
-also gone once it has been silent for some time.
+also gone once it has been silent for some time or has announced a stop. It
+becomes a learner then, and is promoted again once it is back.
 
 No change lowers the number of further live voters that may be lost. With an
 even number of voters the quorum is smaller without one that is gone, so it
-is removed at once. With an odd number it is removed only if a learner can
-take its place, so that a group does not shrink while processes are down.
+loses its vote at once. With an odd number it keeps its vote until a learner
+can take its place, so that a group does not shrink while processes are down.
 """
 
 import dataclasses
@@ -56,15 +57,15 @@
     candidate = next((m for m in members if _is_promotable(core, m)), None)
     if _is_larger_than_needed(members):
         if gone:
-            return _without(core, gone[0])
+            return _with_demoted(core, gone[0])
         if _may_lose_voter_soon(core):
             return members
     if candidate is not None and _is_promotion_safe(core, candidate):
         return tuple(_promoted(m, candidate) for m in members)
     if gone and candidate is not None:
-        return _without(core, gone[0])
+        return _with_demoted(core, gone[0])
     abandoned = [m for m in gone if _is_abandoned(core, m)]
-    return _without(core, abandoned[0]) if abandoned else members
+    return _with_demoted(core, abandoned[0]) if abandoned else members
 
 
 def _with_newcomers(core):
@@ -88,6 +89,10 @@
 
 
 def _is_lost_learner(core, member):
+    if liveness.is_live(core, member.id):
+        return False
+    if _is_address_reused(core, member):
+        return True
     silence_s = liveness.silence_s(core, member.id)
     return _may_be_removed(core, member) and silence_s >= REMOVAL_TIMEOUT_S
 
@@ -99,18 +104,22 @@
         gone,
         key=lambda m: (
             not _is_address_reused(core, m),
+            not liveness.is_departing(core, m.id),
             -liveness.unheard_s(core, m.id),
         ),
     )
 
 
 def _is_gone(core, member):
-    if liveness.is_live(core, member.id):
+    live = liveness.is_live(core, member.id)
+    if not live and _is_address_reused(core, member):
+        return True
+    if not _may_be_removed(core, member):
         return False
-    if _is_address_reused(core, member):
+    if liveness.is_departing(core, member.id):
         return True
     unheard_s = liveness.unheard_s(core, member.id)
-    return _may_be_removed(core, member) and unheard_s >= VOTER_TIMEOUT_S
+    return not live and unheard_s >= VOTER_TIMEOUT_S
 
 
 def _may_lose_voter_soon(core):
@@ -162,14 +171,15 @@
     return count > 2 and count % 2 == 0
 
 
-def _without(core, member):
-    """Return the members without one, if a quorum of them is live."""
-    members = tuple(m for m in core.members if m.id != member.id)
+def _with_demoted(core, member):
+    """Return the members with one as a learner, if a quorum is live."""
+    demoted = dataclasses.replace(member, voter=False)
+    members = tuple(demoted if m.id == member.id else m for m in core.members)
     return members if liveness.has_quorum(core, members) else core.members
 
 
 def _is_promotable(core, member):
-    if member.voter or not liveness.is_responsive(core, member.id):
+    if member.voter or not liveness.is_reliable(core, member.id):
         return False
     match_index = leadership.match_index(core, member.id)
     caught_up = match_index + MAX_PROMOTION_LAG_ENTRIES >= core.commit_index
@@ -181,7 +191,7 @@
 def _is_steady(core, member):
     """Return whether a learner is likely to go on responding.
 
-    One that this leader has promoted before, and removed, has to show it.
+    One that this leader has promoted and demoted before has to show it.
     """
     promotions = core.leadership.promotions_by_id.get(member.id, 0)
     if promotions < MAX_QUICK_PROMOTIONS:
@@ -199,8 +209,7 @@
     reliable = [
         m
         for m in voters
-        if liveness.is_responsive(core, m.id)
-        and not _is_address_reused(core, m)
+        if liveness.is_reliable(core, m.id) and not _is_address_reused(core, m)
     ]
     return len(reliable) >= types.quorum(members) or len(voters) == 1
 
--- a/bulrushrudder/consensus/messages.py
+++ b/bulrushrudder/consensus/messages.py
@@ -76,12 +76,14 @@
     :param success: whether the entries were stored.
     :param index: the last index up to which the logs match; without
         success, the last index up to which they may match.
+    :param departing: whether the sender's process is about to stop.
     """
 
     header: Header
     success: bool
     index: int
     round: int
+    departing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/consensus/replica.py
+++ b/bulrushrudder/consensus/replica.py
@@ -130,8 +130,10 @@
                 leadership.start_read(core, event)
             case events.SnapshotTaken():
                 self._compact(event)
-            case events.LeadershipTransferRequested():
+            case events.StopRequested():
+                core.departing = True
                 leadership.transfer(core)
+                self._follower.announce_departure(core)
         emitted = core.actions
         core.actions = []
         return emitted
--- a/bulrushrudder/control/member_log.py
+++ b/bulrushrudder/control/member_log.py
@@ -11,6 +11,7 @@
     {
         actions.MemberChange.ADDED: catalogue.MEMBER_ADDED,
         actions.MemberChange.PROMOTED: catalogue.MEMBER_PROMOTED,
+        actions.MemberChange.DEMOTED: catalogue.MEMBER_DEMOTED,
         actions.MemberChange.REMOVED: catalogue.MEMBER_REMOVED,
         actions.MemberChange.MOVED: catalogue.MEMBER_MOVED,
     }
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -223,19 +223,18 @@
         size = sum(len(_command_of(entry)) for entry in missed)
         return size > len(replica_log.snapshot.data)
 
-    async def transfer_leadership(self):
-        """Transfer leadership to another member, if one can take it.
+    async def announce_stop(self):
+        """Transfer leadership, and tell the leader of the departure.
 
         Returns after LEADERSHIP_TRANSFER_TIMEOUT_S at the latest.
         """
-        if self.replica.role is not core.Role.LEADER:
-            return
-        self._driver.put(events.LeadershipTransferRequested())
+        was_leader = self.replica.role is core.Role.LEADER
+        self._driver.put(events.StopRequested())
         deadline_s = _now_s() + LEADERSHIP_TRANSFER_TIMEOUT_S
-        while _now_s() < deadline_s:
+        while was_leader and _now_s() < deadline_s:
             await asyncio.sleep(RETRY_INTERVAL_S)
             alone = len(types.voters(self.replica.members)) == 1
-            if alone or self.replica.role is not core.Role.LEADER:
+            if alone or self.leader_address is not None:
                 return
 
     async def _try_propose(self, data, timeout_s):
--- a/bulrushrudder/control/stopping.py
+++ b/bulrushrudder/control/stopping.py
@@ -70,7 +70,7 @@
     """Transfer leadership, and answer what has been accepted."""
     control = parts.control
     await asyncio.gather(
-        control.node.transfer_leadership(),
+        control.node.announce_stop(),
         parts.in_flight.finish(UPLOAD_TIMEOUT_S, FINISH_TIMEOUT_S),
         parts.links.finish(FINISH_TIMEOUT_S, control.is_observer),
         _finish_orders(parts.order_task),
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -305,6 +305,13 @@
     'member moved',
     'A control process has come back at another address.',
 )
+MEMBER_DEMOTED = Event(
+    2306,
+    Level.INFO,
+    'member demoted',
+    'The leader took the vote from a control process for the given reason; '
+    'it gets the log, and the vote again once it is back.',
+)
 MEMBERS_COMMITTED = Event(
     2305,
     Level.INFO,
--- a/bulrushrudder/tests/builders/replacements.py
+++ b/bulrushrudder/tests/builders/replacements.py
@@ -10,7 +10,8 @@
 # From then on a machine that is new or back counts as present, and the
 # one that it succeeds no longer counts as lost.
 CATCH_UP_S = 4.0
-STOP_S = 0.4
+# A message takes a step of 50 ms, and a transfer takes several.
+STOP_S = 0.6
 RECOVERY_TIMEOUT_S = 12.0
 
 
@@ -42,7 +43,8 @@
         The settings name the machines in service as seeds.
         """
         address = f'n{next(self._numbers)}'
-        self._take_in(address)
+        self.machines.append(address)
+        self.group.addresses = tuple(self.machines)
         self._update_seeds()
         self.group.start(address)
         return address
@@ -59,9 +61,15 @@
         self.group.run(STOP_S)
         self.lose(address)
 
+    def pause(self, address, seconds):
+        """Stop a process without a sound, and let it go on afterwards."""
+        process = self.group.processes_by_address.pop(address)
+        self.group.run(seconds)
+        self.group.processes_by_address[address] = process
+
     def announce_stop(self, address):
         process = self.group.processes_by_address[address]
-        process.inbox.append(events.LeadershipTransferRequested())
+        process.inbox.append(events.StopRequested())
 
     def wipe(self, address):
         """Start a machine again with an empty disk at its old address."""
@@ -139,6 +147,24 @@
         self.check_machines_vote()
         self.check_losses_tolerated()
 
+    def others(self):
+        """Return the machines in service that do not lead."""
+        leaders = self.group.leaders()
+        return [a for a in self.machines if a not in leaders]
+
+    def voters(self):
+        """Return the ids of the voters as the leader sees them."""
+        (leader,) = self.group.leaders()
+        return set(
+            types.voters(
+                self.group.processes_by_address[leader].replica.members
+            )
+        )
+
+    def disk_ids(self):
+        """Return the ids of the machines in service."""
+        return {self.group.disks_by_address[a].id for a in self.machines}
+
     def changes_of(self, member_id):
         """Return the changes that leaders have made to a member."""
         return [
@@ -159,9 +185,5 @@
         }
         return f'machines {self.machines}, members {sorted(found)}'
 
-    def _take_in(self, address):
-        self.machines.append(address)
-        self.group.addresses = tuple(self.machines)
-
     def _update_seeds(self):
         self.group.seeds = tuple(self.machines[:SEED_COUNT])
--- a/bulrushrudder/tests/consensus/fuzz_tests.py
+++ b/bulrushrudder/tests/consensus/fuzz_tests.py
@@ -164,7 +164,7 @@
         leaders = self.cluster.leaders()
         for address in leaders:
             process = self.cluster.processes_by_address[address]
-            process.inbox.append(events.LeadershipTransferRequested())
+            process.inbox.append(events.StopRequested())
         self.cluster.run(TRANSFER_TIMEOUT_S)
         for address in leaders:
             self.cluster.kill(address)
--- a/bulrushrudder/tests/consensus/replica_tests.py
+++ b/bulrushrudder/tests/consensus/replica_tests.py
@@ -151,7 +151,7 @@
             deliver(member, disk, vote)
         response = messages.AppendResponse(header(4, 'b'), True, 2, 0)
         deliver(member, disk, response)
-        member.handle(events.LeadershipTransferRequested(), 1.0)
+        member.handle(events.StopRequested(), 1.0)
         proposal = events.Proposed(7, (b'x',))
         self.assertIn(actions.NotLeader(7), member.handle(proposal, 1.1))
         for now_s in (1.5, 2.0, 2.5, 3.0, 3.5):
@@ -262,7 +262,7 @@
         group = cluster_with_leader()
         (leader,) = group.leaders()
         process = group.processes_by_address[leader]
-        process.inbox.append(events.LeadershipTransferRequested())
+        process.inbox.append(events.StopRequested())
         group.run(core.ELECTION_TIMEOUT_S / 2)
         self.assertEqual(len(group.leaders()), 1)
         self.assertNotEqual(group.leaders(), [leader])
--- a/bulrushrudder/tests/platform/control_stop_tests.py
+++ b/bulrushrudder/tests/platform/control_stop_tests.py
@@ -165,7 +165,7 @@
             for _, writer in connections:
                 writer.write(get())
 
-        follower.node.transfer_leadership = send_all
+        follower.node.announce_stop = send_all
         await follower.stop()
         for reader, writer in connections:
             self.assertEqual((await read_answer(reader)).status, 503)
