Lose control machines at random, as many at a time as are tolerated

Machines are stopped, killed, paused, wiped and replaced, with the successor before or after, in virtual time; then power is lost everywhere with as many disks as are still tolerated. Whenever nothing counts as lost, every configuration in force has to bear the tolerated losses, and at the end all that was accepted is there. Further series replace each leader, the founder and all seeds, two of nine at a time, machines of a group of three, and wipe a disk during a replacement.

--- a/bulrushrudder/tests/builders/replacements.py
+++ b/bulrushrudder/tests/builders/replacements.py
@@ -18,7 +18,7 @@
 class Fleet:
     """Control machines of which some may be lost at a time.
 
-    :param size: the number of machines.
+    :param size: the number of machines in service.
     :param tolerance: how many may be lost at a time.
     :ivar group: the Cluster.
     :ivar machines: the addresses of the machines in service.
@@ -27,6 +27,7 @@
     def __init__(self, size, tolerance, seed):
         names = string.ascii_lowercase[:size]
         self.group = cluster.Cluster(names, seed, names[:SEED_COUNT])
+        self.size = size
         self.tolerance = tolerance
         self.machines = list(names)
         self._numbers = iter(range(1, 1000))
--- a/bulrushrudder/tests/consensus/replaced_machines_tests.py
+++ b/bulrushrudder/tests/consensus/replaced_machines_tests.py
@@ -24,13 +24,28 @@
     return found
 
 
-def replace_in_series(size, tolerance, seed, count, pause_s):
-    """Replace machines at random, then lose power and disks."""
+def any_machines(fleet):
+    return fleet.pick(fleet.tolerance)
+
+
+def leader(fleet):
+    return fleet.group.leaders()
+
+
+def oldest(fleet):
+    """Return the machines that have served longest, which are seeds."""
+    return fleet.machines[: fleet.tolerance]
+
+
+def replace_in_series(
+    size, tolerance, seed, count, pause_s, choose=any_machines
+):
+    """Replace machines one after the other, then lose power and disks."""
     fleet = replacements.Fleet(size, tolerance, seed)
     fleet.propose()
     fleet.group.run(RESTART_S)
     for _ in range(count):
-        lost = fleet.pick(tolerance)
+        lost = choose(fleet)
         for address in lost:
             fleet.lose(address)
         fleet.group.run(RESTART_S)
@@ -60,6 +75,76 @@
         )
         self.assertEqual(failures, {})
 
+    def check_series(self, *series, choose=any_machines):
+        failures = failures_by_seed(
+            lambda seed: replace_in_series(
+                series[0], series[1], seed, *series[2:], choose
+            ),
+            range(5),
+        )
+        self.assertEqual(failures, {})
+
+    def test_elects_leader_after_each_leader_was_replaced(self):
+        for size in (3, 5):
+            with self.subTest(size):
+                self.check_series(size, 1, 6, 4.2, choose=leader)
+
+    def test_elects_leader_after_founder_and_all_seeds_were_replaced(self):
+        for size, tolerance in ((3, 1), (5, 1), (9, 2)):
+            with self.subTest(size):
+                self.check_series(size, tolerance, 6, 4.2, choose=oldest)
+
+    def test_elects_leader_after_replacements_of_two_at_a_time(self):
+        self.check_series(9, 2, 6, 4.2)
+
+    def test_elects_leader_after_replacements_in_a_small_group(self):
+        self.check_series(3, 1, 9, 4.2)
+
+    def replace_first(self, seed, planned):
+        """Start each successor before the machine that it succeeds goes.
+
+        The next loss is tolerated at once.
+        """
+        fleet = replacements.Fleet(5, 1, seed)
+        for _ in range(6):
+            added = fleet.add()
+            fleet.group.run(replacements.CATCH_UP_S)
+            fleet.propose()
+            (lost,) = fleet.pick()
+            if lost == added:
+                continue
+            if planned:
+                fleet.stop(lost)
+            else:
+                fleet.lose(lost)
+            fleet.run_checked(RESTART_S)
+        fleet.lose_power(fleet.pick())
+
+    def test_successors_that_start_first_leave_one_more_to_lose(self):
+        for planned in (False, True):
+            with self.subTest(planned):
+                failures = failures_by_seed(
+                    lambda seed, planned=planned: self.replace_first(
+                        seed, planned
+                    ),
+                    range(10),
+                )
+                self.assertEqual(failures, {})
+
+    def test_disk_wiped_during_a_replacement_joins_again(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                fleet = replacements.Fleet(9, 2, seed)
+                lost, wiped = fleet.pick(2)
+                fleet.lose(lost)
+                fleet.group.run(RESTART_S)
+                fleet.add()
+                fleet.wipe(wiped)
+                fleet.group.run(replacements.CATCH_UP_S)
+                fleet.check_losses_tolerated()
+                fleet.check_machines_vote()
+                fleet.lose_power(fleet.pick(2))
+
 
 class LearnerTests(unittest.TestCase):
     # Guards against a learner that is removed and added again, which
