--- a/bulrushrudder/tests/builders/cut_off_case.py
+++ b/bulrushrudder/tests/builders/cut_off_case.py
@@ -18,6 +18,8 @@
     entries = 2
 
     async def asyncSetUp(self):
+        # All processes share one loop, which debugging makes far slower.
+        asyncio.get_running_loop().set_debug(False)
         self.fleet = await self.enterAsyncContext(
             entries_fleet.running(self.entries)
         )
