Replace control machines in the fault soak, and let everything go dark

The soak could not show that: it had never replaced a control machine or taken a disk.

--replacements plays it with the programs of the deploy file: five control machines and two entries, a change each 0.7 s or so, six to nine machines lost for good in series, each with an empty successor at a new address, at times started first; machines that come back with an empty disk; the next loss when the one before has stopped counting on the users' pages, never earlier; at the end all programs killed, one disk lost, all started again 1 s later. Seeds come from a list that lags by 3 s; in some plays they are all gone at the end, in others each sync is slow.

ACKS, CONFIG and the times of both are judged; times for which the kernel kept a process waiting are not counted. The last membership is read from the disks, also from those that are gone.

--- a/bulrushrudder/tests/soak/__main__.py
+++ b/bulrushrudder/tests/soak/__main__.py
@@ -23,6 +23,7 @@
     kills_at_start=False,
     stops=False,
     server_faults=False,
+    replacements=False,
 ):
     """Play seeds and print a line for each.
 
@@ -33,6 +34,8 @@
     :param root: the checkout whose programs run.
     :param stops: play planned stops only.
     :param server_faults: with stops, let servers misbehave beside them.
+    :param replacements: replace the machines of the core one after the
+        other, and let everything go dark at the end.
     """
     plans = [
         soak.Plan(
@@ -43,6 +46,7 @@
             kills_at_start,
             stops,
             server_faults,
+            replacements,
         )
         for seed in range(first, first + count)
     ]
@@ -55,9 +59,13 @@
     with concurrent.futures.ProcessPoolExecutor(
         jobs, initializer=_exit_at_sigterm
     ) as pool:
-        for verdict in pool.map(soak.play, plans, folders):
-            broken += bool(verdict.breaks)
-            print(soak.summary(verdict), flush=True)
+        try:
+            for verdict in pool.map(soak.play, plans, folders):
+                broken += bool(verdict.breaks)
+                print(soak.summary(verdict), flush=True)
+        except BaseException:
+            pool.shutdown(cancel_futures=True)
+            raise
     print(f'{count - broken} held, {broken} broken')
     sys.exit(1 if broken else 0)
 
--- a/bulrushrudder/tests/soak/hold_ups.py
+++ b/bulrushrudder/tests/soak/hold_ups.py
@@ -29,7 +29,7 @@
             late_s = self._record.now_s() - began_s - STEP_S
             self.longest_s = max(self.longest_s, late_s)
             self._note(SOAK, late_s)
-            for machine in self._fleet.edges:
+            for machine in self._fleet.machines:
                 self._look(machine)
 
     def _look(self, machine):
--- a/bulrushrudder/tests/soak/operators.py
+++ b/bulrushrudder/tests/soak/operators.py
@@ -102,14 +102,36 @@
         elif self._rng.random() < 0.5:
             await self._send_again(version)
 
-    async def read(self):
-        """Read the configuration at any node, and check its age."""
-        machine = self._rng.choice(self._fleet.controls)
+    async def read(self, machine=None):
+        """Read the configuration, and check its age.
+
+        :param machine: any node of the operator's list if it is None.
+        :returns: the number of the version; 0 without an answer.
+        """
+        machine = machine or self._rng.choice(self._fleet.listed)
         sent_s = self._record.now_s()
         answer = await self._call(machine, 'GET', b'')
-        if answer.status == 200:
-            self._check_read(answer.body, sent_s, machine.name)
-        return answer.status == 200
+        if answer.status != 200:
+            return 0
+        self._check_read(answer.body, sent_s, machine.name)
+        return json.loads(answer.body)['version']
+
+    async def read_back(self, until_s):
+        """Read until the newest acknowledged version or a later one comes.
+
+        :param until_s: when to give up.
+        :returns: when it came; None if it did not.
+        """
+        newest = max(
+            version.number
+            for version in self.versions
+            if version.acked_s is not None
+        )
+        while self._record.now_s() < until_s:
+            if await self.read() >= newest:
+                return self._record.now_s()
+            await asyncio.sleep(0.1)
+        return None
 
     async def read_at_end(self):
         """Read the configuration back until it comes."""
@@ -144,7 +166,7 @@
         """Send a version to any node until it is acknowledged."""
         deadline_s = self._record.now_s() + ACK_TIMEOUT_S
         while self._record.now_s() < deadline_s:
-            machine = self._rng.choice(self._fleet.controls)
+            machine = self._rng.choice(self._fleet.listed)
             answer = await self._call(machine, 'PUT', version.content)
             if answer.status == 200:
                 version.acked_s = self._record.now_s()
@@ -162,7 +184,7 @@
 
     async def _send_again(self, version):
         """Send a version once more after its acknowledgement."""
-        machine = self._rng.choice(self._fleet.controls)
+        machine = self._rng.choice(self._fleet.listed)
         answer = await self._call(machine, 'PUT', version.content)
         if 400 <= answer.status < 500:
             self._record.add_break(
@@ -184,7 +206,7 @@
                 broken['tenants'].append(
                     {**broken['tenants'][0], 'name': 'second'}
                 )
-        machine = self._rng.choice(self._fleet.controls)
+        machine = self._rng.choice(self._fleet.listed)
         body = json.dumps(broken).encode()
         answer = await self._call(machine, 'PUT', body)
         if answer.status == 200:
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import re
@@ -9,15 +10,27 @@
 import socket
 import subprocess
 import sys
+import time
 import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
+INJECTED = pathlib.Path(__file__).parent / 'injected'
 PORTS = {'frontend': 8221, 'ready': 8224, 'control_plane': 8229}
 INNER_PORT = 7610
 STOP_GRACE_S = 8.0
 START_TIMEOUT_S = 30.0
+SEEDS = 3
+# The operator's list of machines is this old.
+SEED_LAG_S = 3.0
 BOUNDS = {
+    'seed_lag_s': 3,
+    'contact_ms': 3000,
+    'ack_ms': 4000,
+    'catch_up_s': 4,
+    'drain_ms': 2000,
     'grace_s': 8,
+    'config_apply_ms': 2000,
+    'recover_s': 12,
     'retry_budget_ratio': 0.2,
     'budget_window_s': 10,
     'retry_min_extra': 54,
@@ -36,6 +49,10 @@
     :param role: name of a role in the deploy file.
     :ivar starts: how often the program was started.
     :ivar stopped: whether the soak ended the program, or has paused it.
+    :ivar start_times: for each start the seconds since the soak began and
+        the time of day.
+    :ivar joined_s: when the machine was added.
+    :ivar left_s: when it was lost for good.
     """
 
     def __init__(self, fleet, name, role, ip, zone):
@@ -44,9 +61,13 @@
         self.ip = ip
         self.zone = zone
         self.starts = 0
+        self.start_times = []
         self.stopped = True
+        self.joined_s = -math.inf
+        self.left_s = math.inf
         self._fleet = fleet
         self._process = None
+        self._lost_disks = 0
 
     @property
     def process(self):
@@ -58,6 +79,11 @@
         """Return the path of the log of all starts."""
         return self._fleet.folder / f'{self.name}.log'
 
+    @property
+    def data_folder(self):
+        """Return the path of the folder on the machine's disk."""
+        return self._fleet.folder / f'data-{self.name}'
+
     @property
     def pid(self):
         """Return the id of the process."""
@@ -72,13 +98,19 @@
         """Return the address and port of a listener."""
         return self.ip, PORTS[port_name]
 
-    def start(self, bootstrap=False):
-        """Start the program as the deploy file says."""
+    def start(self, bootstrap=False, seeds=None):
+        """Start the program as the deploy file says.
+
+        :param seeds: machines that the settings name; the operator's list
+            if it is None.
+        """
         fleet = self._fleet
+        if seeds is None:
+            seeds = fleet.seeds(bootstrap)
         role = fleet.deploy['roles'][self.role]
         settings = fleet.folder / f'{self.name}.yaml'
         template = (fleet.root / role['template']).read_text()
-        settings.write_text(_render(template, self._fields(bootstrap)))
+        settings.write_text(_render(template, self._fields(bootstrap, seeds)))
         words = [
             str(settings) if word.startswith('/etc/') else word
             for word in role['run'].split()
@@ -89,6 +121,10 @@
             'PYTHONPATH': str(fleet.root),
             **role.get('env', {}),
         }
+        if fleet.sync_s:
+            environment['SOAK_SYNC_S'] = str(fleet.sync_s)
+            environment['PYTHONPATH'] = f'{INJECTED}:{fleet.root}'
+        self.start_times.append((fleet.record.now_s(), time.time()))
         with open(self.log, 'ab') as log:
             self._process = subprocess.Popen(
                 words, cwd=fleet.root, env=environment, stdout=log, stderr=log
@@ -130,20 +166,26 @@
             self._process.kill()
             self._process.wait()
 
-    def _fields(self, bootstrap):
-        fleet = self._fleet
+    def lose_disk(self):
+        """Empty the disk; the files of a lost one are kept as evidence."""
+        self._lost_disks += 1
+        name = f'{self.data_folder.name}-lost-{self._lost_disks}'
+        self.data_folder.rename(self.data_folder.with_name(name))
+        self._fleet.record.write(f'{self.name}: lost its disk')
+
+    def _fields(self, bootstrap, seeds):
         return {
             'node_name': self.name,
             'zone': self.zone,
             'ip': self.ip,
             'bootstrap': bootstrap,
             'seeds': [
-                f'{machine.ip}:{PORTS["control_plane"]}'
-                for machine in fleet.controls[:3]
+                f'{machine.ip}:{PORTS["control_plane"]}' for machine in seeds
             ],
             'port_range': [INNER_PORT, INNER_PORT + 15],
+            'fault_tolerance': {'machines': 1, 'zones': 0, 'regions': 0},
             'bounds': BOUNDS,
-            'data_dir': str(fleet.folder / f'data-{self.name}'),
+            'data_dir': str(self.data_folder),
             'listen': {
                 name: f'{self.ip}:{port}' for name, port in PORTS.items()
             },
@@ -154,8 +196,9 @@
     """The machines of a small deployment.
 
     :param root: the checkout whose programs run.
-    :ivar controls: machines of the core.
+    :ivar controls: machines of the core that are not lost for good.
     :ivar edges: machines that clients reach.
+    :ivar sync_s: seconds that a sync of a disk takes beyond the usual.
     """
 
     def __init__(self, folder, record, rng, root=ROOT, controls=3, edges=2):
@@ -165,24 +208,60 @@
         self.deploy = tomllib.loads(
             (self.root / 'deploy' / 'system.toml').read_text()
         )
-        network, self._held_network = _take_network(rng)
+        self.sync_s = 0.0
+        self._rng = rng
+        self._network, self._held_network = _take_network(rng)
         self.controls = [
-            Machine(self, f'core-{n}', 'control', f'{network}.{n}', zone)
+            self._control(n, zone)
             for n, zone in zip(range(1, controls + 1), 'abcabc', strict=False)
         ]
+        self._ever_controls = list(self.controls)
         self.edges = [
-            Machine(self, f'edge-{n}', 'entry', f'{network}.{100 + n}', zone)
+            self._machine(f'edge-{n}', 'entry', 100 + n, zone)
             for n, zone in zip(range(1, edges + 1), 'abcabc', strict=False)
         ]
 
     @property
     def machines(self):
-        """Return all machines."""
+        """Return all machines that are not lost for good."""
         return [*self.controls, *self.edges]
 
+    @property
+    def lost(self):
+        """Return the machines of the core that are lost for good."""
+        return [m for m in self._ever_controls if m not in self.controls]
+
+    @property
+    def listed(self):
+        """Return the core as the operator's list has it, which lags."""
+        at_s = self.record.now_s() - SEED_LAG_S
+        return [
+            m for m in self._ever_controls if m.joined_s <= at_s < m.left_s
+        ]
+
+    def seeds(self, bootstrap):
+        """Return the machines that a settings file names as seeds."""
+        listed = self.listed
+        if bootstrap or len(listed) <= SEEDS:
+            return listed[:SEEDS]
+        return self._rng.sample(listed, SEEDS)
+
+    def add_control(self, zone):
+        """Return a new machine of the core, at an address of its own."""
+        machine = self._control(len(self._ever_controls) + 1, zone)
+        machine.joined_s = self.record.now_s()
+        self.controls.append(machine)
+        self._ever_controls.append(machine)
+        return machine
+
+    def remove_control(self, machine):
+        """Take a machine of the core for lost for good."""
+        machine.left_s = self.record.now_s()
+        self.controls.remove(machine)
+
     def end(self):
         """End all programs that this fleet started."""
-        for machine in self.machines:
+        for machine in (*self._ever_controls, *self.edges):
             machine.end()
         self._held_network.close()
 
@@ -193,6 +272,12 @@
                 machine.check()
             await asyncio.sleep(0.05)
 
+    def _control(self, number, zone):
+        return self._machine(f'core-{number}', 'control', number, zone)
+
+    def _machine(self, name, role, host, zone):
+        return Machine(self, name, role, f'{self._network}.{host}', zone)
+
 
 def _take_network(rng):
     """Take a loopback network that no other fleet uses.
--- a/bulrushrudder/tests/soak/record.py
+++ b/bulrushrudder/tests/soak/record.py
@@ -189,6 +189,16 @@
             counted_until_s = max(counted_until_s, until_s)
         return total_s
 
+    def most_held_up_s(self, began_s, ended_s):
+        """Return for how long the process was that was held up most."""
+        return max(
+            (
+                self.held_up_s(process, began_s, ended_s)
+                for process in {process for process, _, _ in self._hold_ups}
+            ),
+            default=0.0,
+        )
+
     def add_trouble(self, server, text):
         """Record that a server begins or ceases to misbehave."""
         self.troubles_by_server[server].append(self.now_s())
--- a/bulrushrudder/tests/soak/servers.py
+++ b/bulrushrudder/tests/soak/servers.py
@@ -155,7 +155,7 @@
 
         :returns: whether it was acknowledged.
         """
-        controls = list(self._fleet.controls)
+        controls = list(self._fleet.listed)
         self._rng.shuffle(controls)
         for machine in controls:
             address = machine.address('control_plane')
--- a/bulrushrudder/tests/soak/soak.py
+++ b/bulrushrudder/tests/soak/soak.py
@@ -10,6 +10,8 @@
 import tempfile
 
 from bulrushrudder.tests.soak import clients
+from bulrushrudder.tests.soak import core_judges
+from bulrushrudder.tests.soak import core_plays
 from bulrushrudder.tests.soak import disruptions
 from bulrushrudder.tests.soak import going_on
 from bulrushrudder.tests.soak import hold_ups
@@ -17,6 +19,7 @@
 from bulrushrudder.tests.soak import operators
 from bulrushrudder.tests.soak import programs
 from bulrushrudder.tests.soak import record
+from bulrushrudder.tests.soak import replacements
 from bulrushrudder.tests.soak import servers
 from bulrushrudder.tests.soak import stop_judges
 from bulrushrudder.tests.soak import stops
@@ -24,6 +27,7 @@
 
 CLIENTS = 12
 STOPS_CLIENTS = 32
+REPLACEMENTS_CLIENTS = 2
 # Three times the target is the longest time for an attempt.
 STOPS_PLAIN_MS = (6000, 2000)
 READY_TIMEOUT_S = 30.0
@@ -56,6 +60,8 @@
     :param stops: whether planned stops are all that is played, at clients
         that go on and servers that take their time.
     :param server_faults: whether servers misbehave beside planned stops.
+    :param replacements: whether machines of the core are replaced one after
+        the other until everything goes dark; takes as long as that takes.
     """
 
     seed: int
@@ -65,6 +71,7 @@
     kills_at_start: bool = False
     stops: bool = False
     server_faults: bool = False
+    replacements: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +82,7 @@
         all that were not refused by a process that stops.
     :param stops: planned stops of machines that clients reach.
     :param lag_s: the longest time that the soak itself was held up.
+    :param core: what was seen of the core; None if nothing was replaced.
     """
 
     plan: Plan
@@ -82,6 +90,7 @@
     served: float
     stops: int = 0
     lag_s: float = 0.0
+    core: core_judges.Seen | None = None
 
 
 def play(plan, folder=None):
@@ -99,7 +108,8 @@
             stack.enter_context(open(folder / 'record.txt', 'w'))
         )
         rng = random.Random(plan.seed)
-        fleet = programs.Fleet(folder, seen, rng, plan.root)
+        controls = replacements.CONTROLS if plan.replacements else 3
+        fleet = programs.Fleet(folder, seen, rng, plan.root, controls)
         stack.callback(fleet.end)
         return asyncio.run(_Soak(plan, fleet, rng).run())
 
@@ -125,6 +135,10 @@
             fleet, self._pool, self._fork()
         )
         self._stops = stops.Stops(fleet, self._fork())
+        # A draw of its own, so that seeds of the other modes stay the same.
+        self._core_play = core_plays.CorePlay(
+            fleet, self._operator, random.Random(f'core {plan.seed}')
+        )
 
     def _fork(self):
         """Return a random.Random that no other part draws from."""
@@ -140,8 +154,10 @@
                 await self._kill_at_start()
             if await self._operator.send_first():
                 await self._play(stack)
+        core = self._core_play.end() if self._plan.replacements else None
         breaks = [
             *self._record.judge(),
+            *self._judge_core(core),
             *self._judge_configuration(),
             *self._judge_departures(),
             *self._record.judge_closed(self._is_calm),
@@ -155,6 +171,7 @@
             stop_judges.served(self._record, self._plays()),
             len(self._stops.stops),
             self._hold_ups.longest_s,
+            core,
         )
 
     async def _play(self, stack):
@@ -168,7 +185,27 @@
         tasks = [
             self._spawn(stack, client.run()) for client in self._clients()
         ]
-        tasks.append(self._spawn(stack, self._operate()))
+        if self._plan.replacements:
+            tasks.append(self._spawn(stack, self._core_play.read_all()))
+            await self._core_play.run()
+        else:
+            tasks += await self._disrupt(stack)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        for task in tasks:
+            if not task.cancelled():
+                task.result()
+        if not self._plan.replacements:
+            await self._recover()
+            await self._operator.read_at_end()
+
+    async def _disrupt(self, stack):
+        """Play for the seconds of the plan.
+
+        :returns: the tasks that go on.
+        """
+        tasks = [self._spawn(stack, self._operate())]
         if self._plan.stops:
             tasks.append(self._spawn(stack, self._stops.probe()))
             if self._plan.server_faults:
@@ -180,19 +217,14 @@
             if self._plan.disrupts:
                 tasks.append(self._spawn(stack, self._disruptions.run()))
             await asyncio.wait(tasks, timeout=self._plan.seconds)
-        for task in tasks:
-            task.cancel()
-        await asyncio.wait(tasks)
-        for task in tasks:
-            if not task.cancelled():
-                task.result()
-        await self._recover()
-        await self._operator.read_at_end()
+        return tasks
 
     def _clients(self):
         kind, count = clients.Client, CLIENTS
         if self._plan.stops:
             kind, count = going_on.Client, STOPS_CLIENTS
+        if self._plan.replacements:
+            count = REPLACEMENTS_CLIENTS
         return [
             kind(self._fleet, self._fork(), self._operator.paths)
             for _ in range(count)
@@ -245,11 +277,19 @@
             self._is_calm,
         )
 
+    def _judge_core(self, core):
+        if core is None:
+            return ()
+        return core_judges.judge(core, self._record.most_held_up_s)
+
     def _is_calm(self, began_s, ended_s):
         """Return whether all machines were in touch for some time."""
-        return self._disruptions.is_calm(
-            began_s, ended_s
-        ) and disruptions.is_calm(self._stops.times_s, began_s, ended_s)
+        times_s = (
+            *self._disruptions.times_s,
+            *self._stops.times_s,
+            *self._core_play.times_s,
+        )
+        return disruptions.is_calm(times_s, began_s, ended_s)
 
     def _plays(self):
         return stop_judges.Plays(
@@ -287,6 +327,7 @@
     counts = {}
     for broken in verdict.breaks:
         counts[broken.rule] = counts.get(broken.rule, 0) + 1
+    more = core_judges.summary(verdict.core) if verdict.core else {}
     return json.dumps(
         {
             'seed': verdict.plan.seed,
@@ -294,6 +335,7 @@
             'broken': counts,
             'stops': verdict.stops,
             'lag_s': round(verdict.lag_s, 3),
+            **more,
             'first': verdict.breaks[0].detail if verdict.breaks else '',
         }
     )
--- a/bulrushrudder/tests/soak/soak_tests.py
+++ b/bulrushrudder/tests/soak/soak_tests.py
@@ -32,3 +32,12 @@
     def test_no_call_is_cut_off_while_machines_stop_as_planned(self):
         verdict = self.check(seed=5, seconds=5.0, stops=True)
         self.assertGreater(verdict.stops, 0)
+
+    # Guards against voters that are gone and still count, so that a group
+    # bears no loss although enough machines are up.
+
+    def test_configuration_comes_back_after_control_machines_were_replaced(
+        self,
+    ):
+        verdict = self.check(seed=8, replacements=True)
+        self.assertEqual(verdict.core.replaced, 9)
--- a/bulrushrudder/tests/soak/stops.py
+++ b/bulrushrudder/tests/soak/stops.py
@@ -238,7 +238,7 @@
 
     async def _replace_leader(self, after_s):
         await asyncio.sleep(after_s)
-        machine = max(self._fleet.controls, key=_last_term)
+        machine = max(self._fleet.controls, key=last_term)
         stop = Stop(machine.process, self._record.now_s(), True)
         self.core_stops.append(stop)
         await self._end(machine, stop)
@@ -261,7 +261,7 @@
         self.times_s.append(self._record.now_s())
 
 
-def _last_term(machine):
+def last_term(machine):
     """Return the last term in which a machine became the leader."""
     term = 0
     with open(machine.log, encoding='utf-8', errors='replace') as log:
