Cut entries off from all servers in the fault soak

The soak had no cut of one entry from servers.

--cuts runs three entries and cuts one or two off: connections hang, are reset while new ones are refused, or live on while new ones are refused. Servers stand behind proxies that know an entry by its address; new connections are led elsewhere inside the program. RECOVER is judged from 3 s after a cut began.

--- a/bulrushrudder/tests/soak/__main__.py
+++ b/bulrushrudder/tests/soak/__main__.py
@@ -24,6 +24,7 @@
     stops=False,
     server_faults=False,
     replacements=False,
+    cuts=False,
 ):
     """Play seeds and print a line for each.
 
@@ -36,6 +37,7 @@
     :param server_faults: with stops, let servers misbehave beside them.
     :param replacements: replace the machines of the core one after the
         other, and let everything go dark at the end.
+    :param cuts: cut entries off from all servers.
     """
     plans = [
         soak.Plan(
@@ -47,6 +49,7 @@
             stops,
             server_faults,
             replacements,
+            cuts,
         )
         for seed in range(first, first + count)
     ]
--- a/bulrushrudder/tests/soak/clients.py
+++ b/bulrushrudder/tests/soak/clients.py
@@ -23,6 +23,7 @@
         self._record = fleet.record
         self._rng = rng
         self._paths = paths
+        self._process = ''
         self._writer = None
         self._reader = None
 
@@ -73,6 +74,7 @@
                 answer.whole,
                 answer.headers.get('server-signature', ''),
                 closed,
+                self._process,
             )
         )
         if self._rng.random() < 0.02:
@@ -96,6 +98,7 @@
             machine for machine in self._fleet.edges if not machine.stopped
         ]
         machine = self._rng.choice(edges or self._fleet.edges)
+        self._process = machine.process
         async with asyncio.timeout(http.CONNECT_TIMEOUT_S):
             self._reader, self._writer = await asyncio.open_connection(
                 *machine.address('frontend')
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -94,6 +94,11 @@
         """Return the exit code; None while the program runs."""
         return self._process.poll()
 
+    @property
+    def detour(self):
+        """Return the path of the file that leads connections elsewhere."""
+        return self._fleet.folder / f'detour-{self.name}'
+
     def address(self, port_name):
         """Return the address and port of a listener."""
         return self.ip, PORTS[port_name]
@@ -123,6 +128,10 @@
         }
         if fleet.sync_s:
             environment['SOAK_SYNC_S'] = str(fleet.sync_s)
+        if fleet.cuts_paths:
+            environment['SOAK_HOST'] = self.ip
+            environment['SOAK_DETOUR'] = str(self.detour)
+        if fleet.sync_s or fleet.cuts_paths:
             environment['PYTHONPATH'] = f'{INJECTED}:{fleet.root}'
         self.start_times.append((fleet.record.now_s(), time.time()))
         with open(self.log, 'ab') as log:
@@ -199,6 +208,7 @@
     :ivar controls: machines of the core that are not lost for good.
     :ivar edges: machines that clients reach.
     :ivar sync_s: seconds that a sync of a disk takes beyond the usual.
+    :ivar cuts_paths: whether machines may be cut off from servers.
     """
 
     def __init__(self, folder, record, rng, root=ROOT, controls=3, edges=2):
@@ -209,8 +219,9 @@
             (self.root / 'deploy' / 'system.toml').read_text()
         )
         self.sync_s = 0.0
+        self.cuts_paths = False
         self._rng = rng
-        self._network, self._held_network = _take_network(rng)
+        self.network, self._held_network = _take_network(rng)
         self.controls = [
             self._control(n, zone)
             for n, zone in zip(range(1, controls + 1), 'abcabc', strict=False)
@@ -276,7 +287,7 @@
         return self._machine(f'core-{number}', 'control', number, zone)
 
     def _machine(self, name, role, host, zone):
-        return Machine(self, name, role, f'{self._network}.{host}', zone)
+        return Machine(self, name, role, f'{self.network}.{host}', zone)
 
 
 def _take_network(rng):
--- a/bulrushrudder/tests/soak/servers.py
+++ b/bulrushrudder/tests/soak/servers.py
@@ -30,6 +30,7 @@
     :param rng: random.Random that decides which requests a fault meets.
     :param stage: prefill, decode, or None for a plain service.
     :param draw: function of rng that returns the Work for a call.
+    :param gate: the Gate that entries connect to, or None.
     :ivar fault: the Fault of now, or None.
     :ivar fault_share: share of the requests that it meets.
     :ivar late_arrivals: seconds of the acknowledgement that the server has
@@ -37,7 +38,15 @@
     """
 
     def __init__(
-        self, fleet, rng, name, service, stage=None, slots=6, draw=works.quick
+        self,
+        fleet,
+        rng,
+        name,
+        service,
+        stage=None,
+        slots=6,
+        draw=works.quick,
+        gate=None,
     ):
         self.fault = None
         self.fault_share = 0.0
@@ -53,11 +62,11 @@
         self._draw = draw
         self._incarnations = itertools.count(1)
         self._handles = itertools.count(1)
-        self._address = ('127.0.0.1', 0)
+        self._gate = gate
+        self._address = self._announced = ('127.0.0.1', 0)
         self._clear()
 
     def _clear(self):
-        """Forget what only one incarnation knows."""
         self._sequence = itertools.count(1)
         self._connections = itertools.count(1)
         self._busy = 0
@@ -86,6 +95,9 @@
             self._serve, *self._address
         )
         self._address = self._listener.sockets[0].getsockname()[:2]
+        self._announced = self._address
+        if self._gate is not None:
+            self._announced = await self._gate.open(self._address)
         self._record.add_trouble(self.id, f'starts at {self._address}')
         self._beats = asyncio.create_task(self._beat_forever())
 
@@ -136,7 +148,7 @@
     def _heartbeat(self, state):
         content = {
             'service': self._service,
-            'address': '{}:{}'.format(*self._address),
+            'address': '{}:{}'.format(*self._announced),
             'zone': 'a',
             'version': 'v1',
             'slots': self._slots,
@@ -195,7 +207,7 @@
 
     async def _handle(self, request, writer):
         if request.target.startswith(PREFIX):
-            self._write(request, writer, self._own_answer(request))
+            self._write(request, writer, self._own_answer())
             return
         self._record.add_arrival(request.attempt, self.id)
         expected = request.headers.get('expect-instance')
@@ -224,7 +236,7 @@
         finally:
             self._free_slot()
 
-    def _own_answer(self, request):
+    def _own_answer(self):
         content = {'busy': False, 'sequence': 0, 'stage': self._stage}
         body = json.dumps(content).encode()
         pairs = [('Content-Length', len(body))]
@@ -266,8 +278,7 @@
             ('Content-Length', 0),
         ]
         self._record.write(f'{self.id}: rejects {request.attempt}: {status}')
-        rejection = http.head(f'HTTP/1.1 {status}', pairs)
-        self._write(request, writer, rejection)
+        self._write(request, writer, http.head(f'HTTP/1.1 {status}', pairs))
 
     def _write(self, request, writer, data):
         """Write an answer, behind a late copy if one is held back."""
--- a/bulrushrudder/tests/soak/soak.py
+++ b/bulrushrudder/tests/soak/soak.py
@@ -12,7 +12,9 @@
 from bulrushrudder.tests.soak import clients
 from bulrushrudder.tests.soak import core_judges
 from bulrushrudder.tests.soak import core_plays
+from bulrushrudder.tests.soak import cuts
 from bulrushrudder.tests.soak import disruptions
+from bulrushrudder.tests.soak import gates
 from bulrushrudder.tests.soak import going_on
 from bulrushrudder.tests.soak import hold_ups
 from bulrushrudder.tests.soak import http
@@ -60,6 +62,8 @@
     :param stops: whether planned stops are all that is played, at clients
         that go on and servers that take their time.
     :param server_faults: whether servers misbehave beside planned stops.
+    :param cuts: whether entries are cut off from all servers, and nothing
+        else is played.
     :param replacements: whether machines of the core are replaced one after
         the other until everything goes dark; takes as long as that takes.
     """
@@ -72,6 +76,7 @@
     stops: bool = False
     server_faults: bool = False
     replacements: bool = False
+    cuts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +88,8 @@
     :param stops: planned stops of machines that clients reach.
     :param lag_s: the longest time that the soak itself was held up.
     :param core: what was seen of the core; None if nothing was replaced.
+    :param cuts: for each cut its kind and the shares of first tries that
+        were served, at machines cut off and at the others.
     """
 
     plan: Plan
@@ -91,6 +98,7 @@
     stops: int = 0
     lag_s: float = 0.0
     core: core_judges.Seen | None = None
+    cuts: list = dataclasses.field(default_factory=list)
 
 
 def play(plan, folder=None):
@@ -109,7 +117,9 @@
         )
         rng = random.Random(plan.seed)
         controls = replacements.CONTROLS if plan.replacements else 3
-        fleet = programs.Fleet(folder, seen, rng, plan.root, controls)
+        edges = 3 if plan.cuts else 2
+        fleet = programs.Fleet(folder, seen, rng, plan.root, controls, edges)
+        fleet.cuts_paths = plan.cuts
         stack.callback(fleet.end)
         return asyncio.run(_Soak(plan, fleet, rng).run())
 
@@ -127,8 +137,11 @@
             STOPS_PLAIN_MS if plan.stops else operators.PLAIN_MS,
         )
         draw = works.varied if plan.stops else works.quick
+        self._cuts = cuts.Cuts(fleet, random.Random(f'cuts {plan.seed}'))
         self._pool = [
-            servers.Server(fleet, self._fork(), *terms, draw=draw)
+            servers.Server(
+                fleet, self._fork(), *terms, draw=draw, gate=self._gate()
+            )
             for terms in (STOPS_POOL if plan.stops else POOL)
         ]
         self._disruptions = disruptions.Disruptions(
@@ -140,6 +153,11 @@
             fleet, self._operator, random.Random(f'core {plan.seed}')
         )
 
+    def _gate(self):
+        if not self._plan.cuts:
+            return None
+        return gates.Gate(self._fleet, self._cuts)
+
     def _fork(self):
         """Return a random.Random that no other part draws from."""
         return random.Random(self._rng.getrandbits(64))
@@ -158,6 +176,7 @@
         breaks = [
             *self._record.judge(),
             *self._judge_core(core),
+            *cuts.judge(self._record.sent, self._cuts.ended),
             *self._judge_configuration(),
             *self._judge_departures(),
             *self._record.judge_closed(self._is_calm),
@@ -172,6 +191,7 @@
             len(self._stops.stops),
             self._hold_ups.longest_s,
             core,
+            cuts.summary(self._record.sent, self._cuts.ended),
         )
 
     async def _play(self, stack):
@@ -213,6 +233,9 @@
                     self._spawn(stack, self._disruptions.run_servers())
                 )
             await self._stops.run(self._plan.seconds)
+        elif self._plan.cuts:
+            stack.callback(self._cuts.close)
+            await self._cuts.run(self._plan.seconds)
         else:
             if self._plan.disrupts:
                 tasks.append(self._spawn(stack, self._disruptions.run()))
@@ -328,6 +351,8 @@
     for broken in verdict.breaks:
         counts[broken.rule] = counts.get(broken.rule, 0) + 1
     more = core_judges.summary(verdict.core) if verdict.core else {}
+    if verdict.plan.cuts:
+        more['cuts'] = verdict.cuts
     return json.dumps(
         {
             'seed': verdict.plan.seed,
