--- a/bulrushrudder/tests/soak/soak.py
+++ b/bulrushrudder/tests/soak/soak.py
@@ -10,13 +10,18 @@
 import tempfile
 
 from bulrushrudder.tests.soak import clients
+from bulrushrudder.tests.soak import core_judges
+from bulrushrudder.tests.soak import core_plays
+from bulrushrudder.tests.soak import cuts
 from bulrushrudder.tests.soak import disruptions
+from bulrushrudder.tests.soak import gates
 from bulrushrudder.tests.soak import going_on
 from bulrushrudder.tests.soak import hold_ups
 from bulrushrudder.tests.soak import http
 from bulrushrudder.tests.soak import operators
 from bulrushrudder.tests.soak import programs
 from bulrushrudder.tests.soak import record
+from bulrushrudder.tests.soak import replacements
 from bulrushrudder.tests.soak import servers
 from bulrushrudder.tests.soak import stop_judges
 from bulrushrudder.tests.soak import stops
@@ -24,6 +29,7 @@
 
 CLIENTS = 12
 STOPS_CLIENTS = 32
+REPLACEMENTS_CLIENTS = 2
 # Three times the target is the longest time for an attempt.
 STOPS_PLAIN_MS = (6000, 2000)
 READY_TIMEOUT_S = 30.0
@@ -56,6 +62,10 @@
     :param stops: whether planned stops are all that is played, at clients
         that go on and servers that take their time.
     :param server_faults: whether servers misbehave beside planned stops.
+    :param cuts: whether entries are cut off from all servers, and nothing
+        else is played.
+    :param replacements: whether machines of the core are replaced one after
+        the other until everything goes dark; takes as long as that takes.
     """
 
     seed: int
@@ -65,6 +75,8 @@
     kills_at_start: bool = False
     stops: bool = False
     server_faults: bool = False
+    replacements: bool = False
+    cuts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +87,9 @@
         all that were not refused by a process that stops.
     :param stops: planned stops of machines that clients reach.
     :param lag_s: the longest time that the soak itself was held up.
+    :param core: what was seen of the core; None if nothing was replaced.
+    :param cuts: for each cut its kind and the shares of first tries that
+        were served, at machines cut off and at the others.
     """
 
     plan: Plan
@@ -82,6 +97,8 @@
     served: float
     stops: int = 0
     lag_s: float = 0.0
+    core: core_judges.Seen | None = None
+    cuts: list = dataclasses.field(default_factory=list)
 
 
 def play(plan, folder=None):
@@ -99,7 +116,10 @@
             stack.enter_context(open(folder / 'record.txt', 'w'))
         )
         rng = random.Random(plan.seed)
-        fleet = programs.Fleet(folder, seen, rng, plan.root)
+        controls = replacements.CONTROLS if plan.replacements else 3
+        edges = 3 if plan.cuts else 2
+        fleet = programs.Fleet(folder, seen, rng, plan.root, controls, edges)
+        fleet.cuts_paths = plan.cuts
         stack.callback(fleet.end)
         return asyncio.run(_Soak(plan, fleet, rng).run())
 
@@ -117,14 +137,26 @@
             STOPS_PLAIN_MS if plan.stops else operators.PLAIN_MS,
         )
         draw = works.varied if plan.stops else works.quick
+        self._cuts = cuts.Cuts(fleet, random.Random(f'cuts {plan.seed}'))
         self._pool = [
-            servers.Server(fleet, self._fork(), *terms, draw=draw)
+            servers.Server(
+                fleet, self._fork(), *terms, draw=draw, gate=self._gate()
+            )
             for terms in (STOPS_POOL if plan.stops else POOL)
         ]
         self._disruptions = disruptions.Disruptions(
             fleet, self._pool, self._fork()
         )
         self._stops = stops.Stops(fleet, self._fork())
+        # A draw of its own, so that seeds of the other modes stay the same.
+        self._core_play = core_plays.CorePlay(
+            fleet, self._operator, random.Random(f'core {plan.seed}')
+        )
+
+    def _gate(self):
+        if not self._plan.cuts:
+            return None
+        return gates.Gate(self._fleet, self._cuts)
 
     def _fork(self):
         """Return a random.Random that no other part draws from."""
@@ -140,8 +172,11 @@
                 await self._kill_at_start()
             if await self._operator.send_first():
                 await self._play(stack)
+        core = self._core_play.end() if self._plan.replacements else None
         breaks = [
             *self._record.judge(),
+            *self._judge_core(core),
+            *cuts.judge(self._record.sent, self._cuts.ended),
             *self._judge_configuration(),
             *self._judge_departures(),
             *self._record.judge_closed(self._is_calm),
@@ -155,6 +190,8 @@
             stop_judges.served(self._record, self._plays()),
             len(self._stops.stops),
             self._hold_ups.longest_s,
+            core,
+            cuts.summary(self._record.sent, self._cuts.ended),
         )
 
     async def _play(self, stack):
@@ -168,7 +205,27 @@
         tasks = [
             self._spawn(stack, client.run()) for client in self._clients()
         ]
-        tasks.append(self._spawn(stack, self._operate()))
+        if self._plan.replacements:
+            tasks.append(self._spawn(stack, self._core_play.read_all()))
+            await self._core_play.run()
+        else:
+            tasks += await self._disrupt(stack)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        for task in tasks:
+            if not task.cancelled():
+                task.result()
+        if not self._plan.replacements:
+            await self._recover()
+            await self._operator.read_at_end()
+
+    async def _disrupt(self, stack):
+        """Play for the seconds of the plan.
+
+        :returns: the tasks that go on.
+        """
+        tasks = [self._spawn(stack, self._operate())]
         if self._plan.stops:
             tasks.append(self._spawn(stack, self._stops.probe()))
             if self._plan.server_faults:
@@ -176,23 +233,21 @@
                     self._spawn(stack, self._disruptions.run_servers())
                 )
             await self._stops.run(self._plan.seconds)
+        elif self._plan.cuts:
+            stack.callback(self._cuts.close)
+            await self._cuts.run(self._plan.seconds)
         else:
             if self._plan.disrupts:
                 tasks.append(self._spawn(stack, self._disruptions.run()))
             await asyncio.wait(tasks, timeout=self._plan.seconds)
-        for task in tasks:
-            task.cancel()
-        await asyncio.wait(tasks)
-        for task in tasks:
-            if not task.cancelled():
-                task.result()
-        await self._recover()
-        await self._operator.read_at_end()
+        return tasks
 
     def _clients(self):
         kind, count = clients.Client, CLIENTS
         if self._plan.stops:
             kind, count = going_on.Client, STOPS_CLIENTS
+        if self._plan.replacements:
+            count = REPLACEMENTS_CLIENTS
         return [
             kind(self._fleet, self._fork(), self._operator.paths)
             for _ in range(count)
@@ -245,11 +300,19 @@
             self._is_calm,
         )
 
+    def _judge_core(self, core):
+        if core is None:
+            return ()
+        return core_judges.judge(core, self._record.most_held_up_s)
+
     def _is_calm(self, began_s, ended_s):
         """Return whether all machines were in touch for some time."""
-        return self._disruptions.is_calm(
-            began_s, ended_s
-        ) and disruptions.is_calm(self._stops.times_s, began_s, ended_s)
+        times_s = (
+            *self._disruptions.times_s,
+            *self._stops.times_s,
+            *self._core_play.times_s,
+        )
+        return disruptions.is_calm(times_s, began_s, ended_s)
 
     def _plays(self):
         return stop_judges.Plays(
@@ -287,6 +350,9 @@
     counts = {}
     for broken in verdict.breaks:
         counts[broken.rule] = counts.get(broken.rule, 0) + 1
+    more = core_judges.summary(verdict.core) if verdict.core else {}
+    if verdict.plan.cuts:
+        more['cuts'] = verdict.cuts
     return json.dumps(
         {
             'seed': verdict.plan.seed,
@@ -294,6 +360,7 @@
             'broken': counts,
             'stops': verdict.stops,
             'lag_s': round(verdict.lag_s, 3),
+            **more,
             'first': verdict.breaks[0].detail if verdict.breaks else '',
         }
     )
