Give the fake services of the access tests the new form of admissions

Retry budgets are credited by service and time since the last changes; the stand-in in access_tests took no arguments, so three tests failed with a TypeError. What they check is unchanged.

--- a/bulrushrudder/tests/entry/access_tests.py
+++ b/bulrushrudder/tests/entry/access_tests.py
@@ -49,7 +49,9 @@
     def __init__(self, view, while_waiting):
         self.view = view
         self.metrics = metrics_entry.EntryMetrics()
-        self.retries = types.SimpleNamespace(record_admission=lambda: None)
+        self.retries = types.SimpleNamespace(
+            record_admission=lambda now_s, service: None
+        )
         self.in_flight = calls_in_flight.CallsInFlight()
         self.authority_client = self.call_permits = self
         self.service_router = types.SimpleNamespace(call=self.send)
