Let a full budget pay for a prefill and a decode in larger fleets

What callers would have seen: with more than 16 VMs for a bound of 54, the part of a VM is below two, so since a retry is debited by what it repeats, a request whose decode server crashed would never have been moved to another.

Cause: introduced with that debit; a budget that can never hold two can never pay two. retries_tests: 20 VMs retried nothing (failed).

Change: a full budget suffices, and is in debt afterwards, which delays the next retry accordingly. As before, a part below one allows none.

Result: the fleet of 20 retries and keeps the bound. With 28 VMs and more, all at once, two each exceed 54 by themselves; that needs a budget that the fleet shares by messages and is open.

--- a/bulrushrudder/lifecycle/retries.py
+++ b/bulrushrudder/lifecycle/retries.py
@@ -97,9 +97,14 @@
         self._balance = min(self._balance + terms.ratio, terms.max_balance())
 
     def has(self, repeats, now_s):
-        """Return whether the budget suffices for repeats."""
+        """Return whether the budget suffices for repeats.
+
+        A full budget does if it can never hold that many; it is in debt
+        afterwards.
+        """
         self._refill(now_s)
-        return self._balance >= repeats
+        needed = max(1.0, min(repeats, self._terms.max_balance()))
+        return self._balance >= needed
 
     def debit(self, repeats):
         """Debit the budget by repeats."""
--- a/bulrushrudder/tests/lifecycle/retries_tests.py
+++ b/bulrushrudder/tests/lifecycle/retries_tests.py
@@ -99,11 +99,11 @@
         if service == SERVICE:
             self.admitted_at_s.append(now_s)
 
-    def retry(self, now_s):
+    def retry(self, now_s, repeats=1):
         """Let all processes retry calls to SERVICE while they may."""
         for policy in self._policies:
-            while policy.take_retry(now_s, service=SERVICE):
-                self.retried_at_s.append(now_s)
+            while policy.take_retry(now_s, repeats, SERVICE):
+                self.retried_at_s += repeats * [now_s]
 
     def excess(self):
         """Return the most retries in a window beyond what is allowed."""
@@ -168,3 +168,13 @@
             else:
                 fleet.retry(now_s)
         self.check(fleet)
+
+    def test_full_budgets_of_a_larger_fleet_pay_for_prefill_and_decode(self):
+        fleet = SharedFleet(20)
+        for step in range(3000):
+            now_s = step * 0.01
+            if now_s < 15.0:
+                fleet.admit(step, now_s)
+            else:
+                fleet.retry(now_s, repeats=2)
+        self.check(fleet)
