Measure no server whose path is lost

A VM that had lost its path to a prefill or decode server told the coordinator how long the server took, with the search for another way in it. The coordinator then took the server for slower, for all VMs: 0.5 s for a prompt of some 50 ms, from each VM that is cut off.

The durations of a server go to the coordinator only while its path is sound, as its failures do.

--- a/bulrushrudder/entry/server_feedback.py
+++ b/bulrushrudder/entry/server_feedback.py
@@ -21,9 +21,12 @@
 class ServerFeedback:
     """Measurements of the latest attempt of a request.
 
+    A server whose path is lost is not measured: the way to it takes time
+    that its other callers do not see.
+
     :param event_tokens: output tokens in one event of the answer.
-    :param doubts: function of a server id that returns whether a failure
-        says nothing about the server, as the path to it is lost.
+    :param doubts: function of a server id that returns whether failures
+        and times say nothing about the server, as the path to it is lost.
     :ivar prefill_s: duration of the last prefill in seconds, 0 if
         unknown.
     :ivar token_s: mean seconds between tokens of the last decode, 0 if
@@ -38,6 +41,7 @@
         self._event_tokens = event_tokens
         self.verdict = place_events.Verdict.UNKNOWN
         self._place_granted_s = None
+        self._prefill_server = None
         self._decode_server = None
         self._decode_started_s = None
         self._first_token_s = None
@@ -48,11 +52,12 @@
         match event:
             case events.PlaceGranted():
                 self._place_granted_s = now_s
+                self._prefill_server = event.prefill
                 self._decode_server = event.decode
                 self._decode_started_s = None if event.prefill else now_s
                 self.verdict = place_events.Verdict.UNKNOWN
             case events.PrefillDone():
-                self.prefill_s = now_s - self._place_granted_s
+                self._measure_prefill(now_s)
                 self._decode_started_s = now_s
             case events.TransferDone():
                 self._first_token_s = None
@@ -80,11 +85,18 @@
         if now_s - self._decode_started_s > FIRST_TOKEN_TIMEOUT_S:
             self.verdict = place_events.Verdict.FAILED
 
+    def _measure_prefill(self, now_s):
+        self.prefill_s = 0.0
+        if not self._doubts(self._prefill_server):
+            self.prefill_s = now_s - self._place_granted_s
+
     def _measure_token(self, index, now_s):
         if self._first_token_s is None:
             self._first_token_s = now_s
             self._first_index = index
             return
         tokens = (index - self._first_index) * self._event_tokens
-        if tokens >= MIN_MEASURED_TOKENS:
+        if tokens < MIN_MEASURED_TOKENS:
+            return
+        if not self._doubts(self._decode_server):
             self.token_s = (now_s - self._first_token_s) / tokens
--- a/bulrushrudder/tests/entry/server_feedback_tests.py
+++ b/bulrushrudder/tests/entry/server_feedback_tests.py
@@ -57,3 +57,28 @@
         self.take(events.TokenArrived(ATTEMPT, 0, 'a'), 3.8)
         self.take(events.TimeEnded(False), 14.0)
         self.assert_verdict(place_events.Verdict.UNKNOWN)
+
+
+class LostPathTests(unittest.TestCase):
+    # Guards against servers that others take for slow, as the search for
+    # a way to them counts as their work.
+    def measured(self, *lost):
+        """Return the measurements of a request, with some paths lost."""
+        feedback = server_feedback.ServerFeedback(60, lambda s: s in lost)
+        place = ids.RequestId('r1-1')
+        for event, now_s in (
+            (events.PlaceGranted(place, PREFILL, DECODE), 0.0),
+            (events.PrefillDone(ATTEMPT, 'h', 10), 0.5),
+            (events.TransferDone(ATTEMPT), 1.0),
+            (events.TokenArrived(ATTEMPT, 0, 'a'), 1.0),
+            (events.TokenArrived(ATTEMPT, 1, 'b'), 7.0),
+        ):
+            feedback.event(event, now_s)
+        return feedback.prefill_s, feedback.token_s
+
+    def test_times_of_servers_with_sound_paths_are_measured(self):
+        self.assertEqual(self.measured(), (0.5, 0.1))
+
+    def test_times_behind_lost_paths_are_not_measured(self):
+        self.assertEqual(self.measured(PREFILL), (0.0, 0.1))
+        self.assertEqual(self.measured(DECODE), (0.5, 0.0))
