--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -22,6 +22,7 @@
 from bulrushrudder.entry import own_interface
 from bulrushrudder.entry import role_directory
 from bulrushrudder.entry import service_router
+from bulrushrudder.entry import session
 from bulrushrudder.entry import shared_services
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -35,13 +36,9 @@
 from bulrushrudder.protocol import peers
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import token_messages
-from bulrushrudder.state import results
-from bulrushrudder.state import sessions
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
 
-SESSION_RETRY_DELAY_S = 0.2
-SESSION_CHECK_INTERVAL_S = 1.0
 CANCEL_TIMEOUT_S = 5.0
 ROLE_HANDOVER_TIMEOUT_S = 4.0
 SESSION_CLOSE_TIMEOUT_S = 0.4
@@ -113,7 +110,14 @@
             self._owner,
             settings,
             self.metrics,
-            lambda: self.services.leaving,
+            self._is_leaving,
+        )
+        self._session = session.Session(
+            settings,
+            self._owner,
+            self.view,
+            self.control_client,
+            self._is_leaving,
         )
         self.services = None
         self._canceller = None
@@ -193,7 +197,7 @@
             self._canceller.run(),
             self.paths.network.run(),
             access.AccessMonitor(self.services).run(),
-            self._keep_session_open(),
+            self._session.keep_open(),
         ):
             tasks.spawn(stack, coroutine)
 
@@ -202,11 +206,12 @@
         entry_settings = self._settings.entry
         self._begin_shutdown(entry_settings.balancer_s)
         log.emit(catalogue.ENTRY_STOPPING, calls=self.services.calls)
-        self.services.spawn(
-            self.control_client.propose(self._open_session_command(False))
-        )
+        self.services.spawn(self._session.offer_no_roles())
         await asyncio.sleep(self.services.shutdown.accept_until_s - _now_s())
 
+    def _is_leaving(self):
+        return self.services.leaving
+
     def _begin_shutdown(self, balancer_s):
         self.services.begin_shutdown(
             shutdown.plan(_now_s(), balancer_s, self._settings.entry.stop_s)
@@ -245,9 +250,7 @@
             async with asyncio.timeout(
                 self._remaining_s(SESSION_CLOSE_TIMEOUT_S)
             ):
-                await self.control_client.propose(
-                    sessions.CloseSession(self._owner)
-                )
+                await self._session.close()
         log.emit(catalogue.ENTRY_STOPPED)
 
     async def _stop_listening(self):
@@ -325,49 +328,6 @@
                 return await self.coordinator_client.serve(message)
         return None
 
-    async def _keep_session_open(self):
-        """Open the session, and reopen it if the leader expired it."""
-        hosts_roles = self._settings.entry.hosts_roles
-        # Only a session found at the start may be replaced; a later one is
-        # of a successor.
-        replaces = None
-        while not self.services.leaving:
-            if self._has_session():
-                replaces = 0
-                await asyncio.sleep(SESSION_CHECK_INTERVAL_S)
-                continue
-            if self.view.confirmed_s is None:
-                await asyncio.sleep(SESSION_RETRY_DELAY_S)
-                continue
-            if replaces is None:
-                replaces = self.view.state.sessions.incarnation(self._owner.vm)
-            command = self._open_session_command(hosts_roles, replaces)
-            match await self.control_client.propose(command):
-                case results.Accepted(index=index):
-                    await self.control_client.wait_for_index(index)
-            await asyncio.sleep(SESSION_RETRY_DELAY_S)
-
-    def _open_session_command(self, hosts_roles, replaces=0):
-        """Return the command that opens the session of this process.
-
-        :param hosts_roles: whether the VM hosts roles for the fleet.
-        :param replaces: incarnation of the session that it may replace.
-        """
-        entry_settings = self._settings.entry
-        return sessions.OpenSession(
-            owner=self._owner,
-            zone=self._settings.zone,
-            address=entry_settings.inner.host,
-            port=entry_settings.inner.port,
-            hosts_roles=hosts_roles,
-            replaces=replaces,
-            seen_index=self.view.index,
-        )
-
-    def _has_session(self):
-        held = self.view.state.sessions.by_vm.get(self._owner.vm)
-        return held is not None and held.owner == self._owner
-
 
 def _now_s():
     return asyncio.get_running_loop().time()
