--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -71,6 +71,7 @@
         self._skipped = 0
         self._skipping = False
         self._transport = None
+        self._path_watch = None
         self._parser = None
         self._parts = collections.deque()
         self._buffered = 0
@@ -142,6 +143,7 @@
         self._calls += 1
         if call.id:
             self._earlier_ids.append(call.id)
+        self._path_watch.sent(len(call.data))
         self._transport.write(call.data)
 
     def idle_timeout_s(self):
@@ -182,7 +184,9 @@
     def connection_made(self, transport):
         """Store the transport and let the kernel watch its path."""
         self._transport = transport
-        sockets.watch_path(transport.get_extra_info('socket'))
+        self._path_watch = sockets.PathWatch(
+            transport.get_extra_info('socket')
+        )
 
     def get_buffer(self, size):
         """Return the buffer for received data.
@@ -193,6 +197,7 @@
 
     def buffer_updated(self, size):
         """Parse received data; close the connection if none is expected."""
+        self._path_watch.received()
         if self._ended:
             self.abort()
             return
--- a/bulrushrudder/entry/tunnel_server.py
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -167,17 +167,25 @@
         """Return whether this VM can connect to another server now.
 
         One of the same service says most, as a path may be lost to one
-        service only.
+        service only; servers of one service may have crashed together.
         """
         servers = self._view.state.servers
         alike = set()
         for served in server.serves:
             alike.update(servers.by_served.get(served, ()))
-        others = alike - {server.id} or servers.by_id.keys() - {server.id}
-        chosen = ranking.choose(server.id, others)
-        if chosen is None:
+        others = servers.by_id.keys() - alike
+        for candidates in (alike - {server.id}, others - {server.id}):
+            chosen = ranking.choose(server.id, candidates)
+            if chosen is not None and await self._accepts(chosen):
+                return True
+        return False
+
+    async def _accepts(self, server_id):
+        """Return whether a server accepts a connection."""
+        server = self._view.state.servers.by_id.get(server_id)
+        if server is None:
             return False
-        match await self._try(servers.by_id[chosen]):
+        match await self._try(server):
             case result.Success(witness):
                 witness.transport.abort()
                 return True
--- a/bulrushrudder/protocol/tunnel_ends.py
+++ b/bulrushrudder/protocol/tunnel_ends.py
@@ -97,16 +97,26 @@
     def __init__(self):
         self.transport = None
         self.tunnel = None
+        self._path_watch = None
 
     def connection_made(self, transport):
         """Store the transport."""
         self.transport = transport
-        sockets.watch_path(transport.get_extra_info('socket'))
+        self._path_watch = sockets.PathWatch(
+            transport.get_extra_info('socket')
+        )
         transport.set_write_buffer_limits(high=MAX_BUFFERED_BYTES)
         transport.pause_reading()
 
+    def send(self, data):
+        """Write bytes to the server."""
+        if not self.transport.is_closing():
+            self._path_watch.sent(len(data))
+            self.transport.write(data)
+
     def data_received(self, data):
         """Send a chunk to the process that dialled."""
+        self._path_watch.received()
         self.tunnel.to_dialler(data)
 
     def connection_lost(self, error):
@@ -181,7 +191,7 @@
         :param data: bytes for the server that have already been read.
         """
         transport = self.accepted.transport
-        sockets.watch_path(transport.get_extra_info('socket'))
+        sockets.allow_slow_reader(transport.get_extra_info('socket'))
         transport.set_write_buffer_limits(high=MAX_BUFFERED_BYTES)
         transport.set_protocol(self.accepted)
         self._server.tunnel = self
@@ -197,8 +207,7 @@
 
     def to_server(self, data):
         """Write bytes to the server."""
-        if not self._server.transport.is_closing():
-            self._server.transport.write(data)
+        self._server.send(data)
 
     def to_dialler(self, data):
         """Write a chunk to the process that dialled."""
--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -9,9 +9,11 @@
 from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import network
 from bulrushrudder.engines import responses
+from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import runners
 
 TEST_TIMEOUT_S = 3.0
+LARGE_CALL_BYTES = 24 * 1024 * 1024
 GET = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\nhalf'
 answer = functools.partial(runners.answer, attempt='')
@@ -32,6 +34,17 @@
         closed.set()
 
 
+async def answer_after_late_reading(reader, writer):
+    """Read nothing of a call for longer than a lost path is waited for."""
+    writer.transport.pause_reading()
+    await asyncio.sleep(3.5)
+    writer.transport.resume_reading()
+    head = await reader.readuntil(b'\r\n\r\n')
+    await reader.readexactly(LARGE_CALL_BYTES - len(head))
+    writer.write(answer())
+    await writer.drain()
+
+
 async def pause_briefly(writer):
     await asyncio.sleep(0.05)
 
@@ -48,6 +61,22 @@
         self.runner = await runner.start(self.stack)
         return self.runner.server()
 
+    # Guards against a server that reads a large call late being taken for a
+    # lost path.
+
+    async def test_server_that_reads_a_large_call_late_answers_it(self):
+        listener = await asyncio.start_server(
+            answer_after_late_reading, '127.0.0.1', 0
+        )
+        self.stack.callback(listener.close)
+        server = fleet.server(port=listener.sockets[0].getsockname()[1])
+        data = GET + bytes(LARGE_CALL_BYTES - len(GET))
+        call = responses.Call(data, '')
+        async with asyncio.timeout(3.5 + TEST_TIMEOUT_S):
+            async with self.pool.call(server, call) as opened:
+                head = await opened.unwrap().part()
+        self.assertIsInstance(head, responses.Head)
+
     async def call(self, server, data=GET, call_id='', **terms):
         """Return all parts of the response to one call."""
         parts = []
--- a/bulrushrudder/tests/protocol/tunnels_tests.py
+++ b/bulrushrudder/tests/protocol/tunnels_tests.py
@@ -9,9 +9,11 @@
 from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import tunnel_messages
 from bulrushrudder.protocol import tunnels
+from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import relays
 from bulrushrudder.tests.builders import scripted_engines
+from bulrushrudder.utils import ports
 
 TIMEOUT_S = 5.0
 LARGE_BYTES = 4 * 1024 * 1024
@@ -190,6 +192,52 @@
         user.transport.resume_reading()
         await user.wait_for(8 * LARGE_BYTES)
 
+    # Guards against readers that pause, as slow callers do, being taken for
+    # lost paths.
+
+    async def test_reader_that_pauses_gets_all_bytes(self):
+        user, _, writer = await self.open()
+        user.transport.pause_reading()
+        writer.write(b'x' * 8 * LARGE_BYTES)
+        await asyncio.sleep(3.5)
+        user.transport.resume_reading()
+        await user.wait_for(8 * LARGE_BYTES)
+
+    async def test_server_that_reads_late_gets_all_bytes(self):
+        user, reader, writer = await self.open()
+        writer.transport.pause_reading()
+        user.transport.write(b'x' * 8 * LARGE_BYTES)
+        await asyncio.sleep(3.5)
+        writer.transport.resume_reading()
+        async with asyncio.timeout(TIMEOUT_S):
+            data = await reader.readexactly(8 * LARGE_BYTES)
+        self.assertEqual(len(data), 8 * LARGE_BYTES)
+
+    # Guards against crashes that are not reported since the witness has
+    # crashed as well.
+
+    async def test_server_that_refuses_beside_another_of_its_service(self):
+        self.listener.close()
+        witness = await asyncio.start_server(self.accept, '127.0.0.1', 0)
+        self.stack.callback(witness.close)
+        (port,) = ports.free_ports(1)
+        for index, server in enumerate(
+            (
+                fleet.server('s-0', port=port, kind='service'),
+                fleet.server(
+                    'd-1',
+                    port=witness.sockets[0].getsockname()[1],
+                    serves=('other',),
+                ),
+            ),
+            2,
+        ):
+            self.relay.view.state.servers.apply(
+                index, servers.JoinServer(server)
+            )
+        refused = await self.check_refused(paths.RelayProblem.SERVER_REFUSES)
+        self.assertTrue(refused.reaches_others)
+
     async def test_slow_server_holds_up_the_user(self):
         user, reader, writer = await self.open()
         writer.transport.pause_reading()
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -1,5 +1,6 @@
 """Sockets with keepalive and with limited buffers."""
 
+import contextlib
 import socket
 
 KEEPALIVE_IDLE_S = 5
@@ -12,6 +13,10 @@
 PATH_KEEPALIVE_IDLE_S = 2
 PATH_KEEPALIVE_INTERVAL_S = 1
 PATH_TIMEOUT_MS = 2_500
+# Any receive buffer takes this much of a peer that reads nothing.
+SMALL_RECEIVE_BUFFER_BYTES = 32 * 1024
+# Longer than entry processes wait for a caller that takes nothing.
+SLOW_READER_TIMEOUT_MS = 30_000
 # Limits the unread part of an answer in the kernel. Otherwise the buffer
 # grows to some megabytes, and a slow caller causes no backpressure on the
 # backend server.
@@ -28,14 +33,44 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
-def watch_path(sock):
-    """Make the kernel close a connection whose path is lost."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PATH_KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, PATH_KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, PATH_TIMEOUT_MS)
+class PathWatch:
+    """Lets the kernel close a connection whose path is lost.
+
+    Linux applies its limit also to a peer that acknowledges and reads
+    nothing, once more has been sent than its receive buffer holds. Such a
+    peer gets the time of an ordinary connection.
+
+    :param sock: the socket.
+    """
+
+    def __init__(self, sock):
+        self._sock = sock
+        self._unread_bytes = 0
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        tcp = socket.IPPROTO_TCP
+        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PATH_KEEPALIVE_IDLE_S)
+        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, PATH_KEEPALIVE_INTERVAL_S)
+        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
+        _limit_unacknowledged(sock, PATH_TIMEOUT_MS)
+
+    def sent(self, size):
+        """Record bytes that the peer may not have read."""
+        before = self._unread_bytes
+        self._unread_bytes += size
+        if before <= SMALL_RECEIVE_BUFFER_BYTES < self._unread_bytes:
+            _limit_unacknowledged(self._sock, UNACKNOWLEDGED_TIMEOUT_MS)
+
+    def received(self):
+        """Record that the peer has answered what was sent before."""
+        if self._unread_bytes > SMALL_RECEIVE_BUFFER_BYTES:
+            _limit_unacknowledged(self._sock, PATH_TIMEOUT_MS)
+        self._unread_bytes = 0
+
+
+def allow_slow_reader(sock):
+    """Give a peer more time to read than the slowest caller has."""
+    enable_keepalive(sock)
+    _limit_unacknowledged(sock, SLOW_READER_TIMEOUT_MS)
 
 
 def create_client_socket(address_info):
@@ -57,3 +92,12 @@
     sock = transport.get_extra_info('socket')
     if sock is not None:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, max_bytes)
+
+
+def _limit_unacknowledged(sock, timeout_ms):
+    """Limit how long sent bytes may stay unacknowledged or unread."""
+    with contextlib.suppress(OSError):
+        # The connection may just have ended.
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+        )
