Probe a lost path whose tunnels are in use

Calls of a VM whose paths were back went on through another VM, for up to 10 s: 10 of 20 calls in a row 6 s after the end of a cut.

A path was probed only if a connection had been opened on it within 3 s. Calls that find an idle tunnel open none, so the path of a busy server counted as unused. The log of such calls named edge-2 as their path, and the path of their server was lost with its last use at the start of the cut.

The use of a tunnel now counts as use of its path.

--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -82,9 +82,9 @@
         key = _key(server)
         if connection.relay is None:
             return self.paths.may_reuse(key, connection.last_used_s)
-        return self.paths.is_lost(key) and self._search.serves(
-            connection.relay
-        )
+        if not self._search.serves(connection.relay):
+            return False
+        return self.paths.use_tunnel(key, _now_s())
 
     def call_ended(self, server, connection):
         """Record what the end of a call says about the direct path.
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -267,6 +267,17 @@
             return last_received_s > self._cut_since_s
         return True
 
+    def use_tunnel(self, server, now_s):
+        """Return whether an idle tunnel may carry a call.
+
+        A path whose tunnels are in use is probed.
+        """
+        match self._by_server.get(server):
+            case Relayed() as path:
+                path.used_s = now_s
+                return True
+        return False
+
     def handle(self, event, now_s):
         """Handle an event and return the actions that follow."""
         match event:
--- a/bulrushrudder/tests/lifecycle/paths_tests.py
+++ b/bulrushrudder/tests/lifecycle/paths_tests.py
@@ -106,6 +106,16 @@
             self.lose(key(number), 0.0)
         self.assertEqual(len(self.paths.due_probes(2.0)), paths.MAX_PROBES)
 
+    # Guards against calls that take the long way after a cut, since all of
+    # them use tunnels that exist.
+    def test_path_whose_tunnels_are_reused_is_probed(self):
+        self.lose(key(1), 0.0)
+        self.assertTrue(self.paths.use_tunnel(key(1), paths.IN_USE_S))
+        now_s = paths.IN_USE_S + 0.1
+        self.assertEqual(self.paths.due_probes(now_s), [key(1)])
+        self.paths.handle(paths.DirectOpened(key(1)), now_s)
+        self.assertFalse(self.paths.use_tunnel(key(1), now_s))
+
     def test_lost_path_that_nobody_uses_is_neither_probed_nor_kept(self):
         self.lose(key(1), 0.0)
         self.assertEqual(self.paths.due_probes(paths.IN_USE_S + 0.1), [])
