Let failures through a working tunnel count against their server

Callers of a VM whose paths to the backend servers are lost were sent to a failing server for ever, although a sound one was there. While a path was lost, each failure of its server was excused, also an answer with status 500, silence and a reset that came through a relay: the choice of servers, the verdict on decode servers and the servers to avoid learned nothing from them.

A failure now carries whether a lost path can explain it (of_server in Problem, CallFailure, Refusal, AttemptFailed), as the connection that carried the call knows; paths.is_of_server decides. An answer always counts, and so do silence, a close and a reset by the server behind a tunnel. No connection, a direct connection and a tunnel that broke on the way stay excused.

A tunnel did not tell a reset by the server from the death of its relay: both were a reset. The relay now sends a length that no chunk has and closes. If the relay's own connection to the server ends by a time-out, the tunnel breaks as before.

--- a/bulrushrudder/core/outcomes.py
+++ b/bulrushrudder/core/outcomes.py
@@ -61,12 +61,15 @@
     :param detail: a message for the caller, without secrets.
     :param retry_after_s: seconds after which the caller should retry;
         None if a retry doesn't help.
+    :param of_server: whether a backend server failed, and no lost path to
+        it can explain that.
     """
 
     reason: Reason
     execution: Execution
     detail: str
     retry_after_s: float | None = None
+    of_server: bool = False
 
 
 def not_run(reason, detail, retry_after_s=None):
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -12,7 +12,9 @@
 
 import httptools
 
+from bulrushrudder.core import path_errors
 from bulrushrudder.engines import responses
+from bulrushrudder.lifecycle import paths
 from bulrushrudder.utils import sockets
 
 # Servers that state no idle timeout close idle connections after some
@@ -226,6 +228,10 @@
             repr(error)
             if error
             else 'connection closed before the response was complete',
+            paths.is_of_server(
+                self.relay is not None,
+                isinstance(error, path_errors.TunnelBrokeError),
+            ),
         )
 
     # Called by the parser.
@@ -328,18 +334,18 @@
 
     def _reject(self, detail):
         """Fail the call and close the connection, so that no more comes."""
-        self._fail(responses.ProblemKind.INVALID, detail)
+        self._fail(responses.ProblemKind.INVALID, detail, of_server=True)
         self.abort()
 
     def _give_up(self):
         self._reject('the answers being read take too much memory')
 
-    def _fail(self, kind, detail):
+    def _fail(self, kind, detail, of_server):
         if self._ended:
             return
         self._ended = True
         self._not_reusable = True
-        self._put(responses.Problem(kind, detail, True))
+        self._put(responses.Problem(kind, detail, True, of_server))
 
     def _put(self, part):
         self._parts.append(part)
--- a/bulrushrudder/engines/responses.py
+++ b/bulrushrudder/engines/responses.py
@@ -19,11 +19,13 @@
     """A call without a complete response.
 
     :param sent: whether the server may have received the call.
+    :param of_server: whether no lost path can explain it.
     """
 
     kind: ProblemKind
     detail: str
     sent: bool
+    of_server: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -349,14 +349,17 @@
                     | outcomes.Reason.BACKEND_SILENT
                 ),
                 server=server_id,
+                of_server=of_server,
             ):
                 server = self._servers_by_id.get(server_id)
-                if server is not None and not self._doubts(server_id):
+                if server is not None and (
+                    of_server or not self._doubts(server_id)
+                ):
                     now_s = self._loop.time()
                     self._services.reachability.record_failure(server, now_s)
 
     def _doubts(self, server_id):
-        """Return whether a failure says nothing about its server."""
+        """Return whether a lost path can explain a failure."""
         server = self._servers_by_id.get(server_id)
         return server is not None and self._services.doubts(server)
 
--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -47,7 +47,7 @@
         return self.paths.plan(_key(server), _now_s())
 
     def doubts(self, server):
-        """Return whether a failed call says nothing about its server."""
+        """Return whether a lost path can explain a failed call."""
         return self.paths.doubts(_key(server))
 
     async def open(self, server, protocol_factory):
--- a/bulrushrudder/entry/server_feedback.py
+++ b/bulrushrudder/entry/server_feedback.py
@@ -2,6 +2,7 @@
 
 from bulrushrudder.core import outcomes
 from bulrushrudder.lifecycle import events
+from bulrushrudder.lifecycle import paths
 from bulrushrudder.placement import events as place_events
 
 # A healthy decode server produces its first token within this time, even
@@ -25,8 +26,8 @@
     that its other callers do not see.
 
     :param event_tokens: output tokens in one event of the answer.
-    :param doubts: function of a server id that returns whether failures
-        and times say nothing about the server, as the path to it is lost.
+    :param doubts: function of a server id that returns whether a lost
+        path can explain failures and times.
     :ivar prefill_s: duration of the last prefill in seconds, 0 if
         unknown.
     :ivar token_s: mean seconds between tokens of the last decode, 0 if
@@ -46,6 +47,7 @@
         self._decode_started_s = None
         self._first_token_s = None
         self._first_index = 0
+        self._answers_relayed = False
 
     def event(self, event, now_s):
         """Update the measurements from an event of the request."""
@@ -55,22 +57,26 @@
                 self._prefill_server = event.prefill
                 self._decode_server = event.decode
                 self._decode_started_s = None if event.prefill else now_s
+                self._answers_relayed = False
                 self.verdict = place_events.Verdict.UNKNOWN
             case events.PrefillDone():
                 self._measure_prefill(now_s)
                 self._decode_started_s = now_s
-            case events.TransferDone():
+            case events.TransferDone(relay=relay):
                 self._first_token_s = None
+                self._answers_relayed = bool(relay)
             case events.TokenArrived(index=index):
                 self._decode_started_s = None
                 self._measure_token(index, now_s)
             case events.DecodeDone():
                 self.verdict = place_events.Verdict.SERVED
-            case events.AttemptFailed(server=server, reason=reason):
+            case events.AttemptFailed(
+                server=server, reason=reason, of_server=of_server
+            ):
                 if (
                     server == self._decode_server
                     and reason in _FAILURE_REASONS
-                    and not self._doubts(server)
+                    and (of_server or not self._doubts(server))
                 ):
                     self.verdict = place_events.Verdict.FAILED
             case events.TimeEnded() | events.CallerGone():
@@ -80,7 +86,8 @@
         """Record a failure if the decode server produced no token in time."""
         if self._decode_started_s is None:
             return
-        if self._doubts(self._decode_server):
+        of_server = paths.is_of_server(self._answers_relayed)
+        if not of_server and self._doubts(self._decode_server):
             return
         if now_s - self._decode_started_s > FIRST_TOKEN_TIMEOUT_S:
             self.verdict = place_events.Verdict.FAILED
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from bulrushrudder.core import outcomes
 from bulrushrudder.placement import server_selector
 
 FIRST_SERVER_ERROR_STATUS = 500
@@ -17,8 +18,8 @@
     :param view: the View of the log.
     :param zone: availability zone of this VM.
     :param client: the ServiceClient that forwards the calls.
-    :param doubts: function of a BackendServer that returns whether a failed
-        call says nothing about it.
+    :param doubts: function of a BackendServer that returns whether a lost
+        path can explain a failed call.
     """
 
     def __init__(self, view, zone, client, doubts=lambda server: False):
@@ -60,9 +61,7 @@
         succeeded = None
         try:
             outcome = await self._client.call(server, call)
-            succeeded = _succeeded(outcome)
-            if not succeeded and self._doubts(server):
-                succeeded = None
+            succeeded = self._succeeded(server, outcome)
             return outcome
         finally:
             for service in server.serves:
@@ -70,6 +69,17 @@
                     server.id, server.incarnation, succeeded, _now_s()
                 )
 
+    def _succeeded(self, server, outcome):
+        """Return whether a server has served a call, None if unknown."""
+        match outcome:
+            case result.Success(reply):
+                return reply.status < FIRST_SERVER_ERROR_STATUS
+            case result.Failure(outcomes.Refusal(of_server=False)) if (
+                self._doubts(server)
+            ):
+                return None
+        return False
+
     async def has_crashed(self, server):
         """Return whether a server has crashed, after a call to it failed."""
         return await self._client.has_crashed(server)
@@ -90,12 +100,5 @@
         return selector
 
 
-def _succeeded(outcome):
-    match outcome:
-        case result.Success(reply):
-            return reply.status < FIRST_SERVER_ERROR_STATUS
-    return False
-
-
 def _now_s():
     return asyncio.get_running_loop().time()
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -32,8 +32,8 @@
     :param call_registrar: the CallRegistrar.
     :param call_permits: the CallPermits.
     :param backpressure: the BackpressureMonitor.
-    :param doubts: function of a BackendServer that returns whether a failed
-        call says nothing about it, as the path of this VM is lost.
+    :param doubts: function of a BackendServer that returns whether a lost
+        path of this VM can explain a failed call.
     :ivar stream_recorder: the StreamRecorder of this process.
     :ivar crash_reporter: the CrashReporter of this process.
     :ivar retries: the RetryPolicy of this process.
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -90,6 +90,7 @@
     """An attempt failed on a backend server.
 
     :param sent: whether the server may have run part of it.
+    :param of_server: whether no lost path can explain it.
     """
 
     attempt: ids.AttemptId
@@ -97,6 +98,7 @@
     reason: outcomes.Reason
     detail: str
     sent: bool = True
+    of_server: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -189,6 +189,19 @@
     refused: bool
 
 
+def is_of_server(relayed, tunnel_broke=False):
+    """Return whether a server itself left a call without an answer.
+
+    A lost path explains what happens on direct connections, and a lost
+    relay a tunnel that breaks. Neither explains a server that is silent, or
+    ends its connection, behind a tunnel that works.
+
+    :param relayed: whether the call went through a tunnel.
+    :param tunnel_broke: whether the tunnel broke on the way.
+    """
+    return relayed and not tunnel_broke
+
+
 class Paths:
     """The paths of one VM to the backend servers.
 
@@ -218,7 +231,10 @@
         return isinstance(self._by_server.get(server), Relayed)
 
     def doubts(self, server):
-        """Return whether a failed call says nothing about its server."""
+        """Return whether a lost path can explain a failed call.
+
+        Failures that are the server's own count in any case.
+        """
         match self._by_server.get(server):
             case Relayed(confirmed=True):
                 return True
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -9,6 +9,7 @@
 from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import connections
 from bulrushrudder.engines import responses
+from bulrushrudder.lifecycle import paths
 from bulrushrudder.platform import headers
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -63,11 +64,13 @@
     """A call without an answer that can be returned to the client.
 
     :param sent: whether the runner may have run it.
+    :param of_server: whether no lost path can explain it.
     """
 
     reason: outcomes.Reason
     detail: str
     sent: bool
+    of_server: bool = False
 
 
 def failure_from(problem):
@@ -75,7 +78,19 @@
     reason = outcomes.Reason.BACKEND_FAILED
     if problem.kind is responses.ProblemKind.UNREACHABLE:
         reason = outcomes.Reason.BACKEND_UNREACHABLE
-    return CallFailure(reason, problem.detail, problem.sent)
+    return CallFailure(reason, problem.detail, problem.sent, problem.of_server)
+
+
+def is_silence_of_server(opened):
+    """Return whether no lost path explains that a call had no answer.
+
+    :param opened: what the pool yielded for the call; None if its time
+        ended before.
+    """
+    match opened:
+        case result.Success(connection):
+            return paths.is_of_server(connection.relay is not None)
+    return False
 
 
 def pool(on_head=connections.ignore_head, network=None):
@@ -103,11 +118,16 @@
         if head.status == 421:
             reason = outcomes.Reason.BACKEND_UNREACHABLE
         return CallFailure(
-            reason, f'runner did not run the call, status {head.status}', False
+            reason,
+            f'runner did not run the call, status {head.status}',
+            sent=False,
+            of_server=True,
         )
     if head.header(headers.ATTEMPT.lower()) is None:
         detail = f'answer without attempt id, status {head.status}'
-        return CallFailure(outcomes.Reason.BACKEND_FAILED, detail, True)
+        return CallFailure(
+            outcomes.Reason.BACKEND_FAILED, detail, True, of_server=True
+        )
     return None
 
 
@@ -166,7 +186,7 @@
         f'at most {MAX_RESPONSE_BYTES} are allowed'
     )
     reason = outcomes.Reason.BACKEND_FAILED
-    return result.Failure(CallFailure(reason, detail, True))
+    return result.Failure(CallFailure(reason, detail, True, of_server=True))
 
 
 async def _drain(connection):
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pydantic
 from returns import result
@@ -75,6 +76,7 @@
             PREFILL_TIMEOUT_BASE_S
             + job.prompt_tokens / PREFILL_TIMEOUT_TOKENS_PER_S
         )
+        opened = None
         try:
             async with timeouts.RunningTimeout(timeout_s):
                 async with self._pool.call(server, call) as opened:
@@ -87,6 +89,7 @@
                     reason,
                     f'no answer to a prefill in {timeout_s:.3f} s',
                     False,
+                    calls.is_silence_of_server(opened),
                 )
             )
         match outcome:
@@ -96,9 +99,8 @@
                     attempt, reply.kv_handle, reply.token_count
                 )
             case result.Failure(failed):
-                return events.AttemptFailed(
-                    attempt, server.id, failed.reason, failed.detail, False
-                )
+                unsent = dataclasses.replace(failed, sent=False)
+                return _attempt_failed(attempt, server, unsent)
         raise AssertionError(
             'unreachable: prefill neither succeeded nor failed'
         )
@@ -130,6 +132,7 @@
         """
         attempt = action.attempt
         call = _encode_decode_call(server, action, source, job)
+        opened = None
         try:
             async with self._pool.call(server, call) as opened:
                 stream_batches = self._follow_stream(
@@ -147,6 +150,7 @@
                     server.id,
                     reason,
                     'decode: timeout waiting for the next part of the stream',
+                    of_server=calls.is_silence_of_server(opened),
                 )
             ]
 
@@ -314,7 +318,9 @@
                 except event_stream.EventTooLongError as error:
                     connection.abort()
                     kind = responses.ProblemKind.INVALID
-                    return [], responses.Problem(kind, str(error), True)
+                    return [], responses.Problem(
+                        kind, str(error), True, of_server=True
+                    )
                 if texts:
                     return texts, None
             case responses.End() | responses.Problem():
@@ -328,13 +334,20 @@
 
 def _attempt_failed(attempt, server, failed):
     return events.AttemptFailed(
-        attempt, server.id, failed.reason, failed.detail, failed.sent
+        attempt,
+        server.id,
+        failed.reason,
+        failed.detail,
+        failed.sent,
+        failed.of_server,
     )
 
 
 def _invalid_reply(detail, sent=True):
     reason = outcomes.Reason.BACKEND_FAILED
-    return result.Failure(calls.CallFailure(reason, detail, sent))
+    return result.Failure(
+        calls.CallFailure(reason, detail, sent, of_server=True)
+    )
 
 
 def _now_s():
--- a/bulrushrudder/platform/services.py
+++ b/bulrushrudder/platform/services.py
@@ -42,20 +42,21 @@
         encoded = forwarded_call.encode(
             server, asyncio.get_running_loop().time()
         )
-        sent = False
+        opened = None
         try:
             async with asyncio.timeout(call.timeout_s):
                 async with self._pool.call(server, encoded, idle_s) as opened:
-                    sent = isinstance(opened, result.Success)
                     return await self._read_answer(opened, call.repeatable)
         except TimeoutError:
             self._pool.examine(server)
             reason = outcomes.Reason.BACKEND_SILENT
             detail = f'no answer in {call.timeout_s:.3f} s'
+            sent = isinstance(opened, result.Success)
             if not sent:
                 reason = outcomes.Reason.BACKEND_UNREACHABLE
                 detail = f'no connection in {call.timeout_s:.3f} s'
-            return _refusal(calls.CallFailure(reason, detail, sent))
+            of_server = calls.is_silence_of_server(opened)
+            return _refusal(calls.CallFailure(reason, detail, sent, of_server))
 
     async def has_crashed(self, server):
         """Return whether a server refuses connections."""
@@ -91,7 +92,9 @@
 
 def _without_promise(head):
     detail = f'status {head.status} does not say that the call has not run'
-    return calls.CallFailure(outcomes.Reason.BACKEND_FAILED, detail, True)
+    return calls.CallFailure(
+        outcomes.Reason.BACKEND_FAILED, detail, True, of_server=True
+    )
 
 
 def _refusal(failed):
@@ -99,5 +102,10 @@
     if failed.sent:
         execution = outcomes.Execution.UNKNOWN
     return result.Failure(
-        outcomes.Refusal(failed.reason, execution, failed.detail)
+        outcomes.Refusal(
+            failed.reason,
+            execution,
+            failed.detail,
+            of_server=failed.of_server,
+        )
     )
--- a/bulrushrudder/protocol/tunnel_ends.py
+++ b/bulrushrudder/protocol/tunnel_ends.py
@@ -2,20 +2,26 @@
 
 From the entry process that dialled, a tunnel carries the bytes of the
 connection as they are. In the other direction they come in chunks with a
-length. A chunk without bytes says that the server closed its connection;
-the end of a tunnel alone does not, so that a relay that dies cannot make an
-answer look complete.
+length. A chunk without bytes says that the server closed its connection, and
+a length that no chunk has says that it reset it. The end of a tunnel alone
+says neither, so that a relay that dies cannot make an answer look complete,
+and does not count as a failure of the server.
 """
 
 import asyncio
 import socket
 import struct
 
+from bulrushrudder.core import path_errors
 from bulrushrudder.utils import sockets
 
 MAX_BUFFERED_BYTES = 64 * 1024
 _LENGTH = struct.Struct('>I')
 _END = _LENGTH.pack(0)
+# A process of an earlier version waits for the bytes of this chunk, and
+# takes the end of the tunnel, which follows, for a break.
+_RESET_LENGTH = 2**32 - 1
+_RESET = _LENGTH.pack(_RESET_LENGTH)
 _RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -31,6 +37,7 @@
         self._pending = bytearray()
         self._chunk_left = 0
         self._ended = False
+        self._server_reset = False
 
     def take_over(self, transport, data):
         """Use a transport whose tunnel has been opened.
@@ -58,9 +65,14 @@
                 return
             (self._chunk_left,) = _LENGTH.unpack_from(self._pending)
             del self._pending[: _LENGTH.size]
-            if not self._chunk_left:
-                self._end()
-                return
+            match self._chunk_left:
+                case 0:
+                    self._end()
+                    return
+                case length if length == _RESET_LENGTH:
+                    self._server_reset = True
+                    self._transport.abort()
+                    return
 
     def eof_received(self):
         """Close the transport."""
@@ -68,8 +80,12 @@
 
     def connection_lost(self, error):
         """Report the end of the tunnel to the connection."""
-        if not self._ended and error is None:
-            error = ConnectionResetError('the tunnel broke')
+        if self._server_reset:
+            error = ConnectionResetError('the server reset its connection')
+        elif not self._ended:
+            error = path_errors.TunnelBrokeError(
+                repr(error) if error else 'the tunnel broke'
+            )
         self._connection.connection_lost(error)
 
     def _feed(self, data):
@@ -219,11 +235,14 @@
     def server_lost(self, error):
         """Pass on the end of the server's connection."""
         transport = self.accepted.transport
-        if error is not None:
-            _reset(transport)
-        elif not transport.is_closing():
-            transport.write(_END)
-            transport.close()
+        match error:
+            case None:
+                _finish(transport, _END)
+            case ConnectionResetError() | BrokenPipeError():
+                _finish(transport, _RESET)
+            case _:
+                # The path of this VM to the server may be lost.
+                _reset(transport)
         self._count_end()
 
     def dialler_lost(self):
@@ -242,6 +261,13 @@
             self.ended.set()
 
 
+def _finish(transport, mark):
+    """Close a transport behind a mark of how the server ended."""
+    if not transport.is_closing():
+        transport.write(mark)
+        transport.close()
+
+
 def _reset(transport):
     """Close a transport so that its peer does not take it for a clean end."""
     sock = transport.get_extra_info('socket')
--- a/bulrushrudder/tests/entry/server_feedback_tests.py
+++ b/bulrushrudder/tests/entry/server_feedback_tests.py
@@ -59,6 +59,49 @@
         self.assert_verdict(place_events.Verdict.UNKNOWN)
 
 
+class FailureBehindLostPathTests(unittest.TestCase):
+    # Guards against a decode server that fails and is never left out, as
+    # the path to it is lost, and against a sound one that is.
+    def verdict(self, *seen):
+        feedback = server_feedback.ServerFeedback(1, lambda server: True)
+        place = ids.RequestId('r1-1')
+        feedback.event(events.PlaceGranted(place, '', DECODE), 0.0)
+        for event in seen:
+            feedback.event(event, 3.0)
+        return feedback.verdict
+
+    def failed(self, reason, of_server):
+        return events.AttemptFailed(
+            ATTEMPT, DECODE, reason, '', of_server=of_server
+        )
+
+    def test_failure_of_the_server_counts(self):
+        for reason in (
+            outcomes.Reason.BACKEND_FAILED,
+            outcomes.Reason.BACKEND_SILENT,
+        ):
+            verdict = self.verdict(self.failed(reason, True))
+            self.assertIs(verdict, place_events.Verdict.FAILED)
+
+    def test_failure_that_the_path_explains_does_not_count(self):
+        for reason in (
+            outcomes.Reason.BACKEND_FAILED,
+            outcomes.Reason.BACKEND_SILENT,
+        ):
+            verdict = self.verdict(self.failed(reason, False))
+            self.assertIs(verdict, place_events.Verdict.UNKNOWN)
+
+    def test_missing_first_token_counts_if_the_head_came_by_a_relay(self):
+        head = events.TransferDone(ATTEMPT, relay='edge-2')
+        verdict = self.verdict(head, events.TimeEnded(True))
+        self.assertIs(verdict, place_events.Verdict.FAILED)
+
+    def test_missing_head_or_direct_first_token_does_not_count(self):
+        for seen in ((), (events.TransferDone(ATTEMPT),)):
+            verdict = self.verdict(*seen, events.TimeEnded(True))
+            self.assertIs(verdict, place_events.Verdict.UNKNOWN)
+
+
 class LostPathTests(unittest.TestCase):
     # Guards against servers that others take for slow, as the search for
     # a way to them counts as their work.
--- a/bulrushrudder/tests/protocol/tunnels_tests.py
+++ b/bulrushrudder/tests/protocol/tunnels_tests.py
@@ -1,12 +1,15 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 import logbook
 from returns import result
 
+from bulrushrudder.core import path_errors
 from bulrushrudder.lifecycle import paths
 from bulrushrudder.protocol import errors
+from bulrushrudder.protocol import tunnel_ends
 from bulrushrudder.protocol import tunnel_messages
 from bulrushrudder.protocol import tunnels
 from bulrushrudder.tests.builders import fleet
@@ -169,6 +172,10 @@
             await scripted_engines.reset(writer)
         async with asyncio.timeout(TIMEOUT_S):
             self.assertIsInstance(await user.lost, OSError)
+        # Guards against a server's reset that counts as a lost path.
+        self.assertNotIsInstance(
+            user.lost.result(), path_errors.TunnelBrokeError
+        )
         self.assertFalse(user.at_eof)
 
     async def test_end_of_the_relay_is_no_clean_end(self):
@@ -178,8 +185,17 @@
         self.relay.paths.close()
         async with asyncio.timeout(TIMEOUT_S):
             self.assertIsInstance(await user.lost, OSError)
+        self.assertIsInstance(user.lost.result(), path_errors.TunnelBrokeError)
         self.assertFalse(user.at_eof)
 
+    async def test_lost_path_of_the_relay_is_no_reset_of_the_server(self):
+        accepted = mock.Mock()
+        accepted.is_closing.return_value = False
+        tunnel = tunnel_ends.Tunnel(accepted, tunnel_ends.ServerEnd())
+        tunnel.server_lost(TimeoutError('no acknowledgement'))
+        accepted.write.assert_not_called()
+        accepted.abort.assert_called_once_with()
+
     async def test_slow_reader_holds_up_the_server(self):
         user, _, writer = await self.open()
         user.transport.pause_reading()
