Tell crashes while one VM is frozen

Callers of a crashed server waited 1.5 s in some calls, which then ended as a lost path instead of a crash, while one other VM accepted connections and answered none.

Cause: a VM that truthfully said "down" was left out for 3 s, while its word is remembered for 1 s. The next search found only the frozen VM sound and asked it alone. A search also waited for all pending asks, whatever the others had said.

Change: VMs that said "down" stay sound and are asked for that server after the others, the one that said so first at their head. A search whose verdict is there ends when its next batch would be due, so that a relay which opens a tunnel a little later still counts.

--- a/bulrushrudder/entry/relay_search.py
+++ b/bulrushrudder/entry/relay_search.py
@@ -14,7 +14,8 @@
 from bulrushrudder.protocol import tunnels
 from bulrushrudder.utils import timeouts
 
-# Further VMs are asked if none has opened a tunnel after this time.
+# Further VMs are asked if none has opened a tunnel after this time. Once
+# the server is known to be down, nobody is waited for any longer.
 NEXT_BATCH_S = 0.25
 SEARCH_TIMEOUT_S = 1.5
 
@@ -103,12 +104,14 @@
         while batches or asks.pending:
             if asks.down:
                 batches = []
+                if _now_s() >= next_s:
+                    break
             if batches and (not asks.pending or _now_s() >= next_s):
                 for owner in batches.pop(0):
                     asks.start(owner, self._ask(owner, key, protocol_factory))
                 next_s = _now_s() + NEXT_BATCH_S
             for owner, answer in await asks.answers(
-                next_s - _now_s() if batches else None
+                max(0.0, next_s - _now_s()) if batches or asks.down else None
             ):
                 match answer:
                     case result.Success(connection):
--- a/bulrushrudder/lifecycle/relays.py
+++ b/bulrushrudder/lifecycle/relays.py
@@ -65,6 +65,7 @@
         self._working_until_s = {}
         self._failed_until_s = {}
         self._failed_for_server_until_s = {}
+        self._denied_until_s = {}
         self._tunnels_by_owner = {}
 
     def candidates(self, open_sessions):
@@ -83,7 +84,9 @@
         """Return lists of Owners to ask for a server, one after the other.
 
         Those that relayed lately come first, the least used of them at the
-        head; those that failed lately are left out unless all have.
+        head; those that failed lately are left out unless all have. Those
+        that said lately that the server is down come last, the one that
+        said so first at their head.
 
         :param server: the ServerKey.
         """
@@ -105,15 +108,20 @@
             if owner not in self._failed_until_s
             and (owner, server) not in self._failed_for_server_until_s
         ]
-        working = [o for o in sound if o in self._working_until_s]
-        others = [o for o in sound or by_owner if o not in working]
+        denied = [o for o in sound if (o, server) in self._denied_until_s]
+        asked_first = [o for o in sound or by_owner if o not in denied]
+        working = [
+            o for o in asked_first if sound and o in self._working_until_s
+        ]
+        others = [o for o in asked_first if o not in working]
         working.sort(key=lambda o: (self._uses(o), self._weight(o)))
         others.sort(key=self._weight, reverse=True)
         own = [o for o in others if by_owner[o].zone == self._zone]
         first_own = own[:ASKED_OF_OWN_ZONE]
         foreign = _spread([o for o in others if o not in own], by_owner)
         rest = own[ASKED_OF_OWN_ZONE:]
-        return working, [*first_own, *foreign, *rest]
+        denied.sort(key=lambda o: self._denied_until_s[o, server])
+        return working, [*first_own, *foreign, *rest, *denied]
 
     def opened(self, owner, now_s):
         """Record that a relay opened a tunnel."""
@@ -128,6 +136,8 @@
         """
         until_s = now_s + FAILED_MEMORY_S
         match answer:
+            case Answer(says_down=True):
+                self._denied_until_s[owner, server] = until_s
             case (
                 Answer(problem=paths.RelayProblem.UNKNOWN_SERVER)
                 | Answer(reaches_others=True)
@@ -148,6 +158,7 @@
             self._working_until_s,
             self._failed_until_s,
             self._failed_for_server_until_s,
+            self._denied_until_s,
         ):
             for key in [k for k, until_s in table.items() if until_s <= now_s]:
                 del table[key]
--- a/bulrushrudder/tests/builders/relays.py
+++ b/bulrushrudder/tests/builders/relays.py
@@ -114,3 +114,38 @@
 
     async def _ignore(self, link_, message):
         return None
+
+
+class Recorder(asyncio.BufferedProtocol):
+    """A connection of a user of relays that drops what it receives."""
+
+    def __init__(self):
+        self.relay = None
+        self.last_used_s = 0.0
+        self.closed = False
+        self.idle = False
+        self.reusable_until_s = 0.0
+        self._transport = None
+        self._buffer = bytearray(1000)
+
+    def connection_made(self, transport):
+        """Store the transport."""
+        self._transport = transport
+
+    def get_buffer(self, size):
+        """Return the buffer."""
+        return memoryview(self._buffer)
+
+    def buffer_updated(self, size):
+        """Drop what has arrived."""
+
+    def eof_received(self):
+        """Let the connection close."""
+
+    def connection_lost(self, error):
+        """Record the end."""
+        self.closed = True
+
+    def abort(self):
+        """Close the connection."""
+        self._transport.abort()
--- a/bulrushrudder/tests/lifecycle/relays_tests.py
+++ b/bulrushrudder/tests/lifecycle/relays_tests.py
@@ -97,6 +97,31 @@
         other = self.relays.batches(few, OTHER, 1.0)
         self.assertIn(owner('a-1'), [vm for batch in other for vm in batch])
 
+    # Guards against a crash that cannot be told, as only a frozen VM is
+    # left to be asked.
+    def test_vm_that_says_that_a_server_is_down_can_be_asked_again(self):
+        few = self.candidates[:4]
+        for candidate in few[:3]:
+            self.relays.failed(candidate.owner, SERVER, DOWN, 0.0)
+        asked = [
+            vm
+            for batch in self.relays.batches(few, SERVER, 1.0)
+            for vm in batch
+        ]
+        self.assertCountEqual(asked, [c.owner for c in few])
+        self.assertEqual(asked[0], few[3].owner)
+
+    def test_vms_that_said_down_are_asked_in_turns(self):
+        few = self.candidates[:6]
+        asked = []
+        for step in range(4):
+            now_s = step / 2
+            first = self.relays.batches(few, SERVER, now_s)[0]
+            for vm in first:
+                self.relays.failed(vm, SERVER, DOWN, now_s)
+            asked += first
+        self.assertCountEqual(asked, 2 * [c.owner for c in few])
+
     def test_all_are_asked_if_all_have_failed(self):
         for candidate in self.candidates:
             self.relays.failed(candidate.owner, SERVER, CUT_OFF, 0.0)
