Search once for all callers, and remember that no relay works

Callers of a VM without paths were held for 1.6 s and then refused while no other VM reached the servers either, and their VM flooded the others with asks.

Cause: that no relay works was remembered for servers with a sound path only, and a search that ran out of time was not remembered at all. Each call started a search of its own.

Change: one search per server at a time. Those who wait share its result and open connections of their own through the relay found; the next search begins only if that fails. No relay is remembered for a second for lost paths too: a call is refused at once if a direct connection has failed as well (the new plan Unreachable), and goes directly otherwise. A probe or a relay that works ends this memory.

--- a/bulrushrudder/entry/relay_search.py
+++ b/bulrushrudder/entry/relay_search.py
@@ -36,14 +36,12 @@
     """No relay opened a tunnel.
 
     :param asked: how many VMs were asked.
-    :param answered: whether all of them have answered.
     :param down: whether one of them reaches other servers.
     :param refused: whether that one says that the server refuses
         connections.
     """
 
     asked: int
-    answered: bool
     down: bool
     refused: bool
 
@@ -99,6 +97,26 @@
         finally:
             asks.cancel()
 
+    async def open_through(self, owner, server, protocol_factory):
+        """Ask one relay for a connection.
+
+        :param owner: its Owner.
+        :returns: an Opened, or None.
+        """
+        key = paths.ServerKey(server.id, server.incarnation)
+        try:
+            async with timeouts.RunningTimeout(SEARCH_TIMEOUT_S):
+                answer = await self._ask(owner, key, protocol_factory)
+        except TimeoutError:
+            answer = result.Failure(None)
+        match answer:
+            case result.Success(connection):
+                self._relays.opened(owner, _now_s())
+                return Opened(connection, owner)
+            case result.Failure(refused):
+                self._relays.failed(owner, key, refused, _now_s())
+        return None
+
     async def _ask_batches(self, batches, asks, key, protocol_factory):
         next_s = _now_s()
         while batches or asks.pending:
@@ -187,12 +205,7 @@
             )
 
     def verdict(self):
-        return NotOpened(
-            len(self._owners_by_task),
-            not self.pending,
-            self.down,
-            self._refused,
-        )
+        return NotOpened(len(self._owners_by_task), self.down, self._refused)
 
     def cancel(self):
         for task in self.pending:
--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -36,6 +36,7 @@
         self.paths = paths.Paths()
         self._relayed = set()
         self._tasks = set()
+        self._searches_by_key = {}
         self._lost = asyncio.Event()
 
     def is_lost(self, server):
@@ -71,6 +72,8 @@
                     return await self._open_direct(server, protocol_factory)
                 except (OSError, TimeoutError) as error:
                     raise _unconfirmed(error, refused) from error
+            case paths.Unreachable():
+                raise PathLostError('neither this VM nor a relay connects')
         raise AssertionError('unreachable: no plan for a connection')
 
     def may_reuse(self, server, connection):
@@ -165,15 +168,25 @@
     ):
         """Open a connection through a relay.
 
-        The search goes on if its caller gives up, since what it finds out
-        serves the next calls.
+        One search at a time asks for a server. Those who wait for it open
+        their connections through the relay that it finds.
 
         :returns: an Opened or a NotOpened.
         """
-        searching = self._spawn(
-            self._search_relay(
-                server, protocol_factory, asked_s, direct_failed
-            )
+        key = _key(server)
+        while (searching := self._searches_by_key.get(key)) is not None:
+            match await asyncio.shield(searching):
+                case relay_search.NotOpened() as found:
+                    return found
+                case relay_search.Opened(owner=owner):
+                    opened = await self._search.open_through(
+                        owner, server, protocol_factory
+                    )
+                    if opened is not None:
+                        self._adopt(opened)
+                        return opened
+        searching = self._begin_search(
+            server, protocol_factory, asked_s, direct_failed
         )
         try:
             return await asyncio.shield(searching)
@@ -181,26 +194,51 @@
             searching.add_done_callback(_abort)
             raise
 
+    def _begin_search(self, server, protocol_factory, asked_s, direct_failed):
+        """Search for a relay.
+
+        The search goes on if its caller gives up, since what it finds out
+        serves the others who wait, and the next calls.
+
+        :returns: the task, whose result is an Opened or a NotOpened.
+        """
+        key = _key(server)
+        searching = self._spawn(
+            self._search_relay(
+                server, protocol_factory, asked_s, direct_failed
+            )
+        )
+        self._searches_by_key[key] = searching
+        searching.add_done_callback(
+            lambda _: self._searches_by_key.pop(key, None)
+        )
+        return searching
+
     async def _search_relay(
         self, server, protocol_factory, asked_s, direct_failed
     ):
         key = _key(server)
         found = await self._search.open(server, protocol_factory)
         match found:
-            case relay_search.Opened(connection=connection, owner=owner):
-                connection.relay = owner
-                self._relayed.add(connection)
-                self._metrics.count_relayed_connection()
+            case relay_search.Opened(owner=owner):
+                self._adopt(found)
                 self._handle(
                     paths.RelayOpened(key, owner.vm, asked_s, direct_failed)
                 )
             case relay_search.NotOpened(down=True, refused=refused):
                 self._handle(paths.FoundDown(key, refused))
-            case relay_search.NotOpened(answered=True, asked=asked) if asked:
+            case relay_search.NotOpened(asked=asked) if asked:
                 self._handle(paths.FoundNoRelay(key))
         self._lost.set()
         return found
 
+    def _adopt(self, opened):
+        """Keep a connection through a relay, to close it when it idles."""
+        opened.connection.relay = opened.owner
+        self._relayed.add(opened.connection)
+        self._metrics.count_relayed_connection()
+        self._lost.set()
+
     async def _probe(self, key):
         """Try the direct path to a server, without a call."""
         server = self._view.state.servers.by_id.get(key.id)
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -14,7 +14,8 @@
 
 from bulrushrudder.core import ids
 
-# A server that is down is not asked for through relays for this time.
+# A server that is down, or that no relay reaches, is not asked for through
+# relays for this time.
 DOWN_MEMORY_S = 1.0
 PROBE_INTERVAL_S = 1.0
 # The direct path is probed only for servers that are in use.
@@ -161,7 +162,12 @@
     refused: bool
 
 
-Plan = DirectFirst | RelaysFirst | DirectOnly
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable:
+    """Plan: give up; direct connections and relays have just failed."""
+
+
+Plan = DirectFirst | RelaysFirst | DirectOnly | Unreachable
 
 
 @dataclasses.dataclass(slots=True)
@@ -172,12 +178,15 @@
     :param used_s: when it was last asked for.
     :param probe_s: when the direct path is to be probed.
     :param confirmed: whether a direct connection has failed.
+    :param no_relay_until_s: until when no relay is asked, as none opened a
+        tunnel.
     """
 
     since_s: float
     used_s: float
     probe_s: float
     confirmed: bool
+    no_relay_until_s: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -229,7 +238,11 @@
         match self._by_server.get(server):
             case Relayed() as path:
                 path.used_s = now_s
-                return RelaysFirst()
+                if now_s >= path.no_relay_until_s:
+                    return RelaysFirst()
+                if path.confirmed:
+                    return Unreachable()
+                return DirectOnly(False, False)
             case Down() as path if now_s < path.until_s:
                 return DirectOnly(path.confirmed, path.refused)
         if self.is_cut_off() or self._is_useless(server, now_s):
@@ -292,9 +305,12 @@
                 self._forget_loss(server)
                 return []
             case FoundNoRelay(server=server):
-                if not self.is_lost(server):
-                    until_s = now_s + DOWN_MEMORY_S
-                    self._by_server[server] = Down(until_s, False, False)
+                until_s = now_s + DOWN_MEMORY_S
+                match self._by_server.get(server):
+                    case Relayed() as path:
+                        path.no_relay_until_s = until_s
+                    case _:
+                        self._by_server[server] = Down(until_s, False, False)
                 return []
         raise AssertionError(f'unknown event {event!r}')
 
@@ -320,6 +336,7 @@
         path = self._by_server.get(event.server)
         if isinstance(path, Relayed):
             path.used_s = now_s
+            path.no_relay_until_s = -math.inf
             return []
         probe_s = now_s
         if event.direct_failed:
--- a/bulrushrudder/tests/entry/relay_search_tests.py
+++ b/bulrushrudder/tests/entry/relay_search_tests.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from bulrushrudder.entry import routed_network
 from bulrushrudder.lifecycle import paths
 from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import relays
@@ -15,6 +16,10 @@
 
 # A VM that is known to be of no use is waited for this long at most.
 SOON_S = 0.9
+AT_ONCE_S = 0.2
+FLEET = 11
+MANY = 30
+MAX_ASKED = 10
 
 
 class SearchTestCase(unittest.IsolatedAsyncioTestCase):
@@ -81,3 +86,60 @@
             self.assertIsInstance(opened, ConnectionRefusedError)
             self.assertLess(took_s, SOON_S)
             await asyncio.sleep(paths.DOWN_MEMORY_S + 0.1)
+
+
+class SharedSearchTests(SearchTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server = await self.running_server('s-0')
+        self.vms = await self.start_vms(
+            FLEET, self.server, await self.running_server('s-1')
+        )
+        self.first = self.vms[0]
+        self.first.cut.how = lambda server: ConnectionRefusedError()
+
+    def relay_dials(self):
+        return sum(len(vm.cut.dialled) for vm in self.vms[1:])
+
+    # Guards against a search by each of many calls.
+    async def test_calls_at_once_share_a_search(self):
+        opened = await asyncio.gather(
+            *(self.open(self.first, self.server) for _ in range(MANY))
+        )
+        connections = {connection for connection, _ in opened}
+        self.assertEqual(len(connections), MANY)
+        for connection in connections:
+            self.assertIsInstance(connection, relays.Recorder)
+            self.assertIsNotNone(connection.relay)
+        self.assertLess(self.relay_dials(), MANY + MAX_ASKED)
+
+    async def test_calls_that_wait_survive_one_that_gives_up(self):
+        for vm in self.vms[1:]:
+            vm.cut.how = lambda server: TimeoutError()
+        calling = asyncio.create_task(self.open(self.first, self.server))
+        waiting = asyncio.create_task(self.open(self.first, self.server))
+        await asyncio.sleep(0.1)
+        for vm in self.vms[1:]:
+            vm.cut.how = lambda server: None
+        calling.cancel()
+        connection, _ = await waiting
+        self.assertIsInstance(connection, relays.Recorder)
+
+    # Guards against calls that are held, and against a storm of asks, when
+    # no VM reaches a server.
+    async def test_nobody_is_asked_again_while_no_relay_works(self):
+        await self.open(self.first, self.server)
+        await asyncio.sleep(AT_ONCE_S)
+        before = self.relay_dials()
+        for vm in self.vms:
+            vm.cut.how = lambda server: TimeoutError()
+        await asyncio.gather(
+            *(self.open(self.first, self.server) for _ in range(MANY))
+        )
+        dials = self.relay_dials()
+        self.assertLessEqual(dials - before, 2 * MAX_ASKED)
+        for _ in range(MANY):
+            error, took_s = await self.open(self.first, self.server)
+            self.assertIsInstance(error, routed_network.PathLostError)
+            self.assertLess(took_s, AT_ONCE_S)
+        self.assertEqual(self.relay_dials(), dials)
