Let two VMs agree before a server counts as down

A server that ran was refused as crashed when the asking VM and one of the first three VMs that it asked had lost their paths to this server alone, and the others asked with it had no paths at all.

Cause: the word of a single relay that reaches other servers ended the search after its first batch. A relay also passed on that others had told it that a server is down, as if it had seen that.

Evidence, eight VMs and a server that runs: the tests test_one_vm_does_not_end_the_search and test_vm_that_was_told_so_dials_the_server_itself end with 'refused, also through other VMs' on the code before, and with a tunnel now. A crash costs three asks and six dials of other VMs, as before, and now also three after a relay worked lately (four before).

Change: a verdict needs two relays that reach others, or the only other VM. A relay refuses at once where it has lost its own path; a server that it takes as down it dials. Asks of other VMs do not keep a lost path in use any more.

--- a/bulrushrudder/entry/relay_search.py
+++ b/bulrushrudder/entry/relay_search.py
@@ -36,9 +36,9 @@
     """No relay opened a tunnel.
 
     :param asked: how many VMs were asked.
-    :param down: whether one of them reaches other servers.
-    :param refused: whether that one says that the server refuses
-        connections.
+    :param down: whether those that reach other servers agree that this
+        one is down.
+    :param refused: whether one of those says that it refuses connections.
     """
 
     asked: int
@@ -79,12 +79,11 @@
         :returns: an Opened or a NotOpened.
         """
         key = paths.ServerKey(server.id, server.incarnation)
-        batches = self._relays.batches(
-            self._relays.candidates(self._view.state.sessions.by_vm.values()),
-            key,
-            _now_s(),
+        candidates = self._relays.candidates(
+            self._view.state.sessions.by_vm.values()
         )
-        asks = _Asks()
+        batches = self._relays.batches(candidates, key, _now_s())
+        asks = _Asks(relays.Verdict(candidates))
         try:
             async with timeouts.RunningTimeout(SEARCH_TIMEOUT_S):
                 return await self._ask_batches(
@@ -93,7 +92,7 @@
         except TimeoutError:
             for owner in asks.pending_owners():
                 self._relays.failed(owner, key, None, _now_s())
-            return asks.verdict()
+            return asks.not_opened()
         finally:
             asks.cancel()
 
@@ -120,7 +119,7 @@
     async def _ask_batches(self, batches, asks, key, protocol_factory):
         next_s = _now_s()
         while batches or asks.pending:
-            if asks.down:
+            if asks.verdict.down:
                 batches = []
                 if _now_s() >= next_s:
                     break
@@ -129,7 +128,9 @@
                     asks.start(owner, self._ask(owner, key, protocol_factory))
                 next_s = _now_s() + NEXT_BATCH_S
             for owner, answer in await asks.answers(
-                max(0.0, next_s - _now_s()) if batches or asks.down else None
+                max(0.0, next_s - _now_s())
+                if batches or asks.verdict.down
+                else None
             ):
                 match answer:
                     case result.Success(connection):
@@ -137,8 +138,8 @@
                         return Opened(connection, owner)
                     case result.Failure(refused):
                         self._relays.failed(owner, key, refused, _now_s())
-                        asks.record(refused)
-        return asks.verdict()
+                        asks.verdict.record(refused)
+        return asks.not_opened()
 
     async def _ask(self, owner, key, protocol_factory):
         """Ask one VM.
@@ -165,12 +166,14 @@
 
 
 class _Asks:
-    """The VMs that are being asked, and what the others have said."""
+    """The VMs that are being asked, and what the others have said.
 
-    def __init__(self):
+    :param verdict: the relays Verdict.
+    """
+
+    def __init__(self, verdict):
         self.pending = set()
-        self.down = False
-        self._refused = False
+        self.verdict = verdict
         self._owners_by_task = {}
 
     def start(self, owner, coroutine):
@@ -197,15 +200,12 @@
         unused = {self._owners_by_task[task] for task in opened[1:]}
         return [(o, answer) for o, answer in answers if o not in unused]
 
-    def record(self, answer):
-        if answer is not None and answer.says_down:
-            self.down = True
-            self._refused |= (
-                answer.problem is paths.RelayProblem.SERVER_REFUSES
-            )
-
-    def verdict(self):
-        return NotOpened(len(self._owners_by_task), self.down, self._refused)
+    def not_opened(self):
+        return NotOpened(
+            len(self._owners_by_task),
+            self.verdict.down,
+            self.verdict.down and self.verdict.refused,
+        )
 
     def cancel(self):
         for task in self.pending:
--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -47,6 +47,10 @@
         """Return the Plan for a connection to a server."""
         return self.paths.plan(_key(server), _now_s())
 
+    def may_relay(self, server):
+        """Return whether this VM dials a server for another VM."""
+        return self.paths.may_relay(_key(server), _now_s())
+
     def doubts(self, server):
         """Return whether a failed call says nothing about its server."""
         return self.paths.doubts(_key(server))
--- a/bulrushrudder/entry/tunnel_server.py
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -121,14 +121,9 @@
         server = self._view.state.servers.by_id.get(request.server)
         if server is None or server.incarnation != request.incarnation:
             return _refused(paths.RelayProblem.UNKNOWN_SERVER)
-        match self._network.plan(server):
-            case paths.DirectFirst():
-                return await self._dial(server)
-            case paths.DirectOnly(confirmed=True, refused=True):
-                return _refused(paths.RelayProblem.SERVER_REFUSES, True)
-            case paths.DirectOnly(confirmed=True):
-                return _refused(paths.RelayProblem.SERVER_SILENT, True)
-        return _refused(paths.RelayProblem.PATH_LOST)
+        if not self._network.may_relay(server):
+            return _refused(paths.RelayProblem.PATH_LOST)
+        return await self._dial(server)
 
     async def _dial(self, server):
         """Dial a server, and another one if it does not accept at once.
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -249,6 +249,19 @@
             return RelaysFirst()
         return DirectFirst()
 
+    def may_relay(self, server, now_s):
+        """Return whether this VM dials a server for another VM.
+
+        It does so for a server that it takes as down: what it was told is
+        not what it observes itself.
+        """
+        match self._by_server.get(server):
+            case Relayed():
+                return False
+            case Down(confirmed=confirmed) as path if now_s < path.until_s:
+                return confirmed
+        return not (self.is_cut_off() or self._is_useless(server, now_s))
+
     def is_cut_off(self):
         """Return whether new paths fail one after the other."""
         return len(self._lost_in_a_row) >= PATHS_OF_A_CUT
--- a/bulrushrudder/lifecycle/relays.py
+++ b/bulrushrudder/lifecycle/relays.py
@@ -17,6 +17,8 @@
 # A whole zone may have lost its paths: of the VMs asked first, this number
 # may be of the zone of this VM.
 ASKED_OF_OWN_ZONE = 1
+# VMs that must say that a server is down, if there are as many others.
+VOICES = 2
 WORKING_MEMORY_S = 5.0
 FAILED_MEMORY_S = 3.0
 _SERVER_PROBLEMS = (
@@ -52,6 +54,35 @@
         return self.reaches_others and self.problem in _SERVER_PROBLEMS
 
 
+class Verdict:
+    """What the VMs that were asked for one server say together.
+
+    One VM may have lost its path to this server alone, which it cannot
+    tell from a crash.
+
+    :param candidates: the Candidates.
+    :ivar refused: whether one of those that reach others says that the
+        server refuses connections.
+    """
+
+    def __init__(self, candidates):
+        self._needed = min(VOICES, len(candidates))
+        self._voices = 0
+        self.refused = False
+
+    @property
+    def down(self):
+        """Return whether the server, not a path, has failed."""
+        return 0 < self._needed <= self._voices
+
+    def record(self, answer):
+        """Record the Answer of a VM; None if it gave none."""
+        match answer:
+            case Answer(says_down=True, problem=problem):
+                self._voices += 1
+                self.refused |= problem is paths.RelayProblem.SERVER_REFUSES
+
+
 class Relays:
     """What this VM knows about the VMs that may relay for it.
 
@@ -93,11 +124,13 @@
         working, others = self._ranked(candidates, server, now_s)
         first, queue = working[:1], [*working[1:], *others]
         queue = queue[: MAX_ASKED - len(first)]
-        batches = [
+        # With the one asked alone, no more are asked than without it.
+        second = ASKED_AT_ONCE - len(first)
+        batches = [first, queue[:second]] + [
             queue[start : start + ASKED_AT_ONCE]
-            for start in range(0, len(queue), ASKED_AT_ONCE)
+            for start in range(second, len(queue), ASKED_AT_ONCE)
         ]
-        return [first, *batches] if first else batches
+        return [batch for batch in batches if batch]
 
     def _ranked(self, candidates, server, now_s):
         self._forget_expired(now_s)
--- a/bulrushrudder/tests/entry/relay_search_tests.py
+++ b/bulrushrudder/tests/entry/relay_search_tests.py
@@ -10,6 +10,7 @@
 
 from bulrushrudder.entry import routed_network
 from bulrushrudder.lifecycle import paths
+from bulrushrudder.lifecycle import relays as lifecycle_relays
 from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import relays
 from bulrushrudder.utils import ports
@@ -143,3 +144,78 @@
             self.assertIsInstance(error, routed_network.PathLostError)
             self.assertLess(took_s, AT_ONCE_S)
         self.assertEqual(self.relay_dials(), dials)
+
+
+class DownTests(SearchTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server = await self.running_server('s-0')
+        self.vms = await self.start_vms(
+            8, self.server, await self.running_server('s-1')
+        )
+        self.first = self.vms[0]
+        self.cut_from_server(self.first)
+
+    def cut_from_server(self, vm):
+        vm.cut.how = lambda server: (
+            ConnectionRefusedError() if server.id == self.server.id else None
+        )
+
+    def asked_first(self):
+        """Return the VMs that the first VM asks at first."""
+        sessions = self.first.view.state.sessions.by_vm
+        search = lifecycle_relays.Relays(self.first.owner, self.first.zone)
+        batches = search.batches(
+            search.candidates(sessions.values()),
+            paths.ServerKey(self.server.id, self.server.incarnation),
+            0.0,
+        )
+        return [vm for vm in self.vms if vm.owner in batches[0]]
+
+    # Guards against one VM without a path to a server, whose word alone
+    # makes the server crashed.
+    async def test_one_vm_does_not_end_the_search(self):
+        one, *others = self.asked_first()
+        self.cut_from_server(one)
+        for vm in others:
+            vm.cut.how = lambda server: ConnectionRefusedError()
+        connection, _ = await self.open(self.first, self.server)
+        self.assertIsInstance(connection, relays.Recorder)
+
+    async def test_tunnel_counts_more_than_two_that_say_down(self):
+        *two, _ = self.asked_first()
+        for vm in two:
+            self.cut_from_server(vm)
+        connection, _ = await self.open(self.first, self.server)
+        self.assertIsInstance(connection, relays.Recorder)
+
+    # Guards against a wrong verdict that repeats itself.
+    async def test_others_are_asked_after_those_who_say_down(self):
+        for vm in self.asked_first():
+            self.cut_from_server(vm)
+        await self.open(self.first, self.server)
+        await asyncio.sleep(paths.DOWN_MEMORY_S + 0.1)
+        connection, _ = await self.open(self.first, self.server)
+        self.assertIsInstance(connection, relays.Recorder)
+
+    # Guards against a verdict that a VM was told and passes on as seen.
+    async def test_vm_that_was_told_so_dials_the_server_itself(self):
+        key = paths.ServerKey(self.server.id, self.server.incarnation)
+        for vm in self.vms[1:]:
+            vm.network.paths.handle(
+                paths.FoundDown(key, True), asyncio.get_running_loop().time()
+            )
+        connection, _ = await self.open(self.first, self.server)
+        self.assertIsInstance(connection, relays.Recorder)
+
+    # Guards against a crash that costs the other VMs more.
+    async def test_crash_costs_three_asks_a_second(self):
+        for vm in self.vms[1:]:
+            self.cut_from_server(vm)
+        for _ in range(MANY):
+            error, _ = await self.open(self.first, self.server)
+            self.assertIsInstance(error, ConnectionRefusedError)
+        asked = [vm for vm in self.vms[1:] if vm.cut.dialled]
+        self.assertEqual(len(asked), 3)
+        for vm in asked:
+            self.assertLessEqual(len(vm.cut.dialled), 2)
--- a/bulrushrudder/tests/lifecycle/paths_tests.py
+++ b/bulrushrudder/tests/lifecycle/paths_tests.py
@@ -212,3 +212,23 @@
         self.assertTrue(self.paths.may_reuse(key(3), 5.1))
         self.restore(key(1), 6.0)
         self.assertTrue(self.paths.may_reuse(key(3), 4.9))
+
+    # Guards against the word of another VM that is passed on as seen.
+    def test_server_that_others_say_is_down_is_dialled_for_others(self):
+        self.paths.handle(paths.FoundDown(key(1), True), 1.0)
+        self.assertTrue(self.paths.may_relay(key(1), 1.1))
+
+    def test_server_without_a_direct_path_is_not_dialled_for_others(self):
+        self.assertTrue(self.paths.may_relay(key(1), 1.0))
+        self.lose(key(1), 1.0)
+        self.assertFalse(self.paths.may_relay(key(1), 1.1))
+        self.paths.handle(paths.FoundNoRelay(key(2)), 1.0)
+        self.assertFalse(self.paths.may_relay(key(2), 1.1))
+        self.assertTrue(self.paths.may_relay(key(2), 2.1))
+        self.lose(key(3), 1.0)
+        self.assertFalse(self.paths.may_relay(key(4), 1.1))
+
+    def test_asks_of_other_vms_do_not_keep_a_path_in_use(self):
+        self.lose(key(1), 0.0)
+        self.paths.may_relay(key(1), paths.IN_USE_S)
+        self.assertEqual(self.paths.due_probes(paths.IN_USE_S + 0.1), [])
--- a/bulrushrudder/tests/lifecycle/relays_tests.py
+++ b/bulrushrudder/tests/lifecycle/relays_tests.py
@@ -132,3 +132,30 @@
         self.assertFalse(CUT_OFF.says_down)
         lost = relays.Answer(paths.RelayProblem.PATH_LOST, True)
         self.assertFalse(lost.says_down)
+
+    # Guards against a server that one VM without a path to it calls down.
+    def test_two_vms_must_say_that_a_server_is_down(self):
+        verdict = relays.Verdict(self.candidates)
+        verdict.record(DOWN)
+        verdict.record(CUT_OFF)
+        verdict.record(None)
+        self.assertFalse(verdict.down)
+        verdict.record(DOWN)
+        self.assertTrue(verdict.down)
+        self.assertTrue(verdict.refused)
+
+    def test_the_only_other_vm_says_that_a_server_is_down(self):
+        verdict = relays.Verdict(self.candidates[:1])
+        self.assertFalse(verdict.down)
+        verdict.record(DOWN)
+        self.assertTrue(verdict.down)
+
+    def test_nobody_says_that_a_server_is_down_without_other_vms(self):
+        self.assertFalse(relays.Verdict([]).down)
+
+    # Guards against a crash that costs more asks after a relay worked.
+    def test_first_vms_asked_are_three_at_most(self):
+        self.assertEqual(len(self.batches()[0]), 3)
+        self.relays.opened(owner('c-3'), 0.0)
+        alone, second, *_ = self.batches(1.0)
+        self.assertEqual((len(alone), len(second)), (1, 2))
