Refuse at once while relays are searched again in vain

Callers whose server no VM reached were still held once in each round of search and memory: those who came after the memory of "no relay" had ended waited for the next search of up to 1.5 s.

The new test test_calls_do_not_wait_for_the_searches_that_follow fails on the code before with a call that waits and ends as a time-out.

Change: a call that finds the memory ended begins the next search and is refused at once as well, for 2 s; the calls after it use the relay that the search finds. A call that comes later than that waits.

--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -76,7 +76,11 @@
                     return await self._open_direct(server, protocol_factory)
                 except (OSError, TimeoutError) as error:
                     raise _unconfirmed(error, refused) from error
-            case paths.Unreachable():
+            case paths.Unreachable(ask_again=ask_again):
+                if ask_again and _key(server) not in self._searches_by_key:
+                    self._begin_search(
+                        server, protocol_factory, _now_s(), True
+                    ).add_done_callback(_abort)
                 raise PathLostError('neither this VM nor a relay connects')
         raise AssertionError('unreachable: no plan for a connection')
 
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -17,6 +17,8 @@
 # A server that is down, or that no relay reaches, is not asked for through
 # relays for this time.
 DOWN_MEMORY_S = 1.0
+# While no relay works, calls do not wait for the search that follows.
+RENEWAL_S = 2.0
 PROBE_INTERVAL_S = 1.0
 # The direct path is probed only for servers that are in use.
 IN_USE_S = 3.0
@@ -164,7 +166,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreachable:
-    """Plan: give up; direct connections and relays have just failed."""
+    """Plan: give up; direct connections and relays have just failed.
+
+    :param ask_again: whether relays are to be asked, for later calls.
+    """
+
+    ask_again: bool
 
 
 Plan = DirectFirst | RelaysFirst | DirectOnly | Unreachable
@@ -213,9 +220,7 @@
     @property
     def lost(self):
         """Return the number of lost paths."""
-        return sum(
-            isinstance(path, Relayed) for path in self._by_server.values()
-        )
+        return sum(map(self.is_lost, self._by_server))
 
     @property
     def idle(self):
@@ -238,11 +243,12 @@
         match self._by_server.get(server):
             case Relayed() as path:
                 path.used_s = now_s
-                if now_s >= path.no_relay_until_s:
-                    return RelaysFirst()
-                if path.confirmed:
-                    return Unreachable()
-                return DirectOnly(False, False)
+                expired_s = now_s - path.no_relay_until_s
+                if path.confirmed and expired_s < RENEWAL_S:
+                    return Unreachable(expired_s >= 0)
+                if expired_s < 0:
+                    return DirectOnly(False, False)
+                return RelaysFirst()
             case Down() as path if now_s < path.until_s:
                 return DirectOnly(path.confirmed, path.refused)
         if self.is_cut_off() or self._is_useless(server, now_s):
--- a/bulrushrudder/tests/entry/relay_search_tests.py
+++ b/bulrushrudder/tests/entry/relay_search_tests.py
@@ -18,6 +18,9 @@
 # A VM that is known to be of no use is waited for this long at most.
 SOON_S = 0.9
 AT_ONCE_S = 0.2
+CALL_INTERVAL_S = 0.05
+# Callers are served this long after a relay works again.
+CONTACT_S = 3.0
 FLEET = 11
 MANY = 30
 MAX_ASKED = 10
@@ -145,6 +148,27 @@
             self.assertLess(took_s, AT_ONCE_S)
         self.assertEqual(self.relay_dials(), dials)
 
+    # Guards against calls that are held by each search that fails again.
+    async def test_calls_do_not_wait_for_the_searches_that_follow(self):
+        await self.open(self.first, self.server)
+        for vm in self.vms:
+            vm.cut.how = lambda server: TimeoutError()
+        await self.open(self.first, self.server)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 4 * paths.DOWN_MEMORY_S
+        while loop.time() < end_s:
+            error, took_s = await self.open(self.first, self.server)
+            self.assertIsInstance(error, routed_network.PathLostError)
+            self.assertLess(took_s, AT_ONCE_S)
+            await asyncio.sleep(CALL_INTERVAL_S)
+        for vm in self.vms[1:]:
+            vm.cut.how = lambda server: None
+        while isinstance(error, routed_network.PathLostError):
+            self.assertLess(loop.time(), end_s + CONTACT_S)
+            error, _ = await self.open(self.first, self.server)
+            await asyncio.sleep(CALL_INTERVAL_S)
+        self.assertIsInstance(error, relays.Recorder)
+
 
 class DownTests(SearchTestCase):
     async def asyncSetUp(self):
