Probe lost paths whose tunnels are used again

Callers of a VM whose paths were back were still served through relays where idle tunnels sufficed for their calls.

Cause: only opening a connection counted as use of a lost path. Calls on tunnels that were used again did not, so that the path was not probed any more after 3 s.

A trace showed the path of i-portal-a last "in use" 9.8 s ago while calls went through its tunnel.

Change: asking whether a tunnel may be used again counts as use.

--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -93,6 +93,8 @@
         key = _key(server)
         if connection.relay is None:
             return self.paths.may_reuse(key, connection.last_used_s)
+        # A path whose tunnels are used again is in use, and so is probed.
+        self.plan(server)
         return self.paths.is_lost(key) and self._search.serves(
             connection.relay
         )
--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -239,7 +239,7 @@
         return self.is_cut_off()
 
     def plan(self, server, now_s):
-        """Return the Plan for a new connection to a server."""
+        """Return the Plan for a server, which is in use from now on."""
         match self._by_server.get(server):
             case Relayed() as path:
                 path.used_s = now_s
--- a/bulrushrudder/tests/entry/relay_search_tests.py
+++ b/bulrushrudder/tests/entry/relay_search_tests.py
@@ -170,6 +170,24 @@
         self.assertIsInstance(error, relays.Recorder)
 
 
+class ReuseTests(SearchTestCase):
+    # Guards against calls that keep to relays since no new connection is
+    # opened.
+    async def test_path_is_probed_while_its_tunnels_are_used_again(self):
+        server = await self.running_server('s-0')
+        first, _ = await self.start_vms(2, server)
+        first.cut.how = lambda server: ConnectionRefusedError()
+        connection, _ = await self.open(first, server)
+        for _ in range(round((paths.IN_USE_S + 1.0) / CALL_INTERVAL_S)):
+            self.assertTrue(first.network.may_reuse(server, connection))
+            await asyncio.sleep(CALL_INTERVAL_S)
+        first.cut.how = lambda server: None
+        async with asyncio.timeout(CONTACT_S):
+            while first.network.may_reuse(server, connection):
+                await asyncio.sleep(CALL_INTERVAL_S)
+        self.assertFalse(first.network.is_lost(server))
+
+
 class DownTests(SearchTestCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
