--- a/bulrushrudder/lifecycle/paths.py
+++ b/bulrushrudder/lifecycle/paths.py
@@ -14,8 +14,11 @@
 
 from bulrushrudder.core import ids
 
-# A server that is down is not asked for through relays for this time.
+# A server that is down, or that no relay reaches, is not asked for through
+# relays for this time.
 DOWN_MEMORY_S = 1.0
+# While no relay works, calls do not wait for the search that follows.
+RENEWAL_S = 2.0
 PROBE_INTERVAL_S = 1.0
 # The direct path is probed only for servers that are in use.
 IN_USE_S = 3.0
@@ -161,7 +164,17 @@
     refused: bool
 
 
-Plan = DirectFirst | RelaysFirst | DirectOnly
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable:
+    """Plan: give up; direct connections and relays have just failed.
+
+    :param ask_again: whether relays are to be asked, for later calls.
+    """
+
+    ask_again: bool
+
+
+Plan = DirectFirst | RelaysFirst | DirectOnly | Unreachable
 
 
 @dataclasses.dataclass(slots=True)
@@ -172,12 +185,15 @@
     :param used_s: when it was last asked for.
     :param probe_s: when the direct path is to be probed.
     :param confirmed: whether a direct connection has failed.
+    :param no_relay_until_s: until when no relay is asked, as none opened a
+        tunnel.
     """
 
     since_s: float
     used_s: float
     probe_s: float
     confirmed: bool
+    no_relay_until_s: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,9 +233,7 @@
     @property
     def lost(self):
         """Return the number of lost paths."""
-        return sum(
-            isinstance(path, Relayed) for path in self._by_server.values()
-        )
+        return sum(map(self.is_lost, self._by_server))
 
     @property
     def idle(self):
@@ -241,10 +255,15 @@
         return self.is_cut_off()
 
     def plan(self, server, now_s):
-        """Return the Plan for a new connection to a server."""
+        """Return the Plan for a server, which is in use from now on."""
         match self._by_server.get(server):
             case Relayed() as path:
                 path.used_s = now_s
+                expired_s = now_s - path.no_relay_until_s
+                if path.confirmed and expired_s < RENEWAL_S:
+                    return Unreachable(expired_s >= 0)
+                if expired_s < 0:
+                    return DirectOnly(False, False)
                 return RelaysFirst()
             case Down() as path if now_s < path.until_s:
                 return DirectOnly(path.confirmed, path.refused)
@@ -252,6 +271,19 @@
             return RelaysFirst()
         return DirectFirst()
 
+    def may_relay(self, server, now_s):
+        """Return whether this VM dials a server for another VM.
+
+        It does so for a server that it takes as down: what it was told is
+        not what it observes itself.
+        """
+        match self._by_server.get(server):
+            case Relayed():
+                return False
+            case Down(confirmed=confirmed) as path if now_s < path.until_s:
+                return confirmed
+        return not (self.is_cut_off() or self._is_useless(server, now_s))
+
     def is_cut_off(self):
         """Return whether new paths fail one after the other."""
         return len(self._lost_in_a_row) >= PATHS_OF_A_CUT
@@ -319,9 +351,12 @@
                 self._forget_loss(server)
                 return []
             case FoundNoRelay(server=server):
-                if not self.is_lost(server):
-                    until_s = now_s + DOWN_MEMORY_S
-                    self._by_server[server] = Down(until_s, False, False)
+                until_s = now_s + DOWN_MEMORY_S
+                match self._by_server.get(server):
+                    case Relayed() as path:
+                        path.no_relay_until_s = until_s
+                    case _:
+                        self._by_server[server] = Down(until_s, False, False)
                 return []
         raise AssertionError(f'unknown event {event!r}')
 
@@ -347,6 +382,7 @@
         path = self._by_server.get(event.server)
         if isinstance(path, Relayed):
             path.used_s = now_s
+            path.no_relay_until_s = -math.inf
             return []
         probe_s = now_s
         if event.direct_failed:
--- a/bulrushrudder/lifecycle/relays.py
+++ b/bulrushrudder/lifecycle/relays.py
@@ -17,6 +17,8 @@
 # A whole zone may have lost its paths: of the VMs asked first, this number
 # may be of the zone of this VM.
 ASKED_OF_OWN_ZONE = 1
+# VMs that must say that a server is down, if there are as many others.
+VOICES = 2
 WORKING_MEMORY_S = 5.0
 FAILED_MEMORY_S = 3.0
 _SERVER_PROBLEMS = (
@@ -52,6 +54,35 @@
         return self.reaches_others and self.problem in _SERVER_PROBLEMS
 
 
+class Verdict:
+    """What the VMs that were asked for one server say together.
+
+    One VM may have lost its path to this server alone, which it cannot
+    tell from a crash.
+
+    :param candidates: the Candidates.
+    :ivar refused: whether one of those that reach others says that the
+        server refuses connections.
+    """
+
+    def __init__(self, candidates):
+        self._needed = min(VOICES, len(candidates))
+        self._voices = 0
+        self.refused = False
+
+    @property
+    def down(self):
+        """Return whether the server, not a path, has failed."""
+        return 0 < self._needed <= self._voices
+
+    def record(self, answer):
+        """Record the Answer of a VM; None if it gave none."""
+        match answer:
+            case Answer(says_down=True, problem=problem):
+                self._voices += 1
+                self.refused |= problem is paths.RelayProblem.SERVER_REFUSES
+
+
 class Relays:
     """What this VM knows about the VMs that may relay for it.
 
@@ -65,6 +96,7 @@
         self._working_until_s = {}
         self._failed_until_s = {}
         self._failed_for_server_until_s = {}
+        self._denied_until_s = {}
         self._tunnels_by_owner = {}
 
     def candidates(self, open_sessions):
@@ -83,18 +115,22 @@
         """Return lists of Owners to ask for a server, one after the other.
 
         Those that relayed lately come first, the least used of them at the
-        head; those that failed lately are left out unless all have.
+        head; those that failed lately are left out unless all have. Those
+        that said lately that the server is down come last, the one that
+        said so first at their head.
 
         :param server: the ServerKey.
         """
         working, others = self._ranked(candidates, server, now_s)
         first, queue = working[:1], [*working[1:], *others]
         queue = queue[: MAX_ASKED - len(first)]
-        batches = [
+        # With the one asked alone, no more are asked than without it.
+        second = ASKED_AT_ONCE - len(first)
+        batches = [first, queue[:second]] + [
             queue[start : start + ASKED_AT_ONCE]
-            for start in range(0, len(queue), ASKED_AT_ONCE)
+            for start in range(second, len(queue), ASKED_AT_ONCE)
         ]
-        return [first, *batches] if first else batches
+        return [batch for batch in batches if batch]
 
     def _ranked(self, candidates, server, now_s):
         self._forget_expired(now_s)
@@ -105,15 +141,20 @@
             if owner not in self._failed_until_s
             and (owner, server) not in self._failed_for_server_until_s
         ]
-        working = [o for o in sound if o in self._working_until_s]
-        others = [o for o in sound or by_owner if o not in working]
+        denied = [o for o in sound if (o, server) in self._denied_until_s]
+        asked_first = [o for o in sound or by_owner if o not in denied]
+        working = [
+            o for o in asked_first if sound and o in self._working_until_s
+        ]
+        others = [o for o in asked_first if o not in working]
         working.sort(key=lambda o: (self._uses(o), self._weight(o)))
         others.sort(key=self._weight, reverse=True)
         own = [o for o in others if by_owner[o].zone == self._zone]
         first_own = own[:ASKED_OF_OWN_ZONE]
         foreign = _spread([o for o in others if o not in own], by_owner)
         rest = own[ASKED_OF_OWN_ZONE:]
-        return working, [*first_own, *foreign, *rest]
+        denied.sort(key=lambda o: self._denied_until_s[o, server])
+        return working, [*first_own, *foreign, *rest, *denied]
 
     def opened(self, owner, now_s):
         """Record that a relay opened a tunnel."""
@@ -128,6 +169,8 @@
         """
         until_s = now_s + FAILED_MEMORY_S
         match answer:
+            case Answer(says_down=True):
+                self._denied_until_s[owner, server] = until_s
             case (
                 Answer(problem=paths.RelayProblem.UNKNOWN_SERVER)
                 | Answer(reaches_others=True)
@@ -148,6 +191,7 @@
             self._working_until_s,
             self._failed_until_s,
             self._failed_for_server_until_s,
+            self._denied_until_s,
         ):
             for key in [k for k, until_s in table.items() if until_s <= now_s]:
                 del table[key]
--- a/bulrushrudder/tests/lifecycle/paths_tests.py
+++ b/bulrushrudder/tests/lifecycle/paths_tests.py
@@ -135,10 +135,33 @@
         self.assert_plan(key(1), 1.5, paths.DirectOnly(False, False))
         self.assert_plan(key(1), 2.1, paths.DirectFirst())
 
+    # Guards against a search by each call while no relay works.
     def test_relays_that_fail_for_a_while_leave_the_path_lost(self):
         self.lose(key(1), 1.0)
         self.paths.handle(paths.FoundNoRelay(key(1)), 1.5)
-        self.assert_plan(key(1), 1.6, paths.RelaysFirst())
+        self.assertTrue(self.paths.is_lost(key(1)))
+        self.assert_plan(key(1), 1.6, paths.Unreachable(False))
+        self.assert_plan(key(1), 2.4, paths.Unreachable(False))
+        self.assert_plan(key(1), 2.6, paths.Unreachable(True))
+        self.assert_plan(key(1), 4.4, paths.Unreachable(True))
+        self.assert_plan(key(1), 4.6, paths.RelaysFirst())
+
+    def test_relay_that_works_ends_the_memory_of_none(self):
+        self.lose(key(1), 1.0)
+        self.paths.handle(paths.FoundNoRelay(key(1)), 1.5)
+        self.lose(key(1), 1.6, direct_failed=False)
+        self.assert_plan(key(1), 1.7, paths.RelaysFirst())
+
+    def test_direct_path_that_works_ends_the_memory_of_no_relay(self):
+        self.lose(key(1), 1.0)
+        self.paths.handle(paths.FoundNoRelay(key(1)), 1.5)
+        self.restore(key(1), 1.6)
+        self.assert_plan(key(1), 1.7, paths.DirectFirst())
+
+    def test_path_lost_by_guess_is_tried_directly_when_no_relay_works(self):
+        self.lose(key(1), 1.0, direct_failed=False)
+        self.paths.handle(paths.FoundNoRelay(key(1)), 1.5)
+        self.assert_plan(key(1), 1.6, paths.DirectOnly(False, False))
 
     def test_connections_that_break_before_an_answer_make_relays_asked(self):
         self.paths.handle(paths.DirectBroke(key(1)), 1.0)
@@ -201,3 +224,23 @@
         self.assertTrue(self.paths.may_reuse(key(3), 5.1))
         self.restore(key(1), 6.0)
         self.assertTrue(self.paths.may_reuse(key(3), 4.9))
+
+    # Guards against the word of another VM that is passed on as seen.
+    def test_server_that_others_say_is_down_is_dialled_for_others(self):
+        self.paths.handle(paths.FoundDown(key(1), True), 1.0)
+        self.assertTrue(self.paths.may_relay(key(1), 1.1))
+
+    def test_server_without_a_direct_path_is_not_dialled_for_others(self):
+        self.assertTrue(self.paths.may_relay(key(1), 1.0))
+        self.lose(key(1), 1.0)
+        self.assertFalse(self.paths.may_relay(key(1), 1.1))
+        self.paths.handle(paths.FoundNoRelay(key(2)), 1.0)
+        self.assertFalse(self.paths.may_relay(key(2), 1.1))
+        self.assertTrue(self.paths.may_relay(key(2), 2.1))
+        self.lose(key(3), 1.0)
+        self.assertFalse(self.paths.may_relay(key(4), 1.1))
+
+    def test_asks_of_other_vms_do_not_keep_a_path_in_use(self):
+        self.lose(key(1), 0.0)
+        self.paths.may_relay(key(1), paths.IN_USE_S)
+        self.assertEqual(self.paths.due_probes(paths.IN_USE_S + 0.1), [])
--- a/bulrushrudder/tests/lifecycle/relays_tests.py
+++ b/bulrushrudder/tests/lifecycle/relays_tests.py
@@ -97,6 +97,31 @@
         other = self.relays.batches(few, OTHER, 1.0)
         self.assertIn(owner('a-1'), [vm for batch in other for vm in batch])
 
+    # Guards against a crash that cannot be told, as only a frozen VM is
+    # left to be asked.
+    def test_vm_that_says_that_a_server_is_down_can_be_asked_again(self):
+        few = self.candidates[:4]
+        for candidate in few[:3]:
+            self.relays.failed(candidate.owner, SERVER, DOWN, 0.0)
+        asked = [
+            vm
+            for batch in self.relays.batches(few, SERVER, 1.0)
+            for vm in batch
+        ]
+        self.assertCountEqual(asked, [c.owner for c in few])
+        self.assertEqual(asked[0], few[3].owner)
+
+    def test_vms_that_said_down_are_asked_in_turns(self):
+        few = self.candidates[:6]
+        asked = []
+        for step in range(4):
+            now_s = step / 2
+            first = self.relays.batches(few, SERVER, now_s)[0]
+            for vm in first:
+                self.relays.failed(vm, SERVER, DOWN, now_s)
+            asked += first
+        self.assertCountEqual(asked, 2 * [c.owner for c in few])
+
     def test_all_are_asked_if_all_have_failed(self):
         for candidate in self.candidates:
             self.relays.failed(candidate.owner, SERVER, CUT_OFF, 0.0)
@@ -107,3 +132,30 @@
         self.assertFalse(CUT_OFF.says_down)
         lost = relays.Answer(paths.RelayProblem.PATH_LOST, True)
         self.assertFalse(lost.says_down)
+
+    # Guards against a server that one VM without a path to it calls down.
+    def test_two_vms_must_say_that_a_server_is_down(self):
+        verdict = relays.Verdict(self.candidates)
+        verdict.record(DOWN)
+        verdict.record(CUT_OFF)
+        verdict.record(None)
+        self.assertFalse(verdict.down)
+        verdict.record(DOWN)
+        self.assertTrue(verdict.down)
+        self.assertTrue(verdict.refused)
+
+    def test_the_only_other_vm_says_that_a_server_is_down(self):
+        verdict = relays.Verdict(self.candidates[:1])
+        self.assertFalse(verdict.down)
+        verdict.record(DOWN)
+        self.assertTrue(verdict.down)
+
+    def test_nobody_says_that_a_server_is_down_without_other_vms(self):
+        self.assertFalse(relays.Verdict([]).down)
+
+    # Guards against a crash that costs more asks after a relay worked.
+    def test_first_vms_asked_are_three_at_most(self):
+        self.assertEqual(len(self.batches()[0]), 3)
+        self.relays.opened(owner('c-3'), 0.0)
+        alone, second, *_ = self.batches(1.0)
+        self.assertEqual((len(alone), len(second)), (1, 2))
