Keep servers that change their kind out after a change of leader

A leader excludes a server from new work while it changes its kind, and only that process knew until when. A leader that took over within these seconds let the servers join as what they had been; they rejected all requests until the change was complete.

--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -185,12 +185,7 @@
         return log_messages.NotLeader()
 
     async def _tick_as_leader(self):
-        if not self._was_leader:
-            self._was_leader = True
-            self._leases.renew_all(_now_s())
-            self._tracker = tracker.Tracker()
-            self._suspect_expiry = suspect_expiry.SuspectExpiry()
-            self._software_expiry = software_expiry.SoftwareExpiry()
+        self._take_over()
         await self._expire_servers()
         await self._advance_suspects()
         await self._forget_softwares()
@@ -199,6 +194,18 @@
             if await self._commit_as_leader(command):
                 log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
 
+    def _take_over(self):
+        """Start to track servers and sessions if this process leads anew."""
+        if self._was_leader:
+            return
+        self._was_leader = True
+        self._leases.renew_all(_now_s())
+        self._tracker = tracker.Tracker(
+            self.node.state.servers.exclusions_by_id.values(), _now_s()
+        )
+        self._suspect_expiry = suspect_expiry.SuspectExpiry()
+        self._software_expiry = software_expiry.SoftwareExpiry()
+
     async def _expire_servers(self):
         servers_by_id = self.node.state.servers.by_id
         actions = self._tracker.handle(
@@ -297,7 +304,9 @@
         :param until_s: monotonic seconds until which it is excluded.
         """
         self._tracker.exclude(server.id, until_s)
-        lose = servers.LoseServer(server.id, server.incarnation)
+        lose = servers.LoseServer(
+            server.id, server.incarnation, until_s - _now_s(), server.kind
+        )
         if await self._commit_as_leader(lose):
             _log_change(lose, 'set aside')
 
@@ -318,6 +327,7 @@
             return answer == result.Success(messages.Acknowledged())
         if not self.node.is_ready_leader:
             return False
+        self._take_over()
         match codec.decode(message.server):
             case result.Success(servers.JoinServer(server=server)):
                 if message.leaving:
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -55,13 +55,25 @@
     with a full lease for every server. A standstill of this process does
     not use up leases: announcements that arrived meanwhile are not read
     before its next tick.
+
+    A server that an earlier leader has excluded rejects requests until it
+    has changed its kind. A new leader keeps it out until it announces the
+    new kind or the whole time has passed once more.
+
+    :param exclusions: the LoseServer commands of excluded servers.
+    :param now_s: monotonic seconds.
     """
 
-    def __init__(self):
+    def __init__(self, exclusions=(), now_s=0.0):
         self._renewed_s_by_id: dict[ids.ServerId, float] = {}
         self._sequence_by_incarnation: dict[tuple[ids.ServerId, int], int] = {}
         self._proposed_s_by_command = {}
-        self._excluded_until_s_by_id = {}
+        self._excluded_until_s_by_id = {
+            excluded.id: now_s + excluded.excluded_s for excluded in exclusions
+        }
+        self._inherited_by_id = {
+            excluded.id: excluded for excluded in exclusions
+        }
         self._last_event_s = None
 
     def exclude(self, server_id, until_s):
@@ -69,6 +81,7 @@
 
         :param until_s: monotonic seconds.
         """
+        self._inherited_by_id.pop(server_id, None)
         self._excluded_until_s_by_id[server_id] = until_s
 
     def renew_all(self, now_s):
@@ -77,6 +90,7 @@
 
     def readmit(self, server_id):
         """Accept announcements of an excluded server again."""
+        self._inherited_by_id.pop(server_id, None)
         self._excluded_until_s_by_id.pop(server_id, None)
 
     def handle(self, event, servers_by_id, now_s):
@@ -137,10 +151,23 @@
         if known and known.incarnation > server.incarnation:
             return []
         self._renewed_s_by_id[server.id] = now_s
+        if self._has_completed_change(server):
+            self.readmit(server.id)
         if known == server or self._is_excluded(server.id, now_s):
             return []
         return self._propose(servers.JoinServer(server), now_s)
 
+    def _has_completed_change(self, server):
+        """Return whether a server excluded earlier has another kind now.
+
+        A restart also ends its change of kind.
+        """
+        excluded = self._inherited_by_id.get(server.id)
+        return excluded is not None and (
+            server.kind != excluded.kind
+            or server.incarnation != excluded.incarnation
+        )
+
     def _is_excluded(self, server_id, now_s):
         until_s = self._excluded_until_s_by_id.get(server_id, 0.0)
         if now_s < until_s:
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -89,10 +89,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoseServer:
-    """Remove a backend server that went silent; it may join again."""
+    """Remove a backend server that went silent; it may join again.
+
+    :param excluded_s: seconds for which it must not join with the same kind,
+        counted by a leader that takes over from its take-over; 0 unless it
+        is excluded for a change of its kind.
+    :param kind: the kind that it must not join with, if it is excluded.
+    """
 
     id: ids.ServerId
     incarnation: int
+    excluded_s: float = 0.0
+    kind: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,12 +145,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersSnapshot:
-    """All backend servers, with the known incarnations of past ones."""
+    """All backend servers, with the known incarnations of past ones.
+
+    :param exclusions: the servers that are excluded for a change of their
+        kind.
+    """
 
     present: tuple[BackendServer, ...]
     incarnations: tuple[KnownIncarnation, ...]
     limits: tuple[SetServerLimit, ...] = ()
     softwares: tuple[KnownSoftware, ...] = ()
+    exclusions: tuple[LoseServer, ...] = ()
 
 
 class Servers:
@@ -152,6 +165,8 @@
     :ivar by_served: the same servers by model or service, then by id.
     :ivar versions_by_served: counters by model or service, incremented
         whenever its servers change.
+    :ivar exclusions_by_id: how servers were excluded that have not joined
+        again.
     :ivar mixed_models: models whose streams of the last time may have
         begun at several software versions.
     """
@@ -160,6 +175,7 @@
         self.by_id: dict[ids.ServerId, BackendServer] = {}
         self.by_served: dict[str, dict[ids.ServerId, BackendServer]] = {}
         self.versions_by_served: dict[str, int] = {}
+        self.exclusions_by_id: dict[ids.ServerId, LoseServer] = {}
         self.mixed_models: frozenset[str] = frozenset()
         self._softwares_by_model: dict[str, list[str]] = {}
         self._limits_by_id: dict[ids.ServerId, SetServerLimit] = {}
@@ -176,6 +192,7 @@
                 for model, known in self._softwares_by_model.items()
                 for software in known
             ),
+            tuple(self.exclusions_by_id.values()),
         )
 
     def softwares(self, model):
@@ -228,6 +245,9 @@
             known.id: known for known in snapshot.incarnations
         }
         self._limits_by_id = {limit.id: limit for limit in snapshot.limits}
+        self.exclusions_by_id = {
+            excluded.id: excluded for excluded in snapshot.exclusions
+        }
         self._softwares_by_model = {}
         for known in snapshot.softwares:
             self._learn_software(known.model, known.software)
@@ -267,6 +287,7 @@
         limit = self._limits_by_id.get(server.id)
         self._remove(server.id)
         self._add(server)
+        self.exclusions_by_id.pop(server.id, None)
         if limit is not None and limit.incarnation == server.incarnation:
             self._limits_by_id[server.id] = limit
         self._record_incarnation(
@@ -282,6 +303,7 @@
                 f'than {known.incarnation}'
             )
         self._remove(command.id)
+        self.exclusions_by_id.pop(command.id, None)
         self._record_incarnation(
             command.id, command.incarnation, command.incarnation
         )
@@ -295,6 +317,8 @@
                 'present'
             )
         self._remove(command.id)
+        if command.excluded_s > 0:
+            self.exclusions_by_id[command.id] = command
         return results.Accepted(index)
 
     def _set_limit(self, index, command):
--- a/bulrushrudder/tests/membership/tracker_tests.py
+++ b/bulrushrudder/tests/membership/tracker_tests.py
@@ -76,6 +76,58 @@
         self.announce(server, 7.5, sequence=3)
         self.assertIn(server.id, self.table.by_id)
 
+    def take_over(self, now_s):
+        """Track as a new leader, which has only the replicated state."""
+        exclusions = tuple(self.table.exclusions_by_id.values())
+        self.tracker = tracker.Tracker(exclusions, now_s)
+
+    def exclude_prefill(self, now_s):
+        """Exclude a prefill server for 7 s, as for a change of its kind."""
+        server = fleet.server(kind='prefill')
+        self.announce(server, now_s, sequence=1)
+        self.tracker.exclude(server.id, now_s + 7.0)
+        self.index += 1
+        lose = servers.LoseServer(
+            server.id, server.incarnation, 7.0, server.kind
+        )
+        self.table.apply(self.index, lose)
+        return server
+
+    # Guards against a leader that takes over while servers change their
+    # kind and lets them join as what they were: such a server rejects all
+    # requests, and each rejection made its callers try another server.
+    def test_new_leader_keeps_excluded_server_out(self):
+        server = self.exclude_prefill(0.0)
+        self.take_over(2.0)
+        self.announce(server, 3.0, sequence=2)
+        self.assertEqual(self.table.by_id, {})
+        self.announce(server, 9.5, sequence=3)
+        self.assertIn(server.id, self.table.by_id)
+
+    def test_new_leader_admits_excluded_server_with_its_new_kind(self):
+        self.exclude_prefill(0.0)
+        self.take_over(2.0)
+        changed = fleet.server(kind='decode')
+        self.announce(changed, 6.0, sequence=2)
+        self.assertEqual(self.table.by_id[changed.id].kind, 'decode')
+
+    def test_exclusion_survives_snapshot(self):
+        server = self.exclude_prefill(0.0)
+        restored = servers.Servers()
+        restored.restore(self.table.snapshot())
+        self.table = restored
+        self.take_over(2.0)
+        self.announce(server, 3.0, sequence=2)
+        self.assertEqual(self.table.by_id, {})
+
+    def test_server_that_has_joined_again_is_not_excluded_any_more(self):
+        server = self.exclude_prefill(0.0)
+        self.announce(server, 8.0, sequence=2)
+        self.take_over(9.0)
+        renamed = fleet.server(kind='prefill', incarnation=2)
+        self.announce(renamed, 9.5, sequence=1)
+        self.assertEqual(self.table.by_id[server.id], renamed)
+
     def test_excluded_server_may_leave(self):
         server = fleet.server()
         self.announce(server, 0.0, sequence=1)
