Pause prefill servers that fail or reject prefills

The coordinator learned of failures of decode servers only. A prefill server that crashed or changed its kind looked idle, and every request was sent to it first. With the release of a place an entry now reports that its prefill failed; the server is paused for 0.25 s, twice as long after each further failure, 2 s at most.

The time of a prefill no longer counts for the prefill server of a later place.

--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -100,6 +100,7 @@
         prefill_s=0.0,
         token_s=0.0,
         verdict=events.Verdict.UNKNOWN,
+        prefill_failed=False,
     ):
         """Release the holds of a request and withdraw its open requests.
 
@@ -108,6 +109,8 @@
         :param prefill_s: duration of its prefill in seconds, 0 if unknown.
         :param token_s: seconds between its tokens, 0 if unknown.
         :param verdict: the Verdict on its decode server.
+        :param prefill_failed: whether its prefill server rejected or
+            failed the prefill.
         """
         for held_model, number in self._local_holds.list_by_request(request):
             self._local_holds.close(number)
@@ -118,6 +121,7 @@
                 prefill_s,
                 token_s,
                 int(verdict),
+                prefill_failed,
             )
             await self._directory.send(_role_key(model), message, self.serve)
 
@@ -183,6 +187,7 @@
                         message.prefill_s,
                         message.token_s,
                         events.Verdict(message.verdict),
+                        message.prefill_failed,
                     ),
                 )
             case place_messages.ReportHolds():
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -251,6 +251,7 @@
                         self._feedback.prefill_s,
                         self._feedback.token_s,
                         self._feedback.verdict,
+                        self._feedback.prefill_failed,
                     )
                 )
             case actions.ClearSuspect(fingerprint=fingerprint):
--- a/bulrushrudder/entry/server_feedback.py
+++ b/bulrushrudder/entry/server_feedback.py
@@ -15,6 +15,10 @@
         outcomes.Reason.BACKEND_UNREACHABLE,
     }
 )
+# A prefill server that is changing its kind rejects all calls as full. It
+# is never full otherwise, as the coordinator books its prefills one after
+# the other.
+_PREFILL_FAILURE_REASONS = _FAILURE_REASONS | {outcomes.Reason.BACKEND_FULL}
 # Minimum sample for the time between tokens; fewer give a poor estimate.
 MIN_MEASURED_TOKENS = 48
 
@@ -33,6 +37,8 @@
     :ivar token_s: mean seconds between tokens of the last decode, 0 if
         unknown.
     :ivar verdict: the Verdict on the decode server of the last place.
+    :ivar prefill_failed: whether the prefill server of the last place
+        rejected or failed the prefill.
     """
 
     def __init__(self, event_tokens, doubts=lambda server_id: False):
@@ -41,6 +47,7 @@
         self.token_s = 0.0
         self._event_tokens = event_tokens
         self.verdict = place_events.Verdict.UNKNOWN
+        self.prefill_failed = False
         self._place_granted_s = None
         self._prefill_server = None
         self._decode_server = None
@@ -59,6 +66,8 @@
                 self._decode_started_s = None if event.prefill else now_s
                 self._answers_relayed = False
                 self.verdict = place_events.Verdict.UNKNOWN
+                self.prefill_failed = False
+                self.prefill_s = 0.0
             case events.PrefillDone():
                 self._measure_prefill(now_s)
                 self._decode_started_s = now_s
@@ -70,18 +79,19 @@
                 self._measure_token(index, now_s)
             case events.DecodeDone():
                 self.verdict = place_events.Verdict.SERVED
-            case events.AttemptFailed(
-                server=server, reason=reason, of_server=of_server
-            ):
-                if (
-                    server == self._decode_server
-                    and reason in _FAILURE_REASONS
-                    and (of_server or not self._doubts(server))
-                ):
-                    self.verdict = place_events.Verdict.FAILED
+            case events.AttemptFailed(server=server, of_server=of_server):
+                if of_server or not self._doubts(server):
+                    self._record_failure(event)
             case events.TimeEnded() | events.CallerGone():
                 self._check_silence(now_s)
 
+    def _record_failure(self, event):
+        if event.server == self._decode_server:
+            if event.reason in _FAILURE_REASONS:
+                self.verdict = place_events.Verdict.FAILED
+        elif event.server == self._prefill_server:
+            self.prefill_failed = event.reason in _PREFILL_FAILURE_REASONS
+
     def _check_silence(self, now_s):
         """Record a failure if the decode server produced no token in time."""
         if self._decode_started_s is None:
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -176,7 +176,9 @@
         if grant is None:
             return
         allocation = grant.allocation
-        if event.prefill_s > 0:
+        if event.prefill_failed:
+            self._prefills.record_failure(allocation.prefill, now_s)
+        elif event.prefill_s > 0:
             self._prefills.record_prefill(
                 allocation.prefill, allocation.prompt_tokens, event.prefill_s
             )
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -84,12 +84,15 @@
     :param token_s: seconds between its tokens, 0 if it generated too few
         to measure.
     :param verdict: its result on the decode server.
+    :param prefill_failed: whether its prefill server rejected or failed
+        the prefill.
     """
 
     hold: HoldId
     prefill_s: float = 0.0
     token_s: float = 0.0
     verdict: Verdict = Verdict.UNKNOWN
+    prefill_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -12,6 +12,11 @@
 # dominate it, which a busy server completes in one or two seconds.
 RATE_EWMA_WEIGHT = 0.1
 MIN_READ_S = 0.005
+# A server that fails a prefill gets the next one after this time, twice as
+# long after each further failure. By then it has joined anew, or its lease
+# has ended if it is gone.
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 2.0
 # Time to the first token besides the prompt processing: delivery of the
 # grant, the calls to two servers, the transfer and the first event.
 FIRST_TOKEN_OVERHEAD_S = 0.2
@@ -27,6 +32,10 @@
     :param isolated_until_s: monotonic seconds until which an isolated
         request may run there, so that no other prefill starts.
     :param base_s: fixed seconds of a prefill, whatever its prompt.
+    :param pause_s: seconds of the last pause after a failure, 0 if its last
+        prefill succeeded.
+    :param paused_until_s: monotonic seconds until which no prefill starts,
+        because the last ones failed.
     """
 
     server: servers.BackendServer
@@ -37,6 +46,8 @@
     rate_reported: bool = False
     isolated_until_s: float = 0.0
     base_s: float = 0.0
+    pause_s: float = 0.0
+    paused_until_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,14 +113,28 @@
     def record_prefill(self, server_id, tokens, prefill_s):
         """Update the measured rate of a server with a prefill."""
         known = self.by_id.get(server_id)
-        if (
-            known is None
-            or not known.server.initial_speed.prefill_tokens_per_s
-        ):
+        if known is None:
+            return
+        known.pause_s = 0.0
+        if not known.server.initial_speed.prefill_tokens_per_s:
             return
         rate = tokens / max(MIN_READ_S, prefill_s - known.base_s)
         known.tokens_per_s += (rate - known.tokens_per_s) * RATE_EWMA_WEIGHT
 
+    def record_failure(self, server_id, now_s):
+        """Pause a server that has failed or rejected a prefill.
+
+        Answers prefill servers that crash or change their kind under load:
+        they look idle, so that every request would try them first.
+        """
+        known = self.by_id.get(server_id)
+        if known is None or now_s < known.paused_until_s:
+            return
+        known.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * known.pause_s))
+        known.paused_until_s = now_s + known.pause_s
+        free_s = max(known.free_s, known.paused_until_s)
+        self._zone_index(known.server.zone).set(server_id, free_s)
+
     def has_server(self, excluded):
         """Return whether there is a server, idle or busy, to choose from."""
         return any(server_id not in excluded for server_id in self.by_id)
@@ -161,7 +186,12 @@
     def _plan(self, known, request, now_s):
         cached = self.prefixes.cached_tokens(known.server.id, request.prefix)
         tokens = max(1.0, request.prompt_tokens - cached)
-        start_s = max(now_s, known.free_s, known.isolated_until_s)
+        start_s = max(
+            now_s,
+            known.free_s,
+            known.isolated_until_s,
+            known.paused_until_s,
+        )
         work_s = known.base_s + tokens / known.tokens_per_s
         return PrefillPlan(known, start_s, start_s + work_s)
 
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -80,6 +80,8 @@
     :param prefill_s: seconds that its prefill took, 0 if none ended.
     :param token_s: seconds between its tokens, 0 if there were too few.
     :param verdict: number of the Verdict on its decode server.
+    :param prefill_failed: whether its prefill server rejected or failed
+        the prefill.
     """
 
     owner: ids.Owner
@@ -88,6 +90,7 @@
     prefill_s: float = 0.0
     token_s: float = 0.0
     verdict: int = 0
+    prefill_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/standins/entry_path.py
+++ b/bulrushrudder/standins/entry_path.py
@@ -172,7 +172,7 @@
         """Wait for a free place; return a PlaceGranted or a Refusal."""
         return await self._coordinator.request_place(place_request)
 
-    async def release(self, place, model, prefill_s, token_s, verdict):
+    async def release(self, place, model, *measurements):
         """Free the place of a request."""
         self._coordinator.release(self._owner, place)
 
--- a/bulrushrudder/tests/entry/server_feedback_tests.py
+++ b/bulrushrudder/tests/entry/server_feedback_tests.py
@@ -44,6 +44,25 @@
         self.fail(PREFILL, outcomes.Reason.BACKEND_FAILED)
         self.assert_verdict(place_events.Verdict.UNKNOWN)
 
+    def test_prefill_that_fails_or_is_rejected_is_reported(self):
+        self.assertFalse(self.feedback.prefill_failed)
+        for reason in (
+            outcomes.Reason.BACKEND_FULL,
+            outcomes.Reason.BACKEND_FAILED,
+        ):
+            with self.subTest(reason=reason):
+                self.setUp()
+                self.fail(PREFILL, reason)
+                self.assertTrue(self.feedback.prefill_failed)
+
+    # Guards against a time that counts for a server which did not run the
+    # prefill.
+    def test_new_place_has_no_prefill_time_of_the_last_one(self):
+        self.begin_decode(0.1)
+        place = ids.RequestId('r1-2')
+        self.take(events.PlaceGranted(place, PREFILL, DECODE), 0.5)
+        self.assertEqual(self.feedback.prefill_s, 0.0)
+
     def test_no_first_token_within_timeout_counts_as_failed(self):
         self.begin_decode(0.1)
         self.take(events.CallerGone(), 0.2)
--- a/bulrushrudder/tests/placement/coordinator_tests.py
+++ b/bulrushrudder/tests/placement/coordinator_tests.py
@@ -69,6 +69,24 @@
             (grant.prefill, grant.decode), ('prefill-1', 'decode-1')
         )
 
+    # Load: 40 requests a second on two prefill servers, one of which
+    # rejects all calls for 4 s, as during a change of its kind. Without a
+    # pause all 160 requests tried it first.
+    def test_rejecting_prefill_server_gets_few_requests(self):
+        self.handle(places.servers_changed(2, 2))
+        rejected = 0
+        for number in range(160):
+            now_s = number * 0.025
+            request = places.placement_request(number, prompt_tokens=100)
+            for grant in places.grants(self.handle(request, now_s)):
+                failed = grant.prefill == 'prefill-0'
+                rejected += failed
+                released = events.PlaceReleased(
+                    grant.hold, prefill_failed=failed
+                )
+                self.handle(released, now_s + 0.002)
+        self.assertLessEqual(rejected, 8)
+
     def test_prefers_prefill_server_with_cached_prefix(self):
         self.handle(places.servers_changed(prefills=2, decodes=2))
         prefix = (11, 12, 13)
