Split a pool by the mean speed of its servers

The work of a request, from which the number of prefill servers follows, was computed with the speed of the server of each kind that had joined first. Where speeds differ, the split followed that server.

Replayed with servers at 0.7, 0.7 and 1.7 times the time: 20 or 8 prefill servers wanted before, by which server joined first, 15 now.

--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -6,6 +6,7 @@
 from bulrushrudder.placement import decode_server
 from bulrushrudder.placement import events
 from bulrushrudder.placement import load_index
+from bulrushrudder.placement import mean_speed
 from bulrushrudder.placement import memory_forecast
 
 CANDIDATES_PER_ZONE = 3
@@ -49,6 +50,8 @@
             max_booked_ahead, len(EXPECTED_ENDS_NEEDED)
         )
         self._index_by_zone = {}
+        # In tokens of memory, times the tokens generated per second.
+        self._memory_speed = mean_speed.MeanSpeed()
 
     def join(self, server):
         """Add a server or update its record."""
@@ -64,6 +67,7 @@
         self.held_places += known.held_places
         known.place_limit = server.places
         self.places += known.place_limit
+        self._record_speed(known)
         self._reindex(known)
 
     def has(self, server):
@@ -77,6 +81,7 @@
         if known is None or not known.present:
             return
         known.present = False
+        self._memory_speed.remove(server_id)
         self.held_places -= known.held_places
         self.places -= known.place_limit
         self._zone_index(known.server.zone).remove(server_id)
@@ -186,6 +191,7 @@
         known = self.by_id.get(server_id)
         if known is not None and known.token_s > 0:
             known.token_s += (token_s - known.token_s) * PACE_EWMA_WEIGHT
+            self._record_speed(known)
 
     def record_result(self, server_id, failed, now_s):
         """Update the failure share of a server."""
@@ -196,17 +202,20 @@
     def work_s(self, request):
         """Return the seconds of a whole server that a request takes.
 
-        None if the memory or the pace of the servers is unknown.
+        It is the mean over the servers, whose speeds may differ by more
+        than twice. None if the memory or the speed of the servers is
+        unknown.
         """
-        known = next(iter(self.by_id.values()), None)
-        if known is None or known.token_s <= 0:
-            return None
-        memory = known.server.memory_tokens * balance.MEMORY_USE_SHARE
-        if memory <= 0:
+        speed = self._memory_speed.mean * balance.MEMORY_USE_SHARE
+        if speed <= 0:
             return None
         output = request.expected_tokens or request.output_tokens
-        held_s = output * known.token_s
-        return held_s * (request.prompt_tokens + output / 2) / memory
+        return output * (request.prompt_tokens + output / 2) / speed
+
+    def _record_speed(self, known):
+        if known.present and known.token_s > 0:
+            speed = known.server.memory_tokens / known.token_s
+            self._memory_speed.set(known.server.id, speed)
 
     def prompt_read_s(self, request):
         """Return the seconds that a decode server takes for a prompt."""
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bulrushrudder.placement import load_index
+from bulrushrudder.placement import mean_speed
 from bulrushrudder.placement import prefixes
 from bulrushrudder.state import servers
 
@@ -70,6 +71,7 @@
         self.by_id: dict[str, PrefillServer] = {}
         self.prefixes = prefixes.PrefixCaches()
         self._index_by_zone = {}
+        self._tokens_per_s = mean_speed.MeanSpeed()
 
     def join(self, server):
         """Add a server or update its record."""
@@ -84,6 +86,7 @@
             server, rate, base_s=pace.prefill_base_s
         )
         self.prefixes.join(server.id, server.incarnation)
+        self._tokens_per_s.set(server.id, rate)
         self._zone_index(server.zone).set(server.id, 0.0)
 
     def has(self, server):
@@ -96,6 +99,7 @@
         known = self.by_id.pop(server_id, None)
         if known is not None:
             self._zone_index(known.server.zone).remove(server_id)
+            self._tokens_per_s.remove(server_id)
             self.prefixes.leave(server_id)
 
     def record_load(self, event):
@@ -108,6 +112,7 @@
         known.last_report_sequence = event.sequence
         if event.tokens_per_s > 0:
             known.tokens_per_s = event.tokens_per_s
+            self._tokens_per_s.set(event.server, event.tokens_per_s)
             known.rate_reported = True
 
     def record_prefill(self, server_id, tokens, prefill_s):
@@ -120,6 +125,7 @@
             return
         rate = tokens / max(MIN_READ_S, prefill_s - known.base_s)
         known.tokens_per_s += (rate - known.tokens_per_s) * RATE_EWMA_WEIGHT
+        self._tokens_per_s.set(server_id, known.tokens_per_s)
 
     def record_failure(self, server_id, now_s):
         """Pause a server that has failed or rejected a prefill.
@@ -158,23 +164,24 @@
         ]
 
     def work_s(self, request):
-        """Return the seconds that a prefill takes, None if unknown."""
+        """Return the seconds that a prefill takes on a server of mean speed.
+
+        None if it is unknown.
+        """
         known = next(iter(self.by_id.values()), None)
         if (
             known is None
             or not known.server.initial_speed.prefill_tokens_per_s
         ):
             return None
-        return known.base_s + request.prompt_tokens / known.tokens_per_s
+        return known.base_s + request.prompt_tokens / self._tokens_per_s.mean
 
     def first_token_lead_s(self, request):
         """Return the expected seconds from a grant to the first token."""
-        known = next(iter(self.by_id.values()), None)
-        if known is None:
+        if not self.by_id:
             return 0.0
-        return (
-            FIRST_TOKEN_OVERHEAD_S + request.prompt_tokens / known.tokens_per_s
-        )
+        read_s = request.prompt_tokens / self._tokens_per_s.mean
+        return FIRST_TOKEN_OVERHEAD_S + read_s
 
     def book(self, plan, prefix):
         """Book a plan."""
--- a/bulrushrudder/tests/placement/coordinator_tests.py
+++ b/bulrushrudder/tests/placement/coordinator_tests.py
@@ -3,6 +3,8 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import events
+from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import places
 
 
@@ -87,6 +89,41 @@
                 self.handle(released, now_s + 0.002)
         self.assertLessEqual(rejected, 8)
 
+    # Load: 3,200 prompt tokens and 680 output tokens on 15 prefill and 30
+    # decode servers, every third of which takes 2.4 times as long. The split
+    # followed the server of each kind that had joined first: 20 or 8 servers
+    # prefilled, and 8 of them serve half of what 15 serve.
+    def test_split_of_pool_does_not_follow_one_server(self):
+        pool = []
+        for number in range(45):
+            slowdown = (0.7, 0.7, 1.7)[number % 3]
+            speed = servers.InitialSpeed(
+                prefill_base_s=0.06,
+                prefill_tokens_per_s=33_000.0 / slowdown,
+                token_s=0.0042 * slowdown,
+            )
+            pool.append(
+                fleet.server(
+                    f's{number}',
+                    'prefill' if number < 15 else 'decode',
+                    memory_tokens=29_000,
+                    initial_speed=speed,
+                )
+            )
+        slow_prefill_first = [pool[2], pool[15], *pool]
+        slow_decode_first = [pool[0], pool[17], *pool]
+        for ordered in (slow_prefill_first, slow_decode_first):
+            with self.subTest(first=ordered[0].id):
+                self.setUp()
+                self.handle(events.ServersChanged(tuple(ordered)))
+                for number in range(10):
+                    request = places.placement_request(
+                        number, prompt_tokens=3200, output_tokens=680
+                    )
+                    self.handle(request)
+                wanted = self.coordinator.wanted_prefills()
+                self.assertEqual(wanted, 15)
+
     def test_prefers_prefill_server_with_cached_prefix(self):
         self.handle(places.servers_changed(prefills=2, decodes=2))
         prefix = (11, 12, 13)
