Tell servers that are full from servers that fail

A plain server that rejected a call as full counted like one that lost it: three rejections ejected it for 5 s. With all servers full for a moment each VM ejected them in turn, and one that reset half of its calls was as good as those that rejected calls without running them.

A server that rejects is now avoided for 0.1 s, up to 1 s after more rejections, and not ejected.

--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -58,27 +58,33 @@
         for service in server.serves:
             selector = self._selector(service)
             selector.record_call_start(server.id, server.incarnation, _now_s())
-        succeeded = None
+        call_result = server_selector.CallResult.UNKNOWN
         try:
             outcome = await self._client.call(server, call)
-            succeeded = self._succeeded(server, outcome)
+            call_result = self._result(server, outcome)
             return outcome
         finally:
             for service in server.serves:
                 self._selector(service).record_call_end(
-                    server.id, server.incarnation, succeeded, _now_s()
+                    server.id, server.incarnation, call_result, _now_s()
                 )
 
-    def _succeeded(self, server, outcome):
-        """Return whether a server has served a call, None if unknown."""
+    def _result(self, server, outcome):
+        """Return the CallResult of an outcome."""
+        results = server_selector.CallResult
         match outcome:
             case result.Success(reply):
-                return reply.status < FIRST_SERVER_ERROR_STATUS
+                if reply.status < FIRST_SERVER_ERROR_STATUS:
+                    return results.SERVED
             case result.Failure(outcomes.Refusal(of_server=False)) if (
                 self._doubts(server)
             ):
-                return None
-        return False
+                return results.UNKNOWN
+            case result.Failure(
+                outcomes.Refusal(reason=outcomes.Reason.BACKEND_FULL)
+            ):
+                return results.REJECTED
+        return results.FAILED
 
     async def has_crashed(self, server):
         """Return whether a server has crashed, after a call to it failed."""
--- a/bulrushrudder/placement/server_selector.py
+++ b/bulrushrudder/placement/server_selector.py
@@ -1,6 +1,7 @@
 """Selection of a backend server for a call to a plain service."""
 
 import dataclasses
+import enum
 
 from bulrushrudder.core import ids
 from bulrushrudder.placement import load_index
@@ -19,10 +20,28 @@
 # failure in a row outweighs the preference for the own zone for a second,
 # two for four seconds.
 FAILING_SERVER_COST_CALLS = 16.0
+# A full server has room again when its queue is shorter, after some tenths
+# of a second; the pause doubles with each further rejection in a row.
+FIRST_REJECTION_PAUSE_S = 0.1
+MAX_REJECTION_PAUSE_S = 1.0
+REJECTING_SERVER_COST_CALLS = 8.0
 # Below this share a server counts as sound again.
 NEGLIGIBLE_FAILURE_SHARE = 0.02
 
 
+class CallResult(enum.Enum):
+    """Result of a call, as far as it says something about its server.
+
+    A server that REJECTED a call has not run it, so that it can go to
+    another one; a call that FAILED may have to fail for its caller.
+    """
+
+    SERVED = 'served'
+    REJECTED = 'rejected'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
 @dataclasses.dataclass(slots=True)
 class _Server:
     """State of a server as tracked by this VM.
@@ -36,6 +55,9 @@
     :param failure_share: share of its recent calls that failed, as of the
         last result.
     :param failure_updated_s: monotonic seconds of the last result.
+    :param rejections: consecutive calls that it rejected.
+    :param rejecting_until_s: monotonic seconds until which it is assumed
+        to reject further calls.
     """
 
     incarnation: int
@@ -47,12 +69,20 @@
     present: bool = True
     failure_share: float = 0.0
     failure_updated_s: float = 0.0
+    rejections: int = 0
+    rejecting_until_s: float = 0.0
 
     def failure_share_at(self, now_s):
         """Return the failure share, decayed up to a time."""
         half_lives = (now_s - self.failure_updated_s) / FAILURE_HALF_LIFE_S
         return self.failure_share * 0.5**half_lives
 
+    def record_rejection(self, now_s):
+        """Avoid the server for a time, longer after each rejection."""
+        pause_s = FIRST_REJECTION_PAUSE_S * 2**self.rejections
+        self.rejecting_until_s = now_s + min(MAX_REJECTION_PAUSE_S, pause_s)
+        self.rejections += 1
+
     def record_result(self, failed, now_s):
         """Update the failure share with the result of a call."""
         share = self.failure_share_at(now_s)
@@ -137,11 +167,10 @@
             known.calls += 1
             self._update_index(server_id, now_s)
 
-    def record_call_end(self, server_id, incarnation, succeeded, now_s):
+    def record_call_end(self, server_id, incarnation, result, now_s):
         """Record the end of a call.
 
-        :param succeeded: whether the server succeeded; None if it is
-            unknown.
+        :param result: the CallResult.
         """
         known = self._servers_by_id.get(server_id)
         if known is None or known.incarnation != incarnation:
@@ -150,14 +179,17 @@
         if not known.present:
             self._retire(server_id)
             return
-        if succeeded is not None:
-            known.record_result(not succeeded, now_s)
-        match succeeded:
-            case True:
+        match result:
+            case CallResult.SERVED:
+                known.record_result(False, now_s)
                 known.failures = 0
                 known.ejections = 0
+                known.rejections = 0
                 self._on_probation.discard(server_id)
-            case False:
+            case CallResult.REJECTED:
+                known.record_rejection(now_s)
+            case CallResult.FAILED:
+                known.record_result(True, now_s)
                 self._record_failure(server_id, known, now_s)
         self._update_index(server_id, now_s)
 
@@ -213,6 +245,8 @@
         known = self._servers_by_id[server_id]
         other = 0 if known.zone == self._zone else CROSS_ZONE_COST_CALLS
         failing = known.failure_share_at(now_s) * FAILING_SERVER_COST_CALLS
+        if now_s < known.rejecting_until_s:
+            failing += REJECTING_SERVER_COST_CALLS
         return known.calls + other + failing, server_id
 
     def _zone_index(self, zone):
--- a/bulrushrudder/tests/placement/server_selector_tests.py
+++ b/bulrushrudder/tests/placement/server_selector_tests.py
@@ -10,6 +10,9 @@
 from bulrushrudder.tests.builders import fleet
 
 IDS = ('portal-1', 'portal-2', 'portal-3')
+FAILED = server_selector.CallResult.FAILED
+REJECTED = server_selector.CallResult.REJECTED
+SERVED = server_selector.CallResult.SERVED
 HALF_LIFE_S = server_selector.FAILURE_HALF_LIFE_S
 # Of a failure share that is forgotten, in calls.
 NEGLIGIBLE_COST = (
@@ -36,7 +39,7 @@
     def fail(self, server_id, times, now_s):
         for _ in range(times):
             self.selector.record_call_start(server_id, 1, now_s)
-            self.selector.record_call_end(server_id, 1, False, now_s)
+            self.selector.record_call_end(server_id, 1, FAILED, now_s)
 
     def test_prefers_own_zone_until_busier(self):
         self.selector.update_servers([server('near'), server('far', zone='b')])
@@ -51,6 +54,24 @@
         later_s = 4 * server_selector.FAILURE_HALF_LIFE_S
         self.assertEqual(self.selector.choose(later_s), 'near')
 
+    # Guards against a pool whose servers are all full for a moment: each
+    # VM ejected them for 5 s in turn, and preferred one that resets calls.
+    def test_server_that_rejects_is_avoided_for_a_moment_and_not_ejected(self):
+        self.selector.update_servers([server('near'), server('far', zone='b')])
+        for _ in range(server_selector.FAILURES_TO_EJECT):
+            self.selector.record_call_start('near', 1, 0.0)
+            self.selector.record_call_end('near', 1, REJECTED, 0.0)
+        self.assertEqual(self.selector.choose(0.05), 'far')
+        later_s = server_selector.MAX_REJECTION_PAUSE_S
+        self.assertEqual(self.selector.choose(later_s), 'near')
+
+    def test_server_that_rejects_is_preferred_to_one_that_fails(self):
+        self.selector.update_servers([server('one'), server('two')])
+        self.fail('one', 2, 0.0)
+        self.selector.record_call_start('two', 1, 0.0)
+        self.selector.record_call_end('two', 1, REJECTED, 0.0)
+        self.assertEqual(self.selector.choose(0.2), 'two')
+
     def test_ejected_server_is_chosen_if_the_others_take_no_call(self):
         self.selector.update_servers([server('one'), server('two')])
         self.fail('one', server_selector.FAILURES_TO_EJECT, 0.0)
@@ -65,7 +86,7 @@
         self.assertEqual(chosen, {'two'})
         chosen = [self.call(readmitted_s + 0.1) for _ in range(4)]
         self.assertEqual(chosen.count('one'), 1)
-        self.selector.record_call_end('one', 1, False, readmitted_s + 0.2)
+        self.selector.record_call_end('one', 1, FAILED, readmitted_s + 0.2)
         chosen = {self.call(2 * readmitted_s) for _ in range(4)}
         self.assertEqual(chosen, {'two'})
 
@@ -106,7 +127,9 @@
                 fails = chosen == IDS[0] and calls % 2 == vm // 3 % 2
                 calls += chosen == IDS[0]
                 end_s = now_s + (0.0 if fails else self.CALL_S)
-                selector.record_call_end(chosen, 1, not fails, end_s)
+                selector.record_call_end(
+                    chosen, 1, FAILED if fails else SERVED, end_s
+                )
                 failed += fails
                 now_s += self.CALL_INTERVAL_S
         return failed
@@ -195,7 +218,7 @@
             limit = server_selector.FAILURES_TO_EJECT
             self.ejected[server_id] |= self.failures[server_id] >= limit
         self.selector.record_call_end(
-            server_id, incarnation, worked, self.now_s
+            server_id, incarnation, SERVED if worked else FAILED, self.now_s
         )
 
     @stateful.rule(seconds=strategies.sampled_from((1.0, 6.0, 70.0)))
