Split a pool only once the speed of a quarter of its servers was measured

The split was decided after ten requests, from estimates that were fitted to another deployment.

The first measurements of a server now weigh more, with the initial estimate counted as one of them.

--- a/bulrushrudder/placement/balance.py
+++ b/bulrushrudder/placement/balance.py
@@ -16,6 +16,10 @@
 # Requests recorded before the average is used. Prompt lengths spread by
 # about half, so it is then off by some 15%, less than MIN_GAIN_SHARE.
 MIN_REQUESTS = 10
+# Share of the servers of each kind whose speed must have been measured. The
+# split of a pool whose speeds differ from the initial estimate would move a
+# quarter of its servers, and they are missing until they move back.
+MIN_MEASURED_SHARE = 0.25
 # A change takes its server out of service for some seconds, so it must
 # raise the throughput of the pool by at least this share.
 MIN_GAIN_SHARE = 0.2
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -95,6 +95,14 @@
             return None
         prefills = len(self._prefills.by_id)
         decodes = sum(k.present for k in self._decodes.by_id.values())
+        min_share = balance.MIN_MEASURED_SHARE
+        measured = (
+            self._prefills.measured_servers() >= prefills * min_share
+            and self._decodes.measured_servers() >= decodes * min_share
+        )
+        # A pool that lacks one kind serves nothing and measures nothing.
+        if prefills and decodes and not measured:
+            return None
         return balance.wanted(work, prefills, decodes)
 
     def handle(self, event, now_s):
--- a/bulrushrudder/placement/decode_server.py
+++ b/bulrushrudder/placement/decode_server.py
@@ -32,6 +32,7 @@
     :param exclusive: whether one of them must run alone.
     :param runs: its requests by hold, for the memory forecast.
     :param token_s: measured seconds between tokens, 0 if unknown.
+    :param measured: number of requests from which it was measured.
     :param read_free_s: monotonic seconds from which it may process
         another prompt.
     :param failure_share: share of its recent requests that failed, as
@@ -58,6 +59,7 @@
         dataclasses.field(default_factory=dict)
     )
     token_s: float = 0.0
+    measured: int = 0
     read_free_s: float = 0.0
     failure_share: float = 0.0
     failure_updated_s: float = 0.0
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -13,8 +13,6 @@
 INITIAL_HOLD_S = 10.0
 HOLD_EWMA_WEIGHT = 0.05
 LARGE_PIECES_DECAY = 0.99
-# Weight of one request in the measured pace of its server.
-PACE_EWMA_WEIGHT = 0.1
 
 # Expected number of ended requests at which the nth place ahead is free
 # with 99% probability, if requests end independently (Poisson).
@@ -190,7 +188,9 @@
         """Update the measured time between tokens of a server."""
         known = self.by_id.get(server_id)
         if known is not None and known.token_s > 0:
-            known.token_s += (token_s - known.token_s) * PACE_EWMA_WEIGHT
+            weight = mean_speed.measurement_weight(known.measured)
+            known.token_s += (token_s - known.token_s) * weight
+            known.measured += 1
             self._record_speed(known)
 
     def record_result(self, server_id, failed, now_s):
@@ -212,6 +212,10 @@
         output = request.expected_tokens or request.output_tokens
         return output * (request.prompt_tokens + output / 2) / speed
 
+    def measured_servers(self):
+        """Return the number of present servers whose speed was measured."""
+        return sum(k.present and k.measured > 0 for k in self.by_id.values())
+
     def _record_speed(self, known):
         if known.present and known.token_s > 0:
             speed = known.server.memory_tokens / known.token_s
--- a/bulrushrudder/placement/mean_speed.py
+++ b/bulrushrudder/placement/mean_speed.py
@@ -1,5 +1,21 @@
 """Mean speed of the servers of a pool."""
 
+# Weight of a measurement among those of its server, once there are many;
+# about ten dominate the estimate, which a busy server completes in one to
+# five seconds.
+EWMA_WEIGHT = 0.1
+
+
+def measurement_weight(measured):
+    """Return the weight of a new measurement of a server.
+
+    The initial estimate counts as one measurement, so that a server whose
+    speed differs from it is known after a few requests.
+
+    :param measured: number of earlier measurements.
+    """
+    return max(EWMA_WEIGHT, 1.0 / (measured + 2))
+
 
 class MeanSpeed:
     """Mean of the speeds of members, kept as they change."""
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -9,9 +9,6 @@
 
 DEFAULT_TOKENS_PER_S = 10000.0
 CANDIDATES_PER_ZONE = 2
-# Weight of one prefill in the measured rate of its server; about ten
-# dominate it, which a busy server completes in one or two seconds.
-RATE_EWMA_WEIGHT = 0.1
 MIN_READ_S = 0.005
 # A server that fails a prefill gets the next one after this time, twice as
 # long after each further failure. By then it has joined anew, or its lease
@@ -29,6 +26,7 @@
 
     :param free_s: monotonic seconds at which its booked prefills end.
     :param link_free_s: monotonic seconds at which its link is free.
+    :param measured: number of prefills from which its rate was measured.
     :param rate_reported: whether the server has reported its rate.
     :param isolated_until_s: monotonic seconds until which an isolated
         request may run there, so that no other prefill starts.
@@ -44,6 +42,7 @@
     free_s: float = 0.0
     link_free_s: float = 0.0
     last_report_sequence: int = -1
+    measured: int = 0
     rate_reported: bool = False
     isolated_until_s: float = 0.0
     base_s: float = 0.0
@@ -124,7 +123,9 @@
         if not known.server.initial_speed.prefill_tokens_per_s:
             return
         rate = tokens / max(MIN_READ_S, prefill_s - known.base_s)
-        known.tokens_per_s += (rate - known.tokens_per_s) * RATE_EWMA_WEIGHT
+        weight = mean_speed.measurement_weight(known.measured)
+        known.tokens_per_s += (rate - known.tokens_per_s) * weight
+        known.measured += 1
         self._tokens_per_s.set(server_id, known.tokens_per_s)
 
     def record_failure(self, server_id, now_s):
@@ -141,6 +142,10 @@
         free_s = max(known.free_s, known.paused_until_s)
         self._zone_index(known.server.zone).set(server_id, free_s)
 
+    def measured_servers(self):
+        """Return the number of servers whose rate was measured."""
+        return sum(known.measured > 0 for known in self.by_id.values())
+
     def has_server(self, excluded):
         """Return whether there is a server, idle or busy, to choose from."""
         return any(server_id not in excluded for server_id in self.by_id)
--- a/bulrushrudder/tests/placement/coordinator_tests.py
+++ b/bulrushrudder/tests/placement/coordinator_tests.py
@@ -112,18 +112,33 @@
             )
         slow_prefill_first = [pool[2], pool[15], *pool]
         slow_decode_first = [pool[0], pool[17], *pool]
+        by_id = {known.id: known for known in pool}
         for ordered in (slow_prefill_first, slow_decode_first):
             with self.subTest(first=ordered[0].id):
                 self.setUp()
                 self.handle(events.ServersChanged(tuple(ordered)))
+                granted = []
                 for number in range(10):
                     request = places.placement_request(
                         number, prompt_tokens=3200, output_tokens=680
                     )
-                    self.handle(request)
+                    granted += places.grants(self.handle(request))
+                self.assertIsNone(self.coordinator.wanted_prefills())
+                for grant in granted:
+                    self.handle(self.measured(grant, by_id))
                 wanted = self.coordinator.wanted_prefills()
                 self.assertEqual(wanted, 15)
 
+    def measured(self, grant, servers_by_id):
+        """Return the release of a request that ran at the stated speeds."""
+        prefill = servers_by_id[grant.prefill].initial_speed
+        decode = servers_by_id[grant.decode].initial_speed
+        return events.PlaceReleased(
+            grant.hold,
+            prefill.prefill_base_s + 3200 / prefill.prefill_tokens_per_s,
+            decode.token_s,
+        )
+
     def test_prefers_prefill_server_with_cached_prefix(self):
         self.handle(places.servers_changed(prefills=2, decodes=2))
         prefix = (11, 12, 13)
