Record which backend servers are cold

Announcements state how long a server remains cold, and services which rate a cold server sustains. Both were ignored, so that nothing could bound the requests to such a server. The record of a server now carries the rate and whether it is cold; the log gets an entry only at the turn. Recorded only where the settings bound the requests to cold servers.

--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -86,6 +86,11 @@
     :param spare_tokens: tokens that an account may use beyond its
         grants, per window, while its authority is unreachable.
     :param spare_window_s: length of that window in seconds.
+    :param cold_overrun: multiple of the rate that a cold server sustains,
+        which it may get in a second, apart from the tolerance; 0 if
+        nothing is known of cold servers.
+    :param cold_tolerance: requests that a cold server may get in a second
+        beyond that.
     """
 
     retry_share: float
@@ -93,6 +98,8 @@
     retry_window_s: float
     spare_tokens: float
     spare_window_s: float
+    cold_overrun: float = 0.0
+    cold_tolerance: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +112,8 @@
     :param data_folder: the folder of durable state.
     :param order_lease_s: seconds after an order in which no other
         process may send one.
+    :param knows_cold: whether announcements that servers are cold are
+        recorded, because the platform bounds the requests to such servers.
     """
 
     operators: Address
@@ -112,6 +121,7 @@
     inner: Address
     data_folder: pathlib.Path
     order_lease_s: float = DEFAULT_ORDER_LEASE_MS / units.MS_PER_SECOND
+    knows_cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -99,6 +99,7 @@
     order_lease_ms: float = pydantic.Field(
         default=settings.DEFAULT_ORDER_LEASE_MS, ge=0
     )
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
 
     def build(self, folder):
         """Convert to the data class.
@@ -111,6 +112,7 @@
             inner=self.inner.build(),
             data_folder=folder / self.data_folder,
             order_lease_s=self.order_lease_ms / units.MS_PER_SECOND,
+            knows_cold=bool(self.cold_overrun),
         )
 
 
@@ -140,10 +142,16 @@
     retry_window_s: float = pydantic.Field(gt=0)
     spare_tokens: float = pydantic.Field(ge=0)
     spare_window_s: float = pydantic.Field(gt=0)
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
+    cold_tolerance: float | None = pydantic.Field(default=None, ge=0)
 
     def build(self):
         """Convert to the data class."""
-        return settings.FleetBounds(**self.model_dump())
+        return settings.FleetBounds(
+            **self.model_dump(exclude={'cold_overrun', 'cold_tolerance'}),
+            cold_overrun=self.cold_overrun or 0.0,
+            cold_tolerance=self.cold_tolerance or 0.0,
+        )
 
 
 class SettingsModel(models.Model):
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -8,6 +8,7 @@
 from bulrushrudder.consensus import messages as consensus_messages
 from bulrushrudder.control import log_feed
 from bulrushrudder.control import pauses
+from bulrushrudder.control import server_log
 from bulrushrudder.control import status
 from bulrushrudder.control import stream_registry
 from bulrushrudder.documents import types
@@ -206,7 +207,7 @@
         )
         for action in actions:
             if await self._commit_as_leader(action.command):
-                _log_change(action.command, 'silent')
+                server_log.log_change(action.command, 'silent')
 
     async def _commit_as_leader(self, command):
         """Commit what this process has decided as the leader.
@@ -299,7 +300,7 @@
         self._tracker.exclude(server.id, until_s)
         lose = servers.LoseServer(server.id, server.incarnation)
         if await self._commit_as_leader(lose):
-            _log_change(lose, 'set aside')
+            server_log.log_change(lose, 'set aside')
 
     def readmit(self, server):
         """Let an excluded server join again with its next announcement."""
@@ -352,45 +353,15 @@
         actions = self._tracker.handle(event, servers_by_id, _now_s())
         committed = True
         for action in actions:
+            known = server_log.find_known(action.command, servers_by_id)
             outcome = await self.node.propose(action.command)
             match outcome:
                 case results.Unavailable():
                     committed = False
                 case results.Accepted():
-                    _log_change(action.command, 'silent')
+                    server_log.log_change(action.command, 'silent', known)
         return committed
 
 
-def _log_change(command, lost_reason):
-    """Log a committed change of the backend servers.
-
-    :param lost_reason: reason to log if a server was lost.
-    """
-    match command:
-        case servers.JoinServer(server=server):
-            log.emit(
-                catalogue.SERVER_JOINED,
-                server=server.id,
-                incarnation=server.incarnation,
-                kind=server.kind,
-                serves=' '.join(server.serves),
-                zone=server.zone,
-                software=server.software,
-            )
-        case servers.LeaveServer():
-            _log_left(command, 'leaving')
-        case servers.LoseServer():
-            _log_left(command, lost_reason)
-
-
-def _log_left(command, reason):
-    log.emit(
-        catalogue.SERVER_LEFT,
-        server=command.id,
-        incarnation=command.incarnation,
-        reason=reason,
-    )
-
-
 def _now_s():
     return asyncio.get_running_loop().time()
--- a/bulrushrudder/documents/types.py
+++ b/bulrushrudder/documents/types.py
@@ -159,11 +159,16 @@
 
     :param max_connections: connections that a server accepts in total.
     :param engine: properties of its engines; None for a plain service.
+    :param warm_up_s: seconds for which a server is cold after its start.
+    :param cold_requests_per_s: requests a second that a cold server
+        sustains; 0 if its servers are never cold.
     """
 
     id: ids.ServiceId
     max_connections: int
     engine: EngineProfile | None
+    warm_up_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -438,6 +438,27 @@
     'The announcement of a backend server is invalid; its previous state '
     'stays.',
 )
+SERVER_COLD = Event(
+    4015,
+    Level.INFO,
+    'server cold',
+    'A backend server announced that it has become cold; all VMs together '
+    'send it no more than the given rate, until it announces that it is not.',
+)
+SERVER_WARM = Event(
+    4016,
+    Level.INFO,
+    'server warm',
+    'A backend server announced that it is no longer cold.',
+)
+COLD_CALL_HELD_BACK = Event(
+    4017,
+    Level.INFO,
+    'call to cold server held back',
+    'A request was not sent to a backend server that counts as cold, because '
+    'its rate leaves no room in time or no coordinator answered. At most one '
+    'line a second, with the number of requests since the last one.',
+)
 KIND_CHANGE_ORDERED = Event(
     4004,
     Level.INFO,
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -9,6 +9,13 @@
 # Twice the time between two ticks. Without an event for longer, this
 # process stood still and could not hear the servers.
 STANDSTILL_S = 1.0
+# A server that is recorded as cold may be so without its knowledge of this
+# process, as after the restoration of its zone. An announcement that was
+# sent before that arrives within this time, the servers' timeout.
+COLD_CONFIRMATION_S = 1.0
+# The change to cold or warm is proposed again after this time, less than
+# the time between two announcements, if it was not committed.
+COLD_REPEAT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +69,7 @@
         self._sequence_by_incarnation: dict[tuple[ids.ServerId, int], int] = {}
         self._proposed_s_by_command = {}
         self._excluded_until_s_by_id = {}
+        self._cold_since_s_by_id = {}
         self._last_event_s = None
 
     def exclude(self, server_id, until_s):
@@ -102,6 +110,7 @@
                     return []
                 return self._renew(server, servers_by_id, now_s)
             case Ticked():
+                self._observe_cold(servers_by_id, now_s)
                 return self._expire(servers_by_id, now_s)
         raise AssertionError(f'unknown event {event!r}')
 
@@ -137,9 +146,43 @@
         if known and known.incarnation > server.incarnation:
             return []
         self._renewed_s_by_id[server.id] = now_s
+        if known and known.incarnation == server.incarnation:
+            server = self._with_cold(server, known, now_s)
         if known == server or self._is_excluded(server.id, now_s):
             return []
-        return self._propose(servers.JoinServer(server), now_s)
+        interval_s = LEASE_S
+        if servers.turns(known, server):
+            interval_s = COLD_REPEAT_S
+            if not server.cold:
+                self._cold_since_s_by_id.pop(server.id, None)
+        return self._propose(servers.JoinServer(server), now_s, interval_s)
+
+    def _observe_cold(self, servers_by_id, now_s):
+        """Note since when servers have been recorded as cold."""
+        self._cold_since_s_by_id = {
+            server.id: self._cold_since_s_by_id.get(server.id, now_s)
+            for server in servers_by_id.values()
+            if server.cold
+        }
+
+    def _with_cold(self, server, known, now_s):
+        """Return an announced server with what counts as its state.
+
+        A process of a version that does not know of cold servers announces
+        nothing about it, so that the record stays.
+        """
+        if server.cold is None and known.cold is not None:
+            return dataclasses.replace(
+                server,
+                cold=known.cold,
+                cold_requests_per_s=known.cold_requests_per_s,
+            )
+        if not known.cold or server.cold:
+            return server
+        since_s = self._cold_since_s_by_id.setdefault(server.id, now_s)
+        if now_s - since_s < COLD_CONFIRMATION_S:
+            return dataclasses.replace(server, cold=True)
+        return server
 
     def _is_excluded(self, server_id, now_s):
         until_s = self._excluded_until_s_by_id.get(server_id, 0.0)
@@ -158,14 +201,14 @@
                 proposals += self._propose(lose, now_s)
         return proposals
 
-    def _propose(self, command, now_s):
-        """Propose a command at most once per lease.
+    def _propose(self, command, now_s, interval_s=LEASE_S):
+        """Propose a command at most once in an interval.
 
         Limits the log entries caused by a server whose announcements
         are rejected each time.
         """
         proposed_s = self._proposed_s_by_command.get(command)
-        if proposed_s is not None and now_s - proposed_s < LEASE_S:
+        if proposed_s is not None and now_s - proposed_s < interval_s:
             return []
         self._proposed_s_by_command[command] = now_s
         return [ProposeCommand(command)]
--- a/bulrushrudder/metrics/control.py
+++ b/bulrushrudder/metrics/control.py
@@ -20,10 +20,13 @@
 
     :param tolerable_losses: function that returns how many more voters
         may be lost, or None if this process does not lead.
+    :param cold_servers: function that returns the number of servers that
+        are recorded as cold.
     """
 
-    def __init__(self, tolerable_losses=lambda: None):
+    def __init__(self, tolerable_losses=lambda: None, cold_servers=lambda: 0):
         self._tolerable_losses = tolerable_losses
+        self._cold_servers = cold_servers
         self.registry = aioprometheus.Registry()
         self._submissions = aioprometheus.Counter(
             'bulrushrudder_submissions_total',
@@ -41,6 +44,11 @@
             '-1 if this process does not lead.',
             registry=self.registry,
         )
+        self._cold = aioprometheus.Gauge(
+            'bulrushrudder_cold_servers',
+            'Backend servers that count as cold by the log.',
+            registry=self.registry,
+        )
 
     def count_submission(self, environment, outcome):
         """Count a submission or promotion.
@@ -63,4 +71,5 @@
         """
         losses = self._tolerable_losses()
         self._losses.set({}, -1 if losses is None else losses)
+        self._cold.set({}, self._cold_servers())
         return aioprometheus.render(self.registry, accept)
--- a/bulrushrudder/platform/announcements.py
+++ b/bulrushrudder/platform/announcements.py
@@ -26,7 +26,8 @@
 
     ``version`` is that of its software. ``born`` is the start time of the
     runner in Unix milliseconds. ``slots`` is the number of requests that it
-    runs concurrently. Only engines have a ``stage``.
+    runs concurrently. Only engines have a ``stage``. ``cold_remaining_ms``
+    is how long it will remain cold, 0 if it is not.
     """
 
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
@@ -42,6 +43,7 @@
     )
     sequence: int = pydantic.Field(ge=0, le=MAX_INTEGER)
     born: int = pydantic.Field(default=0, ge=0, le=MAX_INTEGER)
+    cold_remaining_ms: float | None = None
 
     @pydantic.field_validator('address')
     @classmethod
@@ -73,13 +75,15 @@
     sequence: int
 
 
-def read(server_id, body, services_by_id):
+def read(server_id, body, services_by_id, knows_cold=False):
     """Parse a heartbeat.
 
     :param server_id: the runner's id, from the path.
     :param body: the JSON body as bytes.
     :param services_by_id: the services of the document in force; empty
         while there is no document.
+    :param knows_cold: whether the settings bound the requests to cold
+        servers.
     :returns: the Announcement, or an error message.
     """
     try:
@@ -92,6 +96,12 @@
             f'service: {heartbeat.service!r} is not in the configuration'
         )
     server = _server(server_id, heartbeat, service.engine if service else None)
+    if knows_cold and service:
+        pace = service.cold_requests_per_s
+        cold = pace > 0 and (heartbeat.cold_remaining_ms or 0) > 0
+        server = dataclasses.replace(
+            server, cold_requests_per_s=pace, cold=cold
+        )
     leaving = heartbeat.state == 'draining'
     return result.Success(Announcement(server, leaving, heartbeat.sequence))
 
--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -158,11 +158,17 @@
 
 
 class ServiceModel(_ConfigurationPart):
-    """A service."""
+    """A service.
+
+    ``cold_start_s`` is how long a server is cold after its start, and
+    ``cold_per_s`` how many requests a second it sustains meanwhile.
+    """
 
     name: str
     max_connections: int = pydantic.Field(default=100, ge=1)
     engine: EngineModel | None = None
+    cold_start_s: float | None = pydantic.Field(default=None, ge=0)
+    cold_per_s: float | None = pydantic.Field(default=None, ge=0)
 
     def build(self):
         """Return the Service data class."""
@@ -170,6 +176,8 @@
             id=ids.ServiceId(self.name),
             max_connections=self.max_connections,
             engine=self.engine.build() if self.engine else None,
+            warm_up_s=self.cold_start_s or 0.0,
+            cold_requests_per_s=self.cold_per_s or 0.0,
         )
 
 
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -33,11 +33,14 @@
 
     :param control: the ControlProcess.
     :param metrics: the ControlMetrics.
+    :param knows_cold: whether the settings bound the requests to cold
+        servers.
     """
 
-    def __init__(self, control, metrics):
+    def __init__(self, control, metrics, knows_cold=False):
         self._control = control
         self._metrics = metrics
+        self._knows_cold = knows_cold
 
     def application(self):
         """Return the aiohttp application."""
@@ -65,7 +68,10 @@
         if not await self._is_state_usable():
             return _problem(503, 'no quorum confirmed the configuration')
         parsed = announcements.read(
-            request.match_info['id'], body, self._services_by_id()
+            request.match_info['id'],
+            body,
+            self._services_by_id(),
+            self._knows_cold,
         )
         match parsed:
             case result.Success(announced):
@@ -187,7 +193,9 @@
 
     def application(self, control, settings, metrics):
         """Return the aiohttp application for runners and the operator."""
-        return ControlApi(control, metrics).application()
+        return ControlApi(
+            control, metrics, settings.control.knows_cold
+        ).application()
 
     def order_client(self, stack):
         """Return the OrderClient that sends orders to runners.
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -48,6 +48,10 @@
         check it in each request; empty for others.
     :param initial_speed: speed assumed before any measurement.
     :param software: version of its software; empty if it states none.
+    :param cold_requests_per_s: requests a second that it sustains while
+        it is cold; 0 if it is never cold.
+    :param cold: whether it is cold; None if the process that read its
+        announcement does not know of cold servers.
     """
 
     id: ids.ServerId
@@ -67,6 +71,21 @@
     can_prefill: bool = False
     initial_speed: InitialSpeed = UNKNOWN_SPEED
     software: str = ''
+    cold_requests_per_s: float = 0.0
+    cold: bool | None = None
+
+
+def turns(known, server):
+    """Return whether a record differs only in that the server is cold.
+
+    :param known: the earlier BackendServer, or None.
+    :param server: the BackendServer.
+    """
+    return (
+        known is not None
+        and known.cold != server.cold
+        and dataclasses.replace(known, cold=server.cold) == server
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -203,6 +222,27 @@
             return None
         return limit.requests_per_s
 
+    def count_cold(self):
+        """Return the number of present servers that are cold."""
+        return sum(bool(server.cold) for server in self.by_id.values())
+
+    def mark_zone_cold(self, zone):
+        """Count the servers of a zone as cold until they say otherwise.
+
+        To be called when the zone's evacuation is reverted, in the same
+        entry of the log: its servers may have become cold before that, and
+        announce it only a second or two later.
+
+        :param zone: the Zone.
+        """
+        for server in tuple(self.by_id.values()):
+            if server.zone == zone and server.cold_requests_per_s > 0:
+                limit = self._limits_by_id.get(server.id)
+                self._remove(server.id)
+                self._add(dataclasses.replace(server, cold=True))
+                if limit is not None:
+                    self._limits_by_id[server.id] = limit
+
     def latest_incarnation(self, server_id):
         """Return the latest known incarnation of a server, -1 for none."""
         return self._known(server_id).incarnation
