Pace the requests of all VMs to cold servers

A cold server got as many requests as a warm one. The coordinator of its model now spaces the grants, and counts each request once more right before it is sent: the connection pool asks for a permit, so that retries, resumed streams, rerouted decodes and grants of other coordinators are counted too. A coordinator that may not be the only one has a small share of the bound. Nothing is asked where the settings or the service state nothing.

--- a/bulrushrudder/backpressure/rate_limiter.py
+++ b/bulrushrudder/backpressure/rate_limiter.py
@@ -32,9 +32,13 @@
 
     A limit starts without credit, so that a process that takes over does
     not add a burst to what its predecessor granted.
+
+    :param credit_s: requests that were due within this time and not sent
+        may still be sent, at most one of them.
     """
 
-    def __init__(self):
+    def __init__(self, credit_s=BURST_S):
+        self._credit_s = credit_s
         self._paces_by_id = {}
 
     @property
@@ -101,6 +105,25 @@
             for server_id in limited
         )
 
+    def requests_per_s(self, server_id):
+        """Return the limit of a server, None without one."""
+        pace = self._paces_by_id.get(server_id)
+        return pace.requests_per_s if pace else None
+
+    def is_set(self, server_id, incarnation, requests_per_s):
+        """Return whether an incarnation of a server has this limit."""
+        pace = self._paces_by_id.get(server_id)
+        return (
+            pace is not None
+            and pace.incarnation == incarnation
+            and pace.requests_per_s == requests_per_s
+        )
+
+    def hold(self, server_id, until_s):
+        """Let a limited server get no request until a time."""
+        pace = self._paces_by_id[server_id]
+        pace.due_s = max(pace.due_s, until_s)
+
     def wait_s(self, server_id, now_s):
         """Return the seconds until a server may get a request."""
         pace = self._paces_by_id.get(server_id)
@@ -113,5 +136,5 @@
         pace = self._paces_by_id.get(server_id)
         if pace is None or pace.requests_per_s is None:
             return
-        earliest_s = now_s - min(BURST_S, pace.interval_s)
+        earliest_s = now_s - min(self._credit_s, pace.interval_s)
         pace.due_s = max(pace.due_s, earliest_s) + pace.interval_s
--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -22,6 +22,11 @@
     'the permission to send it ran out',
     sent=False,
 )
+_HELD_BACK = responses.Problem(
+    responses.ProblemKind.HELD_BACK,
+    'the server is cold and got no more requests in time',
+    sent=False,
+)
 
 
 class Listening(enum.Enum):
@@ -41,11 +46,19 @@
         which the call was sent, and the Head; called when a head arrives.
     :param network_: opens connections, an object with the methods of
         DirectNetwork, which is the default.
+    :param permit: coroutine function of a BackendServer that waits until a
+        counted call may be sent to it; it returns the seconds of the loop's
+        clock after which it must not be sent, or None if it may not be.
     """
 
     def __init__(
-        self, id_header, on_head=connections.ignore_head, network_=None
+        self,
+        id_header,
+        on_head=connections.ignore_head,
+        network_=None,
+        permit=None,
     ):
+        self._permit = permit
         self._network = network_ or network.DirectNetwork()
         self._id_header = id_header
         self._on_head = on_head
@@ -70,6 +83,12 @@
         :param idle_s: longest idle time in seconds of a connection to
             reuse; 0 for a new connection.
         """
+        expires_s = call.expires_s
+        if call.counted and self._permit is not None:
+            expires_s = await self._permit(server)
+        if expires_s is None:
+            yield result.Failure(_HELD_BACK)
+            return
         match await self._connect(server, call.id, idle_s):
             case result.Failure(problem):
                 yield result.Failure(problem)
@@ -77,9 +96,9 @@
             case result.Success(connection):
                 pass
         sent_s = asyncio.get_running_loop().time()
-        if sent_s > call.expires_s:
+        if sent_s > expires_s:
             self._release(server, connection)
-            yield result.Failure(_EXPIRED)
+            yield result.Failure(_HELD_BACK if call.counted else _EXPIRED)
             return
         connection.send(
             call,
--- a/bulrushrudder/engines/responses.py
+++ b/bulrushrudder/engines/responses.py
@@ -12,6 +12,7 @@
     BROKEN = 'broken'
     INVALID = 'invalid'
     EXPIRED = 'expired'
+    HELD_BACK = 'held back'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,9 +83,12 @@
         headers, as after HEAD.
     :param expires_s: seconds of the loop's clock after which it must not
         be sent.
+    :param counted: whether it is a request that counts against the rate of
+        a cold server.
     """
 
     data: bytes
     id: str = ''
     without_body: bool = False
     expires_s: float = math.inf
+    counted: bool = False
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -32,15 +32,20 @@
     :param view: the View of the log.
     :param directory: the RoleDirectory.
     :param statements: the StatementTable of this process.
+    :param cold_bounds: the ColdBounds, or None.
     """
 
-    def __init__(self, owner, view, directory, statements):
+    def __init__(self, owner, view, directory, statements, cold_bounds=None):
         self._owner = owner
         self._view = view
         self._directory = directory
         self._statements = statements
         self._local_holds = local_holds.LocalHolds(owner)
-        self._host = coordinator_host.CoordinatorHost(view)
+        self._host = coordinator_host.CoordinatorHost(
+            view,
+            cold_bounds,
+            lambda model: directory.is_elected(_role_key(model)),
+        )
         self._coordinator_vms_by_model = {}
         self._checked_versions = (0, 0)
         self._last_report_number = 0
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -7,6 +7,7 @@
 from bulrushrudder.documents import types
 from bulrushrudder.entry import pending_replies
 from bulrushrudder.placement import actions
+from bulrushrudder.placement import contacts
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import events
 from bulrushrudder.protocol import place_messages
@@ -39,6 +40,9 @@
     version: int = -1
     was_in_charge: bool = False
     owners: tuple[ids.Owner, ...] = ()
+    contact: contacts.Contact = dataclasses.field(
+        default_factory=contacts.Contact
+    )
 
 
 class CoordinatorHost:
@@ -47,10 +51,15 @@
     A coordinator is opened with the first event for its model.
 
     :param view: the View of the log.
+    :param cold_bounds: the ColdBounds, or None.
+    :param is_elected: function that returns whether this VM is in charge of
+        a model by all sessions of the view.
     """
 
-    def __init__(self, view):
+    def __init__(self, view, cold_bounds=None, is_elected=lambda model: False):
         self._view = view
+        self._cold_bounds = cold_bounds
+        self._is_elected = is_elected
         self._hosted_by_model = {}
         self._pending_replies = pending_replies.PendingReplies()
         self._unknown_holds_by_owner = {}
@@ -81,14 +90,25 @@
         hosted = self._hosted_by_model.get(model)
         if hosted is None:
             hosted = _HostedCoordinator(
-                coordinator.Coordinator(ready_s=self._ready_s(now_s)), now_s
+                coordinator.Coordinator(
+                    ready_s=self._ready_s(now_s),
+                    cold_bounds=self._cold_bounds,
+                ),
+                now_s,
             )
             self._hosted_by_model[model] = hosted
             for limit in self._recorded_limits(model):
                 hosted.coordinator.handle(limit, now_s)
-        if isinstance(event, events.PlacementRequested | events.CallRequested):
+        if isinstance(
+            event,
+            events.PlacementRequested
+            | events.CallRequested
+            | events.ColdCallRequested,
+        ):
             hosted.last_request_s = now_s
-        for change in (*self._view_changes(model, hosted), event):
+        contact_changes = self._contact_changes(model, hosted, now_s)
+        view_changes = self._view_changes(model, hosted)
+        for change in (*contact_changes, *view_changes, event):
             for action in hosted.coordinator.handle(change, now_s):
                 self._perform(action)
 
@@ -100,11 +120,7 @@
         if self._closed:
             return place_messages.CoordinatorMoved()
         call = self._pending_replies.open()
-        limits = tuple(_limit_reported(limit) for limit in message.limits)
-        self.handle_event(
-            message.model,
-            events.CallRequested(call, limits, message.max_wait_s),
-        )
+        self.handle_event(message.model, _call_requested(call, message))
         return await self._pending_replies.wait(call)
 
     def limits_by_model(self):
@@ -201,6 +217,14 @@
                     server.id, server.incarnation, requests_per_s
                 )
 
+    def _contact_changes(self, model, hosted, now_s):
+        """Return the event of a change of contact, if there is one."""
+        if self._cold_bounds is None:
+            return ()
+        if hosted.index != self._view.index:
+            hosted.contact.elect(self._is_elected(model), now_s)
+        return hosted.contact.changes(self._view.age_s(now_s), now_s)
+
     def _view_changes(self, model, hosted):
         """Yield events for changes of the view that a coordinator missed."""
         if hosted.index == self._view.index:
@@ -273,6 +297,24 @@
         return self._latency_targets.find(model, interactive)
 
 
+def _call_requested(call, message):
+    """Return the event for a CallRequest message."""
+    match message.limits:
+        case [
+            place_messages.ReportLimit(cold_requests_per_s=pace) as limit
+        ] if pace > 0:
+            return events.ColdCallRequested(
+                call,
+                limit.server,
+                limit.incarnation,
+                pace,
+                limit.cold,
+                message.max_wait_s,
+            )
+    limits = tuple(_limit_reported(limit) for limit in message.limits)
+    return events.CallRequested(call, limits, message.max_wait_s)
+
+
 def _limit_reported(message):
     """Return the event for a ReportLimit message."""
     return events.LimitReported(
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -20,13 +20,15 @@
 class OwnInterface:
     """Listeners and clients for the built-in protocols."""
 
-    async def clients(self, stack, record_statements, network):
+    async def clients(self, stack, record_statements, network, permit=None):
         """Return the EngineClient and the ServiceClient.
 
         :param stack: an AsyncExitStack that owns their connections.
         :param record_statements: not used, as servers state nothing about
             themselves in the built-in protocol.
         :param network: not used, as aiohttp opens the connections.
+        :param permit: not used, as servers are never cold in the built-in
+            protocol.
         """
         connector = aiohttp.TCPConnector(
             limit=0,
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+from bulrushrudder.backpressure import cold_pace
 from bulrushrudder.backpressure import table
 from bulrushrudder.config import settings_watcher
 from bulrushrudder.core import ids
@@ -16,6 +17,7 @@
 from bulrushrudder.entry import call_permits
 from bulrushrudder.entry import call_registrar
 from bulrushrudder.entry import cancelling
+from bulrushrudder.entry import cold_permits
 from bulrushrudder.entry import control_client
 from bulrushrudder.entry import coordinator_client
 from bulrushrudder.entry import limit_sharing
@@ -94,8 +96,9 @@
             self._owner, self.view, self.control_client, settings.environment
         )
         statements = table.StatementTable()
+        cold_bounds = cold_pace.of_bounds(settings.bounds)
         self.coordinator_client = coordinator_client.CoordinatorClient(
-            self._owner, self.view, roles, statements
+            self._owner, self.view, roles, statements, cold_bounds
         )
         self._backpressure = backpressure_monitor.BackpressureMonitor(
             self.view,
@@ -104,6 +107,12 @@
             self.control_client,
         )
         self.metrics = metrics_entry.EntryMetrics()
+        self._cold_permits = cold_permits.ColdPermits(
+            self.view,
+            self.coordinator_client,
+            cold_bounds,
+            self.metrics.count_held_back,
+        )
         self.paths = backend_paths.BackendPaths(
             network_ or network.DirectNetwork(),
             self.view,
@@ -139,7 +148,10 @@
 
     async def _make_services(self, stack):
         engines, services_client = await self._interface.clients(
-            stack, self._backpressure.record, self.paths.network
+            stack,
+            self._backpressure.record,
+            self.paths.network,
+            self._cold_permits.ask,
         )
         self._canceller = cancelling.Canceller(
             self._settings.vm, self.view, engines, self.metrics
--- a/bulrushrudder/entry/role_directory.py
+++ b/bulrushrudder/entry/role_directory.py
@@ -94,6 +94,15 @@
                 return ranking.choose(key, reachable)
         return ranking.choose(key, hosts)
 
+    def is_elected(self, key):
+        """Return whether this VM hosts a role by all open sessions.
+
+        Unlike host_of, it does not depend on which VMs are reachable, so
+        that all VMs with the same view agree.
+        """
+        hosts = self._view.state.sessions.hosts_by_vm
+        return ranking.choose(key, hosts) == self._owner.vm
+
     def _is_suspect(self, vm):
         """Return whether the current incarnation of a VM is suspect."""
         session = self._view.state.sessions.by_vm.get(vm)
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -74,6 +74,13 @@
         match outcome:
             case result.Success(reply):
                 return reply.status < FIRST_SERVER_ERROR_STATUS
+            case result.Failure(
+                outcomes.Refusal(
+                    reason=outcomes.Reason.BACKEND_FULL, of_server=False
+                )
+            ):
+                # The call was held back because the server is cold.
+                return None
             case result.Failure(outcomes.Refusal(of_server=False)) if (
                 self._doubts(server)
             ):
--- a/bulrushrudder/metrics/entry.py
+++ b/bulrushrudder/metrics/entry.py
@@ -64,6 +64,10 @@
             'bulrushrudder_tunnels_total',
             'Connections to servers that were opened for other VMs.',
         )
+        self.held_back = self._counter(
+            'bulrushrudder_cold_calls_held_back_total',
+            'Requests that were not sent to a server because it is cold.',
+        )
         self.lost_paths = aioprometheus.Gauge(
             'bulrushrudder_lost_paths',
             'Servers that this VM does not reach directly, though others do.',
@@ -125,6 +129,10 @@
         """Count a connection that was opened for another VM."""
         self.tunnels.inc({})
 
+    def count_held_back(self):
+        """Count a request that was not sent to a cold server."""
+        self.held_back.inc({})
+
     def set_lost_paths(self, number):
         """Set the number of servers that are not reached directly."""
         self.lost_paths.set({}, number)
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -59,7 +59,8 @@
     :param claimed: decode servers whose memory other requests wait for.
     :param max_prefill_wait_s: seconds that the prefill may wait for its
         server.
-    :param limiter: paces the requests to servers that state a limit.
+    :param limiter: paces the requests to servers that state a limit or
+        are cold; a RateLimiter or a Pacing.
     """
 
     spare_pieces: int = 0
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -8,7 +8,6 @@
 from bulrushrudder.overload import return_times
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import balance
-from bulrushrudder.placement import call_limits
 from bulrushrudder.placement import choice
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
@@ -44,9 +43,15 @@
         so that owners can report what they hold.
     :param max_booked_ahead: limit of places per decode server that are granted
         before the requests in them have ended.
+    :param cold_bounds: the ColdBounds, or None.
     """
 
-    def __init__(self, ready_s=0.0, max_booked_ahead=MAX_BOOKED_AHEAD):
+    def __init__(
+        self,
+        ready_s=0.0,
+        max_booked_ahead=MAX_BOOKED_AHEAD,
+        cold_bounds=None,
+    ):
         self._ready_s = ready_s
         self._queue = fair_queue.FairQueue()
         self._prefills = prefills.PrefillPool()
@@ -61,7 +66,9 @@
         self._known_owners = {}
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
-        self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
+        self._limits = pool_limits.PoolLimits(
+            self._prefills, self._decodes, cold_bounds
+        )
 
     @property
     def queue_length(self):
@@ -109,17 +116,13 @@
         match event:
             case events.PlacementRequested():
                 return self._enqueue(event, now_s)
-            case events.LimitReported():
-                self._limits.update(event, now_s)
-            case events.CallRequested():
-                return [
-                    call_limits.decide(
-                        event,
-                        self._limits.limiter,
-                        self._return_times,
-                        now_s,
-                    )
-                ]
+            case (
+                events.LimitReported()
+                | events.CallRequested()
+                | events.ColdCallRequested()
+                | events.ContactChanged()
+            ):
+                return self._limits.handle(event, self._return_times, now_s)
             case events.PlaceReleased(hold=hold):
                 self._record_measurements(event, now_s)
                 self._release(hold, now_s)
@@ -205,7 +208,7 @@
 
     def _update_servers(self, servers, now_s):
         by_id = {server.id: server for server in servers}
-        self._limits.update_servers(servers)
+        self._limits.update_servers(servers, now_s)
         for pool, kind in (
             (self._prefills, 'prefill'),
             (self._decodes, 'decode'),
@@ -342,7 +345,7 @@
         if request.isolation is events.Isolation.ALONE:
             claimed = self._drain_for(request, claimed)
         constraints = choice.Constraints(
-            claimed=claimed, limiter=self._limits.limiter
+            claimed=claimed, limiter=self._limits.pacing
         )
         if held_back:
             constraints = flooding.constraints(
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -52,13 +52,13 @@
 
     def join(self, server):
         """Add a server or update its record."""
-        self.leave(server.id)
         known = self.by_id.get(server.id)
+        self.leave(server.id)
         if known is None or known.server.incarnation != server.incarnation:
             known = decode_server.DecodeServer(
                 server, token_s=server.initial_speed.token_s
             )
-            self.by_id[server.id] = known
+        self.by_id[server.id] = known
         known.server = server
         known.present = True
         self.held_places += known.held_places
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -206,6 +206,40 @@
     max_wait_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdCallRequested:
+    """A VM is about to send a request to a server that may be cold.
+
+    :param call: correlates the resulting action with this event.
+    :param requests_per_s: the rate that the server sustains while cold.
+    :param cold: whether the VM knows that it is cold; otherwise the VM has
+        not heard of it lately.
+    :param max_wait_s: seconds that the request can wait.
+    """
+
+    call: int
+    server: ids.ServerId
+    incarnation: int
+    requests_per_s: float
+    cold: bool
+    max_wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContactChanged:
+    """What this coordinator knows about others of the same model.
+
+    :param sole: whether it is in charge, and no other VM can be.
+    :param elected: whether it is in charge by all sessions of its view,
+        which may be outdated.
+    :param heard: whether the view is recent.
+    """
+
+    sole: bool
+    elected: bool
+    heard: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
     """A timer tick, so that deadlines and free times are checked."""
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -56,7 +56,9 @@
         data = headers.encode_request(
             self.method, self.target, pairs, self.body
         )
-        return responses.Call(data, self.attempt, self.method == 'HEAD')
+        return responses.Call(
+            data, self.attempt, self.method == 'HEAD', counted=True
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +80,8 @@
     reason = outcomes.Reason.BACKEND_FAILED
     if problem.kind is responses.ProblemKind.UNREACHABLE:
         reason = outcomes.Reason.BACKEND_UNREACHABLE
+    if problem.kind is responses.ProblemKind.HELD_BACK:
+        reason = outcomes.Reason.BACKEND_FULL
     return CallFailure(reason, problem.detail, problem.sent, problem.of_server)
 
 
@@ -93,14 +97,15 @@
     return False
 
 
-def pool(on_head=connections.ignore_head, network=None):
+def pool(on_head=connections.ignore_head, network=None, permit=None):
     """Return a ConnectionPool to runners.
 
     :param on_head: as for ConnectionPool.
     :param network: as for ConnectionPool.
+    :param permit: as for ConnectionPool.
     """
     return connection_pool.ConnectionPool(
-        headers.ATTEMPT.lower(), on_head, network
+        headers.ATTEMPT.lower(), on_head, network, permit
     )
 
 
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -54,19 +54,21 @@
 class Interface:
     """The platform's interface of an entry process."""
 
-    async def clients(self, stack, record_statements, network):
+    async def clients(self, stack, record_statements, network, permit=None):
         """Return the EngineClient and the ServiceClient.
 
         :param stack: an AsyncExitStack that owns their connections.
         :param record_statements: function of a server, the seconds at which
             a request was sent, and the Statements in its answer.
         :param network: opens connections to servers, as for ConnectionPool.
+        :param permit: as for ConnectionPool.
         """
         pool = calls.pool(
             lambda server, sent_s, head: record_statements(
                 server, sent_s, statements.read(head)
             ),
             network,
+            permit,
         )
         stack.callback(pool.close)
         return engines.EngineClient(pool), plain_services.ServiceClient(pool)
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -147,19 +147,27 @@
 
     :param model: id of the model or plain service of the server.
     :param requests_per_s: for all VMs together; None if it states none.
+    :param cold_requests_per_s: in a CallRequest for a single server that
+        may be cold, the rate that it sustains then; otherwise 0.
+    :param cold: whether the sender knows that it is cold.
     """
 
     model: str
     server: ids.ServerId
     incarnation: int
     requests_per_s: float | None
+    cold_requests_per_s: float = 0.0
+    cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallRequest:
     """Asks to call one of several limited servers of a plain service.
 
-    :param model: id of the plain service.
+    With a single server that may be cold, it asks when the next request may
+    be sent to it, of a plain service or a model.
+
+    :param model: id of the plain service or the model.
     :param limits: the servers in order of preference, with the limits that
         the sender knows.
     :param max_wait_s: seconds that the call can wait.
