Describe and test cold servers

The rate is read from the submitted configuration too, because a document recorded by the previous version lacks it.

--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -282,6 +282,30 @@
         raise ValueError(f'route {route.name}: the weights add up to 0')
 
 
+class ServicesModel(_ConfigurationPart):
+    """The services of a configuration."""
+
+    services: list[ServiceModel]
+
+
+def read_services(source):
+    """Return the services of a configuration that is in force, by id.
+
+    A document that was recorded by an earlier version lacks the fields
+    which that version did not know. They are in the body that was
+    submitted.
+
+    :param source: the JSON body as bytes.
+    :returns: Services by id; empty if the body cannot be read.
+    """
+    try:
+        model = ServicesModel.model_validate_json(source)
+    except pydantic.ValidationError:
+        return {}
+    services = (service.build() for service in model.services)
+    return {service.id: service for service in services}
+
+
 def read(source):
     """Validate a configuration and convert it to data classes.
 
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -41,6 +41,7 @@
         self._control = control
         self._metrics = metrics
         self._knows_cold = knows_cold
+        self._read_services = (b'', {})
 
     def application(self):
         """Return the aiohttp application."""
@@ -103,7 +104,14 @@
     def _services_by_id(self):
         """Return the services of the configuration in force here."""
         documents = self._control.node.state.documents
-        return documents.lookups(_PRODUCTION).services_by_id
+        recorded = documents.lookups(_PRODUCTION).services_by_id
+        if not self._knows_cold or not documents.source:
+            return recorded
+        source, services = self._read_services
+        if source is not documents.source:
+            services = configuration.read_services(documents.source)
+            self._read_services = documents.source, services
+        return services or recorded
 
     async def _handle_departure(self, request):
         """Commit that a runner has left.
--- a/bulrushrudder/tests/builders/cold_fleet.py
+++ b/bulrushrudder/tests/builders/cold_fleet.py
@@ -23,9 +23,8 @@
 
 def cold_server(server_id='decode-1', cold=True, **changes):
     """Return a server that sustains COLD_PER_S while it is cold."""
-    return fleet.server(
-        server_id, cold_requests_per_s=COLD_PER_S, cold=cold, **changes
-    )
+    fields = {'cold_requests_per_s': COLD_PER_S, **changes}
+    return fleet.server(server_id, cold=cold, **fields)
 
 
 def cold_call(number=1, server_id='decode-1', cold=True):
--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -252,10 +252,14 @@
             stale_s=3600.0,
             **entry_changes,
         ),
-        control=settings.ControlSettings(operators, other, control, folder),
+        control=settings.ControlSettings(
+            operators, other, control, folder, knows_cold=True
+        ),
         controls=(control,),
         secrets=settings.Secrets(b'', b'', b''),
         seeded=True,
-        bounds=settings.FleetBounds(0.2, 58.0, 10.0, 140000.0, 8.0),
+        bounds=settings.FleetBounds(
+            0.2, 58.0, 10.0, 140000.0, 8.0, cold_overrun=1.5, cold_tolerance=5
+        ),
         interface='platform',
     )
--- a/bulrushrudder/tests/config/invalid_files_tests.py
+++ b/bulrushrudder/tests/config/invalid_files_tests.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from bulrushrudder.backpressure import cold_pace
 from bulrushrudder.config import document
 from bulrushrudder.config import settings_file
 
@@ -33,6 +34,22 @@
   inner: {host: 127.0.0.1, port: 4}
 secrets: {cluster: secret, operators: secret, backends: secret}
 """
+COLD = """\
+bounds:
+  retry_share: 0.2
+  retry_extra: 50
+  retry_window_s: 10
+  spare_tokens: 1000
+  spare_window_s: 8
+  cold_overrun: VALUE
+  cold_tolerance: VALUE
+control:
+  operators: 127.0.0.1:5
+  metrics: 127.0.0.1:6
+  inner: 127.0.0.1:7
+  data_folder: data
+  cold_overrun: VALUE
+"""
 
 
 def messages_of(outcome):
@@ -152,6 +169,18 @@
     def test_accepts_valid_settings(self):
         self.assertEqual(self.load(), [])
 
+    # Guards against a process that does not start where the platform's
+    # template has no value for a bound.
+    def test_cold_bounds_without_a_value_are_absent(self):
+        file = self.folder / 's'
+        for value, known in (('', False), ('0', False), ('1.5', True)):
+            with self.subTest(value):
+                file.write_text(SETTINGS + COLD.replace('VALUE', value))
+                loaded = settings_file.load(str(file)).unwrap()
+                self.assertEqual(loaded.control.knows_cold, known)
+                bounds = cold_pace.of_bounds(loaded.bounds)
+                self.assertEqual(bounds is not None, known)
+
     def test_order_lease_of_zero_is_not_the_default(self):
         file = self.folder / 's'
         control = (
--- a/bulrushrudder/tests/config/page_tests.py
+++ b/bulrushrudder/tests/config/page_tests.py
@@ -13,6 +13,7 @@
     document.RegisterModel,
     document.RouteModel,
     settings_file.AddressModel,
+    settings_file.BoundsModel,
     settings_file.ControlModel,
     settings_file.EntryModel,
     settings_file.SecretsModel,
--- a/bulrushrudder/tests/membership/tracker_tests.py
+++ b/bulrushrudder/tests/membership/tracker_tests.py
@@ -2,6 +2,7 @@
 
 from bulrushrudder.membership import tracker
 from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import cold_fleet
 from bulrushrudder.tests.builders import fleet
 
 
@@ -95,3 +96,94 @@
         self.tracker.readmit(server.id)
         self.announce(server, 3.5, sequence=2)
         self.assertIn(server.id, self.table.by_id)
+
+
+class ColdTests(unittest.TestCase):
+    def setUp(self):
+        self.tracker = tracker.Tracker()
+        self.table = servers.Servers()
+        self.sequence = 0
+
+    def announce(self, now_s, cold, **changes):
+        """Handle an announcement; return the number of log entries."""
+        self.tracker.handle(tracker.Ticked(), self.table.by_id, now_s)
+        self.sequence += 1
+        server = cold_fleet.cold_server('decode-1', cold, **changes)
+        event = tracker.Announced(server, False, self.sequence)
+        proposed = self.tracker.handle(event, self.table.by_id, now_s)
+        for action in proposed:
+            self.table.apply(self.sequence, action.command)
+        return len(proposed)
+
+    @property
+    def cold(self):
+        return self.table.by_id['decode-1'].cold
+
+    def test_announcements_become_entries_only_at_the_turn(self):
+        states = [True, True, True, False, False, False, True, True, False]
+        entries = [
+            self.announce(float(number), cold)
+            for number, cold in enumerate(states)
+        ]
+        self.assertEqual(entries, [1, 0, 0, 1, 0, 0, 1, 0, 1])
+        self.assertFalse(self.cold)
+
+    def test_server_that_starts_warm_never_counts_as_cold(self):
+        self.assertEqual(self.announce(0.0, False), 1)
+        self.assertFalse(self.cold)
+
+    def test_new_incarnation_begins_as_it_announces(self):
+        self.announce(0.0, False)
+        self.announce(1.0, True, incarnation=2)
+        self.assertTrue(self.cold)
+
+    # Guards against an announcement on its way when a zone is restored,
+    # which was sent before the server became cold.
+    def test_restored_zone_is_cold_until_a_later_announcement(self):
+        self.announce(0.0, False)
+        self.table.mark_zone_cold('b')
+        self.assertFalse(self.cold)
+        self.table.mark_zone_cold('a')
+        self.assertTrue(self.cold)
+        self.assertEqual(self.announce(0.1, False), 0)
+        self.assertTrue(self.cold)
+        self.assertEqual(self.announce(1.2, False), 1)
+        self.assertFalse(self.cold)
+
+    def test_restored_zone_that_is_cold_stays_so_until_it_says_otherwise(
+        self,
+    ):
+        self.announce(0.0, False)
+        self.table.mark_zone_cold('a')
+        entries = [self.announce(float(n), True) for n in range(1, 6)]
+        self.assertEqual(entries, [0] * 5)
+        self.assertTrue(self.cold)
+        self.announce(6.0, False)
+        self.assertFalse(self.cold)
+
+    def test_restored_zone_keeps_limits_and_servers_that_are_never_cold(self):
+        self.announce(0.0, False)
+        self.table.apply(2, servers.SetServerLimit('decode-1', 1, 2.5))
+        self.table.apply(3, servers.JoinServer(fleet.server('decode-2')))
+        self.table.mark_zone_cold('a')
+        known = self.table.by_id['decode-1']
+        self.assertEqual(self.table.requests_per_s(known), 2.5)
+        self.assertIsNone(self.table.by_id['decode-2'].cold)
+        self.assertEqual(self.table.count_cold(), 1)
+
+    # Guards against a log that grows with each announcement while processes
+    # of two versions pass them on in turn.
+    def test_announcement_by_an_earlier_version_changes_nothing(self):
+        self.announce(0.0, True)
+        for number in range(1, 6):
+            entries = self.announce(
+                float(number), None, cold_requests_per_s=0.0
+            )
+            self.assertEqual(entries, 0)
+        self.assertTrue(self.cold)
+
+    def test_new_leader_believes_a_server_only_after_a_moment(self):
+        self.announce(0.0, True)
+        self.tracker = tracker.Tracker()
+        self.assertEqual(self.announce(5.0, False), 0)
+        self.assertEqual(self.announce(6.1, False), 1)
--- a/bulrushrudder/tests/platform/announcements_tests.py
+++ b/bulrushrudder/tests/platform/announcements_tests.py
@@ -39,6 +39,27 @@
             read(builders.heartbeat(state='draining')).unwrap().leaving
         )
 
+    def read_cold(self, per_s, remaining_ms, knows_cold=True):
+        content = builders.configuration()
+        content['services'][0] |= {'cold_start_s': 3.0, 'cold_per_s': per_s}
+        document = configuration.read(builders.encoded(content)).unwrap()
+        body = builders.heartbeat(cold_remaining_ms=remaining_ms)
+        announced = announcements.read(
+            'i-1', body, {s.id: s for s in document.services}, knows_cold
+        )
+        server = announced.unwrap().server
+        return server.cold, server.cold_requests_per_s
+
+    def test_cold_runner_takes_its_rate_from_its_service(self):
+        self.assertEqual(self.read_cold(12.0, 2400), (True, 12.0))
+        self.assertEqual(self.read_cold(12.0, 0), (False, 12.0))
+        self.assertEqual(self.read_cold(12.0, None), (False, 12.0))
+
+    def test_runner_is_not_cold_if_service_or_settings_say_nothing(self):
+        self.assertEqual(self.read_cold(0, 2400), (False, 0.0))
+        self.assertEqual(self.read_cold(None, 2400), (False, 0.0))
+        self.assertEqual(self.read_cold(12.0, 2400, False), (None, 0.0))
+
     def test_ignores_unknown_fields(self):
         parsed = read(builders.heartbeat(colour='blue'))
         self.assertIsInstance(parsed, result.Success)
--- a/bulrushrudder/tests/platform/control_api_tests.py
+++ b/bulrushrudder/tests/platform/control_api_tests.py
@@ -1,3 +1,4 @@
+import dataclasses
 import types
 import unittest
 
@@ -37,7 +38,7 @@
 
 
 class HeartbeatTests(unittest.IsolatedAsyncioTestCase):
-    async def send_heartbeat(self, node):
+    async def send_heartbeat(self, node, knows_cold=False):
         """Send a heartbeat; return the status and the announced servers."""
         announced = []
 
@@ -48,7 +49,9 @@
             return True
 
         control = types.SimpleNamespace(node=node, announce=announce)
-        api = control_api.ControlApi(control, metrics_control.ControlMetrics())
+        api = control_api.ControlApi(
+            control, metrics_control.ControlMetrics(), knows_cold
+        )
         async with test_utils.TestClient(
             test_utils.TestServer(api.application())
         ) as client:
@@ -61,6 +64,31 @@
         self.assertEqual(server.memory_tokens, 37952)
         self.assertGreater(server.link_tokens_per_s, 0)
 
+    # Guards against cold servers that are not held back after an upgrade,
+    # until the operator submits another configuration.
+    async def test_rate_of_cold_runners_is_read_from_the_submitted_body(self):
+        node = RestartedNode()
+        content = platform.configuration()
+        content['services'][0]['cold_per_s'] = 12.0
+        document = configuration.read(platform.encoded(content)).unwrap()
+        earlier = dataclasses.replace(
+            document,
+            services=tuple(
+                dataclasses.replace(service, cold_requests_per_s=0.0)
+                for service in document.services
+            ),
+        )
+        node.state.apply(
+            1,
+            documents.AdoptDocument(
+                earlier, platform.encoded(content), 'd1', 'operator'
+            ),
+        )
+        _, (server,) = await self.send_heartbeat(node, knows_cold=True)
+        self.assertEqual(server.cold_requests_per_s, 12.0)
+        _, (server,) = await self.send_heartbeat(node)
+        self.assertIsNone(server.cold)
+
     async def test_heartbeat_is_not_acknowledged_without_quorum(self):
         node = RestartedNode(has_quorum=False)
         self.assertEqual(
--- a/bulrushrudder/tests/protocol/codec_tests.py
+++ b/bulrushrudder/tests/protocol/codec_tests.py
@@ -10,6 +10,7 @@
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import registry
 from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import cold_fleet
 from bulrushrudder.tests.builders import documents
 from bulrushrudder.tests.builders import fleet
 
@@ -44,6 +45,21 @@
         without_required = msgspec.msgpack.encode(fields[:8])
         self.assertIsInstance(codec.decode(without_required), result.Failure)
 
+    # Guards against a version without cold servers that cannot read what
+    # this one sends, or the other way round.
+    def test_record_of_a_cold_server_is_readable_without_its_last_fields(
+        self,
+    ):
+        joined = servers.JoinServer(cold_fleet.cold_server())
+        fields = msgspec.msgpack.decode(codec.encode(joined))
+        fields[1] = fields[1][:-2]
+        earlier = codec.decode(msgspec.msgpack.encode(fields)).unwrap()
+        self.assertEqual(earlier, servers.JoinServer(fleet.server()))
+        later = [*msgspec.msgpack.decode(codec.encode(joined)), 1, 2]
+        self.assertEqual(
+            codec.decode(msgspec.msgpack.encode(later)).unwrap(), joined
+        )
+
     def test_tags_are_unique(self):
         tags = list(registry.TAG_BY_TYPE.values())
         self.assertEqual(len(tags), len(set(tags)))
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -37,6 +37,8 @@
     'quota_window_s': 8,
     'quota_tolerance': 140000,
     'lease_ms': 3000,
+    'cold_overrun': 1.5,
+    'cold_tolerance': 5,
 }
 _SECTION = re.compile(r'\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)\}\}')
