Place requests elsewhere that cold servers held back

They were retried like failed ones: after two, the request was given up, and the retry budget paid although nothing had reached a server. They now go on for as long as the request has time, and a decode keeps its prefill.

--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -91,6 +91,8 @@
 
     :param sent: whether the server may have run part of it.
     :param of_server: whether no lost path can explain it.
+    :param held_back: whether this VM did not send it because the server is
+        cold.
     """
 
     attempt: ids.AttemptId
@@ -99,6 +101,7 @@
     detail: str
     sent: bool = True
     of_server: bool = False
+    held_back: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -23,6 +23,8 @@
 # on which it failed are allowed again.
 EXCLUSION_PATIENCE_S = 1.0
 MAX_OWN_CRASHES = 2
+# Time for a coordinator to learn that a server is cold.
+HELD_BACK_DELAY_S = 0.05
 _NOT_INSPECTED = frozenset(
     {outcomes.Reason.BACKEND_FULL, outcomes.Reason.TRANSFER_FAILED}
 )
@@ -333,6 +335,8 @@
     def _attempt_failed(self, event, now_s):
         if not self._is_current(event, *states.RUNNING):
             return [_drop(event)]
+        if event.held_back:
+            return self._held_back(event)
         self._sent = self._sent or event.sent
         if event.sent and self.state == 'transferring':
             self._runs += 1
@@ -345,6 +349,24 @@
             return self._retry(now_s)
         return [*self._release_all(), *self._retry(now_s)]
 
+    def _held_back(self, event):
+        """Place the request elsewhere, as nothing reached the server.
+
+        This is no retry: no budget pays for it. The time left to the
+        request bounds how often it happens.
+        """
+        self._exclude(event.server)
+        released = []
+        if self._can_reuse_prefill(event):
+            self._retain(self._allocation.prefill, self._prefill_handle)
+        elif self._retained is not None:
+            released = _release(self._allocation)
+            self._allocation = None
+        else:
+            released = self._release_all()
+        self._transition('back_off')
+        return [*released, actions.BackOff(HELD_BACK_DELAY_S, event.reason)]
+
     def _record_failed_arrival(self):
         """Count an order that its server has not begun to answer."""
         match self.state:
@@ -390,6 +412,9 @@
     def _record_failure(self, reason, server):
         self._failures.append(reason)
         self._failed_server = server
+        self._exclude(server)
+
+    def _exclude(self, server):
         self._excluded = (*self._excluded, server)[-MAX_EXCLUDED_SERVERS:]
 
     def _inspected(self, event, now_s):
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -67,12 +67,14 @@
 
     :param sent: whether the runner may have run it.
     :param of_server: whether no lost path can explain it.
+    :param held_back: whether it was not sent because the runner is cold.
     """
 
     reason: outcomes.Reason
     detail: str
     sent: bool
     of_server: bool = False
+    held_back: bool = False
 
 
 def failure_from(problem):
@@ -80,9 +82,12 @@
     reason = outcomes.Reason.BACKEND_FAILED
     if problem.kind is responses.ProblemKind.UNREACHABLE:
         reason = outcomes.Reason.BACKEND_UNREACHABLE
-    if problem.kind is responses.ProblemKind.HELD_BACK:
+    held_back = problem.kind is responses.ProblemKind.HELD_BACK
+    if held_back:
         reason = outcomes.Reason.BACKEND_FULL
-    return CallFailure(reason, problem.detail, problem.sent, problem.of_server)
+    return CallFailure(
+        reason, problem.detail, problem.sent, problem.of_server, held_back
+    )
 
 
 def is_silence_of_server(opened):
--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -340,6 +340,7 @@
         failed.detail,
         failed.sent,
         failed.of_server,
+        failed.held_back,
     )
 
 
--- a/bulrushrudder/tests/lifecycle/request_tests.py
+++ b/bulrushrudder/tests/lifecycle/request_tests.py
@@ -66,6 +66,48 @@
         )
 
 
+class HeldBackTests(RequestTestCase):
+    # Guards against requests that are lost because a zone's servers are
+    # cold, or that use up the retry budget although nothing was sent.
+
+    def hold_back(self, server):
+        event = events.AttemptFailed(
+            self.attempt,
+            ids.ServerId(server),
+            FULL,
+            'cold',
+            False,
+            held_back=True,
+        )
+        returned = self.handle(event)
+        self.assertIsNotNone(find_action(returned, actions.BackOff))
+        returned = self.handle(events.BackOffEnded())
+        self.place = find_action(returned, actions.RequestPlace)
+        self.assertIn(server, self.place.excluded)
+
+    def test_decode_goes_elsewhere_with_its_prefill_however_often(self):
+        self.start()
+        self.run_prefill()
+        for number in range(1, 6):
+            self.hold_back(f'decode-{number}')
+            decode = find_action(
+                self.grant_place(f'decode-{number + 1}'), actions.StartDecode
+            )
+            self.assertEqual(decode.handle, 'handle')
+            self.assertEqual(decode.source, 'prefill-1')
+            self.attempt = decode.attempt
+
+    def test_prefill_goes_elsewhere_without_being_paid_for(self):
+        self.start()
+        for number in range(1, round(retries.BUDGET_FLOOR) + 2):
+            granted = self.grant_place('decode-1', f'prefill-{number}')
+            prefill = find_action(granted, actions.StartPrefill)
+            self.attempt = prefill.attempt
+            self.hold_back(f'prefill-{number}')
+        policy = self.request._policy
+        self.assertTrue(policy.take_retry(self.now_s))
+
+
 class PrefillReuseTests(RequestTestCase):
     def test_another_decode_server_fetches_kv_cache(self):
         for reason in (UNREACHABLE, FULL):
