--- a/bulrushrudder/tests/entry/role_directory_tests.py
+++ b/bulrushrudder/tests/entry/role_directory_tests.py
@@ -101,6 +101,17 @@
             self.directory.host_of(SOFT_ROLE), ranking.choose(SOFT_ROLE, VMS)
         )
 
+    # Guards against two VMs that both take themselves to be in charge for
+    # certain, because each cannot reach the other.
+    async def test_election_does_not_depend_on_reachable_vms(self):
+        elected = self.directory.is_elected(SOFT_ROLE)
+        self.peers.down = set(VMS)
+        for _ in VMS:
+            await self.ask(SOFT_ROLE)
+        self.assertEqual(self.directory.is_elected(SOFT_ROLE), elected)
+        chosen = ranking.choose(SOFT_ROLE, VMS)
+        self.assertEqual(elected, chosen == self.directory._owner.vm)
+
 
 class CoordinatorHostTests(unittest.IsolatedAsyncioTestCase):
     async def test_closes_coordinator_at_once_when_no_longer_in_charge(self):
--- a/bulrushrudder/tests/placement/cold_limits_tests.py
+++ b/bulrushrudder/tests/placement/cold_limits_tests.py
@@ -89,20 +89,29 @@
     def handle(self, event, now_s=0.0):
         return self.coordinator.handle(event, now_s)
 
-    def grants_during(self, start_s, end_s, gap_s):
+    def grants_during(self, start_s, end_s, gap_s, held_s=0.0):
+        """Request places at a steady pace; return times and grants.
+
+        :param held_s: seconds after which a place is released.
+        """
         granted = []
-        steps = round((end_s - start_s) / gap_s)
-        for step in range(steps):
+        released = 0
+        for step in range(round((end_s - start_s) / gap_s)):
             now_s = start_s + step * gap_s
             number = round(now_s * 1000) + 1
             request = places.placement_request(
                 number, prompt_tokens=PROMPT_TOKENS
             )
             decided = self.handle(request, now_s)
-            for grant in places.grants(decided):
-                granted.append((now_s, grant))
-                hold = places.hold_id(grant.call)
-                self.handle(events.PlaceReleased(hold), now_s)
+            granted += [(now_s, grant) for grant in places.grants(decided)]
+            while (
+                released < len(granted)
+                and granted[released][0] + held_s <= now_s
+            ):
+                hold = places.hold_id(granted[released][1].call)
+                decided = self.handle(events.PlaceReleased(hold), now_s)
+                granted += [(now_s, grant) for grant in places.grants(decided)]
+                released += 1
         return granted
 
     def servers(self, **colds):
@@ -129,6 +138,25 @@
         granted = self.grants_during(0.0, 2.0, 0.05)
         self.assertEqual(len(granted), 40)
 
+    # Guards against a restored zone whose first servers get all requests,
+    # because they are the emptiest.
+    def test_restored_servers_fill_evenly_at_their_pace(self):
+        self.handle(
+            self.servers(
+                prefill_1=False,
+                decode_1=False,
+                decode_2=True,
+                decode_3=True,
+                decode_4=True,
+            )
+        )
+        granted = self.grants_during(0.0, 3.0, 0.025, held_s=1.0)
+        self.assertEqual(len(granted), 120)
+        for number in (2, 3, 4):
+            times = [t for t, g in granted if g.decode == f'decode-{number}']
+            self.assertLessEqual(cold_fleet.most_in(times, 1.0), 13)
+            self.assertGreater(len(times), 24)
+
     def test_server_that_says_it_is_warm_is_not_held_back(self):
         self.handle(self.servers(prefill_1=False, decode_1=True))
         self.handle(self.servers(prefill_1=False, decode_1=False), 1.0)
--- a/bulrushrudder/tests/platform/cold_servers_tests.py
+++ b/bulrushrudder/tests/platform/cold_servers_tests.py
@@ -75,6 +75,24 @@
         self.assertLessEqual(arrivals, BOUND)
         self.assertGreater(arrivals, 0)
 
+    async def test_turn_is_known_to_the_entry_and_ends_by_announcement(self):
+        runner = await self.fleet.add_runner(
+            lambda call: [], 'i-1', stage='decode', cold_remaining_ms=0
+        )
+        by_id = self.fleet.entry.view.state.servers.by_id
+        table = self.fleet.control.node.state.servers
+        for remaining_ms, cold in ((900, True), (0, False)):
+            async with asyncio.timeout(TIMEOUT_S):
+                while by_id['i-1'].cold is not cold:
+                    await self.fleet.send_heartbeat(
+                        runner,
+                        'i-1',
+                        stage='decode',
+                        cold_remaining_ms=remaining_ms,
+                    )
+                    await asyncio.sleep(0.2)
+            self.assertEqual(table.count_cold(), int(cold))
+
     async def test_nothing_is_held_back_before_warm_servers(self):
         await self.add_engines(0)
         await self.send_many('/drafts/1')
