--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -76,6 +76,13 @@
             case result.Success(reply):
                 if reply.status < FIRST_SERVER_ERROR_STATUS:
                     return results.SERVED
+            case result.Failure(
+                outcomes.Refusal(
+                    reason=outcomes.Reason.BACKEND_FULL, of_server=False
+                )
+            ):
+                # The call was held back because the server is cold.
+                return results.UNKNOWN
             case result.Failure(outcomes.Refusal(of_server=False)) if (
                 self._doubts(server)
             ):
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -56,7 +56,9 @@
         data = headers.encode_request(
             self.method, self.target, pairs, self.body
         )
-        return responses.Call(data, self.attempt, self.method == 'HEAD')
+        return responses.Call(
+            data, self.attempt, self.method == 'HEAD', counted=True
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,12 +67,14 @@
 
     :param sent: whether the runner may have run it.
     :param of_server: whether no lost path can explain it.
+    :param held_back: whether it was not sent because the runner is cold.
     """
 
     reason: outcomes.Reason
     detail: str
     sent: bool
     of_server: bool = False
+    held_back: bool = False
 
 
 def failure_from(problem):
@@ -78,7 +82,12 @@
     reason = outcomes.Reason.BACKEND_FAILED
     if problem.kind is responses.ProblemKind.UNREACHABLE:
         reason = outcomes.Reason.BACKEND_UNREACHABLE
-    return CallFailure(reason, problem.detail, problem.sent, problem.of_server)
+    held_back = problem.kind is responses.ProblemKind.HELD_BACK
+    if held_back:
+        reason = outcomes.Reason.BACKEND_FULL
+    return CallFailure(
+        reason, problem.detail, problem.sent, problem.of_server, held_back
+    )
 
 
 def is_silence_of_server(opened):
@@ -93,14 +102,15 @@
     return False
 
 
-def pool(on_head=connections.ignore_head, network=None):
+def pool(on_head=connections.ignore_head, network=None, permit=None):
     """Return a ConnectionPool to runners.
 
     :param on_head: as for ConnectionPool.
     :param network: as for ConnectionPool.
+    :param permit: as for ConnectionPool.
     """
     return connection_pool.ConnectionPool(
-        headers.ATTEMPT.lower(), on_head, network
+        headers.ATTEMPT.lower(), on_head, network, permit
     )
 
 
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -33,11 +33,15 @@
 
     :param control: the ControlProcess.
     :param metrics: the ControlMetrics.
+    :param knows_cold: whether the settings bound the requests to cold
+        servers.
     """
 
-    def __init__(self, control, metrics):
+    def __init__(self, control, metrics, knows_cold=False):
         self._control = control
         self._metrics = metrics
+        self._knows_cold = knows_cold
+        self._read_services = (b'', {})
 
     def application(self):
         """Return the aiohttp application."""
@@ -65,7 +69,10 @@
         if not await self._is_state_usable():
             return _problem(503, 'no quorum confirmed the configuration')
         parsed = announcements.read(
-            request.match_info['id'], body, self._services_by_id()
+            request.match_info['id'],
+            body,
+            self._services_by_id(),
+            self._knows_cold,
         )
         match parsed:
             case result.Success(announced):
@@ -97,7 +104,14 @@
     def _services_by_id(self):
         """Return the services of the configuration in force here."""
         documents = self._control.node.state.documents
-        return documents.lookups(_PRODUCTION).services_by_id
+        recorded = documents.lookups(_PRODUCTION).services_by_id
+        if not self._knows_cold or not documents.source:
+            return recorded
+        source, services = self._read_services
+        if source is not documents.source:
+            services = configuration.read_services(documents.source)
+            self._read_services = documents.source, services
+        return services or recorded
 
     async def _handle_departure(self, request):
         """Commit that a runner has left.
@@ -187,7 +201,9 @@
 
     def application(self, control, settings, metrics):
         """Return the aiohttp application for runners and the operator."""
-        return ControlApi(control, metrics).application()
+        return ControlApi(
+            control, metrics, settings.control.knows_cold
+        ).application()
 
     def order_client(self, stack):
         """Return the OrderClient that sends orders to runners.
