Evacuate availability zones

Operators need to have nothing more sent to the backend servers of a zone. The table of servers yields those of evacuated zones to nobody who places new work, and each request is checked once more before it is sent. Requests that were placed there but not sent get another place without use of the retry budget.

--- a/bulrushrudder/control/kind_orders.py
+++ b/bulrushrudder/control/kind_orders.py
@@ -92,6 +92,7 @@
         # By server id and model.
         self._busy_until_s_by_key = {}
         self._last_join_by_model = {}
+        self._evacuated_zones = frozenset()
         self._stopping_event = asyncio.Event()
 
     async def run(self):
@@ -116,17 +117,20 @@
         """Record when the last server joined each pool or changed its kind.
 
         Pools without a target yet are included, so that the first order
-        need not wait.
+        need not wait. When a zone is evacuated, the targets are still those
+        of the whole pools for a moment, so this counts as a join.
         """
-        by_served = self._control.node.state.servers.by_served
-        for model, servers_by_id in by_served.items():
+        table = self._control.node.state.servers
+        zones_changed = table.evacuated_zones != self._evacuated_zones
+        self._evacuated_zones = table.evacuated_zones
+        for model, servers_by_id in table.by_served.items():
             members = frozenset(
                 (server.id, server.kind) for server in servers_by_id.values()
             )
             known, joined_s = self._last_join_by_model.get(
                 model, (frozenset(), 0.0)
             )
-            if members - known:
+            if members - known or zones_changed:
                 joined_s = _now_s()
             self._last_join_by_model[model] = members, joined_s
 
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -129,23 +129,25 @@
         """Handle a consensus message of another control process."""
         self._driver.put(events.Received(message))
 
-    async def propose(self, command):
+    async def propose(self, command, timeout_s=None):
         """Commit a command, through the leader if that is another.
 
-        Retries only after attempts that had no effect. All of them
-        together take at most PROPOSE_TIMEOUT_S.
+        Retries only after attempts that had no effect.
 
+        :param timeout_s: seconds that all attempts together may take;
+            PROPOSE_TIMEOUT_S if None.
         :returns: the Outcome of the command.
         """
         data = codec.encode(command)
-        deadline_s = _now_s() + PROPOSE_TIMEOUT_S
+        timeout_s = PROPOSE_TIMEOUT_S if timeout_s is None else timeout_s
+        deadline_s = _now_s() + timeout_s
         while (left_s := deadline_s - _now_s()) > 0:
             outcome = await self._try_propose(data, left_s)
             if outcome is not None:
                 return outcome
             await asyncio.sleep(RETRY_INTERVAL_S)
         return results.Unavailable(
-            f'no leader accepted the change within {PROPOSE_TIMEOUT_S} s'
+            f'no leader accepted the change within {timeout_s} s'
         )
 
     async def propose_as_leader(self, data, timeout_s=PROPOSE_TIMEOUT_S):
--- a/bulrushrudder/control/operator_api.py
+++ b/bulrushrudder/control/operator_api.py
@@ -11,6 +11,7 @@
 from bulrushrudder.config import models
 from bulrushrudder.config import rendering
 from bulrushrudder.control import changes
+from bulrushrudder.control import zone_api
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -59,6 +60,7 @@
                 web.get('/documents/{environment}', self._history),
                 web.get('/documents/{environment}/content', self._content),
                 web.get('/status', self._status),
+                *zone_api.ZoneApi(self._control.node, _operator_of).routes(),
             ]
         )
         return app
@@ -157,9 +159,13 @@
         status = await self._control.status()
         if status is None:
             raise _no_majority()
-        servers = self._control.node.state.servers.by_id
+        state = self._control.node.state
         return web.json_response(
-            {**dataclasses.asdict(status), 'servers': sorted(servers)}
+            {
+                **dataclasses.asdict(status),
+                'servers': sorted(state.servers.by_id),
+                'evacuated_zones': sorted(state.evacuations.zones),
+            }
         )
 
     async def _current_documents(self):
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -125,7 +125,8 @@
     :returns: the HttpListener for operators.
     """
     metrics = metrics_control.ControlMetrics(
-        lambda: control.node.replica.tolerable_losses
+        lambda: control.node.replica.tolerable_losses,
+        lambda: control.node.state.evacuations.zones,
     )
     operators_app = interface.application(control, settings, metrics)
     operators_app.middlewares.insert(0, in_flight.guard)
--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -22,6 +22,11 @@
     'the permission to send it ran out',
     sent=False,
 )
+_EVACUATED = responses.Problem(
+    responses.ProblemKind.UNREACHABLE,
+    'the zone of the server is evacuated, or the view may lack that',
+    sent=False,
+)
 
 
 class Listening(enum.Enum):
@@ -81,6 +86,10 @@
             self._release(server, connection)
             yield result.Failure(_EXPIRED)
             return
+        if call.starts_work and not self._network.may_send(server):
+            self._release(server, connection)
+            yield result.Failure(_EVACUATED)
+            return
         connection.send(
             call,
             functools.partial(self._on_head, server, sent_s),
--- a/bulrushrudder/engines/network.py
+++ b/bulrushrudder/engines/network.py
@@ -33,5 +33,9 @@
         """Return whether an idle connection may carry a call."""
         return True
 
+    def may_send(self, server):
+        """Return whether a server may be sent a request now."""
+        return True
+
     def call_ended(self, server, connection):
         """Ignore that a call on a connection has ended."""
--- a/bulrushrudder/engines/responses.py
+++ b/bulrushrudder/engines/responses.py
@@ -82,9 +82,12 @@
         headers, as after HEAD.
     :param expires_s: seconds of the loop's clock after which it must not
         be sent.
+    :param starts_work: whether it has the server begin work, which servers
+        of evacuated zones do not get.
     """
 
     data: bytes
     id: str = ''
     without_body: bool = False
     expires_s: float = math.inf
+    starts_work: bool = False
--- a/bulrushrudder/entry/access.py
+++ b/bulrushrudder/entry/access.py
@@ -34,6 +34,7 @@
     def _check(self):
         view = self._services.view
         now_s = asyncio.get_running_loop().time()
+        view.observe_time(now_s)
         fresh = view.is_fresh(now_s)
         if view.lookups is self._checked_lookups and fresh == self._was_fresh:
             return
--- a/bulrushrudder/entry/call_permits.py
+++ b/bulrushrudder/entry/call_permits.py
@@ -59,6 +59,9 @@
                 if _now_s() - asked_s > wait_s + MAX_LATENESS_S:
                     return await self.choose(service, call, tried)
                 server = self._router.server(server_id)
+                if server and server_id not in self._router.servers(service):
+                    # Its zone was evacuated meanwhile.
+                    return await self.choose(service, call, tried)
                 if server is not None and self._monitor.takes_work(server):
                     return result.Success(server)
                 return result.Failure(NO_SERVER)
--- a/bulrushrudder/entry/control_client.py
+++ b/bulrushrudder/entry/control_client.py
@@ -55,6 +55,7 @@
         self._link = None
         self._state_buffer = bytearray()
         self._was_fresh = False
+        self._logged_zones = frozenset()
         self.changed = asyncio.Event()
 
     async def run(self):
@@ -222,7 +223,7 @@
     def _apply_entries(self, first, commands):
         for index, data in enumerate(commands, first):
             self._view.apply(index, _decode(data) if data else None)
-        self.changed.set()
+        self._view_changed()
 
     def _collect_state_part(self, part):
         """Collect the parts of a snapshot and restore the view from it."""
@@ -232,7 +233,18 @@
         if len(self._state_buffer) == part.total:
             self._view.restore(_decode(bytes(self._state_buffer)))
             self._state_buffer = bytearray()
-            self.changed.set()
+            self._view_changed()
+
+    def _view_changed(self):
+        self.changed.set()
+        zones = self._view.state.evacuations.zones
+        if zones != self._logged_zones:
+            self._logged_zones = zones
+            log.emit(
+                catalogue.EVACUATIONS_APPLIED,
+                zones=' '.join(sorted(zones)),
+                index=self._view.index,
+            )
 
 
 def _decode(data):
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -77,7 +77,9 @@
             answer = await self._ask_once(place_request)
             match answer:
                 case result.Success(place_messages.PlaceGranted() as granted):
-                    unusable = self._unusable_servers(granted)
+                    unusable = self._unusable_servers(
+                        granted, place_request.model
+                    )
                     if not unusable:
                         return answer
                     await self.release(
@@ -267,17 +269,28 @@
             self._directory.send(_role_key(model), message, self.serve)
         )
 
-    def _unusable_servers(self, granted):
-        """Return the granted servers that have left or take no work."""
-        return tuple(
+    def _unusable_servers(self, granted, model):
+        """Return the servers to exclude because of a grant.
+
+        These are the granted ones that have left or take no work, and with
+        one of an evacuated zone all others of such zones: the coordinator
+        does not know of the evacuation.
+        """
+        unusable = [
             server_id
             for server_id in (granted.prefill, granted.decode)
             if server_id and not self._takes_work(server_id)
-        )
+        ]
+        table = self._view.state.servers.evacuated_by_served
+        evacuated = table.get(model, {})
+        if evacuated.keys() & unusable:
+            return tuple({**dict.fromkeys(unusable), **evacuated})
+        return tuple(unusable)
 
     def _takes_work(self, server_id):
-        server = self._view.state.servers.by_id.get(server_id)
-        if server is None:
+        table = self._view.state.servers
+        server = table.by_id.get(server_id)
+        if server is None or not table.takes_requests(server):
             return False
         return self._statements.takes_work(server, _now_s())
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -194,7 +194,10 @@
     def _recorded_limits(self, model):
         """Yield the limits that an earlier coordinator has recorded."""
         servers = self._view.state.servers
-        for server in servers.by_served.get(model, {}).values():
+        for server in (
+            *servers.by_served.get(model, {}).values(),
+            *servers.evacuated_by_served.get(model, {}).values(),
+        ):
             requests_per_s = servers.requests_per_s(server)
             if requests_per_s is not None:
                 yield events.LimitReported(
@@ -210,8 +213,10 @@
         version = servers.versions_by_served.get(model, 0)
         if version != hosted.version:
             hosted.version = version
-            servers_by_id = servers.by_served.get(model, {})
-            yield events.ServersChanged(tuple(servers_by_id.values()))
+            yield events.ServersChanged(
+                tuple(servers.by_served.get(model, {}).values()),
+                tuple(servers.evacuated_by_served.get(model, {}).values()),
+            )
         sessions = self._view.state.sessions.by_vm.values()
         owners = tuple(session.owner for session in sessions)
         if owners != hosted.owners:
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 from returns import result
 
@@ -15,6 +16,7 @@
 from bulrushrudder.entry import server_availability
 from bulrushrudder.entry import server_feedback
 from bulrushrudder.entry import tracing
+from bulrushrudder.entry import view_contact
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import request as lifecycle
@@ -183,6 +185,7 @@
 
     async def _handle(self, event):
         now_s = self._loop.time()
+        event = self._mark_evacuated(event)
         view = self._services.view
         lost = access.loss_before(event, view, now_s, self.admitted)
         next_actions = []
@@ -191,6 +194,19 @@
             next_actions += self._request.handle(handled, now_s)
         await self._perform(next_actions)
 
+    def _mark_evacuated(self, event):
+        """Mark a failure to send to a server whose zone is evacuated."""
+        match event:
+            case events.AttemptFailed(
+                reason=outcomes.Reason.BACKEND_UNREACHABLE,
+                server=server_id,
+                sent=False,
+            ) if self._availability.is_evacuated(
+                self._servers_by_id.get(server_id)
+            ):
+                return dataclasses.replace(event, evacuated=True)
+        return event
+
     def _observe(self, event, now_s):
         """Log an event and record what it says about the servers."""
         self._trace.event(event)
@@ -350,6 +366,7 @@
                 ),
                 server=server_id,
                 of_server=of_server,
+                evacuated=False,
             ):
                 server = self._servers_by_id.get(server_id)
                 if server is not None and (
@@ -375,6 +392,7 @@
     # Calls to engines.
 
     async def _prefill(self, action):
+        await view_contact.settle(self._services.view)
         server = self._servers_by_id.get(action.server)
         if not self._availability.takes_work(server):
             return _server_left(action)
@@ -384,6 +402,7 @@
         return await self._services.engines.prefill(server, action, self._job)
 
     async def _decode(self, action):
+        await view_contact.settle(self._services.view)
         server = self._servers_by_id.get(action.server)
         source = self._servers_by_id.get(action.source)
         if not self._availability.takes_work(server) or (
@@ -407,7 +426,7 @@
     async def _handle_batch(self, batch):
         now_s = self._loop.time()
         next_actions = []
-        for event in batch:
+        for event in map(self._mark_evacuated, batch):
             self._observe(event, now_s)
             for action in self._request.handle(event, now_s):
                 next_actions.append(action)
--- a/bulrushrudder/entry/routed_network.py
+++ b/bulrushrudder/entry/routed_network.py
@@ -97,6 +97,16 @@
             return False
         return self.paths.use_tunnel(key, _now_s())
 
+    def may_send(self, server):
+        """Return whether a server may be sent a request now.
+
+        Its zone may have been evacuated while the connection was opened.
+        """
+        servers = self._view.state.servers
+        return servers.takes_requests(server) and self._view.is_settled(
+            _now_s()
+        )
+
     def call_ended(self, server, connection):
         """Record what the end of a call says about the direct path.
 
--- a/bulrushrudder/entry/server_availability.py
+++ b/bulrushrudder/entry/server_availability.py
@@ -5,6 +5,7 @@
 from bulrushrudder.core import outcomes
 
 LEAVING_RETRY_AFTER_S = 1.0
+EVACUATED_RETRY_AFTER_S = 1.0
 
 
 class ServerAvailability:
@@ -35,6 +36,12 @@
 
         :returns: None if one takes work, or if there is none at all.
         """
+        if self._is_evacuated():
+            return outcomes.not_run(
+                outcomes.Reason.NO_SERVER,
+                'the zones of all decode servers of the model are evacuated',
+                EVACUATED_RETRY_AFTER_S,
+            )
         decodes = [
             server
             for server in self._candidates().values()
@@ -52,15 +59,33 @@
     def takes_work(self, server):
         """Return whether a granted server, or None, still takes work.
 
-        It may have left since the grant, during a long prefill.
+        It may have left, or its zone may have been evacuated, since the
+        grant, during a long prefill.
         """
         if server is None:
             return False
         table = self._services.view.state.servers
         if table.has_departed(server.id, server.incarnation):
             return False
+        if not table.takes_requests(server):
+            return False
         return self._services.backpressure.takes_work(server)
 
+    def is_evacuated(self, server):
+        """Return whether the zone of a server, or None, is evacuated."""
+        table = self._services.view.state.servers
+        return server is not None and not table.takes_requests(server)
+
+    def _is_evacuated(self):
+        """Return whether all decode servers are in evacuated zones."""
+        evacuated = self._services.view.state.servers.evacuated_by_served
+        return any(
+            server.kind == 'decode'
+            for server in evacuated.get(self._model, {}).values()
+        ) and not any(
+            server.kind == 'decode' for server in self._candidates().values()
+        )
+
     def _candidates(self):
         servers = self._services.view.state.servers
         return servers.by_served.get(self._model, {})
--- a/bulrushrudder/entry/server_feedback.py
+++ b/bulrushrudder/entry/server_feedback.py
@@ -74,7 +74,8 @@
                 server=server, reason=reason, of_server=of_server
             ):
                 if (
-                    server == self._decode_server
+                    not event.evacuated
+                    and server == self._decode_server
                     and reason in _FAILURE_REASONS
                     and (of_server or not self._doubts(server))
                 ):
--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -17,6 +17,7 @@
 from bulrushrudder.entry import refusals
 from bulrushrudder.entry import service_router
 from bulrushrudder.entry import tracing
+from bulrushrudder.entry import view_contact
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.idempotency import actions
@@ -159,6 +160,9 @@
                     return result.Failure(refusal) if sent is None else sent
                 case result.Success(server), _:
                     pass
+            await view_contact.settle(self._services.view)
+            if not self._services.service_router.takes_requests(server):
+                continue
             left_s = call.deadline_s - loop.time()
             timeout_s = min(call.timeout_s, left_s)
             bounded_call = dataclasses.replace(call, timeout_s=timeout_s)
@@ -170,6 +174,8 @@
             took_s = loop.time() - started_s
             self._services.metrics.observe_call(service, took_s)
             self._log_try(bounded_call, server, latest, took_s)
+            if self._is_evacuated(server, latest):
+                continue
             sent = latest if sent is None else _merged(sent, latest)
             runs += _may_have_run(latest)
             checking = self._record_result(server, call, latest, view)
@@ -179,6 +185,15 @@
             if not await self._may_try_again(service, call, tried, checking):
                 return sent
 
+    def _is_evacuated(self, server, latest):
+        """Return whether nothing was sent as a zone is evacuated.
+
+        The next choice leaves the servers of the zone out, so this takes
+        nothing from the retry budget.
+        """
+        router = self._services.service_router
+        return not router.takes_requests(server) and not _may_have_run(latest)
+
     async def _choose(self, service, call, tried):
         """Choose a server, unless the process stops meanwhile.
 
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -48,6 +48,10 @@
         """Return a server by id, or None."""
         return self._view.state.servers.by_id.get(server_id)
 
+    def takes_requests(self, server):
+        """Return whether the zone of a server is not evacuated."""
+        return self._view.state.servers.takes_requests(server)
+
     async def call(self, server, call):
         """Forward one call and record its outcome.
 
@@ -75,7 +79,7 @@
             case result.Success(reply):
                 return reply.status < FIRST_SERVER_ERROR_STATUS
             case result.Failure(outcomes.Refusal(of_server=False)) if (
-                self._doubts(server)
+                self._doubts(server) or not self.takes_requests(server)
             ):
                 return None
         return False
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -492,6 +492,34 @@
     'A header by which a backend server states something about itself '
     'cannot be read; it is ignored. At most one line a server and minute.',
 )
+ZONE_EVACUATED = Event(
+    2401,
+    Level.INFO,
+    'zone evacuated',
+    'A quorum has the order that no request be sent to the backend servers '
+    'of a zone; what runs there goes on. A repeated order changes nothing.',
+)
+ZONE_RESTORED = Event(
+    2402,
+    Level.INFO,
+    'zone restored',
+    'A quorum has the order that the backend servers of a zone get requests '
+    'again. A repeated order changes nothing.',
+)
+ZONE_ORDER_FAILED = Event(
+    2403,
+    Level.WARNING,
+    'zone order failed',
+    'An order to evacuate or restore a zone was not acknowledged, because no '
+    'quorum had it in time; give the order again.',
+)
+EVACUATIONS_APPLIED = Event(
+    4015,
+    Level.INFO,
+    'evacuations applied',
+    'The view of this VM has other evacuated zones than before; the line '
+    'lists all of them and gives the index of the view.',
+)
 SPARE_TOKENS_GRANTED = Event(
     5101,
     Level.INFO,
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -91,6 +91,8 @@
 
     :param sent: whether the server may have run part of it.
     :param of_server: whether no lost path can explain it.
+    :param evacuated: whether nothing was sent because the zone of the
+        server is evacuated.
     """
 
     attempt: ids.AttemptId
@@ -99,6 +101,7 @@
     detail: str
     sent: bool = True
     of_server: bool = False
+    evacuated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -333,6 +333,8 @@
     def _attempt_failed(self, event, now_s):
         if not self._is_current(event, *states.RUNNING):
             return [_drop(event)]
+        if event.evacuated:
+            return self._place_elsewhere(event.reason)
         self._sent = self._sent or event.sent
         if event.sent and self.state == 'transferring':
             self._runs += 1
@@ -345,6 +347,25 @@
             return self._retry(now_s)
         return [*self._release_all(), *self._retry(now_s)]
 
+    def _place_elsewhere(self, reason):
+        """Request another place, as the server of this one got nothing.
+
+        No order is repeated, so this takes nothing from the retry budget.
+        The result of a prefill remains, also in an evacuated zone.
+        """
+        released = []
+        if (
+            self.state == 'transferring'
+            and self._retained is None
+            and self._allocation.prefill
+        ):
+            self._retain(self._allocation.prefill, self._prefill_handle)
+        else:
+            released = _release(self._allocation)
+            self._allocation = None
+        self._transition('back_off')
+        return [*released, actions.BackOff(0.0, reason)]
+
     def _record_failed_arrival(self):
         """Count an order that its server has not begun to answer."""
         match self.state:
--- a/bulrushrudder/metrics/control.py
+++ b/bulrushrudder/metrics/control.py
@@ -20,10 +20,15 @@
 
     :param tolerable_losses: function that returns how many more voters
         may be lost, or None if this process does not lead.
+    :param evacuated_zones: function that returns the evacuated zones that
+        this process knows.
     """
 
-    def __init__(self, tolerable_losses=lambda: None):
+    def __init__(
+        self, tolerable_losses=lambda: None, evacuated_zones=frozenset
+    ):
         self._tolerable_losses = tolerable_losses
+        self._evacuated_zones = evacuated_zones
         self.registry = aioprometheus.Registry()
         self._submissions = aioprometheus.Counter(
             'bulrushrudder_submissions_total',
@@ -41,6 +46,11 @@
             '-1 if this process does not lead.',
             registry=self.registry,
         )
+        self._zones = aioprometheus.Gauge(
+            'bulrushrudder_evacuated_zones',
+            'Availability zones whose backend servers get no requests.',
+            registry=self.registry,
+        )
 
     def count_submission(self, environment, outcome):
         """Count a submission or promotion.
@@ -63,4 +73,5 @@
         """
         losses = self._tolerable_losses()
         self._losses.set({}, -1 if losses is None else losses)
+        self._zones.set({}, len(self._evacuated_zones()))
         return aioprometheus.render(self.registry, accept)
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -7,6 +7,12 @@
 from bulrushrudder.state import machine
 
 FRESHNESS_BOUND_S = 3.0
+# A process that runs observes the time several times in this period.
+MIN_PAUSE_S = 1.0
+# Time in which a process that was paused, or has just started, reaches a
+# control process with a quorum, if its VM can: two attempts of which the
+# first finds none.
+CONTACT_WAIT_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +41,8 @@
         self._rounds_by_number = {}
         self._last_round_number = 0
         self._confirmed_s = None
+        self._ran_s = None
+        self._resumed_s = None
 
     @property
     def index(self):
@@ -124,6 +132,24 @@
             return None
         return round(self.age_s(now_s) * units.MS_PER_SECOND)
 
+    def observe_time(self, now_s):
+        """Record that the process runs, several times in MIN_PAUSE_S."""
+        if self._ran_s is None or now_s - self._ran_s > MIN_PAUSE_S:
+            self._resumed_s = now_s
+        self._ran_s = now_s
+
+    def is_settled(self, now_s):
+        """Return whether the view is as current as this VM can have it.
+
+        After a pause or a start, the view may lack entries that were in
+        force long before, until a control process has confirmed it. A VM
+        that reaches none goes on after CONTACT_WAIT_S.
+        """
+        self.observe_time(now_s)
+        return (
+            self.is_fresh(now_s) or now_s - self._resumed_s >= CONTACT_WAIT_S
+        )
+
     def is_fresh(self, now_s):
         """Return whether the view is fresh enough for keyed routes.
 
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -12,6 +12,7 @@
 from bulrushrudder.placement import choice
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
+from bulrushrudder.placement import evacuated_pools
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
 from bulrushrudder.placement import flooding
@@ -48,6 +49,7 @@
 
     def __init__(self, ready_s=0.0, max_booked_ahead=MAX_BOOKED_AHEAD):
         self._ready_s = ready_s
+        self._is_emptied = False
         self._queue = fair_queue.FairQueue()
         self._prefills = prefills.PrefillPool()
         self._decodes = decodes.DecodePool(max_booked_ahead)
@@ -123,8 +125,11 @@
             case events.PlaceReleased(hold=hold):
                 self._record_measurements(event, now_s)
                 self._release(hold, now_s)
-            case events.ServersChanged(servers=servers):
-                self._update_servers(servers, now_s)
+            case events.ServersChanged():
+                self._update_servers(event, now_s)
+                self._is_emptied = evacuated_pools.is_emptied(event)
+                if self._is_emptied:
+                    return self._refuse_queued(now_s)
             case events.LoadReported():
                 self._prefills.record_load(event)
                 self._decodes.record_load(event)
@@ -150,7 +155,7 @@
         backlog_s = self._limits.backlog_s(
             len(self._queue), self._return_times.pace(now_s)
         )
-        if backlog_s > request.patience_s:
+        if self._is_emptied or backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         self._queue.add(request, now_s, self._lead_s(request))
         return []
@@ -203,9 +208,11 @@
         else:
             self._forget_absent_hold(grant.allocation.decode, hold)
 
-    def _update_servers(self, servers, now_s):
+    def _update_servers(self, change, now_s):
+        servers = change.servers
         by_id = {server.id: server for server in servers}
-        self._limits.update_servers(servers)
+        # A zone may be restored before its servers state their limits anew.
+        self._limits.update_servers((*servers, *change.evacuated))
         for pool, kind in (
             (self._prefills, 'prefill'),
             (self._decodes, 'decode'),
@@ -389,6 +396,13 @@
         reason = outcomes.Reason.TARGET_UNREACHABLE
         return self._refuse(queued.request, reason, now_s)
 
+    def _refuse_queued(self, now_s):
+        """Refuse all queued requests, since no server will take them."""
+        return [
+            self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
+            for queued in self._queue.take_all()
+        ]
+
     def _refuse(self, request, reason, now_s):
         hold = request.hold
         self._drained_server_by_hold.pop(hold, None)
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -94,9 +94,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersChanged:
-    """The servers of the model that accept new requests."""
+    """The servers of the model that accept new requests.
+
+    :param evacuated: its servers in evacuated zones, which accept none.
+    """
 
     servers: tuple[servers.BackendServer, ...]
+    evacuated: tuple[servers.BackendServer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -235,6 +235,10 @@
                 expired.append(queued)
         return expired
 
+    def take_all(self):
+        """Remove and return all requests."""
+        return [self.remove(hold) for hold in tuple(self._requests_by_hold)]
+
     def heads(self, queue_class, limit):
         """Return the next requests of a class, one per account."""
         return self._queues_by_class[queue_class].heads(limit)
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -56,7 +56,9 @@
         data = headers.encode_request(
             self.method, self.target, pairs, self.body
         )
-        return responses.Call(data, self.attempt, self.method == 'HEAD')
+        return responses.Call(
+            data, self.attempt, self.method == 'HEAD', starts_work=True
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -13,6 +13,7 @@
 from bulrushrudder.platform import announcements
 from bulrushrudder.platform import calls
 from bulrushrudder.platform import configuration
+from bulrushrudder.platform import evacuations
 from bulrushrudder.platform import orders
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
@@ -52,6 +53,9 @@
                 web.delete(instance, self._handle_departure),
                 web.put(f'{_PREFIX}/config', self._put_configuration),
                 web.get(f'{_PREFIX}/config', self._get_configuration),
+                *evacuations.EvacuationApi(
+                    self._control.node, OPERATOR
+                ).routes(_PREFIX),
             ]
         )
         return app
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -10,6 +10,7 @@
 from bulrushrudder.documents import types
 from bulrushrudder.state import accounts
 from bulrushrudder.state import documents
+from bulrushrudder.state import evacuations
 from bulrushrudder.state import intents
 from bulrushrudder.state import pool_targets
 from bulrushrudder.state import quarantine
@@ -56,6 +57,7 @@
         self.accounts = accounts.Accounts(self.sessions)
         self.intents = intents.Intents()
         self.pool_targets = pool_targets.PoolTargets()
+        self.evacuations = evacuations.Evacuations()
         self.suspect_parts = suspect_parts.SuspectParts()
 
     def snapshot(self):
@@ -68,7 +70,7 @@
             quarantine=self.quarantine.snapshot(),
             accounts=self.accounts.snapshot(),
             intents=self.intents.snapshot(),
-            pools=self.pool_targets.snapshot(),
+            pools=self._pools_snapshot(),
             suspects=self.suspect_parts.snapshot(),
         )
 
@@ -81,7 +83,7 @@
         self.quarantine.restore(snapshot.quarantine)
         self.accounts.restore(snapshot.accounts)
         self.intents.restore(snapshot.intents)
-        self.pool_targets.restore(snapshot.pools)
+        self._restore_pools(snapshot)
         self.suspect_parts.restore(snapshot.suspects)
         for environment in types.Environment:
             self._lower_floors(environment)
@@ -138,10 +140,34 @@
                 | intents.AdvanceClock()
             ):
                 return self.intents.apply(index, command)
+            case pool_targets.SetPrefillTarget() if evacuations.is_stored_in(
+                command
+            ):
+                outcome = self.evacuations.apply(index, command)
+                self.servers.evacuate(self.evacuations.zones)
+                return outcome
             case pool_targets.SetPrefillTarget():
                 return self.pool_targets.apply(index, command)
         raise AssertionError(f'unknown command {command!r}')
 
+    def _pools_snapshot(self):
+        """Return the targets of pools, with the evacuations among them."""
+        pools = self.pool_targets.snapshot()
+        return pool_targets.PoolTargetsSnapshot(
+            (*pools.wanted, *self.evacuations.targets())
+        )
+
+    def _restore_pools(self, snapshot):
+        """Restore the targets of pools, and the evacuations among them."""
+        targets = snapshot.pools.wanted
+        stored = [t for t in targets if evacuations.is_stored_in(t)]
+        pools = [t for t in targets if not evacuations.is_stored_in(t)]
+        self.pool_targets.restore(
+            pool_targets.PoolTargetsSnapshot(tuple(pools))
+        )
+        self.evacuations.load(snapshot.index, stored)
+        self.servers.evacuate(self.evacuations.zones)
+
     def _lower_floors_if_accepted(self, environment, outcome):
         if isinstance(outcome, results.Accepted) and not outcome.repeated:
             self._lower_floors(environment)
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -146,12 +146,15 @@
 
 
 class Servers:
-    """The backend servers that may get new work.
+    """The backend servers, and which of them may get new work.
 
     :ivar by_id: servers that have joined and not left.
-    :ivar by_served: the same servers by model or service, then by id.
+    :ivar by_served: those of them that may get new work, by model or
+        service, then by id.
+    :ivar evacuated_by_served: the others, whose zones are evacuated.
+    :ivar evacuated_zones: the zones whose servers get no new work.
     :ivar versions_by_served: counters by model or service, incremented
-        whenever its servers change.
+        whenever its servers or their zones change.
     :ivar mixed_models: models whose streams of the last time may have
         begun at several software versions.
     """
@@ -159,6 +162,10 @@
     def __init__(self):
         self.by_id: dict[ids.ServerId, BackendServer] = {}
         self.by_served: dict[str, dict[ids.ServerId, BackendServer]] = {}
+        self.evacuated_by_served: dict[
+            str, dict[ids.ServerId, BackendServer]
+        ] = {}
+        self.evacuated_zones: frozenset[ids.Zone] = frozenset()
         self.versions_by_served: dict[str, int] = {}
         self.mixed_models: frozenset[str] = frozenset()
         self._softwares_by_model: dict[str, list[str]] = {}
@@ -178,6 +185,22 @@
             ),
         )
 
+    def evacuate(self, zones):
+        """Set the zones whose servers get no new work.
+
+        What runs there goes on, and its servers stay known.
+        """
+        changed = zones ^ self.evacuated_zones
+        self.evacuated_zones = zones
+        for server in self.by_id.values():
+            if server.zone in changed:
+                self._unindex(server)
+                self._index(server)
+
+    def takes_requests(self, server):
+        """Return whether requests may be sent to a server's zone."""
+        return server.zone not in self.evacuated_zones
+
     def softwares(self, model):
         """Return the versions that servers of a model have or had lately."""
         return tuple(self._softwares_by_model.get(model, ()))
@@ -339,15 +362,26 @@
         self.by_id[server.id] = server
         self._learn_softwares(server)
         self._update_mixed_models()
-        for served in server.serves:
-            self.by_served.setdefault(served, {})[server.id] = server
-            self._increment_version(served)
+        self._index(server)
 
     def _remove(self, server_id):
         removed = self.by_id.pop(server_id, None)
         self._limits_by_id.pop(server_id, None)
-        for served in removed.serves if removed else ():
-            self.by_served[served].pop(server_id, None)
+        if removed is not None:
+            self._unindex(removed)
+
+    def _index(self, server):
+        by_served = self.evacuated_by_served
+        if self.takes_requests(server):
+            by_served = self.by_served
+        for served in server.serves:
+            by_served.setdefault(served, {})[server.id] = server
+            self._increment_version(served)
+
+    def _unindex(self, server):
+        for served in server.serves:
+            for by_served in (self.by_served, self.evacuated_by_served):
+                by_served.get(served, {}).pop(server.id, None)
             self._increment_version(served)
 
     def _increment_version(self, served):
