--- a/bulrushrudder/commands/catalogue.py
+++ b/bulrushrudder/commands/catalogue.py
@@ -9,6 +9,7 @@
 from bulrushrudder.commands import solo
 from bulrushrudder.commands import status
 from bulrushrudder.commands import version
+from bulrushrudder.commands import zone
 
 COMMANDS = {
     'entry': entry.entry,
@@ -24,6 +25,11 @@
         'diff': document.diff,
     },
     'key': {'new': key.new},
+    'zone': {
+        'evacuate': zone.evacuate,
+        'restore': zone.restore,
+        'show': zone.show,
+    },
     'status': status.status,
     'bench': bench.bench,
     'version': version.version,
--- a/bulrushrudder/commands/status.py
+++ b/bulrushrudder/commands/status.py
@@ -28,6 +28,9 @@
     for session in content['sessions']:
         print(_format_session(session))
     print(f'backend servers: {", ".join(content["servers"]) or "none"}')
+    # Control processes of the previous build know of no evacuations.
+    zones = content.get('evacuated_zones', ())
+    print(f'evacuated zones: {", ".join(zones) or "none"}')
 
 
 def _format_member(member):
--- a/bulrushrudder/observers/view.py
+++ b/bulrushrudder/observers/view.py
@@ -146,8 +146,10 @@
         that reaches none goes on after CONTACT_WAIT_S.
         """
         self.observe_time(now_s)
+        bound_s = min(self._bound_s, FRESHNESS_BOUND_S)
         return (
-            self.is_fresh(now_s) or now_s - self._resumed_s >= CONTACT_WAIT_S
+            self.age_s(now_s) <= bound_s
+            or now_s - self._resumed_s >= CONTACT_WAIT_S
         )
 
     def is_fresh(self, now_s):
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -126,10 +126,7 @@
                 self._record_measurements(event, now_s)
                 self._release(hold, now_s)
             case events.ServersChanged():
-                self._update_servers(event, now_s)
-                self._is_emptied = evacuated_pools.is_emptied(event)
-                if self._is_emptied:
-                    return self._refuse_queued(now_s)
+                return self._update_servers(event, now_s)
             case events.LoadReported():
                 self._prefills.record_load(event)
                 self._decodes.record_load(event)
@@ -225,6 +222,8 @@
                 if server.kind == kind and not pool.has(server):
                     pool.join(server)
                     self._count_restored(server.id, now_s)
+        self._is_emptied = evacuated_pools.is_emptied(change)
+        return self._refuse_queued(now_s) if self._is_emptied else []
 
     def _reconcile(self, event, now_s):
         """Release holds that an owner lacks and request unknown ones."""
--- a/bulrushrudder/tests/state/snapshot_tests.py
+++ b/bulrushrudder/tests/state/snapshot_tests.py
@@ -3,6 +3,7 @@
 from bulrushrudder.core import ids
 from bulrushrudder.protocol import codec
 from bulrushrudder.state import documents as state_documents
+from bulrushrudder.state import evacuations
 from bulrushrudder.state import machine
 from bulrushrudder.state import quarantine
 from bulrushrudder.state import servers
@@ -40,6 +41,10 @@
     suspect_parts.ClearParts(('p2',)),
     crashes.report('r3', ('p1',), 3, view=16),
     suspect_parts.TryParts(('p1',)),
+    evacuations.evacuate(ids.Zone('a')),
+    evacuations.evacuate(ids.Zone('b')),
+    servers.JoinServer(fleet.server('decode-5')),
+    evacuations.restore(ids.Zone('a')),
 )
 
 
