--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -123,6 +123,13 @@
         ) as response:
             return response.status, await response.read()
 
+    async def order_zone(self, method, zone):
+        """Evacuate (POST) or restore (DELETE) a zone; return the status."""
+        async with self.session.request(
+            method, f'{self._control_url}{PREFIX}/evacuations/{zone}'
+        ) as response:
+            return response.status
+
     async def send_heartbeat(self, runner, server_id, **changes):
         """Send a heartbeat of a runner; return the status."""
         self._sequence += 1
--- a/bulrushrudder/tests/commands/operators_tests.py
+++ b/bulrushrudder/tests/commands/operators_tests.py
@@ -117,6 +117,34 @@
         self.assertIn('can be lost now: no', status.output)
         self.assertIn('VMs that can be lost now: 0', status.output)
 
+    async def test_zone_commands_evacuate_and_restore(self):
+        await self.call('GET', '/documents/trial')
+
+        async def zone(*words):
+            ended = await command_line.run(
+                'zone', *words, self.control, self.secret
+            )
+            self.assertEqual((ended.code, ended.problems), (0, ''))
+            return ended.output
+
+        self.assertIn('at index', await zone('evacuate', 'eu 1/a'))
+        self.assertIn('nothing to change', await zone('evacuate', 'eu 1/a'))
+        self.assertIn('evacuated: yes', await zone('show', 'eu 1/a'))
+        status = await command_line.run('status', self.control, self.secret)
+        self.assertIn('evacuated zones: eu 1/a', status.output)
+        metrics = f'http://{self.settings.control.metrics}/metrics'
+        async with self.session.get(metrics) as response:
+            text = await response.text()
+        self.assertIn('bulrushrudder_evacuated_zones 1', text)
+        self.assertIn('at index', await zone('restore', 'eu 1/a'))
+        self.assertIn('evacuated: no', await zone('show', 'eu 1/a'))
+        ended = await command_line.run(
+            'zone', 'evacuate', 'x' * 64, self.control, self.secret
+        )
+        self.assertEqual(ended.code, errors.ExitCode.USAGE)
+        response = await self.call('POST', f'/zones/{"x" * 64}/evacuation')
+        self.assertEqual(response[0], 422)
+
     async def test_errors_are_printed_without_traceback(self):
         bad = self.folder / 'bad.yaml'
         bad.write_text('version: one\n')
--- a/bulrushrudder/tests/control/kind_orders_tests.py
+++ b/bulrushrudder/tests/control/kind_orders_tests.py
@@ -6,6 +6,7 @@
 import logbook
 
 from bulrushrudder.control import kind_orders
+from bulrushrudder.core import ids
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import fleet
 
@@ -140,6 +141,26 @@
         await self.step(kind_orders.JOIN_SETTLE_S)
         self.assertEqual(len(self.order_client.orders), 1)
 
+    async def test_pool_is_split_without_servers_of_evacuated_zone(self):
+        table = self.control.node.state.servers
+        moved = fleet.server('s0', kind='prefill', zone=ids.Zone('b'))
+        table.apply(9, servers.JoinServer(moved))
+        table.evacuate(frozenset({'b'}))
+        await self.step(0.0)
+        await self.step(10.0)
+        self.assertEqual(self.order_client.orders, [])
+
+    async def test_waits_after_zone_is_evacuated(self):
+        # The target is that of the whole pool until the coordinators have
+        # proposed that of the rest.
+        await self.step(0.0)
+        await self.step(LEASE_S)
+        self.control.node.state.servers.evacuate(frozenset({'b'}))
+        await self.step(1.0)
+        self.assertEqual(self.order_client.orders, [])
+        await self.step(kind_orders.JOIN_SETTLE_S)
+        self.assertEqual(len(self.order_client.orders), 1)
+
     async def test_refused_order_readmits_server(self):
         self.order_client.answer = kind_orders.OrderRefused(
             'status 409', False
--- a/bulrushrudder/tests/entry/coordinator_client_tests.py
+++ b/bulrushrudder/tests/entry/coordinator_client_tests.py
@@ -3,8 +3,12 @@
 
 from returns import result
 
+from bulrushrudder.core import ids
+from bulrushrudder.protocol import place_messages
+from bulrushrudder.state import evacuations
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import coordinator_fleet
+from bulrushrudder.tests.builders import fleet
 
 
 class TakeoverTests(unittest.IsolatedAsyncioTestCase):
@@ -45,6 +49,31 @@
         await asyncio.sleep(0.2)
         await self.check_takeover()
 
+    async def test_grant_of_evacuated_server_is_asked_for_elsewhere(self):
+        # The coordinator of a VM of the previous build knows no evacuation.
+        zone_b = ids.Zone('b')
+        for number in range(1, 5):
+            server = fleet.server(f'decode-b-{number}', zone=zone_b)
+            self.vms.apply(servers.JoinServer(server))
+        self.vms.apply(servers.JoinServer(fleet.server('decode-c')))
+        asked = []
+        ask_once = self.second._ask_once
+
+        async def grant_evacuated(request):
+            asked.append(request.excluded)
+            if len(asked) == 1:
+                granted = place_messages.PlaceGranted('', 'decode-b-1')
+                return result.Success(granted)
+            return await ask_once(request)
+
+        self.second._ask_once = grant_evacuated
+        self.vms.apply(evacuations.evacuate(zone_b))
+        granted = await self.ask(self.second, '1', vm='vm2')
+        self.assertIn(granted.unwrap().decode, ('decode-1', 'decode-c'))
+        self.assertEqual(
+            sorted(asked[1]), [f'decode-b-{number}' for number in range(1, 5)]
+        )
+
     async def test_request_moves_when_its_coordinator_is_lost(self):
         self.vms.down.add('vm1')
         waiting = self.ask(self.second, '2', vm='vm2')
--- a/bulrushrudder/tests/observers/view_tests.py
+++ b/bulrushrudder/tests/observers/view_tests.py
@@ -125,6 +125,32 @@
         self.assertTrue(observed.is_fresh(10.0 + view.FRESHNESS_BOUND_S))
         self.assertFalse(observed.is_fresh(10.1 + view.FRESHNESS_BOUND_S))
 
+    # Guards against a VM that sends requests by a view from before it was
+    # paused, for example to a zone that was evacuated since.
+
+    def test_view_is_not_settled_after_pause_until_it_is_confirmed(self):
+        observed = view.View(types.Environment.PRODUCTION)
+        self.assertFalse(observed.is_settled(10.0))
+        observed.confirm_round(observed.begin_round(10.0), 0)
+        self.assertTrue(observed.is_settled(10.1))
+        resumed_s = 20.0
+        self.assertFalse(observed.is_settled(resumed_s))
+        observed.confirm_round(observed.begin_round(resumed_s), 0)
+        self.assertTrue(observed.is_settled(resumed_s + 0.1))
+
+    def test_view_without_contact_is_settled_some_time_after_pause(self):
+        observed = view.View(types.Environment.PRODUCTION)
+        self.assertFalse(observed.is_settled(10.0))
+        for step in range(1, 10):
+            observed.observe_time(10.0 + step * 0.25)
+        self.assertTrue(observed.is_settled(10.0 + view.CONTACT_WAIT_S + 0.3))
+
+    def test_view_that_loses_contact_without_pause_remains_settled(self):
+        observed = view.View(types.Environment.PRODUCTION)
+        observed.confirm_round(observed.begin_round(10.0), 0)
+        for step in range(100):
+            self.assertTrue(observed.is_settled(10.0 + step * 0.25))
+
     def test_round_with_missing_index_does_not_confirm_view(self):
         observed = view.View(types.Environment.PRODUCTION)
         observed.confirm_round(observed.begin_round(10.0), 1)
