--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -3,6 +3,7 @@
 import functools
 import time
 import unittest
+from unittest import mock
 
 from returns import result
 
@@ -102,6 +103,19 @@
             await self.check_complete(server, b'one')
         self.assertEqual(self.runner.connections, 1)
 
+    async def test_request_is_not_sent_if_zone_is_evacuated_meanwhile(self):
+        # Other calls, such as those that free a result, still go there.
+        server = await self.start(answer(b'one'))
+        await self.check_complete(server, b'one')
+        with mock.patch.object(
+            network.DirectNetwork, 'may_send', return_value=False
+        ):
+            call = responses.Call(GET, starts_work=True)
+            async with self.pool.call(server, call) as opened:
+                self.assertFalse(opened.failure().sent)
+            await self.check_complete(server, b'one')
+        self.assertEqual(len(self.runner.calls), 2)
+
     # Guards against a server that is taken for unreachable because this
     # process stood still, which ended resumable streams.
     async def test_connects_to_server_after_standstill_of_this_process(self):
--- a/bulrushrudder/tests/platform/evacuations_tests.py
+++ b/bulrushrudder/tests/platform/evacuations_tests.py
@@ -187,6 +187,24 @@
         location = f'127.0.0.1:{source.port}/{runners.HANDLE}'
         self.assertEqual(decode.headers['Kv-Source'], location)
 
+    async def test_plain_call_leaves_zone_evacuated_while_it_connects(self):
+        # It has not been sent, so no retry budget is needed.
+        left, taken = await self.add_portal('a'), await self.add_portal('b')
+        network = self.fleet.entry.paths.network
+        direct_open = network.open
+        retries = self.fleet.entry.services.retries
+
+        async def open_slowly(server, protocol_factory):
+            if 'a' not in self.zones():
+                await self.evacuate('a')
+                while retries.take_retry(asyncio.get_running_loop().time()):
+                    pass
+            return await direct_open(server, protocol_factory)
+
+        network.open = open_slowly
+        self.assertEqual((await self.call('/book/1'))[0], 200)
+        self.assertEqual((len(left.calls), len(taken.calls)), (0, 1))
+
     async def test_stream_that_runs_in_evacuated_zone_finishes(self):
         running = asyncio.Event()
         evacuated = asyncio.Event()
