--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -160,8 +160,8 @@
                     return result.Failure(refusal) if sent is None else sent
                 case result.Success(server), _:
                     pass
-            await view_contact.settle(self._services.view)
-            if not self._services.service_router.takes_requests(server):
+            waited = await view_contact.settle(self._services.view)
+            if waited or not self._takes_requests(server):
                 continue
             left_s = call.deadline_s - loop.time()
             timeout_s = min(call.timeout_s, left_s)
@@ -174,7 +174,8 @@
             took_s = loop.time() - started_s
             self._services.metrics.observe_call(service, took_s)
             self._log_try(bounded_call, server, latest, took_s)
-            if self._is_evacuated(server, latest):
+            if not self._takes_requests(server) and not _may_have_run(latest):
+                # Nothing was sent, so this needs no retry budget.
                 continue
             sent = latest if sent is None else _merged(sent, latest)
             runs += _may_have_run(latest)
@@ -185,14 +186,12 @@
             if not await self._may_try_again(service, call, tried, checking):
                 return sent
 
-    def _is_evacuated(self, server, latest):
-        """Return whether nothing was sent as a zone is evacuated.
+    def _takes_requests(self, server):
+        """Return whether the zone of a chosen server is still in service.
 
-        The next choice leaves the servers of the zone out, so this takes
-        nothing from the retry budget.
+        If not, the next choice leaves its servers out.
         """
-        router = self._services.service_router
-        return not router.takes_requests(server) and not _may_have_run(latest)
+        return self._services.service_router.takes_requests(server)
 
     async def _choose(self, service, call, tried):
         """Choose a server, unless the process stops meanwhile.
--- a/bulrushrudder/entry/view_contact.py
+++ b/bulrushrudder/entry/view_contact.py
@@ -12,7 +12,11 @@
     the bound of the view.
 
     :param view: the View of the log.
+    :returns: whether it waited, so that earlier decisions are outdated.
     """
     loop = asyncio.get_running_loop()
+    waited = False
     while not view.is_settled(loop.time()):
+        waited = True
         await asyncio.sleep(POLL_INTERVAL_S)
+    return waited
--- a/bulrushrudder/state/evacuations.py
+++ b/bulrushrudder/state/evacuations.py
@@ -8,7 +8,7 @@
 from bulrushrudder.state import pool_targets
 from bulrushrudder.state import results
 
-# Ids of models contain neither blanks nor slashes.
+# The ids of models in documents contain neither blanks nor slashes.
 RESERVED_PREFIX = 'evacuated zone/'
 MAX_ZONE_CHARACTERS = 63
 EXPECTED_NAME = (
--- a/bulrushrudder/tests/entry/access_tests.py
+++ b/bulrushrudder/tests/entry/access_tests.py
@@ -54,7 +54,9 @@
         )
         self.in_flight = calls_in_flight.CallsInFlight()
         self.authority_client = self.call_permits = self
-        self.service_router = types.SimpleNamespace(call=self.send)
+        self.service_router = types.SimpleNamespace(
+            call=self.send, takes_requests=lambda server: True
+        )
         self.doubts = lambda server: False
         self.refunded = []
         self.sent = []
