--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -127,6 +127,7 @@
     metrics = metrics_control.ControlMetrics(
         lambda: control.node.replica.tolerable_losses,
         lambda: control.node.state.servers.count_cold(),
+        lambda: control.node.state.evacuations.zones,
     )
     operators_app = interface.application(control, settings, metrics)
     operators_app.middlewares.insert(0, in_flight.guard)
--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -27,6 +27,11 @@
     'the server is cold and got no more requests in time',
     sent=False,
 )
+_EVACUATED = responses.Problem(
+    responses.ProblemKind.UNREACHABLE,
+    'the zone of the server is evacuated, or the view may lack that',
+    sent=False,
+)
 
 
 class Listening(enum.Enum):
@@ -84,7 +89,7 @@
             reuse; 0 for a new connection.
         """
         expires_s = call.expires_s
-        if call.counted and self._permit is not None:
+        if call.starts_work and self._permit is not None:
             expires_s = await self._permit(server)
         if expires_s is None:
             yield result.Failure(_HELD_BACK)
@@ -98,7 +103,11 @@
         sent_s = asyncio.get_running_loop().time()
         if sent_s > expires_s:
             self._release(server, connection)
-            yield result.Failure(_HELD_BACK if call.counted else _EXPIRED)
+            yield result.Failure(_HELD_BACK if call.starts_work else _EXPIRED)
+            return
+        if call.starts_work and not self._network.may_send(server):
+            self._release(server, connection)
+            yield result.Failure(_EVACUATED)
             return
         connection.send(
             call,
--- a/bulrushrudder/engines/responses.py
+++ b/bulrushrudder/engines/responses.py
@@ -83,12 +83,13 @@
         headers, as after HEAD.
     :param expires_s: seconds of the loop's clock after which it must not
         be sent.
-    :param counted: whether it is a request that counts against the rate of
-        a cold server.
+    :param starts_work: whether it has the server begin work: it counts
+        against the rate of a cold server, and servers of evacuated zones do
+        not get it.
     """
 
     data: bytes
     id: str = ''
     without_body: bool = False
     expires_s: float = math.inf
-    counted: bool = False
+    starts_work: bool = False
--- a/bulrushrudder/entry/server_feedback.py
+++ b/bulrushrudder/entry/server_feedback.py
@@ -79,6 +79,11 @@
                 self._measure_token(index, now_s)
             case events.DecodeDone():
                 self.verdict = place_events.Verdict.SERVED
+            case (
+                events.AttemptFailed(evacuated=True)
+                | events.AttemptFailed(held_back=True)
+            ):
+                pass  # The server got nothing.
             case events.AttemptFailed(server=server, of_server=of_server):
                 if of_server or not self._doubts(server):
                     self._record_failure(event)
--- a/bulrushrudder/lifecycle/events.py
+++ b/bulrushrudder/lifecycle/events.py
@@ -93,6 +93,8 @@
     :param of_server: whether no lost path can explain it.
     :param held_back: whether this VM did not send it because the server is
         cold.
+    :param evacuated: whether nothing was sent because the zone of the
+        server is evacuated.
     """
 
     attempt: ids.AttemptId
@@ -102,6 +104,7 @@
     sent: bool = True
     of_server: bool = False
     held_back: bool = False
+    evacuated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/lifecycle/request.py
+++ b/bulrushrudder/lifecycle/request.py
@@ -335,8 +335,10 @@
     def _attempt_failed(self, event, now_s):
         if not self._is_current(event, *states.RUNNING):
             return [_drop(event)]
+        if event.evacuated:
+            return self._place_elsewhere(event, 0.0)
         if event.held_back:
-            return self._held_back(event)
+            return self._place_elsewhere(event, HELD_BACK_DELAY_S)
         self._sent = self._sent or event.sent
         if event.sent and self.state == 'transferring':
             self._runs += 1
@@ -349,15 +351,22 @@
             return self._retry(now_s)
         return [*self._release_all(), *self._retry(now_s)]
 
-    def _held_back(self, event):
-        """Place the request elsewhere, as nothing reached the server.
+    def _place_elsewhere(self, event, delay_s):
+        """Request another place, as the server of this one got nothing.
 
-        This is no retry: no budget pays for it. The time left to the
-        request bounds how often it happens.
+        No order is repeated, so this takes nothing from the retry budget;
+        the time left to the request bounds how often it happens. The result
+        of a prefill remains, also in an evacuated zone.
+
+        :param delay_s: seconds to wait before the next placement request.
         """
         self._exclude(event.server)
         released = []
-        if self._can_reuse_prefill(event):
+        if (
+            self.state == 'transferring'
+            and self._retained is None
+            and self._prefill_handle
+        ):
             self._retain(self._allocation.prefill, self._prefill_handle)
         elif self._retained is not None:
             released = _release(self._allocation)
@@ -365,7 +374,7 @@
         else:
             released = self._release_all()
         self._transition('back_off')
-        return [*released, actions.BackOff(HELD_BACK_DELAY_S, event.reason)]
+        return [*released, actions.BackOff(delay_s, event.reason)]
 
     def _record_failed_arrival(self):
         """Count an order that its server has not begun to answer."""
--- a/bulrushrudder/metrics/control.py
+++ b/bulrushrudder/metrics/control.py
@@ -22,11 +22,19 @@
         may be lost, or None if this process does not lead.
     :param cold_servers: function that returns the number of servers that
         are recorded as cold.
+    :param evacuated_zones: function that returns the evacuated zones that
+        this process knows.
     """
 
-    def __init__(self, tolerable_losses=lambda: None, cold_servers=lambda: 0):
+    def __init__(
+        self,
+        tolerable_losses=lambda: None,
+        cold_servers=lambda: 0,
+        evacuated_zones=frozenset,
+    ):
         self._tolerable_losses = tolerable_losses
         self._cold_servers = cold_servers
+        self._evacuated_zones = evacuated_zones
         self.registry = aioprometheus.Registry()
         self._submissions = aioprometheus.Counter(
             'bulrushrudder_submissions_total',
@@ -49,6 +57,11 @@
             'Backend servers that count as cold by the log.',
             registry=self.registry,
         )
+        self._zones = aioprometheus.Gauge(
+            'bulrushrudder_evacuated_zones',
+            'Availability zones whose backend servers get no requests.',
+            registry=self.registry,
+        )
 
     def count_submission(self, environment, outcome):
         """Count a submission or promotion.
@@ -72,4 +85,5 @@
         losses = self._tolerable_losses()
         self._losses.set({}, -1 if losses is None else losses)
         self._cold.set({}, self._cold_servers())
+        self._zones.set({}, len(self._evacuated_zones()))
         return aioprometheus.render(self.registry, accept)
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -57,7 +57,7 @@
             self.method, self.target, pairs, self.body
         )
         return responses.Call(
-            data, self.attempt, self.method == 'HEAD', counted=True
+            data, self.attempt, self.method == 'HEAD', starts_work=True
         )
 
 
