Serve higher ranks first where not all requests can be served

The rank of accounts and routes was parsed and used by no decision, so that accounts shared alike whatever their requests are worth to callers.

Equal or absent ranks give the same grants as before.

--- a/bulrushrudder/entry/admission.py
+++ b/bulrushrudder/entry/admission.py
@@ -38,6 +38,19 @@
                 return tokens
         return self.account.call_tokens if self.account else 0
 
+    @property
+    def rank(self):
+        """Return the rank of the account, or else of the route.
+
+        None if neither has one.
+        """
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        match self.route.target:
+            case types.SplitTarget(rank=rank):
+                return rank
+        return None
+
 
 def admit(view, now_s, draining, method, path, key, host=''):
     """Check a call against the document in force.
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -264,6 +264,7 @@
             expected_tokens=message.expected_tokens,
             accepts_late_answer=message.accepts_late_answer,
             software=message.software,
+            rank=message.rank,
         )
 
     def _latency_target(self, model, interactive):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -320,6 +320,7 @@
             accepts_late_answer=job.accepts_late_answer,
             waited_s=self._waited_s(),
             software=action.software,
+            rank=job.rank,
         )
         match await self._services.coordinator_client.request_place(message):
             case result.Success(granted):
--- a/bulrushrudder/entry/model_calls.py
+++ b/bulrushrudder/entry/model_calls.py
@@ -135,6 +135,7 @@
             deadline_s=asyncio.get_running_loop().time() + execution.MAX_RUN_S,
             jitter=random.random(),
             prefix=prefixes.digests(completion.prompt.encode()),
+            rank=admitted.rank,
         )
 
     def _record_outcome(self, sink, route, request_id):
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -62,6 +62,8 @@
         stream; 0 if unknown.
     :param charge_is_final: whether the charge is final once the request
         has run, so that unused tokens are not refunded.
+    :param rank: priority among requests that wait for servers, 0 is the
+        highest; None if the route has none.
     """
 
     request: ids.RequestId
@@ -94,3 +96,4 @@
     stream: str = ''
     software: str | None = None
     event_wait_s: float = 0.0
+    rank: int | None = None
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -318,7 +318,9 @@
         claimed = frozenset(self._drained_server_by_hold.values())
         for queue_class in fair_queue.QueueClass:
             blocked = False
-            for queued in self._queue.heads(queue_class, MAX_QUEUE_HEADS):
+            for queued in self._queue.heads(
+                queue_class, MAX_QUEUE_HEADS, now_s
+            ):
                 held_back = self._is_flooding(queued.request.account)
                 result = self._place(queued, held_back, claimed, now_s)
                 match result:
@@ -399,7 +401,7 @@
     def _grant(self, queued, placement, now_s):
         request = queued.request
         self._drained_server_by_hold.pop(request.hold, None)
-        self._queue.grant(queued)
+        self._queue.grant(queued, now_s)
         self._return_times.record_grant(now_s)
         choice.book(placement, self._prefills, request)
         allocation = events.Allocation(
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -54,6 +54,7 @@
         useful.
     :param software: version that the decode server must have; None for
         any.
+    :param rank: priority, 0 is the highest; None if it is unknown.
     """
 
     call: int
@@ -73,6 +74,7 @@
     expected_tokens: int = 0
     accepts_late_answer: bool = False
     software: str | None = None
+    rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -6,6 +6,7 @@
 import math
 
 from bulrushrudder.placement import events
+from bulrushrudder.placement import rank_shares
 
 
 class QueueClass(enum.IntEnum):
@@ -27,6 +28,7 @@
         meets the target, if late answers are accepted.
     :param live: whether it is still queued in this class; the heaps drop
         other entries when they come up.
+    :param rank: its rank among all requests, 0 is the highest.
     """
 
     request: events.PlacementRequested
@@ -36,6 +38,7 @@
     grant_by_s: float = math.inf
     queue_class: QueueClass = QueueClass.DEFERRED
     live: bool = True
+    rank: int = 0
 
     @property
     def order_s(self):
@@ -76,14 +79,22 @@
         return self.heap[0][2] if self.heap else None
 
 
-class _ClassQueue:
-    """Accounts with queued requests of one class, by virtual time."""
+class _RankQueue:
+    """Accounts with queued requests of one class and rank.
+
+    They are in the order of their virtual time.
+    """
 
     def __init__(self):
         self._queues_by_account = {}
         self._account_heap = []
         self._virtual_time = 0.0
 
+    @property
+    def has_accounts(self):
+        """Return whether accounts may have queued requests."""
+        return bool(self._account_heap)
+
     def add(self, queued):
         """Queue a request."""
         account = queued.request.account
@@ -140,20 +151,65 @@
         return account_queue if account_queue.head() is not None else None
 
 
+class _ClassQueue:
+    """Queued requests of one class, by rank."""
+
+    def __init__(self):
+        self._queues_by_rank = {}
+
+    def add(self, queued):
+        """Queue a request."""
+        rank_queue = self._queues_by_rank.get(queued.rank)
+        if rank_queue is None:
+            rank_queue = _RankQueue()
+            self._queues_by_rank[queued.rank] = rank_queue
+        rank_queue.add(queued)
+
+    def heads(self, limit, first):
+        """Return the first requests of up to `limit` accounts, in order.
+
+        Each rank is represented, so that accounts of a higher rank that
+        are held back do not hold up a lower one.
+
+        :param first: function that returns whether a rank goes before
+            those that are above it.
+        """
+        ranks = sorted(
+            rank
+            for rank, rank_queue in self._queues_by_rank.items()
+            if rank_queue.has_accounts
+        )
+        if len(ranks) > 1:
+            ranks.sort(key=lambda rank: (not first(rank), rank))
+        found = []
+        for position, rank in enumerate(ranks):
+            later = len(ranks) - position - 1
+            room = max(1, limit - len(found) - later)
+            found += self._queues_by_rank[rank].heads(room)
+        return found
+
+    def charge(self, queued, tokens):
+        """Advance an account's virtual time by the tokens granted."""
+        rank_queue = self._queues_by_rank[queued.rank]
+        rank_queue.charge(queued.request, tokens)
+
+
 class FairQueue:
     """Placement requests that wait for servers.
 
     Interactive requests go before deferred ones, and requests that can
-    no longer meet their target go last. Within a class, accounts share
-    by weight, in tokens of prompt and output bound. Within an account,
-    the earliest deadline goes first, and among late requests the one
-    whose caller has waited longest.
+    no longer meet their target go last. Within a class, higher ranks go
+    first, but each rank keeps its least share. Within a rank, accounts
+    share by weight, in tokens of prompt and output bound. Within an
+    account, the earliest deadline goes first, and among late requests
+    the one whose caller has waited longest.
     """
 
     def __init__(self):
         self._queues_by_class = {
             queue_class: _ClassQueue() for queue_class in QueueClass
         }
+        self._shares = rank_shares.RankShares()
         self._requests_by_hold = {}
         self._deadline_heap = []
         self._target_heap = []
@@ -186,7 +242,9 @@
             self._last_number,
             now_s + request.first_token_s - lead_s,
             queue_class,
+            rank=self._shares.resolve(request.rank, now_s),
         )
+        self._shares.record_request(queued.rank, _tokens_of(request), now_s)
         self._requests_by_hold[request.hold] = queued
         self._queues_by_class[queue_class].add(queued)
         self._add_deadline(queued)
@@ -216,12 +274,13 @@
             queued.live = False
         return queued
 
-    def grant(self, queued):
-        """Remove a request and charge its account."""
+    def grant(self, queued, now_s):
+        """Remove a request and charge its account and rank."""
         request = queued.request
         self.remove(request.hold)
-        tokens = request.prompt_tokens + request.output_tokens
-        self._queues_by_class[queued.queue_class].charge(request, tokens)
+        tokens = _tokens_of(request)
+        self._queues_by_class[queued.queue_class].charge(queued, tokens)
+        self._shares.record_grant(queued.rank, tokens, now_s)
 
     def expired(self, now_s):
         """Remove and return the requests whose deadline has passed."""
@@ -235,9 +294,11 @@
                 expired.append(queued)
         return expired
 
-    def heads(self, queue_class, limit):
-        """Return the next requests of a class, one per account."""
-        return self._queues_by_class[queue_class].heads(limit)
+    def heads(self, queue_class, limit, now_s):
+        """Return the next requests of a class, one per account and rank."""
+        return self._queues_by_class[queue_class].heads(
+            limit, lambda rank: self._shares.below_least(rank, now_s)
+        )
 
     def calls(self):
         """Return the calls of all queued requests."""
@@ -251,5 +312,9 @@
         )
 
 
+def _tokens_of(request):
+    return request.prompt_tokens + request.output_tokens
+
+
 def _is_expired(queued, now_s):
     return not queued.live or queued.deadline_s < now_s
--- a/bulrushrudder/platform/jobs.py
+++ b/bulrushrudder/platform/jobs.py
@@ -106,6 +106,7 @@
             stream=request_headers.attempt if software is None else '',
             software=software,
             event_wait_s=_client_wait_s(target),
+            rank=admitted.rank,
         )
 
 
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -27,6 +27,8 @@
         attempts; they count against the target.
     :param software: version that the decode server must have; None for
         any.
+    :param rank: priority of the request, 0 is the highest; None from
+        builds that do not send it.
     """
 
     request: ids.RequestId
@@ -45,6 +47,7 @@
     accepts_late_answer: bool = False
     waited_s: float = 0.0
     software: str | None = None
+    rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
