--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -1,8 +1,5 @@
 """Coordinator of a model: grants places on its backend servers."""
 
-import collections
-import dataclasses
-
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.overload import return_times
@@ -15,6 +12,7 @@
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
 from bulrushrudder.placement import flooding
+from bulrushrudder.placement import hold_table
 from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
 
@@ -23,20 +21,6 @@
 MAX_QUEUE_HEADS = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _GrantRecord:
-    """A grant and what it holds.
-
-    :param decode: None while its decode server is absent.
-    :param decode_start_s: monotonic seconds at which decoding is
-        expected to start, None if another coordinator granted it.
-    """
-
-    allocation: events.Allocation
-    decode: decodes.DecodeHold | None
-    decode_start_s: float | None
-
-
 class Coordinator:
     """Grants places on the servers of a model and queues requests for them.
 
@@ -51,14 +35,9 @@
         self._queue = fair_queue.FairQueue()
         self._prefills = prefills.PrefillPool()
         self._decodes = decodes.DecodePool(max_booked_ahead)
-        self._grants_by_hold = {}
-        self._holds_by_absent_server = collections.defaultdict(set)
-        self._holds_by_owner = collections.defaultdict(set)
+        self._holds = hold_table.HoldTable(self._decodes)
         self._demand = demand.AccountDemand()
         self._average_work = balance.AverageWork()
-        self._grant_count_by_account = collections.Counter()
-        self._last_report_by_owner = {}
-        self._known_owners = {}
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
         self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
@@ -76,9 +55,7 @@
     @property
     def allocations(self):
         """Return all Allocations."""
-        return tuple(
-            grant.allocation for grant in self._grants_by_hold.values()
-        )
+        return self._holds.allocations
 
     @property
     def limits_by_id(self):
@@ -135,7 +112,7 @@
             case events.AllocationsRestored(allocations=allocations):
                 self._restore(allocations, now_s)
             case events.OwnersChanged(owners=owners):
-                self._update_owners(owners, now_s)
+                self._release_all(self._holds.update_owners(owners), now_s)
             case events.Ticked():
                 pass
             case _:
@@ -143,7 +120,7 @@
         return []
 
     def _enqueue(self, request, now_s):
-        self._holds_by_owner[request.hold.owner].add(request.hold)
+        self._holds.open(request.hold)
         tokens = request.prompt_tokens + request.output_tokens
         self._demand.record(request.account, request.weight, tokens, now_s)
         self._record_work(request)
@@ -172,7 +149,7 @@
 
     def _record_measurements(self, event, now_s):
         """Update the pace and failure share of the servers of a request."""
-        grant = self._grants_by_hold.get(event.hold)
+        grant = self._holds.grant_of(event.hold)
         if grant is None:
             return
         allocation = grant.allocation
@@ -187,21 +164,13 @@
             self._decodes.record_result(allocation.decode, failed, now_s)
 
     def _release(self, hold, now_s):
-        self._holds_by_owner[hold.owner].discard(hold)
         self._drained_server_by_hold.pop(hold, None)
         self._queue.remove(hold)
-        grant = self._grants_by_hold.pop(hold, None)
-        if grant is None:
-            return
-        self._grant_count_by_account[grant.allocation.account] -= 1
-        if self._grant_count_by_account[grant.allocation.account] == 0:
-            del self._grant_count_by_account[grant.allocation.account]
-        if grant.decode is not None:
-            self._decodes.release(
-                grant.decode, _decode_duration_s(grant, now_s)
-            )
-        else:
-            self._forget_absent_hold(grant.allocation.decode, hold)
+        self._holds.release(hold, now_s)
+
+    def _release_all(self, holds, now_s):
+        for hold in holds:
+            self._release(hold, now_s)
 
     def _update_servers(self, servers, now_s):
         by_id = {server.id: server for server in servers}
@@ -217,83 +186,21 @@
             for server in servers:
                 if server.kind == kind and not pool.has(server):
                     pool.join(server)
-                    self._count_restored(server.id, now_s)
+                    self._holds.count_restored(server.id, now_s)
 
     def _reconcile(self, event, now_s):
         """Release holds that an owner lacks and request unknown ones."""
-        last = self._last_report_by_owner.get(event.owner, -1)
-        if event.sequence <= last:
-            return []
-        self._last_report_by_owner[event.owner] = event.sequence
-        known = set()
-        for hold in tuple(self._holds_by_owner[event.owner]):
-            if (
-                hold.number < event.end_number
-                and hold.number not in event.numbers
-            ):
-                self._release(hold, now_s)
-            known.add(hold.number)
-        unknown = event.numbers - known
+        ended, unknown = self._holds.compare(event)
+        self._release_all(ended, now_s)
         if not unknown:
             return []
-        return [
-            actions.RequestAllocations(event.owner, tuple(sorted(unknown)))
-        ]
+        return [actions.RequestAllocations(event.owner, unknown)]
 
     def _restore(self, allocations, now_s):
         for allocation in allocations:
-            if allocation.hold not in self._grants_by_hold:
+            if self._holds.grant_of(allocation.hold) is None:
                 self._queue.remove(allocation.hold)
-                self._allocate(allocation, float('inf'), None, now_s)
-
-    def _forget_absent_hold(self, server_id, hold):
-        holds = self._holds_by_absent_server[server_id]
-        holds.discard(hold)
-        if not holds:
-            del self._holds_by_absent_server[server_id]
-
-    def _count_restored(self, server_id, now_s):
-        """Allocate the holds restored before their decode server joined."""
-        for hold in self._holds_by_absent_server.pop(server_id, ()):
-            grant = self._grants_by_hold[hold]
-            self._allocate(
-                grant.allocation, float('inf'), grant.decode_start_s, now_s
-            )
-
-    def _allocate(self, allocation, between_tokens_s, decode_start_s, now_s):
-        known = self._decodes.by_id.get(allocation.decode)
-        decode_hold = None
-        if known is None:
-            self._holds_by_absent_server[allocation.decode].add(
-                allocation.hold
-            )
-        else:
-            # The age approximates the time since decoding started,
-            # because the prefill before it was short.
-            assumed_start_s = decode_start_s or now_s - allocation.age_s
-            decode_hold = self._decodes.allocate(
-                known, allocation, between_tokens_s, assumed_start_s
-            )
-        if allocation.hold not in self._grants_by_hold:
-            self._grant_count_by_account[allocation.account] += 1
-        grant = _GrantRecord(allocation, decode_hold, decode_start_s)
-        self._grants_by_hold[allocation.hold] = grant
-        self._holds_by_owner[allocation.hold.owner].add(allocation.hold)
-
-    def _update_owners(self, owners, now_s):
-        incarnations_by_vm = {o.vm: o.incarnation for o in owners}
-        for owner in tuple(self._holds_by_owner):
-            current = incarnations_by_vm.get(owner.vm)
-            gone = current is None and owner in self._known_owners
-            if gone or (current or 0) > owner.incarnation:
-                self._forget_owner(owner, now_s)
-        self._known_owners = dict.fromkeys(owners)
-
-    def _forget_owner(self, owner, now_s):
-        for hold in tuple(self._holds_by_owner[owner]):
-            self._release(hold, now_s)
-        del self._holds_by_owner[owner]
-        self._last_report_by_owner.pop(owner, None)
+                self._holds.allocate(allocation, float('inf'), None, now_s)
 
     def _dispatch(self, now_s):
         decided = [
@@ -381,7 +288,7 @@
 
     def _is_flooding(self, account):
         """Return whether an account floods and already holds enough."""
-        held = self._grant_count_by_account[account]
+        held = self._holds.grant_count(account)
         return flooding.is_flooding(
             account, held, self._demand, self._decodes.places
         )
@@ -394,7 +301,7 @@
     def _refuse(self, request, reason, now_s):
         hold = request.hold
         self._drained_server_by_hold.pop(hold, None)
-        self._holds_by_owner[hold.owner].discard(hold)
+        self._holds.close(hold)
         delay_s = self._return_times.next_delay_s(len(self._queue), now_s)
         return actions.Refuse(request.call, hold, reason, delay_s)
 
@@ -415,7 +322,7 @@
             request.expected_tokens,
         )
         self._limits.take(allocation, now_s)
-        self._allocate(
+        self._holds.allocate(
             allocation,
             request.between_tokens_s,
             placement.transfer_end_s,
@@ -429,9 +336,3 @@
 def _id_of(plan):
     """Return the id of a plan's server, empty without a plan."""
     return ids.ServerId('') if plan is None else plan.prefill_server.server.id
-
-
-def _decode_duration_s(grant, now_s):
-    if grant.decode_start_s is None:
-        return None
-    return max(0.0, now_s - grant.decode_start_s)
