Refuse at once what the backlog of higher ranks leaves no servers for

A request waited for its whole patience although the backlog of its own and higher ranks could not be served in that time. Nothing is refused early where all ranks are equal.

--- a/bulrushrudder/overload/return_times.py
+++ b/bulrushrudder/overload/return_times.py
@@ -33,10 +33,14 @@
         self._granted_s.append(now_s)
         self._drop_old(now_s)
 
+    def recent_grants(self, now_s):
+        """Return the number of grants within PACE_WINDOW_S."""
+        self._drop_old(now_s)
+        return len(self._granted_s)
+
     def pace(self, now_s):
         """Return the pace at which places are granted, per second."""
-        self._drop_old(now_s)
-        return max(MIN_PACE, len(self._granted_s) / PACE_WINDOW_S)
+        return max(MIN_PACE, self.recent_grants(now_s) / PACE_WINDOW_S)
 
     def next_delay_s(self, backlog, now_s):
         """Return the seconds after which a refused caller should retry.
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -9,6 +9,7 @@
 from bulrushrudder.placement import choice
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
+from bulrushrudder.placement import early_refusal
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
 from bulrushrudder.placement import flooding
@@ -129,8 +130,29 @@
         )
         if backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
-        self._queue.add(request, now_s, self._lead_s(request))
-        return []
+        queued = self._queue.add(request, now_s, self._lead_s(request))
+        if queued.grant_by_s < now_s:
+            # Its caller came back, and goes before other late ones.
+            return []
+        return self._refuse_hopeless([queued], now_s)
+
+    def _refuse_hopeless(self, candidates, now_s):
+        """Refuse the requests that surely get no servers in time."""
+        pace = early_refusal.pace_bound(
+            self._return_times.recent_grants(now_s),
+            return_times.PACE_WINDOW_S,
+        )
+        if pace is None or not self._queue.shares.several:
+            return []
+        refused = []
+        for queued in candidates:
+            if early_refusal.is_hopeless(queued, self._queue, pace, now_s):
+                request = queued.request
+                self._queue.remove(request.hold)
+                refused.append(
+                    self._refuse(request, outcomes.Reason.NO_SERVER, now_s)
+                )
+        return refused
 
     def _record_work(self, request):
         """Add the expected server time of a request to the average."""
@@ -207,7 +229,8 @@
             self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
             for queued in self._queue.expired(now_s)
         ]
-        self._queue.demote(now_s)
+        late = self._queue.demote(now_s)
+        decided += self._refuse_hopeless(late, now_s)
         if now_s < self._ready_s:
             return decided
         while True:
--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 
+from bulrushrudder.placement import backlog
 from bulrushrudder.placement import events
 from bulrushrudder.placement import rank_shares
 
@@ -203,13 +204,17 @@
     share by weight, in tokens of prompt and output bound. Within an
     account, the earliest deadline goes first, and among late requests
     the one whose caller has waited longest.
+
+    :ivar shares: the RankShares.
+    :ivar backlog: the Backlog.
     """
 
     def __init__(self):
         self._queues_by_class = {
             queue_class: _ClassQueue() for queue_class in QueueClass
         }
-        self._shares = rank_shares.RankShares()
+        self.shares = rank_shares.RankShares()
+        self.backlog = backlog.Backlog()
         self._requests_by_hold = {}
         self._deadline_heap = []
         self._target_heap = []
@@ -227,6 +232,7 @@
         """Queue a request until its patience or its target ends.
 
         :param lead_s: expected seconds from a grant to the first token.
+        :returns: the QueuedRequest.
         """
         self._last_number += 1
         wait_s = request.patience_s
@@ -242,27 +248,37 @@
             self._last_number,
             now_s + request.first_token_s - lead_s,
             queue_class,
-            rank=self._shares.resolve(request.rank, now_s),
+            rank=self.shares.resolve(request.rank, now_s),
         )
-        self._shares.record_request(queued.rank, _tokens_of(request), now_s)
+        self.shares.record_request(queued.rank, _tokens_of(request), now_s)
         self._requests_by_hold[request.hold] = queued
         self._queues_by_class[queue_class].add(queued)
+        self.backlog.add(queued)
         self._add_deadline(queued)
         if request.accepts_late_answer:
             target = queued.grant_by_s, queued.number, queued
             heapq.heappush(self._target_heap, target)
+        return queued
 
     def demote(self, now_s):
-        """Move requests that can no longer meet their target to LATE."""
+        """Move requests that can no longer meet their target to LATE.
+
+        :returns: the QueuedRequests that were moved.
+        """
+        moved = []
         while self._target_heap and self._target_heap[0][0] < now_s:
             _, _, queued = heapq.heappop(self._target_heap)
             if not queued.live:
                 continue
             late = dataclasses.replace(queued, queue_class=QueueClass.LATE)
             queued.live = False
+            self.backlog.remove(queued)
             self._requests_by_hold[late.request.hold] = late
             self._queues_by_class[QueueClass.LATE].add(late)
+            self.backlog.add(late)
             self._add_deadline(late)
+            moved.append(late)
+        return moved
 
     def remove(self, hold):
         """Remove the request of a hold.
@@ -272,6 +288,7 @@
         queued = self._requests_by_hold.pop(hold, None)
         if queued is not None:
             queued.live = False
+            self.backlog.remove(queued)
         return queued
 
     def grant(self, queued, now_s):
@@ -280,7 +297,7 @@
         self.remove(request.hold)
         tokens = _tokens_of(request)
         self._queues_by_class[queued.queue_class].charge(queued, tokens)
-        self._shares.record_grant(queued.rank, tokens, now_s)
+        self.shares.record_grant(queued.rank, tokens, now_s)
 
     def expired(self, now_s):
         """Remove and return the requests whose deadline has passed."""
@@ -297,7 +314,7 @@
     def heads(self, queue_class, limit, now_s):
         """Return the next requests of a class, one per account and rank."""
         return self._queues_by_class[queue_class].heads(
-            limit, lambda rank: self._shares.below_least(rank, now_s)
+            limit, lambda rank: self.shares.below_least(rank, now_s)
         )
 
     def calls(self):
--- a/bulrushrudder/placement/rank_shares.py
+++ b/bulrushrudder/placement/rank_shares.py
@@ -27,6 +27,11 @@
         self._requested = DecayedSum()
         self._granted = DecayedSum()
 
+    @property
+    def several(self):
+        """Return whether requests of several ranks have come lately."""
+        return len(self._usage_by_rank) > 1
+
     def resolve(self, rank, now_s):
         """Return the rank of a request, which states one or None.
 
@@ -67,7 +72,7 @@
         A lack of less than one request does not count.
         """
         usage = self._usage_by_rank.get(rank)
-        if usage is None or len(self._usage_by_rank) < 2:
+        if usage is None or not self.several:
             return False
         least = self.least_share(rank, now_s) * self._granted.value(now_s)
         return usage.granted.value(now_s) + usage.request_tokens <= least
