Leave room on decode servers for the next second of higher ranks

A lower rank took the last memory before a burst of higher ranks, which then waited for running requests to end. Room now stays free for the demand of higher ranks in the next second beyond what is freed in it.

--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -16,6 +16,7 @@
 from bulrushrudder.placement import hold_table
 from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
+from bulrushrudder.placement import rank_room
 
 MAX_BOOKED_AHEAD = 6
 # Accounts of a queue class that are considered for one grant.
@@ -41,6 +42,7 @@
         self._average_work = balance.AverageWork()
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
+        self._room = rank_room.RankRoom()
         self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
 
     @property
@@ -131,6 +133,7 @@
         if backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         queued = self._queue.add(request, now_s, self._lead_s(request))
+        self._room.record_request(queued.rank, now_s)
         if queued.grant_by_s < now_s:
             # Its caller came back, and goes before other late ones.
             return []
@@ -188,7 +191,8 @@
     def _release(self, hold, now_s):
         self._drained_server_by_hold.pop(hold, None)
         self._queue.remove(hold)
-        self._holds.release(hold, now_s)
+        if self._holds.release(hold, now_s):
+            self._room.record_release(now_s)
 
     def _release_all(self, holds, now_s):
         for hold in holds:
@@ -251,6 +255,8 @@
             for queued in self._queue.heads(
                 queue_class, MAX_QUEUE_HEADS, now_s
             ):
+                if self._leaves_room(queued, now_s):
+                    continue
                 held_back = self._is_flooding(queued.request.account)
                 result = self._place(queued, held_back, claimed, now_s)
                 match result:
@@ -309,6 +315,12 @@
                 self._drained_server_by_hold[request.hold] = emptiest.server.id
         return claimed - {self._drained_server_by_hold.get(request.hold)}
 
+    def _leaves_room(self, queued, now_s):
+        """Return whether a request leaves the free room to higher ranks."""
+        if not self._room.is_kept_from(queued, self._decodes, now_s):
+            return False
+        return not self._queue.shares.below_least(queued.rank, now_s)
+
     def _is_flooding(self, account):
         """Return whether an account floods and already holds enough."""
         held = self._holds.grant_count(account)
--- a/bulrushrudder/placement/decode_server.py
+++ b/bulrushrudder/placement/decode_server.py
@@ -87,6 +87,22 @@
         memory = self.memory_pieces
         return max(fill, self.held_pieces / memory) if memory else fill
 
+    def rooms(self, tokens):
+        """Return how many more requests of some tokens it has room for."""
+        places = max(0, self.place_limit - self.held_places)
+        if self.memory_pieces == 0:
+            return places
+        if not self.server.allocates_memory_gradually:
+            free = self.memory_pieces - self.held_pieces
+            return min(places, max(0, free) // self.pieces_of(tokens))
+        usable = 1.0 - memory_forecast.RESERVED_MEMORY_SHARE
+        held = sum(
+            run.prompt_tokens + run.expected_tokens
+            for run in self.runs.values()
+        )
+        free = self.server.memory_tokens * usable - held
+        return min(places, max(0, int(free // max(1, tokens))))
+
     def can_share(self, isolation):
         """Return whether a request may share the server under isolation."""
         if self.exclusive:
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -107,6 +107,18 @@
             if server_id not in excluded
         ]
 
+    def has_room_for(self, count, tokens):
+        """Return whether there is room for some requests in all.
+
+        :param tokens: of each of them.
+        """
+        for known in self.by_id.values():
+            if count <= 0:
+                break
+            if known.present:
+                count -= known.rooms(tokens)
+        return count <= 0
+
     def has_software(self, software):
         """Return whether a server has a software version."""
         return any(
--- a/bulrushrudder/placement/hold_table.py
+++ b/bulrushrudder/placement/hold_table.py
@@ -62,11 +62,14 @@
             holds.discard(hold)
 
     def release(self, hold, now_s):
-        """Remove a hold and free what it holds."""
+        """Remove a hold and free what it holds.
+
+        :returns: whether it had a grant.
+        """
         self.close(hold)
         grant = self._grants_by_hold.pop(hold, None)
         if grant is None:
-            return
+            return False
         account = grant.allocation.account
         self._grant_count_by_account[account] -= 1
         if self._grant_count_by_account[account] == 0:
@@ -75,6 +78,7 @@
             self._pool.release(grant.decode, _decode_duration_s(grant, now_s))
         else:
             self._forget_absent_hold(grant.allocation.decode, hold)
+        return True
 
     def allocate(self, allocation, between_tokens_s, decode_start_s, now_s):
         """Record a grant and allocate its place and memory."""
--- a/bulrushrudder/tests/builders/ranked_loads.py
+++ b/bulrushrudder/tests/builders/ranked_loads.py
@@ -287,11 +287,13 @@
         if self._load.own_targets:
             target_s = caller.kind.target_s
         if self._load.order == 'arrival':
-            # No request is late, so that the order is that of arrival.
-            target_s, patience_s = 1000.0, patience_s
+            # No request is late and all have the same patience, so that
+            # the order is that of arrival; callers leave on their own.
+            self._at(now_s + patience_s, self._leaving(call))
+            target_s, patience_s = 1000.0, 100.0
         request = places.placement_request(
             call,
-            account=caller.account,
+            account='all' if self._load.order == 'arrival' else caller.account,
             zone=ids.Zone(self._random.choice('abc')),
             prompt_tokens=PROMPT_TOKENS,
             output_tokens=OUTPUT_TOKENS,
@@ -305,6 +307,17 @@
         )
         self._handle(request, now_s)
 
+    def _leaving(self, call):
+        def leave(now_s):
+            caller = self._callers_by_call.get(call)
+            if caller is not None:
+                counts = self._result.counts_by_rank[caller.kind.rank]
+                counts.left += not caller.answered
+                released = events.PlaceReleased(places.hold_id(call))
+                self._handle(released, now_s)
+
+        return leave
+
     def _rank_of(self, kind):
         match self._load.order:
             case 'ranks':
@@ -322,7 +335,7 @@
                     self._refused(action, now_s)
 
     def _granted(self, grant, now_s):
-        caller = self._callers_by_call[grant.call]
+        caller = self._callers_by_call.pop(grant.call)
         self._result.grants.append((grant.call, grant.decode))
         self._result.prefills_by_server[grant.prefill] += 1
         self._result.decodes_by_server[grant.decode] += 1
@@ -365,7 +378,7 @@
             counts.late += 1
 
     def _refused(self, refusal, now_s):
-        caller = self._callers_by_call[refusal.call]
+        caller = self._callers_by_call.pop(refusal.call)
         counts = self._result.counts_by_rank[caller.kind.rank]
         self._result.refusal_waits_s.append(now_s - caller.asked_s)
         if caller.attempt != 1:
