Give slower decode servers less, and learn speeds from the first answers

Servers were filled alike whatever their speed, and a measured speed needed some ten answers to replace the published one. The fullness of a decode server is now weighted by its measured seconds a token relative to the pool, more servers are compared while speeds differ, and the first measurements count more.

--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -220,7 +220,7 @@
 def _decode_cost(known, now_s):
     """Return the cost of fill and failures of a server, in seconds."""
     return (
-        known.fill_share * FULL_SERVER_COST_S
+        known.load * FULL_SERVER_COST_S
         + known.failure_share_at(now_s) * FAILING_SERVER_COST_S
     )
 
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -183,7 +183,9 @@
                 allocation.prefill, allocation.prompt_tokens, event.prefill_s
             )
         if event.token_s > 0:
-            self._decodes.record_token_time(allocation.decode, event.token_s)
+            self._decodes.record_token_time(
+                allocation.decode, event.token_s, now_s
+            )
         if event.verdict is not events.Verdict.UNKNOWN:
             failed = event.verdict is events.Verdict.FAILED
             self._decodes.record_result(allocation.decode, failed, now_s)
--- a/bulrushrudder/placement/decode_server.py
+++ b/bulrushrudder/placement/decode_server.py
@@ -32,6 +32,10 @@
     :param exclusive: whether one of them must run alone.
     :param runs: its requests by hold, for the memory forecast.
     :param token_s: measured seconds between tokens, 0 if unknown.
+    :param token_measurements: number of measurements of it.
+    :param token_measured_s: monotonic seconds of the last one.
+    :param slowness: factor of the pool's mean time between tokens, as of
+        that measurement.
     :param read_free_s: monotonic seconds from which it may process
         another prompt.
     :param failure_share: share of its recent requests that failed, as
@@ -58,6 +62,9 @@
         dataclasses.field(default_factory=dict)
     )
     token_s: float = 0.0
+    token_measurements: int = 0
+    token_measured_s: float = 0.0
+    slowness: float = 1.0
     read_free_s: float = 0.0
     failure_share: float = 0.0
     failure_updated_s: float = 0.0
@@ -87,6 +94,21 @@
         memory = self.memory_pieces
         return max(fill, self.held_pieces / memory) if memory else fill
 
+    @property
+    def load(self):
+        """Return its fill share, weighted by how slow it is.
+
+        A slow server holds memory and places for longer, also for the
+        request that is to be placed.
+        """
+        fill = self.fill_share
+        if self.slowness == 1.0:
+            return fill
+        own = 1.0 / self.server.places
+        if self.held_places:
+            own = fill / self.held_places
+        return fill * self.slowness + own * (self.slowness - 1.0)
+
     def rooms(self, tokens):
         """Return how many more requests of some tokens it has room for."""
         places = max(0, self.place_limit - self.held_places)
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -7,6 +7,7 @@
 from bulrushrudder.placement import events
 from bulrushrudder.placement import load_index
 from bulrushrudder.placement import memory_forecast
+from bulrushrudder.placement import speeds
 
 CANDIDATES_PER_ZONE = 3
 INITIAL_HOLD_S = 10.0
@@ -45,6 +46,8 @@
         self.places = 0
         self.mean_hold_s = INITIAL_HOLD_S
         self.large_pieces = 1.0
+        self._mean_token_s = 0.0
+        self._uneven = False
         self._max_booked_ahead = min(
             max_booked_ahead, len(EXPECTED_ENDS_NEEDED)
         )
@@ -100,6 +103,8 @@
 
         :param further: number of further candidates of each zone.
         """
+        if self._uneven:
+            further += speeds.UNEVEN_CANDIDATES
         return [
             self.by_id[server_id]
             for index in self._index_by_zone.values()
@@ -193,11 +198,31 @@
         elif known.held_places == 0:
             del self.by_id[hold.server]
 
-    def record_token_time(self, server_id, token_s):
+    def record_token_time(self, server_id, token_s, now_s):
         """Update the measured time between tokens of a server."""
         known = self.by_id.get(server_id)
-        if known is not None and known.token_s > 0:
-            known.token_s += (token_s - known.token_s) * PACE_EWMA_WEIGHT
+        if known is None or known.token_s <= 0:
+            return
+        weight = speeds.weight(known.token_measurements, PACE_EWMA_WEIGHT)
+        known.token_s += (token_s - known.token_s) * weight
+        known.token_measurements += 1
+        known.token_measured_s = now_s
+        self._compare_speeds(known, now_s)
+
+    def _compare_speeds(self, measured, now_s):
+        """Compare the speed of a server with those of the others."""
+        fresh_s = now_s - speeds.STALE_AFTER_S
+        fresh = []
+        for known in self.by_id.values():
+            if known.token_measurements and known.token_measured_s >= fresh_s:
+                fresh.append(known.token_s)
+            else:
+                known.slowness = 1.0
+        self._mean_token_s = speeds.harmonic_mean(fresh)
+        measured.slowness = speeds.slowness(
+            measured.token_s, self._mean_token_s
+        )
+        self._uneven = any(k.slowness != 1.0 for k in self.by_id.values())
 
     def record_result(self, server_id, failed, now_s):
         """Update the failure share of a server."""
@@ -213,11 +238,12 @@
         known = next(iter(self.by_id.values()), None)
         if known is None or known.token_s <= 0:
             return None
+        token_s = self._mean_token_s or known.token_s
         memory = known.server.memory_tokens * balance.MEMORY_USE_SHARE
         if memory <= 0:
             return None
         output = request.expected_tokens or request.output_tokens
-        held_s = output * known.token_s
+        held_s = output * token_s
         return held_s * (request.prompt_tokens + output / 2) / memory
 
     def prompt_read_s(self, request):
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -1,9 +1,11 @@
 """Prefill servers of a model, their prefix caches and free times."""
 
 import dataclasses
+import math
 
 from bulrushrudder.placement import load_index
 from bulrushrudder.placement import prefixes
+from bulrushrudder.placement import speeds
 from bulrushrudder.state import servers
 
 DEFAULT_TOKENS_PER_S = 10000.0
@@ -27,6 +29,7 @@
     :param isolated_until_s: monotonic seconds until which an isolated
         request may run there, so that no other prefill starts.
     :param base_s: fixed seconds of a prefill, whatever its prompt.
+    :param measurements: number of measurements of its rate.
     """
 
     server: servers.BackendServer
@@ -37,6 +40,7 @@
     rate_reported: bool = False
     isolated_until_s: float = 0.0
     base_s: float = 0.0
+    measurements: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +63,8 @@
         self.by_id: dict[str, PrefillServer] = {}
         self.prefixes = prefixes.PrefixCaches()
         self._index_by_zone = {}
+        self._mean_rate = 0.0
+        self._uneven = False
 
     def join(self, server):
         """Add a server or update its record."""
@@ -108,7 +114,21 @@
         ):
             return
         rate = tokens / max(MIN_READ_S, prefill_s - known.base_s)
-        known.tokens_per_s += (rate - known.tokens_per_s) * RATE_EWMA_WEIGHT
+        weight = speeds.weight(known.measurements, RATE_EWMA_WEIGHT)
+        known.tokens_per_s += (rate - known.tokens_per_s) * weight
+        known.measurements += 1
+        self._compare_speeds()
+
+    def _compare_speeds(self):
+        rates = [
+            known.tokens_per_s
+            for known in self.by_id.values()
+            if known.measurements
+        ]
+        self._mean_rate = math.fsum(rates) / len(rates)
+        self._uneven = any(
+            speeds.slowness(self._mean_rate, rate) != 1.0 for rate in rates
+        )
 
     def has_server(self, excluded):
         """Return whether there is a server, idle or busy, to choose from."""
@@ -119,6 +139,8 @@
 
         :param further: number of further candidates of each zone.
         """
+        if self._uneven:
+            further += speeds.UNEVEN_CANDIDATES
         ids = {
             server_id
             for index in self._index_by_zone.values()
@@ -140,16 +162,16 @@
             or not known.server.initial_speed.prefill_tokens_per_s
         ):
             return None
-        return known.base_s + request.prompt_tokens / known.tokens_per_s
+        rate = self._mean_rate or known.tokens_per_s
+        return known.base_s + request.prompt_tokens / rate
 
     def first_token_lead_s(self, request):
         """Return the expected seconds from a grant to the first token."""
         known = next(iter(self.by_id.values()), None)
         if known is None:
             return 0.0
-        return (
-            FIRST_TOKEN_OVERHEAD_S + request.prompt_tokens / known.tokens_per_s
-        )
+        rate = self._mean_rate or known.tokens_per_s
+        return FIRST_TOKEN_OVERHEAD_S + request.prompt_tokens / rate
 
     def book(self, plan, prefix):
         """Book a plan."""
--- a/bulrushrudder/tests/builders/ranked_loads.py
+++ b/bulrushrudder/tests/builders/ranked_loads.py
@@ -68,7 +68,8 @@
     :param accounts: number of accounts; each sends requests of all kinds.
     :param account_per_kind: whether each account sends requests of one
         kind only.
-    :param slowness: factors of the times of the servers, in turn.
+    :param slowness: factors of the times of the servers; each zone has
+        servers of all of them.
     """
 
     order: str = 'ranks'
@@ -202,7 +203,7 @@
         self._prefill_free_s = collections.defaultdict(float)
         self._pool = pool(load)
         self._slowness_by_id = {
-            server.id: load.slowness[number % len(load.slowness)]
+            server.id: load.slowness[number // 3 % len(load.slowness)]
             for number, server in enumerate(self._pool)
         }
         self._result = Result({kind.rank: Counts() for kind in load.kinds})
