Report queued, granted and refused requests by rank

Operators could not see which ranks wait or are refused. The coordinators of a VM count them; the entry sets bulrushrudder_waiting_requests and bulrushrudder_placements_total by rank once a second, and logs the numbers at most every 10 s while requests of several ranks are refused (4021).

--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -224,6 +224,10 @@
         """
         return self._host.limits_by_model()
 
+    def take_rank_counts(self):
+        """Return the RankCounts of the coordinators here since the last."""
+        return self._host.take_rank_counts()
+
     async def hand_over(self):
         """Close the coordinators here and redirect their queued requests.
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -9,6 +9,7 @@
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import events
+from bulrushrudder.placement import rank_counts
 from bulrushrudder.protocol import place_messages
 
 # Time for other VMs to report their holds to a new coordinator.
@@ -145,6 +146,13 @@
             for model, hosted in self._hosted_by_model.items()
         }
 
+    def take_rank_counts(self):
+        """Return the RankCounts of all coordinators since the last call."""
+        counts = rank_counts.RankCounts()
+        for hosted in self._hosted_by_model.values():
+            counts.add(hosted.coordinator.take_rank_counts())
+        return counts
+
     def tick(self):
         """Feed a tick to the coordinators that have queued requests."""
         for model, hosted in tuple(self._hosted_by_model.items()):
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -20,6 +20,7 @@
 from bulrushrudder.entry import coordinator_client
 from bulrushrudder.entry import limit_sharing
 from bulrushrudder.entry import own_interface
+from bulrushrudder.entry import rank_reporter
 from bulrushrudder.entry import role_directory
 from bulrushrudder.entry import service_router
 from bulrushrudder.entry import session
@@ -194,6 +195,9 @@
             limit_sharing.LimitSharing(
                 self.view, self.coordinator_client, self.control_client
             ).run(),
+            rank_reporter.RankReporter(
+                self.coordinator_client, self.metrics
+            ).run(),
             self._canceller.run(),
             self.paths.network.run(),
             access.AccessMonitor(self.services).run(),
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -492,6 +492,14 @@
     'A header by which a backend server states something about itself '
     'cannot be read; it is ignored. At most one line a server and minute.',
 )
+PLACES_REFUSED = Event(
+    4021,
+    Level.INFO,
+    'places refused',
+    'The coordinators of this VM refused servers to requests, while requests '
+    'of several ranks came; the fields give the numbers by rank since the '
+    'last such line, and of those that wait now. At most one line in 10 s.',
+)
 SPARE_TOKENS_GRANTED = Event(
     5101,
     Level.INFO,
--- a/bulrushrudder/metrics/entry.py
+++ b/bulrushrudder/metrics/entry.py
@@ -24,6 +24,7 @@
 )
 MAX_ROUTE_LABEL_SETS = 200
 MAX_ROUTE_ACCOUNT_LABEL_SETS = 500
+MAX_RANK_LABEL_SETS = 20
 
 
 class EntryMetrics:
@@ -32,6 +33,7 @@
     def __init__(self):
         self.registry = aioprometheus.Registry()
         self._route_labels = labels.BoundedLabels(MAX_ROUTE_LABEL_SETS)
+        self._rank_labels = labels.BoundedLabels(MAX_RANK_LABEL_SETS)
         self._route_account_labels = labels.BoundedLabels(
             MAX_ROUTE_ACCOUNT_LABEL_SETS
         )
@@ -69,6 +71,15 @@
             'Servers that this VM does not reach directly, though others do.',
             registry=self.registry,
         )
+        self.waiting = aioprometheus.Gauge(
+            'bulrushrudder_waiting_requests',
+            'Requests that wait for servers, by rank.',
+            registry=self.registry,
+        )
+        self.placements = self._counter(
+            'bulrushrudder_placements_total',
+            'Requests that were granted or refused servers, by rank.',
+        )
         self.first_token = self._histogram(
             'bulrushrudder_first_token_seconds',
             'Seconds to the first token by route and client account.',
@@ -129,6 +140,18 @@
         """Set the number of servers that are not reached directly."""
         self.lost_paths.set({}, number)
 
+    def set_waiting(self, rank, number):
+        """Set the number of requests of a rank that wait for servers."""
+        self.waiting.set(self._rank_labels.limit(rank=str(rank)), number)
+
+    def count_placements(self, rank, outcome, number):
+        """Count requests that got servers or did not.
+
+        :param outcome: granted or refused.
+        """
+        bounded_labels = self._rank_labels.limit(rank=str(rank))
+        self.placements.add({'outcome': outcome, **bounded_labels}, number)
+
     def latency_recorder(self, route, account, started_s):
         """Return a recorder for the token latencies of one request.
 
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -16,6 +16,7 @@
 from bulrushrudder.placement import hold_table
 from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
+from bulrushrudder.placement import rank_counts
 from bulrushrudder.placement import rank_room
 
 MAX_BOOKED_AHEAD = 6
@@ -43,6 +44,7 @@
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
         self._room = rank_room.RankRoom()
+        self._rank_counts = rank_counts.RankCounts()
         self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
 
     @property
@@ -68,6 +70,13 @@
         """
         return self._limits.limiter.limits_by_id
 
+    def take_rank_counts(self):
+        """Return the RankCounts since the last call."""
+        taken = self._rank_counts
+        taken.queued = self._queue.backlog.by_rank()
+        self._rank_counts = rank_counts.RankCounts()
+        return taken
+
     def wanted_prefills(self):
         """Return the target number of prefill servers, None if unknown."""
         work = self._average_work.work
@@ -339,6 +348,8 @@
         hold = request.hold
         self._drained_server_by_hold.pop(hold, None)
         self._holds.close(hold)
+        rank = self._queue.shares.resolve(request.rank, now_s)
+        self._rank_counts.refused[rank] += 1
         delay_s = self._return_times.next_delay_s(len(self._queue), now_s)
         return actions.Refuse(request.call, hold, reason, delay_s)
 
@@ -347,6 +358,7 @@
         self._drained_server_by_hold.pop(request.hold, None)
         self._queue.grant(queued, now_s)
         self._return_times.record_grant(now_s)
+        self._rank_counts.granted[queued.rank] += 1
         choice.book(placement, self._prefills, request)
         allocation = events.Allocation(
             request.hold,
