Refuse for server limits by the backlog of own and higher ranks only

Where all servers of a pool state limits, a request was refused for the backlog of all ranks, so that low ranks kept out high ones that go before them (test first: a request of rank 0 behind ten of rank 1 was refused).

--- a/bulrushrudder/placement/backlog.py
+++ b/bulrushrudder/placement/backlog.py
@@ -37,6 +37,14 @@
             found[rank] += _total(accounts)
         return found
 
+    def up_to(self, rank):
+        """Return the number of requests of a rank and of higher ones."""
+        return sum(
+            _total(accounts)
+            for (_, other), accounts in self._accounts_by_key.items()
+            if other <= rank
+        )
+
     def above(self, queue_class, rank):
         """Return the number of requests of higher ranks.
 
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -136,8 +136,9 @@
         tokens = request.prompt_tokens + request.output_tokens
         self._demand.record(request.account, request.weight, tokens, now_s)
         self._record_work(request)
+        rank = self._queue.shares.resolve(request.rank, now_s)
         backlog_s = self._limits.backlog_s(
-            len(self._queue), self._return_times.pace(now_s)
+            self._queue.backlog.up_to(rank), self._return_times.pace(now_s)
         )
         if backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
--- a/bulrushrudder/tests/placement/early_refusal_tests.py
+++ b/bulrushrudder/tests/placement/early_refusal_tests.py
@@ -72,3 +72,15 @@
         self.grant(early_refusal.MIN_GRANTS - 1)
         self.wait(50, rank=0, patience_s=9.0, first_token_s=9.0)
         self.assertEqual(self.ask(1, 2.0, rank=1), [])
+
+    # Guards against refusals of high ranks for a backlog of low ones,
+    # where all servers of a pool state limits.
+
+    def test_high_rank_waits_before_low_ones_for_limited_servers(self):
+        self.grant(1)
+        limit = events.LimitReported('decode-0', 1, 1.0)
+        self.coordinator.handle(limit, 0.0)
+        for number in range(100, 110):
+            self.ask(number, 1.0, rank=1, patience_s=90.0, first_token_s=90.0)
+        self.assertEqual(self.ask(1, 1.0, rank=0), [])
+        self.assertTrue(places.refusals(self.ask(2, 1.0, rank=1)))
