Count requests of several ranks as late past their own target

A request counted as late, and went last, past the strictest target of the routes to its model: kinds with 1.0 and 2.0 s did so after 0.8 s, although they could still be timely. The target of the route now goes with the request (a field at the end of PlaceRequest) and counts where requests of several ranks come; with equal ranks every grant is as before.

--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -254,6 +254,9 @@
         account = accounts_by_id.get(message.account)
         session = self._view.state.sessions.by_vm.get(message.owner.vm)
         target = self._latency_target(message.model, message.interactive)
+        own_s = None
+        if message.target_s is not None:
+            own_s = message.target_s - message.waited_s
         return events.PlacementRequested(
             call=call,
             hold=events.HoldId(message.owner, message.number),
@@ -273,6 +276,7 @@
             accepts_late_answer=message.accepts_late_answer,
             software=message.software,
             rank=message.rank,
+            own_first_token_s=own_s,
         )
 
     def _latency_target(self, model, interactive):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -321,6 +321,7 @@
             waited_s=self._waited_s(),
             software=action.software,
             rank=job.rank,
+            target_s=job.target_s,
         )
         match await self._services.coordinator_client.request_place(message):
             case result.Success(granted):
--- a/bulrushrudder/lifecycle/job.py
+++ b/bulrushrudder/lifecycle/job.py
@@ -64,6 +64,8 @@
         has run, so that unused tokens are not refunded.
     :param rank: priority among requests that wait for servers, 0 is the
         highest; None if the route has none.
+    :param target_s: seconds to the first token that the route aims at; None
+        if it has no target of its own.
     """
 
     request: ids.RequestId
@@ -97,3 +99,4 @@
     software: str | None = None
     event_wait_s: float = 0.0
     rank: int | None = None
+    target_s: float | None = None
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -55,6 +55,8 @@
     :param software: version that the decode server must have; None for
         any.
     :param rank: priority, 0 is the highest; None if it is unknown.
+    :param own_first_token_s: target of its own route, in seconds from now;
+        None if it is unknown. Used while requests of several ranks come.
     """
 
     call: int
@@ -75,6 +77,7 @@
     accepts_late_answer: bool = False
     software: str | None = None
     rank: int | None = None
+    own_first_token_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -235,6 +235,8 @@
         :returns: the QueuedRequest.
         """
         self._last_number += 1
+        rank = self.shares.resolve(request.rank, now_s)
+        self.shares.record_request(rank, _tokens_of(request), now_s)
         wait_s = request.patience_s
         if not request.accepts_late_answer:
             wait_s = min(wait_s, request.first_token_s)
@@ -246,11 +248,10 @@
             now_s,
             now_s + wait_s,
             self._last_number,
-            now_s + request.first_token_s - lead_s,
+            now_s + self._target_s(request) - lead_s,
             queue_class,
-            rank=self.shares.resolve(request.rank, now_s),
+            rank=rank,
         )
-        self.shares.record_request(queued.rank, _tokens_of(request), now_s)
         self._requests_by_hold[request.hold] = queued
         self._queues_by_class[queue_class].add(queued)
         self.backlog.add(queued)
@@ -322,6 +323,17 @@
         waiting = self._requests_by_hold.values()
         return tuple(queued.request.call for queued in waiting)
 
+    def _target_s(self, request):
+        """Return the seconds after which a request is late.
+
+        The target of the model is the strictest of its routes. Kinds of
+        several ranks differ in their targets, too, and one that is past
+        the target of another can still be timely.
+        """
+        if self.shares.several and request.own_first_token_s is not None:
+            return request.own_first_token_s
+        return request.first_token_s
+
     def _add_deadline(self, queued):
         heapq.heappush(
             self._deadline_heap,
--- a/bulrushrudder/platform/jobs.py
+++ b/bulrushrudder/platform/jobs.py
@@ -107,6 +107,7 @@
             software=software,
             event_wait_s=_client_wait_s(target),
             rank=admitted.rank,
+            target_s=target.answer_s,
         )
 
 
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -29,6 +29,8 @@
         any.
     :param rank: priority of the request, 0 is the highest; None from
         builds that do not send it.
+    :param target_s: target for the first token of its own route, in
+        seconds from the caller's first attempt; None if it has none.
     """
 
     request: ids.RequestId
@@ -48,6 +50,7 @@
     waited_s: float = 0.0
     software: str | None = None
     rank: int | None = None
+    target_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/tests/builders/ranked_loads.py
+++ b/bulrushrudder/tests/builders/ranked_loads.py
@@ -63,8 +63,8 @@
         are not sent, or `arrival` for first come, first served.
     :param loss: start and duration in seconds of the loss of a quarter of
         the servers; None for no loss.
-    :param own_targets: whether requests state their own targets, instead
-        of the strictest of all.
+    :param own_targets: whether requests state their own targets beside
+        the strictest of all.
     :param accounts: number of accounts; each sends requests of all kinds.
     :param account_per_kind: whether each account sends requests of one
         kind only.
@@ -77,7 +77,7 @@
     burst: loads.Burst = loads.Burst(8.0, 4.0, 2.0)
     loss: tuple[float, float] | None = (18.0, 6.0)
     duration_s: float = 30.0
-    own_targets: bool = False
+    own_targets: bool = True
     accounts: int = 3
     account_per_kind: bool = False
     slowness: tuple[float, ...] = (1.0,)
@@ -285,8 +285,10 @@
         call = next(self._numbers)
         self._callers_by_call[call] = caller
         target_s = min(kind.target_s for kind in self._load.kinds)
+        waited_s = now_s - caller.asked_s
+        own_s = None
         if self._load.own_targets:
-            target_s = caller.kind.target_s
+            own_s = caller.kind.target_s - waited_s
         if self._load.order == 'arrival':
             # No request is late and all have the same patience, so that
             # the order is that of arrival; callers leave on their own.
@@ -300,7 +302,8 @@
             output_tokens=OUTPUT_TOKENS,
             expected_tokens=OUTPUT_TOKENS,
             patience_s=patience_s,
-            first_token_s=target_s - (now_s - caller.asked_s),
+            first_token_s=target_s - waited_s,
+            own_first_token_s=own_s,
             between_tokens_s=BETWEEN_TOKENS_S,
             interactive=False,
             accepts_late_answer=True,
--- a/bulrushrudder/tests/placement/ranks_tests.py
+++ b/bulrushrudder/tests/placement/ranks_tests.py
@@ -66,6 +66,27 @@
         self.assertEqual(self.grant_order(4), [2, 6, 3, 7])
 
 
+class OwnTargetTests(unittest.TestCase):
+    # Guards against requests that are put last as late although their own
+    # target, longer than that of other routes, can be met.
+
+    def is_late(self, *ranks):
+        queue = fair_queue.FairQueue()
+        for number, rank in enumerate(ranks):
+            request = places.placement_request(
+                number, rank=rank, own_first_token_s=9.0, **LATE
+            )
+            queued = queue.add(request, 0.0)
+        late = {moved.number for moved in queue.demote(1.0)}
+        return queued.number in late
+
+    def test_request_of_several_ranks_is_late_past_its_own_target(self):
+        self.assertFalse(self.is_late(0, 1))
+
+    def test_request_of_one_rank_is_late_past_target_of_model(self):
+        self.assertTrue(self.is_late(1, 1))
+
+
 class LeastShareTests(unittest.TestCase):
     # Guards against a rank that starves while higher ranks ask for more
     # than can be served.
--- a/bulrushrudder/tests/platform/jobs_tests.py
+++ b/bulrushrudder/tests/platform/jobs_tests.py
@@ -14,13 +14,13 @@
 class RankTests(unittest.TestCase):
     """Priorities of the configuration, in the jobs of calls."""
 
-    def rank(self, account_priority):
+    def job(self, account_priority):
         changed = builders.configuration()
         changed['routes'][0]['priority'] = 2
         changed['tenants'][0]['priority'] = account_priority
         parsed = configuration.read(builders.encoded(changed)).unwrap()
         admitted = admission.AdmittedCall(parsed.routes[0], parsed.accounts[0])
-        return asyncio.run(self.build(admitted, parsed.services[0])).rank
+        return asyncio.run(self.build(admitted, parsed.services[0]))
 
     async def build(self, admitted, service):
         shared = namespaces.SimpleNamespace(
@@ -35,7 +35,10 @@
         )
 
     def test_account_precedes_route(self):
-        self.assertEqual(self.rank(0), 0)
+        self.assertEqual(self.job(0).rank, 0)
 
     def test_account_without_rank_has_rank_of_route(self):
-        self.assertEqual(self.rank(None), 2)
+        self.assertEqual(self.job(None).rank, 2)
+
+    def test_job_has_target_of_its_route(self):
+        self.assertEqual(self.job(None).target_s, 0.9)
