--- a/bulrushrudder/placement/backlog.py
+++ b/bulrushrudder/placement/backlog.py
@@ -2,11 +2,14 @@
 
 import bisect
 import collections
-import dataclasses
 
 
 class Backlog:
-    """Counts the requests that wait."""
+    """Counts the requests that wait.
+
+    For each class, rank and account it has the sorted times by which a
+    grant still meets the targets.
+    """
 
     def __init__(self):
         self._accounts_by_key = collections.defaultdict(dict)
@@ -14,20 +17,18 @@
     def add(self, queued):
         """Count a request."""
         accounts = self._accounts_by_key[queued.queue_class, queued.rank]
-        account = queued.request.account
-        waiting = accounts.setdefault(account, _AccountBacklog())
-        bisect.insort(waiting.deadlines_s, queued.deadline_s)
-        bisect.insort(waiting.grant_bys_s, queued.grant_by_s)
+        grant_bys_s = accounts.setdefault(queued.request.account, [])
+        bisect.insort(grant_bys_s, queued.grant_by_s)
 
     def remove(self, queued):
         """Stop counting a request."""
         key = queued.queue_class, queued.rank
-        waiting = self._accounts_by_key[key][queued.request.account]
-        _remove(waiting.deadlines_s, queued.deadline_s)
-        _remove(waiting.grant_bys_s, queued.grant_by_s)
-        if not waiting.deadlines_s:
-            del self._accounts_by_key[key][queued.request.account]
-        if not self._accounts_by_key[key]:
+        accounts = self._accounts_by_key[key]
+        grant_bys_s = accounts[queued.request.account]
+        del grant_bys_s[bisect.bisect_left(grant_bys_s, queued.grant_by_s)]
+        if not grant_bys_s:
+            del accounts[queued.request.account]
+        if not accounts:
             del self._accounts_by_key[key]
 
     def by_rank(self):
@@ -45,62 +46,38 @@
             if other <= rank
         )
 
-    def above(self, queue_class, rank):
-        """Return the number of requests of higher ranks.
-
-        :param queue_class: requests of later classes are not counted.
-        """
+    def above(self, rank):
+        """Return the number of requests of higher ranks."""
         return sum(
             _total(accounts)
-            for (counted, other), accounts in self._accounts_by_key.items()
-            if counted <= queue_class and other < rank
+            for (_, other), accounts in self._accounts_by_key.items()
+            if other < rank
         )
 
-    def beside(self, queued, late):
-        """Return the number of requests of its rank before a request.
+    def beside(self, queued):
+        """Return the number of requests of its rank before a late one.
 
         Accounts share within a rank, so it waits for no more requests of
         each other account than for those of its own.
-
-        :param late: whether it is compared by the order of late requests,
-            with those of all classes.
         """
         account = queued.request.account
         by_account = [
             accounts
-            for (counted, rank), accounts in self._accounts_by_key.items()
-            if rank == queued.rank and (late or counted <= queued.queue_class)
+            for (_, rank), accounts in self._accounts_by_key.items()
+            if rank == queued.rank
         ]
         own = sum(
-            accounts[account].before(queued, late)
+            bisect.bisect_left(accounts[account], queued.grant_by_s)
             for accounts in by_account
             if account in accounts
         )
         return own + sum(
-            min(len(waiting.deadlines_s), own + 1)
+            min(len(grant_bys_s), own + 1)
             for accounts in by_account
-            for other, waiting in accounts.items()
+            for other, grant_bys_s in accounts.items()
             if other != account
         )
 
 
-@dataclasses.dataclass(slots=True)
-class _AccountBacklog:
-    """Times of the requests of an account in a class and rank, sorted."""
-
-    deadlines_s: list[float] = dataclasses.field(default_factory=list)
-    grant_bys_s: list[float] = dataclasses.field(default_factory=list)
-
-    def before(self, queued, late):
-        """Return the number of requests that go before another one."""
-        if late:
-            return bisect.bisect_left(self.grant_bys_s, queued.grant_by_s)
-        return bisect.bisect_left(self.deadlines_s, queued.deadline_s)
-
-
-def _remove(times_s, time_s):
-    del times_s[bisect.bisect_left(times_s, time_s)]
-
-
 def _total(accounts):
-    return sum(len(waiting.deadlines_s) for waiting in accounts.values())
+    return sum(map(len, accounts.values()))
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -142,12 +142,9 @@
         )
         if backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
-        queued = self._queue.add(request, now_s, self._lead_s(request))
-        self._room.record_request(queued.rank, now_s)
-        if queued.grant_by_s < now_s:
-            # Its caller came back, and goes before other late ones.
-            return []
-        return self._refuse_hopeless([queued], now_s)
+        self._queue.add(request, now_s, self._lead_s(request))
+        self._room.record_request(rank, now_s)
+        return []
 
     def _refuse_hopeless(self, candidates, now_s):
         """Refuse the requests that surely get no servers in time."""
@@ -159,6 +156,9 @@
             return []
         refused = []
         for queued in candidates:
+            # One whose caller came back goes before other late ones.
+            if queued.queued_s >= queued.grant_by_s:
+                continue
             if early_refusal.is_hopeless(queued, self._queue, pace, now_s):
                 request = queued.request
                 self._queue.remove(request.hold)
--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -232,7 +232,6 @@
         """Queue a request until its patience or its target ends.
 
         :param lead_s: expected seconds from a grant to the first token.
-        :returns: the QueuedRequest.
         """
         self._last_number += 1
         rank = self.shares.resolve(request.rank, now_s)
@@ -259,7 +258,6 @@
         if request.accepts_late_answer:
             target = queued.grant_by_s, queued.number, queued
             heapq.heappush(self._target_heap, target)
-        return queued
 
     def demote(self, now_s):
         """Move requests that can no longer meet their target to LATE.
