--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -10,6 +10,7 @@
 from bulrushrudder.placement import contacts
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import events
+from bulrushrudder.placement import rank_counts
 from bulrushrudder.protocol import place_messages
 
 # Time for other VMs to report their holds to a new coordinator.
@@ -161,6 +162,13 @@
             for model, hosted in self._hosted_by_model.items()
         }
 
+    def take_rank_counts(self):
+        """Return the RankCounts of all coordinators since the last call."""
+        counts = rank_counts.RankCounts()
+        for hosted in self._hosted_by_model.values():
+            counts.add(hosted.coordinator.take_rank_counts())
+        return counts
+
     def tick(self):
         """Feed a tick to the coordinators that have queued requests."""
         for model, hosted in tuple(self._hosted_by_model.items()):
@@ -275,6 +283,9 @@
         account = accounts_by_id.get(message.account)
         session = self._view.state.sessions.by_vm.get(message.owner.vm)
         target = self._latency_target(message.model, message.interactive)
+        own_s = None
+        if message.target_s is not None:
+            own_s = message.target_s - message.waited_s
         return events.PlacementRequested(
             call=call,
             hold=events.HoldId(message.owner, message.number),
@@ -293,6 +304,8 @@
             expected_tokens=message.expected_tokens,
             accepts_late_answer=message.accepts_late_answer,
             software=message.software,
+            rank=message.rank,
+            own_first_token_s=own_s,
         )
 
     def _latency_target(self, model, interactive):
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -337,6 +337,8 @@
             accepts_late_answer=job.accepts_late_answer,
             waited_s=self._waited_s(),
             software=action.software,
+            rank=job.rank,
+            target_s=job.target_s,
         )
         match await self._services.coordinator_client.request_place(message):
             case result.Success(granted):
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -541,6 +541,14 @@
     'The view of this VM has other evacuated zones than before; the line '
     'lists all of them and gives the index of the view.',
 )
+PLACES_REFUSED = Event(
+    4021,
+    Level.INFO,
+    'places refused',
+    'The coordinators of this VM refused servers to requests, while requests '
+    'of several ranks came; the fields give the numbers by rank since the '
+    'last such line, and of those that wait now. At most one line in 10 s.',
+)
 SPARE_TOKENS_GRANTED = Event(
     5101,
     Level.INFO,
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -1,8 +1,5 @@
 """Coordinator of a model: grants places on its backend servers."""
 
-import collections
-import dataclasses
-
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.overload import return_times
@@ -11,32 +8,22 @@
 from bulrushrudder.placement import choice
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
+from bulrushrudder.placement import early_refusal
 from bulrushrudder.placement import evacuated_pools
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
 from bulrushrudder.placement import flooding
+from bulrushrudder.placement import hold_table
 from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
+from bulrushrudder.placement import rank_counts
+from bulrushrudder.placement import rank_room
 
 MAX_BOOKED_AHEAD = 6
 # Accounts of a queue class that are considered for one grant.
 MAX_QUEUE_HEADS = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _GrantRecord:
-    """A grant and what it holds.
-
-    :param decode: None while its decode server is absent.
-    :param decode_start_s: monotonic seconds at which decoding is
-        expected to start, None if another coordinator granted it.
-    """
-
-    allocation: events.Allocation
-    decode: decodes.DecodeHold | None
-    decode_start_s: float | None
-
-
 class Coordinator:
     """Grants places on the servers of a model and queues requests for them.
 
@@ -58,16 +45,13 @@
         self._queue = fair_queue.FairQueue()
         self._prefills = prefills.PrefillPool()
         self._decodes = decodes.DecodePool(max_booked_ahead)
-        self._grants_by_hold = {}
-        self._holds_by_absent_server = collections.defaultdict(set)
-        self._holds_by_owner = collections.defaultdict(set)
+        self._holds = hold_table.HoldTable(self._decodes)
         self._demand = demand.AccountDemand()
         self._average_work = balance.AverageWork()
-        self._grant_count_by_account = collections.Counter()
-        self._last_report_by_owner = {}
-        self._known_owners = {}
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
+        self._room = rank_room.RankRoom()
+        self._rank_counts = rank_counts.RankCounts()
         self._limits = pool_limits.PoolLimits(
             self._prefills, self._decodes, cold_bounds
         )
@@ -85,9 +69,7 @@
     @property
     def allocations(self):
         """Return all Allocations."""
-        return tuple(
-            grant.allocation for grant in self._grants_by_hold.values()
-        )
+        return self._holds.allocations
 
     @property
     def limits_by_id(self):
@@ -97,6 +79,13 @@
         """
         return self._limits.limiter.limits_by_id
 
+    def take_rank_counts(self):
+        """Return the RankCounts since the last call."""
+        taken = self._rank_counts
+        taken.queued = self._queue.backlog.by_rank()
+        self._rank_counts = rank_counts.RankCounts()
+        return taken
+
     def wanted_prefills(self):
         """Return the target number of prefill servers, None if unknown."""
         work = self._average_work.work
@@ -148,7 +137,7 @@
             case events.AllocationsRestored(allocations=allocations):
                 self._restore(allocations, now_s)
             case events.OwnersChanged(owners=owners):
-                self._update_owners(owners, now_s)
+                self._release_all(self._holds.update_owners(owners), now_s)
             case events.Ticked():
                 pass
             case _:
@@ -156,18 +145,41 @@
         return []
 
     def _enqueue(self, request, now_s):
-        self._holds_by_owner[request.hold.owner].add(request.hold)
+        self._holds.open(request.hold)
         tokens = request.prompt_tokens + request.output_tokens
         self._demand.record(request.account, request.weight, tokens, now_s)
         self._record_work(request)
+        rank = self._queue.shares.resolve(request.rank, now_s)
         backlog_s = self._limits.backlog_s(
-            len(self._queue), self._return_times.pace(now_s)
+            self._queue.backlog.up_to(rank), self._return_times.pace(now_s)
         )
         if self._is_emptied or backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         self._queue.add(request, now_s, self._lead_s(request))
+        self._room.record_request(rank, now_s)
         return []
 
+    def _refuse_hopeless(self, candidates, now_s):
+        """Refuse the requests that surely get no servers in time."""
+        pace = early_refusal.pace_bound(
+            self._return_times.recent_grants(now_s),
+            return_times.PACE_WINDOW_S,
+        )
+        if pace is None or not self._queue.shares.several:
+            return []
+        refused = []
+        for queued in candidates:
+            # One whose caller came back goes before other late ones.
+            if queued.queued_s >= queued.grant_by_s:
+                continue
+            if early_refusal.is_hopeless(queued, self._queue, pace, now_s):
+                request = queued.request
+                self._queue.remove(request.hold)
+                refused.append(
+                    self._refuse(request, outcomes.Reason.NO_SERVER, now_s)
+                )
+        return refused
+
     def _record_work(self, request):
         """Add the expected server time of a request to the average."""
         prefill_s = self._prefills.work_s(request)
@@ -185,7 +197,7 @@
 
     def _record_measurements(self, event, now_s):
         """Update the pace and failure share of the servers of a request."""
-        grant = self._grants_by_hold.get(event.hold)
+        grant = self._holds.grant_of(event.hold)
         if grant is None:
             return
         allocation = grant.allocation
@@ -196,27 +208,22 @@
                 allocation.prefill, allocation.prompt_tokens, event.prefill_s
             )
         if event.token_s > 0:
-            self._decodes.record_token_time(allocation.decode, event.token_s)
+            self._decodes.record_token_time(
+                allocation.decode, event.token_s, now_s
+            )
         if event.verdict is not events.Verdict.UNKNOWN:
             failed = event.verdict is events.Verdict.FAILED
             self._decodes.record_result(allocation.decode, failed, now_s)
 
     def _release(self, hold, now_s):
-        self._holds_by_owner[hold.owner].discard(hold)
         self._drained_server_by_hold.pop(hold, None)
         self._queue.remove(hold)
-        grant = self._grants_by_hold.pop(hold, None)
-        if grant is None:
-            return
-        self._grant_count_by_account[grant.allocation.account] -= 1
-        if self._grant_count_by_account[grant.allocation.account] == 0:
-            del self._grant_count_by_account[grant.allocation.account]
-        if grant.decode is not None:
-            self._decodes.release(
-                grant.decode, _decode_duration_s(grant, now_s)
-            )
-        else:
-            self._forget_absent_hold(grant.allocation.decode, hold)
+        if self._holds.release(hold, now_s):
+            self._room.record_release(now_s)
+
+    def _release_all(self, holds, now_s):
+        for hold in holds:
+            self._release(hold, now_s)
 
     def _update_servers(self, change, now_s):
         servers = change.servers
@@ -234,92 +241,31 @@
             for server in servers:
                 if server.kind == kind and not pool.has(server):
                     pool.join(server)
-                    self._count_restored(server.id, now_s)
+                    self._holds.count_restored(server.id, now_s)
         self._is_emptied = evacuated_pools.is_emptied(change)
         return self._refuse_queued(now_s) if self._is_emptied else []
 
     def _reconcile(self, event, now_s):
         """Release holds that an owner lacks and request unknown ones."""
-        last = self._last_report_by_owner.get(event.owner, -1)
-        if event.sequence <= last:
-            return []
-        self._last_report_by_owner[event.owner] = event.sequence
-        known = set()
-        for hold in tuple(self._holds_by_owner[event.owner]):
-            if (
-                hold.number < event.end_number
-                and hold.number not in event.numbers
-            ):
-                self._release(hold, now_s)
-            known.add(hold.number)
-        unknown = event.numbers - known
+        ended, unknown = self._holds.compare(event)
+        self._release_all(ended, now_s)
         if not unknown:
             return []
-        return [
-            actions.RequestAllocations(event.owner, tuple(sorted(unknown)))
-        ]
+        return [actions.RequestAllocations(event.owner, unknown)]
 
     def _restore(self, allocations, now_s):
         for allocation in allocations:
-            if allocation.hold not in self._grants_by_hold:
+            if self._holds.grant_of(allocation.hold) is None:
                 self._queue.remove(allocation.hold)
-                self._allocate(allocation, float('inf'), None, now_s)
-
-    def _forget_absent_hold(self, server_id, hold):
-        holds = self._holds_by_absent_server[server_id]
-        holds.discard(hold)
-        if not holds:
-            del self._holds_by_absent_server[server_id]
-
-    def _count_restored(self, server_id, now_s):
-        """Allocate the holds restored before their decode server joined."""
-        for hold in self._holds_by_absent_server.pop(server_id, ()):
-            grant = self._grants_by_hold[hold]
-            self._allocate(
-                grant.allocation, float('inf'), grant.decode_start_s, now_s
-            )
-
-    def _allocate(self, allocation, between_tokens_s, decode_start_s, now_s):
-        known = self._decodes.by_id.get(allocation.decode)
-        decode_hold = None
-        if known is None:
-            self._holds_by_absent_server[allocation.decode].add(
-                allocation.hold
-            )
-        else:
-            # The age approximates the time since decoding started,
-            # because the prefill before it was short.
-            assumed_start_s = decode_start_s or now_s - allocation.age_s
-            decode_hold = self._decodes.allocate(
-                known, allocation, between_tokens_s, assumed_start_s
-            )
-        if allocation.hold not in self._grants_by_hold:
-            self._grant_count_by_account[allocation.account] += 1
-        grant = _GrantRecord(allocation, decode_hold, decode_start_s)
-        self._grants_by_hold[allocation.hold] = grant
-        self._holds_by_owner[allocation.hold.owner].add(allocation.hold)
-
-    def _update_owners(self, owners, now_s):
-        incarnations_by_vm = {o.vm: o.incarnation for o in owners}
-        for owner in tuple(self._holds_by_owner):
-            current = incarnations_by_vm.get(owner.vm)
-            gone = current is None and owner in self._known_owners
-            if gone or (current or 0) > owner.incarnation:
-                self._forget_owner(owner, now_s)
-        self._known_owners = dict.fromkeys(owners)
-
-    def _forget_owner(self, owner, now_s):
-        for hold in tuple(self._holds_by_owner[owner]):
-            self._release(hold, now_s)
-        del self._holds_by_owner[owner]
-        self._last_report_by_owner.pop(owner, None)
+                self._holds.allocate(allocation, float('inf'), None, now_s)
 
     def _dispatch(self, now_s):
         decided = [
             self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
             for queued in self._queue.expired(now_s)
         ]
-        self._queue.demote(now_s)
+        late = self._queue.demote(now_s)
+        decided += self._refuse_hopeless(late, now_s)
         if now_s < self._ready_s:
             return decided
         while True:
@@ -337,7 +283,11 @@
         claimed = frozenset(self._drained_server_by_hold.values())
         for queue_class in fair_queue.QueueClass:
             blocked = False
-            for queued in self._queue.heads(queue_class, MAX_QUEUE_HEADS):
+            for queued in self._queue.heads(
+                queue_class, MAX_QUEUE_HEADS, now_s
+            ):
+                if self._leaves_room(queued, now_s):
+                    continue
                 held_back = self._is_flooding(queued.request.account)
                 result = self._place(queued, held_back, claimed, now_s)
                 match result:
@@ -396,9 +346,15 @@
                 self._drained_server_by_hold[request.hold] = emptiest.server.id
         return claimed - {self._drained_server_by_hold.get(request.hold)}
 
+    def _leaves_room(self, queued, now_s):
+        """Return whether a request leaves the free room to higher ranks."""
+        if not self._room.is_kept_from(queued, self._decodes, now_s):
+            return False
+        return not self._queue.shares.below_least(queued.rank, now_s)
+
     def _is_flooding(self, account):
         """Return whether an account floods and already holds enough."""
-        held = self._grant_count_by_account[account]
+        held = self._holds.grant_count(account)
         return flooding.is_flooding(
             account, held, self._demand, self._decodes.places
         )
@@ -418,15 +374,18 @@
     def _refuse(self, request, reason, now_s):
         hold = request.hold
         self._drained_server_by_hold.pop(hold, None)
-        self._holds_by_owner[hold.owner].discard(hold)
+        self._holds.close(hold)
+        rank = self._queue.shares.resolve(request.rank, now_s)
+        self._rank_counts.refused[rank] += 1
         delay_s = self._return_times.next_delay_s(len(self._queue), now_s)
         return actions.Refuse(request.call, hold, reason, delay_s)
 
     def _grant(self, queued, placement, now_s):
         request = queued.request
         self._drained_server_by_hold.pop(request.hold, None)
-        self._queue.grant(queued)
+        self._queue.grant(queued, now_s)
         self._return_times.record_grant(now_s)
+        self._rank_counts.granted[queued.rank] += 1
         choice.book(placement, self._prefills, request)
         allocation = events.Allocation(
             request.hold,
@@ -439,7 +398,7 @@
             request.expected_tokens,
         )
         self._limits.take(allocation, now_s)
-        self._allocate(
+        self._holds.allocate(
             allocation,
             request.between_tokens_s,
             placement.transfer_end_s,
@@ -453,9 +412,3 @@
 def _id_of(plan):
     """Return the id of a plan's server, empty without a plan."""
     return ids.ServerId('') if plan is None else plan.prefill_server.server.id
-
-
-def _decode_duration_s(grant, now_s):
-    if grant.decode_start_s is None:
-        return None
-    return max(0.0, now_s - grant.decode_start_s)
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -8,6 +8,7 @@
 from bulrushrudder.placement import load_index
 from bulrushrudder.placement import mean_speed
 from bulrushrudder.placement import memory_forecast
+from bulrushrudder.placement import speeds
 
 CANDIDATES_PER_ZONE = 3
 INITIAL_HOLD_S = 10.0
@@ -44,12 +45,13 @@
         self.places = 0
         self.mean_hold_s = INITIAL_HOLD_S
         self.large_pieces = 1.0
+        # In tokens of memory, times the tokens generated per second.
+        self._memory_speed = mean_speed.MeanSpeed()
+        self._uneven = False
         self._max_booked_ahead = min(
             max_booked_ahead, len(EXPECTED_ENDS_NEEDED)
         )
         self._index_by_zone = {}
-        # In tokens of memory, times the tokens generated per second.
-        self._memory_speed = mean_speed.MeanSpeed()
 
     def join(self, server):
         """Add a server or update its record."""
@@ -103,6 +105,8 @@
 
         :param further: number of further candidates of each zone.
         """
+        if self._uneven:
+            further += speeds.UNEVEN_CANDIDATES
         return [
             self.by_id[server_id]
             for index in self._index_by_zone.values()
@@ -110,6 +114,18 @@
             if server_id not in excluded
         ]
 
+    def has_room_for(self, count, tokens):
+        """Return whether there is room for some requests in all.
+
+        :param tokens: of each of them.
+        """
+        for known in self.by_id.values():
+            if count <= 0:
+                break
+            if known.present:
+                count -= known.rooms(tokens)
+        return count <= 0
+
     def has_software(self, software):
         """Return whether a server has a software version."""
         return any(
@@ -184,14 +200,30 @@
         elif known.held_places == 0:
             del self.by_id[hold.server]
 
-    def record_token_time(self, server_id, token_s):
+    def record_token_time(self, server_id, token_s, now_s):
         """Update the measured time between tokens of a server."""
         known = self.by_id.get(server_id)
-        if known is not None and known.token_s > 0:
-            weight = mean_speed.measurement_weight(known.measured)
-            known.token_s += (token_s - known.token_s) * weight
-            known.measured += 1
-            self._record_speed(known)
+        if known is None or known.token_s <= 0:
+            return
+        weight = speeds.weight(known.token_measurements)
+        known.token_s += (token_s - known.token_s) * weight
+        known.token_measurements += 1
+        known.token_measured_s = now_s
+        self._record_speed(known)
+        self._compare_speeds(known, now_s)
+
+    def _compare_speeds(self, measured, now_s):
+        """Compare the speed of a server with those of the others."""
+        fresh_s = now_s - speeds.STALE_AFTER_S
+        fresh = []
+        for known in self.by_id.values():
+            if known.token_measurements and known.token_measured_s >= fresh_s:
+                fresh.append(known.token_s)
+            else:
+                known.slowness = 1.0
+        mean_s = speeds.harmonic_mean(fresh)
+        measured.slowness = speeds.slowness(measured.token_s, mean_s)
+        self._uneven = any(k.slowness != 1.0 for k in self.by_id.values())
 
     def record_result(self, server_id, failed, now_s):
         """Update the failure share of a server."""
@@ -212,15 +244,18 @@
         output = request.expected_tokens or request.output_tokens
         return output * (request.prompt_tokens + output / 2) / speed
 
-    def measured_servers(self):
-        """Return the number of present servers whose speed was measured."""
-        return sum(k.present and k.measured > 0 for k in self.by_id.values())
-
     def _record_speed(self, known):
         if known.present and known.token_s > 0:
             speed = known.server.memory_tokens / known.token_s
             self._memory_speed.set(known.server.id, speed)
 
+    def measured_servers(self):
+        """Return the number of present servers whose speed was measured."""
+        return sum(
+            known.present and known.token_measurements > 0
+            for known in self.by_id.values()
+        )
+
     def prompt_read_s(self, request):
         """Return the seconds that a decode server takes for a prompt."""
         known = next(iter(self.by_id.values()), None)
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -54,6 +54,9 @@
         useful.
     :param software: version that the decode server must have; None for
         any.
+    :param rank: priority, 0 is the highest; None if it is unknown.
+    :param own_first_token_s: target of its own route, in seconds from now;
+        None if it is unknown. Used while requests of several ranks come.
     """
 
     call: int
@@ -73,6 +76,8 @@
     expected_tokens: int = 0
     accepts_late_answer: bool = False
     software: str | None = None
+    rank: int | None = None
+    own_first_token_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/placement/prefills.py
+++ b/bulrushrudder/placement/prefills.py
@@ -1,10 +1,12 @@
 """Prefill servers of a model, their prefix caches and free times."""
 
 import dataclasses
+import math
 
 from bulrushrudder.placement import load_index
 from bulrushrudder.placement import mean_speed
 from bulrushrudder.placement import prefixes
+from bulrushrudder.placement import speeds
 from bulrushrudder.state import servers
 
 DEFAULT_TOKENS_PER_S = 10000.0
@@ -26,7 +28,6 @@
 
     :param free_s: monotonic seconds at which its booked prefills end.
     :param link_free_s: monotonic seconds at which its link is free.
-    :param measured: number of prefills from which its rate was measured.
     :param rate_reported: whether the server has reported its rate.
     :param isolated_until_s: monotonic seconds until which an isolated
         request may run there, so that no other prefill starts.
@@ -35,6 +36,7 @@
         prefill succeeded.
     :param paused_until_s: monotonic seconds until which no prefill starts,
         because the last ones failed.
+    :param measurements: number of measurements of its rate.
     """
 
     server: servers.BackendServer
@@ -42,12 +44,12 @@
     free_s: float = 0.0
     link_free_s: float = 0.0
     last_report_sequence: int = -1
-    measured: int = 0
     rate_reported: bool = False
     isolated_until_s: float = 0.0
     base_s: float = 0.0
     pause_s: float = 0.0
     paused_until_s: float = 0.0
+    measurements: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +73,7 @@
         self.prefixes = prefixes.PrefixCaches()
         self._index_by_zone = {}
         self._tokens_per_s = mean_speed.MeanSpeed()
+        self._uneven = False
 
     def join(self, server):
         """Add a server or update its record."""
@@ -123,10 +126,22 @@
         if not known.server.initial_speed.prefill_tokens_per_s:
             return
         rate = tokens / max(MIN_READ_S, prefill_s - known.base_s)
-        weight = mean_speed.measurement_weight(known.measured)
+        weight = speeds.weight(known.measurements)
         known.tokens_per_s += (rate - known.tokens_per_s) * weight
-        known.measured += 1
+        known.measurements += 1
         self._tokens_per_s.set(server_id, known.tokens_per_s)
+        self._compare_speeds()
+
+    def _compare_speeds(self):
+        rates = [
+            known.tokens_per_s
+            for known in self.by_id.values()
+            if known.measurements
+        ]
+        mean = math.fsum(rates) / len(rates)
+        self._uneven = any(
+            speeds.slowness(mean, rate) != 1.0 for rate in rates
+        )
 
     def record_failure(self, server_id, now_s):
         """Pause a server that has failed or rejected a prefill.
@@ -144,7 +159,7 @@
 
     def measured_servers(self):
         """Return the number of servers whose rate was measured."""
-        return sum(known.measured > 0 for known in self.by_id.values())
+        return sum(known.measurements > 0 for known in self.by_id.values())
 
     def has_server(self, excluded):
         """Return whether there is a server, idle or busy, to choose from."""
@@ -155,6 +170,8 @@
 
         :param further: number of further candidates of each zone.
         """
+        if self._uneven:
+            further += speeds.UNEVEN_CANDIDATES
         ids = {
             server_id
             for index in self._index_by_zone.values()
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -27,6 +27,10 @@
         attempts; they count against the target.
     :param software: version that the decode server must have; None for
         any.
+    :param rank: priority of the request, 0 is the highest; None from
+        builds that do not send it.
+    :param target_s: target for the first token of its own route, in
+        seconds from the caller's first attempt; None if it has none.
     """
 
     request: ids.RequestId
@@ -45,6 +49,8 @@
     accepts_late_answer: bool = False
     waited_s: float = 0.0
     software: str | None = None
+    rank: int | None = None
+    target_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/state/machine.py
+++ b/bulrushrudder/state/machine.py
@@ -143,16 +143,23 @@
             case pool_targets.SetPrefillTarget() if evacuations.is_stored_in(
                 command
             ):
-                outcome = self.evacuations.apply(index, command)
-                for zone in self.servers.evacuated_zones:
-                    if zone not in self.evacuations.zones:
-                        self.servers.mark_zone_cold(zone)
-                self.servers.evacuate(self.evacuations.zones)
-                return outcome
+                return self._evacuate(index, command)
             case pool_targets.SetPrefillTarget():
                 return self.pool_targets.apply(index, command)
         raise AssertionError(f'unknown command {command!r}')
 
+    def _evacuate(self, index, command):
+        """Evacuate or restore a zone.
+
+        Its servers may have become cold while they got no requests.
+        """
+        outcome = self.evacuations.apply(index, command)
+        restored = self.servers.evacuated_zones - self.evacuations.zones
+        for zone in sorted(restored):
+            self.servers.mark_zone_cold(zone)
+        self.servers.evacuate(self.evacuations.zones)
+        return outcome
+
     def _pools_snapshot(self):
         """Return the targets of pools, with the evacuations among them."""
         pools = self.pool_targets.snapshot()
