Show what clients without bounds cost, before any bound

The real control process and entry of the deploy file run on loopback with 88 MB and, in two tests, 256 descriptors. Crowds send calls ahead, upload slowly or never end their heads, and read nothing.

--- /dev/null
+++ b/bulrushrudder/tests/platform/untrusted_clients_tests.py
@@ -0,0 +1,156 @@
+"""Crowds of clients that keep to no limit, before the real programs.
+
+Each test checks that the process lives, stays under the memory of its VM
+and its descriptors, and answers one ordinary call. None checks a time.
+"""
+
+import itertools
+import unittest
+
+from bulrushrudder.tests.builders import crowds
+
+# Descriptors that a crowd must leave to peers, servers and control.
+RESERVED_FDS = 32
+CROWD_S = 3.0
+PIECE = b'a' * 65536
+
+
+def uploads(size):
+    """Return a function that sends the beginning of a 4 MB upload."""
+
+    def make_pieces():
+        attempt = f'{next(_NUMBERS):016x}'
+        yield crowds.head('/look/1', 4_000_000, attempt)
+        for _ in range(size // len(PIECE)):
+            yield PIECE
+        for _ in range(1000):
+            yield b'a'
+
+    return make_pieces
+
+
+def endless_head():
+    yield b'POST /look/1 HTTP/1.1\r\nHost: a\r\n'
+    for number in range(100):
+        yield b'H-%d: %s\r\n' % (number, b'a' * 8000)
+
+
+_NUMBERS = itertools.count(1)
+
+
+class CrowdTests(unittest.IsolatedAsyncioTestCase):
+    async def check(self, machine, port_name, max_fds=None, **crowd):
+        watch = crowds.Watch(machine.pid)
+        gathered = crowds.Crowd(machine.address(port_name))
+        gathered.join(**crowd)
+        try:
+            await watch.look(CROWD_S)
+            await self.check_ordinary(machine)
+        finally:
+            await gathered.leave()
+        await watch.look(0.1)
+        self.assertIsNone(machine.exit_code)
+        self.assertLess(watch.peak_mb, crowds.MEMORY_MB)
+        if max_fds:
+            self.assertLess(watch.most_fds, max_fds - RESERVED_FDS)
+
+    async def check_ordinary(self, machine):
+        if machine.role == 'control':
+            status, content = await crowds.configuration(machine)
+            self.assertEqual(status, 200)
+            self.assertGreater(content['version'], 0)
+            return
+        answer = await crowds.ordinary(machine)
+        self.assertEqual((answer.status, answer.whole), (200, True))
+
+    # Guards against calls sent ahead and answers that nobody reads.
+
+    async def test_unread_large_answers_stay_within_memory(self):
+        async with crowds.system() as fleet:
+            await self.check(
+                fleet.edges[0],
+                'frontend',
+                count=24,
+                make_pieces=lambda: crowds.calls('/look/1', 400),
+            )
+
+    async def test_uploads_sent_ahead_stay_within_memory(self):
+        async with crowds.system() as fleet:
+            await self.check(
+                fleet.edges[0],
+                'frontend',
+                count=60,
+                make_pieces=lambda: crowds.calls('/look/1', 40, size=50_000),
+            )
+
+    async def test_trickling_uploads_stay_within_memory(self):
+        async with crowds.system() as fleet:
+            await self.check(
+                fleet.edges[0],
+                'frontend',
+                count=40,
+                make_pieces=uploads(2_000_000),
+                pause_s=0.01,
+            )
+
+    async def test_heads_without_end_stay_within_memory(self):
+        async with crowds.system() as fleet:
+            await self.check(
+                fleet.edges[0],
+                'frontend',
+                count=120,
+                make_pieces=endless_head,
+            )
+
+    async def test_unread_rejections_stay_within_memory(self):
+        async with crowds.system() as fleet:
+            await self.check(
+                fleet.edges[0],
+                'frontend',
+                count=300,
+                make_pieces=lambda: crowds.calls('/look/1', 2000, key='other'),
+            )
+
+    async def test_control_process_stays_within_memory(self):
+        async with crowds.system() as fleet:
+            await self.check(
+                fleet.controls[0],
+                'control_plane',
+                count=600,
+                make_pieces=lambda: crowds.calls(
+                    '/bulrushrudder/config', 2000, size=0, method='GET'
+                ),
+            )
+
+    async def test_heads_without_end_leave_control_process_its_memory(self):
+        async with crowds.system() as fleet:
+            await self.check(
+                fleet.controls[0],
+                'control_plane',
+                count=120,
+                make_pieces=endless_head,
+            )
+
+    # Guards against connections that leave no descriptor to servers.
+
+    async def test_many_connections_leave_descriptors(self):
+        async with crowds.system(max_fds=crowds.MAX_FDS) as fleet:
+            await self.check(
+                fleet.edges[0],
+                'frontend',
+                max_fds=crowds.MAX_FDS,
+                count=400,
+                make_pieces=uploads(0),
+                pause_s=0.05,
+            )
+
+    async def test_many_connections_leave_control_process_descriptors(self):
+        async with crowds.system(max_fds=crowds.MAX_FDS) as fleet:
+            await self.check(
+                fleet.controls[0],
+                'control_plane',
+                max_fds=crowds.MAX_FDS,
+                count=400,
+                make_pieces=uploads(0),
+                pause_s=0.05,
+            )
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -194,6 +194,7 @@
             'port_range': [INNER_PORT, INNER_PORT + 15],
             'fault_tolerance': {'machines': 1, 'zones': 0, 'regions': 0},
             'bounds': BOUNDS,
+            'limits': self._fleet.limits,
             'data_dir': str(self.data_folder),
             'listen': {
                 name: f'{self.ip}:{port}' for name, port in PORTS.items()
@@ -209,6 +210,7 @@
     :ivar edges: machines that clients reach.
     :ivar sync_s: seconds that a sync of a disk takes beyond the usual.
     :ivar cuts_paths: whether machines may be cut off from servers.
+    :ivar limits: what a machine has, as the deploy file may ask for it.
     """
 
     def __init__(self, folder, record, rng, root=ROOT, controls=3, edges=2):
@@ -220,6 +222,7 @@
         )
         self.sync_s = 0.0
         self.cuts_paths = False
+        self.limits = {'memory_mb': '', 'max_fds': ''}
         self._rng = rng
         self.network, self._held_network = _take_network(rng)
         self.controls = [
