Bound what untrusted clients hold at an entry and a control process

aiohttp parses up to 32 requests sent ahead, reads 256 KiB at once and copies whole answers into its write buffer, for each connection and without a bound over all of them. ClientConnection parses one request at a time and leaves what is behind it in the kernel, whose buffers are bounded; ClientLedger counts what all connections hold, refuses calls and uploads for which there is no room, pauses accepting, and closes connections whose answers are unread, whose requests are incomplete or that are idle, in this order. Limits follow from memory_mb and max_fds of the settings.

--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -114,6 +114,18 @@
     order_lease_s: float = DEFAULT_ORDER_LEASE_MS / units.MS_PER_SECOND
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmLimits:
+    """What the VM has for this process; None where it is unknown.
+
+    :param memory_mb: memory in MB.
+    :param max_fds: descriptors that it may open.
+    """
+
+    memory_mb: float | None = None
+    max_fds: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """The settings of one VM.
@@ -128,6 +140,7 @@
         operators; "own" for the router's.
     :param bounds: None for the built-in defaults.
     :param file: the file that the settings were read from.
+    :param limits: the VmLimits, which bound what clients may hold.
     """
 
     vm: ids.VmId
@@ -142,3 +155,4 @@
     interface: str = 'own'
     bounds: FleetBounds | None = None
     file: pathlib.Path | None = None
+    limits: VmLimits = VmLimits()
--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -146,6 +146,17 @@
         return settings.FleetBounds(**self.model_dump())
 
 
+class LimitsModel(models.Model):
+    """What the VM has; a platform that does not know leaves it empty."""
+
+    memory_mb: float | None = pydantic.Field(default=None, gt=0)
+    max_fds: int | None = pydantic.Field(default=None, gt=0)
+
+    def build(self):
+        """Convert to the data class."""
+        return settings.VmLimits(**self.model_dump())
+
+
 class SettingsModel(models.Model):
     """The settings file."""
 
@@ -159,6 +170,7 @@
     may_found: bool = True
     interface: typing.Literal['own', 'platform'] = 'own'
     bounds: BoundsModel | None = None
+    limits: LimitsModel = LimitsModel()
     secrets: SecretsModel | None = None
 
     @pydantic.model_validator(mode='after')
@@ -213,6 +225,7 @@
         interface=model.interface,
         bounds=model.bounds.build() if model.bounds else None,
         file=pathlib.Path(file),
+        limits=model.limits.build(),
     )
 
 
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -26,6 +26,7 @@
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import peers
 from bulrushrudder.storage import store
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import web
@@ -131,7 +132,10 @@
     operators_app.middlewares.insert(0, in_flight.guard)
     operators_listener = http_listener.HttpListener(
         operators_app,
-        http_listener.Options(closes_connections=lambda: in_flight.refusing),
+        http_listener.Options(
+            closes_connections=lambda: in_flight.refusing,
+            limits=client_limits.of_vm(settings.limits),
+        ),
     )
     await operators_listener.open(stack, settings.control.operators)
     metrics_app = metrics_listener.application(metrics)
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -9,6 +9,7 @@
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import backend_api
 from bulrushrudder.entry import frontend
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import sockets
 from bulrushrudder.utils import web
@@ -57,6 +58,7 @@
                 cancel_handlers=True,
                 closes_connections=lambda: entry.services.leaving,
                 shutdown_timeout_s=ANSWER_DRAIN_TIMEOUT_S,
+                limits=client_limits.of_vm(settings.limits),
             ),
         )
         await callers.open(stack, settings.entry.callers)
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -189,6 +189,21 @@
     'A peer sent invalid HTTP, or its headers did not arrive in time; the '
     'connection is closed.',
 )
+CLIENTS_CLOSED = Event(
+    1503,
+    Level.WARNING,
+    'clients closed',
+    'So many connections of clients were closed for the given reason since '
+    'the last such line; docs/design/untrusted-clients.md has the order.',
+)
+CLIENTS_WAIT = Event(
+    1504,
+    Level.WARNING,
+    'clients wait',
+    'No further connections of clients are accepted for a moment, because '
+    'those that are open take all the room; so often since the last such '
+    'line.',
+)
 BACKEND_DENIED = Event(
     1501,
     Level.WARNING,
--- a/bulrushrudder/platform/answers.py
+++ b/bulrushrudder/platform/answers.py
@@ -11,6 +11,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.platform import headers
+from bulrushrudder.utils import paced_response
 from bulrushrudder.utils import sockets
 
 # Clients abandon a stream well before this.
@@ -63,7 +64,7 @@
     """
     pairs = zip(answer.headers[::2], answer.headers[1::2], strict=True)
     response_headers = headers.returned_headers(tuple(pairs))
-    return web.Response(
+    return paced_response.PacedResponse(
         status=answer.status, body=answer.body, headers=response_headers
     )
 
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -18,6 +18,7 @@
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
+from bulrushrudder.utils import paced_response
 from bulrushrudder.utils import web as web_utils
 
 MAX_CONFIGURATION_BYTES = 8 * 1024 * 1024
@@ -179,7 +180,9 @@
         source = self._control.node.state.documents.source
         if not source:
             return _problem(503, 'no configuration has been submitted')
-        return web.Response(body=source, content_type='application/json')
+        return paced_response.PacedResponse(
+            body=source, content_type='application/json'
+        )
 
 
 class Interface:
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -27,6 +27,7 @@
 from bulrushrudder.platform import services as plain_services
 from bulrushrudder.platform import statements
 from bulrushrudder.utils import authentication
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import web as web_utils
 
@@ -89,6 +90,8 @@
                 shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
                 decompresses_bodies=False,
                 max_field_bytes=MAX_FIELD_BYTES,
+                limits=client_limits.of_vm(settings.limits),
+                refuse_overload=api.refuse_overload,
             ),
         )
         await clients.open(stack, settings.entry.callers)
@@ -121,6 +124,11 @@
             return http_listener.DEFAULT_TIMEOUTS
         return http_listener.ConnectionTimeouts(bounds.header_s, bounds.idle_s)
 
+    def refuse_overload(self, http_request):
+        """Return the response to a call that there is no room for."""
+        attempt = http_request.headers.get(headers.ATTEMPT)
+        return self._refuse(bodies.NO_ROOM, attempt, 'none')
+
     def readiness(self):
         """Return the aiohttp application for readiness checks."""
         app = web.Application()
--- a/bulrushrudder/tests/builders/crowds.py
+++ b/bulrushrudder/tests/builders/crowds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import io
 import json
 import pathlib
 import random
@@ -129,13 +130,10 @@
     """
     async with contextlib.AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
-        journal = stack.enter_context(
-            open(f'{folder}/record', 'w', encoding='utf-8')
-        )
         rng = random.Random()
         fleet = programs.Fleet(
             pathlib.Path(folder),
-            record.Record(journal),
+            record.Record(io.StringIO()),
             rng,
             controls=1,
             edges=1,
--- /dev/null
+++ b/bulrushrudder/utils/client_ledger.py
@@ -0,0 +1,296 @@
+"""Counts what a process holds for untrusted clients, and makes room.
+
+When memory or connections run short, connections are closed in this order:
+those whose answers are unread longest, those whose head or body has been
+incomplete longest, those idle longest. One that makes progress stays, and
+so does one whose call is being served.
+"""
+
+import asyncio
+import collections
+import enum
+import math
+
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
+
+# A client that takes or sends PROGRESS_BYTES in this time makes progress.
+GRACE_S = 2.0
+PROGRESS_BYTES = 4096
+# The same while more is held than allowed, because answers are larger than
+# expected: they would exhaust the memory before GRACE_S has passed.
+HARD_GRACE_S = 0.25
+# A search for connections to close looks at all of them.
+SEARCH_INTERVAL_S = 0.05
+# Closing that many at once keeps searches rare in a crowd.
+CLOSED_SHARE = 1 / 16
+# Objects of a connection without a request, and its task.
+CONNECTION_BYTES = 24 * 1024
+# What a call is taken to need at least, and as a share of the limit before
+# the size of answers is known.
+MIN_CALL_BYTES = 32 * 1024
+FIRST_CALL_SHARE = 1 / 64
+# The expected size of an answer is a mean with this weight of the latest,
+# and at most this share of the limit.
+LATEST_WEIGHT = 0.1
+MAX_CALL_SHARE = 1 / 16
+LOG_INTERVAL_S = 1.0
+
+
+class Holding(enum.Enum):
+    """What bytes are held for."""
+
+    CONNECTION = 'connection'
+    HEAD = 'head'
+    AHEAD = 'sent ahead'
+    UPLOAD = 'upload'
+    CALL = 'call'
+    ANSWER = 'answer'
+
+
+class Closing(enum.Enum):
+    """Why a connection is closed."""
+
+    UNREAD = 'unread answer, memory short'
+    INCOMPLETE = 'incomplete request, memory short'
+    IDLE = 'idle, memory short'
+    UNREAD_TIMEOUT = 'unread answer, time over'
+    HEAD_TOO_LARGE = 'head too large'
+    NO_ROOM = 'no room for its request'
+
+
+class Stage(enum.IntEnum):
+    """What a connection does, in the order in which they are closed."""
+
+    UNREAD = 0
+    INCOMPLETE = 1
+    IDLE = 2
+    BUSY = 3
+
+
+_CLOSING_BY_STAGE = {
+    Stage.UNREAD: Closing.UNREAD,
+    Stage.INCOMPLETE: Closing.INCOMPLETE,
+    Stage.IDLE: Closing.IDLE,
+}
+
+
+class Ledger:
+    """What the connections of a listener hold.
+
+    :param limits: the ClientLimits.
+    :ivar limits: the same.
+    :ivar held_by_holding: bytes by Holding.
+    :ivar closed_by_closing: number of connections closed by Closing.
+    :ivar refused: number of calls refused because there was no room.
+    """
+
+    def __init__(self, limits):
+        self.limits = limits
+        self.held_by_holding = collections.Counter()
+        self.closed_by_closing = collections.Counter()
+        self.refused = 0
+        self._total = 0
+        self._calls = set()
+        self._connections = set()
+        self._uploads = {}
+        self._call_bytes = limits.held_bytes * FIRST_CALL_SHARE
+        self._searched_s = -math.inf
+        self._recheck = None
+        self._logs_by_closing = {}
+        self._pauses = _CountedLog(catalogue.CLIENTS_WAIT)
+
+    @property
+    def connections(self):
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    def add(self, connection):
+        """Count a connection."""
+        self._connections.add(connection)
+        self.hold(connection, Holding.CONNECTION, CONNECTION_BYTES)
+
+    def remove(self, connection):
+        """Count a connection no more, whose descriptor is free."""
+        self._connections.discard(connection)
+        self.release(connection)
+
+    def release(self, connection):
+        """Count the bytes of a connection no more."""
+        self.end_request(connection)
+        for holding in tuple(connection.held_by_holding):
+            self.hold(connection, holding, 0)
+
+    def hold(self, connection, holding, size):
+        """Set how much a connection holds.
+
+        :param connection: the ClientConnection.
+        :param holding: the Holding.
+        :param size: bytes.
+        """
+        held = connection.held_by_holding
+        change = size - held.get(holding, 0)
+        if not change:
+            return
+        if holding is Holding.UPLOAD and size:
+            self._uploads.setdefault(connection)
+        held[holding] = size
+        if not size:
+            del held[holding]
+        self.held_by_holding[holding] += change
+        self._total += change
+        if change > 0 and not self.has_room() and self._recheck is None:
+            self._recheck = asyncio.get_running_loop().call_later(
+                SEARCH_INTERVAL_S, self._check_again
+            )
+
+    def has_room(self, size=0):
+        """Return whether so many bytes more may be held."""
+        return self._total + size <= self.limits.held_bytes
+
+    def admits_connection(self, accepting):
+        """Return whether a connection may be accepted now.
+
+        :param accepting: number of accepted ones that are not counted yet.
+        """
+        if self.connections + accepting < self.limits.connections:
+            return self.make_room(CONNECTION_BYTES * (accepting + 1))
+        self._search(True)
+        return False
+
+    def record_pause(self):
+        """Log that no connection is accepted for a moment."""
+        self._pauses.count()
+
+    def admit_request(self, connection):
+        """Return whether a request is handled.
+
+        If so, what its answer is expected to need is held.
+        """
+        size = int(self._call_bytes)
+        if not self.make_room(size):
+            self.refused += 1
+            return False
+        self.hold(connection, Holding.CALL, size)
+        return True
+
+    def admit_call(self, connection):
+        """Return whether a request whose body has been read may run."""
+        if len(self._calls) >= self.limits.calls:
+            self.refused += 1
+            return False
+        self._calls.add(connection)
+        self._uploads.pop(connection, None)
+        return True
+
+    def end_request(self, connection):
+        """Release what a request needed that has been answered."""
+        self._calls.discard(connection)
+        self._uploads.pop(connection, None)
+        for holding in (Holding.UPLOAD, Holding.CALL, Holding.ANSWER):
+            self.hold(connection, holding, 0)
+
+    def admits_upload(self, connection):
+        """Return whether a body may be read on.
+
+        The oldest upload always may, so that a request within the limits
+        is served however small the VM is.
+        """
+        return next(iter(self._uploads), None) is connection or (
+            self.make_room(0)
+        )
+
+    def record_answer(self, size):
+        """Record the size of an answer, which later ones may have too."""
+        self._call_bytes += (size - self._call_bytes) * LATEST_WEIGHT
+        self._call_bytes = min(
+            max(self._call_bytes, MIN_CALL_BYTES),
+            self.limits.held_bytes * MAX_CALL_SHARE,
+        )
+
+    def make_room(self, size):
+        """Close connections if so many bytes more would be too many.
+
+        :returns: whether there is room.
+        """
+        if not self.has_room(size):
+            self._search(False)
+        return self.has_room(size)
+
+    def record_closing(self, closing):
+        """Count and log that a connection is closed."""
+        self.closed_by_closing[closing] += 1
+        lines = self._logs_by_closing.get(closing)
+        if lines is None:
+            lines = self._logs_by_closing[closing] = _CountedLog(
+                catalogue.CLIENTS_CLOSED, reason=closing.value
+            )
+        lines.count()
+
+    def _check_again(self):
+        self._recheck = None
+        if not self.make_room(0) and self._connections:
+            self._recheck = asyncio.get_running_loop().call_later(
+                SEARCH_INTERVAL_S, self._check_again
+            )
+
+    def _search(self, for_connections):
+        """Close connections without progress, in the stated order.
+
+        :param for_connections: whether descriptors are short; otherwise
+            connections are closed until there are bytes to spare.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._searched_s < SEARCH_INTERVAL_S:
+            return
+        self._searched_s = now_s
+        limit = self.limits.held_bytes
+        grace_s = GRACE_S
+        if self._total > limit:
+            grace_s = HARD_GRACE_S
+        candidates = []
+        for connection in self._connections:
+            stage = connection.stage()
+            if stage is not Stage.BUSY:
+                since_s = connection.progressed_s(now_s)
+                if now_s - since_s >= grace_s:
+                    candidates.append((stage, since_s, connection))
+        candidates.sort(key=lambda candidate: candidate[:2])
+        most = math.ceil(self.connections * CLOSED_SHARE)
+        spared = limit * (1.0 - CLOSED_SHARE)
+        for number, (stage, _, connection) in enumerate(candidates):
+            enough = (
+                number >= most if for_connections else (self._total <= spared)
+            )
+            if enough:
+                return
+            connection.drop(_CLOSING_BY_STAGE[stage])
+
+
+class _CountedLog:
+    """Logs an event at most once a second, with the number of times.
+
+    :param event: the Event.
+    :param fields: fields of each line.
+    """
+
+    def __init__(self, event, **fields):
+        self._event = event
+        self._fields = fields
+        self._count = 0
+        self._timer = None
+
+    def count(self):
+        """Count one time."""
+        self._count += 1
+        if self._timer is None:
+            self._emit()
+
+    def _emit(self):
+        self._timer = None
+        if self._count:
+            log.emit(self._event, count=self._count, **self._fields)
+            self._count = 0
+            self._timer = asyncio.get_running_loop().call_later(
+                LOG_INTERVAL_S, self._emit
+            )
--- /dev/null
+++ b/bulrushrudder/utils/client_limits.py
@@ -0,0 +1,81 @@
+"""What untrusted clients of a listener may hold.
+
+The limits follow from the memory and descriptors of the VM, so that
+connections times bound and the rest of the process fit into it.
+"""
+
+import dataclasses
+import resource
+
+KIB = 1024
+MIB = 1024 * KIB
+# A process at rest with its state (docs/CAPACITY.md).
+REST_MB = 64
+# Of the remainder; copies that are made while bytes are passed on, and
+# memory that the allocator does not return, take the rest.
+HELD_SHARE = 0.6
+# One upload of 4 MiB, counted twice, and as much again for other callers.
+MIN_HELD_BYTES = 12 * MIB
+DEFAULT_MEMORY_MB = 192
+# Of the descriptors; kept for servers, peers, control, files.
+RESERVED_FDS_SHARE = 0.25
+MIN_RESERVED_FDS = 64
+# Each running call takes a descriptor of the reserve for its server; the
+# others are for peers, control, files and connections that are closing.
+CALL_FDS_SHARE = 0.75
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """Limits on the clients of one listener.
+
+    :param held_bytes: bytes that may be held for all of them, beyond which
+        calls are refused and connections closed.
+    :param connections: connections beyond which none is accepted.
+    :param calls: calls in progress beyond which calls are refused.
+    :param ahead_bytes: bytes sent ahead of an answer, beyond which a
+        connection is not read; they stay in the kernel.
+    :param unsent_bytes: bytes of an answer in the write buffer, beyond
+        which writing waits.
+    :param receive_buffer_bytes: size of the kernel's receive buffer of a
+        connection, before the kernel doubles it.
+    :param send_buffer_bytes: the same of its send buffer; small, so that a
+        client that reads nothing is noticed after few answers.
+    :param unread_s: seconds in which a client takes nothing of its answer,
+        after which its connection is closed.
+    """
+
+    held_bytes: int
+    connections: int
+    calls: int
+    ahead_bytes: int = 16 * KIB
+    unsent_bytes: int = 16 * KIB
+    receive_buffer_bytes: int = 128 * KIB
+    send_buffer_bytes: int = 16 * KIB
+    unread_s: float = 20.0
+
+
+def derive(memory_mb=None, max_fds=None):
+    """Return the ClientLimits of a process.
+
+    :param memory_mb: memory of its VM in MB; None if unknown.
+    :param max_fds: descriptors that it may open; None for the limit of
+        the operating system.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    fds = min(max_fds or soft, soft) if soft > 0 else max_fds or 1024
+    reserved = max(MIN_RESERVED_FDS, int(fds * RESERVED_FDS_SHARE))
+    spare_mb = (memory_mb or DEFAULT_MEMORY_MB) - REST_MB
+    return ClientLimits(
+        held_bytes=max(MIN_HELD_BYTES, int(spare_mb * MIB * HELD_SHARE)),
+        connections=max(1, fds - reserved),
+        calls=max(1, int(reserved * CALL_FDS_SHARE)),
+    )
+
+
+def of_vm(vm):
+    """Return the ClientLimits of a process.
+
+    :param vm: the VmLimits of the settings.
+    """
+    return derive(vm.memory_mb, vm.max_fds)
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -11,6 +11,9 @@
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.utils import client_connection
+from bulrushrudder.utils import client_ledger
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import timeouts
 
@@ -28,6 +31,9 @@
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 )
 ACCEPT_RETRY_DELAY_S = 1.0
+# Between two looks whether there is room for connections again.
+ACCEPT_PAUSE_S = 0.05
+OVERLOAD_RETRY_S = 1
 # Key of a request that came after its caller was told that the connection
 # will be closed.
 CLOSE_ANNOUNCED = 'close announced'
@@ -50,6 +56,15 @@
 DEFAULT_TIMEOUTS = ConnectionTimeouts()
 
 
+def refuse_overload(request):
+    """Return the response to a request that there is no room for."""
+    return web.json_response(
+        {'problem': 'too many calls at once; this one has not run'},
+        status=503,
+        headers={'Retry-After': str(OVERLOAD_RETRY_S)},
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
     """How a listener treats its connections.
@@ -66,6 +81,10 @@
         encoding are decoded.
     :param max_field_bytes: size above which a header field or a request
         line is malformed.
+    :param limits: the ClientLimits; None for those that follow from the
+        descriptors of the process.
+    :param refuse_overload: function of a request that returns the response
+        if there is no room for it.
     """
 
     cancel_handlers: bool = False
@@ -74,6 +93,8 @@
     shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S
     decompresses_bodies: bool = True
     max_field_bytes: int = MAX_FIELD_BYTES
+    limits: client_limits.ClientLimits | None = None
+    refuse_overload: collections.abc.Callable = refuse_overload
 
 
 DEFAULT_OPTIONS = Options()
@@ -85,10 +106,14 @@
     :param application: the aiohttp application.
     :param options: the Options.
     :ivar port: the port number; None before open().
+    :ivar ledger: the Ledger of its connections.
     """
 
     def __init__(self, application, options):
         self.port = None
+        limits = options.limits or client_limits.derive()
+        self.ledger = client_ledger.Ledger(limits)
+        self._handler_options = _handler_options(options)
         self._timers = _ConnectionTimers(options)
         self._runner = _make_runner(application, options)
         application.middlewares.insert(0, self._timers.time_request)
@@ -112,7 +137,7 @@
             type=socket.SOCK_STREAM,
             flags=socket.AI_PASSIVE,
         ):
-            opened = _listen(info)
+            opened = _listen(info, self.ledger.limits)
             self._sockets.append(opened)
             self._watch(opened)
         self.port = self._sockets[0].getsockname()[1]
@@ -155,6 +180,10 @@
     def _accept(self, opened):
         """Accept the connections that are established at a socket."""
         for _ in range(BACKLOG):
+            if not self.ledger.admits_connection(len(self._accepting)):
+                self.ledger.record_pause()
+                self._accept_later(opened, ACCEPT_PAUSE_S)
+                return
             try:
                 connection, _ = opened.accept()
             except BlockingIOError:
@@ -162,16 +191,16 @@
             except OSError as error:
                 log.emit(catalogue.UNEXPECTED, detail=f'accept: {error!r}')
                 if error.errno in EXHAUSTED_ERRORS:
-                    self._accept_later(opened)
+                    self._accept_later(opened, ACCEPT_RETRY_DELAY_S)
                     return
                 continue
             connection.setblocking(False)
             self._serve(connection)
 
-    def _accept_later(self, opened):
+    def _accept_later(self, opened, delay_s):
         loop = asyncio.get_running_loop()
         loop.remove_reader(opened)
-        loop.call_later(ACCEPT_RETRY_DELAY_S, self._watch, opened)
+        loop.call_later(delay_s, self._watch, opened)
 
     def _watch(self, opened):
         if opened in self._sockets:
@@ -182,7 +211,7 @@
         loop = asyncio.get_running_loop()
         accepting = loop.create_task(
             loop.connect_accepted_socket(
-                lambda: self._timers.connect(self._runner.server()),
+                lambda: self._timers.connect(self._make_connection()),
                 connection,
             )
         )
@@ -190,6 +219,11 @@
         accepting.add_done_callback(self._accepting.discard)
         accepting.add_done_callback(tasks.log_exception)
 
+    def _make_connection(self):
+        return client_connection.ClientConnection(
+            self._runner.server, self.ledger, **self._handler_options
+        )
+
     def _close_sockets(self):
         loop = asyncio.get_running_loop()
         for opened in self._sockets:
@@ -201,22 +235,39 @@
 def _make_runner(application, options):
     return web.AppRunner(
         application,
-        access_log=None,
-        logger=_HTTP_LOGGER,
         handler_cancellation=options.cancel_handlers,
         shutdown_timeout=options.shutdown_timeout_s,
-        max_line_size=options.max_field_bytes,
-        max_field_size=options.max_field_bytes,
-        auto_decompress=options.decompresses_bodies,
+        **_handler_options(options),
     )
 
 
-def _listen(info):
-    """Return a listening socket for an entry of getaddrinfo."""
+def _handler_options(options):
+    """Return the options of aiohttp's RequestHandler."""
+    return {
+        'access_log': None,
+        'logger': _HTTP_LOGGER,
+        'max_line_size': options.max_field_bytes,
+        'max_field_size': options.max_field_bytes,
+        'auto_decompress': options.decompresses_bodies,
+    }
+
+
+def _listen(info, limits):
+    """Return a listening socket for an entry of getaddrinfo.
+
+    :param limits: the ClientLimits.
+    """
     family, kind, protocol, _, address = info
     opened = socket.socket(family, kind, protocol)
     try:
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted sockets inherit these.
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, limits.receive_buffer_bytes
+        )
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, limits.send_buffer_bytes
+        )
         if family == socket.AF_INET6:
             opened.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         opened.bind(address)
@@ -244,6 +295,7 @@
     def __init__(self, options):
         self._get_timeouts = options.get_timeouts
         self._closes_connections = options.closes_connections
+        self._refuse_overload = options.refuse_overload
         self._timers_by_protocol = {}
         self._idle = set()
         # Connections whose callers were told that they will be closed.
@@ -262,7 +314,17 @@
         self._stop(protocol)
         request[CLOSE_ANNOUNCED] = protocol in self._announced
         try:
-            return await handler(request)
+            if not protocol.admit_request():
+                refused = self._refuse_overload(request)
+                if protocol.sends_ahead:
+                    # It would only be refused again and again.
+                    refused.force_close()
+                return refused
+            response = await handler(request)
+            body = getattr(response, 'body', None)
+            if isinstance(body, bytes | bytearray):
+                protocol.hold_answer(len(body))
+            return response
         finally:
             if protocol.transport is not None and request.keep_alive:
                 self._wait_idle(protocol)
