Give up answers that nobody reads, and show what clients hold

A client that reads slowly keeps its connection: progress is what it takes of the write buffer. Metrics show bytes held and connections closed by reason.

--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -116,14 +116,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmLimits:
-    """What the VM has for this process; None where it is unknown.
+    """What the VM has for the clients of this process.
+
+    None stands for what is unknown, and for the default.
 
     :param memory_mb: memory in MB.
     :param max_fds: descriptors that it may open.
+    :param unread_s: seconds in which a client takes nothing of its answer,
+        after which its connection is closed.
     """
 
     memory_mb: float | None = None
     max_fds: int | None = None
+    unread_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -151,6 +151,7 @@
 
     memory_mb: float | None = pydantic.Field(default=None, gt=0)
     max_fds: int | None = pydantic.Field(default=None, gt=0)
+    unread_s: float | None = pydantic.Field(default=None, gt=0)
 
     def build(self):
         """Convert to the data class."""
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -137,6 +137,7 @@
             limits=client_limits.of_vm(settings.limits),
         ),
     )
+    metrics.clients.watch(operators_listener.ledger)
     await operators_listener.open(stack, settings.control.operators)
     metrics_app = metrics_listener.application(metrics)
     await web.listen(stack, metrics_app, settings.control.metrics)
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -303,6 +303,7 @@
         )
         stack.callback(inner.close)
         self._callers = await self._interface.listen(stack, settings, self)
+        self.metrics.clients.watch(self._callers.ledger)
         app = metrics_listener.application(self.metrics)
         await web.listen(stack, app, settings.entry.metrics)
 
--- a/bulrushrudder/metrics/control.py
+++ b/bulrushrudder/metrics/control.py
@@ -4,6 +4,8 @@
 
 import aioprometheus
 
+from bulrushrudder.metrics import clients as metrics_clients
+
 
 class SubmissionOutcome(enum.Enum):
     """Outcome of a submission or promotion."""
@@ -25,6 +27,7 @@
     def __init__(self, tolerable_losses=lambda: None):
         self._tolerable_losses = tolerable_losses
         self.registry = aioprometheus.Registry()
+        self.clients = metrics_clients.ClientMetrics(self.registry)
         self._submissions = aioprometheus.Counter(
             'bulrushrudder_submissions_total',
             'Submissions and promotions by environment and outcome.',
@@ -63,4 +66,5 @@
         """
         losses = self._tolerable_losses()
         self._losses.set({}, -1 if losses is None else losses)
+        self.clients.update()
         return aioprometheus.render(self.registry, accept)
--- a/bulrushrudder/metrics/entry.py
+++ b/bulrushrudder/metrics/entry.py
@@ -3,6 +3,7 @@
 import aioprometheus
 from aioprometheus import histogram
 
+from bulrushrudder.metrics import clients as metrics_clients
 from bulrushrudder.metrics import labels
 from bulrushrudder.metrics import latency_recorder
 
@@ -31,6 +32,7 @@
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
+        self.clients = metrics_clients.ClientMetrics(self.registry)
         self._route_labels = labels.BoundedLabels(MAX_ROUTE_LABEL_SETS)
         self._route_account_labels = labels.BoundedLabels(
             MAX_ROUTE_ACCOUNT_LABEL_SETS
@@ -149,6 +151,7 @@
 
         :param accept: values of the Accept header.
         """
+        self.clients.update()
         return aioprometheus.render(self.registry, accept)
 
     def _counter(self, name, text):
--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -10,18 +10,19 @@
 """
 
 import asyncio
-import fcntl
-import struct
-import termios
 
 from aiohttp import web
 
 from bulrushrudder.utils import client_ledger
-from bulrushrudder.utils import timeouts
+from bulrushrudder.utils import sockets
+from bulrushrudder.utils import unread_timer
 
 # Bytes that are read, and of a body that are parsed, at once.
 READ_BYTES = 16 * 1024
 FEED_BYTES = 4 * 1024
+# Parsed with a head, so that a malformed first chunk is an error of the
+# request as a whole.
+FIRST_CHUNK_BYTES = 256
 # A buffer of an unread body; aiohttp stops reading at twice as much.
 BODY_BUFFER_BYTES = 32 * 1024
 # Enough for a head that is refused as too large to be answered.
@@ -65,7 +66,6 @@
         '_marked_s',
         '_open_transport',
         '_unanswered',
-        '_unread_bytes',
         '_unread_timer',
         'held_by_holding',
         'refuse_upload',
@@ -94,8 +94,11 @@
         self._marked_s = self._loop.time()
         self._marked_bytes = 0
         self._open_transport = None
-        self._unread_bytes = 0
-        self._unread_timer = None
+        self._unread_timer = unread_timer.UnreadTimer(
+            ledger.limits.unread_s,
+            self._look_for_unread,
+            lambda: self.drop(client_ledger.Closing.UNREAD_TIMEOUT),
+        )
 
     # What the ledger asks.
 
@@ -136,6 +139,13 @@
         """Return whether further requests wait behind the present one."""
         return bool(self._ahead)
 
+    def has_unsent_data(self):
+        """Return whether a part of an answer waits for the client."""
+        return _Holding.ANSWER in self.held_by_holding or (
+            self._open_transport is not None
+            and self._open_transport.get_write_buffer_size() > 0
+        )
+
     def admit_request(self):
         """Return whether the request whose handler starts is handled."""
         return self._ledger.admit_request(self)
@@ -164,7 +174,7 @@
         """Release what the connection holds."""
         self._ahead.clear()
         self._open_transport = None
-        self._stop_unread_timer()
+        self._unread_timer.stop()
         super().connection_lost(exc)
         self._ledger.remove(self)
 
@@ -190,7 +200,14 @@
     def pause_writing(self):
         """Begin to watch whether the client reads."""
         super().pause_writing()
-        self._watch_unread()
+        self._marked_bytes = self._unsent()
+        self._unread_timer.start()
+
+    def resume_writing(self):
+        """Record that the client has taken most of the write buffer."""
+        super().resume_writing()
+        if self._open_transport is not None:
+            self._mark(self._unsent())
 
     def resume_reading(self, resume_parser=True):
         """Go on after aiohttp has consumed a part of a body."""
@@ -246,13 +263,21 @@
         if self._is_reading_body():
             return min(self._body_left or FEED_BYTES, FEED_BYTES)
         end = self._ahead.find(_END_OF_HEAD)
-        return len(self._ahead) if end < 0 else end + len(_END_OF_HEAD)
+        if end < 0:
+            return len(self._ahead)
+        end += len(_END_OF_HEAD)
+        if b'chunked' in self._ahead[:end].lower():
+            return end + FIRST_CHUNK_BYTES
+        return end
 
     def _feed_piece(self, piece):
         reads_body = self._is_reading_body()
         before = self._request_count
         super().data_received(piece)
         begun = self._request_count - before
+        if begun and reads_body and not self._body.is_eof():
+            # The new message stands for an error of the parser.
+            self._body.set_exception(web.RequestPayloadError('invalid body'))
         if begun:
             self._unanswered += begun
             self._begin_body()
@@ -330,7 +355,7 @@
             return
         self._mark_if_read()
         if self._open_transport.get_write_buffer_size():
-            self._watch_unread()
+            self._unread_timer.start()
         # The next request may be parsed once aiohttp has ended this one.
         self._loop.call_soon(self._feed)
 
@@ -344,38 +369,12 @@
 
     def _unsent(self):
         """Return the bytes of answers that the client has not taken."""
-        sock = self._open_transport.get_extra_info('socket')
-        queued = 0
-        if sock is not None and sock.fileno() >= 0:
-            packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b'\0' * 4)
-            (queued,) = struct.unpack('i', packed)
-        return queued + self._open_transport.get_write_buffer_size()
-
-    def _watch_unread(self):
-        if self._unread_timer is not None:
-            return
-        self._unread_bytes = self._unsent()
-        self._marked_bytes = max(self._marked_bytes, self._unread_bytes)
-        self._unread_timer = timeouts.RunningTimer(
-            self._ledger.limits.unread_s, self._check_unread
-        )
-
-    def _check_unread(self):
-        """Close the connection if its client has taken nothing."""
-        self._unread_timer = None
-        if not self._paused and not (
-            self._open_transport.get_write_buffer_size()
-        ):
-            return
-        if self._unsent() >= self._unread_bytes:
-            self.drop(client_ledger.Closing.UNREAD_TIMEOUT)
-        else:
-            self._watch_unread()
+        return sockets.unsent_bytes(self._open_transport)
 
-    def _stop_unread_timer(self):
-        if self._unread_timer is not None:
-            self._unread_timer.cancel()
-            self._unread_timer = None
+    def _look_for_unread(self):
+        """Return what the UnreadTimer asks for."""
+        waits = self._paused or self._open_transport.get_write_buffer_size()
+        return self._marked_s, self._unsent() if waits else 0
 
     def _mark_if_read(self):
         """Record progress unless the client leaves answers unread."""
--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -153,10 +153,17 @@
 
         :param accepting: number of accepted ones that are not counted yet.
         """
-        if self.connections + accepting < self.limits.connections:
-            return self.make_room(CONNECTION_BYTES * (accepting + 1))
-        self._search(True)
-        return False
+        return (
+            self.connections + accepting < self.limits.connections
+            and self.has_room(CONNECTION_BYTES * (accepting + 1))
+        )
+
+    def make_room_for_connection(self):
+        """Close connections so that one that waits may be accepted."""
+        if self.connections < self.limits.connections:
+            self.make_room(CONNECTION_BYTES)
+        else:
+            self._search(0, math.ceil(self.connections * CLOSED_SHARE))
 
     def record_pause(self):
         """Log that no connection is accepted for a moment."""
@@ -214,7 +221,7 @@
         :returns: whether there is room.
         """
         if not self.has_room(size):
-            self._search(False)
+            self._search(size)
         return self.has_room(size)
 
     def record_closing(self, closing):
@@ -234,11 +241,12 @@
                 SEARCH_INTERVAL_S, self._check_again
             )
 
-    def _search(self, for_connections):
+    def _search(self, size, count=0):
         """Close connections without progress, in the stated order.
 
-        :param for_connections: whether descriptors are short; otherwise
-            connections are closed until there are bytes to spare.
+        :param size: bytes for which there must be room afterwards, with
+            some to spare.
+        :param count: number of connections to close at least.
         """
         now_s = asyncio.get_running_loop().time()
         if now_s - self._searched_s < SEARCH_INTERVAL_S:
@@ -256,13 +264,9 @@
                 if now_s - since_s >= grace_s:
                     candidates.append((stage, since_s, connection))
         candidates.sort(key=lambda candidate: candidate[:2])
-        most = math.ceil(self.connections * CLOSED_SHARE)
-        spared = limit * (1.0 - CLOSED_SHARE)
+        target = limit * (1.0 - CLOSED_SHARE) - size
         for number, (stage, _, connection) in enumerate(candidates):
-            enough = (
-                number >= most if for_connections else (self._total <= spared)
-            )
-            if enough:
+            if number >= count and (count or self._total <= target):
                 return
             connection.drop(_CLOSING_BY_STAGE[stage])
 
--- a/bulrushrudder/utils/client_limits.py
+++ b/bulrushrudder/utils/client_limits.py
@@ -17,6 +17,8 @@
 # One upload of 4 MiB, counted twice, and as much again for other callers.
 MIN_HELD_BYTES = 12 * MIB
 DEFAULT_MEMORY_MB = 192
+# As long as an answer that is streamed waits for its client.
+UNREAD_S = 20.0
 # Of the descriptors; kept for servers, peers, control, files.
 RESERVED_FDS_SHARE = 0.25
 MIN_RESERVED_FDS = 64
@@ -52,15 +54,16 @@
     unsent_bytes: int = 16 * KIB
     receive_buffer_bytes: int = 128 * KIB
     send_buffer_bytes: int = 16 * KIB
-    unread_s: float = 20.0
+    unread_s: float = UNREAD_S
 
 
-def derive(memory_mb=None, max_fds=None):
+def derive(memory_mb=None, max_fds=None, unread_s=None):
     """Return the ClientLimits of a process.
 
     :param memory_mb: memory of its VM in MB; None if unknown.
     :param max_fds: descriptors that it may open; None for the limit of
         the operating system.
+    :param unread_s: as for ClientLimits; None for the default.
     """
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     fds = min(max_fds or soft, soft) if soft > 0 else max_fds or 1024
@@ -70,6 +73,7 @@
         held_bytes=max(MIN_HELD_BYTES, int(spare_mb * MIB * HELD_SHARE)),
         connections=max(1, fds - reserved),
         calls=max(1, int(reserved * CALL_FDS_SHARE)),
+        unread_s=unread_s or UNREAD_S,
     )
 
 
@@ -78,4 +82,4 @@
 
     :param vm: the VmLimits of the settings.
     """
-    return derive(vm.memory_mb, vm.max_fds)
+    return derive(vm.memory_mb, vm.max_fds, vm.unread_s)
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -4,7 +4,6 @@
 import collections.abc
 import dataclasses
 import errno
-import logging
 import socket
 
 from aiohttp import web
@@ -14,6 +13,7 @@
 from bulrushrudder.utils import client_connection
 from bulrushrudder.utils import client_ledger
 from bulrushrudder.utils import client_limits
+from bulrushrudder.utils import http_log
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import timeouts
 
@@ -81,8 +81,7 @@
         encoding are decoded.
     :param max_field_bytes: size above which a header field or a request
         line is malformed.
-    :param limits: the ClientLimits; None for those that follow from the
-        descriptors of the process.
+    :param limits: the ClientLimits; None for those of an unknown VM.
     :param refuse_overload: function of a request that returns the response
         if there is no room for it.
     """
@@ -179,10 +178,10 @@
 
     def _accept(self, opened):
         """Accept the connections that are established at a socket."""
-        for _ in range(BACKLOG):
+        for number in range(BACKLOG):
             if not self.ledger.admits_connection(len(self._accepting)):
-                self.ledger.record_pause()
-                self._accept_later(opened, ACCEPT_PAUSE_S)
+                if not number:
+                    self._make_room(opened)
                 return
             try:
                 connection, _ = opened.accept()
@@ -197,6 +196,12 @@
             connection.setblocking(False)
             self._serve(connection)
 
+    def _make_room(self, opened):
+        """Make room for a connection that waits; accept it later."""
+        self.ledger.make_room_for_connection()
+        self.ledger.record_pause()
+        self._accept_later(opened, ACCEPT_PAUSE_S)
+
     def _accept_later(self, opened, delay_s):
         loop = asyncio.get_running_loop()
         loop.remove_reader(opened)
@@ -242,10 +247,10 @@
 
 
 def _handler_options(options):
-    """Return the options of aiohttp's RequestHandler."""
+    """Return the options of a RequestHandler."""
     return {
         'access_log': None,
-        'logger': _HTTP_LOGGER,
+        'logger': http_log.LOGGER,
         'max_line_size': options.max_field_bytes,
         'max_field_size': options.max_field_bytes,
         'auto_decompress': options.decompresses_bodies,
@@ -261,13 +266,12 @@
     opened = socket.socket(family, kind, protocol)
     try:
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted sockets inherit these.
-        opened.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, limits.receive_buffer_bytes
-        )
-        opened.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, limits.send_buffer_bytes
-        )
+        # Accepted sockets inherit their buffers.
+        for option, size in (
+            (socket.SO_RCVBUF, limits.receive_buffer_bytes),
+            (socket.SO_SNDBUF, limits.send_buffer_bytes),
+        ):
+            opened.setsockopt(socket.SOL_SOCKET, option, size)
         if family == socket.AF_INET6:
             opened.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         opened.bind(address)
@@ -283,7 +287,7 @@
     transport = protocol.transport
     # aiohttp drops the transport when it closes one; the connection is
     # counted until everything is sent.
-    return transport is None or transport.get_write_buffer_size() > 0
+    return transport is None or protocol.has_unsent_data()
 
 
 class _ConnectionTimers:
@@ -317,7 +321,6 @@
             if not protocol.admit_request():
                 refused = self._refuse_overload(request)
                 if protocol.sends_ahead:
-                    # It would only be refused again and again.
                     refused.force_close()
                 return refused
             response = await handler(request)
@@ -395,26 +398,3 @@
         self._announced.discard(protocol)
         if protocol.transport is not None:
             protocol.force_close()
-
-
-class _HttpErrorHandler(logging.Handler):
-    """Logs warnings and errors of aiohttp without data from the peer."""
-
-    def emit(self, record):
-        """Log the exception type of a record."""
-        exception = record.exc_info[1] if record.exc_info else None
-        detail = (
-            type(exception).__name__
-            if exception
-            else 'HTTP error without an exception'
-        )
-        log.emit(catalogue.HTTP_INVALID, detail=detail)
-
-
-def _make_http_logger():
-    logger = logging.Logger('bulrushrudder.http', logging.WARNING)
-    logger.addHandler(_HttpErrorHandler())
-    return logger
-
-
-_HTTP_LOGGER = _make_http_logger()
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -1,7 +1,10 @@
 """Sockets with keepalive and with limited buffers."""
 
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 5
@@ -94,6 +97,16 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, max_bytes)
 
 
+def unsent_bytes(transport):
+    """Return the bytes that the peer of a transport has not taken."""
+    sock = transport.get_extra_info('socket')
+    queued = 0
+    if sock is not None and sock.fileno() >= 0:
+        packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        (queued,) = struct.unpack('i', packed)
+    return queued + transport.get_write_buffer_size()
+
+
 def _limit_unacknowledged(sock, timeout_ms):
     """Limit how long sent bytes may stay unacknowledged or unread."""
     with contextlib.suppress(OSError):
