Expect of a call what earlier answers needed, once its body is read

A request whose body trickles reserves nothing for its answer, and streams reserve little, so that neither takes the room of ordinary calls.

--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -17,7 +17,8 @@
 from bulrushrudder.utils import sockets
 from bulrushrudder.utils import unread_timer
 
-# Bytes that are read, and of a body that are parsed, at once.
+# Bytes that are read at once, and that are parsed at once of a body whose
+# end is not known.
 READ_BYTES = 16 * 1024
 FEED_BYTES = 4 * 1024
 # Parsed with a head, so that a malformed first chunk is an error of the
@@ -41,6 +42,17 @@
 _Stage = client_ledger.Stage
 
 
+async def hold_answer(request, response):
+    """Count the answer that is about to be sent.
+
+    :param request: the aiohttp request.
+    :param response: its response; one that is streamed counts as empty.
+    """
+    body = getattr(response, 'body', None)
+    size = len(body) if isinstance(body, bytes | bytearray) else 0
+    request.protocol.hold_answer(size)
+
+
 class ClientConnection(web.RequestHandler, asyncio.BufferedProtocol):
     """The connection of an untrusted client.
 
@@ -148,16 +160,15 @@
 
     def admit_request(self):
         """Return whether the request whose handler starts is handled."""
-        return self._ledger.admit_request(self)
+        return self._ledger.admit_request(self, self._is_reading_body())
 
     def admit_call(self):
         """Return whether a request whose body has been read may run."""
         return self._ledger.admit_call(self)
 
     def hold_answer(self, size):
-        """Record the size of the answer that is sent next."""
-        self._ledger.record_answer(size)
-        self._ledger.hold(self, _Holding.ANSWER, size)
+        """Hold an answer whose size is known, in the place of a guess."""
+        self._ledger.hold_answer(self, size)
 
     # What the transport calls.
 
@@ -261,7 +272,7 @@
     def _piece_size(self):
         """Return the size of a piece that hardly has two requests."""
         if self._is_reading_body():
-            return min(self._body_left or FEED_BYTES, FEED_BYTES)
+            return self._body_left or FEED_BYTES
         end = self._ahead.find(_END_OF_HEAD)
         if end < 0:
             return len(self._ahead)
--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -29,7 +29,7 @@
 # What a call is taken to need at least, and as a share of the limit before
 # the size of answers is known.
 MIN_CALL_BYTES = 32 * 1024
-FIRST_CALL_SHARE = 1 / 64
+FIRST_CALL_SHARE = 1 / 32
 # The expected size of an answer is a mean with this weight of the latest,
 # and at most this share of the limit.
 LATEST_WEIGHT = 0.1
@@ -160,21 +160,19 @@
 
     def make_room_for_connection(self):
         """Close connections so that one that waits may be accepted."""
+        self._pauses.count()
         if self.connections < self.limits.connections:
             self.make_room(CONNECTION_BYTES)
         else:
             self._search(0, math.ceil(self.connections * CLOSED_SHARE))
 
-    def record_pause(self):
-        """Log that no connection is accepted for a moment."""
-        self._pauses.count()
-
-    def admit_request(self, connection):
+    def admit_request(self, connection, reads_body):
         """Return whether a request is handled.
 
-        If so, what its answer is expected to need is held.
+        If so, what its answer is expected to need is held, or once its
+        body has been read.
         """
-        size = int(self._call_bytes)
+        size = 0 if reads_body else int(self._call_bytes)
         if not self.make_room(size):
             self.refused += 1
             return False
@@ -183,9 +181,16 @@
 
     def admit_call(self, connection):
         """Return whether a request whose body has been read may run."""
+        size = int(self._call_bytes)
+        if Holding.CALL in connection.held_by_holding:
+            size = connection.held_by_holding[Holding.CALL]
+        elif not self.make_room(size):
+            self.refused += 1
+            return False
         if len(self._calls) >= self.limits.calls:
             self.refused += 1
             return False
+        self.hold(connection, Holding.CALL, size)
         self._calls.add(connection)
         self._uploads.pop(connection, None)
         return True
@@ -207,13 +212,19 @@
             self.make_room(0)
         )
 
-    def record_answer(self, size):
-        """Record the size of an answer, which later ones may have too."""
-        self._call_bytes += (size - self._call_bytes) * LATEST_WEIGHT
-        self._call_bytes = min(
-            max(self._call_bytes, MIN_CALL_BYTES),
-            self.limits.held_bytes * MAX_CALL_SHARE,
-        )
+    def hold_answer(self, connection, size):
+        """Hold an answer, in the place of what was expected of it.
+
+        Answers to calls say what later ones will need; refusals do not.
+        """
+        self.hold(connection, Holding.ANSWER, size)
+        if connection in self._calls:
+            self.hold(connection, Holding.CALL, MIN_CALL_BYTES)
+            self._call_bytes += (size - self._call_bytes) * LATEST_WEIGHT
+            self._call_bytes = min(
+                max(self._call_bytes, MIN_CALL_BYTES),
+                self.limits.held_bytes * MAX_CALL_SHARE,
+            )
 
     def make_room(self, size):
         """Close connections if so many bytes more would be too many.
--- a/bulrushrudder/utils/client_limits.py
+++ b/bulrushrudder/utils/client_limits.py
@@ -13,7 +13,7 @@
 REST_MB = 64
 # Of the remainder; copies that are made while bytes are passed on, and
 # memory that the allocator does not return, take the rest.
-HELD_SHARE = 0.6
+HELD_SHARE = 0.5
 # One upload of 4 MiB, counted twice, and as much again for other callers.
 MIN_HELD_BYTES = 12 * MIB
 DEFAULT_MEMORY_MB = 192
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -117,6 +117,7 @@
         self._runner = _make_runner(application, options)
         application.middlewares.insert(0, self._timers.time_request)
         application.on_response_prepare.append(self._timers.announce_close)
+        application.on_response_prepare.append(client_connection.hold_answer)
         self._sockets = []
         self._accepting = set()
 
@@ -199,7 +200,6 @@
     def _make_room(self, opened):
         """Make room for a connection that waits; accept it later."""
         self.ledger.make_room_for_connection()
-        self.ledger.record_pause()
         self._accept_later(opened, ACCEPT_PAUSE_S)
 
     def _accept_later(self, opened, delay_s):
@@ -323,11 +323,7 @@
                 if protocol.sends_ahead:
                     refused.force_close()
                 return refused
-            response = await handler(request)
-            body = getattr(response, 'body', None)
-            if isinstance(body, bytes | bytearray):
-                protocol.hold_answer(len(body))
-            return response
+            return await handler(request)
         finally:
             if protocol.transport is not None and request.keep_alive:
                 self._wait_idle(protocol)
