--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -124,6 +124,23 @@
     knows_cold: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmLimits:
+    """What the VM has for the clients of this process.
+
+    None stands for what is unknown, and for the default.
+
+    :param memory_mb: memory in MB.
+    :param max_fds: descriptors that it may open.
+    :param unread_s: seconds in which a client takes nothing of its answer,
+        after which its connection is closed.
+    """
+
+    memory_mb: float | None = None
+    max_fds: int | None = None
+    unread_s: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """The settings of one VM.
@@ -138,6 +155,7 @@
         operators; "own" for the router's.
     :param bounds: None for the built-in defaults.
     :param file: the file that the settings were read from.
+    :param limits: the VmLimits, which bound what clients may hold.
     """
 
     vm: ids.VmId
@@ -152,3 +170,4 @@
     interface: str = 'own'
     bounds: FleetBounds | None = None
     file: pathlib.Path | None = None
+    limits: VmLimits = VmLimits()
--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+import os
 import pathlib
 import typing
 
@@ -169,6 +170,25 @@
     cold_tolerance: float | None = pydantic.Field(default=None, ge=0)
 
 
+# Environment variables that state what the VM has where the settings do not.
+LIMIT_VARIABLES = {
+    'memory_mb': 'BULRUSHRUDDER_MEMORY_MB',
+    'max_fds': 'BULRUSHRUDDER_MAX_FDS',
+}
+
+
+class LimitsModel(models.Model):
+    """What the VM has; a platform that does not know leaves it empty."""
+
+    memory_mb: float | None = pydantic.Field(default=None, gt=0)
+    max_fds: int | None = pydantic.Field(default=None, gt=0)
+    unread_s: float | None = pydantic.Field(default=None, gt=0)
+
+    def build(self):
+        """Convert to the data class."""
+        return settings.VmLimits(**self.model_dump())
+
+
 class SettingsModel(models.Model):
     """The settings file."""
 
@@ -183,6 +203,7 @@
     interface: typing.Literal['own', 'platform'] = 'own'
     bounds: BoundsModel | None = None
     platform_bounds: PlatformBoundsModel | None = None
+    limits: LimitsModel = LimitsModel()
     secrets: SecretsModel | None = None
 
     @pydantic.model_validator(mode='after')
@@ -237,9 +258,26 @@
         interface=model.interface,
         bounds=_bounds(model),
         file=pathlib.Path(file),
+        limits=_limits(model.limits),
     )
 
 
+def _limits(model):
+    """Return the VmLimits of the file, else those of the environment.
+
+    Settings of a template may name only fields that every platform fills
+    in; a variable that was left empty or unfilled counts as absent.
+    """
+    limits = model.build()
+    stated = {
+        name: int(os.environ[variable])
+        for name, variable in LIMIT_VARIABLES.items()
+        if getattr(limits, name) is None
+        and os.environ.get(variable, '').isdecimal()
+    }
+    return dataclasses.replace(limits, **stated)
+
+
 def _control(model, folder):
     if model.control is None:
         return None
--- a/bulrushrudder/metrics/control.py
+++ b/bulrushrudder/metrics/control.py
@@ -4,6 +4,8 @@
 
 import aioprometheus
 
+from bulrushrudder.metrics import clients as metrics_clients
+
 
 class SubmissionOutcome(enum.Enum):
     """Outcome of a submission or promotion."""
@@ -36,6 +38,7 @@
         self._cold_servers = cold_servers
         self._evacuated_zones = evacuated_zones
         self.registry = aioprometheus.Registry()
+        self.clients = metrics_clients.ClientMetrics(self.registry)
         self._submissions = aioprometheus.Counter(
             'bulrushrudder_submissions_total',
             'Submissions and promotions by environment and outcome.',
@@ -86,4 +89,5 @@
         self._losses.set({}, -1 if losses is None else losses)
         self._cold.set({}, self._cold_servers())
         self._zones.set({}, len(self._evacuated_zones()))
+        self.clients.update()
         return aioprometheus.render(self.registry, accept)
--- a/bulrushrudder/metrics/entry.py
+++ b/bulrushrudder/metrics/entry.py
@@ -3,6 +3,7 @@
 import aioprometheus
 from aioprometheus import histogram
 
+from bulrushrudder.metrics import clients as metrics_clients
 from bulrushrudder.metrics import labels
 from bulrushrudder.metrics import latency_recorder
 
@@ -32,6 +33,7 @@
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
+        self.clients = metrics_clients.ClientMetrics(self.registry)
         self._route_labels = labels.BoundedLabels(MAX_ROUTE_LABEL_SETS)
         self._rank_labels = labels.BoundedLabels(MAX_RANK_LABEL_SETS)
         self._route_account_labels = labels.BoundedLabels(
@@ -180,6 +182,7 @@
 
         :param accept: values of the Accept header.
         """
+        self.clients.update()
         return aioprometheus.render(self.registry, accept)
 
     def _counter(self, name, text):
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -117,7 +117,8 @@
         role = fleet.deploy['roles'][self.role]
         settings = fleet.folder / f'{self.name}.yaml'
         template = (fleet.root / role['template']).read_text()
-        settings.write_text(_render(template, self._fields(bootstrap, seeds)))
+        fields = self._fields(bootstrap, seeds)
+        settings.write_text(_render(template, fields))
         words = [
             str(settings) if word.startswith('/etc/') else word
             for word in role['run'].split()
@@ -126,7 +127,10 @@
         environment = {
             'PATH': os.environ['PATH'],
             'PYTHONPATH': str(fleet.root),
-            **role.get('env', {}),
+            **{
+                name: _render(text, fields)
+                for name, text in role.get('env', {}).items()
+            },
         }
         if fleet.sync_s:
             environment['SOAK_SYNC_S'] = str(fleet.sync_s)
@@ -196,6 +200,7 @@
             'port_range': [INNER_PORT, INNER_PORT + 15],
             'fault_tolerance': {'machines': 1, 'zones': 0, 'regions': 0},
             'bounds': BOUNDS,
+            'limits': self._fleet.limits,
             'data_dir': str(self.data_folder),
             'listen': {
                 name: f'{self.ip}:{port}' for name, port in PORTS.items()
@@ -211,6 +216,7 @@
     :ivar edges: machines that clients reach.
     :ivar sync_s: seconds that a sync of a disk takes beyond the usual.
     :ivar cuts_paths: whether machines may be cut off from servers.
+    :ivar limits: what a machine has, as the deploy file may ask for it.
     """
 
     def __init__(self, folder, record, rng, root=ROOT, controls=3, edges=2):
@@ -222,6 +228,7 @@
         )
         self.sync_s = 0.0
         self.cuts_paths = False
+        self.limits = {'memory_mb': '', 'max_fds': ''}
         self._rng = rng
         self.network, self._held_network = _take_network(rng)
         self.controls = [
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -4,13 +4,16 @@
 import collections.abc
 import dataclasses
 import errno
-import logging
 import socket
 
 from aiohttp import web
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.utils import client_connection
+from bulrushrudder.utils import client_ledger
+from bulrushrudder.utils import client_limits
+from bulrushrudder.utils import http_log
 from bulrushrudder.utils import tasks
 from bulrushrudder.utils import timeouts
 
@@ -28,6 +31,9 @@
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 )
 ACCEPT_RETRY_DELAY_S = 1.0
+# Between two looks whether there is room for connections again.
+ACCEPT_PAUSE_S = 0.05
+OVERLOAD_RETRY_S = 1
 # Key of a request that came after its caller was told that the connection
 # will be closed.
 CLOSE_ANNOUNCED = 'close announced'
@@ -50,6 +56,15 @@
 DEFAULT_TIMEOUTS = ConnectionTimeouts()
 
 
+def refuse_overload(request):
+    """Return the response to a request that there is no room for."""
+    return web.json_response(
+        {'problem': 'too many calls at once; this one has not run'},
+        status=503,
+        headers={'Retry-After': str(OVERLOAD_RETRY_S)},
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
     """How a listener treats its connections.
@@ -66,6 +81,9 @@
         encoding are decoded.
     :param max_field_bytes: size above which a header field or a request
         line is malformed.
+    :param limits: the ClientLimits; None for those of an unknown VM.
+    :param refuse_overload: function of a request that returns the response
+        if there is no room for it.
     """
 
     cancel_handlers: bool = False
@@ -74,6 +92,8 @@
     shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S
     decompresses_bodies: bool = True
     max_field_bytes: int = MAX_FIELD_BYTES
+    limits: client_limits.ClientLimits | None = None
+    refuse_overload: collections.abc.Callable = refuse_overload
 
 
 DEFAULT_OPTIONS = Options()
@@ -85,14 +105,19 @@
     :param application: the aiohttp application.
     :param options: the Options.
     :ivar port: the port number; None before open().
+    :ivar ledger: the Ledger of its connections.
     """
 
     def __init__(self, application, options):
         self.port = None
+        limits = options.limits or client_limits.derive()
+        self.ledger = client_ledger.Ledger(limits)
+        self._handler_options = _handler_options(options)
         self._timers = _ConnectionTimers(options)
         self._runner = _make_runner(application, options)
         application.middlewares.insert(0, self._timers.time_request)
         application.on_response_prepare.append(self._timers.announce_close)
+        application.on_response_prepare.append(client_connection.hold_answer)
         self._sockets = []
         self._accepting = set()
 
@@ -112,7 +137,7 @@
             type=socket.SOCK_STREAM,
             flags=socket.AI_PASSIVE,
         ):
-            opened = _listen(info)
+            opened = _listen(info, self.ledger.limits)
             self._sockets.append(opened)
             self._watch(opened)
         self.port = self._sockets[0].getsockname()[1]
@@ -154,7 +179,11 @@
 
     def _accept(self, opened):
         """Accept the connections that are established at a socket."""
-        for _ in range(BACKLOG):
+        for number in range(BACKLOG):
+            if not self.ledger.admits_connection(len(self._accepting)):
+                if not number:
+                    self._make_room(opened)
+                return
             try:
                 connection, _ = opened.accept()
             except BlockingIOError:
@@ -162,16 +191,21 @@
             except OSError as error:
                 log.emit(catalogue.UNEXPECTED, detail=f'accept: {error!r}')
                 if error.errno in EXHAUSTED_ERRORS:
-                    self._accept_later(opened)
+                    self._accept_later(opened, ACCEPT_RETRY_DELAY_S)
                     return
                 continue
             connection.setblocking(False)
             self._serve(connection)
 
-    def _accept_later(self, opened):
+    def _make_room(self, opened):
+        """Make room for a connection that waits; accept it later."""
+        self.ledger.make_room_for_connection()
+        self._accept_later(opened, ACCEPT_PAUSE_S)
+
+    def _accept_later(self, opened, delay_s):
         loop = asyncio.get_running_loop()
         loop.remove_reader(opened)
-        loop.call_later(ACCEPT_RETRY_DELAY_S, self._watch, opened)
+        loop.call_later(delay_s, self._watch, opened)
 
     def _watch(self, opened):
         if opened in self._sockets:
@@ -182,7 +216,7 @@
         loop = asyncio.get_running_loop()
         accepting = loop.create_task(
             loop.connect_accepted_socket(
-                lambda: self._timers.connect(self._runner.server()),
+                lambda: self._timers.connect(self._make_connection()),
                 connection,
             )
         )
@@ -190,6 +224,11 @@
         accepting.add_done_callback(self._accepting.discard)
         accepting.add_done_callback(tasks.log_exception)
 
+    def _make_connection(self):
+        return client_connection.ClientConnection(
+            self._runner.server, self.ledger, **self._handler_options
+        )
+
     def _close_sockets(self):
         loop = asyncio.get_running_loop()
         for opened in self._sockets:
@@ -201,22 +240,38 @@
 def _make_runner(application, options):
     return web.AppRunner(
         application,
-        access_log=None,
-        logger=_HTTP_LOGGER,
         handler_cancellation=options.cancel_handlers,
         shutdown_timeout=options.shutdown_timeout_s,
-        max_line_size=options.max_field_bytes,
-        max_field_size=options.max_field_bytes,
-        auto_decompress=options.decompresses_bodies,
+        **_handler_options(options),
     )
 
 
-def _listen(info):
-    """Return a listening socket for an entry of getaddrinfo."""
+def _handler_options(options):
+    """Return the options of a RequestHandler."""
+    return {
+        'access_log': None,
+        'logger': http_log.LOGGER,
+        'max_line_size': options.max_field_bytes,
+        'max_field_size': options.max_field_bytes,
+        'auto_decompress': options.decompresses_bodies,
+    }
+
+
+def _listen(info, limits):
+    """Return a listening socket for an entry of getaddrinfo.
+
+    :param limits: the ClientLimits.
+    """
     family, kind, protocol, _, address = info
     opened = socket.socket(family, kind, protocol)
     try:
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted sockets inherit their buffers.
+        for option, size in (
+            (socket.SO_RCVBUF, limits.receive_buffer_bytes),
+            (socket.SO_SNDBUF, limits.send_buffer_bytes),
+        ):
+            opened.setsockopt(socket.SOL_SOCKET, option, size)
         if family == socket.AF_INET6:
             opened.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         opened.bind(address)
@@ -232,7 +287,7 @@
     transport = protocol.transport
     # aiohttp drops the transport when it closes one; the connection is
     # counted until everything is sent.
-    return transport is None or transport.get_write_buffer_size() > 0
+    return transport is None or protocol.has_unsent_data()
 
 
 class _ConnectionTimers:
@@ -244,6 +299,7 @@
     def __init__(self, options):
         self._get_timeouts = options.get_timeouts
         self._closes_connections = options.closes_connections
+        self._refuse_overload = options.refuse_overload
         self._timers_by_protocol = {}
         self._idle = set()
         # Connections whose callers were told that they will be closed.
@@ -262,6 +318,11 @@
         self._stop(protocol)
         request[CLOSE_ANNOUNCED] = protocol in self._announced
         try:
+            if not protocol.admit_request():
+                refused = self._refuse_overload(request)
+                if protocol.sends_ahead:
+                    refused.force_close()
+                return refused
             return await handler(request)
         finally:
             if protocol.transport is not None and request.keep_alive:
@@ -333,26 +394,3 @@
         self._announced.discard(protocol)
         if protocol.transport is not None:
             protocol.force_close()
-
-
-class _HttpErrorHandler(logging.Handler):
-    """Logs warnings and errors of aiohttp without data from the peer."""
-
-    def emit(self, record):
-        """Log the exception type of a record."""
-        exception = record.exc_info[1] if record.exc_info else None
-        detail = (
-            type(exception).__name__
-            if exception
-            else 'HTTP error without an exception'
-        )
-        log.emit(catalogue.HTTP_INVALID, detail=detail)
-
-
-def _make_http_logger():
-    logger = logging.Logger('bulrushrudder.http', logging.WARNING)
-    logger.addHandler(_HttpErrorHandler())
-    return logger
-
-
-_HTTP_LOGGER = _make_http_logger()
