Take an answer without a length as whole only after the whole call

A server that answered during an upload without a length and closed its sending side had its part of a body passed on as the answer. The close of the connection now ends an answer only if the server's kernel has acknowledged the whole call. Statuses outside 100 to 599, and a switch of protocols, which raised out of the transport and counted as a lost path, fail the call. The rest of a call that was answered early with a length is still written for 2 s; neither its connection nor one whose 204 or 304 names a body is used again, and trailers state no idle timeout.

--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -199,11 +199,11 @@
 
     def _release(self, server, connection):
         if not connection.usable:
-            connection.abort()
+            connection.retire()
             return
         now_s = asyncio.get_running_loop().time()
         connection.last_used_s = now_s
-        connection.reusable_until_s = now_s + connection.idle_timeout_s()
+        connection.reusable_until_s = now_s + connection.idle_timeout_s
         self._idle_by_server[_server_key(server)].append(connection)
 
 
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -7,12 +7,11 @@
 
 import asyncio
 import collections
-import enum
-import re
 
 import httptools
 
 from bulrushrudder.core import path_errors
+from bulrushrudder.engines import framing
 from bulrushrudder.engines import responses
 from bulrushrudder.lifecycle import paths
 from bulrushrudder.utils import sockets
@@ -20,8 +19,6 @@
 # Servers that state no idle timeout close idle connections after some
 # seconds.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
-# Share of a stated idle timeout after which a connection is not reused.
-IDLE_TIMEOUT_SHARE = 0.6
 MAX_BUFFERED_BYTES = 64 * 1024
 # Limit on the bytes of a response that are not its body: heads, interim
 # responses, chunk sizes with extensions, and trailers. Small chunks take
@@ -36,15 +33,10 @@
 # A call is not sent on a connection that carried one with the same id among
 # this many calls: the id would not tell a late copy from the answer.
 REMEMBERED_CALLS = 64
-_KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*(\d+)', re.IGNORECASE)
-
-
-class Match(enum.Enum):
-    """How the id in a response compares with that of the call."""
-
-    SAME = 'same'
-    MISSING = 'missing'
-    OTHER = 'other'
+# Bounds how long the rest of a call is kept that was answered early.
+REST_TIMEOUT_S = 2.0
+# A switch of protocols, which no call asks for, is not a HttpParserError.
+_PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
 def ignore_head(*_):
@@ -61,6 +53,7 @@
     :param id_header: lowercase name of the header in which responses echo
         the id of their call.
     :param kept_bytes: the KeptBytes of the process.
+    :ivar idle_timeout_s: seconds for which it may stay idle.
     :ivar relay: the Owner through which it goes, None if it is direct.
     """
 
@@ -84,8 +77,10 @@
         self._status = 0
         self._headers = []
         self._self_delimited = False
+        self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._has_head = False
         self._ended = True
+        self._complete = False
         self._closed = False
         self._not_reusable = False
         self._broke = False
@@ -140,6 +135,7 @@
         self._self_delimited = False
         self._has_head = False
         self._ended = False
+        self._complete = False
         self._skipped = 0
         self._skipping = False
         self._calls += 1
@@ -148,15 +144,6 @@
         self._path_watch.sent(len(call.data))
         self._transport.write(call.data)
 
-    def idle_timeout_s(self):
-        """Return how many seconds the connection may stay idle."""
-        for name, value in self._headers:
-            if name.lower() == 'keep-alive':
-                stated = _KEEP_ALIVE_TIMEOUT.search(value)
-                if stated:
-                    return int(stated.group(1)) * IDLE_TIMEOUT_SHARE
-        return DEFAULT_IDLE_TIMEOUT_S
-
     async def part(self):
         """Wait for the next Head, BodyChunk, End or Problem."""
         while not self._parts:
@@ -178,9 +165,24 @@
     def abort(self):
         """Close the connection immediately."""
         self._not_reusable = True
-        if self._transport is not None:
+        if self._transport is not None and not self._closed:
             self._transport.abort()
 
+    def retire(self):
+        """Close the connection after its last call.
+
+        A server may answer a call early and read the rest of it later, so
+        that rest is still written, within a time limit.
+        """
+        self._not_reusable = True
+        if self._closed or self._transport is None:
+            return
+        if self._complete and self._transport.get_write_buffer_size():
+            self._transport.close()
+            asyncio.get_running_loop().call_later(REST_TIMEOUT_S, self.abort)
+            return
+        self._transport.abort()
+
     # Called by the transport.
 
     def connection_made(self, transport):
@@ -206,7 +208,7 @@
         self._received_bytes += size
         try:
             self._parser.feed_data(_RECEIVE_BUFFER[:size])
-        except httptools.HttpParserError as error:
+        except _PARSER_ERRORS as error:
             self._reject(type(error).__name__)
             return
         framing_bytes = self._received_bytes - self._body_bytes
@@ -219,10 +221,20 @@
             )
 
     def eof_received(self):
-        """End a response that is delimited by the close of the connection."""
-        if not self._ended and self._has_head and not self._self_delimited:
+        """End the response, which is complete only if that is its end.
+
+        A server that has not received the whole call has not answered it,
+        unless it has said where its answer ends.
+        """
+        if self._ended:
+            return
+        if not self._has_head or self._self_delimited:
+            self._break('connection closed before the response was complete')
+        elif self._call_arrived():
             self._not_reusable = True
             self._end(at_close=True)
+        else:
+            self._break('connection closed before the call was written')
 
     def connection_lost(self, error):
         """Fail a call that is in progress."""
@@ -261,13 +273,21 @@
         if self._ended:
             return
         self._status = self._parser.get_status_code()
-        if self._is_interim():
+        if not framing.is_valid(self._status):
+            self._reject(f'status {self._status:03d}, expected 100 to 599')
+            return
+        if framing.is_interim(self._status):
             return
         head = responses.Head(self._status, tuple(self._headers))
         if not self._belongs_to_call(head):
             return
         self._has_head = True
-        self._self_delimited = _is_self_delimited(head)
+        self._self_delimited = framing.is_self_delimited(head)
+        self.idle_timeout_s = framing.idle_timeout_s(
+            head, DEFAULT_IDLE_TIMEOUT_S
+        )
+        if framing.announces_forbidden_body(head):
+            self._not_reusable = True
         self._on_head(head)
         self._put(head)
         if self._call.without_body:
@@ -290,7 +310,7 @@
         """Queue the end of the response."""
         if self._ended:
             return
-        if self._is_interim():
+        if framing.is_interim(self._status):
             self._headers = []
             return
         if self._skipping:
@@ -299,7 +319,7 @@
             return
         if not self._parser.should_keep_alive():
             self._not_reusable = True
-        if self._transport.get_write_buffer_size():
+        if not self._call_arrived():
             # The server responded before it had read the whole call.
             self._not_reusable = True
         self._end()
@@ -309,17 +329,19 @@
 
         A connection that has brought a foreign response is not reused.
         """
-        match = _compare_id(head.header(self._id_header), self._call.id)
+        match = framing.compare_id(head.header(self._id_header), self._call.id)
         first_call = self._calls == 1
-        if match is Match.SAME or (match is Match.MISSING and first_call):
+        if match is framing.Match.SAME or (
+            match is framing.Match.MISSING and first_call
+        ):
             return True
         self._not_reusable = True
         self._skipped += 1
-        copy = match is Match.OTHER and not first_call
+        copy = match is framing.Match.OTHER and not first_call
         if (
             copy
             and self._skipped <= MAX_SKIPPED_RESPONSES
-            and _is_self_delimited(head)
+            and framing.is_self_delimited(head)
             and self._parser.should_keep_alive()
         ):
             self._skipping = True
@@ -330,13 +352,20 @@
         )
         return False
 
-    def _is_interim(self):
-        return 100 <= self._status < 200
+    def _call_arrived(self):
+        return not sockets.unsent_bytes(self._transport)
 
     def _end(self, at_close=False):
         self._ended = True
+        self._complete = True
         self._put(responses.End(at_close))
 
+    def _break(self, detail):
+        """Fail the call, as its response was cut, and close."""
+        of_server = paths.is_of_server(self.relay is not None)
+        self._fail(responses.ProblemKind.BROKEN, detail, of_server)
+        self.abort()
+
     def _reject(self, detail):
         """Fail the call and close the connection, so that no more comes."""
         self._fail(responses.ProblemKind.INVALID, detail, of_server=True)
@@ -366,22 +395,3 @@
             self._transport.pause_reading()
         elif self._buffered <= MAX_BUFFERED_BYTES < before:
             self._transport.resume_reading()
-
-
-def _compare_id(echoed, call_id):
-    """Return the Match of an echoed id.
-
-    :param echoed: the id in the response, or None.
-    :param call_id: the id of the call; empty if it has none.
-    """
-    if echoed == (call_id or None):
-        return Match.SAME
-    return Match.MISSING if echoed is None else Match.OTHER
-
-
-def _is_self_delimited(head):
-    """Return whether a response ends without closing the connection."""
-    if head.status in (204, 304):
-        return True
-    names = {name.lower() for name, _ in head.headers}
-    return 'content-length' in names or 'transfer-encoding' in names
--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -149,9 +149,10 @@
         ) as response:
             return response.status
 
-    async def add_runner(self, reply, server_id, **changes):
+    async def add_runner(self, reply, server_id, reads_bodies=True, **changes):
         """Start a runner and wait until the entry process knows it."""
-        runner = await runners.Runner(reply).start(self._stack)
+        runner = runners.Runner(reply, reads_bodies)
+        await runner.start(self._stack)
         status = await self.send_heartbeat(runner, server_id, **changes)
         assert status == 200, status
         table = self.entry.view.state.servers
--- a/bulrushrudder/tests/builders/runners.py
+++ b/bulrushrudder/tests/builders/runners.py
@@ -14,6 +14,7 @@
 HANDLE = '3fa09c41b7d5'
 SIGNATURE = '3e1b.07.5a2.600.0.c9f2a4d1'
 CHECK_INTERVAL_S = 0.01
+RESET_AFTER_S = 0.05
 reset = scripted_engines.reset
 
 
@@ -77,19 +78,35 @@
     return stream_head() + b''.join(pieces) + scripted_engines.chunk(b'')
 
 
+async def shut_down(writer):
+    """Close the sending side only; a step of an answer."""
+    writer.write_eof()
+
+
+async def reset_soon(writer):
+    """Reset the connection after a short time; a step of an answer."""
+    await asyncio.sleep(RESET_AFTER_S)
+    await reset(writer)
+
+
 class Runner:
     """A fake runner.
 
     :param reply: function of a Call that returns the steps of an answer:
         bytes, or coroutine functions of the writer.
+    :param reads_bodies: whether it reads a call whole before it answers;
+        otherwise the body in its Calls is empty.
     :ivar calls: the calls that it has received.
+    :ivar bodies: what read_body has read.
     :ivar connections: number of connections that it has accepted.
     :ivar port: the port that it listens on; None until it is started.
     """
 
-    def __init__(self, reply):
+    def __init__(self, reply, reads_bodies=True):
         self._reply = reply
+        self._reads_bodies = reads_bodies
         self.calls = []
+        self.bodies = []
         self.connections = 0
         self.port = None
         self._listener = None
@@ -130,6 +147,12 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
         raise ConnectionResetError('the caller has closed the connection')
 
+    async def read_body(self, writer):
+        """Read the rest of the latest call; a step of an answer."""
+        size = int(self.calls[-1].headers['Content-Length'])
+        body = await self._readers_by_writer[writer].readexactly(size)
+        self.bodies.append(body)
+
     def server(self, server_id='i-1', kind='decode', **changes):
         """Return the BackendServer of this runner."""
         return fleet.server(
@@ -143,7 +166,7 @@
         number = self.connections
         try:
             while True:
-                received = await _read(reader, number)
+                received = await _read(reader, number, self._reads_bodies)
                 self.calls.append(received)
                 for step in self._reply(received):
                     if isinstance(step, bytes):
@@ -160,10 +183,11 @@
             del self._readers_by_writer[writer]
 
 
-async def _read(reader, number):
+async def _read(reader, number, reads_body):
     head = await reader.readuntil(b'\r\n\r\n')
     request_line, *lines = head.decode().split('\r\n')[:-2]
     method, target, _ = request_line.split(' ')
     pairs = dict(line.split(': ', 1) for line in lines)
-    body = await reader.readexactly(int(pairs.get('Content-Length', 0)))
+    size = int(pairs.get('Content-Length', 0)) if reads_body else 0
+    body = await reader.readexactly(size)
     return Call(method, target, pairs, body, number)
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -1,7 +1,10 @@
 """Sockets with keepalive and with limited buffers."""
 
+import array
 import contextlib
+import fcntl
 import socket
+import termios
 
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 5
@@ -94,6 +97,36 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, max_bytes)
 
 
+def unsent_bytes(transport):
+    """Return how many bytes written to a transport have not arrived.
+
+    They wait in the process, or the kernel of the peer has not acknowledged
+    them. A peer that has read all of them has acknowledged them with
+    whatever it sent afterwards.
+    """
+    return transport.get_write_buffer_size() + _queued(
+        transport, termios.TIOCOUTQ
+    )
+
+
+def unread_bytes(transport):
+    """Return how many bytes have arrived that a transport has not read."""
+    return _queued(transport, termios.FIONREAD)
+
+
+def _queued(transport, request):
+    """Return the size of a queue of the kernel, 0 for a closed socket."""
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return 0
+    size = array.array('i', [0])
+    try:
+        fcntl.ioctl(sock.fileno(), request, size)
+    except OSError:
+        return 0
+    return size[0]
+
+
 def _limit_unacknowledged(sock, timeout_ms):
     """Limit how long sent bytes may stay unacknowledged or unread."""
     with contextlib.suppress(OSError):
