--- a/bulrushrudder/platform/engines.py
+++ b/bulrushrudder/platform/engines.py
@@ -242,9 +242,15 @@
             # retention time ends.
             async with asyncio.timeout(FREE_HANDLE_TIMEOUT_S):
                 async with self._pool.call(server, call) as opened:
-                    if isinstance(opened, result.Success):
-                        await opened.unwrap().part()
-                        await calls.read_body(opened.unwrap())
+                    await _read_to_end(opened)
+
+
+async def _read_to_end(opened):
+    """Read an answer whose content does not matter."""
+    match opened:
+        case result.Success(connection):
+            if isinstance(await connection.part(), responses.Head):
+                await calls.read_body(connection)
 
 
 def _encode_decode_call(server, action, source, job):
--- a/bulrushrudder/tests/builders/runners.py
+++ b/bulrushrudder/tests/builders/runners.py
@@ -95,7 +95,8 @@
     :param reply: function of a Call that returns the steps of an answer:
         bytes, or coroutine functions of the writer.
     :param reads_bodies: whether it reads a call whole before it answers;
-        otherwise the body in its Calls is empty.
+        otherwise the body in its Calls is empty, and it closes the
+        connection after its answer.
     :ivar calls: the calls that it has received.
     :ivar bodies: what read_body has read.
     :ivar connections: number of connections that it has accepted.
@@ -174,7 +175,11 @@
                         await writer.drain()
                     else:
                         await step(writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            ConnectionError,
+        ):
             writer.close()
         except asyncio.CancelledError:
             writer.transport.abort()
