End a tunnel as reset if its server closes before it has the call

A relay passed on a clean end, though bytes of the call waited in the relay or in its kernel, so that a part of an answer looked complete.

protocol/tunnels_tests: both new tests failed before; 20 pass.

--- a/bulrushrudder/protocol/tunnel_ends.py
+++ b/bulrushrudder/protocol/tunnel_ends.py
@@ -135,6 +135,11 @@
         self._path_watch.received()
         self.tunnel.to_dialler(data)
 
+    def eof_received(self):
+        """Close the transport, whose tunnel may already end as broken."""
+        if self.tunnel is not None:
+            self.tunnel.server_closes()
+
     def connection_lost(self, error):
         """End the tunnel as the server has ended its connection."""
         if self.tunnel is not None:
@@ -241,6 +246,19 @@
         if not self._server.transport.is_closing():
             self._server.transport.resume_reading()
 
+    def server_closes(self):
+        """Pass on a reset if the server has not received all bytes.
+
+        A clean end would make what it has sent look like a whole answer,
+        although it has answered before it had the call.
+        """
+        accepted = self.accepted.transport
+        if sockets.unsent_bytes(self._server.transport) or (
+            sockets.unread_bytes(accepted)
+        ):
+            _finish(accepted, _RESET)
+            self._server.transport.abort()
+
     def server_lost(self, error):
         """Pass on the end of the server's connection."""
         transport = self.accepted.transport
--- a/bulrushrudder/tests/protocol/tunnels_tests.py
+++ b/bulrushrudder/tests/protocol/tunnels_tests.py
@@ -180,6 +180,34 @@
         )
         self.assertFalse(user.at_eof)
 
+    # Guards against a part of an answer that passes for the whole, as its
+    # server closed the connection while the call was being written.
+
+    async def check_no_clean_end(self, user):
+        async with asyncio.timeout(TIMEOUT_S / 5):
+            self.assertIsInstance(await user.lost, ConnectionResetError)
+        self.assertFalse(user.at_eof)
+        self.assertEqual(user.data, b'part')
+
+    async def test_close_before_the_call_has_arrived_is_no_clean_end(self):
+        user, _, writer = await self.open()
+        writer.transport.pause_reading()
+        user.transport.write(b'x' * 4 * LARGE_BYTES)
+        await asyncio.sleep(0.2)
+        writer.write(b'part')
+        writer.write_eof()
+        await self.check_no_clean_end(user)
+
+    async def test_close_before_the_relay_read_the_call_is_no_clean_end(self):
+        user, _, writer = await self.open()
+        (tunnel,) = self.relay.tunnels._tunnels
+        tunnel.accepted.transport.pause_reading()
+        user.transport.write(b'question')
+        await asyncio.sleep(0.1)
+        writer.write(b'part')
+        writer.write_eof()
+        await self.check_no_clean_end(user)
+
     async def test_end_of_the_relay_is_no_clean_end(self):
         user, _, writer = await self.open()
         writer.write(b'part')
