--- a/bulrushrudder/tests/engines/ends_tests.py
+++ b/bulrushrudder/tests/engines/ends_tests.py
@@ -5,8 +5,10 @@
 import unittest
 
 from bulrushrudder.engines import connection_pool
+from bulrushrudder.engines import network
 from bulrushrudder.engines import responses
 from bulrushrudder.platform import calls
+from bulrushrudder.tests.builders import relays
 from bulrushrudder.tests.builders import runners
 
 TIMEOUT_S = 3.0
@@ -30,16 +32,25 @@
     return runners.answer(b'body', f'{status} X', headers, attempt='')
 
 
-class EndsTests(unittest.IsolatedAsyncioTestCase):
+class EndsCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
-        self.pool = connection_pool.ConnectionPool('attempt-id')
+        self.pool = None
+
+    async def open_pool(self, server):
+        self.pool = connection_pool.ConnectionPool(
+            'attempt-id', network_=await self.network(server)
+        )
         self.stack.callback(self.pool.close)
 
+    async def network(self, server):
+        return network.DirectNetwork()
+
     async def call(self, *steps, data=GET, reads_bodies=True, times=1):
         """Return the last part and the body of the last of some calls."""
         self.runner = runners.Runner(lambda call: steps, reads_bodies)
         await self.runner.start(self.stack)
+        await self.open_pool(self.runner.server())
         for _ in range(times):
             parts = await self.parts_of(data)
         chunks = [p for p in parts if isinstance(p, responses.BodyChunk)]
@@ -65,11 +76,16 @@
             await self.call(*steps, **terms), (responses.End(), body)
         )
 
-    # Guards against a part of a response that passes for the whole.
-
     async def check_early(self, *steps):
         await self.check_problem(*steps, data=UPLOAD, reads_bodies=False)
 
+    async def pause(self, writer):
+        await asyncio.sleep(0.2)
+
+
+class EndsTests(EndsCase):
+    # Guards against a part of a response that passes for the whole.
+
     async def test_end_without_length_during_upload_then_reset_fails(self):
         await self.check_early(
             WITHOUT_LENGTH, runners.shut_down, runners.reset_soon
@@ -112,9 +128,6 @@
         await self.parts_of(GET)
         self.assertEqual(self.runner.connections, 2)
 
-    async def pause(self, writer):
-        await asyncio.sleep(0.2)
-
     async def read_body(self, writer):
         if 'Content-Length' in self.runner.calls[-1].headers:
             await self.runner.read_body(writer)
@@ -174,5 +187,40 @@
             await self.check_problem(CHUNKED + trailers, runners.shut_down)
 
 
+class RelayedEndsTests(EndsCase):
+    # Guards against the same if the connection goes through another VM.
+
+    async def network(self, server):
+        view = relays.view(server)
+        await relays.Vm('relay', view).start(self.stack)
+        user = await relays.Vm('user', view).start(self.stack)
+        user.cut.how = lambda server: ConnectionRefusedError()
+        return user.network
+
+    async def test_end_without_length_during_upload_fails(self):
+        for rest in (runners.reset_soon, stay_silent):
+            await self.check_early(WITHOUT_LENGTH, runners.shut_down, rest)
+
+    async def test_end_before_head_during_upload_fails_at_once(self):
+        await self.check_early(OK, runners.shut_down, stay_silent)
+
+    async def test_end_without_length_after_upload_is_complete(self):
+        last, body = await self.call(
+            WITHOUT_LENGTH, runners.shut_down, stay_silent, data=UPLOAD
+        )
+        self.assertEqual((last, body), (responses.End(True), b'half'))
+
+    async def test_connection_of_early_end_with_length_is_not_reused(self):
+        await self.check_complete(
+            answer(200), stay_silent, data=UPLOAD, reads_bodies=False
+        )
+        await self.parts_of(GET)
+        self.assertEqual(self.runner.connections, 2)
+
+    async def test_connection_is_reused_after_whole_calls(self):
+        await self.check_complete(answer(200), data=UPLOAD, times=5)
+        self.assertEqual(self.runner.connections, 1)
+
+
 def _is_last(part):
     return isinstance(part, responses.End | responses.Problem)
