Call plain services of the own interface without aiohttp

aiohttp took the reset of a connection for the end of an answer without a length, also during an upload, and 000, 099, 101, 600 and 999 for statuses. Such a part was recorded as the answer of a call that runs at most once. The client uses the connections of the platform's client now, each for one call, which also leaves out the Accept-Encoding that aiohttp adds.

--- a/bulrushrudder/engines/network.py
+++ b/bulrushrudder/engines/network.py
@@ -10,7 +10,13 @@
 
 
 class DirectNetwork:
-    """Connects to backend servers from this VM."""
+    """Connects to backend servers from this VM.
+
+    :param connect_timeout_s: seconds until a connection must be open.
+    """
+
+    def __init__(self, connect_timeout_s=CONNECT_TIMEOUT_S):
+        self._connect_timeout_s = connect_timeout_s
 
     async def open(self, server, protocol_factory):
         """Open a connection.
@@ -23,7 +29,7 @@
         :raises TimeoutError: if it does not react in time.
         """
         loop = asyncio.get_running_loop()
-        async with timeouts.RunningTimeout(CONNECT_TIMEOUT_S):
+        async with timeouts.RunningTimeout(self._connect_timeout_s):
             _, protocol = await loop.create_connection(
                 protocol_factory, server.host, server.port
             )
--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -1,13 +1,17 @@
-"""HTTP client of plain services."""
+"""HTTP client of plain services.
 
+aiohttp is not used here: it takes the reset of a connection for the end of
+a response without a length, and statuses from 000 to 999 for responses.
+"""
+
+import asyncio
 import dataclasses
 import math
 
-import aiohttp
 from returns import result
 
 from bulrushrudder.core import outcomes
-from bulrushrudder.engines import kept_bytes
+from bulrushrudder.engines import responses
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -23,7 +27,14 @@
         'upgrade',
     }
 )
-NOT_FORWARDED = HOP_BY_HOP | {'authorization', 'host', 'content-length'}
+NOT_RETURNED = HOP_BY_HOP | {'content-length'}
+NOT_FORWARDED = HOP_BY_HOP | {
+    'authorization',
+    'content-length',
+    'expect',
+    'host',
+}
+METHODS_WITHOUT_BODY = frozenset({'DELETE', 'GET', 'HEAD'})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,66 +81,79 @@
     relay: str = ''
 
 
-class BodyTooLargeError(Exception):
-    """The body of a response exceeds the limit."""
-
-
 class ServiceClient:
-    """Forwards calls to plain services.
+    """Forwards calls to plain services, each on a connection of its own.
 
-    :param session: an aiohttp client session; the caller closes it.
+    :param pool: the ConnectionPool, whose responses carry no ids; the
+        caller closes it.
     """
 
-    def __init__(self, session):
-        self._session = session
-        self._kept_bytes = kept_bytes.KeptBytes()
+    def __init__(self, pool):
+        self._pool = pool
 
     async def call(self, server, call):
         """Forward one call.
 
         :returns: a Reply, or a Refusal that says whether the call ran.
         """
-        host = f'[{server.host}]' if ':' in server.host else server.host
-        url = f'http://{host}:{server.port}{call.path}'
-        timeout = aiohttp.ClientTimeout(
-            total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        encoded = responses.Call(
+            _encode(server, call), without_body=call.method == 'HEAD'
         )
+        opened = None
         try:
-            async with self._session.request(
-                call.method,
-                url,
-                headers=_filter_headers(call.headers, NOT_FORWARDED),
-                data=call.body,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                body = await self._read_body(response)
-        except aiohttp.ClientConnectorError as error:
-            return result.Failure(_refusal(error, False))
-        except BodyTooLargeError as error:
-            return result.Failure(_refusal(error, True))
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return result.Failure(_refusal(error, True))
-        headers = _filter_headers(
-            response.headers.items(), HOP_BY_HOP | {'content-length'}
-        )
-        return result.Success(Reply(response.status, tuple(headers), body))
+            async with asyncio.timeout(call.timeout_s):
+                async with self._pool.call(server, encoded, 0.0) as opened:
+                    return await _read_reply(opened)
+        except TimeoutError:
+            sent = isinstance(opened, result.Success)
+            return _refusal(f'no answer in {call.timeout_s:.3f} s', sent)
+
+
+def _encode(server, call):
+    """Return a call as bytes."""
+    host = f'[{server.host}]' if ':' in server.host else server.host
+    lines = [
+        f'{call.method} {call.path} HTTP/1.1',
+        f'Host: {host}:{server.port}',
+        'Connection: close',
+    ]
+    forwarded = _filter_headers(call.headers, NOT_FORWARDED)
+    lines += [f'{name}: {value}' for name, value in forwarded]
+    if call.body or call.method not in METHODS_WITHOUT_BODY:
+        lines.append(f'Content-Length: {len(call.body)}')
+    head = '\r\n'.join(lines) + '\r\n\r\n'
+    return head.encode('utf-8', 'surrogateescape') + call.body
 
-    async def _read_body(self, response):
-        """Read the body of a response.
 
-        :raises BodyTooLargeError: if it exceeds the limit.
-        """
-        body = bytearray()
-        try:
-            async for data in response.content.iter_any():
+async def _read_reply(opened):
+    """Read a response to its end.
+
+    :param opened: a Connection, or the Problem of opening it.
+    :returns: a Reply, or a Refusal.
+    """
+    match opened:
+        case result.Failure(problem):
+            return _refusal(problem.detail, problem.sent)
+    connection = opened.unwrap()
+    head = None
+    body = bytearray()
+    while True:
+        part = await connection.part()
+        match part:
+            case responses.Head():
+                head = part
+            case responses.BodyChunk(data=data):
                 body += data
                 if len(body) > MAX_RESPONSE_BYTES:
-                    raise BodyTooLargeError
-                self._kept_bytes.update(response, len(body), response.close)
-        finally:
-            self._kept_bytes.release(response)
-        return bytes(body)
+                    return _refusal('the answer is too large', True)
+                connection.keep(len(body))
+            case responses.End():
+                headers = _filter_headers(head.headers, NOT_RETURNED)
+                return result.Success(
+                    Reply(head.status, tuple(headers), bytes(body))
+                )
+            case responses.Problem(detail=detail, sent=sent):
+                return _refusal(detail, sent)
 
 
 def _filter_headers(headers, excluded):
@@ -140,9 +164,9 @@
     ]
 
 
-def _refusal(error, sent):
+def _refusal(detail, sent):
     execution = (
         outcomes.Execution.UNKNOWN if sent else outcomes.Execution.NOT_RUN
     )
     reason = outcomes.Reason.BACKEND_FAILED
-    return outcomes.Refusal(reason, execution, type(error).__name__)
+    return result.Failure(outcomes.Refusal(reason, execution, detail))
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -6,6 +6,8 @@
 import aiohttp
 
 from bulrushrudder.engines import client
+from bulrushrudder.engines import connection_pool
+from bulrushrudder.engines import network as engines_network
 from bulrushrudder.engines import services as plain_services
 from bulrushrudder.entry import backend_api
 from bulrushrudder.entry import frontend
@@ -26,7 +28,7 @@
         :param stack: an AsyncExitStack that owns their connections.
         :param record_statements: not used, as servers state nothing about
             themselves in the built-in protocol.
-        :param network: not used, as aiohttp opens the connections.
+        :param network: not used, as paths are not watched.
         """
         connector = aiohttp.TCPConnector(
             limit=0,
@@ -36,9 +38,16 @@
         session = await stack.enter_async_context(
             aiohttp.ClientSession(connector=connector, auto_decompress=False)
         )
+        pool = connection_pool.ConnectionPool(
+            id_header='',
+            network_=engines_network.DirectNetwork(
+                plain_services.CONNECT_TIMEOUT_S
+            ),
+        )
+        stack.callback(pool.close)
         return (
             client.EngineClient(session),
-            plain_services.ServiceClient(session),
+            plain_services.ServiceClient(pool),
         )
 
     async def listen(self, stack, settings, entry):
