Check statuses and lengths where aiohttp does not

Cancellations and inspections of the own interface took 000 and 099 with a valid body for success; operators' commands took any status below 400, and a body cut by the end of its connection, for a reply of a control process.

--- a/bulrushrudder/commands/client.py
+++ b/bulrushrudder/commands/client.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from bulrushrudder.commands import errors
+from bulrushrudder.engines import framing
 
 REQUEST_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 5.0
@@ -26,6 +27,10 @@
         return json.loads(self.body)
 
 
+class InvalidReplyError(Exception):
+    """Nothing says that what was received is a whole HTTP response."""
+
+
 class Client:
     """Calls the operators' interface of one control process.
 
@@ -50,7 +55,12 @@
             headers['X-Operator'] = operator
         try:
             reply = asyncio.run(_call(method, self._url(path), headers, data))
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (
+            InvalidReplyError,
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+        ) as error:
             detail = str(error) or type(error).__name__
             raise errors.CommandError(
                 errors.ExitCode.UNREACHABLE,
@@ -124,4 +134,21 @@
         async with session.request(
             method, url, headers=headers, data=data
         ) as response:
+            _check_framing(response)
             return Reply(response.status, await response.read())
+
+
+def _check_framing(response):
+    """Check what aiohttp does not.
+
+    It takes the reset of a connection for the end of a body without a
+    length, and all from 000 to 999 for statuses. Control processes state a
+    length, or send chunks.
+
+    :raises InvalidReplyError: if a response cannot be taken for whole.
+    """
+    if not framing.is_final(response.status):
+        raise InvalidReplyError(f'invalid status {response.status:03d}')
+    names = ('Content-Length', 'Transfer-Encoding')
+    if not any(name in response.headers for name in names):
+        raise InvalidReplyError('its length is not stated')
--- a/bulrushrudder/engines/client.py
+++ b/bulrushrudder/engines/client.py
@@ -125,7 +125,7 @@
             async with self._post(
                 server, 'export', order, INSPECT_TIMEOUT_S
             ) as response:
-                response.raise_for_status()
+                _check_status(response.status)
                 text = await _read_reply(response)
             reply = wire.ExportReply.model_validate_json(text)
         except TimeoutError:
@@ -156,7 +156,7 @@
             async with self._post(
                 server, 'cancel', order, CANCEL_TIMEOUT_S
             ) as response:
-                response.raise_for_status()
+                _check_status(response.status)
                 text = await _read_reply(response)
             reply = wire.CancelReply.model_validate_json(text)
         except (*_ENGINE_ERRORS, TimeoutError) as error:
@@ -297,6 +297,17 @@
     return events.AttemptFailed(attempt, server.id, reason, detail, sent)
 
 
+def _check_status(status):
+    """Check the status of an inspection or a cancellation.
+
+    aiohttp takes all from 000 to 999 for statuses of responses.
+
+    :raises ValueError: if it does not say that the order was carried out.
+    """
+    if status != 200:
+        raise ValueError(f'engine answered with HTTP status {status}')
+
+
 def _backend_failure(attempt, server, error):
     reason = outcomes.Reason.BACKEND_FAILED
     detail = error if isinstance(error, str) else _describe(error)
--- a/bulrushrudder/tests/engines/client_tests.py
+++ b/bulrushrudder/tests/engines/client_tests.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import aiohttp
+from returns import result
 
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
@@ -13,6 +14,7 @@
 from bulrushrudder.lifecycle import events
 from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import jobs
+from bulrushrudder.tests.builders import runners
 from bulrushrudder.tests.builders import scripted_engines
 
 ATTEMPT = ids.AttemptId(ids.RequestId('1'), fleet.owner(), 1)
@@ -185,6 +187,31 @@
         self.assertEqual([e.reason for e in received], [full])
         self.assertFalse(received[0].sent)
 
+    # Guards against answers of no known meaning that count as success.
+
+    async def test_invalid_status_is_no_answer(self):
+        cancelled = b'{"attempts":["%s"],"vms":[]}' % ATTEMPT_NAME.encode()
+        known = b'{"known":false,"handle":null}'
+        for status in ('000', '099', '101', '204', '600', '999'):
+            with self.subTest(status):
+                answer = functools.partial(
+                    runners.answer, status=f'{status} X', attempt=''
+                )
+                (failed,) = await self.decode(answer())
+                self.assertEqual((failed.reason, failed.sent), (FAILED, True))
+                server = await self.start(answer(cancelled))
+                match await self.client.cancel(server, [ATTEMPT]):
+                    case result.Success(held):
+                        self.fail(held)
+                server = await self.start(answer(known))
+                self.assertEqual(
+                    await self.client.inspect(server, ATTEMPT),
+                    events.Inspected(ATTEMPT, False, None),
+                )
+
+    async def start(self, *steps):
+        return await scripted_engines.ScriptedEngine(*steps).start(self.stack)
+
     async def test_slow_reader_stops_reading_from_engine(self):
         token_stream = b''.join(
             scripted_engines.token_chunk(ATTEMPT_NAME, index, 'x' * 1000)
