--- a/bulrushrudder/tests/builders/cuttable_network.py
+++ b/bulrushrudder/tests/builders/cuttable_network.py
@@ -69,6 +69,7 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.opened = 0
         self.sent_bytes = 0
         self._cut = None
