--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -148,6 +148,8 @@
                     return _refusal('the answer is too large', True)
                 connection.keep(len(body))
             case responses.End():
+                # Servers may ignore that the call asks for a close.
+                connection.retire()
                 headers = _filter_headers(head.headers, NOT_RETURNED)
                 return result.Success(
                     Reply(head.status, tuple(headers), bytes(body))
--- a/bulrushrudder/tests/engines/services_tests.py
+++ b/bulrushrudder/tests/engines/services_tests.py
@@ -23,9 +23,9 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.closed = asyncio.Event()
-        pool = connection_pool.ConnectionPool('')
-        self.stack.callback(pool.close)
-        self.client = services.ServiceClient(pool)
+        self.pool = connection_pool.ConnectionPool('')
+        self.stack.callback(self.pool.close)
+        self.client = services.ServiceClient(self.pool)
 
     async def call(self, *steps, call=CALL):
         server = await scripted_engines.ScriptedEngine(*steps).start(
@@ -79,6 +79,14 @@
     async def close(self, writer):
         writer.close()
 
+    # Guards against connections that pile up, as none is used again.
+
+    async def test_connection_is_closed_if_the_server_keeps_it(self):
+        runner = runners.Runner(lambda call: [runners.answer(b'one')])
+        await runner.start(self.stack)
+        await self.client.call(runner.server(), CALL)
+        self.assertEqual(sum(map(len, self.pool._idle_by_server.values())), 0)
+
     async def test_early_end_with_length_is_complete(self):
         reply = await self.call(runners.answer(b'early'), call=UPLOAD)
         self.assertEqual(reply.unwrap().body, b'early')
--- a/bulrushrudder/tests/idempotency/call_tests.py
+++ b/bulrushrudder/tests/idempotency/call_tests.py
@@ -35,6 +35,43 @@
         self.assertIn('register was full', refused.refusal.detail)
 
 
+class FailedCallTests(unittest.TestCase):
+    # Guards against a part of an answer that is replayed, and a call that
+    # is run again, after a server ended its answer during the upload.
+
+    def setUp(self):
+        self.table = intents.Intents()
+
+    def commit(self, emitted):
+        for action in emitted:
+            match action:
+                case actions.Propose(command=command):
+                    self.table.apply(1, command)
+
+    def start(self, number):
+        """Start the call, or a resend of it; return its Call and actions."""
+        dispatch = intents.Dispatch(fleet.owner(), number)
+        started = call.Call(
+            call.Registration(KEY, 'f', dispatch, 60.0, 9, 99, 5.0)
+        )
+        self.commit(started.start(0.0))
+        read = events.RegisterRead(self.table.by_key[KEY], True)
+        return started, started.handle(read, 0.1)
+
+    def test_call_with_partial_answer_is_recorded_as_unknown(self):
+        first, sent = self.start(1)
+        self.assertEqual(sent, [actions.Send()])
+        refusal = outcomes.Refusal(
+            outcomes.Reason.BACKEND_FAILED, outcomes.Execution.UNKNOWN, ''
+        )
+        self.commit(first.handle(events.Failed(refusal), 0.2))
+        recorded = self.table.by_key[KEY]
+        self.assertIs(recorded.phase, intents.Phase.UNKNOWN)
+        self.assertIsNone(recorded.answer)
+        _, (refused,) = self.start(2)
+        self.assertIs(refused.refusal.execution, outcomes.Execution.UNKNOWN)
+
+
 class FullRegisterTests(unittest.TestCase):
     # Guards against a call that is refused as not run, and whose id then
     # counts as running for ever, because the leader changed meanwhile and an
