--- a/bulrushrudder/tests/platform/ends_of_answers_tests.py
+++ b/bulrushrudder/tests/platform/ends_of_answers_tests.py
@@ -130,6 +130,26 @@
         self.fault = '600'
         await self.check_repeated('/find/1', runners.ATTEMPT.encode())
 
+    # Guards against a sound answer that is lost with the faulty ones.
+
+    async def test_early_answer_with_length_is_the_answer(self):
+        for status, body in ((200, b'whole'), (204, b''), (599, b'error')):
+            with self.subTest(status):
+                self.reply_with(status, body)
+                self.assertEqual(await self.call('/book/1'), (status, body))
+                await self.fleet.wait_until(lambda: self.faulty.bodies)
+                self.assertEqual(self.faulty.bodies.pop(), UPLOAD)
+
+    def reply_with(self, status, body):
+        self.faulty.set_reply(
+            lambda call: [
+                runners.answer(
+                    body, f'{status} X', attempt=call.headers['Attempt-Id']
+                ),
+                self.faulty.read_body,
+            ]
+        )
+
 
 class PrefillTests(FleetTestCase):
     terms = {'stage': 'prefill'}
