--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -1,5 +1,6 @@
 """The models of the settings file, and reading it."""
 
+import dataclasses
 import ipaddress
 import pathlib
 import typing
@@ -99,6 +100,7 @@
     order_lease_ms: float = pydantic.Field(
         default=settings.DEFAULT_ORDER_LEASE_MS, ge=0
     )
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
 
     def build(self, folder):
         """Convert to the data class.
@@ -111,6 +113,7 @@
             inner=self.inner.build(),
             data_folder=folder / self.data_folder,
             order_lease_s=self.order_lease_ms / units.MS_PER_SECOND,
+            knows_cold=bool(self.cold_overrun),
         )
 
 
@@ -140,10 +143,30 @@
     retry_window_s: float = pydantic.Field(gt=0)
     spare_tokens: float = pydantic.Field(ge=0)
     spare_window_s: float = pydantic.Field(gt=0)
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
+    cold_tolerance: float | None = pydantic.Field(default=None, ge=0)
 
     def build(self):
         """Convert to the data class."""
-        return settings.FleetBounds(**self.model_dump())
+        return settings.FleetBounds(
+            **self.model_dump(exclude={'cold_overrun', 'cold_tolerance'}),
+            cold_overrun=self.cold_overrun or 0.0,
+            cold_tolerance=self.cold_tolerance or 0.0,
+        )
+
+
+class PlatformBoundsModel(models.Model):
+    """All bounds that the platform states, as it hands them out.
+
+    Which ones it states differs between deployments, so that a settings
+    template cannot name each. Those that the product does not know are
+    ignored.
+    """
+
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
+    cold_tolerance: float | None = pydantic.Field(default=None, ge=0)
 
 
 class SettingsModel(models.Model):
@@ -159,6 +182,7 @@
     may_found: bool = True
     interface: typing.Literal['own', 'platform'] = 'own'
     bounds: BoundsModel | None = None
+    platform_bounds: PlatformBoundsModel | None = None
     secrets: SecretsModel | None = None
 
     @pydantic.model_validator(mode='after')
@@ -205,17 +229,38 @@
         zone=ids.Zone(model.zone),
         environment=types.Environment(model.environment),
         entry=model.entry.build() if model.entry else None,
-        control=model.control.build(folder) if model.control else None,
+        control=_control(model, folder),
         controls=_controls(model),
         secrets=secrets,
         seeded=model.seeds is not None,
         may_found=model.may_found,
         interface=model.interface,
-        bounds=model.bounds.build() if model.bounds else None,
+        bounds=_bounds(model),
         file=pathlib.Path(file),
     )
 
 
+def _control(model, folder):
+    if model.control is None:
+        return None
+    control = model.control.build(folder)
+    if model.platform_bounds and model.platform_bounds.cold_overrun:
+        return dataclasses.replace(control, knows_cold=True)
+    return control
+
+
+def _bounds(model):
+    if model.bounds is None:
+        return None
+    bounds = model.bounds.build()
+    stated = model.platform_bounds or PlatformBoundsModel()
+    return dataclasses.replace(
+        bounds,
+        cold_overrun=bounds.cold_overrun or stated.cold_overrun or 0.0,
+        cold_tolerance=bounds.cold_tolerance or stated.cold_tolerance or 0.0,
+    )
+
+
 def _controls(model):
     if model.seeds is not None:
         return model.seeds.build()
--- a/bulrushrudder/engines/responses.py
+++ b/bulrushrudder/engines/responses.py
@@ -12,6 +12,7 @@
     BROKEN = 'broken'
     INVALID = 'invalid'
     EXPIRED = 'expired'
+    HELD_BACK = 'held back'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,9 +83,13 @@
         headers, as after HEAD.
     :param expires_s: seconds of the loop's clock after which it must not
         be sent.
+    :param starts_work: whether it has the server begin work: it counts
+        against the rate of a cold server, and servers of evacuated zones do
+        not get it.
     """
 
     data: bytes
     id: str = ''
     without_body: bool = False
     expires_s: float = math.inf
+    starts_work: bool = False
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -32,15 +32,20 @@
     :param view: the View of the log.
     :param directory: the RoleDirectory.
     :param statements: the StatementTable of this process.
+    :param cold_bounds: the ColdBounds, or None.
     """
 
-    def __init__(self, owner, view, directory, statements):
+    def __init__(self, owner, view, directory, statements, cold_bounds=None):
         self._owner = owner
         self._view = view
         self._directory = directory
         self._statements = statements
         self._local_holds = local_holds.LocalHolds(owner)
-        self._host = coordinator_host.CoordinatorHost(view)
+        self._host = coordinator_host.CoordinatorHost(
+            view,
+            cold_bounds,
+            lambda model: directory.is_elected(_role_key(model)),
+        )
         self._coordinator_vms_by_model = {}
         self._checked_versions = (0, 0)
         self._last_report_number = 0
@@ -77,7 +82,9 @@
             answer = await self._ask_once(place_request)
             match answer:
                 case result.Success(place_messages.PlaceGranted() as granted):
-                    unusable = self._unusable_servers(granted)
+                    unusable = self._unusable_servers(
+                        granted, place_request.model
+                    )
                     if not unusable:
                         return answer
                     await self.release(
@@ -229,6 +236,10 @@
         """
         return self._host.limits_by_model()
 
+    def take_rank_counts(self):
+        """Return the RankCounts of the coordinators here since the last."""
+        return self._host.take_rank_counts()
+
     async def hand_over(self):
         """Close the coordinators here and redirect their queued requests.
 
@@ -272,17 +283,28 @@
             self._directory.send(_role_key(model), message, self.serve)
         )
 
-    def _unusable_servers(self, granted):
-        """Return the granted servers that have left or take no work."""
-        return tuple(
+    def _unusable_servers(self, granted, model):
+        """Return the servers to exclude because of a grant.
+
+        These are the granted ones that have left or take no work, and with
+        one of an evacuated zone all others of such zones: the coordinator
+        does not know of the evacuation.
+        """
+        unusable = [
             server_id
             for server_id in (granted.prefill, granted.decode)
             if server_id and not self._takes_work(server_id)
-        )
+        ]
+        table = self._view.state.servers.evacuated_by_served
+        evacuated = table.get(model, {})
+        if evacuated.keys() & unusable:
+            return tuple({**dict.fromkeys(unusable), **evacuated})
+        return tuple(unusable)
 
     def _takes_work(self, server_id):
-        server = self._view.state.servers.by_id.get(server_id)
-        if server is None:
+        table = self._view.state.servers
+        server = table.by_id.get(server_id)
+        if server is None or not table.takes_requests(server):
             return False
         return self._statements.takes_work(server, _now_s())
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -7,8 +7,10 @@
 from bulrushrudder.documents import types
 from bulrushrudder.entry import pending_replies
 from bulrushrudder.placement import actions
+from bulrushrudder.placement import contacts
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import events
+from bulrushrudder.placement import rank_counts
 from bulrushrudder.protocol import place_messages
 
 # Time for other VMs to report their holds to a new coordinator.
@@ -39,6 +41,9 @@
     version: int = -1
     was_in_charge: bool = False
     owners: tuple[ids.Owner, ...] = ()
+    contact: contacts.Contact = dataclasses.field(
+        default_factory=contacts.Contact
+    )
 
 
 class CoordinatorHost:
@@ -47,10 +52,15 @@
     A coordinator is opened with the first event for its model.
 
     :param view: the View of the log.
+    :param cold_bounds: the ColdBounds, or None.
+    :param is_elected: function that returns whether this VM is in charge of
+        a model by all sessions of the view.
     """
 
-    def __init__(self, view):
+    def __init__(self, view, cold_bounds=None, is_elected=lambda model: False):
         self._view = view
+        self._cold_bounds = cold_bounds
+        self._is_elected = is_elected
         self._hosted_by_model = {}
         self._pending_replies = pending_replies.PendingReplies()
         self._unknown_holds_by_owner = {}
@@ -81,14 +91,25 @@
         hosted = self._hosted_by_model.get(model)
         if hosted is None:
             hosted = _HostedCoordinator(
-                coordinator.Coordinator(ready_s=self._ready_s(now_s)), now_s
+                coordinator.Coordinator(
+                    ready_s=self._ready_s(now_s),
+                    cold_bounds=self._cold_bounds,
+                ),
+                now_s,
             )
             self._hosted_by_model[model] = hosted
             for limit in self._recorded_limits(model):
                 hosted.coordinator.handle(limit, now_s)
-        if isinstance(event, events.PlacementRequested | events.CallRequested):
+        if isinstance(
+            event,
+            events.PlacementRequested
+            | events.CallRequested
+            | events.ColdCallRequested,
+        ):
             hosted.last_request_s = now_s
-        for change in (*self._view_changes(model, hosted), event):
+        contact_changes = self._contact_changes(model, hosted, now_s)
+        view_changes = self._view_changes(model, hosted)
+        for change in (*contact_changes, *view_changes, event):
             for action in hosted.coordinator.handle(change, now_s):
                 self._perform(action)
 
@@ -100,11 +121,7 @@
         if self._closed:
             return place_messages.CoordinatorMoved()
         call = self._pending_replies.open()
-        limits = tuple(_limit_reported(limit) for limit in message.limits)
-        self.handle_event(
-            message.model,
-            events.CallRequested(call, limits, message.max_wait_s),
-        )
+        self.handle_event(message.model, _call_requested(call, message))
         return await self._pending_replies.wait(call)
 
     def limits_by_model(self):
@@ -145,6 +162,13 @@
             for model, hosted in self._hosted_by_model.items()
         }
 
+    def take_rank_counts(self):
+        """Return the RankCounts of all coordinators since the last call."""
+        counts = rank_counts.RankCounts()
+        for hosted in self._hosted_by_model.values():
+            counts.add(hosted.coordinator.take_rank_counts())
+        return counts
+
     def tick(self):
         """Feed a tick to the coordinators that have queued requests."""
         for model, hosted in tuple(self._hosted_by_model.items()):
@@ -194,13 +218,24 @@
     def _recorded_limits(self, model):
         """Yield the limits that an earlier coordinator has recorded."""
         servers = self._view.state.servers
-        for server in servers.by_served.get(model, {}).values():
+        for server in (
+            *servers.by_served.get(model, {}).values(),
+            *servers.evacuated_by_served.get(model, {}).values(),
+        ):
             requests_per_s = servers.requests_per_s(server)
             if requests_per_s is not None:
                 yield events.LimitReported(
                     server.id, server.incarnation, requests_per_s
                 )
 
+    def _contact_changes(self, model, hosted, now_s):
+        """Return the event of a change of contact, if there is one."""
+        if self._cold_bounds is None:
+            return ()
+        if hosted.index != self._view.index:
+            hosted.contact.elect(self._is_elected(model), now_s)
+        return hosted.contact.changes(self._view.age_s(now_s), now_s)
+
     def _view_changes(self, model, hosted):
         """Yield events for changes of the view that a coordinator missed."""
         if hosted.index == self._view.index:
@@ -210,8 +245,10 @@
         version = servers.versions_by_served.get(model, 0)
         if version != hosted.version:
             hosted.version = version
-            servers_by_id = servers.by_served.get(model, {})
-            yield events.ServersChanged(tuple(servers_by_id.values()))
+            yield events.ServersChanged(
+                tuple(servers.by_served.get(model, {}).values()),
+                tuple(servers.evacuated_by_served.get(model, {}).values()),
+            )
         sessions = self._view.state.sessions.by_vm.values()
         owners = tuple(session.owner for session in sessions)
         if owners != hosted.owners:
@@ -246,6 +283,9 @@
         account = accounts_by_id.get(message.account)
         session = self._view.state.sessions.by_vm.get(message.owner.vm)
         target = self._latency_target(message.model, message.interactive)
+        own_s = None
+        if message.target_s is not None:
+            own_s = message.target_s - message.waited_s
         return events.PlacementRequested(
             call=call,
             hold=events.HoldId(message.owner, message.number),
@@ -264,6 +304,8 @@
             expected_tokens=message.expected_tokens,
             accepts_late_answer=message.accepts_late_answer,
             software=message.software,
+            rank=message.rank,
+            own_first_token_s=own_s,
         )
 
     def _latency_target(self, model, interactive):
@@ -273,6 +315,24 @@
         return self._latency_targets.find(model, interactive)
 
 
+def _call_requested(call, message):
+    """Return the event for a CallRequest message."""
+    match message.limits:
+        case [
+            place_messages.ReportLimit(cold_requests_per_s=pace) as limit
+        ] if pace > 0:
+            return events.ColdCallRequested(
+                call,
+                limit.server,
+                limit.incarnation,
+                pace,
+                limit.cold,
+                message.max_wait_s,
+            )
+    limits = tuple(_limit_reported(limit) for limit in message.limits)
+    return events.CallRequested(call, limits, message.max_wait_s)
+
+
 def _limit_reported(message):
     """Return the event for a ReportLimit message."""
     return events.LimitReported(
--- a/bulrushrudder/metrics/entry.py
+++ b/bulrushrudder/metrics/entry.py
@@ -24,6 +24,7 @@
 )
 MAX_ROUTE_LABEL_SETS = 200
 MAX_ROUTE_ACCOUNT_LABEL_SETS = 500
+MAX_RANK_LABEL_SETS = 20
 
 
 class EntryMetrics:
@@ -32,6 +33,7 @@
     def __init__(self):
         self.registry = aioprometheus.Registry()
         self._route_labels = labels.BoundedLabels(MAX_ROUTE_LABEL_SETS)
+        self._rank_labels = labels.BoundedLabels(MAX_RANK_LABEL_SETS)
         self._route_account_labels = labels.BoundedLabels(
             MAX_ROUTE_ACCOUNT_LABEL_SETS
         )
@@ -64,11 +66,24 @@
             'bulrushrudder_tunnels_total',
             'Connections to servers that were opened for other VMs.',
         )
+        self.held_back = self._counter(
+            'bulrushrudder_cold_calls_held_back_total',
+            'Requests that were not sent to a server because it is cold.',
+        )
         self.lost_paths = aioprometheus.Gauge(
             'bulrushrudder_lost_paths',
             'Servers that this VM does not reach directly, though others do.',
             registry=self.registry,
         )
+        self.waiting = aioprometheus.Gauge(
+            'bulrushrudder_waiting_requests',
+            'Requests that wait for servers, by rank.',
+            registry=self.registry,
+        )
+        self.placements = self._counter(
+            'bulrushrudder_placements_total',
+            'Requests that were granted or refused servers, by rank.',
+        )
         self.first_token = self._histogram(
             'bulrushrudder_first_token_seconds',
             'Seconds to the first token by route and client account.',
@@ -125,10 +140,26 @@
         """Count a connection that was opened for another VM."""
         self.tunnels.inc({})
 
+    def count_held_back(self):
+        """Count a request that was not sent to a cold server."""
+        self.held_back.inc({})
+
     def set_lost_paths(self, number):
         """Set the number of servers that are not reached directly."""
         self.lost_paths.set({}, number)
 
+    def set_waiting(self, rank, number):
+        """Set the number of requests of a rank that wait for servers."""
+        self.waiting.set(self._rank_labels.limit(rank=str(rank)), number)
+
+    def count_placements(self, rank, outcome, number):
+        """Count requests that got servers or did not.
+
+        :param outcome: granted or refused.
+        """
+        bounded_labels = self._rank_labels.limit(rank=str(rank))
+        self.placements.add({'outcome': outcome, **bounded_labels}, number)
+
     def latency_recorder(self, route, account, started_s):
         """Return a recorder for the token latencies of one request.
 
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -59,7 +59,8 @@
     :param claimed: decode servers whose memory other requests wait for.
     :param max_prefill_wait_s: seconds that the prefill may wait for its
         server.
-    :param limiter: paces the requests to servers that state a limit.
+    :param limiter: paces the requests to servers that state a limit or
+        are cold; a RateLimiter or a Pacing.
     """
 
     spare_pieces: int = 0
@@ -220,7 +221,7 @@
 def _decode_cost(known, now_s):
     """Return the cost of fill and failures of a server, in seconds."""
     return (
-        known.fill_share * FULL_SERVER_COST_S
+        known.load * FULL_SERVER_COST_S
         + known.failure_share_at(now_s) * FAILING_SERVER_COST_S
     )
 
--- a/bulrushrudder/platform/jobs.py
+++ b/bulrushrudder/platform/jobs.py
@@ -106,6 +106,8 @@
             stream=request_headers.attempt if software is None else '',
             software=software,
             event_wait_s=_client_wait_s(target),
+            rank=admitted.rank,
+            target_s=target.answer_s,
         )
 
 
--- a/bulrushrudder/tests/builders/platform_fleet.py
+++ b/bulrushrudder/tests/builders/platform_fleet.py
@@ -123,6 +123,13 @@
         ) as response:
             return response.status, await response.read()
 
+    async def order_zone(self, method, zone):
+        """Evacuate (POST) or restore (DELETE) a zone; return the status."""
+        async with self.session.request(
+            method, f'{self._control_url}{PREFIX}/evacuations/{zone}'
+        ) as response:
+            return response.status
+
     async def send_heartbeat(self, runner, server_id, **changes):
         """Send a heartbeat of a runner; return the status."""
         self._sequence += 1
@@ -253,10 +260,14 @@
             stale_s=3600.0,
             **entry_changes,
         ),
-        control=settings.ControlSettings(operators, other, control, folder),
+        control=settings.ControlSettings(
+            operators, other, control, folder, knows_cold=True
+        ),
         controls=(control,),
         secrets=settings.Secrets(b'', b'', b''),
         seeded=True,
-        bounds=settings.FleetBounds(0.2, 58.0, 10.0, 140000.0, 8.0),
+        bounds=settings.FleetBounds(
+            0.2, 58.0, 10.0, 140000.0, 8.0, cold_overrun=1.5, cold_tolerance=5
+        ),
         interface='platform',
     )
