--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -1,9 +1,9 @@
 """Sockets with keepalive and with limited buffers."""
 
+import array
 import contextlib
 import fcntl
 import socket
-import struct
 import termios
 
 KEEPALIVE_IDLE_S = 5
@@ -98,13 +98,33 @@
 
 
 def unsent_bytes(transport):
-    """Return the bytes that the peer of a transport has not taken."""
+    """Return how many bytes written to a transport have not arrived.
+
+    They wait in the process, or the kernel of the peer has not acknowledged
+    them. A peer that has read all of them has acknowledged them with
+    whatever it sent afterwards.
+    """
+    return transport.get_write_buffer_size() + _queued(
+        transport, termios.TIOCOUTQ
+    )
+
+
+def unread_bytes(transport):
+    """Return how many bytes have arrived that a transport has not read."""
+    return _queued(transport, termios.FIONREAD)
+
+
+def _queued(transport, request):
+    """Return the size of a queue of the kernel, 0 for a closed socket."""
     sock = transport.get_extra_info('socket')
-    queued = 0
-    if sock is not None and sock.fileno() >= 0:
-        packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        (queued,) = struct.unpack('i', packed)
-    return queued + transport.get_write_buffer_size()
+    if sock is None or sock.fileno() < 0:
+        return 0
+    size = array.array('i', [0])
+    try:
+        fcntl.ioctl(sock.fileno(), request, size)
+    except OSError:
+        return 0
+    return size[0]
 
 
 def _limit_unacknowledged(sock, timeout_ms):
