--- a/bulrushrudder/tests/builders/crowds.py
+++ b/bulrushrudder/tests/builders/crowds.py
@@ -22,7 +22,7 @@
 # Longer than a call is tried on a busy machine; no test checks a time.
 ORDINARY_TIMEOUT_S = 20.0
 ANSWER_BYTES = 400_000
-# The smallest VM of the letter.
+# The smallest VM of the platform.
 MEMORY_MB = 88
 MAX_FDS = 256
 # A client that reads nothing lets the kernel hold this much of an answer.
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -55,6 +55,7 @@
         the time of day.
     :ivar joined_s: when the machine was added.
     :ivar left_s: when it was lost for good.
+    :ivar root: the checkout whose program runs.
     """
 
     def __init__(self, fleet, name, role, ip, zone):
@@ -67,6 +68,7 @@
         self.stopped = True
         self.joined_s = -math.inf
         self.left_s = math.inf
+        self.root = fleet.root
         self._fleet = fleet
         self._process = None
         self._lost_disks = 0
@@ -114,9 +116,12 @@
         fleet = self._fleet
         if seeds is None:
             seeds = fleet.seeds(bootstrap)
-        role = fleet.deploy['roles'][self.role]
+        deploy = tomllib.loads(
+            (self.root / 'deploy' / 'system.toml').read_text()
+        )
+        role = deploy['roles'][self.role]
         settings = fleet.folder / f'{self.name}.yaml'
-        template = (fleet.root / role['template']).read_text()
+        template = (self.root / role['template']).read_text()
         fields = self._fields(bootstrap, seeds)
         settings.write_text(_render(template, fields))
         words = [
@@ -126,7 +131,7 @@
         words[0] = sys.executable
         environment = {
             'PATH': os.environ['PATH'],
-            'PYTHONPATH': str(fleet.root),
+            'PYTHONPATH': str(self.root),
             **{
                 name: _render(text, fields)
                 for name, text in role.get('env', {}).items()
@@ -138,11 +143,11 @@
             environment['SOAK_HOST'] = self.ip
             environment['SOAK_DETOUR'] = str(self.detour)
         if fleet.sync_s or fleet.cuts_paths:
-            environment['PYTHONPATH'] = f'{INJECTED}:{fleet.root}'
+            environment['PYTHONPATH'] = f'{INJECTED}:{self.root}'
         self.start_times.append((fleet.record.now_s(), time.time()))
         with open(self.log, 'ab') as log:
             self._process = subprocess.Popen(
-                words, cwd=fleet.root, env=environment, stdout=log, stderr=log
+                words, cwd=self.root, env=environment, stdout=log, stderr=log
             )
         self.starts += 1
         self.stopped = False
@@ -223,9 +228,6 @@
         self.folder = folder
         self.record = record
         self.root = pathlib.Path(root)
-        self.deploy = tomllib.loads(
-            (self.root / 'deploy' / 'system.toml').read_text()
-        )
         self.sync_s = 0.0
         self.cuts_paths = False
         self.limits = {'memory_mb': '', 'max_fds': ''}
