Weigh the bytes between zones in the choice of servers

The choice of a prefill and a decode server counted each change of zone as 10 ms, whatever was sent. Where the bounds of the settings price a byte between zones, the cost now follows from the bytes of all legs of a request, and the coordinator prefers the zones that a balance of demand and measured capacity gives each request. Without prices nothing changes.

--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -86,6 +86,16 @@
     :param spare_tokens: tokens that an account may use beyond its
         grants, per window, while its authority is unreachable.
     :param spare_window_s: length of that window in seconds.
+    :param cross_zone_byte_cost: price of a byte between availability zones;
+        None if the bytes between zones have no price.
+    :param cross_region_byte_cost: price of a byte between regions; None if
+        it is the same as between zones.
+    :param caller_second_value: what a second of waiting is worth to a
+        caller, in the same currency.
+    :param cache_bytes_per_token: bytes of KV cache per prompt token; 0 if
+        unknown.
+    :param region_by_zone: pairs of zone and region; zones that are not
+        listed are in one region.
     """
 
     retry_share: float
@@ -93,6 +103,11 @@
     retry_window_s: float
     spare_tokens: float
     spare_window_s: float
+    cross_zone_byte_cost: float | None = None
+    cross_region_byte_cost: float | None = None
+    caller_second_value: float = 0.0
+    cache_bytes_per_token: float = 0.0
+    region_by_zone: tuple[tuple[str, str], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -140,10 +140,31 @@
     retry_window_s: float = pydantic.Field(gt=0)
     spare_tokens: float = pydantic.Field(ge=0)
     spare_window_s: float = pydantic.Field(gt=0)
+    cross_zone_byte_cost: float | None = pydantic.Field(default=None, ge=0)
+    cross_region_byte_cost: float | None = pydantic.Field(default=None, ge=0)
+    caller_second_value: float | None = pydantic.Field(default=None, gt=0)
+    cache_bytes_per_token: float = pydantic.Field(default=0.0, ge=0)
+    region_by_zone: dict[str, str] = pydantic.Field(default={})
+
+    @pydantic.model_validator(mode='after')
+    def _check_prices(self):
+        priced = self.cross_zone_byte_cost is not None
+        if priced and self.caller_second_value is None:
+            raise ValueError(
+                'cross_zone_byte_cost: caller_second_value is missing'
+            )
+        if not priced and self.cross_region_byte_cost is not None:
+            raise ValueError(
+                'cross_region_byte_cost: cross_zone_byte_cost is missing'
+            )
+        return self
 
     def build(self):
         """Convert to the data class."""
-        return settings.FleetBounds(**self.model_dump())
+        fields = self.model_dump()
+        fields['caller_second_value'] = self.caller_second_value or 0.0
+        fields['region_by_zone'] = tuple(sorted(self.region_by_zone.items()))
+        return settings.FleetBounds(**fields)
 
 
 class SettingsModel(models.Model):
--- a/bulrushrudder/placement/actions.py
+++ b/bulrushrudder/placement/actions.py
@@ -5,6 +5,7 @@
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.placement import events
+from bulrushrudder.placement import zone_balance
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,3 +63,14 @@
 
     call: int
     retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonesDecided:
+    """Other shares of the zones' work than before leave their zones.
+
+    :param kind: kind of the servers: prefill, decode or service.
+    """
+
+    kind: str
+    shares: tuple[zone_balance.Share, ...]
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -1,8 +1,10 @@
 """Joint choice of prefill server, transfer link and decode server."""
 
+import collections
 import dataclasses
 
 from bulrushrudder.backpressure import rate_limiter
+from bulrushrudder.placement import crossing
 from bulrushrudder.placement import decode_server
 from bulrushrudder.placement import events
 from bulrushrudder.placement import prefills
@@ -10,7 +12,10 @@
 # A transfer must start within this time after its prefill.
 RESULT_RETENTION_S = 0.8
 MAX_PREFILL_WAIT_S = 0.05
-CROSS_ZONE_COST_S = 0.01
+# Cost of a leg that ends in another zone than the pool's balance wants. Less
+# than a full server costs, so that no request waits for its zone while
+# another one has room.
+OFF_PLAN_COST_S = 0.05
 FULL_SERVER_COST_S = 0.1
 # A failed request has lost its waiting time and may not be retried, so
 # any server with room that fails less often is preferred.
@@ -60,12 +65,16 @@
     :param max_prefill_wait_s: seconds that the prefill may wait for its
         server.
     :param limiter: paces the requests to servers that state a limit.
+    :param costs: what the bytes between zones cost.
+    :param preference: the zones that should serve the request, if any.
     """
 
     spare_pieces: int = 0
     claimed: frozenset[str] = frozenset()
     max_prefill_wait_s: float = MAX_PREFILL_WAIT_S
     limiter: rate_limiter.RateLimiter = NO_LIMITS
+    costs: crossing.Costs = crossing.FIXED
+    preference: crossing.Preference | None = None
 
 
 def choose(request, prefill_pool, decode_pool, constraints, now_s):
@@ -91,9 +100,7 @@
         return _choose_decode_only(request, decode_pool, constraints, now_s)
     if not plans:
         return Blocked()
-    plans.sort(
-        key=lambda plan: (_prefill_cost(plan, request), _server_id(plan))
-    )
+    plans = _best_plans(plans, request, constraints)
     candidates = [
         known
         for known in _decode_candidates(
@@ -110,19 +117,51 @@
         return Blocked(_server_with_most_memory(candidates))
     placements = [
         placement
-        for plan in plans[:MAX_PREFILL_PLANS]
-        for placement in _placements(plan, request, with_memory)
+        for plan in plans
+        for placement in _placements(
+            plan, request, with_memory, constraints.costs
+        )
         if decode_pool.fits(
             placement.decode, request, placement.transfer_end_s - now_s
         )
+        and _is_worth_crossing(
+            constraints,
+            _crossing_s(placement, request, constraints),
+        )
     ]
     return min(
         placements,
-        key=lambda placement: _cost(placement, request, now_s),
+        key=lambda placement: _cost(placement, request, constraints, now_s),
         default=Blocked(),
     )
 
 
+def _best_plans(plans, request, constraints):
+    """Return the prefills for which decode servers are considered.
+
+    Where bytes have a price, they are the best ones of each zone, as a
+    prefill is cheap only together with a decode server in its zone.
+    """
+    ordered = sorted(
+        plans,
+        key=lambda plan: (
+            _prefill_cost(plan, request, constraints.costs),
+            _server_id(plan),
+        ),
+    )
+    match constraints.costs:
+        case crossing.FixedCosts():
+            return ordered[:MAX_PREFILL_PLANS]
+    counts = collections.Counter()
+    best = []
+    for plan in ordered:
+        zone = plan.prefill_server.server.zone
+        counts[zone] += 1
+        if counts[zone] <= MAX_PREFILL_PLANS:
+            best.append(plan)
+    return best
+
+
 def _choose_decode_only(request, decode_pool, constraints, now_s):
     """Choose a decode server that also processes the prompt.
 
@@ -139,10 +178,18 @@
         and known.can_share(request.isolation)
         and known.has_memory(request, constraints.spare_pieces, now_s)
         and decode_pool.fits(known, request, 0.0)
+        and _is_worth_crossing(
+            constraints, _decode_only_s(known, request, constraints)
+        )
     ]
     best = min(
         candidates,
-        key=lambda k: (_decode_cost(k, now_s), k.server.id),
+        key=lambda k: (
+            _decode_cost(k, now_s)
+            + _decode_only_s(k, request, constraints)
+            + _off_plan_s(constraints, None, k.server.zone),
+            k.server.id,
+        ),
         default=None,
     )
     if best is None:
@@ -191,7 +238,7 @@
     return best.server.id if best else None
 
 
-def _placements(plan, request, candidates):
+def _placements(plan, request, candidates, costs):
     for decode in candidates:
         source = plan.prefill_server
         transfer_start_s = max(
@@ -204,6 +251,9 @@
         )
         # A rate of 0 is unknown; the transfer then counts as immediate.
         transfer_s = request.prompt_tokens / rate if rate > 0 else 0.0
+        transfer_s *= crossing.transfer_slowdown(
+            costs, source.server.zone, decode.server.zone
+        )
         transfer_end_s = transfer_start_s + transfer_s
         first_token_s = transfer_end_s + decode.steps.mean_step_s
         yield Placement(
@@ -211,10 +261,11 @@
         )
 
 
-def _prefill_cost(plan, request):
+def _prefill_cost(plan, request, costs):
     """Return the cost in seconds, with the delay of later requests."""
     cost_s = plan.end_s + plan.end_s - plan.start_s
-    return cost_s + _zone_cost(plan.prefill_server.server.zone, request.zone)
+    zone = plan.prefill_server.server.zone
+    return cost_s + crossing.prompt_s(costs, request, zone)
 
 
 def _decode_cost(known, now_s):
@@ -225,27 +276,59 @@
     )
 
 
-def _cost(placement, request, now_s):
+def _cost(placement, request, constraints, now_s):
     server = placement.decode.server
-    zone = placement.prefill.prefill_server.server.zone
-    zone_cost_s = _zone_cost(request.zone, zone) + _zone_cost(
-        zone, server.zone
-    )
+    zone_cost_s = _crossing_s(placement, request, constraints)
     decode = _decode_cost(placement.decode, now_s)
     end_s = (
         placement.transfer_end_s
         + placement.prefill.end_s
         - placement.prefill.start_s
     )
+    off_plan_s = _off_plan_s(
+        constraints, placement.prefill.prefill_server.server.zone, server.zone
+    )
     return (
-        end_s + zone_cost_s + decode,
+        end_s + zone_cost_s + decode + off_plan_s,
         server.id,
         _server_id(placement.prefill),
     )
 
 
-def _zone_cost(one, other):
-    return 0.0 if one == other else CROSS_ZONE_COST_S
+def _crossing_s(placement, request, constraints):
+    """Return the cost of the zones that a placement changes, in seconds."""
+    return crossing.placement_s(
+        constraints.costs,
+        request,
+        placement.prefill.prefill_server.server.zone,
+        placement.decode.server.zone,
+    )
+
+
+def _decode_only_s(known, request, constraints):
+    return crossing.decode_only_s(
+        constraints.costs, request, known.server.zone
+    )
+
+
+def _off_plan_s(constraints, prefill_zone, decode_zone):
+    """Return the cost of zones that the pool's balance does not want.
+
+    :param prefill_zone: None if the decode server reads the prompt.
+    """
+    wanted = constraints.preference
+    if wanted is None:
+        return 0.0
+    wrong = (decode_zone != wanted.decode) + (
+        prefill_zone not in (None, wanted.prefill)
+    )
+    return wrong * OFF_PLAN_COST_S
+
+
+def _is_worth_crossing(constraints, crossing_s):
+    """Return whether a request should cross zones rather than wait."""
+    wanted = constraints.preference
+    return wanted is None or crossing_s <= wanted.max_crossing_s
 
 
 def _server_id(plan):
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -10,11 +10,13 @@
 from bulrushrudder.placement import balance
 from bulrushrudder.placement import call_limits
 from bulrushrudder.placement import choice
+from bulrushrudder.placement import crossing
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
 from bulrushrudder.placement import flooding
+from bulrushrudder.placement import model_zones
 from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
 
@@ -44,9 +46,15 @@
         so that owners can report what they hold.
     :param max_booked_ahead: limit of places per decode server that are granted
         before the requests in them have ended.
+    :param costs: what the bytes between zones cost.
     """
 
-    def __init__(self, ready_s=0.0, max_booked_ahead=MAX_BOOKED_AHEAD):
+    def __init__(
+        self,
+        ready_s=0.0,
+        max_booked_ahead=MAX_BOOKED_AHEAD,
+        costs=crossing.FIXED,
+    ):
         self._ready_s = ready_s
         self._queue = fair_queue.FairQueue()
         self._prefills = prefills.PrefillPool()
@@ -62,6 +70,9 @@
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
         self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
+        self._zones = model_zones.ModelZones(
+            costs, self._prefills, self._decodes
+        )
 
     @property
     def queue_length(self):
@@ -103,7 +114,8 @@
         :param now_s: monotonic seconds.
         """
         immediate = self._apply(event, now_s)
-        return [*immediate, *self._dispatch(now_s)]
+        decided = self._zones.refresh(now_s)
+        return [*immediate, *decided, *self._dispatch(now_s)]
 
     def _apply(self, event, now_s):
         match event:
@@ -153,6 +165,7 @@
         if backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         self._queue.add(request, now_s, self._lead_s(request))
+        self._zones.arrived(request, now_s)
         return []
 
     def _record_work(self, request):
@@ -190,6 +203,7 @@
         self._holds_by_owner[hold.owner].discard(hold)
         self._drained_server_by_hold.pop(hold, None)
         self._queue.remove(hold)
+        self._zones.left(hold)
         grant = self._grants_by_hold.pop(hold, None)
         if grant is None:
             return
@@ -342,7 +356,10 @@
         if request.isolation is events.Isolation.ALONE:
             claimed = self._drain_for(request, claimed)
         constraints = choice.Constraints(
-            claimed=claimed, limiter=self._limits.limiter
+            claimed=claimed,
+            limiter=self._limits.limiter,
+            costs=self._zones.costs,
+            preference=self._zones.preference(request, now_s),
         )
         if held_back:
             constraints = flooding.constraints(
@@ -391,6 +408,7 @@
 
     def _refuse(self, request, reason, now_s):
         hold = request.hold
+        self._zones.left(hold)
         self._drained_server_by_hold.pop(hold, None)
         self._holds_by_owner[hold.owner].discard(hold)
         delay_s = self._return_times.next_delay_s(len(self._queue), now_s)
@@ -400,6 +418,7 @@
         request = queued.request
         self._drained_server_by_hold.pop(request.hold, None)
         self._queue.grant(queued)
+        self._zones.left(request.hold)
         self._return_times.record_grant(now_s)
         choice.book(placement, self._prefills, request)
         allocation = events.Allocation(
