Balance plain services over zones by their coordinator

All overflow of a zone went to the neighbour whose server came first, and only after four calls of one VM. Where bytes between zones have a price, entries report their calls to the service's coordinator in trailing fields of ReportHolds, which answers with the share of each zone's calls that leaves. Without a fresh word, a VM prefers its zone and takes the others in an order of its own.

--- a/bulrushrudder/entry/backend_paths.py
+++ b/bulrushrudder/entry/backend_paths.py
@@ -26,7 +26,12 @@
             direct, search, view, metrics
         )
         self.tunnels = tunnel_server.TunnelServer(
-            direct, self.network, view, metrics, is_leaving
+            direct,
+            self.network,
+            view,
+            metrics,
+            is_leaving,
+            settings.zone,
         )
 
     def close(self):
--- a/bulrushrudder/entry/call_permits.py
+++ b/bulrushrudder/entry/call_permits.py
@@ -44,7 +44,9 @@
         """
         by_id = self._router.servers(service)
         unavailable = self._monitor.unavailable(by_id)
-        candidates = self._router.candidates(service, tried, unavailable)
+        candidates = self._router.candidates(
+            service, tried, unavailable, len(call.body)
+        )
         if not candidates:
             return self._none_available([by_id[u] for u in unavailable])
         if self._monitor.requests_per_s(candidates[0]) is None:
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -8,6 +8,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.entry import coordinator_host
 from bulrushrudder.entry import role_directory
+from bulrushrudder.placement import crossing
 from bulrushrudder.placement import events
 from bulrushrudder.placement import local_holds
 from bulrushrudder.protocol import place_messages
@@ -32,15 +33,18 @@
     :param view: the View of the log.
     :param directory: the RoleDirectory.
     :param statements: the StatementTable of this process.
+    :param costs: what the bytes between zones cost.
     """
 
-    def __init__(self, owner, view, directory, statements):
+    def __init__(
+        self, owner, view, directory, statements, costs=crossing.FIXED
+    ):
         self._owner = owner
         self._view = view
         self._directory = directory
         self._statements = statements
         self._local_holds = local_holds.LocalHolds(owner)
-        self._host = coordinator_host.CoordinatorHost(view)
+        self._host = coordinator_host.CoordinatorHost(view, costs)
         self._coordinator_vms_by_model = {}
         self._checked_versions = (0, 0)
         self._last_report_number = 0
@@ -166,6 +170,27 @@
             CALL_REPLY_MARGIN_S,
         )
 
+    async def report_service_load(self, service, load):
+        """Report the calls to a plain service to its coordinator.
+
+        The report names no holds. A coordinator of the previous build
+        answers it without a decision.
+
+        :param load: the ServiceLoad.
+        :returns: an UnknownHolds message, or None without an answer.
+        """
+        self._last_report_number += 1
+        message = place_messages.ReportHolds(
+            self._owner, service, self._last_report_number, 0, (), load
+        )
+        answer = await self._directory.ask(
+            _role_key(service), message, REPORT_TIMEOUT_S, self.serve
+        )
+        match answer:
+            case result.Success(place_messages.UnknownHolds() as shares):
+                return shares
+        return None
+
     async def serve(self, message):
         """Handle a message to a coordinator on this VM.
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -6,9 +6,13 @@
 from bulrushrudder.core import ids
 from bulrushrudder.documents import types
 from bulrushrudder.entry import pending_replies
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import coordinator
+from bulrushrudder.placement import crossing
 from bulrushrudder.placement import events
+from bulrushrudder.placement import service_zones
 from bulrushrudder.protocol import place_messages
 
 # Time for other VMs to report their holds to a new coordinator.
@@ -31,10 +35,12 @@
     :param was_in_charge: whether this VM has been in charge of the model
         since the coordinator was opened.
     :param owners: owners of the sessions that it has seen.
+    :param zones: the ServiceZones of a plain service.
     """
 
     coordinator: coordinator.Coordinator
     last_request_s: float
+    zones: service_zones.ServiceZones
     index: int = -1
     version: int = -1
     was_in_charge: bool = False
@@ -47,10 +53,12 @@
     A coordinator is opened with the first event for its model.
 
     :param view: the View of the log.
+    :param costs: what the bytes between zones cost.
     """
 
-    def __init__(self, view):
+    def __init__(self, view, costs=crossing.FIXED):
         self._view = view
+        self._costs = costs
         self._hosted_by_model = {}
         self._pending_replies = pending_replies.PendingReplies()
         self._unknown_holds_by_owner = {}
@@ -81,7 +89,11 @@
         hosted = self._hosted_by_model.get(model)
         if hosted is None:
             hosted = _HostedCoordinator(
-                coordinator.Coordinator(ready_s=self._ready_s(now_s)), now_s
+                coordinator.Coordinator(
+                    ready_s=self._ready_s(now_s), costs=self._costs
+                ),
+                now_s,
+                service_zones.ServiceZones(self._costs),
             )
             self._hosted_by_model[model] = hosted
             for limit in self._recorded_limits(model):
@@ -90,7 +102,7 @@
             hosted.last_request_s = now_s
         for change in (*self._view_changes(model, hosted), event):
             for action in hosted.coordinator.handle(change, now_s):
-                self._perform(action)
+                self._perform(action, model)
 
     async def request_call(self, message):
         """Decide on a CallRequest message.
@@ -133,6 +145,8 @@
             ),
         )
         wanted = self._unknown_holds_by_owner.pop(message.owner, ())
+        if message.load is not None:
+            return self._service_shares(message, wanted)
         return place_messages.UnknownHolds(wanted)
 
     def wanted_prefills_by_model(self):
@@ -218,7 +232,28 @@
             hosted.owners = owners
             yield events.OwnersChanged(owners)
 
-    def _perform(self, action):
+    def _service_shares(self, message, wanted):
+        """Return the decision on the zones of a plain service.
+
+        :param message: a ReportHolds message with a load.
+        """
+        hosted = self._hosted_by_model.get(message.model)
+        if hosted is None or not isinstance(self._costs, crossing.ByteCosts):
+            return place_messages.UnknownHolds(wanted)
+        now_s = asyncio.get_running_loop().time()
+        hosted.last_request_s = now_s
+        by_id = self._view.state.servers.by_served.get(message.model, {})
+        decision = hosted.zones.report(
+            message.owner.vm, message.load, by_id.values(), now_s
+        )
+        if decision.changed:
+            changed = actions.ZonesDecided('service', decision.shares)
+            self._perform(changed, message.model)
+        return place_messages.UnknownHolds(
+            wanted, decision.shares, max(0.0, decision.until_s - now_s)
+        )
+
+    def _perform(self, action, model):
         match action:
             case actions.Grant(call=call):
                 granted = place_messages.PlaceGranted(
@@ -240,6 +275,17 @@
                 self._pending_replies.resolve(call, deferred)
             case actions.RequestAllocations(owner=owner, numbers=numbers):
                 self._unknown_holds_by_owner[owner] = numbers
+            case actions.ZonesDecided(kind=kind, shares=shares):
+                log.emit(
+                    catalogue.ZONES_DECIDED,
+                    service=model,
+                    kind=kind,
+                    shares=[
+                        f'{s.origin} to {s.target}: {s.share:.2f}, '
+                        f'{s.reason.value}'
+                        for s in shares
+                    ],
+                )
 
     def _placement_requested(self, call, message):
         accounts_by_id = self._view.lookups.accounts_by_id
--- a/bulrushrudder/entry/execution.py
+++ b/bulrushrudder/entry/execution.py
@@ -15,6 +15,7 @@
 from bulrushrudder.entry import server_availability
 from bulrushrudder.entry import server_feedback
 from bulrushrudder.entry import tracing
+from bulrushrudder.entry import zone_traffic
 from bulrushrudder.lifecycle import actions
 from bulrushrudder.lifecycle import events
 from bulrushrudder.lifecycle import request as lifecycle
@@ -57,6 +58,7 @@
             services, job.model
         )
         self._crashes = crash_evidence.CrashEvidence(job, services)
+        self._traffic = zone_traffic.RequestTraffic(job, services)
         self._loop = asyncio.get_running_loop()
         self._feedback = server_feedback.ServerFeedback(
             job.event_tokens, self._doubts
@@ -381,6 +383,7 @@
         if not action.produced and self._crashes.is_quarantined():
             return events.Quarantined()
         self._crashes.record_sent()
+        self._traffic.prefill(server)
         return await self._services.engines.prefill(server, action, self._job)
 
     async def _decode(self, action):
@@ -395,6 +398,7 @@
             await self._handle(events.Quarantined())
             return
         self._crashes.record_sent()
+        self._traffic.decode(server, source)
         stream = self._services.engines.decode(
             server, action, source, self._job
         )
@@ -406,6 +410,7 @@
 
     async def _handle_batch(self, batch):
         now_s = self._loop.time()
+        self._traffic.answer(batch)
         next_actions = []
         for event in batch:
             self._observe(event, now_s)
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -24,6 +24,7 @@
 from bulrushrudder.entry import service_router
 from bulrushrudder.entry import session
 from bulrushrudder.entry import shared_services
+from bulrushrudder.entry import zone_reports
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import retries
@@ -32,6 +33,7 @@
 from bulrushrudder.metrics import entry as metrics_entry
 from bulrushrudder.metrics import listener as metrics_listener
 from bulrushrudder.observers import view
+from bulrushrudder.placement import crossing
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import peers
 from bulrushrudder.protocol import place_messages
@@ -93,9 +95,10 @@
         self._call_registrar = call_registrar.CallRegistrar(
             self._owner, self.view, self.control_client, settings.environment
         )
+        self._costs = crossing.of_bounds(settings.bounds)
         statements = table.StatementTable()
         self.coordinator_client = coordinator_client.CoordinatorClient(
-            self._owner, self.view, roles, statements
+            self._owner, self.view, roles, statements, self._costs
         )
         self._backpressure = backpressure_monitor.BackpressureMonitor(
             self.view,
@@ -120,6 +123,7 @@
             self._is_leaving,
         )
         self.services = None
+        self._zone_reports = None
         self._canceller = None
         self._callers = None
 
@@ -144,11 +148,19 @@
         self._canceller = cancelling.Canceller(
             self._settings.vm, self.view, engines, self.metrics
         )
+        self._zone_reports = zone_reports.ZoneReports(
+            self._settings.vm,
+            self._settings.zone,
+            self._costs,
+            self.paths.network.doubts,
+        )
         router = service_router.ServiceRouter(
             self.view,
             self._settings.zone,
             services_client,
             self.paths.network.doubts,
+            self._zone_reports,
+            self.metrics,
         )
         self.services = shared_services.SharedServices(
             self._owner,
@@ -166,6 +178,7 @@
             ),
             self._backpressure,
             self.paths.network.doubts,
+            self._costs,
         )
 
     def _limit_retries(self):
@@ -188,6 +201,9 @@
             self._backpressure.run(),
             self.services.stream_recorder.run(),
             self.coordinator_client.run(),
+            self._zone_reports.run(
+                self.coordinator_client, self.services.service_router.servers
+            ),
             balancing.PoolBalancer(
                 self.view, self.coordinator_client, self.control_client
             ).run(),
--- a/bulrushrudder/entry/shared_services.py
+++ b/bulrushrudder/entry/shared_services.py
@@ -10,6 +10,7 @@
 from bulrushrudder.lifecycle import reachability
 from bulrushrudder.lifecycle import retries
 from bulrushrudder.lifecycle import shutdown
+from bulrushrudder.placement import crossing
 from bulrushrudder.utils import tasks
 
 MAX_TASKS_WAIT_S = 60.0
@@ -34,6 +35,7 @@
     :param backpressure: the BackpressureMonitor.
     :param doubts: function of a BackendServer that returns whether a lost
         path of this VM can explain a failed call.
+    :param costs: what the bytes between zones cost.
     :ivar stream_recorder: the StreamRecorder of this process.
     :ivar crash_reporter: the CrashReporter of this process.
     :ivar retries: the RetryPolicy of this process.
@@ -58,6 +60,7 @@
         call_permits,
         backpressure,
         doubts=lambda server: False,
+        costs=crossing.FIXED,
     ):
         self.owner = owner
         self.view = view
@@ -72,6 +75,7 @@
         self.call_permits = call_permits
         self.backpressure = backpressure
         self.doubts = doubts
+        self.costs = costs
         self.crash_reporter = crash_reporter.CrashReporter(
             view, control_client
         )
--- a/bulrushrudder/entry/tunnel_server.py
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from bulrushrudder.core import ranking
+from bulrushrudder.entry import zone_traffic
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import paths
@@ -34,10 +35,12 @@
     :param view: the View of the log.
     :param metrics: the EntryMetrics.
     :param is_leaving: function that returns whether the process stops.
+    :param zone: availability zone of this VM.
     """
 
-    def __init__(self, direct, network, view, metrics, is_leaving):
+    def __init__(self, direct, network, view, metrics, is_leaving, zone):
         self._direct = direct
+        self._zone = zone
         self._network = network
         self._view = view
         self._metrics = metrics
@@ -79,6 +82,7 @@
         finally:
             self._tunnels.discard(tunnel)
             tunnel.abort()
+            self._count(link.peer.vm, request.server, tunnel.size)
 
     async def finish(self, until_s):
         """Wait until no tunnel is left.
@@ -108,6 +112,22 @@
                 tunnels=len(self._tunnels),
             )
 
+    def _count(self, vm, server_id, size):
+        """Count the crossings that a tunnel adds to a direct connection.
+
+        :param vm: the VM that was relayed for.
+        :param size: bytes that the tunnel carried.
+        """
+        sessions = self._view.state.sessions.by_vm
+        dialler = sessions.get(vm)
+        server = self._view.state.servers.by_id.get(server_id)
+        if dialler is None or server is None:
+            return
+        legs = (dialler.zone != self._zone) + (self._zone != server.zone)
+        added = legs - (dialler.zone != server.zone)
+        if added:
+            zone_traffic.count_tunnel(self._metrics, added * size)
+
     async def _connect(self, request):
         """Connect to a server.
 
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -452,6 +452,14 @@
     'A backend server gets no new requests: it is leaving, is silent, or is '
     'excluded for a change of its kind.',
 )
+ZONES_DECIDED = Event(
+    4021,
+    Level.INFO,
+    'zones decided',
+    'The coordinator of a model or service decided anew which share of the '
+    'work of each availability zone leaves it, and where to; no share means '
+    'that all work stays in its zone.',
+)
 STREAM_TAKEN_UP = Event(
     1212,
     Level.INFO,
--- a/bulrushrudder/metrics/entry.py
+++ b/bulrushrudder/metrics/entry.py
@@ -64,6 +64,16 @@
             'bulrushrudder_tunnels_total',
             'Connections to servers that were opened for other VMs.',
         )
+        self.crossings = self._counter(
+            'bulrushrudder_cross_zone_requests_total',
+            'Legs of requests that went to another availability zone, by '
+            'traffic and reason.',
+        )
+        self.crossing_bytes = self._counter(
+            'bulrushrudder_cross_zone_bytes_total',
+            'Bytes between availability zones by traffic and reason; those '
+            'of prompts and KV caches are estimated from their tokens.',
+        )
         self.lost_paths = aioprometheus.Gauge(
             'bulrushrudder_lost_paths',
             'Servers that this VM does not reach directly, though others do.',
@@ -125,6 +135,18 @@
         """Count a connection that was opened for another VM."""
         self.tunnels.inc({})
 
+    def count_crossing(self, traffic, reason):
+        """Count a leg of a request that goes to another zone.
+
+        :param traffic: prompt, cache, answer, call or tunnel.
+        :param reason: why it leaves its zone.
+        """
+        self.crossings.inc({'traffic': traffic, 'reason': reason})
+
+    def count_crossing_bytes(self, traffic, reason, size):
+        """Count bytes that go to another zone; see count_crossing."""
+        self.crossing_bytes.add({'traffic': traffic, 'reason': reason}, size)
+
     def set_lost_paths(self, number):
         """Set the number of servers that are not reached directly."""
         self.lost_paths.set({}, number)
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -12,10 +12,10 @@
 # A transfer must start within this time after its prefill.
 RESULT_RETENTION_S = 0.8
 MAX_PREFILL_WAIT_S = 0.05
-# Cost of a leg that ends in another zone than the pool's balance wants. Less
-# than a full server costs, so that no request waits for its zone while
-# another one has room.
-OFF_PLAN_COST_S = 0.05
+# Cost of a leg that ends in another zone than the pool's balance wants: more
+# than a nearly full server costs, as the balance has counted how full zones
+# are, and less than a failing one.
+OFF_PLAN_COST_S = 0.2
 FULL_SERVER_COST_S = 0.1
 # A failed request has lost its waiting time and may not be retried, so
 # any server with room that fails less often is preferred.
@@ -319,10 +319,14 @@
     wanted = constraints.preference
     if wanted is None:
         return 0.0
-    wrong = (decode_zone != wanted.decode) + (
-        prefill_zone not in (None, wanted.prefill)
+    wrong_decode = wanted.decode not in (None, decode_zone)
+    # Off the plan, the prefill belongs to its decode server.
+    wanted_prefill = decode_zone if wrong_decode else wanted.prefill
+    wrong_prefill = (
+        None not in (prefill_zone, wanted_prefill)
+        and prefill_zone != wanted_prefill
     )
-    return wrong * OFF_PLAN_COST_S
+    return (wrong_decode + wrong_prefill) * OFF_PLAN_COST_S
 
 
 def _is_worth_crossing(constraints, crossing_s):
--- a/bulrushrudder/placement/crossing.py
+++ b/bulrushrudder/placement/crossing.py
@@ -76,14 +76,14 @@
 class Preference:
     """The zones in which the pool's balance wants a request to be served.
 
-    :param prefill: zone of its prefill server.
-    :param decode: zone of its decode server.
+    :param prefill: zone of its prefill server; None for any.
+    :param decode: zone of its decode server; None for any.
     :param max_crossing_s: cost of crossing that the wait which it saves
         is worth, in seconds; a placement that costs more is not taken.
     """
 
-    prefill: ids.Zone
-    decode: ids.Zone
+    prefill: ids.Zone | None
+    decode: ids.Zone | None
     max_crossing_s: float
 
 
--- a/bulrushrudder/placement/model_zones.py
+++ b/bulrushrudder/placement/model_zones.py
@@ -17,6 +17,8 @@
 from bulrushrudder.placement import zone_demand
 
 DECIDE_INTERVAL_S = 0.5
+# Requests that have waited for less than this are on their way, not queued.
+MIN_QUEUED_S = 0.05
 # Time for which a zone counts as out of reach of another one after a request
 # has excluded all of its servers; VMs remember a lost path for 1 s.
 LINK_LOSS_S = 2.0
@@ -33,13 +35,16 @@
     :param shares: the shares that they were drawn under.
     :param cheapest_s: cost of the cheapest zones that have servers for it;
         waiting saves nothing of that.
+    :param worth_s: seconds that it saves by leaving its zone as the balance
+        wants; 0 if it stays.
     """
 
     zone: ids.Zone
     since_s: float
-    zones: tuple[ids.Zone, ids.Zone] | None = None
+    zones: tuple[ids.Zone | None, ids.Zone | None] | None = None
     shares: object = None
     cheapest_s: float = 0.0
+    worth_s: float = 0.0
 
 
 class ModelZones:
@@ -67,6 +72,8 @@
         self._decode_draw = zone_balance.ShareDraw()
         self._prefill_draw = zone_balance.ShareDraw()
         self._decode_figures = {}
+        self._zones_with_decodes = frozenset()
+        self._zones_with_prefills = frozenset()
         self._decided_s = -math.inf
         self._prompt_tokens = 0.0
         self._output_tokens = 0.0
@@ -111,9 +118,14 @@
         """
         if not self.active or now_s < self._decided_s + DECIDE_INTERVAL_S:
             return []
+        if not self._prompt_tokens:
+            # Speeds are not known before the first request.
+            return []
         self._decided_s = now_s
         lost = self._lost_links(now_s)
-        figures = self._figures(self._decode_capacities(), now_s)
+        capacity_by_zone = self._decode_capacities()
+        self._zones_with_decodes = frozenset(capacity_by_zone)
+        figures = self._figures(capacity_by_zone, now_s)
         self._decode_figures = {f.zone: f for f in figures}
         decode = self._decode_balance.decide(
             figures, self._decode_crossing_s, now_s, lost
@@ -139,13 +151,13 @@
             return None
         shares = tuple(decision.shares for decision in self.decisions)
         if waiting.zones is None or waiting.shares != shares:
-            waiting.zones = self._draw(request.zone)
+            waiting.zones, waiting.worth_s = self._draw(request)
             waiting.shares = shares
             waiting.cheapest_s = self._cheapest_s(request)
-        waited_s = now_s - waiting.since_s
+        saved_s = self.wait_s(request.zone) + now_s - waiting.since_s
         return crossing.Preference(
             *waiting.zones,
-            waiting.cheapest_s + self.wait_s(request.zone) + waited_s,
+            waiting.cheapest_s + max(saved_s, waiting.worth_s),
         )
 
     def wait_s(self, zone):
@@ -155,14 +167,30 @@
             return math.inf
         return (figures.queue + 1.0) / figures.capacity
 
-    def _draw(self, zone):
-        """Return the zones of the prefill and of the decode server."""
+    def _draw(self, request):
+        """Return the zones of a request, and what leaving its own saves.
+
+        A request whose bytes cost more than the wait that it saves stays. A
+        zone without servers is not wanted; the bytes then decide alone.
+        """
         decode, prefill = self.decisions
-        chosen = self._decode_draw.draw(zone, decode.targets(zone))
-        return (
-            self._prefill_draw.draw(chosen, prefill.targets(chosen)),
-            chosen,
+        chosen = self._decode_draw.draw(
+            request.zone, decode.targets(request.zone)
         )
+        worth_s = decode.worth_s(request.zone, chosen)
+        crossing_s = crossing.decode_only_s(self.costs, request, chosen)
+        if crossing_s > worth_s:
+            chosen, worth_s = request.zone, 0.0
+        if chosen not in self._zones_with_decodes:
+            return (None, None), 0.0
+        source = self._prefill_draw.draw(chosen, prefill.targets(chosen))
+        sizes = crossing.request_bytes(self.costs, request.prompt_tokens, 0)
+        cache_s = crossing.leg_s(self.costs, source, chosen, sizes.cache)
+        if cache_s > prefill.worth_s(chosen, source):
+            source = chosen
+        if source not in self._zones_with_prefills:
+            source = None
+        return (source, chosen), worth_s
 
     def _cheapest_s(self, request):
         """Return the cost of the cheapest zones that have servers."""
@@ -192,7 +220,9 @@
 
     def _figures(self, capacity_by_zone, now_s):
         queues = collections.Counter(
-            waiting.zone for waiting in self._waiting_by_hold.values()
+            waiting.zone
+            for waiting in self._waiting_by_hold.values()
+            if now_s - waiting.since_s >= MIN_QUEUED_S
         )
         rates = self._arrivals.rates(now_s)
         return [
@@ -213,6 +243,7 @@
             for target, share in decode.targets(zone).items():
                 demand_by_zone[target] += rate * share
         capacity_by_zone = self._prefill_capacities()
+        self._zones_with_prefills = frozenset(capacity_by_zone)
         return [
             zone_balance.ZoneFigures(
                 zone,
--- a/bulrushrudder/placement/server_selector.py
+++ b/bulrushrudder/placement/server_selector.py
@@ -42,10 +42,13 @@
     while a server is up.
 
     :param zone: of this VM.
+    :param spread: the ZoneSpread, which chooses the zone of each call; None
+        to prefer the zone of this VM.
     """
 
-    def __init__(self, zone):
+    def __init__(self, zone, spread=None):
         self._zone = zone
+        self._spread = spread
         self._servers_by_id = {}
         self._on_probation = set()
         self._indexes_by_zone = {}
@@ -74,11 +77,12 @@
         """
         return next(iter(self.ranked(now_s, tried)), None)
 
-    def ranked(self, now_s, tried=(), unavailable=()):
+    def ranked(self, now_s, tried=(), unavailable=(), size=0):
         """Return the ids of some servers for a call, the best one first.
 
         :param tried: ids of servers already tried for the call.
         :param unavailable: ids of servers that take no call.
+        :param size: bytes that the call sends.
         """
         passed_over = {*tried, *unavailable}
         for server_id in self._on_probation:
@@ -93,7 +97,11 @@
         ]
         if not candidates and not tried:
             candidates = self._first_to_be_readmitted(unavailable)
-        return sorted(candidates, key=self._cost)
+        if self._spread is None:
+            return sorted(candidates, key=self._cost)
+        # A further try goes where room is, from the VM's zone outwards.
+        home = self._zone if tried else self._spread.draw(size, now_s)
+        return sorted(candidates, key=lambda s: self._spread_cost(s, home))
 
     def record_call_start(self, server_id, incarnation, now_s):
         """Record that a call is sent to a server."""
@@ -142,7 +150,7 @@
         if server_id in self._on_probation and busy:
             index.remove(server_id)
         else:
-            index.set(server_id, known.calls)
+            index.set(server_id, self._load(server_id, known))
 
     def _retire(self, server_id):
         """Stop choosing a server; forget it when no call is outstanding."""
@@ -162,6 +170,22 @@
         ]
         return [min(readmissions)[1]] if readmissions else []
 
+    def _load(self, server_id, known):
+        """Return the load of a server in the index of its zone."""
+        if self._spread is None:
+            return known.calls
+        return known.calls, -self._spread.weight(server_id)
+
+    def _spread_cost(self, server_id, home):
+        """Return the key of a server if a zone should serve the call."""
+        known = self._servers_by_id[server_id]
+        other = 0 if known.zone == home else CROSS_ZONE_COST_CALLS
+        return (
+            known.calls + other,
+            self._spread.order(known.zone),
+            -self._spread.weight(server_id),
+        )
+
     def _cost(self, server_id):
         known = self._servers_by_id[server_id]
         other = 0 if known.zone == self._zone else CROSS_ZONE_COST_CALLS
--- a/bulrushrudder/placement/zone_balance.py
+++ b/bulrushrudder/placement/zone_balance.py
@@ -34,9 +34,11 @@
 # Share of a zone's capacity by which it is filled per second after it has
 # grown: a zone that returns is full after ten seconds.
 FILL_PER_S = 0.1
-# Shares that differ by less than this are not changed, as they follow the
-# noise of a demand that is measured over a few seconds.
-MIN_CHANGE_SHARE = 0.03
+# Shares that differ by less than this, or by less than this part of what
+# they were, are not changed: such differences are the noise of a demand that
+# is measured over a few seconds.
+MIN_CHANGE_SHARE = 0.05
+MIN_CHANGE_PART = 0.2
 
 
 class Reason(enum.Enum):
@@ -95,6 +97,16 @@
         leaving = {s.target: s.share for s in self.shares if s.origin == zone}
         return {zone: max(0.0, 1.0 - sum(leaving.values())), **leaving}
 
+    def worth_s(self, origin, target):
+        """Return the seconds that a request saves by going to a zone.
+
+        It is 0 for work that stays, and for a zone that gets no share.
+        """
+        for share in self.shares:
+            if (share.origin, share.target) == (origin, target):
+                return share.worth_s
+        return 0.0
+
 
 @dataclasses.dataclass(slots=True)
 class _ZoneState:
@@ -206,7 +218,9 @@
                 usable = pair[1] in spare_by_zone and pair not in lost_links
                 if small and usable and self._is_leaving(pair[0]):
                     new[pair] = old
-            elif abs(current.share - old.share) < MIN_CHANGE_SHARE:
+            elif abs(current.share - old.share) < max(
+                MIN_CHANGE_SHARE, MIN_CHANGE_PART * old.share
+            ):
                 new[pair] = dataclasses.replace(current, share=old.share)
         return _normalised(new)
 
--- a/bulrushrudder/placement/zone_demand.py
+++ b/bulrushrudder/placement/zone_demand.py
@@ -5,8 +5,9 @@
 # Time over which rates are averaged: long enough for some tens of requests
 # at a few per second, short against the duration of a burst.
 WINDOW_S = 4.0
-# A rate is not higher than if it had been measured for this time.
-MIN_OBSERVED_S = 1.0
+# Rates are at least spread over this time, so that the first requests after
+# a start do not count as a high rate.
+MIN_OBSERVED_S = 2.0
 # Rates below this are forgotten.
 MIN_RATE = 0.01
 
--- a/bulrushrudder/protocol/place_messages.py
+++ b/bulrushrudder/protocol/place_messages.py
@@ -4,6 +4,8 @@
 
 from bulrushrudder.core import ids
 from bulrushrudder.placement import events
+from bulrushrudder.placement import service_zones
+from bulrushrudder.placement import zone_balance
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +100,9 @@
     :param end_number: upper limit, exclusive, of the numbers that the
         report covers.
     :param numbers: numbers of the holds.
+    :param load: what the owner measured of a plain service, for its
+        coordinator; None in reports about models. The previous build
+        ignores it, and such a report names no holds.
     """
 
     owner: ids.Owner
@@ -105,6 +110,7 @@
     sequence: int
     end_number: int
     numbers: tuple[int, ...]
+    load: service_zones.ServiceLoad | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,9 +118,15 @@
     """Response to ReportHolds: holds that the coordinator does not know.
 
     :param numbers: numbers of the holds.
+    :param shares: which share of the calls of each zone leaves it, in
+        response to a load.
+    :param valid_s: seconds for which the shares hold; 0 if there is no
+        decision, as from the previous build.
     """
 
     numbers: tuple[int, ...]
+    shares: tuple[zone_balance.Share, ...] = ()
+    valid_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/protocol/tunnel_ends.py
+++ b/bulrushrudder/protocol/tunnel_ends.py
@@ -193,11 +193,13 @@
     :param transport: the accepted transport.
     :param server_end: the ServerEnd, connected.
     :ivar ended: event that is set once both connections have ended.
+    :ivar size: number of bytes copied.
     """
 
     def __init__(self, transport, server_end):
         self.accepted = AcceptedEnd(transport, self)
         self.ended = asyncio.Event()
+        self.size = 0
         self._server = server_end
         self._open_ends = 2
 
@@ -223,11 +225,13 @@
 
     def to_server(self, data):
         """Write bytes to the server."""
+        self.size += len(data)
         self._server.send(data)
 
     def to_dialler(self, data):
         """Write a chunk to the process that dialled."""
         transport = self.accepted.transport
+        self.size += len(data)
         if not transport.is_closing():
             transport.write(_LENGTH.pack(len(data)))
             transport.write(data)
