--- a/bulrushrudder/tests/builders/coordinator_fleet.py
+++ b/bulrushrudder/tests/builders/coordinator_fleet.py
@@ -7,6 +7,7 @@
 from bulrushrudder.documents import types
 from bulrushrudder.entry import coordinator_client
 from bulrushrudder.observers import view
+from bulrushrudder.placement import crossing
 from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.state import servers
@@ -48,7 +49,7 @@
     :ivar down: VMs that are unreachable.
     """
 
-    def __init__(self, names):
+    def __init__(self, names, costs=crossing.FIXED):
         self.view = view.View(types.Environment.PRODUCTION)
         self.host = names[0]
         self.down = set()
@@ -63,6 +64,7 @@
                 self.view,
                 FakeDirectory(self),
                 table.StatementTable(),
+                costs,
             )
 
     def apply(self, command):
--- a/bulrushrudder/tests/config/invalid_files_tests.py
+++ b/bulrushrudder/tests/config/invalid_files_tests.py
@@ -7,6 +7,7 @@
 
 from bulrushrudder.config import document
 from bulrushrudder.config import settings_file
+from bulrushrudder.placement import crossing
 
 DOCUMENT = """\
 version: 1
@@ -152,6 +153,45 @@
     def test_accepts_valid_settings(self):
         self.assertEqual(self.load(), [])
 
+    def load_bounds(self, *lines):
+        file = self.folder / 's'
+        bounds = (
+            'retry_share: 0.2',
+            'retry_extra: 1',
+            'retry_window_s: 10',
+            'spare_tokens: 0',
+            'spare_window_s: 8',
+            *lines,
+        )
+        text = ''.join(f'  {line}\n' for line in bounds)
+        file.write_text(f'{SETTINGS}bounds:\n{text}')
+        return settings_file.load(str(file))
+
+    def test_bytes_have_no_price_unless_stated(self):
+        bounds = self.load_bounds().unwrap().bounds
+        self.assertEqual(crossing.of_bounds(bounds), crossing.FIXED)
+        self.assertEqual(crossing.of_bounds(None), crossing.FIXED)
+
+    def test_prices_of_bytes_are_read(self):
+        loaded = self.load_bounds(
+            'cross_zone_byte_cost: 0.5',
+            'caller_second_value: 2',
+            'region_by_zone: {a: north}',
+        ).unwrap()
+        self.assertEqual(
+            crossing.of_bounds(loaded.bounds),
+            crossing.ByteCosts(0.5, 0.5, 2.0, 0.0, (('a', 'north'),)),
+        )
+
+    def test_price_without_value_of_a_second_is_an_error(self):
+        for lines, missing in (
+            (['cross_zone_byte_cost: 1'], 'caller_second_value is missing'),
+            (['cross_region_byte_cost: 1'], 'cross_zone_byte_cost is missing'),
+        ):
+            with self.subTest(missing):
+                (message,) = messages_of(self.load_bounds(*lines))
+                self.assertIn(missing, message)
+
     def test_order_lease_of_zero_is_not_the_default(self):
         file = self.folder / 's'
         control = (
--- a/bulrushrudder/tests/entry/coordinator_client_tests.py
+++ b/bulrushrudder/tests/entry/coordinator_client_tests.py
@@ -1,10 +1,49 @@
 import asyncio
+import dataclasses
 import unittest
 
 from returns import result
 
+from bulrushrudder.core import ids
+from bulrushrudder.placement import crossing
+from bulrushrudder.placement import service_zones
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import coordinator_fleet
+from bulrushrudder.tests.builders import fleet
+from bulrushrudder.tests.builders import zone_world
+
+
+class ServiceLoadTests(unittest.IsolatedAsyncioTestCase):
+    """An entry that hears no decision has to fall back to its own rule."""
+
+    async def report(self, costs):
+        vms = coordinator_fleet.CoordinatorFleet(('vm1', 'vm2'), costs)
+        for zone in 'ab':
+            server = fleet.server(f'docs-{zone}', 'service', zone=zone)
+            vms.apply(
+                servers.JoinServer(
+                    dataclasses.replace(server, serves=('docs',))
+                )
+            )
+        load = service_zones.ServiceLoad(ids.Zone('a'), 900.0, 100.0)
+        client = vms.clients_by_vm['vm2']
+        return vms, await client.report_service_load('docs', load)
+
+    async def test_coordinator_answers_with_shares(self):
+        _, answer = await self.report(zone_world.COSTS)
+        self.assertEqual([s.target for s in answer.shares], ['b'])
+        self.assertGreater(answer.valid_s, 0.0)
+
+    async def test_coordinator_without_prices_decides_nothing(self):
+        _, answer = await self.report(crossing.FIXED)
+        self.assertEqual((answer.shares, answer.valid_s), ((), 0.0))
+
+    async def test_unreachable_coordinator_gives_no_answer(self):
+        vms, _ = await self.report(zone_world.COSTS)
+        vms.down.add('vm1')
+        load = service_zones.ServiceLoad(ids.Zone('a'), 900.0, 100.0)
+        client = vms.clients_by_vm['vm2']
+        self.assertIsNone(await client.report_service_load('docs', load))
 
 
 class TakeoverTests(unittest.IsolatedAsyncioTestCase):
--- a/bulrushrudder/tests/protocol/codec_tests.py
+++ b/bulrushrudder/tests/protocol/codec_tests.py
@@ -4,6 +4,8 @@
 from returns import result
 
 from bulrushrudder.core import ids
+from bulrushrudder.placement import service_zones
+from bulrushrudder.placement import zone_balance
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
@@ -44,6 +46,37 @@
         without_required = msgspec.msgpack.encode(fields[:8])
         self.assertIsInstance(codec.decode(without_required), result.Failure)
 
+    def test_previous_build_reads_report_and_response_about_zones(self):
+        load = service_zones.ServiceLoad(
+            ids.Zone('a'),
+            5.0,
+            7000.0,
+            (service_zones.ServerCalls(ids.ServerId('s1'), 1.0, 0.1),),
+        )
+        share = zone_balance.Share(
+            ids.Zone('a'), ids.Zone('b'), 0.5, zone_balance.Reason.OVERLOAD
+        )
+        for message, known in (
+            (
+                place_messages.ReportHolds(
+                    fleet.owner(), 'docs', 1, 0, (), load
+                ),
+                6,
+            ),
+            (place_messages.UnknownHolds((), (share,), 3.0), 2),
+        ):
+            with self.subTest(type(message).__name__):
+                data = codec.encode(message)
+                self.assertEqual(codec.decode(data).unwrap(), message)
+                fields = msgspec.msgpack.decode(data)
+                tag = registry.TAG_BY_TYPE[type(message)]
+                self.assertEqual(fields[0], tag)
+                # The previous build reads the fields that it knows of an
+                # array, whatever follows, and sends no more than these.
+                sent_back = msgspec.msgpack.encode(fields[:known])
+                read = codec.decode(sent_back).unwrap()
+                self.assertIsInstance(read, type(message))
+
     def test_tags_are_unique(self):
         tags = list(registry.TAG_BY_TYPE.values())
         self.assertEqual(len(tags), len(set(tags)))
