Explain what would become of a request

`bulrushrudder explain` asks the coordinator of a model, or the VM that calls a plain service, over the operators' interface. The decision code runs on a copy of the state; tests compare the state before and after, and the answer with the decision that follows.

--- a/bulrushrudder/commands/catalogue.py
+++ b/bulrushrudder/commands/catalogue.py
@@ -5,6 +5,7 @@
 from bulrushrudder.commands import demo
 from bulrushrudder.commands import document
 from bulrushrudder.commands import entry
+from bulrushrudder.commands import explain
 from bulrushrudder.commands import key
 from bulrushrudder.commands import solo
 from bulrushrudder.commands import status
@@ -25,6 +26,7 @@
     },
     'key': {'new': key.new},
     'status': status.status,
+    'explain': explain.explain,
     'bench': bench.bench,
     'version': version.version,
 }
--- a/bulrushrudder/control/operator_api.py
+++ b/bulrushrudder/control/operator_api.py
@@ -11,6 +11,7 @@
 from bulrushrudder.config import models
 from bulrushrudder.config import rendering
 from bulrushrudder.control import changes
+from bulrushrudder.control import explanations
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -45,6 +46,7 @@
         self._secret = secret
         self._metrics = metrics
         self._changes = changes.DocumentChanges(control.node)
+        self._explanations = explanations.Explanations(control)
 
     def application(self):
         """Return the aiohttp application."""
@@ -59,6 +61,7 @@
                 web.get('/documents/{environment}', self._history),
                 web.get('/documents/{environment}/content', self._content),
                 web.get('/status', self._status),
+                web.get('/explain', self._explain),
             ]
         )
         return app
@@ -162,6 +165,14 @@
             {**dataclasses.asdict(status), 'servers': sorted(servers)}
         )
 
+    async def _explain(self, request):
+        match await self._explanations.answer(dict(request.query)):
+            case result.Success(content):
+                return web.json_response(content)
+            case result.Failure(unanswered):
+                return _problem(unanswered.status, unanswered.problem)
+        raise AssertionError('unreachable: neither an answer nor a problem')
+
     async def _current_documents(self):
         """Return the Documents after confirming that they are current.
 
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -39,14 +39,15 @@
 
     :param make_node: function that returns the Node; its argument is a
         function to call after each batch of committed commands.
-    :param peers: the Peers, with links to the other control processes.
+    :param peers: the Peers, with links to other processes.
+    :ivar peers: the Peers.
     :ivar stopping: whether new proposals of other processes are refused.
     """
 
     def __init__(self, make_node, peers):
         self.stopping = False
         self.node = make_node(self._on_committed)
-        self._peers = peers
+        self.peers = peers
         self._log_feed = log_feed.LogFeed(self.node)
         self._leases = leases.Leases()
         self._tracker = tracker.Tracker()
@@ -109,7 +110,7 @@
         # A message without an open link is dropped. The first one of a new
         # leader would then be repeated only a second later.
         for address in self.node.other_addresses():
-            self._peers.keep_open(address)
+            self.peers.keep_open(address)
         if self.node.is_ready_leader:
             await self._tick_as_leader()
         else:
@@ -146,7 +147,7 @@
         address = self.node.leader_address
         if own_status is not None or address is None:
             return own_status
-        answer = await self._peers.ask(
+        answer = await self.peers.ask(
             address, status_messages.StatusRequest(), FORWARD_TIMEOUT_S
         )
         match answer:
@@ -254,7 +255,7 @@
             if now_s - contact.heard_s < leases.SESSION_LEASE_S
         )
         if address is not None and contacts:
-            self._peers.send_or_drop(
+            self.peers.send_or_drop(
                 address, log_messages.ReportObservers(contacts)
             )
 
@@ -314,7 +315,7 @@
         """
         address = self.node.leader_address
         if address is not None:
-            answer = await self._peers.ask(address, message, FORWARD_TIMEOUT_S)
+            answer = await self.peers.ask(address, message, FORWARD_TIMEOUT_S)
             return answer == result.Success(messages.Acknowledged())
         if not self.node.is_ready_leader:
             return False
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -170,6 +170,14 @@
             CALL_REPLY_MARGIN_S,
         )
 
+    def explain(self, place_request):
+        """Explain what the coordinator on this VM would decide.
+
+        :param place_request: a PlaceRequest message.
+        :returns: an Explanation.
+        """
+        return self._host.explain(place_request)
+
     async def report_service_load(self, service, load):
         """Report the calls to a plain service to its coordinator.
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -12,6 +12,7 @@
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import crossing
 from bulrushrudder.placement import events
+from bulrushrudder.placement import explanation
 from bulrushrudder.placement import service_zones
 from bulrushrudder.protocol import place_messages
 
@@ -20,6 +21,8 @@
 # A coordinator of a model that another VM is in charge of is closed after
 # this time without a request.
 SUBSTITUTE_IDLE_TIMEOUT_S = 2.0
+# Correlates the actions of a request that is only explained.
+EXPLAINED_CALL = -1
 DEFAULT_FIRST_TOKEN_TARGET_S = 60.0
 DEFAULT_BETWEEN_TOKENS_TARGET_S = 1.0
 
@@ -104,6 +107,23 @@
             for action in hosted.coordinator.handle(change, now_s):
                 self._perform(action, model)
 
+    def explain(self, message):
+        """Explain what would become of a PlaceRequest, without an effect.
+
+        :returns: an Explanation.
+        """
+        now_s = asyncio.get_running_loop().time()
+        hosted = self._hosted_by_model.get(message.model)
+        servers = self._view.state.servers.by_served.get(message.model, {})
+        return explanation.explain(
+            hosted.coordinator
+            if hosted
+            else coordinator.Coordinator(costs=self._costs),
+            self._placement_requested(EXPLAINED_CALL, message),
+            events.ServersChanged(tuple(servers.values())),
+            now_s,
+        )
+
     async def request_call(self, message):
         """Decide on a CallRequest message.
 
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -18,6 +18,7 @@
 from bulrushrudder.entry import cancelling
 from bulrushrudder.entry import control_client
 from bulrushrudder.entry import coordinator_client
+from bulrushrudder.entry import explaining
 from bulrushrudder.entry import limit_sharing
 from bulrushrudder.entry import own_interface
 from bulrushrudder.entry import role_directory
@@ -34,6 +35,7 @@
 from bulrushrudder.metrics import listener as metrics_listener
 from bulrushrudder.observers import view
 from bulrushrudder.placement import crossing
+from bulrushrudder.protocol import explain_messages
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import peers
 from bulrushrudder.protocol import place_messages
@@ -124,6 +126,7 @@
         )
         self.services = None
         self._zone_reports = None
+        self._explainer = None
         self._canceller = None
         self._callers = None
 
@@ -162,6 +165,13 @@
             self._zone_reports,
             self.metrics,
         )
+        self._explainer = explaining.Explainer(
+            self._owner,
+            self.view,
+            self.coordinator_client,
+            router,
+            self._backpressure,
+        )
         self.services = shared_services.SharedServices(
             self._owner,
             self.view,
@@ -342,6 +352,8 @@
                 | place_messages.CallRequest()
             ):
                 return await self.coordinator_client.serve(message)
+            case explain_messages.ExplainRequest():
+                return self._explainer.explain(message)
         return None
 
 
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -72,6 +72,15 @@
         """Return a server by id, or None."""
         return self._view.state.servers.by_id.get(server_id)
 
+    def known_selector(self, service):
+        """Return the selector of a service, a new one if it is not in use.
+
+        Nothing is kept of a new one.
+        """
+        return self._selectors_by_service.get(
+            service
+        ) or server_selector.ServerSelector(self._zone)
+
     async def call(self, server, call):
         """Forward one call and record its outcome.
 
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -82,8 +82,22 @@
 
     :returns: a Placement, or Blocked.
     """
+    options = placements(
+        request, prefill_pool, decode_pool, constraints, now_s
+    )
+    if isinstance(options, Blocked):
+        return options
+    return min(
+        options,
+        key=lambda placement: cost(placement, request, constraints, now_s),
+        default=Blocked(),
+    )
+
+
+def placements(request, prefill_pool, decode_pool, constraints, now_s):
+    """Return the Placements that are possible now, or Blocked."""
     if not prefill_pool.has_server(request.excluded):
-        return _choose_decode_only(request, decode_pool, constraints, now_s)
+        return _decode_only(request, decode_pool, constraints, now_s)
     max_prefill_wait_s = constraints.max_prefill_wait_s
     if request.isolation is not events.Isolation.NONE:
         max_prefill_wait_s = 0.0
@@ -97,7 +111,7 @@
         and limiter.wait_s(_server_id(plan), now_s) == 0
     ]
     if not plans and limiter.total_requests_per_s(prefill_pool.by_id):
-        return _choose_decode_only(request, decode_pool, constraints, now_s)
+        return _decode_only(request, decode_pool, constraints, now_s)
     if not plans:
         return Blocked()
     plans = _best_plans(plans, request, constraints)
@@ -115,7 +129,7 @@
     ]
     if not with_memory:
         return Blocked(_server_with_most_memory(candidates))
-    placements = [
+    return [
         placement
         for plan in plans
         for placement in _placements(
@@ -129,11 +143,6 @@
             _crossing_s(placement, request, constraints),
         )
     ]
-    return min(
-        placements,
-        key=lambda placement: _cost(placement, request, constraints, now_s),
-        default=Blocked(),
-    )
 
 
 def _best_plans(plans, request, constraints):
@@ -162,8 +171,8 @@
     return best
 
 
-def _choose_decode_only(request, decode_pool, constraints, now_s):
-    """Choose a decode server that also processes the prompt.
+def _decode_only(request, decode_pool, constraints, now_s):
+    """Return Placements on decode servers that also process the prompt.
 
     A prompt delays the tokens of all requests on the server, so it
     processes at most one prompt per between-token target.
@@ -182,21 +191,13 @@
             constraints, _decode_only_s(known, request, constraints)
         )
     ]
-    best = min(
-        candidates,
-        key=lambda k: (
-            _decode_cost(k, now_s)
-            + _decode_only_s(k, request, constraints)
-            + _off_plan_s(constraints, None, k.server.zone),
-            k.server.id,
-        ),
-        default=None,
-    )
-    if best is None:
-        return Blocked()
-    start_s = max(now_s, best.read_free_s)
-    end_s = start_s + best.prompt_read_s(request.prompt_tokens)
-    return Placement(None, best, start_s, end_s, end_s)
+    return [_read_by_decode(k, request, now_s) for k in candidates]
+
+
+def _read_by_decode(known, request, now_s):
+    start_s = max(now_s, known.read_free_s)
+    end_s = start_s + known.prompt_read_s(request.prompt_tokens)
+    return Placement(None, known, start_s, end_s, end_s)
 
 
 def _decode_candidates(request, decode_pool, constraints, now_s):
@@ -276,8 +277,20 @@
     )
 
 
-def _cost(placement, request, constraints, now_s):
+def cost(placement, request, constraints, now_s):
+    """Return the key by which the best placement is the lowest.
+
+    It begins with a cost in seconds; costs with and without a prefill server
+    are not comparable.
+    """
     server = placement.decode.server
+    if placement.prefill is None:
+        cost_s = (
+            _decode_cost(placement.decode, now_s)
+            + _decode_only_s(placement.decode, request, constraints)
+            + _off_plan_s(constraints, None, server.zone)
+        )
+        return cost_s, server.id, ''
     zone_cost_s = _crossing_s(placement, request, constraints)
     decode = _decode_cost(placement.decode, now_s)
     end_s = (
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -15,6 +15,7 @@
 from bulrushrudder.placement import demand
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
+from bulrushrudder.placement import figure_ages
 from bulrushrudder.placement import flooding
 from bulrushrudder.placement import model_zones
 from bulrushrudder.placement import pool_limits
@@ -70,6 +71,7 @@
         self._drained_server_by_hold = {}
         self._return_times = return_times.ReturnTimes()
         self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
+        self._ages = figure_ages.FigureAges()
         self._zones = model_zones.ModelZones(
             costs, self._prefills, self._decodes
         )
@@ -84,6 +86,30 @@
         """Return the calls of all queued placement requests."""
         return self._queue.calls()
 
+    @property
+    def pools(self):
+        """Return the PrefillPool and the DecodePool."""
+        return self._prefills, self._decodes
+
+    @property
+    def zones(self):
+        """Return the ModelZones."""
+        return self._zones
+
+    @property
+    def ages(self):
+        """Return the FigureAges of the servers."""
+        return self._ages
+
+    def constraints(self, request, now_s):
+        """Return what a placement of a request must leave to others."""
+        return choice.Constraints(
+            claimed=frozenset(self._drained_server_by_hold.values()),
+            limiter=self._limits.limiter,
+            costs=self._zones.costs,
+            preference=self._zones.preference(request, now_s),
+        )
+
     @property
     def allocations(self):
         """Return all Allocations."""
@@ -140,6 +166,7 @@
             case events.LoadReported():
                 self._prefills.record_load(event)
                 self._decodes.record_load(event)
+                self._ages.record(event.server, now_s)
             case events.CacheChanged():
                 self._prefills.prefixes.changed(event)
             case events.HoldsReported():
@@ -190,10 +217,12 @@
             return
         allocation = grant.allocation
         if event.prefill_s > 0:
+            self._ages.record(allocation.prefill, now_s)
             self._prefills.record_prefill(
                 allocation.prefill, allocation.prompt_tokens, event.prefill_s
             )
         if event.token_s > 0:
+            self._ages.record(allocation.decode, now_s)
             self._decodes.record_token_time(allocation.decode, event.token_s)
         if event.verdict is not events.Verdict.UNKNOWN:
             failed = event.verdict is events.Verdict.FAILED
@@ -220,6 +249,7 @@
     def _update_servers(self, servers, now_s):
         by_id = {server.id: server for server in servers}
         self._limits.update_servers(servers)
+        self._ages.retain(by_id)
         for pool, kind in (
             (self._prefills, 'prefill'),
             (self._decodes, 'decode'),
@@ -355,11 +385,8 @@
             return self._refuse(request, outcomes.Reason.NO_SERVER, now_s)
         if request.isolation is events.Isolation.ALONE:
             claimed = self._drain_for(request, claimed)
-        constraints = choice.Constraints(
-            claimed=claimed,
-            limiter=self._limits.limiter,
-            costs=self._zones.costs,
-            preference=self._zones.preference(request, now_s),
+        constraints = dataclasses.replace(
+            self.constraints(request, now_s), claimed=claimed
         )
         if held_back:
             constraints = flooding.constraints(
--- a/bulrushrudder/placement/server_selector.py
+++ b/bulrushrudder/placement/server_selector.py
@@ -69,6 +69,11 @@
             known.present = True
             self._update_index(server.id, 0.0)
 
+    def calls(self, server_id):
+        """Return the outstanding calls of this VM to a server."""
+        known = self._servers_by_id.get(server_id)
+        return known.calls if known else 0
+
     def choose(self, now_s, tried=()):
         """Choose a server for a call.
 
--- a/bulrushrudder/protocol/registry.py
+++ b/bulrushrudder/protocol/registry.py
@@ -5,6 +5,7 @@
 from bulrushrudder.consensus import messages as consensus_messages
 from bulrushrudder.consensus import types as consensus_types
 from bulrushrudder.documents import types
+from bulrushrudder.protocol import explain_messages
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import place_messages
@@ -74,6 +75,8 @@
         stream_messages.RecordStreams: 80,
         stream_messages.FindStream: 81,
         stream_messages.StreamFound: 82,
+        explain_messages.ExplainRequest: 90,
+        explain_messages.Explained: 91,
         consensus_messages.VoteRequest: 100,
         consensus_messages.VoteResponse: 101,
         consensus_messages.AppendRequest: 102,
--- a/bulrushrudder/tests/builders/zone_world.py
+++ b/bulrushrudder/tests/builders/zone_world.py
@@ -80,6 +80,11 @@
         return f'p95 wait {waits}; {self.crossing_bytes / 1e6:.1f} MB cross'
 
 
+def new_spread(vm, zone):
+    """Return the ZoneSpread of a VM."""
+    return zone_spread.ZoneSpread(vm, ids.Zone(zone), COSTS)
+
+
 class _Server:
     """A server with places and a queue."""
 
@@ -97,7 +102,7 @@
         self.zone = ids.Zone(zone)
         self.spread = None
         if policy != CONSTANTS:
-            self.spread = zone_spread.ZoneSpread(name, self.zone, COSTS)
+            self.spread = new_spread(name, zone)
         self.selector = server_selector.ServerSelector(self.zone, self.spread)
         self.meter = call_meter.CallMeter(0.0)
 
--- a/bulrushrudder/tests/entry/call_permits_tests.py
+++ b/bulrushrudder/tests/entry/call_permits_tests.py
@@ -26,7 +26,7 @@
     def server(self, server_id):
         return SERVER
 
-    def candidates(self, service, tried, unavailable):
+    def candidates(self, service, tried, unavailable, size):
         return [SERVER]
 
     def unavailable(self, by_id):
