--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -264,7 +264,11 @@
         hosted.last_request_s = now_s
         by_id = self._view.state.servers.by_served.get(message.model, {})
         decision = hosted.zones.report(
-            message.owner.vm, message.load, by_id.values(), now_s
+            message.owner.vm,
+            message.load,
+            by_id.values(),
+            self._view.state.sessions.by_vm,
+            now_s,
         )
         if decision.changed:
             changed = actions.ZonesDecided('service', decision.shares)
--- a/bulrushrudder/placement/service_zones.py
+++ b/bulrushrudder/placement/service_zones.py
@@ -85,18 +85,19 @@
         self._balance = zone_balance.ZoneBalance()
         self._decided_s = -math.inf
 
-    def report(self, vm, load, servers, now_s):
+    def report(self, vm, load, servers, vms, now_s):
         """Record the report of a VM and decide anew if it is due.
 
         :param load: its ServiceLoad.
         :param servers: the BackendServers of the service.
+        :param vms: the VMs with an open session.
         :returns: the Decision.
         """
         self._reports_by_vm[vm] = load, now_s
         if now_s < self._decided_s + DECIDE_INTERVAL_S:
             return dataclasses.replace(self._balance.decision, changed=False)
         self._decided_s = now_s
-        self._forget(now_s)
+        self._forget(vms, now_s)
         self._measure(servers, now_s)
         return self._balance.decide(
             self.figures(servers, now_s),
@@ -107,10 +108,7 @@
 
     def figures(self, servers, now_s):
         """Return the ZoneFigures of all zones."""
-        measured_s_by_zone = {}
-        for load, reported_s in self._reports_by_vm.values():
-            known_s = measured_s_by_zone.get(load.zone, -math.inf)
-            measured_s_by_zone[load.zone] = max(known_s, reported_s)
+        measured_s_by_zone = self._measured_s_by_zone()
         calls_by_id = self._calls(now_s)
         mean_s = self._mean_place_s()
         capacity_by_zone = collections.Counter()
@@ -213,10 +211,34 @@
             self._costs, origin, target, size / total if total else 0.0
         )
 
-    def _forget(self, now_s):
-        """Forget reports that no earlier decision can rest on any more."""
-        for vm, (_, reported_s) in tuple(self._reports_by_vm.items()):
-            if now_s - reported_s > zone_balance.KEEP_STALE_S:
+    def _measured_s_by_zone(self):
+        """Return when each zone with VMs was last heard of.
+
+        VMs that get no calls stop to report, which does not make their
+        last report stale.
+        """
+        newest_s = max(
+            (reported_s for _, reported_s in self._reports_by_vm.values()),
+            default=-math.inf,
+        )
+        measured_s_by_zone = {}
+        for load, reported_s in self._reports_by_vm.values():
+            heard_s = reported_s if load.calls_per_s > 0 else newest_s
+            known_s = measured_s_by_zone.get(load.zone, -math.inf)
+            measured_s_by_zone[load.zone] = max(known_s, heard_s)
+        return measured_s_by_zone
+
+    def _forget(self, vms, now_s):
+        """Forget VMs that are gone, or got no calls for long.
+
+        One that got calls and is silent is kept: it is cut off, and what
+        its zone can bear is not known.
+        """
+        for vm, (load, reported_s) in tuple(self._reports_by_vm.items()):
+            idle = load.calls_per_s <= 0 and (
+                now_s - reported_s > zone_balance.KEEP_STALE_S
+            )
+            if idle or vm not in vms:
                 del self._reports_by_vm[vm]
 
 
--- a/bulrushrudder/tests/builders/zone_world.py
+++ b/bulrushrudder/tests/builders/zone_world.py
@@ -35,13 +35,16 @@
 
     :param demand: calls per second by zone, None if they stay.
     :param absent: the servers that are out of service from then on.
-    :param deciding: whether VMs reach the coordinator.
+    :param silent: zones whose VMs do not reach the coordinator.
+    :param cut: pairs of zones; VMs of the first reach no server of the
+        second.
     """
 
     at_s: float
     demand: dict[str, float] | None = None
     absent: frozenset[str] | None = None
-    deciding: bool | None = None
+    silent: frozenset[str] | None = None
+    cut: frozenset[tuple[str, str]] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,7 +125,8 @@
         self._order = itertools.count()
         self._now_s = 0.0
         self._demand = {}
-        self._deciding = True
+        self._silent = frozenset()
+        self._cut = frozenset()
         self._servers = {
             f'{zone}{number}': _Server(
                 fleet.server(
@@ -172,8 +176,10 @@
                 for name, server in self._servers.items()
                 if name not in change.absent
             }
-        if change.deciding is not None:
-            self._deciding = change.deciding
+        if change.silent is not None:
+            self._silent = change.silent
+        if change.cut is not None:
+            self._cut = change.cut
         records = [server.record for server in self._present.values()]
         for vm in self._vms:
             vm.selector.update_servers(records)
@@ -184,7 +190,9 @@
         vm = self._random.choice([v for v in self._vms if v.zone == zone])
         vm.meter.record_asked(self._now_s)
         server = self._servers[
-            vm.selector.ranked(self._now_s, size=CALL_BYTES)[0]
+            vm.selector.ranked(
+                self._now_s, (), self._unreachable(zone), CALL_BYTES
+            )[0]
         ]
         if server.record.zone != zone:
             self.outcome.crossed[zone, server.record.zone] += 1
@@ -196,6 +204,14 @@
         server.queue.append((vm, self._now_s))
         self._start_next(server)
 
+    def _unreachable(self, zone):
+        """Return the ids of the servers that VMs of a zone do not reach."""
+        return [
+            name
+            for name, server in self._present.items()
+            if (zone, server.record.zone) in self._cut
+        ]
+
     def _start_next(self, server):
         while server.queue and server.running < PLACES:
             vm, asked_s = server.queue.popleft()
@@ -215,11 +231,15 @@
 
     def _report(self, vm):
         self._at(self._now_s + 1.0, self._report, vm)
-        if self._policy != BALANCE or not self._deciding:
+        if self._policy != BALANCE or vm.zone in self._silent:
             return
-        load = vm.meter.take(vm.zone, (), self._now_s)
+        lost = [zone for zone in ZONES if (vm.zone, zone) in self._cut]
+        load = vm.meter.take(vm.zone, lost, self._now_s)
         records = [server.record for server in self._present.values()]
-        decision = self._zones.report(vm.name, load, records, self._now_s)
+        names = {known.name for known in self._vms}
+        decision = self._zones.report(
+            vm.name, load, records, names, self._now_s
+        )
         if decision.changed:
             self.outcome.changes.append(self._now_s)
         if decision.until_s > -math.inf:
--- a/bulrushrudder/tests/placement/zone_spread_tests.py
+++ b/bulrushrudder/tests/placement/zone_spread_tests.py
@@ -59,6 +59,7 @@
     """Figures are measured, not counted, and old ones are not used."""
 
     def setUp(self):
+        self.zones_with_vms = 'ab'
         self.zones = service_zones.ServiceZones(zone_world.COSTS)
         self.servers = [
             fleet.server(f'{z}1', 'service', zone=ids.Zone(z), places=4)
@@ -73,7 +74,8 @@
             tuple(service_zones.ServerCalls(*call) for call in calls),
             unreachable,
         )
-        return self.zones.report(f'vm-{zone}', load, self.servers, now_s)
+        vms = {f'vm-{name}' for name in self.zones_with_vms}
+        return self.zones.report(f'vm-{zone}', load, self.servers, vms, now_s)
 
     def figures(self, now_s):
         figures = self.zones.figures(self.servers, now_s)
@@ -97,6 +99,25 @@
             self.report(float(second), 'b', 10.0)
         self.assertLess(self.figures(8.0)['a'].demand, 1.0)
 
+    def test_zone_whose_vms_are_silent_stays_stale(self):
+        self.report(0.0, 'b', 10.0)
+        for second in range(1, 30):
+            decision = self.report(float(second), 'a', 100.0)
+        self.assertEqual(self.figures(29.0)['b'].measured_s, 0.0)
+        self.assertEqual(decision.shares, ())
+
+    def test_zone_whose_vms_are_gone_or_idle_is_not_stale(self):
+        for change in ('gone', 'idle'):
+            with self.subTest(change):
+                self.setUp()
+                self.report(0.0, 'b', 0.0 if change == 'idle' else 10.0)
+                if change == 'gone':
+                    self.zones_with_vms = 'a'
+                for second in range(1, 30):
+                    decision = self.report(float(second), 'a', 100.0)
+                    if second > 1:
+                        self.assertNotEqual(decision.shares, ())
+
     def test_zone_that_no_vm_reaches_gets_nothing(self):
         decision = self.report(0.0, 'a', 100.0, unreachable=('b',))
         self.assertEqual(decision.shares, ())
--- a/bulrushrudder/tests/placement/zone_world_tests.py
+++ b/bulrushrudder/tests/placement/zone_world_tests.py
@@ -13,6 +13,7 @@
 # Three servers of a zone complete 120 calls per second.
 CAPACITY = 120
 UNTIL_S = 40.0
+ALL = frozenset(zone_world.ZONES)
 
 
 def demand(a, b, c):
@@ -105,7 +106,7 @@
     def test_fallback_spreads_where_the_decider_is_lost(self):
         outcomes = play_all(
             zone_world.Change(0.0, demand(170, 50, 60)),
-            zone_world.Change(10.0, deciding=False),
+            zone_world.Change(10.0, silent=ALL),
         )
         lost = self.crossed_between(
             outcomes[zone_world.BALANCE], 15.0, UNTIL_S
@@ -120,11 +121,33 @@
         )
         self.assertLess(max(lost.values()), 0.6 * sum(lost.values()))
 
+    def test_zone_with_stale_reports_gets_no_work_of_others(self):
+        outcomes = play_all(
+            zone_world.Change(0.0, demand(60, 170, 50)),
+            zone_world.Change(10.0, silent=frozenset({'a'})),
+        )
+        self.check_waits(outcomes, 'b')
+        late = self.crossed_between(
+            outcomes[zone_world.BALANCE], 18.0, UNTIL_S
+        )
+        self.assertGreater(late['b', 'c'], 5 * late.get(('b', 'a'), 0))
+
+    def test_work_goes_elsewhere_where_a_link_is_lost(self):
+        outcomes = play_all(
+            zone_world.Change(0.0, demand(160, 50, 50)),
+            zone_world.Change(10.0, cut=frozenset({('a', 'b')})),
+        )
+        self.check_waits(outcomes)
+        late = self.crossed_between(
+            outcomes[zone_world.BALANCE], 13.0, UNTIL_S
+        )
+        self.assertEqual(set(late), {('a', 'c')})
+
     def test_decider_that_returns_takes_over_again(self):
         outcomes = play_all(
             zone_world.Change(0.0, demand(170, 50, 60)),
-            zone_world.Change(10.0, deciding=False),
-            zone_world.Change(20.0, deciding=True),
+            zone_world.Change(10.0, silent=ALL),
+            zone_world.Change(20.0, silent=frozenset()),
         )
         self.check_waits(outcomes)
 
