--- a/bulrushrudder/commands/catalogue.py
+++ b/bulrushrudder/commands/catalogue.py
@@ -10,6 +10,7 @@
 from bulrushrudder.commands import solo
 from bulrushrudder.commands import status
 from bulrushrudder.commands import version
+from bulrushrudder.commands import zone
 
 COMMANDS = {
     'entry': entry.entry,
@@ -25,6 +26,11 @@
         'diff': document.diff,
     },
     'key': {'new': key.new},
+    'zone': {
+        'evacuate': zone.evacuate,
+        'restore': zone.restore,
+        'show': zone.show,
+    },
     'status': status.status,
     'explain': explain.explain,
     'bench': bench.bench,
--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -96,6 +96,11 @@
         unknown.
     :param region_by_zone: pairs of zone and region; zones that are not
         listed are in one region.
+    :param cold_overrun: multiple of the rate that a cold server sustains,
+        which it may get in a second, apart from the tolerance; 0 if
+        nothing is known of cold servers.
+    :param cold_tolerance: requests that a cold server may get in a second
+        beyond that.
     """
 
     retry_share: float
@@ -108,6 +113,8 @@
     caller_second_value: float = 0.0
     cache_bytes_per_token: float = 0.0
     region_by_zone: tuple[tuple[str, str], ...] = ()
+    cold_overrun: float = 0.0
+    cold_tolerance: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +127,8 @@
     :param data_folder: the folder of durable state.
     :param order_lease_s: seconds after an order in which no other
         process may send one.
+    :param knows_cold: whether announcements that servers are cold are
+        recorded, because the platform bounds the requests to such servers.
     """
 
     operators: Address
@@ -127,6 +136,7 @@
     inner: Address
     data_folder: pathlib.Path
     order_lease_s: float = DEFAULT_ORDER_LEASE_MS / units.MS_PER_SECOND
+    knows_cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/config/settings_file.py
+++ b/bulrushrudder/config/settings_file.py
@@ -1,5 +1,6 @@
 """The models of the settings file, and reading it."""
 
+import dataclasses
 import ipaddress
 import pathlib
 import typing
@@ -99,6 +100,7 @@
     order_lease_ms: float = pydantic.Field(
         default=settings.DEFAULT_ORDER_LEASE_MS, ge=0
     )
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
 
     def build(self, folder):
         """Convert to the data class.
@@ -111,6 +113,7 @@
             inner=self.inner.build(),
             data_folder=folder / self.data_folder,
             order_lease_s=self.order_lease_ms / units.MS_PER_SECOND,
+            knows_cold=bool(self.cold_overrun),
         )
 
 
@@ -145,6 +148,8 @@
     caller_second_value: float | None = pydantic.Field(default=None, gt=0)
     cache_bytes_per_token: float = pydantic.Field(default=0.0, ge=0)
     region_by_zone: dict[str, str] = pydantic.Field(default={})
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
+    cold_tolerance: float | None = pydantic.Field(default=None, ge=0)
 
     @pydantic.model_validator(mode='after')
     def _check_prices(self):
@@ -164,9 +169,25 @@
         fields = self.model_dump()
         fields['caller_second_value'] = self.caller_second_value or 0.0
         fields['region_by_zone'] = tuple(sorted(self.region_by_zone.items()))
+        fields['cold_overrun'] = self.cold_overrun or 0.0
+        fields['cold_tolerance'] = self.cold_tolerance or 0.0
         return settings.FleetBounds(**fields)
 
 
+class PlatformBoundsModel(models.Model):
+    """All bounds that the platform states, as it hands them out.
+
+    Which ones it states differs between deployments, so that a settings
+    template cannot name each. Those that the product does not know are
+    ignored.
+    """
+
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+    cold_overrun: float | None = pydantic.Field(default=None, ge=0)
+    cold_tolerance: float | None = pydantic.Field(default=None, ge=0)
+
+
 class SettingsModel(models.Model):
     """The settings file."""
 
@@ -180,6 +201,7 @@
     may_found: bool = True
     interface: typing.Literal['own', 'platform'] = 'own'
     bounds: BoundsModel | None = None
+    platform_bounds: PlatformBoundsModel | None = None
     secrets: SecretsModel | None = None
 
     @pydantic.model_validator(mode='after')
@@ -226,17 +248,38 @@
         zone=ids.Zone(model.zone),
         environment=types.Environment(model.environment),
         entry=model.entry.build() if model.entry else None,
-        control=model.control.build(folder) if model.control else None,
+        control=_control(model, folder),
         controls=_controls(model),
         secrets=secrets,
         seeded=model.seeds is not None,
         may_found=model.may_found,
         interface=model.interface,
-        bounds=model.bounds.build() if model.bounds else None,
+        bounds=_bounds(model),
         file=pathlib.Path(file),
     )
 
 
+def _control(model, folder):
+    if model.control is None:
+        return None
+    control = model.control.build(folder)
+    if model.platform_bounds and model.platform_bounds.cold_overrun:
+        return dataclasses.replace(control, knows_cold=True)
+    return control
+
+
+def _bounds(model):
+    if model.bounds is None:
+        return None
+    bounds = model.bounds.build()
+    stated = model.platform_bounds or PlatformBoundsModel()
+    return dataclasses.replace(
+        bounds,
+        cold_overrun=bounds.cold_overrun or stated.cold_overrun or 0.0,
+        cold_tolerance=bounds.cold_tolerance or stated.cold_tolerance or 0.0,
+    )
+
+
 def _controls(model):
     if model.seeds is not None:
         return model.seeds.build()
--- a/bulrushrudder/control/explanations.py
+++ b/bulrushrudder/control/explanations.py
@@ -167,7 +167,10 @@
 
 def _pool(servers, pool_id):
     """Return a pool whose kind follows from its servers."""
-    known = servers.by_served.get(pool_id, {}).values()
+    known = (
+        *servers.by_served.get(pool_id, {}).values(),
+        *servers.evacuated_by_served.get(pool_id, {}).values(),
+    )
     return _Pool(pool_id, all(s.kind != 'service' for s in known))
 
 
@@ -197,9 +200,30 @@
         patience_s=route.patience_s if route else ANSWER_TIMEOUT_S,
         # No request of a process has this number.
         number=-1,
+        rank=_rank(account, route),
+        target_s=_target_s(route),
     )
 
 
+def _rank(account, route):
+    """Return the rank of the account, or else of the route, or None."""
+    if account.rank is not None or route is None:
+        return account.rank
+    match route.target:
+        case types.SplitTarget(rank=rank):
+            return rank
+    return None
+
+
+def _target_s(route):
+    """Return the seconds to the answer that a split route aims at."""
+    if route is not None:
+        match route.target:
+            case types.SplitTarget(answer_s=answer_s):
+                return answer_s
+    return None
+
+
 def _content(pool, explained):
     """Return an explanation in the form of JSON."""
     explanation = explained.explanation
--- a/bulrushrudder/control/operator_api.py
+++ b/bulrushrudder/control/operator_api.py
@@ -12,6 +12,7 @@
 from bulrushrudder.config import rendering
 from bulrushrudder.control import changes
 from bulrushrudder.control import explanations
+from bulrushrudder.control import zone_api
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
@@ -62,6 +63,7 @@
                 web.get('/documents/{environment}/content', self._content),
                 web.get('/status', self._status),
                 web.get('/explain', self._explain),
+                *zone_api.ZoneApi(self._control.node, _operator_of).routes(),
             ]
         )
         return app
@@ -160,9 +162,13 @@
         status = await self._control.status()
         if status is None:
             raise _no_majority()
-        servers = self._control.node.state.servers.by_id
+        state = self._control.node.state
         return web.json_response(
-            {**dataclasses.asdict(status), 'servers': sorted(servers)}
+            {
+                **dataclasses.asdict(status),
+                'servers': sorted(state.servers.by_id),
+                'evacuated_zones': sorted(state.evacuations.zones),
+            }
         )
 
     async def _explain(self, request):
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -8,6 +8,7 @@
 from bulrushrudder.consensus import messages as consensus_messages
 from bulrushrudder.control import log_feed
 from bulrushrudder.control import pauses
+from bulrushrudder.control import server_log
 from bulrushrudder.control import status
 from bulrushrudder.control import stream_registry
 from bulrushrudder.documents import types
@@ -186,12 +187,7 @@
         return log_messages.NotLeader()
 
     async def _tick_as_leader(self):
-        if not self._was_leader:
-            self._was_leader = True
-            self._leases.renew_all(_now_s())
-            self._tracker = tracker.Tracker()
-            self._suspect_expiry = suspect_expiry.SuspectExpiry()
-            self._software_expiry = software_expiry.SoftwareExpiry()
+        self._take_over()
         await self._expire_servers()
         await self._advance_suspects()
         await self._forget_softwares()
@@ -200,6 +196,18 @@
             if await self._commit_as_leader(command):
                 log.emit(catalogue.SESSION_EXPIRED, vm=command.owner.vm)
 
+    def _take_over(self):
+        """Start to track servers and sessions if this process leads anew."""
+        if self._was_leader:
+            return
+        self._was_leader = True
+        self._leases.renew_all(_now_s())
+        self._tracker = tracker.Tracker(
+            self.node.state.servers.exclusions_by_id.values(), _now_s()
+        )
+        self._suspect_expiry = suspect_expiry.SuspectExpiry()
+        self._software_expiry = software_expiry.SoftwareExpiry()
+
     async def _expire_servers(self):
         servers_by_id = self.node.state.servers.by_id
         actions = self._tracker.handle(
@@ -207,7 +215,7 @@
         )
         for action in actions:
             if await self._commit_as_leader(action.command):
-                _log_change(action.command, 'silent')
+                server_log.log_change(action.command, 'silent')
 
     async def _commit_as_leader(self, command):
         """Commit what this process has decided as the leader.
@@ -298,9 +306,11 @@
         :param until_s: monotonic seconds until which it is excluded.
         """
         self._tracker.exclude(server.id, until_s)
-        lose = servers.LoseServer(server.id, server.incarnation)
+        lose = servers.LoseServer(
+            server.id, server.incarnation, until_s - _now_s(), server.kind
+        )
         if await self._commit_as_leader(lose):
-            _log_change(lose, 'set aside')
+            server_log.log_change(lose, 'set aside')
 
     def readmit(self, server):
         """Let an excluded server join again with its next announcement."""
@@ -319,6 +329,7 @@
             return answer == result.Success(messages.Acknowledged())
         if not self.node.is_ready_leader:
             return False
+        self._take_over()
         match codec.decode(message.server):
             case result.Success(servers.JoinServer(server=server)):
                 if message.leaving:
@@ -353,45 +364,15 @@
         actions = self._tracker.handle(event, servers_by_id, _now_s())
         committed = True
         for action in actions:
+            known = server_log.find_known(action.command, servers_by_id)
             outcome = await self.node.propose(action.command)
             match outcome:
                 case results.Unavailable():
                     committed = False
                 case results.Accepted():
-                    _log_change(action.command, 'silent')
+                    server_log.log_change(action.command, 'silent', known)
         return committed
 
 
-def _log_change(command, lost_reason):
-    """Log a committed change of the backend servers.
-
-    :param lost_reason: reason to log if a server was lost.
-    """
-    match command:
-        case servers.JoinServer(server=server):
-            log.emit(
-                catalogue.SERVER_JOINED,
-                server=server.id,
-                incarnation=server.incarnation,
-                kind=server.kind,
-                serves=' '.join(server.serves),
-                zone=server.zone,
-                software=server.software,
-            )
-        case servers.LeaveServer():
-            _log_left(command, 'leaving')
-        case servers.LoseServer():
-            _log_left(command, lost_reason)
-
-
-def _log_left(command, reason):
-    log.emit(
-        catalogue.SERVER_LEFT,
-        server=command.id,
-        incarnation=command.incarnation,
-        reason=reason,
-    )
-
-
 def _now_s():
     return asyncio.get_running_loop().time()
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -33,18 +33,30 @@
     :param view: the View of the log.
     :param directory: the RoleDirectory.
     :param statements: the StatementTable of this process.
+    :param cold_bounds: the ColdBounds, or None.
     :param costs: what the bytes between zones cost.
     """
 
     def __init__(
-        self, owner, view, directory, statements, costs=crossing.FIXED
+        self,
+        owner,
+        view,
+        directory,
+        statements,
+        cold_bounds=None,
+        costs=crossing.FIXED,
     ):
         self._owner = owner
         self._view = view
         self._directory = directory
         self._statements = statements
         self._local_holds = local_holds.LocalHolds(owner)
-        self._host = coordinator_host.CoordinatorHost(view, costs)
+        self._host = coordinator_host.CoordinatorHost(
+            view,
+            cold_bounds,
+            lambda model: directory.is_elected(_role_key(model)),
+            costs,
+        )
         self._coordinator_vms_by_model = {}
         self._checked_versions = (0, 0)
         self._last_report_number = 0
@@ -81,7 +93,9 @@
             answer = await self._ask_once(place_request)
             match answer:
                 case result.Success(place_messages.PlaceGranted() as granted):
-                    unusable = self._unusable_servers(granted)
+                    unusable = self._unusable_servers(
+                        granted, place_request.model
+                    )
                     if not unusable:
                         return answer
                     await self.release(
@@ -104,6 +118,7 @@
         prefill_s=0.0,
         token_s=0.0,
         verdict=events.Verdict.UNKNOWN,
+        prefill_failed=False,
     ):
         """Release the holds of a request and withdraw its open requests.
 
@@ -112,6 +127,8 @@
         :param prefill_s: duration of its prefill in seconds, 0 if unknown.
         :param token_s: seconds between its tokens, 0 if unknown.
         :param verdict: the Verdict on its decode server.
+        :param prefill_failed: whether its prefill server rejected or
+            failed the prefill.
         """
         for held_model, number in self._local_holds.list_by_request(request):
             self._local_holds.close(number)
@@ -122,6 +139,7 @@
                 prefill_s,
                 token_s,
                 int(verdict),
+                prefill_failed,
             )
             await self._directory.send(_role_key(model), message, self.serve)
 
@@ -216,6 +234,7 @@
                         message.prefill_s,
                         message.token_s,
                         events.Verdict(message.verdict),
+                        message.prefill_failed,
                     ),
                 )
             case place_messages.ReportHolds():
@@ -257,6 +276,10 @@
         """
         return self._host.limits_by_model()
 
+    def take_rank_counts(self):
+        """Return the RankCounts of the coordinators here since the last."""
+        return self._host.take_rank_counts()
+
     async def hand_over(self):
         """Close the coordinators here and redirect their queued requests.
 
@@ -300,17 +323,28 @@
             self._directory.send(_role_key(model), message, self.serve)
         )
 
-    def _unusable_servers(self, granted):
-        """Return the granted servers that have left or take no work."""
-        return tuple(
+    def _unusable_servers(self, granted, model):
+        """Return the servers to exclude because of a grant.
+
+        These are the granted ones that have left or take no work, and with
+        one of an evacuated zone all others of such zones: the coordinator
+        does not know of the evacuation.
+        """
+        unusable = [
             server_id
             for server_id in (granted.prefill, granted.decode)
             if server_id and not self._takes_work(server_id)
-        )
+        ]
+        table = self._view.state.servers.evacuated_by_served
+        evacuated = table.get(model, {})
+        if evacuated.keys() & unusable:
+            return tuple({**dict.fromkeys(unusable), **evacuated})
+        return tuple(unusable)
 
     def _takes_work(self, server_id):
-        server = self._view.state.servers.by_id.get(server_id)
-        if server is None:
+        table = self._view.state.servers
+        server = table.by_id.get(server_id)
+        if server is None or not table.takes_requests(server):
             return False
         return self._statements.takes_work(server, _now_s())
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -1,18 +1,21 @@
 """Hosts the coordinators of the models that this VM is in charge of."""
 
 import asyncio
+import copy
 import dataclasses
 
 from bulrushrudder.core import ids
-from bulrushrudder.documents import types
 from bulrushrudder.entry import pending_replies
+from bulrushrudder.entry import request_events
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.placement import actions
+from bulrushrudder.placement import contacts
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import crossing
 from bulrushrudder.placement import events
 from bulrushrudder.placement import explanation
+from bulrushrudder.placement import rank_counts
 from bulrushrudder.placement import service_zones
 from bulrushrudder.protocol import place_messages
 
@@ -23,8 +26,6 @@
 SUBSTITUTE_IDLE_TIMEOUT_S = 2.0
 # Correlates the actions of a request that is only explained.
 EXPLAINED_CALL = -1
-DEFAULT_FIRST_TOKEN_TARGET_S = 60.0
-DEFAULT_BETWEEN_TOKENS_TARGET_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,6 +49,9 @@
     version: int = -1
     was_in_charge: bool = False
     owners: tuple[ids.Owner, ...] = ()
+    contact: contacts.Contact = dataclasses.field(
+        default_factory=contacts.Contact
+    )
 
 
 class CoordinatorHost:
@@ -56,17 +60,28 @@
     A coordinator is opened with the first event for its model.
 
     :param view: the View of the log.
+    :param cold_bounds: the ColdBounds, or None.
+    :param is_elected: function that returns whether this VM is in charge of
+        a model by all sessions of the view.
     :param costs: what the bytes between zones cost.
     """
 
-    def __init__(self, view, costs=crossing.FIXED):
+    def __init__(
+        self,
+        view,
+        cold_bounds=None,
+        is_elected=lambda model: False,
+        costs=crossing.FIXED,
+    ):
         self._view = view
+        self._cold_bounds = cold_bounds
+        self._is_elected = is_elected
         self._costs = costs
         self._hosted_by_model = {}
         self._pending_replies = pending_replies.PendingReplies()
         self._unknown_holds_by_owner = {}
         self._closed = False
-        self._latency_targets = _LatencyTargets(view.lookups.document)
+        self._request_events = request_events.RequestEvents(view)
 
     async def request_place(self, message):
         """Queue a PlaceRequest message with its coordinator.
@@ -77,7 +92,8 @@
             return place_messages.CoordinatorMoved()
         call = self._pending_replies.open()
         self.handle_event(
-            message.model, self._placement_requested(call, message)
+            message.model,
+            self._request_events.placement_requested(call, message),
         )
         return await self._pending_replies.wait(call)
 
@@ -91,19 +107,18 @@
         now_s = asyncio.get_running_loop().time()
         hosted = self._hosted_by_model.get(model)
         if hosted is None:
-            hosted = _HostedCoordinator(
-                coordinator.Coordinator(
-                    ready_s=self._ready_s(now_s), costs=self._costs
-                ),
-                now_s,
-                service_zones.ServiceZones(self._costs),
-            )
+            hosted = self._open(model, self._ready_s(now_s), now_s)
             self._hosted_by_model[model] = hosted
-            for limit in self._recorded_limits(model):
-                hosted.coordinator.handle(limit, now_s)
-        if isinstance(event, events.PlacementRequested | events.CallRequested):
+        if isinstance(
+            event,
+            events.PlacementRequested
+            | events.CallRequested
+            | events.ColdCallRequested,
+        ):
             hosted.last_request_s = now_s
-        for change in (*self._view_changes(model, hosted), event):
+        contact_changes = self._contact_changes(model, hosted, now_s)
+        view_changes = self._view_changes(model, hosted)
+        for change in (*contact_changes, *view_changes, event):
             for action in hosted.coordinator.handle(change, now_s):
                 self._perform(action, model)
 
@@ -113,14 +128,19 @@
         :returns: an Explanation.
         """
         now_s = asyncio.get_running_loop().time()
-        hosted = self._hosted_by_model.get(message.model)
-        servers = self._view.state.servers.by_served.get(message.model, {})
+        model = message.model
+        hosted = self._hosted_by_model.get(model)
+        if hosted is None:
+            hosted = self._open(model, now_s, now_s)
+        # What the coordinator has seen stays as it is.
+        seen = dataclasses.replace(hosted, contact=copy.copy(hosted.contact))
         return explanation.explain(
-            hosted.coordinator
-            if hosted
-            else coordinator.Coordinator(costs=self._costs),
-            self._placement_requested(EXPLAINED_CALL, message),
-            events.ServersChanged(tuple(servers.values())),
+            hosted.coordinator,
+            self._request_events.placement_requested(EXPLAINED_CALL, message),
+            (
+                *self._contact_changes(model, seen, now_s),
+                *self._view_changes(model, seen),
+            ),
             now_s,
         )
 
@@ -132,10 +152,8 @@
         if self._closed:
             return place_messages.CoordinatorMoved()
         call = self._pending_replies.open()
-        limits = tuple(_limit_reported(limit) for limit in message.limits)
         self.handle_event(
-            message.model,
-            events.CallRequested(call, limits, message.max_wait_s),
+            message.model, request_events.call_requested(call, message)
         )
         return await self._pending_replies.wait(call)
 
@@ -179,6 +197,13 @@
             for model, hosted in self._hosted_by_model.items()
         }
 
+    def take_rank_counts(self):
+        """Return the RankCounts of all coordinators since the last call."""
+        counts = rank_counts.RankCounts()
+        for hosted in self._hosted_by_model.values():
+            counts.add(hosted.coordinator.take_rank_counts())
+        return counts
+
     def tick(self):
         """Feed a tick to the coordinators that have queued requests."""
         for model, hosted in tuple(self._hosted_by_model.items()):
@@ -216,6 +241,20 @@
                 call, place_messages.CoordinatorMoved()
             )
 
+    def _open(self, model, ready_s, now_s):
+        """Return a new coordinator of a model, which is not fed events yet.
+
+        :param ready_s: monotonic seconds from which it may grant places.
+        """
+        opened = coordinator.Coordinator(
+            ready_s=ready_s, cold_bounds=self._cold_bounds, costs=self._costs
+        )
+        for limit in self._recorded_limits(model):
+            opened.handle(limit, now_s)
+        return _HostedCoordinator(
+            opened, now_s, service_zones.ServiceZones(self._costs)
+        )
+
     def _ready_s(self, now_s):
         """Return the time from which a new coordinator may grant places.
 
@@ -228,13 +267,24 @@
     def _recorded_limits(self, model):
         """Yield the limits that an earlier coordinator has recorded."""
         servers = self._view.state.servers
-        for server in servers.by_served.get(model, {}).values():
+        for server in (
+            *servers.by_served.get(model, {}).values(),
+            *servers.evacuated_by_served.get(model, {}).values(),
+        ):
             requests_per_s = servers.requests_per_s(server)
             if requests_per_s is not None:
                 yield events.LimitReported(
                     server.id, server.incarnation, requests_per_s
                 )
 
+    def _contact_changes(self, model, hosted, now_s):
+        """Return the event of a change of contact, if there is one."""
+        if self._cold_bounds is None:
+            return ()
+        if hosted.index != self._view.index:
+            hosted.contact.elect(self._is_elected(model), now_s)
+        return hosted.contact.changes(self._view.age_s(now_s), now_s)
+
     def _view_changes(self, model, hosted):
         """Yield events for changes of the view that a coordinator missed."""
         if hosted.index == self._view.index:
@@ -244,8 +294,10 @@
         version = servers.versions_by_served.get(model, 0)
         if version != hosted.version:
             hosted.version = version
-            servers_by_id = servers.by_served.get(model, {})
-            yield events.ServersChanged(tuple(servers_by_id.values()))
+            yield events.ServersChanged(
+                tuple(servers.by_served.get(model, {}).values()),
+                tuple(servers.evacuated_by_served.get(model, {}).values()),
+            )
         sessions = self._view.state.sessions.by_vm.values()
         owners = tuple(session.owner for session in sessions)
         if owners != hosted.owners:
@@ -310,89 +362,3 @@
                         for s in shares
                     ],
                 )
-
-    def _placement_requested(self, call, message):
-        accounts_by_id = self._view.lookups.accounts_by_id
-        account = accounts_by_id.get(message.account)
-        session = self._view.state.sessions.by_vm.get(message.owner.vm)
-        target = self._latency_target(message.model, message.interactive)
-        return events.PlacementRequested(
-            call=call,
-            hold=events.HoldId(message.owner, message.number),
-            account=message.account,
-            weight=account.weight if account else 1.0,
-            zone=session.zone if session else ids.Zone(''),
-            prompt_tokens=message.prompt_tokens,
-            output_tokens=message.output_tokens,
-            interactive=message.interactive,
-            patience_s=message.patience_s,
-            first_token_s=target.first_token_s - message.waited_s,
-            between_tokens_s=target.between_tokens_s,
-            prefix=message.prefix,
-            excluded=message.excluded,
-            isolation=events.Isolation(message.isolation),
-            expected_tokens=message.expected_tokens,
-            accepts_late_answer=message.accepts_late_answer,
-            software=message.software,
-        )
-
-    def _latency_target(self, model, interactive):
-        document = self._view.lookups.document
-        if self._latency_targets.document is not document:
-            self._latency_targets = _LatencyTargets(document)
-        return self._latency_targets.find(model, interactive)
-
-
-def _limit_reported(message):
-    """Return the event for a ReportLimit message."""
-    return events.LimitReported(
-        message.server, message.incarnation, message.requests_per_s
-    )
-
-
-class _LatencyTargets:
-    """The strictest latency targets among the routes to each model.
-
-    :param document: the Document whose routes are indexed.
-    """
-
-    def __init__(self, document):
-        self.document = document
-        self._targets_by_key = {}
-        for route in document.routes:
-            match route.target:
-                case types.ModelTarget() as target:
-                    interactive = route.urgency is types.Urgency.INTERACTIVE
-                    self._add((target.model, interactive), target)
-                case types.SplitTarget() as target:
-                    self._add_split(target)
-
-    def find(self, model, interactive):
-        """Return the ModelTarget for a model.
-
-        :param interactive: whether interactive routes are meant.
-        """
-        target = self._targets_by_key.get((model, interactive))
-        if target is not None:
-            return target
-        return types.ModelTarget(
-            model,
-            DEFAULT_FIRST_TOKEN_TARGET_S,
-            DEFAULT_BETWEEN_TOKENS_TARGET_S,
-        )
-
-    def _add_split(self, split):
-        for share in split.shares:
-            model = ids.ModelId(share.service)
-            target = types.ModelTarget(
-                model, split.answer_s, split.between_events_s
-            )
-            self._add((model, False), target)
-
-    def _add(self, key, target):
-        known = self._targets_by_key.get(key, target)
-        self._targets_by_key[key] = types.ModelTarget(
-            target.model,
-            min(known.first_token_s, target.first_token_s),
-            min(known.between_tokens_s, target.between_tokens_s),
-        )
--- a/bulrushrudder/entry/service_router.py
+++ b/bulrushrudder/entry/service_router.py
@@ -81,6 +81,10 @@
             service
         ) or server_selector.ServerSelector(self._zone)
 
+    def takes_requests(self, server):
+        """Return whether the zone of a server is not evacuated."""
+        return self._view.state.servers.takes_requests(server)
+
     async def call(self, server, call):
         """Forward one call and record its outcome.
 
@@ -90,15 +94,16 @@
         """
         started_s = _now_s()
         self._record_start(server, call, started_s)
-        succeeded = outcome = None
+        call_result = server_selector.CallResult.UNKNOWN
+        outcome = None
         try:
             outcome = await self._client.call(server, call)
-            succeeded = self._succeeded(server, outcome)
+            call_result = self._result(server, outcome)
             return outcome
         finally:
             for service in server.serves:
                 self._selector(service).record_call_end(
-                    server.id, server.incarnation, succeeded, _now_s()
+                    server.id, server.incarnation, call_result, _now_s()
                 )
             self._record_end(server, call, outcome, _now_s() - started_s)
 
@@ -139,16 +144,29 @@
             return zone_traffic.NO_SERVER
         return self._reports.reason(service, server.zone)
 
-    def _succeeded(self, server, outcome):
-        """Return whether a server has served a call, None if unknown."""
+    def _result(self, server, outcome):
+        """Return the CallResult of an outcome."""
+        results = server_selector.CallResult
         match outcome:
             case result.Success(reply):
-                return reply.status < FIRST_SERVER_ERROR_STATUS
+                if reply.status < FIRST_SERVER_ERROR_STATUS:
+                    return results.SERVED
+            case result.Failure(
+                outcomes.Refusal(
+                    reason=outcomes.Reason.BACKEND_FULL, of_server=False
+                )
+            ):
+                # The call was held back because the server is cold.
+                return results.UNKNOWN
             case result.Failure(outcomes.Refusal(of_server=False)) if (
-                self._doubts(server)
+                self._doubts(server) or not self.takes_requests(server)
+            ):
+                return results.UNKNOWN
+            case result.Failure(
+                outcomes.Refusal(reason=outcomes.Reason.BACKEND_FULL)
             ):
-                return None
-        return False
+                return results.REJECTED
+        return results.FAILED
 
     async def has_crashed(self, server):
         """Return whether a server has crashed, after a call to it failed."""
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -438,6 +438,27 @@
     'The announcement of a backend server is invalid; its previous state '
     'stays.',
 )
+SERVER_COLD = Event(
+    4015,
+    Level.INFO,
+    'server cold',
+    'A backend server announced that it has become cold; all VMs together '
+    'send it no more than the given rate, until it announces that it is not.',
+)
+SERVER_WARM = Event(
+    4016,
+    Level.INFO,
+    'server warm',
+    'A backend server announced that it is no longer cold.',
+)
+COLD_CALL_HELD_BACK = Event(
+    4017,
+    Level.INFO,
+    'call to cold server held back',
+    'A request was not sent to a backend server that counts as cold, because '
+    'its rate leaves no room in time or no coordinator answered. At most one '
+    'line a second, with the number of requests since the last one.',
+)
 KIND_CHANGE_ORDERED = Event(
     4004,
     Level.INFO,
@@ -452,14 +473,6 @@
     'A backend server gets no new requests: it is leaving, is silent, or is '
     'excluded for a change of its kind.',
 )
-ZONES_DECIDED = Event(
-    4021,
-    Level.INFO,
-    'zones decided',
-    'The coordinator of a model or service decided anew which share of the '
-    'work of each availability zone leaves it, and where to; no share means '
-    'that all work stays in its zone.',
-)
 STREAM_TAKEN_UP = Event(
     1212,
     Level.INFO,
@@ -500,6 +513,50 @@
     'A header by which a backend server states something about itself '
     'cannot be read; it is ignored. At most one line a server and minute.',
 )
+ZONE_EVACUATED = Event(
+    2401,
+    Level.INFO,
+    'zone evacuated',
+    'A quorum has the order that no request be sent to the backend servers '
+    'of a zone; what runs there goes on. A repeated order changes nothing.',
+)
+ZONE_RESTORED = Event(
+    2402,
+    Level.INFO,
+    'zone restored',
+    'A quorum has the order that the backend servers of a zone get requests '
+    'again. A repeated order changes nothing.',
+)
+ZONE_ORDER_FAILED = Event(
+    2403,
+    Level.WARNING,
+    'zone order failed',
+    'An order to evacuate or restore a zone was not acknowledged, because no '
+    'quorum had it in time; give the order again.',
+)
+EVACUATIONS_APPLIED = Event(
+    4018,
+    Level.INFO,
+    'evacuations applied',
+    'The view of this VM has other evacuated zones than before; the line '
+    'lists all of them and gives the index of the view.',
+)
+PLACES_REFUSED = Event(
+    4021,
+    Level.INFO,
+    'places refused',
+    'The coordinators of this VM refused servers to requests, while requests '
+    'of several ranks came; the fields give the numbers by rank since the '
+    'last such line, and of those that wait now. At most one line in 10 s.',
+)
+ZONES_DECIDED = Event(
+    4024,
+    Level.INFO,
+    'zones decided',
+    'The coordinator of a model or service decided anew which share of the '
+    'work of each availability zone leaves it, and where to; no share means '
+    'that all work stays in its zone.',
+)
 SPARE_TOKENS_GRANTED = Event(
     5101,
     Level.INFO,
--- a/bulrushrudder/membership/tracker.py
+++ b/bulrushrudder/membership/tracker.py
@@ -9,6 +9,13 @@
 # Twice the time between two ticks. Without an event for longer, this
 # process stood still and could not hear the servers.
 STANDSTILL_S = 1.0
+# A server that is recorded as cold may be so without its knowledge of this
+# process, as after the restoration of its zone. An announcement that was
+# sent before that arrives within this time, the servers' timeout.
+COLD_CONFIRMATION_S = 1.0
+# The change to cold or warm is proposed again after this time, less than
+# the time between two announcements, if it was not committed.
+COLD_REPEAT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,13 +62,26 @@
     with a full lease for every server. A standstill of this process does
     not use up leases: announcements that arrived meanwhile are not read
     before its next tick.
+
+    A server that an earlier leader has excluded rejects requests until it
+    has changed its kind. A new leader keeps it out until it announces the
+    new kind or the whole time has passed once more.
+
+    :param exclusions: the LoseServer commands of excluded servers.
+    :param now_s: monotonic seconds.
     """
 
-    def __init__(self):
+    def __init__(self, exclusions=(), now_s=0.0):
         self._renewed_s_by_id: dict[ids.ServerId, float] = {}
         self._sequence_by_incarnation: dict[tuple[ids.ServerId, int], int] = {}
         self._proposed_s_by_command = {}
-        self._excluded_until_s_by_id = {}
+        self._excluded_until_s_by_id = {
+            excluded.id: now_s + excluded.excluded_s for excluded in exclusions
+        }
+        self._inherited_by_id = {
+            excluded.id: excluded for excluded in exclusions
+        }
+        self._cold_since_s_by_id = {}
         self._last_event_s = None
 
     def exclude(self, server_id, until_s):
@@ -69,6 +89,7 @@
 
         :param until_s: monotonic seconds.
         """
+        self._inherited_by_id.pop(server_id, None)
         self._excluded_until_s_by_id[server_id] = until_s
 
     def renew_all(self, now_s):
@@ -77,6 +98,7 @@
 
     def readmit(self, server_id):
         """Accept announcements of an excluded server again."""
+        self._inherited_by_id.pop(server_id, None)
         self._excluded_until_s_by_id.pop(server_id, None)
 
     def handle(self, event, servers_by_id, now_s):
@@ -102,6 +124,7 @@
                     return []
                 return self._renew(server, servers_by_id, now_s)
             case Ticked():
+                self._observe_cold(servers_by_id, now_s)
                 return self._expire(servers_by_id, now_s)
         raise AssertionError(f'unknown event {event!r}')
 
@@ -137,9 +160,56 @@
         if known and known.incarnation > server.incarnation:
             return []
         self._renewed_s_by_id[server.id] = now_s
+        if self._has_completed_change(server):
+            self.readmit(server.id)
+        if known and known.incarnation == server.incarnation:
+            server = self._with_cold(server, known, now_s)
         if known == server or self._is_excluded(server.id, now_s):
             return []
-        return self._propose(servers.JoinServer(server), now_s)
+        interval_s = LEASE_S
+        if servers.turns(known, server):
+            interval_s = COLD_REPEAT_S
+            if not server.cold:
+                self._cold_since_s_by_id.pop(server.id, None)
+        return self._propose(servers.JoinServer(server), now_s, interval_s)
+
+    def _observe_cold(self, servers_by_id, now_s):
+        """Note since when servers have been recorded as cold."""
+        self._cold_since_s_by_id = {
+            server.id: self._cold_since_s_by_id.get(server.id, now_s)
+            for server in servers_by_id.values()
+            if server.cold
+        }
+
+    def _with_cold(self, server, known, now_s):
+        """Return an announced server with what counts as its state.
+
+        A process of a version that does not know of cold servers announces
+        nothing about it, so that the record stays.
+        """
+        if server.cold is None and known.cold is not None:
+            return dataclasses.replace(
+                server,
+                cold=known.cold,
+                cold_requests_per_s=known.cold_requests_per_s,
+            )
+        if not known.cold or server.cold:
+            return server
+        since_s = self._cold_since_s_by_id.setdefault(server.id, now_s)
+        if now_s - since_s < COLD_CONFIRMATION_S:
+            return dataclasses.replace(server, cold=True)
+        return server
+
+    def _has_completed_change(self, server):
+        """Return whether a server excluded earlier has another kind now.
+
+        A restart also ends its change of kind.
+        """
+        excluded = self._inherited_by_id.get(server.id)
+        return excluded is not None and (
+            server.kind != excluded.kind
+            or server.incarnation != excluded.incarnation
+        )
 
     def _is_excluded(self, server_id, now_s):
         until_s = self._excluded_until_s_by_id.get(server_id, 0.0)
@@ -158,14 +228,14 @@
                 proposals += self._propose(lose, now_s)
         return proposals
 
-    def _propose(self, command, now_s):
-        """Propose a command at most once per lease.
+    def _propose(self, command, now_s, interval_s=LEASE_S):
+        """Propose a command at most once in an interval.
 
         Limits the log entries caused by a server whose announcements
         are rejected each time.
         """
         proposed_s = self._proposed_s_by_command.get(command)
-        if proposed_s is not None and now_s - proposed_s < LEASE_S:
+        if proposed_s is not None and now_s - proposed_s < interval_s:
             return []
         self._proposed_s_by_command[command] = now_s
         return [ProposeCommand(command)]
--- a/bulrushrudder/placement/balance.py
+++ b/bulrushrudder/placement/balance.py
@@ -16,6 +16,10 @@
 # Requests recorded before the average is used. Prompt lengths spread by
 # about half, so it is then off by some 15%, less than MIN_GAIN_SHARE.
 MIN_REQUESTS = 10
+# Share of the servers of each kind whose speed must have been measured. The
+# split of a pool whose speeds differ from the initial estimate would move a
+# quarter of its servers, and they are missing until they move back.
+MIN_MEASURED_SHARE = 0.25
 # A change takes its server out of service for some seconds, so it must
 # raise the throughput of the pool by at least this share.
 MIN_GAIN_SHARE = 0.2
@@ -110,6 +114,27 @@
     return best
 
 
+def wanted_of_pools(work, prefills, decodes):
+    """Return the target number of prefill servers, None if unknown.
+
+    :param work: the average RequestWork, or None.
+    :param prefills: the PrefillPool.
+    :param decodes: the DecodePool.
+    """
+    if work is None:
+        return None
+    prefill_count = len(prefills.by_id)
+    decode_count = sum(known.present for known in decodes.by_id.values())
+    measured = (
+        prefills.measured_servers() >= prefill_count * MIN_MEASURED_SHARE
+        and decodes.measured_servers() >= decode_count * MIN_MEASURED_SHARE
+    )
+    # A pool that lacks one kind serves nothing and measures nothing.
+    if prefill_count and decode_count and not measured:
+        return None
+    return wanted(work, prefill_count, decode_count)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KindChange:
     """A server that is to change its kind.
--- a/bulrushrudder/placement/choice.py
+++ b/bulrushrudder/placement/choice.py
@@ -64,7 +64,8 @@
     :param claimed: decode servers whose memory other requests wait for.
     :param max_prefill_wait_s: seconds that the prefill may wait for its
         server.
-    :param limiter: paces the requests to servers that state a limit.
+    :param limiter: paces the requests to servers that state a limit or
+        are cold; a RateLimiter or a Pacing.
     :param costs: what the bytes between zones cost.
     :param preference: the zones that should serve the request, if any.
     """
@@ -272,7 +273,7 @@
 def _decode_cost(known, now_s):
     """Return the cost of fill and failures of a server, in seconds."""
     return (
-        known.fill_share * FULL_SERVER_COST_S
+        known.load * FULL_SERVER_COST_S
         + known.failure_share_at(now_s) * FAILING_SERVER_COST_S
     )
 
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -1,6 +1,5 @@
 """Coordinator of a model: grants places on its backend servers."""
 
-import collections
 import dataclasses
 
 from bulrushrudder.core import ids
@@ -8,38 +7,30 @@
 from bulrushrudder.overload import return_times
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import balance
-from bulrushrudder.placement import call_limits
 from bulrushrudder.placement import choice
 from bulrushrudder.placement import crossing
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
+from bulrushrudder.placement import drains
+from bulrushrudder.placement import early_refusal
+from bulrushrudder.placement import evacuated_pools
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
 from bulrushrudder.placement import figure_ages
 from bulrushrudder.placement import flooding
+from bulrushrudder.placement import hold_table
+from bulrushrudder.placement import measurements
 from bulrushrudder.placement import model_zones
 from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
+from bulrushrudder.placement import rank_counts
+from bulrushrudder.placement import rank_room
 
 MAX_BOOKED_AHEAD = 6
 # Accounts of a queue class that are considered for one grant.
 MAX_QUEUE_HEADS = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _GrantRecord:
-    """A grant and what it holds.
-
-    :param decode: None while its decode server is absent.
-    :param decode_start_s: monotonic seconds at which decoding is
-        expected to start, None if another coordinator granted it.
-    """
-
-    allocation: events.Allocation
-    decode: decodes.DecodeHold | None
-    decode_start_s: float | None
-
-
 class Coordinator:
     """Grants places on the servers of a model and queues requests for them.
 
@@ -47,6 +38,7 @@
         so that owners can report what they hold.
     :param max_booked_ahead: limit of places per decode server that are granted
         before the requests in them have ended.
+    :param cold_bounds: the ColdBounds, or None.
     :param costs: what the bytes between zones cost.
     """
 
@@ -54,27 +46,28 @@
         self,
         ready_s=0.0,
         max_booked_ahead=MAX_BOOKED_AHEAD,
+        cold_bounds=None,
         costs=crossing.FIXED,
     ):
         self._ready_s = ready_s
+        self._is_emptied = False
         self._queue = fair_queue.FairQueue()
         self._prefills = prefills.PrefillPool()
         self._decodes = decodes.DecodePool(max_booked_ahead)
-        self._grants_by_hold = {}
-        self._holds_by_absent_server = collections.defaultdict(set)
-        self._holds_by_owner = collections.defaultdict(set)
+        self._holds = hold_table.HoldTable(self._decodes)
         self._demand = demand.AccountDemand()
         self._average_work = balance.AverageWork()
-        self._grant_count_by_account = collections.Counter()
-        self._last_report_by_owner = {}
-        self._known_owners = {}
-        self._drained_server_by_hold = {}
+        self._drains = drains.Drains()
         self._return_times = return_times.ReturnTimes()
-        self._limits = pool_limits.PoolLimits(self._prefills, self._decodes)
         self._ages = figure_ages.FigureAges()
         self._zones = model_zones.ModelZones(
             costs, self._prefills, self._decodes
         )
+        self._room = rank_room.RankRoom()
+        self._rank_counts = rank_counts.RankCounts()
+        self._limits = pool_limits.PoolLimits(
+            self._prefills, self._decodes, cold_bounds
+        )
 
     @property
     def queue_length(self):
@@ -104,8 +97,8 @@
     def constraints(self, request, now_s):
         """Return what a placement of a request must leave to others."""
         return choice.Constraints(
-            claimed=frozenset(self._drained_server_by_hold.values()),
-            limiter=self._limits.limiter,
+            claimed=self._drains.claimed,
+            limiter=self._limits.pacing,
             costs=self._zones.costs,
             preference=self._zones.preference(request, now_s),
         )
@@ -113,9 +106,7 @@
     @property
     def allocations(self):
         """Return all Allocations."""
-        return tuple(
-            grant.allocation for grant in self._grants_by_hold.values()
-        )
+        return self._holds.allocations
 
     @property
     def limits_by_id(self):
@@ -125,14 +116,18 @@
         """
         return self._limits.limiter.limits_by_id
 
+    def take_rank_counts(self):
+        """Return the RankCounts since the last call."""
+        taken = self._rank_counts
+        taken.queued = self._queue.backlog.by_rank()
+        self._rank_counts = rank_counts.RankCounts()
+        return taken
+
     def wanted_prefills(self):
         """Return the target number of prefill servers, None if unknown."""
-        work = self._average_work.work
-        if work is None:
-            return None
-        prefills = len(self._prefills.by_id)
-        decodes = sum(k.present for k in self._decodes.by_id.values())
-        return balance.wanted(work, prefills, decodes)
+        return balance.wanted_of_pools(
+            self._average_work.work, self._prefills, self._decodes
+        )
 
     def handle(self, event, now_s):
         """Apply an event and return the resulting actions.
@@ -147,22 +142,22 @@
         match event:
             case events.PlacementRequested():
                 return self._enqueue(event, now_s)
-            case events.LimitReported():
-                self._limits.update(event, now_s)
-            case events.CallRequested():
-                return [
-                    call_limits.decide(
-                        event,
-                        self._limits.limiter,
-                        self._return_times,
-                        now_s,
-                    )
-                ]
+            case (
+                events.LimitReported()
+                | events.CallRequested()
+                | events.ColdCallRequested()
+                | events.ContactChanged()
+            ):
+                return self._limits.handle(event, self._return_times, now_s)
             case events.PlaceReleased(hold=hold):
-                self._record_measurements(event, now_s)
+                grant = self._holds.grant_of(hold)
+                if grant is not None:
+                    measurements.record(
+                        event, grant.allocation, self.pools, self._ages, now_s
+                    )
                 self._release(hold, now_s)
-            case events.ServersChanged(servers=servers):
-                self._update_servers(servers, now_s)
+            case events.ServersChanged():
+                return self._update_servers(event, now_s)
             case events.LoadReported():
                 self._prefills.record_load(event)
                 self._decodes.record_load(event)
@@ -174,7 +169,7 @@
             case events.AllocationsRestored(allocations=allocations):
                 self._restore(allocations, now_s)
             case events.OwnersChanged(owners=owners):
-                self._update_owners(owners, now_s)
+                self._release_all(self._holds.update_owners(owners), now_s)
             case events.Ticked():
                 pass
             case _:
@@ -182,17 +177,19 @@
         return []
 
     def _enqueue(self, request, now_s):
-        self._holds_by_owner[request.hold.owner].add(request.hold)
+        self._holds.open(request.hold)
         tokens = request.prompt_tokens + request.output_tokens
         self._demand.record(request.account, request.weight, tokens, now_s)
         self._record_work(request)
+        rank = self._queue.shares.resolve(request.rank, now_s)
         backlog_s = self._limits.backlog_s(
-            len(self._queue), self._return_times.pace(now_s)
+            self._queue.backlog.up_to(rank), self._return_times.pace(now_s)
         )
-        if backlog_s > request.patience_s:
+        if self._is_emptied or backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         self._queue.add(request, now_s, self._lead_s(request))
         self._zones.arrived(request, now_s)
+        self._room.record_request(rank, now_s)
         return []
 
     def _record_work(self, request):
@@ -210,45 +207,22 @@
             request
         )
 
-    def _record_measurements(self, event, now_s):
-        """Update the pace and failure share of the servers of a request."""
-        grant = self._grants_by_hold.get(event.hold)
-        if grant is None:
-            return
-        allocation = grant.allocation
-        if event.prefill_s > 0:
-            self._ages.record(allocation.prefill, now_s)
-            self._prefills.record_prefill(
-                allocation.prefill, allocation.prompt_tokens, event.prefill_s
-            )
-        if event.token_s > 0:
-            self._ages.record(allocation.decode, now_s)
-            self._decodes.record_token_time(allocation.decode, event.token_s)
-        if event.verdict is not events.Verdict.UNKNOWN:
-            failed = event.verdict is events.Verdict.FAILED
-            self._decodes.record_result(allocation.decode, failed, now_s)
-
     def _release(self, hold, now_s):
-        self._holds_by_owner[hold.owner].discard(hold)
-        self._drained_server_by_hold.pop(hold, None)
+        self._drains.end(hold)
         self._queue.remove(hold)
         self._zones.left(hold)
-        grant = self._grants_by_hold.pop(hold, None)
-        if grant is None:
-            return
-        self._grant_count_by_account[grant.allocation.account] -= 1
-        if self._grant_count_by_account[grant.allocation.account] == 0:
-            del self._grant_count_by_account[grant.allocation.account]
-        if grant.decode is not None:
-            self._decodes.release(
-                grant.decode, _decode_duration_s(grant, now_s)
-            )
-        else:
-            self._forget_absent_hold(grant.allocation.decode, hold)
+        if self._holds.release(hold, now_s):
+            self._room.record_release(now_s)
 
-    def _update_servers(self, servers, now_s):
+    def _release_all(self, holds, now_s):
+        for hold in holds:
+            self._release(hold, now_s)
+
+    def _update_servers(self, change, now_s):
+        servers = change.servers
         by_id = {server.id: server for server in servers}
-        self._limits.update_servers(servers)
+        # A zone may be restored before its servers state their limits anew.
+        self._limits.update_servers((*servers, *change.evacuated), now_s)
         self._ages.retain(by_id)
         for pool, kind in (
             (self._prefills, 'prefill'),
@@ -261,90 +235,36 @@
             for server in servers:
                 if server.kind == kind and not pool.has(server):
                     pool.join(server)
-                    self._count_restored(server.id, now_s)
+                    self._holds.count_restored(server.id, now_s)
+        self._is_emptied = evacuated_pools.is_emptied(change)
+        return self._refuse_queued(now_s) if self._is_emptied else []
 
     def _reconcile(self, event, now_s):
         """Release holds that an owner lacks and request unknown ones."""
-        last = self._last_report_by_owner.get(event.owner, -1)
-        if event.sequence <= last:
-            return []
-        self._last_report_by_owner[event.owner] = event.sequence
-        known = set()
-        for hold in tuple(self._holds_by_owner[event.owner]):
-            if (
-                hold.number < event.end_number
-                and hold.number not in event.numbers
-            ):
-                self._release(hold, now_s)
-            known.add(hold.number)
-        unknown = event.numbers - known
+        ended, unknown = self._holds.compare(event)
+        self._release_all(ended, now_s)
         if not unknown:
             return []
-        return [
-            actions.RequestAllocations(event.owner, tuple(sorted(unknown)))
-        ]
+        return [actions.RequestAllocations(event.owner, unknown)]
 
     def _restore(self, allocations, now_s):
         for allocation in allocations:
-            if allocation.hold not in self._grants_by_hold:
+            if self._holds.grant_of(allocation.hold) is None:
                 self._queue.remove(allocation.hold)
-                self._allocate(allocation, float('inf'), None, now_s)
-
-    def _forget_absent_hold(self, server_id, hold):
-        holds = self._holds_by_absent_server[server_id]
-        holds.discard(hold)
-        if not holds:
-            del self._holds_by_absent_server[server_id]
-
-    def _count_restored(self, server_id, now_s):
-        """Allocate the holds restored before their decode server joined."""
-        for hold in self._holds_by_absent_server.pop(server_id, ()):
-            grant = self._grants_by_hold[hold]
-            self._allocate(
-                grant.allocation, float('inf'), grant.decode_start_s, now_s
-            )
-
-    def _allocate(self, allocation, between_tokens_s, decode_start_s, now_s):
-        known = self._decodes.by_id.get(allocation.decode)
-        decode_hold = None
-        if known is None:
-            self._holds_by_absent_server[allocation.decode].add(
-                allocation.hold
-            )
-        else:
-            # The age approximates the time since decoding started,
-            # because the prefill before it was short.
-            assumed_start_s = decode_start_s or now_s - allocation.age_s
-            decode_hold = self._decodes.allocate(
-                known, allocation, between_tokens_s, assumed_start_s
-            )
-        if allocation.hold not in self._grants_by_hold:
-            self._grant_count_by_account[allocation.account] += 1
-        grant = _GrantRecord(allocation, decode_hold, decode_start_s)
-        self._grants_by_hold[allocation.hold] = grant
-        self._holds_by_owner[allocation.hold.owner].add(allocation.hold)
-
-    def _update_owners(self, owners, now_s):
-        incarnations_by_vm = {o.vm: o.incarnation for o in owners}
-        for owner in tuple(self._holds_by_owner):
-            current = incarnations_by_vm.get(owner.vm)
-            gone = current is None and owner in self._known_owners
-            if gone or (current or 0) > owner.incarnation:
-                self._forget_owner(owner, now_s)
-        self._known_owners = dict.fromkeys(owners)
-
-    def _forget_owner(self, owner, now_s):
-        for hold in tuple(self._holds_by_owner[owner]):
-            self._release(hold, now_s)
-        del self._holds_by_owner[owner]
-        self._last_report_by_owner.pop(owner, None)
+                self._holds.allocate(allocation, float('inf'), None, now_s)
 
     def _dispatch(self, now_s):
         decided = [
             self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
             for queued in self._queue.expired(now_s)
         ]
-        self._queue.demote(now_s)
+        late = self._queue.demote(now_s)
+        decided += [
+            self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
+            for queued in early_refusal.hopeless(
+                late, self._queue, self._return_times, now_s
+            )
+        ]
         if now_s < self._ready_s:
             return decided
         while True:
@@ -359,10 +279,14 @@
         A queue class is served only if no request of an earlier class
         is blocked; requests held back for flooding do not count.
         """
-        claimed = frozenset(self._drained_server_by_hold.values())
+        claimed = self._drains.claimed
         for queue_class in fair_queue.QueueClass:
             blocked = False
-            for queued in self._queue.heads(queue_class, MAX_QUEUE_HEADS):
+            for queued in self._queue.heads(
+                queue_class, MAX_QUEUE_HEADS, now_s
+            ):
+                if self._leaves_room(queued, now_s):
+                    continue
                 held_back = self._is_flooding(queued.request.account)
                 result = self._place(queued, held_back, claimed, now_s)
                 match result:
@@ -384,7 +308,7 @@
             self._queue.remove(request.hold)
             return self._refuse(request, outcomes.Reason.NO_SERVER, now_s)
         if request.isolation is events.Isolation.ALONE:
-            claimed = self._drain_for(request, claimed)
+            claimed = self._drains.reserve(request, self._decodes, claimed)
         constraints = dataclasses.replace(
             self.constraints(request, now_s), claimed=claimed
         )
@@ -409,21 +333,15 @@
                 return self._grant(queued, placement, now_s)
         return choice.Blocked() if held_back else placement
 
-    def _drain_for(self, request, claimed):
-        """Reserve one decode server for a request that must run alone.
-
-        :returns: the servers that other requests claim.
-        """
-        if not self._drained_server_by_hold:
-            candidates = self._decodes.candidates(request.excluded)
-            if candidates:
-                emptiest = min(candidates, key=lambda known: known.held_places)
-                self._drained_server_by_hold[request.hold] = emptiest.server.id
-        return claimed - {self._drained_server_by_hold.get(request.hold)}
+    def _leaves_room(self, queued, now_s):
+        """Return whether a request leaves the free room to higher ranks."""
+        if not self._room.is_kept_from(queued, self._decodes, now_s):
+            return False
+        return not self._queue.shares.below_least(queued.rank, now_s)
 
     def _is_flooding(self, account):
         """Return whether an account floods and already holds enough."""
-        held = self._grant_count_by_account[account]
+        held = self._holds.grant_count(account)
         return flooding.is_flooding(
             account, held, self._demand, self._decodes.places
         )
@@ -433,20 +351,30 @@
         reason = outcomes.Reason.TARGET_UNREACHABLE
         return self._refuse(queued.request, reason, now_s)
 
+    def _refuse_queued(self, now_s):
+        """Refuse all queued requests, since no server will take them."""
+        return [
+            self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
+            for queued in self._queue.take_all()
+        ]
+
     def _refuse(self, request, reason, now_s):
         hold = request.hold
         self._zones.left(hold)
-        self._drained_server_by_hold.pop(hold, None)
-        self._holds_by_owner[hold.owner].discard(hold)
+        self._drains.end(hold)
+        self._holds.close(hold)
+        rank = self._queue.shares.resolve(request.rank, now_s)
+        self._rank_counts.refused[rank] += 1
         delay_s = self._return_times.next_delay_s(len(self._queue), now_s)
         return actions.Refuse(request.call, hold, reason, delay_s)
 
     def _grant(self, queued, placement, now_s):
         request = queued.request
-        self._drained_server_by_hold.pop(request.hold, None)
-        self._queue.grant(queued)
+        self._drains.end(request.hold)
+        self._queue.grant(queued, now_s)
         self._zones.left(request.hold)
         self._return_times.record_grant(now_s)
+        self._rank_counts.granted[queued.rank] += 1
         choice.book(placement, self._prefills, request)
         allocation = events.Allocation(
             request.hold,
@@ -459,7 +387,7 @@
             request.expected_tokens,
         )
         self._limits.take(allocation, now_s)
-        self._allocate(
+        self._holds.allocate(
             allocation,
             request.between_tokens_s,
             placement.transfer_end_s,
@@ -473,9 +401,3 @@
 def _id_of(plan):
     """Return the id of a plan's server, empty without a plan."""
     return ids.ServerId('') if plan is None else plan.prefill_server.server.id
-
-
-def _decode_duration_s(grant, now_s):
-    if grant.decode_start_s is None:
-        return None
-    return max(0.0, now_s - grant.decode_start_s)
--- a/bulrushrudder/placement/decodes.py
+++ b/bulrushrudder/placement/decodes.py
@@ -6,14 +6,14 @@
 from bulrushrudder.placement import decode_server
 from bulrushrudder.placement import events
 from bulrushrudder.placement import load_index
+from bulrushrudder.placement import mean_speed
 from bulrushrudder.placement import memory_forecast
+from bulrushrudder.placement import speeds
 
 CANDIDATES_PER_ZONE = 3
 INITIAL_HOLD_S = 10.0
 HOLD_EWMA_WEIGHT = 0.05
 LARGE_PIECES_DECAY = 0.99
-# Weight of one request in the measured pace of its server.
-PACE_EWMA_WEIGHT = 0.1
 
 # Expected number of ended requests at which the nth place ahead is free
 # with 99% probability, if requests end independently (Poisson).
@@ -45,6 +45,9 @@
         self.places = 0
         self.mean_hold_s = INITIAL_HOLD_S
         self.large_pieces = 1.0
+        # In tokens of memory, times the tokens generated per second.
+        self._memory_speed = mean_speed.MeanSpeed()
+        self._uneven = False
         self._max_booked_ahead = min(
             max_booked_ahead, len(EXPECTED_ENDS_NEEDED)
         )
@@ -52,18 +55,19 @@
 
     def join(self, server):
         """Add a server or update its record."""
-        self.leave(server.id)
         known = self.by_id.get(server.id)
+        self.leave(server.id)
         if known is None or known.server.incarnation != server.incarnation:
             known = decode_server.DecodeServer(
                 server, token_s=server.initial_speed.token_s
             )
-            self.by_id[server.id] = known
+        self.by_id[server.id] = known
         known.server = server
         known.present = True
         self.held_places += known.held_places
         known.place_limit = server.places
         self.places += known.place_limit
+        self._record_speed(known)
         self._reindex(known)
 
     def has(self, server):
@@ -77,6 +81,7 @@
         if known is None or not known.present:
             return
         known.present = False
+        self._memory_speed.remove(server_id)
         self.held_places -= known.held_places
         self.places -= known.place_limit
         self._zone_index(known.server.zone).remove(server_id)
@@ -100,6 +105,8 @@
 
         :param further: number of further candidates of each zone.
         """
+        if self._uneven:
+            further += speeds.UNEVEN_CANDIDATES
         return [
             self.by_id[server_id]
             for index in self._index_by_zone.values()
@@ -107,6 +114,18 @@
             if server_id not in excluded
         ]
 
+    def has_room_for(self, count, tokens):
+        """Return whether there is room for some requests in all.
+
+        :param tokens: of each of them.
+        """
+        for known in self.by_id.values():
+            if count <= 0:
+                break
+            if known.present:
+                count -= known.rooms(tokens)
+        return count <= 0
+
     def has_software(self, software):
         """Return whether a server has a software version."""
         return any(
@@ -181,11 +200,30 @@
         elif known.held_places == 0:
             del self.by_id[hold.server]
 
-    def record_token_time(self, server_id, token_s):
+    def record_token_time(self, server_id, token_s, now_s):
         """Update the measured time between tokens of a server."""
         known = self.by_id.get(server_id)
-        if known is not None and known.token_s > 0:
-            known.token_s += (token_s - known.token_s) * PACE_EWMA_WEIGHT
+        if known is None or known.token_s <= 0:
+            return
+        weight = speeds.weight(known.token_measurements)
+        known.token_s += (token_s - known.token_s) * weight
+        known.token_measurements += 1
+        known.token_measured_s = now_s
+        self._record_speed(known)
+        self._compare_speeds(known, now_s)
+
+    def _compare_speeds(self, measured, now_s):
+        """Compare the speed of a server with those of the others."""
+        fresh_s = now_s - speeds.STALE_AFTER_S
+        fresh = []
+        for known in self.by_id.values():
+            if known.token_measurements and known.token_measured_s >= fresh_s:
+                fresh.append(known.token_s)
+            else:
+                known.slowness = 1.0
+        mean_s = speeds.harmonic_mean(fresh)
+        measured.slowness = speeds.slowness(measured.token_s, mean_s)
+        self._uneven = any(k.slowness != 1.0 for k in self.by_id.values())
 
     def record_result(self, server_id, failed, now_s):
         """Update the failure share of a server."""
@@ -196,17 +234,27 @@
     def work_s(self, request):
         """Return the seconds of a whole server that a request takes.
 
-        None if the memory or the pace of the servers is unknown.
+        It is the mean over the servers, whose speeds may differ by more
+        than twice. None if the memory or the speed of the servers is
+        unknown.
         """
-        known = next(iter(self.by_id.values()), None)
-        if known is None or known.token_s <= 0:
-            return None
-        memory = known.server.memory_tokens * balance.MEMORY_USE_SHARE
-        if memory <= 0:
+        speed = self._memory_speed.mean * balance.MEMORY_USE_SHARE
+        if speed <= 0:
             return None
         output = request.expected_tokens or request.output_tokens
-        held_s = output * known.token_s
-        return held_s * (request.prompt_tokens + output / 2) / memory
+        return output * (request.prompt_tokens + output / 2) / speed
+
+    def _record_speed(self, known):
+        if known.present and known.token_s > 0:
+            speed = known.server.memory_tokens / known.token_s
+            self._memory_speed.set(known.server.id, speed)
+
+    def measured_servers(self):
+        """Return the number of present servers whose speed was measured."""
+        return sum(
+            known.present and known.token_measurements > 0
+            for known in self.by_id.values()
+        )
 
     def prompt_read_s(self, request):
         """Return the seconds that a decode server takes for a prompt."""
--- a/bulrushrudder/placement/events.py
+++ b/bulrushrudder/placement/events.py
@@ -54,6 +54,9 @@
         useful.
     :param software: version that the decode server must have; None for
         any.
+    :param rank: priority, 0 is the highest; None if it is unknown.
+    :param own_first_token_s: target of its own route, in seconds from now;
+        None if it is unknown. Used while requests of several ranks come.
     """
 
     call: int
@@ -73,6 +76,8 @@
     expected_tokens: int = 0
     accepts_late_answer: bool = False
     software: str | None = None
+    rank: int | None = None
+    own_first_token_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,19 +89,26 @@
     :param token_s: seconds between its tokens, 0 if it generated too few
         to measure.
     :param verdict: its result on the decode server.
+    :param prefill_failed: whether its prefill server rejected or failed
+        the prefill.
     """
 
     hold: HoldId
     prefill_s: float = 0.0
     token_s: float = 0.0
     verdict: Verdict = Verdict.UNKNOWN
+    prefill_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersChanged:
-    """The servers of the model that accept new requests."""
+    """The servers of the model that accept new requests.
+
+    :param evacuated: its servers in evacuated zones, which accept none.
+    """
 
     servers: tuple[servers.BackendServer, ...]
+    evacuated: tuple[servers.BackendServer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -206,6 +218,40 @@
     max_wait_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdCallRequested:
+    """A VM is about to send a request to a server that may be cold.
+
+    :param call: correlates the resulting action with this event.
+    :param requests_per_s: the rate that the server sustains while cold.
+    :param cold: whether the VM knows that it is cold; otherwise the VM has
+        not heard of it lately.
+    :param max_wait_s: seconds that the request can wait.
+    """
+
+    call: int
+    server: ids.ServerId
+    incarnation: int
+    requests_per_s: float
+    cold: bool
+    max_wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContactChanged:
+    """What this coordinator knows about others of the same model.
+
+    :param sole: whether it is in charge, and no other VM can be.
+    :param elected: whether it is in charge by all sessions of its view,
+        which may be outdated.
+    :param heard: whether the view is recent.
+    """
+
+    sole: bool
+    elected: bool
+    heard: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
     """A timer tick, so that deadlines and free times are checked."""
--- a/bulrushrudder/placement/explanation.py
+++ b/bulrushrudder/placement/explanation.py
@@ -68,17 +68,18 @@
     queued: int = 0
 
 
-def explain(coordinator, request, servers, now_s):
+def explain(coordinator, request, changes, now_s):
     """Explain what a coordinator would decide on a request.
 
     :param coordinator: the Coordinator, which stays as it is.
     :param request: the PlacementRequested event.
-    :param servers: the ServersChanged event of the present view.
+    :param changes: events of what the coordinator has not seen yet.
     :returns: an Explanation.
     """
     trial, before = _copies(coordinator, 2)
-    trial.handle(servers, now_s)
-    before.handle(servers, now_s)
+    for change in changes:
+        trial.handle(change, now_s)
+        before.handle(change, now_s)
     before.zones.arrived(request, now_s)
     queued = trial.queue_length
     decided = None
@@ -227,17 +228,21 @@
 def _prefill(known, constraints, now_s):
     """Return a prefill server, what stands against it, and its figures."""
     busy_s = max(0.0, max(known.free_s, known.isolated_until_s) - now_s)
+    paused_s = max(0.0, known.paused_until_s - now_s)
     limit_s = constraints.limiter.wait_s(known.server.id, now_s)
     obstacle = ''
     if limit_s > 0:
-        obstacle = 'its limit of requests'
+        obstacle = 'its limit of requests, or it is cold'
     elif busy_s > constraints.max_prefill_wait_s:
         obstacle = 'busy with prefills'
+    elif paused_s > constraints.max_prefill_wait_s:
+        obstacle = 'paused after a failure'
     return (
         known.server,
         obstacle,
         (
             Figure('busy_s', busy_s),
+            Figure('paused_s', paused_s),
             Figure('tokens_per_s', known.tokens_per_s),
             Figure('link_busy_s', max(0.0, known.link_free_s - now_s)),
         ),
@@ -248,7 +253,7 @@
     """Return a decode server, what stands against it, and its figures."""
     obstacle = ''
     if constraints.limiter.wait_s(known.server.id, now_s) > 0:
-        obstacle = 'its limit of requests'
+        obstacle = 'its limit of requests, or it is cold'
     elif known.server.id in constraints.claimed:
         obstacle = 'kept for a request that must run alone'
     elif not known.can_share(request.isolation):
@@ -266,6 +271,7 @@
             Figure('held_pieces', known.held_pieces),
             Figure('memory_pieces', known.memory_pieces),
             Figure('fill_share', known.fill_share),
+            Figure('slowness', known.slowness),
             Figure('token_s', known.token_s),
             Figure('failure_share', known.failure_share_at(now_s)),
         ),
--- a/bulrushrudder/placement/fair_queue.py
+++ b/bulrushrudder/placement/fair_queue.py
@@ -5,7 +5,9 @@
 import heapq
 import math
 
+from bulrushrudder.placement import backlog
 from bulrushrudder.placement import events
+from bulrushrudder.placement import rank_shares
 
 
 class QueueClass(enum.IntEnum):
@@ -27,6 +29,7 @@
         meets the target, if late answers are accepted.
     :param live: whether it is still queued in this class; the heaps drop
         other entries when they come up.
+    :param rank: its rank among all requests, 0 is the highest.
     """
 
     request: events.PlacementRequested
@@ -36,6 +39,7 @@
     grant_by_s: float = math.inf
     queue_class: QueueClass = QueueClass.DEFERRED
     live: bool = True
+    rank: int = 0
 
     @property
     def order_s(self):
@@ -76,14 +80,22 @@
         return self.heap[0][2] if self.heap else None
 
 
-class _ClassQueue:
-    """Accounts with queued requests of one class, by virtual time."""
+class _RankQueue:
+    """Accounts with queued requests of one class and rank.
+
+    They are in the order of their virtual time.
+    """
 
     def __init__(self):
         self._queues_by_account = {}
         self._account_heap = []
         self._virtual_time = 0.0
 
+    @property
+    def has_accounts(self):
+        """Return whether accounts may have queued requests."""
+        return bool(self._account_heap)
+
     def add(self, queued):
         """Queue a request."""
         account = queued.request.account
@@ -140,20 +152,69 @@
         return account_queue if account_queue.head() is not None else None
 
 
+class _ClassQueue:
+    """Queued requests of one class, by rank."""
+
+    def __init__(self):
+        self._queues_by_rank = {}
+
+    def add(self, queued):
+        """Queue a request."""
+        rank_queue = self._queues_by_rank.get(queued.rank)
+        if rank_queue is None:
+            rank_queue = _RankQueue()
+            self._queues_by_rank[queued.rank] = rank_queue
+        rank_queue.add(queued)
+
+    def heads(self, limit, first):
+        """Return the first requests of up to `limit` accounts, in order.
+
+        Each rank is represented, so that accounts of a higher rank that
+        are held back do not hold up a lower one.
+
+        :param first: function that returns whether a rank goes before
+            those that are above it.
+        """
+        ranks = sorted(
+            rank
+            for rank, rank_queue in self._queues_by_rank.items()
+            if rank_queue.has_accounts
+        )
+        if len(ranks) > 1:
+            ranks.sort(key=lambda rank: (not first(rank), rank))
+        found = []
+        for position, rank in enumerate(ranks):
+            later = len(ranks) - position - 1
+            room = max(1, limit - len(found) - later)
+            found += self._queues_by_rank[rank].heads(room)
+        return found
+
+    def charge(self, queued, tokens):
+        """Advance an account's virtual time by the tokens granted."""
+        rank_queue = self._queues_by_rank[queued.rank]
+        rank_queue.charge(queued.request, tokens)
+
+
 class FairQueue:
     """Placement requests that wait for servers.
 
     Interactive requests go before deferred ones, and requests that can
-    no longer meet their target go last. Within a class, accounts share
-    by weight, in tokens of prompt and output bound. Within an account,
-    the earliest deadline goes first, and among late requests the one
-    whose caller has waited longest.
+    no longer meet their target go last. Within a class, higher ranks go
+    first, but each rank keeps its least share. Within a rank, accounts
+    share by weight, in tokens of prompt and output bound. Within an
+    account, the earliest deadline goes first, and among late requests
+    the one whose caller has waited longest.
+
+    :ivar shares: the RankShares.
+    :ivar backlog: the Backlog.
     """
 
     def __init__(self):
         self._queues_by_class = {
             queue_class: _ClassQueue() for queue_class in QueueClass
         }
+        self.shares = rank_shares.RankShares()
+        self.backlog = backlog.Backlog()
         self._requests_by_hold = {}
         self._deadline_heap = []
         self._target_heap = []
@@ -173,6 +234,8 @@
         :param lead_s: expected seconds from a grant to the first token.
         """
         self._last_number += 1
+        rank = self.shares.resolve(request.rank, now_s)
+        self.shares.record_request(rank, _tokens_of(request), now_s)
         wait_s = request.patience_s
         if not request.accepts_late_answer:
             wait_s = min(wait_s, request.first_token_s)
@@ -184,27 +247,37 @@
             now_s,
             now_s + wait_s,
             self._last_number,
-            now_s + request.first_token_s - lead_s,
+            now_s + self._target_s(request) - lead_s,
             queue_class,
+            rank=rank,
         )
         self._requests_by_hold[request.hold] = queued
         self._queues_by_class[queue_class].add(queued)
+        self.backlog.add(queued)
         self._add_deadline(queued)
         if request.accepts_late_answer:
             target = queued.grant_by_s, queued.number, queued
             heapq.heappush(self._target_heap, target)
 
     def demote(self, now_s):
-        """Move requests that can no longer meet their target to LATE."""
+        """Move requests that can no longer meet their target to LATE.
+
+        :returns: the QueuedRequests that were moved.
+        """
+        moved = []
         while self._target_heap and self._target_heap[0][0] < now_s:
             _, _, queued = heapq.heappop(self._target_heap)
             if not queued.live:
                 continue
             late = dataclasses.replace(queued, queue_class=QueueClass.LATE)
             queued.live = False
+            self.backlog.remove(queued)
             self._requests_by_hold[late.request.hold] = late
             self._queues_by_class[QueueClass.LATE].add(late)
+            self.backlog.add(late)
             self._add_deadline(late)
+            moved.append(late)
+        return moved
 
     def remove(self, hold):
         """Remove the request of a hold.
@@ -214,14 +287,16 @@
         queued = self._requests_by_hold.pop(hold, None)
         if queued is not None:
             queued.live = False
+            self.backlog.remove(queued)
         return queued
 
-    def grant(self, queued):
-        """Remove a request and charge its account."""
+    def grant(self, queued, now_s):
+        """Remove a request and charge its account and rank."""
         request = queued.request
         self.remove(request.hold)
-        tokens = request.prompt_tokens + request.output_tokens
-        self._queues_by_class[queued.queue_class].charge(request, tokens)
+        tokens = _tokens_of(request)
+        self._queues_by_class[queued.queue_class].charge(queued, tokens)
+        self.shares.record_grant(queued.rank, tokens, now_s)
 
     def expired(self, now_s):
         """Remove and return the requests whose deadline has passed."""
@@ -235,15 +310,32 @@
                 expired.append(queued)
         return expired
 
-    def heads(self, queue_class, limit):
-        """Return the next requests of a class, one per account."""
-        return self._queues_by_class[queue_class].heads(limit)
+    def take_all(self):
+        """Remove and return all requests."""
+        return [self.remove(hold) for hold in tuple(self._requests_by_hold)]
+
+    def heads(self, queue_class, limit, now_s):
+        """Return the next requests of a class, one per account and rank."""
+        return self._queues_by_class[queue_class].heads(
+            limit, lambda rank: self.shares.below_least(rank, now_s)
+        )
 
     def calls(self):
         """Return the calls of all queued requests."""
         waiting = self._requests_by_hold.values()
         return tuple(queued.request.call for queued in waiting)
 
+    def _target_s(self, request):
+        """Return the seconds after which a request is late.
+
+        The target of the model is the strictest of its routes. Kinds of
+        several ranks differ in their targets, too, and one that is past
+        the target of another can still be timely.
+        """
+        if self.shares.several and request.own_first_token_s is not None:
+            return request.own_first_token_s
+        return request.first_token_s
+
     def _add_deadline(self, queued):
         heapq.heappush(
             self._deadline_heap,
@@ -251,5 +343,9 @@
         )
 
 
+def _tokens_of(request):
+    return request.prompt_tokens + request.output_tokens
+
+
 def _is_expired(queued, now_s):
     return not queued.live or queued.deadline_s < now_s
--- a/bulrushrudder/placement/server_selector.py
+++ b/bulrushrudder/placement/server_selector.py
@@ -1,6 +1,7 @@
 """Selection of a backend server for a call to a plain service."""
 
 import dataclasses
+import enum
 
 from bulrushrudder.core import ids
 from bulrushrudder.placement import load_index
@@ -10,6 +11,35 @@
 MAX_EJECTION_S = 60.0
 CROSS_ZONE_COST_CALLS = 4
 CANDIDATES_PER_ZONE = 2
+# Weight of one call in the failure share of its server. A VM of a large
+# fleet makes one or two calls a second to a service, so that the share has
+# to follow from very few of them.
+FAILURE_EWMA_WEIGHT = 0.3
+FAILURE_HALF_LIFE_S = 5.0
+# A call that fails has lost its caller's time and may not be retried. One
+# failure in a row outweighs the preference for the own zone for a second,
+# two for four seconds.
+FAILING_SERVER_COST_CALLS = 16.0
+# A full server has room again when its queue is shorter, after some tenths
+# of a second; the pause doubles with each further rejection in a row.
+FIRST_REJECTION_PAUSE_S = 0.1
+MAX_REJECTION_PAUSE_S = 1.0
+REJECTING_SERVER_COST_CALLS = 8.0
+# Below this share a server counts as sound again.
+NEGLIGIBLE_FAILURE_SHARE = 0.02
+
+
+class CallResult(enum.Enum):
+    """Result of a call, as far as it says something about its server.
+
+    A server that REJECTED a call has not run it, so that it can go to
+    another one; a call that FAILED may have to fail for its caller.
+    """
+
+    SERVED = 'served'
+    REJECTED = 'rejected'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +52,12 @@
     :param ejected_until_s: monotonic seconds until which it gets no call.
     :param present: whether it accepts new calls; outstanding calls are
         counted even if it does not.
+    :param failure_share: share of its recent calls that failed, as of the
+        last result.
+    :param failure_updated_s: monotonic seconds of the last result.
+    :param rejections: consecutive calls that it rejected.
+    :param rejecting_until_s: monotonic seconds until which it is assumed
+        to reject further calls.
     """
 
     incarnation: int
@@ -31,11 +67,36 @@
     ejections: int = 0
     ejected_until_s: float = 0.0
     present: bool = True
+    failure_share: float = 0.0
+    failure_updated_s: float = 0.0
+    rejections: int = 0
+    rejecting_until_s: float = 0.0
+
+    def failure_share_at(self, now_s):
+        """Return the failure share, decayed up to a time."""
+        half_lives = (now_s - self.failure_updated_s) / FAILURE_HALF_LIFE_S
+        return self.failure_share * 0.5**half_lives
+
+    def record_rejection(self, now_s):
+        """Avoid the server for a time, longer after each rejection."""
+        pause_s = FIRST_REJECTION_PAUSE_S * 2**self.rejections
+        self.rejecting_until_s = now_s + min(MAX_REJECTION_PAUSE_S, pause_s)
+        self.rejections += 1
+
+    def record_result(self, failed, now_s):
+        """Update the failure share with the result of a call."""
+        share = self.failure_share_at(now_s)
+        self.failure_share = share + (failed - share) * FAILURE_EWMA_WEIGHT
+        self.failure_updated_s = now_s
 
 
 class ServerSelector:
     """Selects by fewest outstanding calls, with a preference for its zone.
 
+    A server that fails part of its calls gets fewer, by the share that
+    failed lately. It ends calls sooner than a sound one, so that by its
+    outstanding calls alone it would get the most.
+
     A server that fails FAILURES_TO_EJECT times in a row is ejected for
     a while and then gets one trial call. If all servers are ejected, the
     first to be readmitted is chosen, so that a call is never refused
@@ -51,6 +112,8 @@
         self._spread = spread
         self._servers_by_id = {}
         self._on_probation = set()
+        # Servers whose failure share counts.
+        self._failing = set()
         self._indexes_by_zone = {}
 
     def update_servers(self, servers):
@@ -90,23 +153,28 @@
         :param size: bytes that the call sends.
         """
         passed_over = {*tried, *unavailable}
+        self._drop_recovered(now_s)
+        further = len(passed_over) + len(self._failing)
         for server_id in self._on_probation:
             self._update_index(server_id, now_s)
         candidates = [
             server_id
             for index in self._indexes_by_zone.values()
-            for server_id in index.lowest(
-                CANDIDATES_PER_ZONE + len(passed_over)
-            )
+            for server_id in index.lowest(CANDIDATES_PER_ZONE + further)
             if server_id not in passed_over
         ]
         if not candidates and not tried:
             candidates = self._first_to_be_readmitted(unavailable)
         if self._spread is None:
-            return sorted(candidates, key=self._cost)
+            return sorted(
+                candidates, key=lambda server_id: self._cost(server_id, now_s)
+            )
         # A further try goes where room is, from the VM's zone outwards.
         home = self._zone if tried else self._spread.draw(size, now_s)
-        return sorted(candidates, key=lambda s: self._spread_cost(s, home))
+        return sorted(
+            candidates,
+            key=lambda server_id: self._spread_cost(server_id, home, now_s),
+        )
 
     def record_call_start(self, server_id, incarnation, now_s):
         """Record that a call is sent to a server."""
@@ -115,11 +183,10 @@
             known.calls += 1
             self._update_index(server_id, now_s)
 
-    def record_call_end(self, server_id, incarnation, succeeded, now_s):
+    def record_call_end(self, server_id, incarnation, result, now_s):
         """Record the end of a call.
 
-        :param succeeded: whether the server succeeded; None if it is
-            unknown.
+        :param result: the CallResult.
         """
         known = self._servers_by_id.get(server_id)
         if known is None or known.incarnation != incarnation:
@@ -128,16 +195,30 @@
         if not known.present:
             self._retire(server_id)
             return
-        match succeeded:
-            case True:
+        match result:
+            case CallResult.SERVED:
+                known.record_result(False, now_s)
                 known.failures = 0
                 known.ejections = 0
+                known.rejections = 0
                 self._on_probation.discard(server_id)
-            case False:
+            case CallResult.REJECTED:
+                known.record_rejection(now_s)
+            case CallResult.FAILED:
+                known.record_result(True, now_s)
                 self._record_failure(server_id, known, now_s)
         self._update_index(server_id, now_s)
 
+    def _drop_recovered(self, now_s):
+        """Forget failure shares that have become negligible."""
+        for server_id in tuple(self._failing):
+            known = self._servers_by_id[server_id]
+            if known.failure_share_at(now_s) < NEGLIGIBLE_FAILURE_SHARE:
+                known.failure_share = 0.0
+                self._failing.discard(server_id)
+
     def _record_failure(self, server_id, known, now_s):
+        self._failing.add(server_id)
         known.failures += 1
         on_probation = server_id in self._on_probation
         if known.failures < FAILURES_TO_EJECT and not on_probation:
@@ -163,6 +244,7 @@
         if known is None:
             return
         self._on_probation.discard(server_id)
+        self._failing.discard(server_id)
         self._zone_index(known.zone).remove(server_id)
         if known.calls == 0 or known.present:
             del self._servers_by_id[server_id]
@@ -181,20 +263,29 @@
             return known.calls
         return known.calls, -self._spread.weight(server_id)
 
-    def _spread_cost(self, server_id, home):
+    def _spread_cost(self, server_id, home, now_s):
         """Return the key of a server if a zone should serve the call."""
         known = self._servers_by_id[server_id]
-        other = 0 if known.zone == home else CROSS_ZONE_COST_CALLS
         return (
-            known.calls + other,
+            self._cost_calls(known, home, now_s),
             self._spread.order(known.zone),
             -self._spread.weight(server_id),
         )
 
-    def _cost(self, server_id):
+    def _cost(self, server_id, now_s):
         known = self._servers_by_id[server_id]
-        other = 0 if known.zone == self._zone else CROSS_ZONE_COST_CALLS
-        return known.calls + other, server_id
+        return self._cost_calls(known, self._zone, now_s), server_id
+
+    def _cost_calls(self, known, home, now_s):
+        """Return the cost of a server in calls.
+
+        :param home: zone whose servers cost nothing extra.
+        """
+        other = 0 if known.zone == home else CROSS_ZONE_COST_CALLS
+        failing = known.failure_share_at(now_s) * FAILING_SERVER_COST_CALLS
+        if now_s < known.rejecting_until_s:
+            failing += REJECTING_SERVER_COST_CALLS
+        return known.calls + other + failing
 
     def _zone_index(self, zone):
         index = self._indexes_by_zone.get(zone)
--- a/bulrushrudder/state/servers.py
+++ b/bulrushrudder/state/servers.py
@@ -48,6 +48,10 @@
         check it in each request; empty for others.
     :param initial_speed: speed assumed before any measurement.
     :param software: version of its software; empty if it states none.
+    :param cold_requests_per_s: requests a second that it sustains while
+        it is cold; 0 if it is never cold.
+    :param cold: whether it is cold; None if the process that read its
+        announcement does not know of cold servers.
     """
 
     id: ids.ServerId
@@ -67,6 +71,21 @@
     can_prefill: bool = False
     initial_speed: InitialSpeed = UNKNOWN_SPEED
     software: str = ''
+    cold_requests_per_s: float = 0.0
+    cold: bool | None = None
+
+
+def turns(known, server):
+    """Return whether a record differs only in that the server is cold.
+
+    :param known: the earlier BackendServer, or None.
+    :param server: the BackendServer.
+    """
+    return (
+        known is not None
+        and known.cold != server.cold
+        and dataclasses.replace(known, cold=server.cold) == server
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,10 +108,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoseServer:
-    """Remove a backend server that went silent; it may join again."""
+    """Remove a backend server that went silent; it may join again.
+
+    :param excluded_s: seconds for which it must not join with the same kind,
+        counted by a leader that takes over from its take-over; 0 unless it
+        is excluded for a change of its kind.
+    :param kind: the kind that it must not join with, if it is excluded.
+    """
 
     id: ids.ServerId
     incarnation: int
+    excluded_s: float = 0.0
+    kind: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,21 +164,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersSnapshot:
-    """All backend servers, with the known incarnations of past ones."""
+    """All backend servers, with the known incarnations of past ones.
+
+    :param exclusions: the servers that are excluded for a change of their
+        kind.
+    """
 
     present: tuple[BackendServer, ...]
     incarnations: tuple[KnownIncarnation, ...]
     limits: tuple[SetServerLimit, ...] = ()
     softwares: tuple[KnownSoftware, ...] = ()
+    exclusions: tuple[LoseServer, ...] = ()
 
 
 class Servers:
-    """The backend servers that may get new work.
+    """The backend servers, and which of them may get new work.
 
     :ivar by_id: servers that have joined and not left.
-    :ivar by_served: the same servers by model or service, then by id.
+    :ivar by_served: those of them that may get new work, by model or
+        service, then by id.
+    :ivar evacuated_by_served: the others, whose zones are evacuated.
+    :ivar evacuated_zones: the zones whose servers get no new work.
     :ivar versions_by_served: counters by model or service, incremented
-        whenever its servers change.
+        whenever its servers or their zones change.
+    :ivar exclusions_by_id: how servers were excluded that have not joined
+        again.
     :ivar mixed_models: models whose streams of the last time may have
         begun at several software versions.
     """
@@ -159,7 +196,12 @@
     def __init__(self):
         self.by_id: dict[ids.ServerId, BackendServer] = {}
         self.by_served: dict[str, dict[ids.ServerId, BackendServer]] = {}
+        self.evacuated_by_served: dict[
+            str, dict[ids.ServerId, BackendServer]
+        ] = {}
+        self.evacuated_zones: frozenset[ids.Zone] = frozenset()
         self.versions_by_served: dict[str, int] = {}
+        self.exclusions_by_id: dict[ids.ServerId, LoseServer] = {}
         self.mixed_models: frozenset[str] = frozenset()
         self._softwares_by_model: dict[str, list[str]] = {}
         self._limits_by_id: dict[ids.ServerId, SetServerLimit] = {}
@@ -176,8 +218,25 @@
                 for model, known in self._softwares_by_model.items()
                 for software in known
             ),
+            tuple(self.exclusions_by_id.values()),
         )
 
+    def evacuate(self, zones):
+        """Set the zones whose servers get no new work.
+
+        What runs there goes on, and its servers stay known.
+        """
+        changed = zones ^ self.evacuated_zones
+        self.evacuated_zones = zones
+        for server in self.by_id.values():
+            if server.zone in changed:
+                self._unindex(server)
+                self._index(server)
+
+    def takes_requests(self, server):
+        """Return whether requests may be sent to a server's zone."""
+        return server.zone not in self.evacuated_zones
+
     def softwares(self, model):
         """Return the versions that servers of a model have or had lately."""
         return tuple(self._softwares_by_model.get(model, ()))
@@ -203,6 +262,27 @@
             return None
         return limit.requests_per_s
 
+    def count_cold(self):
+        """Return the number of present servers that are cold."""
+        return sum(bool(server.cold) for server in self.by_id.values())
+
+    def mark_zone_cold(self, zone):
+        """Count the servers of a zone as cold until they say otherwise.
+
+        To be called when the zone's evacuation is reverted, in the same
+        entry of the log: its servers may have become cold before that, and
+        announce it only a second or two later.
+
+        :param zone: the Zone.
+        """
+        for server in tuple(self.by_id.values()):
+            if server.zone == zone and server.cold_requests_per_s > 0:
+                limit = self._limits_by_id.get(server.id)
+                self._remove(server.id)
+                self._add(dataclasses.replace(server, cold=True))
+                if limit is not None:
+                    self._limits_by_id[server.id] = limit
+
     def latest_incarnation(self, server_id):
         """Return the latest known incarnation of a server, -1 for none."""
         return self._known(server_id).incarnation
@@ -228,6 +308,9 @@
             known.id: known for known in snapshot.incarnations
         }
         self._limits_by_id = {limit.id: limit for limit in snapshot.limits}
+        self.exclusions_by_id = {
+            excluded.id: excluded for excluded in snapshot.exclusions
+        }
         self._softwares_by_model = {}
         for known in snapshot.softwares:
             self._learn_software(known.model, known.software)
@@ -267,6 +350,7 @@
         limit = self._limits_by_id.get(server.id)
         self._remove(server.id)
         self._add(server)
+        self.exclusions_by_id.pop(server.id, None)
         if limit is not None and limit.incarnation == server.incarnation:
             self._limits_by_id[server.id] = limit
         self._record_incarnation(
@@ -282,6 +366,7 @@
                 f'than {known.incarnation}'
             )
         self._remove(command.id)
+        self.exclusions_by_id.pop(command.id, None)
         self._record_incarnation(
             command.id, command.incarnation, command.incarnation
         )
@@ -295,6 +380,8 @@
                 'present'
             )
         self._remove(command.id)
+        if command.excluded_s > 0:
+            self.exclusions_by_id[command.id] = command
         return results.Accepted(index)
 
     def _set_limit(self, index, command):
@@ -339,15 +426,26 @@
         self.by_id[server.id] = server
         self._learn_softwares(server)
         self._update_mixed_models()
-        for served in server.serves:
-            self.by_served.setdefault(served, {})[server.id] = server
-            self._increment_version(served)
+        self._index(server)
 
     def _remove(self, server_id):
         removed = self.by_id.pop(server_id, None)
         self._limits_by_id.pop(server_id, None)
-        for served in removed.serves if removed else ():
-            self.by_served[served].pop(server_id, None)
+        if removed is not None:
+            self._unindex(removed)
+
+    def _index(self, server):
+        by_served = self.evacuated_by_served
+        if self.takes_requests(server):
+            by_served = self.by_served
+        for served in server.serves:
+            by_served.setdefault(served, {})[server.id] = server
+            self._increment_version(served)
+
+    def _unindex(self, server):
+        for served in server.serves:
+            for by_served in (self.by_served, self.evacuated_by_served):
+                by_served.get(served, {}).pop(server.id, None)
             self._increment_version(served)
 
     def _increment_version(self, served):
--- a/bulrushrudder/tests/builders/constant_crossing.py
+++ b/bulrushrudder/tests/builders/constant_crossing.py
@@ -50,7 +50,7 @@
         zone, known.server.zone
     )
     decode = (
-        known.fill_share * choice.FULL_SERVER_COST_S
+        known.load * choice.FULL_SERVER_COST_S
         + known.failure_share_at(now_s) * choice.FAILING_SERVER_COST_S
     )
     return (
--- a/bulrushrudder/tests/builders/coordinator_fleet.py
+++ b/bulrushrudder/tests/builders/coordinator_fleet.py
@@ -64,7 +64,7 @@
                 self.view,
                 FakeDirectory(self),
                 table.StatementTable(),
-                costs,
+                costs=costs,
             )
 
     def apply(self, command):
--- a/bulrushrudder/tests/builders/zone_world.py
+++ b/bulrushrudder/tests/builders/zone_world.py
@@ -223,7 +223,12 @@
 
     def _end(self, server, vm, asked_s):
         server.running -= 1
-        vm.selector.record_call_end(server.record.id, 1, True, self._now_s)
+        vm.selector.record_call_end(
+            server.record.id,
+            1,
+            server_selector.CallResult.SERVED,
+            self._now_s,
+        )
         vm.meter.record_end(
             server.record.id, self._now_s - asked_s, CALL_BYTES, self._now_s
         )
--- a/bulrushrudder/tests/commands/explain_tests.py
+++ b/bulrushrudder/tests/commands/explain_tests.py
@@ -110,6 +110,8 @@
         hosted = host._hosted_by_model['drafting']
         # Releases of the call may still come.
         await asyncio.sleep(0.5)
+        # The process reports and clears these counts each second.
+        hosted.coordinator.take_rank_counts()
         before = pickle.dumps((hosted.coordinator, hosted.last_request_s))
         await self.explain('consultants', 'drafts')
         after = pickle.dumps((hosted.coordinator, hosted.last_request_s))
--- a/bulrushrudder/tests/control/stop_tests.py
+++ b/bulrushrudder/tests/control/stop_tests.py
@@ -150,10 +150,10 @@
 
     async def test_followers_keep_links_to_each_other_open(self):
         for member in self.fleet.followers:
-            member.control._peers.close()
+            member.control.peers.close()
         await asyncio.sleep(1.5 * server.TICK_INTERVAL_S)
         for member in self.fleet.followers:
-            links_by_address = member.control._peers._links_by_address
+            links_by_address = member.control.peers._links_by_address
             closed = [
                 address
                 for address in member.node.other_addresses()
--- a/bulrushrudder/tests/placement/coordinator_tests.py
+++ b/bulrushrudder/tests/placement/coordinator_tests.py
@@ -3,6 +3,8 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.placement import coordinator
 from bulrushrudder.placement import events
+from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import places
 
 
@@ -69,6 +71,74 @@
             (grant.prefill, grant.decode), ('prefill-1', 'decode-1')
         )
 
+    # Load: 40 requests a second on two prefill servers, one of which
+    # rejects all calls for 4 s, as during a change of its kind. Without a
+    # pause all 160 requests tried it first.
+    def test_rejecting_prefill_server_gets_few_requests(self):
+        self.handle(places.servers_changed(2, 2))
+        rejected = 0
+        for number in range(160):
+            now_s = number * 0.025
+            request = places.placement_request(number, prompt_tokens=100)
+            for grant in places.grants(self.handle(request, now_s)):
+                failed = grant.prefill == 'prefill-0'
+                rejected += failed
+                released = events.PlaceReleased(
+                    grant.hold, prefill_failed=failed
+                )
+                self.handle(released, now_s + 0.002)
+        self.assertLessEqual(rejected, 8)
+
+    # Load: 3,200 prompt tokens and 680 output tokens on 15 prefill and 30
+    # decode servers, every third of which takes 2.4 times as long. The split
+    # followed the server of each kind that had joined first: 20 or 8 servers
+    # prefilled, and 8 of them serve half of what 15 serve.
+    def test_split_of_pool_does_not_follow_one_server(self):
+        pool = []
+        for number in range(45):
+            slowdown = (0.7, 0.7, 1.7)[number % 3]
+            speed = servers.InitialSpeed(
+                prefill_base_s=0.06,
+                prefill_tokens_per_s=33_000.0 / slowdown,
+                token_s=0.0042 * slowdown,
+            )
+            pool.append(
+                fleet.server(
+                    f's{number}',
+                    'prefill' if number < 15 else 'decode',
+                    memory_tokens=29_000,
+                    initial_speed=speed,
+                )
+            )
+        slow_prefill_first = [pool[2], pool[15], *pool]
+        slow_decode_first = [pool[0], pool[17], *pool]
+        by_id = {known.id: known for known in pool}
+        for ordered in (slow_prefill_first, slow_decode_first):
+            with self.subTest(first=ordered[0].id):
+                self.setUp()
+                self.handle(events.ServersChanged(tuple(ordered)))
+                granted = []
+                for number in range(10):
+                    request = places.placement_request(
+                        number, prompt_tokens=3200, output_tokens=680
+                    )
+                    granted += places.grants(self.handle(request))
+                self.assertIsNone(self.coordinator.wanted_prefills())
+                for grant in granted:
+                    self.handle(self.measured(grant, by_id))
+                wanted = self.coordinator.wanted_prefills()
+                self.assertEqual(wanted, 15)
+
+    def measured(self, grant, servers_by_id):
+        """Return the release of a request that ran at the stated speeds."""
+        prefill = servers_by_id[grant.prefill].initial_speed
+        decode = servers_by_id[grant.decode].initial_speed
+        return events.PlaceReleased(
+            grant.hold,
+            prefill.prefill_base_s + 3200 / prefill.prefill_tokens_per_s,
+            decode.token_s,
+        )
+
     def test_prefers_prefill_server_with_cached_prefix(self):
         self.handle(places.servers_changed(prefills=2, decodes=2))
         prefix = (11, 12, 13)
--- a/bulrushrudder/tests/placement/explanation_tests.py
+++ b/bulrushrudder/tests/placement/explanation_tests.py
@@ -40,7 +40,7 @@
         explained = explanation.explain(
             self.coordinator,
             places.placement_request(number, **changes),
-            self.pool,
+            (self.pool,),
             now_s,
         )
         self.assertEqual(pickle.dumps(self.coordinator), before)
