Test zones together with failing servers, cold servers and ranks

With prices between zones, failing, rejecting and cold servers have to be avoided as without. Both tests fail if the cost of failures or the pace of cold servers is left out of the decision with zones.

--- a/bulrushrudder/tests/placement/explanation_tests.py
+++ b/bulrushrudder/tests/placement/explanation_tests.py
@@ -1,3 +1,4 @@
+import dataclasses
 import pickle
 import unittest
 
@@ -8,6 +9,7 @@
 from bulrushrudder.placement import explanation
 from bulrushrudder.placement import server_selector
 from bulrushrudder.state import servers
+from bulrushrudder.tests.builders import cold_fleet
 from bulrushrudder.tests.builders import fleet
 from bulrushrudder.tests.builders import model_zones
 from bulrushrudder.tests.builders import places
@@ -98,6 +100,24 @@
         self.assertEqual(explained.reason, int(outcomes.Reason.NO_SERVER))
         self.assertGreater(explained.retry_after_s, 0.0)
 
+    def test_cold_server_and_ranks_are_explained_without_an_effect(self):
+        cold = tuple(
+            dataclasses.replace(server, cold_requests_per_s=1.0, cold=True)
+            for server in self.pool.servers
+        )
+        self.pool = events.ServersChanged(cold)
+        self.coordinator = self.make(
+            self.pool, cold_bounds=cold_fleet.BOUNDS, costs=model_zones.PRICED
+        )
+        self.decide(2.0, number=1, rank=1)
+        self.decide(2.0, number=2, rank=0)
+        explained = self.explain(2.01, rank=0)
+        self.assertIs(explained.fate, explanation.Fate.QUEUED)
+        self.assertIn(
+            'its limit of requests, or it is cold',
+            {c.why for c in explained.candidates},
+        )
+
     def test_age_is_that_of_the_last_report(self):
         report = events.LoadReported(
             ids.ServerId('decode-0'), 1, 1, 2, 0.02, 0.0
--- a/bulrushrudder/tests/placement/zone_spread_tests.py
+++ b/bulrushrudder/tests/placement/zone_spread_tests.py
@@ -55,6 +55,27 @@
         self.assertEqual(ranked, ['a1'] * 10)
 
 
+class SpreadSelectorTests(unittest.TestCase):
+    """With prices, calls went to servers that fail or reject them."""
+
+    def test_failing_or_rejecting_server_is_avoided(self):
+        results = server_selector.CallResult
+        for call_result in (results.FAILED, results.REJECTED):
+            with self.subTest(call_result):
+                selector = server_selector.ServerSelector(
+                    ids.Zone('a'), zone_world.new_spread('vm1', 'a')
+                )
+                found = [
+                    fleet.server(f'a{number}', 'service', zone=ids.Zone('a'))
+                    for number in range(2)
+                ]
+                selector.update_servers(found)
+                first = selector.choose(0.0)
+                selector.record_call_start(first, 1, 0.0)
+                selector.record_call_end(first, 1, call_result, 0.0)
+                self.assertNotEqual(selector.choose(0.01), first)
+
+
 class ServiceZonesTests(unittest.TestCase):
     """Figures are measured, not counted, and old ones are not used."""
 
