--- a/bulrushrudder/commands/catalogue.py
+++ b/bulrushrudder/commands/catalogue.py
@@ -5,6 +5,7 @@
 from bulrushrudder.commands import demo
 from bulrushrudder.commands import document
 from bulrushrudder.commands import entry
+from bulrushrudder.commands import explain
 from bulrushrudder.commands import key
 from bulrushrudder.commands import solo
 from bulrushrudder.commands import status
@@ -31,6 +32,7 @@
         'show': zone.show,
     },
     'status': status.status,
+    'explain': explain.explain,
     'bench': bench.bench,
     'version': version.version,
 }
--- a/bulrushrudder/control/operator_api.py
+++ b/bulrushrudder/control/operator_api.py
@@ -11,6 +11,7 @@
 from bulrushrudder.config import models
 from bulrushrudder.config import rendering
 from bulrushrudder.control import changes
+from bulrushrudder.control import explanations
 from bulrushrudder.control import zone_api
 from bulrushrudder.documents import types
 from bulrushrudder.events import catalogue
@@ -46,6 +47,7 @@
         self._secret = secret
         self._metrics = metrics
         self._changes = changes.DocumentChanges(control.node)
+        self._explanations = explanations.Explanations(control)
 
     def application(self):
         """Return the aiohttp application."""
@@ -60,6 +62,7 @@
                 web.get('/documents/{environment}', self._history),
                 web.get('/documents/{environment}/content', self._content),
                 web.get('/status', self._status),
+                web.get('/explain', self._explain),
                 *zone_api.ZoneApi(self._control.node, _operator_of).routes(),
             ]
         )
@@ -168,6 +171,14 @@
             }
         )
 
+    async def _explain(self, request):
+        match await self._explanations.answer(dict(request.query)):
+            case result.Success(content):
+                return web.json_response(content)
+            case result.Failure(unanswered):
+                return _problem(unanswered.status, unanswered.problem)
+        raise AssertionError('unreachable: neither an answer nor a problem')
+
     async def _current_documents(self):
         """Return the Documents after confirming that they are current.
 
--- a/bulrushrudder/entry/coordinator_client.py
+++ b/bulrushrudder/entry/coordinator_client.py
@@ -8,6 +8,7 @@
 from bulrushrudder.core import outcomes
 from bulrushrudder.entry import coordinator_host
 from bulrushrudder.entry import role_directory
+from bulrushrudder.placement import crossing
 from bulrushrudder.placement import events
 from bulrushrudder.placement import local_holds
 from bulrushrudder.protocol import place_messages
@@ -33,9 +34,18 @@
     :param directory: the RoleDirectory.
     :param statements: the StatementTable of this process.
     :param cold_bounds: the ColdBounds, or None.
+    :param costs: what the bytes between zones cost.
     """
 
-    def __init__(self, owner, view, directory, statements, cold_bounds=None):
+    def __init__(
+        self,
+        owner,
+        view,
+        directory,
+        statements,
+        cold_bounds=None,
+        costs=crossing.FIXED,
+    ):
         self._owner = owner
         self._view = view
         self._directory = directory
@@ -45,6 +55,7 @@
             view,
             cold_bounds,
             lambda model: directory.is_elected(_role_key(model)),
+            costs,
         )
         self._coordinator_vms_by_model = {}
         self._checked_versions = (0, 0)
@@ -177,6 +188,35 @@
             CALL_REPLY_MARGIN_S,
         )
 
+    def explain(self, place_request):
+        """Explain what the coordinator on this VM would decide.
+
+        :param place_request: a PlaceRequest message.
+        :returns: an Explanation.
+        """
+        return self._host.explain(place_request)
+
+    async def report_service_load(self, service, load):
+        """Report the calls to a plain service to its coordinator.
+
+        The report names no holds. A coordinator of the previous build
+        answers it without a decision.
+
+        :param load: the ServiceLoad.
+        :returns: an UnknownHolds message, or None without an answer.
+        """
+        self._last_report_number += 1
+        message = place_messages.ReportHolds(
+            self._owner, service, self._last_report_number, 0, (), load
+        )
+        answer = await self._directory.ask(
+            _role_key(service), message, REPORT_TIMEOUT_S, self.serve
+        )
+        match answer:
+            case result.Success(place_messages.UnknownHolds() as shares):
+                return shares
+        return None
+
     async def serve(self, message):
         """Handle a message to a coordinator on this VM.
 
--- a/bulrushrudder/entry/coordinator_host.py
+++ b/bulrushrudder/entry/coordinator_host.py
@@ -1,16 +1,22 @@
 """Hosts the coordinators of the models that this VM is in charge of."""
 
 import asyncio
+import copy
 import dataclasses
 
 from bulrushrudder.core import ids
-from bulrushrudder.documents import types
 from bulrushrudder.entry import pending_replies
+from bulrushrudder.entry import request_events
+from bulrushrudder.events import catalogue
+from bulrushrudder.events import log
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import contacts
 from bulrushrudder.placement import coordinator
+from bulrushrudder.placement import crossing
 from bulrushrudder.placement import events
+from bulrushrudder.placement import explanation
 from bulrushrudder.placement import rank_counts
+from bulrushrudder.placement import service_zones
 from bulrushrudder.protocol import place_messages
 
 # Time for other VMs to report their holds to a new coordinator.
@@ -18,8 +24,8 @@
 # A coordinator of a model that another VM is in charge of is closed after
 # this time without a request.
 SUBSTITUTE_IDLE_TIMEOUT_S = 2.0
-DEFAULT_FIRST_TOKEN_TARGET_S = 60.0
-DEFAULT_BETWEEN_TOKENS_TARGET_S = 1.0
+# Correlates the actions of a request that is only explained.
+EXPLAINED_CALL = -1
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,10 +39,12 @@
     :param was_in_charge: whether this VM has been in charge of the model
         since the coordinator was opened.
     :param owners: owners of the sessions that it has seen.
+    :param zones: the ServiceZones of a plain service.
     """
 
     coordinator: coordinator.Coordinator
     last_request_s: float
+    zones: service_zones.ServiceZones
     index: int = -1
     version: int = -1
     was_in_charge: bool = False
@@ -55,17 +63,25 @@
     :param cold_bounds: the ColdBounds, or None.
     :param is_elected: function that returns whether this VM is in charge of
         a model by all sessions of the view.
+    :param costs: what the bytes between zones cost.
     """
 
-    def __init__(self, view, cold_bounds=None, is_elected=lambda model: False):
+    def __init__(
+        self,
+        view,
+        cold_bounds=None,
+        is_elected=lambda model: False,
+        costs=crossing.FIXED,
+    ):
         self._view = view
         self._cold_bounds = cold_bounds
         self._is_elected = is_elected
+        self._costs = costs
         self._hosted_by_model = {}
         self._pending_replies = pending_replies.PendingReplies()
         self._unknown_holds_by_owner = {}
         self._closed = False
-        self._latency_targets = _LatencyTargets(view.lookups.document)
+        self._request_events = request_events.RequestEvents(view)
 
     async def request_place(self, message):
         """Queue a PlaceRequest message with its coordinator.
@@ -76,7 +92,8 @@
             return place_messages.CoordinatorMoved()
         call = self._pending_replies.open()
         self.handle_event(
-            message.model, self._placement_requested(call, message)
+            message.model,
+            self._request_events.placement_requested(call, message),
         )
         return await self._pending_replies.wait(call)
 
@@ -90,16 +107,8 @@
         now_s = asyncio.get_running_loop().time()
         hosted = self._hosted_by_model.get(model)
         if hosted is None:
-            hosted = _HostedCoordinator(
-                coordinator.Coordinator(
-                    ready_s=self._ready_s(now_s),
-                    cold_bounds=self._cold_bounds,
-                ),
-                now_s,
-            )
+            hosted = self._open(model, self._ready_s(now_s), now_s)
             self._hosted_by_model[model] = hosted
-            for limit in self._recorded_limits(model):
-                hosted.coordinator.handle(limit, now_s)
         if isinstance(
             event,
             events.PlacementRequested
@@ -111,7 +120,29 @@
         view_changes = self._view_changes(model, hosted)
         for change in (*contact_changes, *view_changes, event):
             for action in hosted.coordinator.handle(change, now_s):
-                self._perform(action)
+                self._perform(action, model)
+
+    def explain(self, message):
+        """Explain what would become of a PlaceRequest, without an effect.
+
+        :returns: an Explanation.
+        """
+        now_s = asyncio.get_running_loop().time()
+        model = message.model
+        hosted = self._hosted_by_model.get(model)
+        if hosted is None:
+            hosted = self._open(model, now_s, now_s)
+        # What the coordinator has seen stays as it is.
+        seen = dataclasses.replace(hosted, contact=copy.copy(hosted.contact))
+        return explanation.explain(
+            hosted.coordinator,
+            self._request_events.placement_requested(EXPLAINED_CALL, message),
+            (
+                *self._contact_changes(model, seen, now_s),
+                *self._view_changes(model, seen),
+            ),
+            now_s,
+        )
 
     async def request_call(self, message):
         """Decide on a CallRequest message.
@@ -121,7 +152,9 @@
         if self._closed:
             return place_messages.CoordinatorMoved()
         call = self._pending_replies.open()
-        self.handle_event(message.model, _call_requested(call, message))
+        self.handle_event(
+            message.model, request_events.call_requested(call, message)
+        )
         return await self._pending_replies.wait(call)
 
     def limits_by_model(self):
@@ -150,6 +183,8 @@
             ),
         )
         wanted = self._unknown_holds_by_owner.pop(message.owner, ())
+        if message.load is not None:
+            return self._service_shares(message, wanted)
         return place_messages.UnknownHolds(wanted)
 
     def wanted_prefills_by_model(self):
@@ -206,6 +241,20 @@
                 call, place_messages.CoordinatorMoved()
             )
 
+    def _open(self, model, ready_s, now_s):
+        """Return a new coordinator of a model, which is not fed events yet.
+
+        :param ready_s: monotonic seconds from which it may grant places.
+        """
+        opened = coordinator.Coordinator(
+            ready_s=ready_s, cold_bounds=self._cold_bounds, costs=self._costs
+        )
+        for limit in self._recorded_limits(model):
+            opened.handle(limit, now_s)
+        return _HostedCoordinator(
+            opened, now_s, service_zones.ServiceZones(self._costs)
+        )
+
     def _ready_s(self, now_s):
         """Return the time from which a new coordinator may grant places.
 
@@ -255,7 +304,32 @@
             hosted.owners = owners
             yield events.OwnersChanged(owners)
 
-    def _perform(self, action):
+    def _service_shares(self, message, wanted):
+        """Return the decision on the zones of a plain service.
+
+        :param message: a ReportHolds message with a load.
+        """
+        hosted = self._hosted_by_model.get(message.model)
+        if hosted is None or not isinstance(self._costs, crossing.ByteCosts):
+            return place_messages.UnknownHolds(wanted)
+        now_s = asyncio.get_running_loop().time()
+        hosted.last_request_s = now_s
+        by_id = self._view.state.servers.by_served.get(message.model, {})
+        decision = hosted.zones.report(
+            message.owner.vm,
+            message.load,
+            by_id.values(),
+            self._view.state.sessions.by_vm,
+            now_s,
+        )
+        if decision.changed:
+            changed = actions.ZonesDecided('service', decision.shares)
+            self._perform(changed, message.model)
+        return place_messages.UnknownHolds(
+            wanted, decision.shares, max(0.0, decision.until_s - now_s)
+        )
+
+    def _perform(self, action, model):
         match action:
             case actions.Grant(call=call):
                 granted = place_messages.PlaceGranted(
@@ -277,112 +351,14 @@
                 self._pending_replies.resolve(call, deferred)
             case actions.RequestAllocations(owner=owner, numbers=numbers):
                 self._unknown_holds_by_owner[owner] = numbers
-
-    def _placement_requested(self, call, message):
-        accounts_by_id = self._view.lookups.accounts_by_id
-        account = accounts_by_id.get(message.account)
-        session = self._view.state.sessions.by_vm.get(message.owner.vm)
-        target = self._latency_target(message.model, message.interactive)
-        own_s = None
-        if message.target_s is not None:
-            own_s = message.target_s - message.waited_s
-        return events.PlacementRequested(
-            call=call,
-            hold=events.HoldId(message.owner, message.number),
-            account=message.account,
-            weight=account.weight if account else 1.0,
-            zone=session.zone if session else ids.Zone(''),
-            prompt_tokens=message.prompt_tokens,
-            output_tokens=message.output_tokens,
-            interactive=message.interactive,
-            patience_s=message.patience_s,
-            first_token_s=target.first_token_s - message.waited_s,
-            between_tokens_s=target.between_tokens_s,
-            prefix=message.prefix,
-            excluded=message.excluded,
-            isolation=events.Isolation(message.isolation),
-            expected_tokens=message.expected_tokens,
-            accepts_late_answer=message.accepts_late_answer,
-            software=message.software,
-            rank=message.rank,
-            own_first_token_s=own_s,
-        )
-
-    def _latency_target(self, model, interactive):
-        document = self._view.lookups.document
-        if self._latency_targets.document is not document:
-            self._latency_targets = _LatencyTargets(document)
-        return self._latency_targets.find(model, interactive)
-
-
-def _call_requested(call, message):
-    """Return the event for a CallRequest message."""
-    match message.limits:
-        case [
-            place_messages.ReportLimit(cold_requests_per_s=pace) as limit
-        ] if pace > 0:
-            return events.ColdCallRequested(
-                call,
-                limit.server,
-                limit.incarnation,
-                pace,
-                limit.cold,
-                message.max_wait_s,
-            )
-    limits = tuple(_limit_reported(limit) for limit in message.limits)
-    return events.CallRequested(call, limits, message.max_wait_s)
-
-
-def _limit_reported(message):
-    """Return the event for a ReportLimit message."""
-    return events.LimitReported(
-        message.server, message.incarnation, message.requests_per_s
-    )
-
-
-class _LatencyTargets:
-    """The strictest latency targets among the routes to each model.
-
-    :param document: the Document whose routes are indexed.
-    """
-
-    def __init__(self, document):
-        self.document = document
-        self._targets_by_key = {}
-        for route in document.routes:
-            match route.target:
-                case types.ModelTarget() as target:
-                    interactive = route.urgency is types.Urgency.INTERACTIVE
-                    self._add((target.model, interactive), target)
-                case types.SplitTarget() as target:
-                    self._add_split(target)
-
-    def find(self, model, interactive):
-        """Return the ModelTarget for a model.
-
-        :param interactive: whether interactive routes are meant.
-        """
-        target = self._targets_by_key.get((model, interactive))
-        if target is not None:
-            return target
-        return types.ModelTarget(
-            model,
-            DEFAULT_FIRST_TOKEN_TARGET_S,
-            DEFAULT_BETWEEN_TOKENS_TARGET_S,
-        )
-
-    def _add_split(self, split):
-        for share in split.shares:
-            model = ids.ModelId(share.service)
-            target = types.ModelTarget(
-                model, split.answer_s, split.between_events_s
-            )
-            self._add((model, False), target)
-
-    def _add(self, key, target):
-        known = self._targets_by_key.get(key, target)
-        self._targets_by_key[key] = types.ModelTarget(
-            target.model,
-            min(known.first_token_s, target.first_token_s),
-            min(known.between_tokens_s, target.between_tokens_s),
-        )
+            case actions.ZonesDecided(kind=kind, shares=shares):
+                log.emit(
+                    catalogue.ZONES_DECIDED,
+                    service=model,
+                    kind=kind,
+                    shares=[
+                        f'{s.origin} to {s.target}: {s.share:.2f}, '
+                        f'{s.reason.value}'
+                        for s in shares
+                    ],
+                )
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -20,6 +20,7 @@
 from bulrushrudder.entry import cold_permits
 from bulrushrudder.entry import control_client
 from bulrushrudder.entry import coordinator_client
+from bulrushrudder.entry import explaining
 from bulrushrudder.entry import limit_sharing
 from bulrushrudder.entry import own_interface
 from bulrushrudder.entry import rank_reporter
@@ -27,6 +28,7 @@
 from bulrushrudder.entry import service_router
 from bulrushrudder.entry import session
 from bulrushrudder.entry import shared_services
+from bulrushrudder.entry import zone_reports
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.lifecycle import retries
@@ -35,6 +37,8 @@
 from bulrushrudder.metrics import entry as metrics_entry
 from bulrushrudder.metrics import listener as metrics_listener
 from bulrushrudder.observers import view
+from bulrushrudder.placement import crossing
+from bulrushrudder.protocol import explain_messages
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import peers
 from bulrushrudder.protocol import place_messages
@@ -96,10 +100,16 @@
         self._call_registrar = call_registrar.CallRegistrar(
             self._owner, self.view, self.control_client, settings.environment
         )
+        self._costs = crossing.of_bounds(settings.bounds)
         statements = table.StatementTable()
         cold_bounds = cold_pace.of_bounds(settings.bounds)
         self.coordinator_client = coordinator_client.CoordinatorClient(
-            self._owner, self.view, roles, statements, cold_bounds
+            self._owner,
+            self.view,
+            roles,
+            statements,
+            cold_bounds,
+            self._costs,
         )
         self._backpressure = backpressure_monitor.BackpressureMonitor(
             self.view,
@@ -130,6 +140,8 @@
             self._is_leaving,
         )
         self.services = None
+        self._zone_reports = None
+        self._explainer = None
         self._canceller = None
         self._callers = None
 
@@ -157,11 +169,26 @@
         self._canceller = cancelling.Canceller(
             self._settings.vm, self.view, engines, self.metrics
         )
+        self._zone_reports = zone_reports.ZoneReports(
+            self._settings.vm,
+            self._settings.zone,
+            self._costs,
+            self.paths.network.doubts,
+        )
         router = service_router.ServiceRouter(
             self.view,
             self._settings.zone,
             services_client,
             self.paths.network.doubts,
+            self._zone_reports,
+            self.metrics,
+        )
+        self._explainer = explaining.Explainer(
+            self._owner,
+            self.view,
+            self.coordinator_client,
+            router,
+            self._backpressure,
         )
         self.services = shared_services.SharedServices(
             self._owner,
@@ -179,6 +206,7 @@
             ),
             self._backpressure,
             self.paths.network.doubts,
+            self._costs,
         )
 
     def _limit_retries(self):
@@ -201,6 +229,9 @@
             self._backpressure.run(),
             self.services.stream_recorder.run(),
             self.coordinator_client.run(),
+            self._zone_reports.run(
+                self.coordinator_client, self.services.service_router.servers
+            ),
             balancing.PoolBalancer(
                 self.view, self.coordinator_client, self.control_client
             ).run(),
@@ -343,6 +374,8 @@
                 | place_messages.CallRequest()
             ):
                 return await self.coordinator_client.serve(message)
+            case explain_messages.ExplainRequest():
+                return self._explainer.explain(message)
         return None
 
 
--- a/bulrushrudder/events/catalogue.py
+++ b/bulrushrudder/events/catalogue.py
@@ -564,6 +564,14 @@
     'of several ranks came; the fields give the numbers by rank since the '
     'last such line, and of those that wait now. At most one line in 10 s.',
 )
+ZONES_DECIDED = Event(
+    4024,
+    Level.INFO,
+    'zones decided',
+    'The coordinator of a model or service decided anew which share of the '
+    'work of each availability zone leaves it, and where to; no share means '
+    'that all work stays in its zone.',
+)
 SPARE_TOKENS_GRANTED = Event(
     5101,
     Level.INFO,
--- a/bulrushrudder/placement/balance.py
+++ b/bulrushrudder/placement/balance.py
@@ -114,6 +114,27 @@
     return best
 
 
+def wanted_of_pools(work, prefills, decodes):
+    """Return the target number of prefill servers, None if unknown.
+
+    :param work: the average RequestWork, or None.
+    :param prefills: the PrefillPool.
+    :param decodes: the DecodePool.
+    """
+    if work is None:
+        return None
+    prefill_count = len(prefills.by_id)
+    decode_count = sum(known.present for known in decodes.by_id.values())
+    measured = (
+        prefills.measured_servers() >= prefill_count * MIN_MEASURED_SHARE
+        and decodes.measured_servers() >= decode_count * MIN_MEASURED_SHARE
+    )
+    # A pool that lacks one kind serves nothing and measures nothing.
+    if prefill_count and decode_count and not measured:
+        return None
+    return wanted(work, prefill_count, decode_count)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KindChange:
     """A server that is to change its kind.
--- a/bulrushrudder/placement/coordinator.py
+++ b/bulrushrudder/placement/coordinator.py
@@ -1,19 +1,26 @@
 """Coordinator of a model: grants places on its backend servers."""
 
+import dataclasses
+
 from bulrushrudder.core import ids
 from bulrushrudder.core import outcomes
 from bulrushrudder.overload import return_times
 from bulrushrudder.placement import actions
 from bulrushrudder.placement import balance
 from bulrushrudder.placement import choice
+from bulrushrudder.placement import crossing
 from bulrushrudder.placement import decodes
 from bulrushrudder.placement import demand
+from bulrushrudder.placement import drains
 from bulrushrudder.placement import early_refusal
 from bulrushrudder.placement import evacuated_pools
 from bulrushrudder.placement import events
 from bulrushrudder.placement import fair_queue
+from bulrushrudder.placement import figure_ages
 from bulrushrudder.placement import flooding
 from bulrushrudder.placement import hold_table
+from bulrushrudder.placement import measurements
+from bulrushrudder.placement import model_zones
 from bulrushrudder.placement import pool_limits
 from bulrushrudder.placement import prefills
 from bulrushrudder.placement import rank_counts
@@ -32,6 +39,7 @@
     :param max_booked_ahead: limit of places per decode server that are granted
         before the requests in them have ended.
     :param cold_bounds: the ColdBounds, or None.
+    :param costs: what the bytes between zones cost.
     """
 
     def __init__(
@@ -39,6 +47,7 @@
         ready_s=0.0,
         max_booked_ahead=MAX_BOOKED_AHEAD,
         cold_bounds=None,
+        costs=crossing.FIXED,
     ):
         self._ready_s = ready_s
         self._is_emptied = False
@@ -48,8 +57,12 @@
         self._holds = hold_table.HoldTable(self._decodes)
         self._demand = demand.AccountDemand()
         self._average_work = balance.AverageWork()
-        self._drained_server_by_hold = {}
+        self._drains = drains.Drains()
         self._return_times = return_times.ReturnTimes()
+        self._ages = figure_ages.FigureAges()
+        self._zones = model_zones.ModelZones(
+            costs, self._prefills, self._decodes
+        )
         self._room = rank_room.RankRoom()
         self._rank_counts = rank_counts.RankCounts()
         self._limits = pool_limits.PoolLimits(
@@ -66,6 +79,30 @@
         """Return the calls of all queued placement requests."""
         return self._queue.calls()
 
+    @property
+    def pools(self):
+        """Return the PrefillPool and the DecodePool."""
+        return self._prefills, self._decodes
+
+    @property
+    def zones(self):
+        """Return the ModelZones."""
+        return self._zones
+
+    @property
+    def ages(self):
+        """Return the FigureAges of the servers."""
+        return self._ages
+
+    def constraints(self, request, now_s):
+        """Return what a placement of a request must leave to others."""
+        return choice.Constraints(
+            claimed=self._drains.claimed,
+            limiter=self._limits.pacing,
+            costs=self._zones.costs,
+            preference=self._zones.preference(request, now_s),
+        )
+
     @property
     def allocations(self):
         """Return all Allocations."""
@@ -88,20 +125,9 @@
 
     def wanted_prefills(self):
         """Return the target number of prefill servers, None if unknown."""
-        work = self._average_work.work
-        if work is None:
-            return None
-        prefills = len(self._prefills.by_id)
-        decodes = sum(k.present for k in self._decodes.by_id.values())
-        min_share = balance.MIN_MEASURED_SHARE
-        measured = (
-            self._prefills.measured_servers() >= prefills * min_share
-            and self._decodes.measured_servers() >= decodes * min_share
+        return balance.wanted_of_pools(
+            self._average_work.work, self._prefills, self._decodes
         )
-        # A pool that lacks one kind serves nothing and measures nothing.
-        if prefills and decodes and not measured:
-            return None
-        return balance.wanted(work, prefills, decodes)
 
     def handle(self, event, now_s):
         """Apply an event and return the resulting actions.
@@ -109,7 +135,8 @@
         :param now_s: monotonic seconds.
         """
         immediate = self._apply(event, now_s)
-        return [*immediate, *self._dispatch(now_s)]
+        decided = self._zones.refresh(now_s)
+        return [*immediate, *decided, *self._dispatch(now_s)]
 
     def _apply(self, event, now_s):
         match event:
@@ -123,13 +150,18 @@
             ):
                 return self._limits.handle(event, self._return_times, now_s)
             case events.PlaceReleased(hold=hold):
-                self._record_measurements(event, now_s)
+                grant = self._holds.grant_of(hold)
+                if grant is not None:
+                    measurements.record(
+                        event, grant.allocation, self.pools, self._ages, now_s
+                    )
                 self._release(hold, now_s)
             case events.ServersChanged():
                 return self._update_servers(event, now_s)
             case events.LoadReported():
                 self._prefills.record_load(event)
                 self._decodes.record_load(event)
+                self._ages.record(event.server, now_s)
             case events.CacheChanged():
                 self._prefills.prefixes.changed(event)
             case events.HoldsReported():
@@ -156,30 +188,10 @@
         if self._is_emptied or backlog_s > request.patience_s:
             return [self._refuse(request, outcomes.Reason.NO_SERVER, now_s)]
         self._queue.add(request, now_s, self._lead_s(request))
+        self._zones.arrived(request, now_s)
         self._room.record_request(rank, now_s)
         return []
 
-    def _refuse_hopeless(self, candidates, now_s):
-        """Refuse the requests that surely get no servers in time."""
-        pace = early_refusal.pace_bound(
-            self._return_times.recent_grants(now_s),
-            return_times.PACE_WINDOW_S,
-        )
-        if pace is None or not self._queue.shares.several:
-            return []
-        refused = []
-        for queued in candidates:
-            # One whose caller came back goes before other late ones.
-            if queued.queued_s >= queued.grant_by_s:
-                continue
-            if early_refusal.is_hopeless(queued, self._queue, pace, now_s):
-                request = queued.request
-                self._queue.remove(request.hold)
-                refused.append(
-                    self._refuse(request, outcomes.Reason.NO_SERVER, now_s)
-                )
-        return refused
-
     def _record_work(self, request):
         """Add the expected server time of a request to the average."""
         prefill_s = self._prefills.work_s(request)
@@ -195,29 +207,10 @@
             request
         )
 
-    def _record_measurements(self, event, now_s):
-        """Update the pace and failure share of the servers of a request."""
-        grant = self._holds.grant_of(event.hold)
-        if grant is None:
-            return
-        allocation = grant.allocation
-        if event.prefill_failed:
-            self._prefills.record_failure(allocation.prefill, now_s)
-        elif event.prefill_s > 0:
-            self._prefills.record_prefill(
-                allocation.prefill, allocation.prompt_tokens, event.prefill_s
-            )
-        if event.token_s > 0:
-            self._decodes.record_token_time(
-                allocation.decode, event.token_s, now_s
-            )
-        if event.verdict is not events.Verdict.UNKNOWN:
-            failed = event.verdict is events.Verdict.FAILED
-            self._decodes.record_result(allocation.decode, failed, now_s)
-
     def _release(self, hold, now_s):
-        self._drained_server_by_hold.pop(hold, None)
+        self._drains.end(hold)
         self._queue.remove(hold)
+        self._zones.left(hold)
         if self._holds.release(hold, now_s):
             self._room.record_release(now_s)
 
@@ -230,6 +223,7 @@
         by_id = {server.id: server for server in servers}
         # A zone may be restored before its servers state their limits anew.
         self._limits.update_servers((*servers, *change.evacuated), now_s)
+        self._ages.retain(by_id)
         for pool, kind in (
             (self._prefills, 'prefill'),
             (self._decodes, 'decode'),
@@ -265,7 +259,12 @@
             for queued in self._queue.expired(now_s)
         ]
         late = self._queue.demote(now_s)
-        decided += self._refuse_hopeless(late, now_s)
+        decided += [
+            self._refuse(queued.request, outcomes.Reason.NO_SERVER, now_s)
+            for queued in early_refusal.hopeless(
+                late, self._queue, self._return_times, now_s
+            )
+        ]
         if now_s < self._ready_s:
             return decided
         while True:
@@ -280,7 +279,7 @@
         A queue class is served only if no request of an earlier class
         is blocked; requests held back for flooding do not count.
         """
-        claimed = frozenset(self._drained_server_by_hold.values())
+        claimed = self._drains.claimed
         for queue_class in fair_queue.QueueClass:
             blocked = False
             for queued in self._queue.heads(
@@ -309,9 +308,9 @@
             self._queue.remove(request.hold)
             return self._refuse(request, outcomes.Reason.NO_SERVER, now_s)
         if request.isolation is events.Isolation.ALONE:
-            claimed = self._drain_for(request, claimed)
-        constraints = choice.Constraints(
-            claimed=claimed, limiter=self._limits.pacing
+            claimed = self._drains.reserve(request, self._decodes, claimed)
+        constraints = dataclasses.replace(
+            self.constraints(request, now_s), claimed=claimed
         )
         if held_back:
             constraints = flooding.constraints(
@@ -334,18 +333,6 @@
                 return self._grant(queued, placement, now_s)
         return choice.Blocked() if held_back else placement
 
-    def _drain_for(self, request, claimed):
-        """Reserve one decode server for a request that must run alone.
-
-        :returns: the servers that other requests claim.
-        """
-        if not self._drained_server_by_hold:
-            candidates = self._decodes.candidates(request.excluded)
-            if candidates:
-                emptiest = min(candidates, key=lambda known: known.held_places)
-                self._drained_server_by_hold[request.hold] = emptiest.server.id
-        return claimed - {self._drained_server_by_hold.get(request.hold)}
-
     def _leaves_room(self, queued, now_s):
         """Return whether a request leaves the free room to higher ranks."""
         if not self._room.is_kept_from(queued, self._decodes, now_s):
@@ -373,7 +360,8 @@
 
     def _refuse(self, request, reason, now_s):
         hold = request.hold
-        self._drained_server_by_hold.pop(hold, None)
+        self._zones.left(hold)
+        self._drains.end(hold)
         self._holds.close(hold)
         rank = self._queue.shares.resolve(request.rank, now_s)
         self._rank_counts.refused[rank] += 1
@@ -382,8 +370,9 @@
 
     def _grant(self, queued, placement, now_s):
         request = queued.request
-        self._drained_server_by_hold.pop(request.hold, None)
+        self._drains.end(request.hold)
         self._queue.grant(queued, now_s)
+        self._zones.left(request.hold)
         self._return_times.record_grant(now_s)
         self._rank_counts.granted[queued.rank] += 1
         choice.book(placement, self._prefills, request)
--- a/bulrushrudder/placement/early_refusal.py
+++ b/bulrushrudder/placement/early_refusal.py
@@ -2,6 +2,8 @@
 
 import math
 
+from bulrushrudder.overload import return_times
+
 # With fewer grants within the time over which the pace is measured, the
 # pace is too uncertain to refuse by.
 MIN_GRANTS = 10
@@ -37,3 +39,24 @@
     if above and least_share > 0.0:
         wait_s = min(wait_s, (beside + 1) / (pace * least_share))
     return now_s + wait_s > queued.deadline_s
+
+
+def hopeless(candidates, queue, times, now_s):
+    """Yield the late requests that surely get no servers in time.
+
+    Each one is removed from the queue before it is yielded.
+
+    :param candidates: QueuedRequests that have become late.
+    :param queue: the FairQueue.
+    :param times: the ReturnTimes of the coordinator.
+    """
+    pace = pace_bound(times.recent_grants(now_s), return_times.PACE_WINDOW_S)
+    if pace is None or not queue.shares.several:
+        return
+    for queued in candidates:
+        # One whose caller came back goes before other late ones.
+        if queued.queued_s >= queued.grant_by_s:
+            continue
+        if is_hopeless(queued, queue, pace, now_s):
+            queue.remove(queued.request.hold)
+            yield queued
--- a/bulrushrudder/placement/server_selector.py
+++ b/bulrushrudder/placement/server_selector.py
@@ -103,10 +103,13 @@
     while a server is up.
 
     :param zone: of this VM.
+    :param spread: the ZoneSpread, which chooses the zone of each call; None
+        to prefer the zone of this VM.
     """
 
-    def __init__(self, zone):
+    def __init__(self, zone, spread=None):
         self._zone = zone
+        self._spread = spread
         self._servers_by_id = {}
         self._on_probation = set()
         # Servers whose failure share counts.
@@ -129,6 +132,11 @@
             known.present = True
             self._update_index(server.id, 0.0)
 
+    def calls(self, server_id):
+        """Return the outstanding calls of this VM to a server."""
+        known = self._servers_by_id.get(server_id)
+        return known.calls if known else 0
+
     def choose(self, now_s, tried=()):
         """Choose a server for a call.
 
@@ -137,11 +145,12 @@
         """
         return next(iter(self.ranked(now_s, tried)), None)
 
-    def ranked(self, now_s, tried=(), unavailable=()):
+    def ranked(self, now_s, tried=(), unavailable=(), size=0):
         """Return the ids of some servers for a call, the best one first.
 
         :param tried: ids of servers already tried for the call.
         :param unavailable: ids of servers that take no call.
+        :param size: bytes that the call sends.
         """
         passed_over = {*tried, *unavailable}
         self._drop_recovered(now_s)
@@ -156,8 +165,15 @@
         ]
         if not candidates and not tried:
             candidates = self._first_to_be_readmitted(unavailable)
+        if self._spread is None:
+            return sorted(
+                candidates, key=lambda server_id: self._cost(server_id, now_s)
+            )
+        # A further try goes where room is, from the VM's zone outwards.
+        home = self._zone if tried else self._spread.draw(size, now_s)
         return sorted(
-            candidates, key=lambda server_id: self._cost(server_id, now_s)
+            candidates,
+            key=lambda server_id: self._spread_cost(server_id, home, now_s),
         )
 
     def record_call_start(self, server_id, incarnation, now_s):
@@ -220,7 +236,7 @@
         if server_id in self._on_probation and busy:
             index.remove(server_id)
         else:
-            index.set(server_id, known.calls)
+            index.set(server_id, self._load(server_id, known))
 
     def _retire(self, server_id):
         """Stop choosing a server; forget it when no call is outstanding."""
@@ -241,13 +257,35 @@
         ]
         return [min(readmissions)[1]] if readmissions else []
 
+    def _load(self, server_id, known):
+        """Return the load of a server in the index of its zone."""
+        if self._spread is None:
+            return known.calls
+        return known.calls, -self._spread.weight(server_id)
+
+    def _spread_cost(self, server_id, home, now_s):
+        """Return the key of a server if a zone should serve the call."""
+        known = self._servers_by_id[server_id]
+        return (
+            self._cost_calls(known, home, now_s),
+            self._spread.order(known.zone),
+            -self._spread.weight(server_id),
+        )
+
     def _cost(self, server_id, now_s):
         known = self._servers_by_id[server_id]
-        other = 0 if known.zone == self._zone else CROSS_ZONE_COST_CALLS
+        return self._cost_calls(known, self._zone, now_s), server_id
+
+    def _cost_calls(self, known, home, now_s):
+        """Return the cost of a server in calls.
+
+        :param home: zone whose servers cost nothing extra.
+        """
+        other = 0 if known.zone == home else CROSS_ZONE_COST_CALLS
         failing = known.failure_share_at(now_s) * FAILING_SERVER_COST_CALLS
         if now_s < known.rejecting_until_s:
             failing += REJECTING_SERVER_COST_CALLS
-        return known.calls + other + failing, server_id
+        return known.calls + other + failing
 
     def _zone_index(self, zone):
         index = self._indexes_by_zone.get(zone)
