Test crowds at all listeners, and what closed connections leave

New crowds, before the programs of the deploy file on loopback addresses, on VMs of 88 MB or 256 descriptors: connections that are reset one after the other, ids near the limit on headers, bytes behind slow calls, all listeners at once, handshakes that do not end, answers and streams that nobody reads.

--- a/bulrushrudder/tests/builders/crowds.py
+++ b/bulrushrudder/tests/builders/crowds.py
@@ -7,9 +7,11 @@
 import pathlib
 import random
 import resource
+import signal
 import socket
 import tempfile
 
+from bulrushrudder.tests.builders import process_watch
 from bulrushrudder.tests.soak import clients
 from bulrushrudder.tests.soak import http
 from bulrushrudder.tests.soak import operators
@@ -22,6 +24,11 @@
 # Longer than a call is tried on a busy machine; no test checks a time.
 ORDINARY_TIMEOUT_S = 20.0
 ANSWER_BYTES = 400_000
+SLOTS = 400
+# Of each kind; each runs 64 streams at a time.
+ENGINES = 4
+# Near the limit of the configuration on all headers of a call.
+LONG_ID_BYTES = 15_000
 # The smallest VM of the platform.
 MEMORY_MB = 88
 MAX_FDS = 256
@@ -30,8 +37,11 @@
 PIECE_BYTES = 64 * 1024
 
 
-def head(path, length, attempt, key=clients.KEY, method='POST'):
-    """Return the head of a call."""
+def head(path, length, attempt, key=clients.KEY, method='POST', more=()):
+    """Return the head of a call.
+
+    :param more: pairs of name and value of further headers.
+    """
     return http.head(
         f'{method} {path} HTTP/1.1',
         [
@@ -40,10 +50,19 @@
             ('Deadline-Ms', '10000'),
             ('Authorization', f'Bearer {key}'),
             ('Content-Length', length),
+            *more,
         ],
     )
 
 
+def stream_calls(count):
+    """Yield calls for streams."""
+    for _ in range(count):
+        attempt = f'{random.getrandbits(64):016x}'
+        prompt = [('Model', 'm'), ('Token-Usage', '100,84')]
+        yield head('/draft/1', 3, attempt, more=prompt) + b'abc'
+
+
 def calls(path, count, size=3, **changes):
     """Yield the bytes of calls with different attempt ids."""
     body = b'a' * size
@@ -52,6 +71,20 @@
         yield head(path, size, attempt, **changes) + body
 
 
+def calls_with_long_ids(count, **changes):
+    """Yield calls whose attempt ids have LONG_ID_BYTES."""
+    for _ in range(count):
+        attempt = f'{random.getrandbits(64):016x}' * (LONG_ID_BYTES // 16)
+        yield head('/look/1', 3, attempt, **changes) + b'abc'
+
+
+def endless_head():
+    """Yield the bytes of a head that does not end."""
+    yield b'POST /look/1 HTTP/1.1\r\nHost: a\r\n'
+    for number in range(100):
+        yield b'H-%d: %s\r\n' % (number, b'a' * 8000)
+
+
 class Crowd:
     """Connections that send as fast as they may and read nothing.
 
@@ -73,6 +106,34 @@
             for _ in range(count)
         ]
 
+    def reopen(self, count, times, piece, reads):
+        """Open connections one after the other, and reset each.
+
+        :param count: connections at a time.
+        :param times: number of connections after each other.
+        :param piece: what is sent on each.
+        :param reads: whether the first bytes of an answer are awaited.
+        :returns: the task that ends when all have been reset.
+        """
+        task = asyncio.gather(
+            *(self._send_again(times, piece, reads) for _ in range(count))
+        )
+        self._tasks.append(task)
+        return task
+
+    def call(self, count, make_pieces):
+        """Make calls one after the other on kept connections.
+
+        :param count: number of connections.
+        :param make_pieces: function that returns the calls of one of them.
+        :returns: the task that ends with the last answer.
+        """
+        task = asyncio.gather(
+            *(self._call(make_pieces()) for _ in range(count))
+        )
+        self._tasks.append(task)
+        return task
+
     async def leave(self):
         """Close all connections."""
         for task in self._tasks:
@@ -92,40 +153,37 @@
                 await asyncio.sleep(pause_s)
             await asyncio.Event().wait()
 
+    async def _call(self, pieces):
+        reader, writer = await asyncio.open_connection(*self._address)
+        try:
+            for piece in pieces:
+                writer.write(piece)
+                await http.read_answer(reader, http.Answer())
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.transport.abort()
 
-class Watch:
-    """Records the most descriptors that a process had.
-
-    :param pid: its id.
-    """
-
-    def __init__(self, pid):
-        self._folder = pathlib.Path(f'/proc/{pid}')
-        self.most_fds = 0
-
-    @property
-    def peak_mb(self):
-        """Return the most resident memory that the process had."""
-        for line in (self._folder / 'status').read_text().splitlines():
-            if line.startswith('VmHWM'):
-                return int(line.split()[1]) / 1024
-        raise AssertionError('no VmHWM')
-
-    async def look(self, for_s):
-        """Count descriptors for some seconds."""
+    async def _send_again(self, times, piece, reads):
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + for_s
-        while loop.time() < until_s:
-            count = len(list((self._folder / 'fd').iterdir()))
-            self.most_fds = max(self.most_fds, count)
-            await asyncio.sleep(0.02)
+        for _ in range(times):
+            sock = socket.socket()
+            sock.setblocking(False)
+            with contextlib.suppress(OSError):
+                await loop.sock_connect(sock, self._address)
+                await loop.sock_sendall(sock, piece)
+                if reads:
+                    await loop.sock_recv(sock, PIECE_BYTES)
+            process_watch.close_with_reset(sock)
 
 
 @contextlib.asynccontextmanager
-async def system(max_fds=None, memory_mb=MEMORY_MB):
+async def system(max_fds=None, memory_mb=MEMORY_MB, draw=None, stream=None):
     """Start a control process, an entry and a server with large answers.
 
     :param max_fds: descriptors that both may have.
+    :param draw: function of rng that returns the Work for a plain call.
+    :param stream: the Work of a stream; None for no engines.
     :returns: the Fleet.
     """
     async with contextlib.AsyncExitStack() as stack:
@@ -152,16 +210,26 @@
         operator = operators.Operator(fleet, rng, (20_000, 5_000))
         if not await operator.send_first():
             raise AssertionError('the system did not start')
-        work = works.Work(takes_s=0.0, filler=ANSWER_BYTES)
-        server = servers.Server(
-            fleet, rng, 'plain', 'plain', slots=400, draw=lambda _: work
-        )
-        await server.start()
-        stack.callback(server.crash)
+        large = works.Work(takes_s=0.0, filler=ANSWER_BYTES)
+        started = [_server(fleet, rng, 'plain', draw or (lambda _: large))]
+        if stream is not None:
+            started += [
+                _server(fleet, rng, 'engines', lambda _: stream, stage, number)
+                for stage in ('prefill', 'decode')
+                for number in range(ENGINES)
+            ]
+        for server in started:
+            await server.start()
+            stack.callback(server.crash)
         await _wait_until_ready(fleet)
         yield fleet
 
 
+def _server(fleet, rng, service, draw, stage=None, number=0):
+    name = f'{stage or service}-{number}'
+    return servers.Server(fleet, rng, name, service, stage, SLOTS, draw)
+
+
 async def _wait_until_ready(fleet):
     async with asyncio.timeout(READY_TIMEOUT_S):
         while (await ordinary(fleet.edges[0])).status != 200:
@@ -191,12 +259,19 @@
     return answer
 
 
+async def get(address, path):
+    """Make a GET call on a new connection; return the Answer."""
+    return await http.call(address, 'GET', path, timeout_s=ORDINARY_TIMEOUT_S)
+
+
+async def stop(machine):
+    """Stop a program as an operator does, and return its exit code."""
+    machine.signal(signal.SIGTERM)
+    await machine.wait()
+    return machine.exit_code
+
+
 async def configuration(machine):
     """Read the configuration of a control process."""
-    answer = await http.call(
-        machine.address('control_plane'),
-        'GET',
-        operators.PATH,
-        timeout_s=ORDINARY_TIMEOUT_S,
-    )
+    answer = await get(machine.address('control_plane'), operators.PATH)
     return answer.status, json.loads(answer.body or b'{}')
--- a/bulrushrudder/tests/platform/untrusted_clients_tests.py
+++ b/bulrushrudder/tests/platform/untrusted_clients_tests.py
@@ -5,13 +5,10 @@
 """
 
 import itertools
-import unittest
 
+from bulrushrudder.tests.builders import crowd_case
 from bulrushrudder.tests.builders import crowds
 
-# Descriptors that a crowd must leave to peers, servers and control.
-RESERVED_FDS = 32
-CROWD_S = 3.0
 PIECE = b'a' * 65536
 
 
@@ -29,40 +26,10 @@
     return make_pieces
 
 
-def endless_head():
-    yield b'POST /look/1 HTTP/1.1\r\nHost: a\r\n'
-    for number in range(100):
-        yield b'H-%d: %s\r\n' % (number, b'a' * 8000)
-
-
 _NUMBERS = itertools.count(1)
 
 
-class CrowdTests(unittest.IsolatedAsyncioTestCase):
-    async def check(self, machine, port_name, max_fds=None, **crowd):
-        watch = crowds.Watch(machine.pid)
-        gathered = crowds.Crowd(machine.address(port_name))
-        gathered.join(**crowd)
-        try:
-            await watch.look(CROWD_S)
-            await self.check_ordinary(machine)
-        finally:
-            await gathered.leave()
-        await watch.look(0.1)
-        self.assertIsNone(machine.exit_code)
-        self.assertLess(watch.peak_mb, crowds.MEMORY_MB)
-        if max_fds:
-            self.assertLess(watch.most_fds, max_fds - RESERVED_FDS)
-
-    async def check_ordinary(self, machine):
-        if machine.role == 'control':
-            status, content = await crowds.configuration(machine)
-            self.assertEqual(status, 200)
-            self.assertGreater(content['version'], 0)
-            return
-        answer = await crowds.ordinary(machine)
-        self.assertEqual((answer.status, answer.whole), (200, True))
-
+class CrowdTests(crowd_case.CrowdCase):
     # Guards against calls sent ahead and answers that nobody reads.
 
     async def test_unread_large_answers_stay_within_memory(self):
@@ -99,7 +66,7 @@
                 fleet.edges[0],
                 'frontend',
                 count=120,
-                make_pieces=endless_head,
+                make_pieces=crowds.endless_head,
             )
 
     async def test_unread_rejections_stay_within_memory(self):
@@ -128,7 +95,7 @@
                 fleet.controls[0],
                 'control_plane',
                 count=120,
-                make_pieces=endless_head,
+                make_pieces=crowds.endless_head,
             )
 
     # Guards against connections that leave no descriptor to servers.
--- a/bulrushrudder/tests/soak/programs.py
+++ b/bulrushrudder/tests/soak/programs.py
@@ -17,6 +17,7 @@
 INJECTED = pathlib.Path(__file__).parent / 'injected'
 PORTS = {'frontend': 8221, 'ready': 8224, 'control_plane': 8229}
 INNER_PORT = 7610
+PORTS_OF_VMS = {'metrics': 7602, 'inner': INNER_PORT}
 STOP_GRACE_S = 8.0
 START_TIMEOUT_S = 30.0
 SEEDS = 3
@@ -105,7 +106,7 @@
 
     def address(self, port_name):
         """Return the address and port of a listener."""
-        return self.ip, PORTS[port_name]
+        return self.ip, {**PORTS, **PORTS_OF_VMS}[port_name]
 
     def start(self, bootstrap=False, seeds=None):
         """Start the program as the deploy file says.
--- a/bulrushrudder/tests/soak/works.py
+++ b/bulrushrudder/tests/soak/works.py
@@ -11,12 +11,14 @@
     :param filler: bytes that a plain answer has beside its usual ones.
     :param events: events of a stream.
     :param gap_s: seconds before the first and after each event.
+    :param event_filler: bytes that an event has beside its usual ones.
     """
 
     takes_s: float = 0.03
     filler: int = 0
     events: int = 6
     gap_s: float = 0.02
+    event_filler: int = 0
 
 
 def quick(rng):
@@ -39,7 +41,8 @@
 
 def events(attempt, work):
     """Return the events of a stream."""
+    filler = 'x' * work.event_filler
     return [
-        f'id: {number}\ndata: {attempt}-{number}\n\n'.encode()
+        f'id: {number}\ndata: {attempt}-{number}{filler}\n\n'.encode()
         for number in range(1, work.events + 1)
     ]
