Forget the timers of connections once they are closed

Callers saw a process end that had run out of memory after clients had connected, sent a request or nothing, and reset, some thousand times.

A connection's timer, for its headers or its next request, was stopped only by a request or by its own end. Until then, 10 to 75 s, it held the closed connection with its parser: 6 kB and more each, outside of the ledger.

The connection now tells the listener that it is closed, which drops its timer and the note that its caller was told of the close.

--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -58,6 +58,7 @@
 
     :param server: the aiohttp Server.
     :param ledger: the Ledger of the listener.
+    :param on_lost: function of the connection, called once it is closed.
     :param options: keyword arguments of RequestHandler.
     :ivar held_by_holding: bytes that it holds, by Holding.
     :ivar refuse_upload: function that ends the reading of a body with a
@@ -76,6 +77,7 @@
         '_ledger',
         '_marked_bytes',
         '_marked_s',
+        '_on_lost',
         '_open_transport',
         '_unanswered',
         '_unread_timer',
@@ -83,7 +85,7 @@
         'refuse_upload',
     )
 
-    def __init__(self, server, ledger, **options):
+    def __init__(self, server, ledger, on_lost, **options):
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
@@ -93,6 +95,7 @@
         self.held_by_holding = {}
         self.refuse_upload = None
         self._ledger = ledger
+        self._on_lost = on_lost
         self._ahead = bytearray()
         self._head_bytes = 0
         self._body = None
@@ -188,6 +191,7 @@
         self._unread_timer.stop()
         super().connection_lost(exc)
         self._ledger.remove(self)
+        self._on_lost(self)
 
     def get_buffer(self, sizehint):
         """Return the buffer that all connections read into."""
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -226,7 +226,10 @@
 
     def _make_connection(self):
         return client_connection.ClientConnection(
-            self._runner.server, self.ledger, **self._handler_options
+            self._runner.server,
+            self.ledger,
+            self._timers.forget,
+            **self._handler_options,
         )
 
     def _close_sockets(self):
@@ -311,6 +314,11 @@
         self._start(protocol, header_s, self._close_without_headers)
         return protocol
 
+    def forget(self, protocol):
+        """Drop what is kept of a connection that is closed."""
+        self._stop(protocol)
+        self._announced.discard(protocol)
+
     @web.middleware
     async def time_request(self, request, handler):
         """Stop the timer of a connection while a request is handled."""
