Keep neither ids of any length nor sent calls on idle connections

Clients saw what they sent stay in the memory of a process: an idle connection to a server kept the latest call, with its body, and the ids of 64 calls, each as long as the limit on headers allows. The records of where streams began kept such ids for a minute, at control processes too while software versions are mixed.

Records of earlier versions are shortened as they arrive; streams with ordinary ids are found across versions as before.

--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from bulrushrudder.core import digests
 from bulrushrudder.core import path_errors
 from bulrushrudder.engines import framing
 from bulrushrudder.engines import responses
@@ -60,7 +61,8 @@
     def __init__(self, id_header, kept_bytes):
         self._id_header = id_header
         self._kept_bytes = kept_bytes
-        self._call = None
+        self._call_id = ''
+        self._without_body = False
         self._earlier_ids = collections.deque(maxlen=REMEMBERED_CALLS)
         self._calls = 0
         self._skipped = 0
@@ -115,7 +117,9 @@
 
     def has_carried(self, call_id):
         """Return whether a recent call on this connection had an id."""
-        return bool(call_id) and call_id in self._earlier_ids
+        return bool(call_id) and (
+            digests.shorten(call_id) in self._earlier_ids
+        )
 
     def send(self, call, on_head):
         """Send a call.
@@ -123,7 +127,8 @@
         :param call: the Call.
         :param on_head: function of the Head, called when it arrives.
         """
-        self._call = call
+        self._call_id = call.id
+        self._without_body = call.without_body
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._parts.clear()
@@ -140,7 +145,7 @@
         self._skipping = False
         self._calls += 1
         if call.id:
-            self._earlier_ids.append(call.id)
+            self._earlier_ids.append(digests.shorten(call.id))
         self._path_watch.sent(len(call.data))
         self._transport.write(call.data)
 
@@ -290,7 +295,7 @@
             self._not_reusable = True
         self._on_head(head)
         self._put(head)
-        if self._call.without_body:
+        if self._without_body:
             self._not_reusable = True
             self._end()
 
@@ -329,7 +334,7 @@
 
         A connection that has brought a foreign response is not reused.
         """
-        match = framing.compare_id(head.header(self._id_header), self._call.id)
+        match = framing.compare_id(head.header(self._id_header), self._call_id)
         first_call = self._calls == 1
         if match is framing.Match.SAME or (
             match is framing.Match.MISSING and first_call
@@ -348,7 +353,7 @@
             return False
         self._reject(
             f'status {head.status} with call id '
-            f'{head.header(self._id_header)!r}, expected {self._call.id!r}'
+            f'{head.header(self._id_header)!r}, expected {self._call_id!r}'
         )
         return False
 
--- a/bulrushrudder/entry/stream_recorder.py
+++ b/bulrushrudder/entry/stream_recorder.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from bulrushrudder.core import digests
 from bulrushrudder.lifecycle import stream_origins
 from bulrushrudder.protocol import stream_messages
 
@@ -44,7 +45,7 @@
         if origins is None:
             origins = stream_origins.StreamOrigins()
             self._origins_by_model[model] = origins
-        record = stream_origins.StreamRecord(stream, software)
+        record = stream_origins.StreamRecord(digests.shorten(stream), software)
         if origins.add(record, _now_s()) and model in self._mixed_models:
             self._unsent.append(record)
             self._has_unsent.set()
@@ -56,7 +57,7 @@
             software = origins.software(stream, _now_s())
             if software is not None:
                 return software
-        question = stream_messages.FindStream(stream, model)
+        question = stream_messages.FindStream(digests.shorten(stream), model)
         match await self._control_client.ask(question, FIND_TIMEOUT_S):
             case result.Success(
                 stream_messages.StreamFound(software=software)
--- a/bulrushrudder/lifecycle/stream_origins.py
+++ b/bulrushrudder/lifecycle/stream_origins.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+from bulrushrudder.core import digests
+
 # Longer than callers take streams up again.
 RETENTION_S = 60.0
 MAX_RECORDS = 200_000
@@ -21,7 +23,11 @@
 
 
 class StreamOrigins:
-    """Origins of recent streams; the oldest are forgotten first."""
+    """Origins of recent streams; the oldest are forgotten first.
+
+    Streams are kept under their shortened ids, also those that a process
+    of an earlier version has recorded.
+    """
 
     def __init__(self):
         self._records_by_stream = {}
@@ -35,16 +41,17 @@
         :returns: whether the stream was not known.
         """
         self._forget_old(now_s)
-        if record.stream in self._records_by_stream:
+        stream = digests.shorten(record.stream)
+        if stream in self._records_by_stream:
             return False
-        self._records_by_stream[record.stream] = record
-        self._expiries.append((now_s + RETENTION_S, record.stream))
+        self._records_by_stream[stream] = StreamRecord(stream, record.software)
+        self._expiries.append((now_s + RETENTION_S, stream))
         return True
 
     def software(self, stream, now_s):
         """Return the version at which a stream began, None if unknown."""
         self._forget_old(now_s)
-        record = self._records_by_stream.get(stream)
+        record = self._records_by_stream.get(digests.shorten(stream))
         return record.software if record else None
 
     def recent(self, now_s):
--- a/bulrushrudder/tests/engines/connections_tests.py
+++ b/bulrushrudder/tests/engines/connections_tests.py
@@ -1,7 +1,9 @@
 import asyncio
 import contextlib
 import functools
+import gc
 import time
+import tracemalloc
 import unittest
 from unittest import mock
 
@@ -14,6 +16,7 @@
 from bulrushrudder.tests.builders import runners
 
 TEST_TIMEOUT_S = 3.0
+BODY_BYTES = 500_000
 LARGE_CALL_BYTES = 24 * 1024 * 1024
 GET = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\nhalf'
@@ -138,6 +141,35 @@
             await self.call(server, data, call_id)
             self.assertEqual(runner.calls[-1].connection, connection)
 
+    # Guards against what clients send being kept by idle connections.
+
+    async def test_idle_connection_keeps_little_of_its_calls(self):
+        runner = runners.Runner(
+            lambda call: [runners.answer(attempt=call.headers['Attempt-Id'])]
+        )
+        server = (await runner.start(self.stack)).server()
+        await self.call_with_id(server, 'first')
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        for number in range(64):
+            await self.call_with_id(
+                server, f'{number:015000}', bytes(BODY_BYTES)
+            )
+        runner.calls.clear()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        self.assertEqual(runner.connections, 1)
+        # The runner keeps the body of the latest call.
+        self.assertLess(after - before, 1.5 * BODY_BYTES)
+
+    async def call_with_id(self, server, call_id, body=b''):
+        data = GET.replace(
+            b'Host: x',
+            f'Attempt-Id: {call_id}\r\nContent-Length: {len(body)}'.encode(),
+        )
+        return await self.call(server, data + body, call_id)
+
     async def test_does_not_reuse_connection_after_skipped_response(self):
         def reply(call):
             copy = runners.answer(b'old', attempt='a')
--- a/bulrushrudder/tests/lifecycle/stream_origins_tests.py
+++ b/bulrushrudder/tests/lifecycle/stream_origins_tests.py
@@ -1,5 +1,6 @@
 import unittest
 
+from bulrushrudder.core import digests
 from bulrushrudder.lifecycle import stream_origins
 from bulrushrudder.membership import software_expiry
 
@@ -17,6 +18,18 @@
         self.assertFalse(self.add('s', 'v2'))
         self.assertEqual(self.origins.software('s', 1.0), 'v1')
 
+    # Guards against ids near the limit on headers that are kept for a
+    # minute each.
+
+    def test_stream_with_a_long_id_is_kept_and_found_under_a_digest(self):
+        long_id = 'a' * 15_000
+        self.assertTrue(self.add(long_id, 'v1'))
+        self.assertEqual(self.origins.software(long_id, 1.0), 'v1')
+        self.assertIsNone(self.origins.software(long_id + 'a', 1.0))
+        (record,) = self.origins.recent(1.0)
+        self.assertLessEqual(len(record.stream), digests.MAX_ID_LENGTH)
+        self.assertFalse(self.add(record.stream, 'v2'))
+
     def test_records_are_forgotten_after_their_time(self):
         self.add('s', 'v1')
         self.add('t', 'v1', 30.0)
