Cut long texts in log lines

Operators saw the log of a process grow with what its callers sent: each line about a call carried its id, which may be as long as the limit on headers, so that 600 lines a second were up to 9 MB.

Texts of more than 512 characters are cut, and their length is given.

--- a/bulrushrudder/events/log.py
+++ b/bulrushrudder/events/log.py
@@ -9,6 +9,9 @@
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import output
 
+# Longer texts are cut: callers choose ids of requests and what invalid
+# input looks like.
+MAX_TEXT_LENGTH = 512
 _LOGGER = logbook.Logger('bulrushrudder')
 
 
@@ -19,7 +22,14 @@
     :param fields: details of this occurrence; must not contain secrets.
     """
     level = logbook.lookup_level(event.level.value)
-    _LOGGER.log(level, event.name, extra={'event': event, 'fields': fields})
+    cut = {name: _cut(value) for name, value in fields.items()}
+    _LOGGER.log(level, event.name, extra={'event': event, 'fields': cut})
+
+
+def _cut(value):
+    if isinstance(value, str) and len(value) > MAX_TEXT_LENGTH:
+        return f'{value[:MAX_TEXT_LENGTH]}... ({len(value)} characters)'
+    return value
 
 
 def json_handler(stream=None, level='INFO'):
