Limit urgent lines of a kind to 20 a second

Operators saw a line for each handshake that failed at the inner listener, and for each client whose headers did not arrive in time: warnings were not subject to the rate limit, and whoever connects can cause them.

Each kind of event may now have 20 urgent lines a second; those beyond are dropped and counted as other lines are, so that other warnings are not displaced.

--- a/bulrushrudder/events/log.py
+++ b/bulrushrudder/events/log.py
@@ -58,7 +58,9 @@
     def emit(self, record):
         """Format a record and write its line."""
         urgent = record.level >= logbook.WARNING
-        self._writer.write(self.format(record), urgent)
+        self._writer.write(
+            self.format(record), urgent, record.extra['event'].number
+        )
 
 
 def _format_dropped(count):
--- a/bulrushrudder/events/output.py
+++ b/bulrushrudder/events/output.py
@@ -4,11 +4,14 @@
 A line with the number of dropped lines follows in the next second.
 """
 
+import collections
 import os
 import time
 
 # Allows several lines for each of about 100 calls a second.
 MAX_LINES_PER_S = 600
+# Limit on urgent lines of one kind, which clients may cause at will.
+MAX_URGENT_LINES_PER_S = 20
 # Limit on buffered lines; a pipe's kernel buffer takes about as much more.
 MAX_PENDING_BYTES = 256 * 1024
 
@@ -30,18 +33,18 @@
         self._dropped = 0
         self._second = None
         self._lines_in_second = 0
+        self._urgent_by_kind = collections.Counter()
         os.set_blocking(descriptor, False)
 
-    def write(self, line, urgent=False):
+    def write(self, line, urgent=False, kind=None):
         """Write a line, or drop and count it.
 
-        :param urgent: whether the line is exempt from the rate limit.
+        :param urgent: whether only lines of the same kind count towards
+            the rate limit.
+        :param kind: what the line is about.
         """
         self._count_line()
-        if self._lines_in_second > MAX_LINES_PER_S and not urgent:
-            self._dropped += 1
-            return
-        if not self._enqueue(line):
+        if not self._is_within_rate(urgent, kind) or not self._enqueue(line):
             self._dropped += 1
 
     def flush(self):
@@ -57,11 +60,18 @@
                 return
             self._pending = self._pending[size:]
 
+    def _is_within_rate(self, urgent, kind):
+        if not urgent:
+            return self._lines_in_second <= MAX_LINES_PER_S
+        self._urgent_by_kind[kind] += 1
+        return self._urgent_by_kind[kind] <= MAX_URGENT_LINES_PER_S
+
     def _count_line(self):
         second = int(self._clock())
         if second != self._second:
             self._second = second
             self._lines_in_second = 0
+            self._urgent_by_kind.clear()
             if self._dropped:
                 line = self._format_dropped(self._dropped)
                 if self._enqueue(line):
--- a/bulrushrudder/tests/events/output_tests.py
+++ b/bulrushrudder/tests/events/output_tests.py
@@ -70,3 +70,16 @@
         self.now_s = 1.0
         self.writer.write('next')
         self.assertEqual(self.read(), ['dropped 50', 'next'])
+
+    # Guards against urgent lines that clients cause without end.
+
+    def test_drops_and_counts_urgent_lines_of_a_kind_above_their_rate(self):
+        for number in range(output.MAX_URGENT_LINES_PER_S + 50):
+            self.writer.write(f'refused {number}', urgent=True, kind=1)
+        self.writer.write('other', urgent=True, kind=2)
+        read = self.read()
+        self.assertEqual(len(read), output.MAX_URGENT_LINES_PER_S + 1)
+        self.assertEqual(read[-1], 'other')
+        self.now_s = 1.0
+        self.writer.write('refused again', urgent=True, kind=1)
+        self.assertEqual(self.read(), ['dropped 50', 'refused again'])
