Divide the memory and descriptors of a VM among its listeners

Callers saw a process end at heads without end sent to several listeners: those for readiness, metrics and servers had the limits of a VM of 192 MB beside those of the callers' listener, and control and entry in one process those of the whole VM each.

Each listener now has a fixed share, and the shares add up to 1: 13/16 for callers or operators, 1/16 for servers and 1/16 for links, 1/32 each for probes and metrics. Fixed shares, because a crowd of callers must not shut out the load balancer's probes. solo divides the VM by two.

--- a/bulrushrudder/commands/solo.py
+++ b/bulrushrudder/commands/solo.py
@@ -1,6 +1,7 @@
 """The solo command: control and entry in one process."""
 
 import contextlib
+import dataclasses
 
 from bulrushrudder.commands import service
 from bulrushrudder.control import process as control_process
@@ -16,6 +17,8 @@
     loaded = service.load_settings(settings)
     service.require(loaded.entry, 'entry', settings)
     service.require(loaded.control, 'control', settings)
+    limits = dataclasses.replace(loaded.limits, roles=2)
+    loaded = dataclasses.replace(loaded, limits=limits)
     service.serve(run, loaded, log_format)
 
 
--- a/bulrushrudder/config/settings.py
+++ b/bulrushrudder/config/settings.py
@@ -149,11 +149,14 @@
     :param max_fds: descriptors that it may open.
     :param unread_s: seconds in which a client takes nothing of its answer,
         after which its connection is closed.
+    :param roles: number of roles, entry or control, that share the process
+        and so divide its memory and descriptors.
     """
 
     memory_mb: float | None = None
     max_fds: int | None = None
     unread_s: float | None = None
+    roles: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -29,7 +29,6 @@
 from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import tasks
-from bulrushrudder.utils import web
 
 
 class OwnInterface:
@@ -141,8 +140,9 @@
     )
     metrics.clients.watch(operators_listener.ledger)
     await operators_listener.open(stack, settings.control.operators)
-    metrics_app = metrics_listener.application(metrics)
-    await web.listen(stack, metrics_app, settings.control.metrics)
+    await metrics_listener.listen(
+        stack, metrics, settings.control.metrics, settings.limits
+    )
     return operators_listener
 
 
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -80,6 +80,13 @@
             settings.secrets.backends,
         )
         await web.listen(
-            stack, backends.application(), settings.entry.backends
+            stack,
+            backends.application(),
+            settings.entry.backends,
+            http_listener.Options(
+                limits=client_limits.of_vm(
+                    settings.limits, client_limits.BACKENDS_SHARE
+                )
+            ),
         )
         return callers
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -44,7 +44,6 @@
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import token_messages
 from bulrushrudder.utils import tasks
-from bulrushrudder.utils import web
 
 CANCEL_TIMEOUT_S = 5.0
 ROLE_HANDOVER_TIMEOUT_S = 4.0
@@ -351,8 +350,9 @@
         stack.callback(inner.close)
         self._callers = await self._interface.listen(stack, settings, self)
         self.metrics.clients.watch(self._callers.ledger)
-        app = metrics_listener.application(self.metrics)
-        await web.listen(stack, app, settings.entry.metrics)
+        await metrics_listener.listen(
+            stack, self.metrics, settings.entry.metrics, settings.limits
+        )
 
     async def _handle(self, link_, message):
         """Dispatch a message of another process to its role."""
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -97,7 +97,12 @@
             ),
         )
         await clients.open(stack, settings.entry.callers)
-        await web_utils.listen(stack, api.readiness(), settings.entry.ready)
+        await web_utils.listen(
+            stack,
+            api.readiness(),
+            settings.entry.ready,
+            _probe_options(settings),
+        )
         return clients
 
 
@@ -359,6 +364,11 @@
         return answers.refuse(refusal, attempt)
 
 
+def _probe_options(settings):
+    limits = client_limits.of_vm(settings.limits, client_limits.PROBES_SHARE)
+    return http_listener.Options(limits=limits)
+
+
 def _decode_headers(http_request):
     return tuple(
         (
--- a/bulrushrudder/utils/client_limits.py
+++ b/bulrushrudder/utils/client_limits.py
@@ -25,6 +25,14 @@
 # Each running call takes a descriptor of the reserve for its server; the
 # others are for peers, control, files and connections that are closing.
 CALL_FDS_SHARE = 0.75
+# Shares of the listeners of a process. They add up to 1, and each is kept
+# for its listener: a crowd of callers does not shut out the load balancer's
+# probes.
+CALLERS_SHARE = 13 / 16
+BACKENDS_SHARE = 1 / 16
+INNER_SHARE = 1 / 16
+PROBES_SHARE = 1 / 32
+METRICS_SHARE = 1 / 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,29 +65,36 @@
     unread_s: float = UNREAD_S
 
 
-def derive(memory_mb=None, max_fds=None, unread_s=None):
-    """Return the ClientLimits of a process.
+def derive(
+    memory_mb=None, max_fds=None, unread_s=None, share=CALLERS_SHARE, roles=1
+):
+    """Return the ClientLimits of a listener.
 
     :param memory_mb: memory of its VM in MB; None if unknown.
-    :param max_fds: descriptors that it may open; None for the limit of
-        the operating system.
+    :param max_fds: descriptors that its process may open; None for the
+        limit of the operating system.
     :param unread_s: as for ClientLimits; None for the default.
+    :param share: share of the listener in what its process may hold.
+    :param roles: as for VmLimits.
     """
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     fds = min(max_fds or soft, soft) if soft > 0 else max_fds or 1024
+    fds //= roles
     reserved = max(MIN_RESERVED_FDS, int(fds * RESERVED_FDS_SHARE))
-    spare_mb = (memory_mb or DEFAULT_MEMORY_MB) - REST_MB
+    spare_mb = ((memory_mb or DEFAULT_MEMORY_MB) - REST_MB) / roles
+    held_bytes = max(MIN_HELD_BYTES, int(spare_mb * MIB * HELD_SHARE))
     return ClientLimits(
-        held_bytes=max(MIN_HELD_BYTES, int(spare_mb * MIB * HELD_SHARE)),
-        connections=max(1, fds - reserved),
+        held_bytes=int(held_bytes * share),
+        connections=max(1, int((fds - reserved) * share)),
         calls=max(1, int(reserved * CALL_FDS_SHARE)),
         unread_s=unread_s or UNREAD_S,
     )
 
 
-def of_vm(vm):
-    """Return the ClientLimits of a process.
+def of_vm(vm, share=CALLERS_SHARE):
+    """Return the ClientLimits of a listener.
 
     :param vm: the VmLimits of the settings.
+    :param share: as for derive().
     """
-    return derive(vm.memory_mb, vm.max_fds, vm.unread_s)
+    return derive(vm.memory_mb, vm.max_fds, vm.unread_s, share, vm.roles)
