Count what the kernel receives for clients as memory

Callers saw a process end although its ledger was within its limit: bytes that have arrived and are not read count as memory of the machine, and a connection could have 256 KiB of them. 400 slow calls with more sent ahead held 16 MB so, heads at all listeners 27 MB.

The kernel's receive buffer of a connection, and of one that is not accepted yet, now holds 32 KiB at most (a socket's buffer takes no more than twice the size that is set, measured for pieces of 1 to 65,536 bytes), and each connection counts with that. The backlog follows from the memory, too. At a round trip of 6 ms an upload may still take 4 MB/s.

Connections that have sent much ahead of the answer to a call are now closed when memory is short, after idle ones. Before, they held their places, and an ordinary call beside them got 503.

--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -124,7 +124,7 @@
         if self._body is not None and not self._body.is_eof():
             return _Stage.INCOMPLETE
         if self._unanswered:
-            return _Stage.BUSY
+            return _Stage.AHEAD if self._holds_reading else _Stage.BUSY
         if self._head_bytes or self._ahead:
             return _Stage.INCOMPLETE
         return _Stage.IDLE
--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -2,8 +2,9 @@
 
 When memory or connections run short, connections are closed in this order:
 those whose answers are unread longest, those whose head or body has been
-incomplete longest, those idle longest. One that makes progress stays, and
-so does one whose call is being served.
+incomplete longest, those idle longest, those that have sent much ahead of
+the answer to a call. One that makes progress stays, and so does any other
+one whose call is being served.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.utils import client_limits
 
 # A client that takes or sends PROGRESS_BYTES in this time makes progress.
 GRACE_S = 2.0
@@ -25,7 +27,8 @@
 # Closing that many at once keeps searches rare in a crowd.
 CLOSED_SHARE = 1 / 16
 # Objects of a connection without a request, and its task.
-CONNECTION_BYTES = 24 * 1024
+OBJECTS_BYTES = 8 * 1024
+CONNECTION_BYTES = OBJECTS_BYTES + client_limits.RECEIVED_BYTES
 # What a call is taken to need at least, and as a share of the limit before
 # the size of answers is known.
 MIN_CALL_BYTES = 32 * 1024
@@ -54,6 +57,7 @@
     UNREAD = 'unread answer, memory short'
     INCOMPLETE = 'incomplete request, memory short'
     IDLE = 'idle, memory short'
+    AHEAD = 'much sent ahead, memory short'
     UNREAD_TIMEOUT = 'unread answer, time over'
     HEAD_TOO_LARGE = 'head too large'
     NO_ROOM = 'no room for its request'
@@ -65,13 +69,15 @@
     UNREAD = 0
     INCOMPLETE = 1
     IDLE = 2
-    BUSY = 3
+    AHEAD = 3
+    BUSY = 4
 
 
 _CLOSING_BY_STAGE = {
     Stage.UNREAD: Closing.UNREAD,
     Stage.INCOMPLETE: Closing.INCOMPLETE,
     Stage.IDLE: Closing.IDLE,
+    Stage.AHEAD: Closing.AHEAD,
 }
 
 
--- a/bulrushrudder/utils/client_limits.py
+++ b/bulrushrudder/utils/client_limits.py
@@ -11,8 +11,9 @@
 MIB = 1024 * KIB
 # A process at rest with its state (docs/CAPACITY.md).
 REST_MB = 64
-# Of the remainder; copies that are made while bytes are passed on, and
-# memory that the allocator does not return, take the rest.
+# Of the remainder; connections that wait to be accepted, copies that are
+# made while bytes are passed on, and memory that the allocator does not
+# return, take the rest.
 HELD_SHARE = 0.5
 # One upload of 4 MiB, counted twice, and as much again for other callers.
 MIN_HELD_BYTES = 12 * MIB
@@ -25,6 +26,14 @@
 # Each running call takes a descriptor of the reserve for its server; the
 # others are for peers, control, files and connections that are closing.
 CALL_FDS_SHARE = 0.75
+# What the kernel receives for a connection at most: twice the size that is
+# set for its buffer.
+RECEIVED_BYTES = 32 * KIB
+# Connections that wait to be accepted fill their buffers, too. A burst of
+# new connections needs some room in the backlog.
+MAX_BACKLOG = 128
+MIN_BACKLOG = 8
+BACKLOG_SHARE = 1 / 8
 # Shares of the listeners of a process. They add up to 1, and each is kept
 # for its listener: a crowd of callers does not shut out the load balancer's
 # probes.
@@ -49,6 +58,7 @@
         which writing waits.
     :param receive_buffer_bytes: size of the kernel's receive buffer of a
         connection, before the kernel doubles it.
+    :param backlog: connections that may wait to be accepted.
     :param send_buffer_bytes: the same of its send buffer; small, so that a
         client that reads nothing is noticed after few answers.
     :param unread_s: seconds in which a client takes nothing of its answer,
@@ -60,7 +70,8 @@
     calls: int
     ahead_bytes: int = 16 * KIB
     unsent_bytes: int = 16 * KIB
-    receive_buffer_bytes: int = 128 * KIB
+    receive_buffer_bytes: int = RECEIVED_BYTES // 2
+    backlog: int = MAX_BACKLOG
     send_buffer_bytes: int = 16 * KIB
     unread_s: float = UNREAD_S
 
@@ -83,8 +94,10 @@
     reserved = max(MIN_RESERVED_FDS, int(fds * RESERVED_FDS_SHARE))
     spare_mb = ((memory_mb or DEFAULT_MEMORY_MB) - REST_MB) / roles
     held_bytes = max(MIN_HELD_BYTES, int(spare_mb * MIB * HELD_SHARE))
+    backlog = int(held_bytes * share * BACKLOG_SHARE / RECEIVED_BYTES)
     return ClientLimits(
         held_bytes=int(held_bytes * share),
+        backlog=min(MAX_BACKLOG, max(MIN_BACKLOG, backlog)),
         connections=max(1, int((fds - reserved) * share)),
         calls=max(1, int(reserved * CALL_FDS_SHARE)),
         unread_s=unread_s or UNREAD_S,
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -19,7 +19,6 @@
 
 SHUTDOWN_TIMEOUT_S = 1.0
 MAX_FIELD_BYTES = 8190
-BACKLOG = 128
 # Time after an answer with "Connection: close" in which requests that are
 # on their way still get an answer.
 LINGER_S = 0.5
@@ -179,7 +178,7 @@
 
     def _accept(self, opened):
         """Accept the connections that are established at a socket."""
-        for number in range(BACKLOG):
+        for number in range(self.ledger.limits.backlog):
             if not self.ledger.admits_connection(len(self._accepting)):
                 if not number:
                     self._make_room(opened)
@@ -278,7 +277,7 @@
         if family == socket.AF_INET6:
             opened.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         opened.bind(address)
-        opened.listen(BACKLOG)
+        opened.listen(limits.backlog)
         opened.setblocking(False)
     except OSError:
         opened.close()
