Bound the links that are in their handshake

Callers saw calls fail at a process that had no descriptor left: whoever reaches the inner listener could open connections until the handshake's 2 s were over, as many as the process had descriptors, each with up to 128 KiB read and more in the kernel.

The part of the HTTP listener that accepts connections as far as there is room is now a module of its own (utils/acceptor.py), and links use it, too. Handshakes have a sixteenth of the process's memory and connections, at least 8 at a time. Beyond that, connections wait in the backlog, and handshakes that take longer than 0.25 s are closed.

--- a/bulrushrudder/control/process.py
+++ b/bulrushrudder/control/process.py
@@ -71,6 +71,7 @@
         control.handle,
         links.remove,
         links.add,
+        limits=client_limits.of_vm(settings.limits, client_limits.INNER_SHARE),
     )
     stack.callback(link_listener.close)
     interface = interface or OwnInterface()
--- a/bulrushrudder/control/stopping.py
+++ b/bulrushrudder/control/stopping.py
@@ -9,6 +9,7 @@
 from bulrushrudder.control import server
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.utils import acceptor
 from bulrushrudder.utils import http_listener as listeners
 
 UPLOAD_TIMEOUT_S = 0.5
@@ -29,7 +30,7 @@
     :param in_flight: the RequestsInFlight of operators and servers.
     :param http_listener: the HttpListener that accepts those.
     :param links: the AcceptedLinks of other processes.
-    :param link_listener: the asyncio server that accepts them.
+    :param link_listener: the Acceptor that accepts them.
     :param log_task: the task that runs the log; it has ended if the disk
         has failed.
     :param order_sender: the OrderSender; None if servers accept no orders.
@@ -40,7 +41,7 @@
     in_flight: requests_in_flight.RequestsInFlight
     http_listener: listeners.HttpListener
     links: accepted_links.AcceptedLinks
-    link_listener: asyncio.Server
+    link_listener: acceptor.Acceptor
     log_task: asyncio.Task
     order_sender: kind_orders.OrderSender | None = None
     order_task: asyncio.Task | None = None
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -43,6 +43,7 @@
 from bulrushrudder.protocol import peers
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import token_messages
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import tasks
 
 CANCEL_TIMEOUT_S = 5.0
@@ -346,6 +347,9 @@
             settings.secrets.cluster,
             self._handle,
             serve_tunnel=self.paths.tunnels.serve,
+            limits=client_limits.of_vm(
+                settings.limits, client_limits.INNER_SHARE
+            ),
         )
         stack.callback(inner.close)
         self._callers = await self._interface.listen(stack, settings, self)
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -16,10 +16,13 @@
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import frames
+from bulrushrudder.protocol import handshake_room
 from bulrushrudder.protocol import handshakes
 from bulrushrudder.protocol import liveness
 from bulrushrudder.protocol import messages
 from bulrushrudder.protocol import tunnel_messages
+from bulrushrudder.utils import acceptor
+from bulrushrudder.utils import client_limits
 
 CHECK_INTERVAL_S = 0.25
 SHORT_CHECK_INTERVAL_S = 0.1
@@ -367,6 +370,7 @@
     on_closed=None,
     on_opened=None,
     serve_tunnel=None,
+    limits=None,
 ):
     """Accept links from other processes.
 
@@ -377,13 +381,20 @@
     :param on_closed: called with each accepted link when it has closed.
     :param on_opened: called with each accepted link after its handshake.
     :param serve_tunnel: as for Link.run.
-    :returns: the asyncio server.
+    :param limits: the ClientLimits; None for those of an unknown VM.
+    :returns: the Acceptor.
     """
+    limits = limits or client_limits.derive(share=client_limits.INNER_SHARE)
+    room = handshake_room.HandshakeRoom(handshake_room.limit_of(limits))
 
     async def accept(reader, writer):
         link = Link(reader, writer, owner, handler)
+        room.begin(link)
         try:
-            handshake = await link.handshake(secret, False)
+            try:
+                handshake = await link.handshake(secret, False)
+            finally:
+                room.end(link)
             if isinstance(handshake, result.Failure):
                 return
             if on_opened is not None:
@@ -396,4 +407,16 @@
         if on_closed is not None:
             on_closed(link)
 
-    return await asyncio.start_server(accept, address.host, address.port)
+    def make_protocol():
+        reader = asyncio.StreamReader(limit=handshake_room.READER_BYTES)
+        return asyncio.StreamReaderProtocol(reader, accept)
+
+    listener = acceptor.Acceptor(
+        acceptor.Buffers(
+            handshake_room.RECEIVE_BUFFER_BYTES, None, limits.backlog
+        ),
+        room,
+        make_protocol,
+    )
+    listener.open(address)
+    return listener
--- a/bulrushrudder/tests/protocol/link_tests.py
+++ b/bulrushrudder/tests/protocol/link_tests.py
@@ -11,9 +11,11 @@
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import errors
 from bulrushrudder.protocol import frames
+from bulrushrudder.protocol import handshake_room
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import messages
 from bulrushrudder.tests.builders import fleet
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import ports
 
 SECRET = b'a secret of the cluster'
@@ -44,7 +46,13 @@
         (port,) = ports.free_ports(1)
         self.address = settings.Address(ports.LOOPBACK, port)
         server = await link.listen(
-            self.address, fleet.owner('server'), SECRET, self._respond
+            self.address,
+            fleet.owner('server'),
+            SECRET,
+            self._respond,
+            limits=client_limits.derive(
+                memory_mb=88, share=client_limits.INNER_SHARE
+            ),
         )
         self.addCleanup(server.close)
 
@@ -70,6 +78,19 @@
     def events(self):
         return [r.extra['event'].name for r in self.log_handler.records]
 
+    # Guards against connections without a handshake that leave no room.
+
+    async def test_link_opens_beside_handshakes_that_do_not_end(self):
+        silent = [
+            await asyncio.open_connection(self.address.host, self.address.port)
+            for _ in range(3 * handshake_room.MIN_HANDSHAKES)
+        ]
+        for _, writer in silent:
+            self.addCleanup(writer.close)
+        async with asyncio.timeout(TIMEOUT_S):
+            while isinstance(await self.dial(), result.Failure):
+                await asyncio.sleep(handshake_room.GRACE_S)
+
     async def test_invalid_message_closes_only_its_link(self):
         for name, data in INVALID_FRAMES.items():
             with self.subTest(name):
--- a/bulrushrudder/tests/utils/http_listener_tests.py
+++ b/bulrushrudder/tests/utils/http_listener_tests.py
@@ -76,7 +76,7 @@
     async def test_established_connection_is_answered_after_the_stop(self):
         await self.listen()
         loop = asyncio.get_running_loop()
-        loop.remove_reader(self.listener._sockets[0])
+        loop.remove_reader(self.listener._acceptor._sockets[0])
         reader, writer = await self.connect()
         writer.write(REQUEST)
         await self.listener.stop_accepting()
@@ -160,7 +160,7 @@
     async def test_established_connection_behind_an_error_is_answered(self):
         await self.listen()
         loop = asyncio.get_running_loop()
-        loop.remove_reader(self.listener._sockets[0])
+        loop.remove_reader(self.listener._acceptor._sockets[0])
         reader, writer = await self.connect()
         writer.write(REQUEST)
         self.fail_to_accept(errno.ECONNABORTED, times=1)
@@ -185,9 +185,11 @@
 
     def fail_to_accept(self, number, times):
         """Let the listening socket fail to accept; return a stand-in."""
-        failing = FailingSocket(self.listener._sockets[0], number, times)
+        failing = FailingSocket(
+            self.listener._acceptor._sockets[0], number, times
+        )
         loop = asyncio.get_running_loop()
         loop.remove_reader(failing)
-        self.listener._sockets[0] = failing
-        self.listener._watch(failing)
+        self.listener._acceptor._sockets[0] = failing
+        self.listener._acceptor._watch(failing)
         return failing
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -3,18 +3,16 @@
 import asyncio
 import collections.abc
 import dataclasses
-import errno
-import socket
 
 from aiohttp import web
 
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
+from bulrushrudder.utils import acceptor
 from bulrushrudder.utils import client_connection
 from bulrushrudder.utils import client_ledger
 from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import http_log
-from bulrushrudder.utils import tasks
 from bulrushrudder.utils import timeouts
 
 SHUTDOWN_TIMEOUT_S = 1.0
@@ -25,13 +23,6 @@
 # A request that has just been read starts its handler within this time.
 CLOSE_DELAY_S = 0.01
 FLUSH_POLL_INTERVAL_S = 0.01
-# Errors of accept() that last until descriptors or memory are freed.
-EXHAUSTED_ERRORS = frozenset(
-    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
-)
-ACCEPT_RETRY_DELAY_S = 1.0
-# Between two looks whether there is room for connections again.
-ACCEPT_PAUSE_S = 0.05
 OVERLOAD_RETRY_S = 1
 # Key of a request that came after its caller was told that the connection
 # will be closed.
@@ -117,8 +108,16 @@
         application.middlewares.insert(0, self._timers.time_request)
         application.on_response_prepare.append(self._timers.announce_close)
         application.on_response_prepare.append(client_connection.hold_answer)
-        self._sockets = []
-        self._accepting = set()
+        buffers = acceptor.Buffers(
+            limits.receive_buffer_bytes,
+            limits.send_buffer_bytes,
+            limits.backlog,
+        )
+        self._acceptor = acceptor.Acceptor(
+            buffers,
+            self.ledger,
+            lambda: self._timers.connect(self._make_connection()),
+        )
 
     async def open(self, stack, address):
         """Listen until the exit stack closes.
@@ -129,17 +128,8 @@
         """
         await self._runner.setup()
         stack.push_async_callback(self._runner.cleanup)
-        stack.callback(self._close_sockets)
-        for info in socket.getaddrinfo(
-            address.host,
-            address.port,
-            type=socket.SOCK_STREAM,
-            flags=socket.AI_PASSIVE,
-        ):
-            opened = _listen(info, self.ledger.limits)
-            self._sockets.append(opened)
-            self._watch(opened)
-        self.port = self._sockets[0].getsockname()[1]
+        stack.callback(self._acceptor.close)
+        self.port = self._acceptor.open(address)
 
     async def stop_accepting(self):
         """Refuse new connections.
@@ -147,11 +137,7 @@
         Connections that the kernel has established are accepted first, as
         their callers may have sent a request.
         """
-        for opened in self._sockets:
-            self._accept(opened)
-        self._close_sockets()
-        if self._accepting:
-            await asyncio.wait(self._accepting)
+        await self._acceptor.finish()
 
     def close_idle(self):
         """Close the connections that wait for a further request."""
@@ -176,53 +162,6 @@
             if protocol.transport is not None:
                 protocol.transport.abort()
 
-    def _accept(self, opened):
-        """Accept the connections that are established at a socket."""
-        for number in range(self.ledger.limits.backlog):
-            if not self.ledger.admits_connection(len(self._accepting)):
-                if not number:
-                    self._make_room(opened)
-                return
-            try:
-                connection, _ = opened.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                log.emit(catalogue.UNEXPECTED, detail=f'accept: {error!r}')
-                if error.errno in EXHAUSTED_ERRORS:
-                    self._accept_later(opened, ACCEPT_RETRY_DELAY_S)
-                    return
-                continue
-            connection.setblocking(False)
-            self._serve(connection)
-
-    def _make_room(self, opened):
-        """Make room for a connection that waits; accept it later."""
-        self.ledger.make_room_for_connection()
-        self._accept_later(opened, ACCEPT_PAUSE_S)
-
-    def _accept_later(self, opened, delay_s):
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(opened)
-        loop.call_later(delay_s, self._watch, opened)
-
-    def _watch(self, opened):
-        if opened in self._sockets:
-            loop = asyncio.get_running_loop()
-            loop.add_reader(opened, self._accept, opened)
-
-    def _serve(self, connection):
-        loop = asyncio.get_running_loop()
-        accepting = loop.create_task(
-            loop.connect_accepted_socket(
-                lambda: self._timers.connect(self._make_connection()),
-                connection,
-            )
-        )
-        self._accepting.add(accepting)
-        accepting.add_done_callback(self._accepting.discard)
-        accepting.add_done_callback(tasks.log_exception)
-
     def _make_connection(self):
         return client_connection.ClientConnection(
             self._runner.server,
@@ -231,13 +170,6 @@
             **self._handler_options,
         )
 
-    def _close_sockets(self):
-        loop = asyncio.get_running_loop()
-        for opened in self._sockets:
-            loop.remove_reader(opened)
-            opened.close()
-        self._sockets = []
-
 
 def _make_runner(application, options):
     return web.AppRunner(
@@ -259,32 +191,6 @@
     }
 
 
-def _listen(info, limits):
-    """Return a listening socket for an entry of getaddrinfo.
-
-    :param limits: the ClientLimits.
-    """
-    family, kind, protocol, _, address = info
-    opened = socket.socket(family, kind, protocol)
-    try:
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted sockets inherit their buffers.
-        for option, size in (
-            (socket.SO_RCVBUF, limits.receive_buffer_bytes),
-            (socket.SO_SNDBUF, limits.send_buffer_bytes),
-        ):
-            opened.setsockopt(socket.SOL_SOCKET, option, size)
-        if family == socket.AF_INET6:
-            opened.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
-        opened.bind(address)
-        opened.listen(limits.backlog)
-        opened.setblocking(False)
-    except OSError:
-        opened.close()
-        raise
-    return opened
-
-
 def _has_unsent_data(protocol):
     transport = protocol.transport
     # aiohttp drops the transport when it closes one; the connection is
