Read answers from servers only as far as there is room

Callers saw a process end when calls that had needed little before got large answers: those being read were bounded at 32 MiB beside the ledger, whatever the VM had, answers that were read but not sent exceeded it without bound, and the kernel received some megabytes a connection.

An answer now counts at its client's connection from its first byte on. When memory is short, servers wait, except for that of the oldest answer, for which an eighth of the memory is kept; once that waits for 1 s, the largest answer is given up, as before. Answers without a client have a sixteenth of the memory in the place of 32 MiB. Buffers of a connection to a server are smaller (16 KiB, read in pieces of 16 KiB, 32 KiB in the kernel) and counted with each call, as is the write buffer of a stream. Bodies are collected in pieces instead of a buffer that moves as it grows.

--- a/bulrushrudder/engines/connection_pool.py
+++ b/bulrushrudder/engines/connection_pool.py
@@ -54,6 +54,8 @@
     :param permit: coroutine function of a BackendServer that waits until a
         counted call may be sent to it; it returns the seconds of the loop's
         clock after which it must not be sent, or None if it may not be.
+    :param max_kept_bytes: limit on the answers that are being read and are
+        not held for a client.
     """
 
     def __init__(
@@ -62,12 +64,13 @@
         on_head=connections.ignore_head,
         network_=None,
         permit=None,
+        max_kept_bytes=kept_bytes.MAX_KEPT_BYTES,
     ):
         self._permit = permit
         self._network = network_ or network.DirectNetwork()
         self._id_header = id_header
         self._on_head = on_head
-        self._kept_bytes = kept_bytes.KeptBytes()
+        self._kept_bytes = kept_bytes.KeptBytes(max_kept_bytes)
         self._idle_by_server = collections.defaultdict(list)
         self._checks_by_server = {}
 
--- a/bulrushrudder/engines/connections.py
+++ b/bulrushrudder/engines/connections.py
@@ -20,14 +20,15 @@
 # Servers that state no idle timeout close idle connections after some
 # seconds.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
-MAX_BUFFERED_BYTES = 64 * 1024
+# What a connection buffers is counted with each call (utils/client_ledger).
+MAX_BUFFERED_BYTES = 16 * 1024
 # Limit on the bytes of a response that are not its body: heads, interim
 # responses, chunk sizes with extensions, and trailers. Small chunks take
 # several times the size of their data.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_PER_BODY_BYTE = 8
 # Bounds the time on the loop for what has arrived on one connection.
-RECEIVE_BUFFER_BYTES = 32 * 1024
+RECEIVE_BUFFER_BYTES = 16 * 1024
 _RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
 # A late copy of an answer precedes the answer to the next call.
 MAX_SKIPPED_RESPONSES = 2
@@ -62,6 +63,7 @@
         self._id_header = id_header
         self._kept_bytes = kept_bytes
         self._call_id = ''
+        self._room = None
         self._without_body = False
         self._earlier_ids = collections.deque(maxlen=REMEMBERED_CALLS)
         self._calls = 0
@@ -128,6 +130,7 @@
         :param on_head: function of the Head, called when it arrives.
         """
         self._call_id = call.id
+        self._room = call.room
         self._without_body = call.without_body
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
@@ -159,13 +162,23 @@
             self._track_buffered(-len(part.data))
         return part
 
-    def keep(self, size):
-        """Record how many bytes of the response its reader keeps."""
-        self._kept_bytes.update(self, size, self._give_up)
+    async def keep(self, size):
+        """Record how many bytes of the response its reader keeps.
+
+        Waits while there is no room for more of it. What arrives meanwhile
+        fills the buffers, and then the server waits.
+        """
+        if self._room is None or not self._room.is_open:
+            self._kept_bytes.update(self, size, self._give_up)
+        else:
+            await self._room.take(size, self._give_up)
 
     def release(self):
         """Record that the reader is done with the response."""
         self._kept_bytes.release(self)
+        if self._room is not None:
+            self._room.end_reading()
+            self._room = None
 
     def abort(self):
         """Close the connection immediately."""
--- a/bulrushrudder/engines/network.py
+++ b/bulrushrudder/engines/network.py
@@ -1,7 +1,6 @@
 """Opens connections to backend servers."""
 
-import asyncio
-
+from bulrushrudder.utils import sockets
 from bulrushrudder.utils import timeouts
 
 # Many round trips between zones. TCP retransmits a lost SYN only after
@@ -28,12 +27,10 @@
         :raises OSError: if the server cannot be reached.
         :raises TimeoutError: if it does not react in time.
         """
-        loop = asyncio.get_running_loop()
         async with timeouts.RunningTimeout(self._connect_timeout_s):
-            _, protocol = await loop.create_connection(
+            return await sockets.connect(
                 protocol_factory, server.host, server.port
             )
-        return protocol
 
     def may_reuse(self, server, connection):
         """Return whether an idle connection may carry a call."""
--- a/bulrushrudder/engines/responses.py
+++ b/bulrushrudder/engines/responses.py
@@ -86,6 +86,8 @@
     :param starts_work: whether it has the server begin work: it counts
         against the rate of a cold server, and servers of evacuated zones do
         not get it.
+    :param room: the AnswerRoom in which its answer is kept; None if it
+        does not go to a client.
     """
 
     data: bytes
@@ -93,3 +95,4 @@
     without_body: bool = False
     expires_s: float = math.inf
     starts_work: bool = False
+    room: object = None
--- a/bulrushrudder/engines/services.py
+++ b/bulrushrudder/engines/services.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.engines import body_parts
 from bulrushrudder.engines import responses
 
 CONNECT_TIMEOUT_S = 2.0
@@ -53,6 +54,7 @@
         crashes under the call are not recorded.
     :param content: encoded call of a callers' interface that encodes
         calls itself; sent instead of the other fields and opaque here.
+    :param room: the AnswerRoom of its client; None if it has none.
     """
 
     method: str
@@ -66,6 +68,7 @@
     request_id: str = ''
     fingerprint: str = ''
     content: object = None
+    room: object = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,7 +100,9 @@
         :returns: a Reply, or a Refusal that says whether the call ran.
         """
         encoded = responses.Call(
-            _encode(server, call), without_body=call.method == 'HEAD'
+            _encode(server, call),
+            without_body=call.method == 'HEAD',
+            room=call.room,
         )
         opened = None
         try:
@@ -136,23 +141,23 @@
             return _refusal(problem.detail, problem.sent)
     connection = opened.unwrap()
     head = None
-    body = bytearray()
+    body = body_parts.BodyParts()
     while True:
         part = await connection.part()
         match part:
             case responses.Head():
                 head = part
             case responses.BodyChunk(data=data):
-                body += data
-                if len(body) > MAX_RESPONSE_BYTES:
+                body.add(data)
+                if body.size > MAX_RESPONSE_BYTES:
                     return _refusal('the answer is too large', True)
-                connection.keep(len(body))
+                await connection.keep(body.size)
             case responses.End():
                 # Servers may ignore that the call asks for a close.
                 connection.retire()
                 headers = _filter_headers(head.headers, NOT_RETURNED)
                 return result.Success(
-                    Reply(head.status, tuple(headers), bytes(body))
+                    Reply(head.status, tuple(headers), body.join())
                 )
             case responses.Problem(detail=detail, sent=sent):
                 return _refusal(detail, sent)
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -23,10 +23,13 @@
 class OwnInterface:
     """Listeners and clients for the built-in protocols."""
 
-    async def clients(self, stack, record_statements, network, permit=None):
+    async def clients(
+        self, stack, settings, record_statements, network, permit=None
+    ):
         """Return the EngineClient and the ServiceClient.
 
         :param stack: an AsyncExitStack that owns their connections.
+        :param settings: the Settings of the VM.
         :param record_statements: not used, as servers state nothing about
             themselves in the built-in protocol.
         :param network: not used, as paths are not watched.
@@ -46,6 +49,7 @@
             network_=engines_network.DirectNetwork(
                 plain_services.CONNECT_TIMEOUT_S
             ),
+            max_kept_bytes=client_limits.replies_bytes(settings.limits),
         )
         stack.callback(pool.close)
         return (
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -162,6 +162,7 @@
     async def _make_services(self, stack):
         engines, services_client = await self._interface.clients(
             stack,
+            self._settings,
             self._backpressure.record,
             self.paths.network,
             self._cold_permits.ask,
--- a/bulrushrudder/platform/answers.py
+++ b/bulrushrudder/platform/answers.py
@@ -16,7 +16,7 @@
 
 # Clients abandon a stream well before this.
 CLIENT_STALL_TIMEOUT_S = 20.0
-MAX_UNSENT_BYTES = 32 * 1024
+MAX_UNSENT_BYTES = 16 * 1024
 DEFAULT_RETRY_AFTER_S = 0.5
 _CLIENT_ERROR_STATUS = {
     outcomes.Reason.MALFORMED_REQUEST: 400,
--- a/bulrushrudder/platform/calls.py
+++ b/bulrushrudder/platform/calls.py
@@ -6,8 +6,10 @@
 from returns import result
 
 from bulrushrudder.core import outcomes
+from bulrushrudder.engines import body_parts
 from bulrushrudder.engines import connection_pool
 from bulrushrudder.engines import connections
+from bulrushrudder.engines import kept_bytes
 from bulrushrudder.engines import responses
 from bulrushrudder.lifecycle import paths
 from bulrushrudder.platform import headers
@@ -37,13 +39,14 @@
     deadline_s: float = 0.0
     timeout_s: float = 0.0
 
-    def encode(self, server, now_s, *extra):
+    def encode(self, server, now_s, *extra, room=None):
         """Return the connections Call to one runner.
 
         :param server: the BackendServer.
         :param now_s: monotonic seconds.
         :param extra: pairs for this runner only; they replace headers of
             the same name.
+        :param room: as for the Call.
         """
         remaining_s = max(0.0, self.deadline_s - now_s)
         replaced = {name.lower() for name, _ in extra}
@@ -57,7 +60,11 @@
             self.method, self.target, pairs, self.body
         )
         return responses.Call(
-            data, self.attempt, self.method == 'HEAD', starts_work=True
+            data,
+            self.attempt,
+            self.method == 'HEAD',
+            starts_work=True,
+            room=room,
         )
 
 
@@ -102,15 +109,21 @@
     return False
 
 
-def pool(on_head=connections.ignore_head, network=None, permit=None):
+def pool(
+    on_head=connections.ignore_head,
+    network=None,
+    permit=None,
+    max_kept_bytes=kept_bytes.MAX_KEPT_BYTES,
+):
     """Return a ConnectionPool to runners.
 
     :param on_head: as for ConnectionPool.
     :param network: as for ConnectionPool.
     :param permit: as for ConnectionPool.
+    :param max_kept_bytes: as for ConnectionPool.
     """
     return connection_pool.ConnectionPool(
-        headers.ATTEMPT.lower(), on_head, network, permit
+        headers.ATTEMPT.lower(), on_head, network, permit, max_kept_bytes
     )
 
 
@@ -174,18 +187,18 @@
 
     :returns: the bytes, or a CallFailure.
     """
-    body = bytearray()
+    body = body_parts.BodyParts()
     while True:
         part = await connection.part()
         match part:
             case responses.BodyChunk(data=data):
-                body += data
-                if len(body) > MAX_RESPONSE_BYTES:
+                body.add(data)
+                if body.size > MAX_RESPONSE_BYTES:
                     connection.abort()
-                    return _body_too_large(len(body))
-                connection.keep(len(body))
+                    return _body_too_large(body.size)
+                await connection.keep(body.size)
             case responses.End():
-                return result.Success(bytes(body))
+                return result.Success(body.join())
             case responses.Problem():
                 return result.Failure(failure_from(part))
 
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -27,6 +27,7 @@
 from bulrushrudder.platform import services as plain_services
 from bulrushrudder.platform import statements
 from bulrushrudder.utils import authentication
+from bulrushrudder.utils import client_connection
 from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import web as web_utils
@@ -55,10 +56,13 @@
 class Interface:
     """The platform's interface of an entry process."""
 
-    async def clients(self, stack, record_statements, network, permit=None):
+    async def clients(
+        self, stack, settings, record_statements, network, permit=None
+    ):
         """Return the EngineClient and the ServiceClient.
 
         :param stack: an AsyncExitStack that owns their connections.
+        :param settings: the Settings.
         :param record_statements: function of a server, the seconds at which
             a request was sent, and the Statements in its answer.
         :param network: opens connections to servers, as for ConnectionPool.
@@ -70,6 +74,7 @@
             ),
             network,
             permit,
+            client_limits.replies_bytes(settings.limits),
         )
         stack.callback(pool.close)
         return engines.EngineClient(pool), plain_services.ServiceClient(pool)
@@ -206,7 +211,11 @@
         service = self._services.view.lookups.services_by_id[service_id]
         if service.engine is None:
             return await self._forward(
-                forwarded_call, request_headers, admitted, service_id
+                http_request,
+                forwarded_call,
+                request_headers,
+                admitted,
+                service_id,
             )
         return await self._generate(
             http_request, forwarded_call, request_headers, admitted, service
@@ -258,7 +267,12 @@
     # Calls to plain services.
 
     async def _forward(
-        self, forwarded_call, request_headers, admitted, service_id
+        self,
+        http_request,
+        forwarded_call,
+        request_headers,
+        admitted,
+        service_id,
     ):
         target = admitted.route.target
         repeatable = target.repetition is not types.Repetition.NOTHING
@@ -279,6 +293,7 @@
             request_id=request_headers.attempt,
             fingerprint=platform_jobs.fingerprint(forwarded_call, admitted),
             content=forwarded_call,
+            room=client_connection.answer_room(http_request),
         )
         sent = await self._service_calls.send(admitted, service_id, call)
         match sent:
--- a/bulrushrudder/platform/services.py
+++ b/bulrushrudder/platform/services.py
@@ -40,7 +40,7 @@
             else MAX_IDLE_NOT_REPEATABLE_S
         )
         encoded = forwarded_call.encode(
-            server, asyncio.get_running_loop().time()
+            server, asyncio.get_running_loop().time(), room=call.room
         )
         opened = None
         try:
--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -46,13 +46,54 @@
     """Count the answer that is about to be sent.
 
     :param request: the aiohttp request.
-    :param response: its response; one that is streamed counts as empty.
+    :param response: its response; one that is streamed counts with its
+        write buffer.
     """
     body = getattr(response, 'body', None)
-    size = len(body) if isinstance(body, bytes | bytearray) else 0
+    size = client_ledger.STREAM_BYTES
+    if isinstance(body, bytes | bytearray):
+        size = len(body)
     request.protocol.hold_answer(size)
 
 
+def answer_room(request):
+    """Return the AnswerRoom of a request; None if there is no limit on it.
+
+    :param request: the aiohttp request.
+    """
+    if isinstance(request.protocol, ClientConnection):
+        return AnswerRoom(request.protocol)
+    return None
+
+
+class AnswerRoom:
+    """Where an answer is held while it is read from a server.
+
+    :param connection: the ClientConnection that gets it.
+    """
+
+    def __init__(self, connection):
+        self._connection = connection
+
+    @property
+    def is_open(self):
+        """Return whether the client is still connected."""
+        return self._connection.ledger.has(self._connection)
+
+    async def take(self, size, give_up):
+        """Hold what has been read so far; wait while there is no room.
+
+        :param size: bytes.
+        :param give_up: function that ends the reading of the answer.
+        """
+        connection = self._connection
+        await connection.ledger.hold_reply(connection, size, give_up)
+
+    def end_reading(self):
+        """Record that the answer has been read, or will not be."""
+        self._connection.ledger.end_reply(self._connection)
+
+
 class ClientConnection(web.RequestHandler, asyncio.BufferedProtocol):
     """The connection of an untrusted client.
 
@@ -60,6 +101,7 @@
     :param ledger: the Ledger of the listener.
     :param on_lost: function of the connection, called once it is closed.
     :param options: keyword arguments of RequestHandler.
+    :ivar ledger: the Ledger.
     :ivar held_by_holding: bytes that it holds, by Holding.
     :ivar refuse_upload: function that ends the reading of a body with a
         refusal; None while no body is read that may be refused.
@@ -74,7 +116,6 @@
         '_feeding',
         '_head_bytes',
         '_holds_reading',
-        '_ledger',
         '_marked_bytes',
         '_marked_s',
         '_on_lost',
@@ -82,6 +123,7 @@
         '_unanswered',
         '_unread_timer',
         'held_by_holding',
+        'ledger',
         'refuse_upload',
     )
 
@@ -94,7 +136,7 @@
         )
         self.held_by_holding = {}
         self.refuse_upload = None
-        self._ledger = ledger
+        self.ledger = ledger
         self._on_lost = on_lost
         self._ahead = bytearray()
         self._head_bytes = 0
@@ -142,8 +184,8 @@
 
         :param closing: the Closing.
         """
-        self._ledger.record_closing(closing)
-        self._ledger.release(self)
+        self.ledger.record_closing(closing)
+        self.ledger.release(self)
         if self._open_transport is not None:
             self._open_transport.abort()
 
@@ -163,25 +205,23 @@
 
     def admit_request(self):
         """Return whether the request whose handler starts is handled."""
-        return self._ledger.admit_request(self, self._is_reading_body())
+        return self.ledger.admit_request(self, self._is_reading_body())
 
     def admit_call(self):
         """Return whether a request whose body has been read may run."""
-        return self._ledger.admit_call(self)
+        return self.ledger.admit_call(self)
 
     def hold_answer(self, size):
         """Hold an answer whose size is known, in the place of a guess."""
-        self._ledger.hold_answer(self, size)
+        self.ledger.hold_answer(self, size)
 
     # What the transport calls.
 
     def connection_made(self, transport):
         """Bound the buffers of the connection."""
         self._open_transport = transport
-        transport.set_write_buffer_limits(
-            high=self._ledger.limits.unsent_bytes
-        )
-        self._ledger.add(self)
+        transport.set_write_buffer_limits(high=self.ledger.limits.unsent_bytes)
+        self.ledger.add(self)
         super().connection_made(transport)
 
     def connection_lost(self, exc):
@@ -190,7 +230,7 @@
         self._open_transport = None
         self._unread_timer.stop()
         super().connection_lost(exc)
-        self._ledger.remove(self)
+        self.ledger.remove(self)
         self._on_lost(self)
 
     def get_buffer(self, sizehint):
@@ -304,7 +344,7 @@
     def _begin_body(self):
         self._mark_if_read()
         self._head_bytes = 0
-        self._ledger.hold(self, _Holding.HEAD, 0)
+        self.ledger.hold(self, _Holding.HEAD, 0)
         message, self._body = self._messages[-1]
         self._body_bytes = 0
         self._body_left = None
@@ -324,10 +364,8 @@
         if self._answered:
             # It is read and ignored.
             return
-        self._ledger.hold(
-            self, _Holding.UPLOAD, self._body_bytes * BODY_COPIES
-        )
-        if not self._ledger.admits_upload(self) and not self._body.is_eof():
+        self.ledger.hold(self, _Holding.UPLOAD, self._body_bytes * BODY_COPIES)
+        if not self.ledger.admits_upload(self) and not self._body.is_eof():
             if self.refuse_upload is None:
                 self.drop(client_ledger.Closing.NO_ROOM)
             else:
@@ -338,19 +376,19 @@
         if not self._head_bytes:
             self._mark(0)
         self._head_bytes += size
-        self._ledger.hold(self, _Holding.HEAD, self._head_bytes * HEAD_COPIES)
+        self.ledger.hold(self, _Holding.HEAD, self._head_bytes * HEAD_COPIES)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self._ledger.record_closing(client_ledger.Closing.HEAD_TOO_LARGE)
+            self.ledger.record_closing(client_ledger.Closing.HEAD_TOO_LARGE)
             if not self._unsent():
                 self._open_transport.write(_TOO_LARGE)
             self.force_close()
-        elif not self._ledger.make_room(0):
+        elif not self.ledger.make_room(0):
             self.drop(client_ledger.Closing.NO_ROOM)
 
     def _hold_ahead(self):
         """Stop reading while more than enough was sent ahead."""
-        self._ledger.hold(self, _Holding.AHEAD, len(self._ahead))
-        holds = len(self._ahead) >= self._ledger.limits.ahead_bytes
+        self.ledger.hold(self, _Holding.AHEAD, len(self._ahead))
+        holds = len(self._ahead) >= self.ledger.limits.ahead_bytes
         if holds == self._holds_reading:
             return
         self._holds_reading = holds
@@ -365,7 +403,7 @@
         self._answered = True
         self._unanswered -= 1
         self.refuse_upload = None
-        self._ledger.end_request(self)
+        self.ledger.end_request(self)
         if self._open_transport is None:
             return
         self._mark_if_read()
--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -15,6 +15,7 @@
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.utils import client_limits
+from bulrushrudder.utils import reply_queue
 
 # A client that takes or sends PROGRESS_BYTES in this time makes progress.
 GRACE_S = 2.0
@@ -29,9 +30,13 @@
 # Objects of a connection without a request, and its task.
 OBJECTS_BYTES = 8 * 1024
 CONNECTION_BYTES = OBJECTS_BYTES + client_limits.RECEIVED_BYTES
-# What a call is taken to need at least, and as a share of the limit before
-# the size of answers is known.
-MIN_CALL_BYTES = 32 * 1024
+# What a call is taken to need at least: the buffers of the connection to
+# its server, in the process and in the kernel.
+MIN_CALL_BYTES = 64 * 1024
+# The write buffer of an answer that is streamed, beside those buffers.
+STREAM_BYTES = 32 * 1024
+# What a call is taken to need before the size of answers is known, as a
+# share of the limit.
 FIRST_CALL_SHARE = 1 / 32
 # The expected size of an answer is a mean with this weight of the latest,
 # and at most this share of the limit.
@@ -100,6 +105,7 @@
         self._calls = set()
         self._connections = set()
         self._uploads = {}
+        self._replies = reply_queue.ReplyQueue(limits.held_bytes)
         self._call_bytes = limits.held_bytes * FIRST_CALL_SHARE
         self._searched_s = -math.inf
         self._recheck = None
@@ -121,9 +127,14 @@
         self._connections.discard(connection)
         self.release(connection)
 
+    def has(self, connection):
+        """Return whether a connection is open."""
+        return connection in self._connections
+
     def release(self, connection):
         """Count the bytes of a connection no more."""
         self.end_request(connection)
+        self.end_reply(connection)
         for holding in tuple(connection.held_by_holding):
             self.hold(connection, holding, 0)
 
@@ -145,10 +156,11 @@
             del held[holding]
         self.held_by_holding[holding] += change
         self._total += change
-        if change > 0 and not self.has_room() and self._recheck is None:
-            self._recheck = asyncio.get_running_loop().call_later(
-                SEARCH_INTERVAL_S, self._check_again
-            )
+        if change > 0:
+            if not self.has_room():
+                self._check_soon()
+        elif self._replies.waiting:
+            self._replies.wake(self._total)
 
     def has_room(self, size=0):
         """Return whether so many bytes more may be held."""
@@ -205,7 +217,11 @@
         """Release what a request needed that has been answered."""
         self._calls.discard(connection)
         self._uploads.pop(connection, None)
-        for holding in (Holding.UPLOAD, Holding.CALL, Holding.ANSWER):
+        for holding in (
+            Holding.UPLOAD,
+            Holding.CALL,
+            Holding.ANSWER,
+        ):
             self.hold(connection, holding, 0)
 
     def admits_upload(self, connection):
@@ -232,6 +248,28 @@
                 self.limits.held_bytes * MAX_CALL_SHARE,
             )
 
+    async def hold_reply(self, connection, size, give_up):
+        """Hold what has been read of an answer; wait while there is no room.
+
+        Waiting closes connections in the stated order. An answer for which
+        there is no room all the same is given up, see ReplyQueue.
+
+        :param size: bytes of the answer so far.
+        :param give_up: function that ends the reading of it.
+        """
+        self.hold(connection, Holding.ANSWER, size)
+        if connection in self._calls:
+            expected = int(self._call_bytes) - size
+            self.hold(connection, Holding.CALL, max(MIN_CALL_BYTES, expected))
+        self._replies.update(connection, size, give_up)
+        while not self._replies.admits(connection, self._total):
+            self._check_soon()
+            await self._replies.wait(connection)
+
+    def end_reply(self, connection):
+        """Record that an answer is not read any more; it is still held."""
+        self._replies.remove(connection, self._total)
+
     def make_room(self, size):
         """Close connections if so many bytes more would be too many.
 
@@ -251,13 +289,24 @@
             )
         lines.count()
 
-    def _check_again(self):
-        self._recheck = None
-        if not self.make_room(0) and self._connections:
+    def _check_soon(self):
+        """Look for connections to close, again and again until room is."""
+        if self._recheck is None:
             self._recheck = asyncio.get_running_loop().call_later(
                 SEARCH_INTERVAL_S, self._check_again
             )
 
+    def _check_again(self):
+        self._recheck = None
+        waiting = self._replies.waiting
+        needed = self._replies.reserve if waiting else 0
+        has_room = self.make_room(needed)
+        if waiting:
+            now_s = asyncio.get_running_loop().time()
+            self._replies.check(self._total, now_s)
+        if (waiting or not has_room) and self._connections:
+            self._check_soon()
+
     def _search(self, size, count=0):
         """Close connections without progress, in the stated order.
 
--- a/bulrushrudder/utils/client_limits.py
+++ b/bulrushrudder/utils/client_limits.py
@@ -34,12 +34,14 @@
 MAX_BACKLOG = 128
 MIN_BACKLOG = 8
 BACKLOG_SHARE = 1 / 8
-# Shares of the listeners of a process. They add up to 1, and each is kept
-# for its listener: a crowd of callers does not shut out the load balancer's
-# probes.
-CALLERS_SHARE = 13 / 16
+# Shares of the listeners and other parts of a process. They add up to 1, and
+# each is kept for its listener: a crowd of callers does not shut out the
+# load balancer's probes.
+CALLERS_SHARE = 12 / 16
 BACKENDS_SHARE = 1 / 16
 INNER_SHARE = 1 / 16
+# Answers of servers that are not held for a client.
+REPLIES_SHARE = 1 / 16
 PROBES_SHARE = 1 / 32
 METRICS_SHARE = 1 / 32
 
@@ -111,3 +113,11 @@
     :param share: as for derive().
     """
     return derive(vm.memory_mb, vm.max_fds, vm.unread_s, share, vm.roles)
+
+
+def replies_bytes(vm):
+    """Return the limit on answers that are not held for a client.
+
+    :param vm: the VmLimits of the settings.
+    """
+    return of_vm(vm, REPLIES_SHARE).held_bytes
--- a/bulrushrudder/utils/paced_response.py
+++ b/bulrushrudder/utils/paced_response.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-PIECE_BYTES = 64 * 1024
+PIECE_BYTES = 16 * 1024
 
 
 class PacedResponse(web.Response):
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -1,8 +1,10 @@
 """Sockets with keepalive and with limited buffers."""
 
 import array
+import asyncio
 import contextlib
 import fcntl
+import ipaddress
 import socket
 import termios
 
@@ -24,6 +26,8 @@
 # grows to some megabytes, and a slow caller causes no backpressure on the
 # backend server.
 RECEIVE_BUFFER_BYTES = 64 * 1024
+# The same on connections with a bounded share of the process's memory.
+SERVER_BUFFER_BYTES = 16 * 1024
 
 
 def enable_keepalive(sock):
@@ -89,6 +93,35 @@
     return sock
 
 
+async def connect(protocol_factory, host, port):
+    """Open a connection whose receive buffer is small.
+
+    :param protocol_factory: function that returns its asyncio protocol.
+    :param host: IP address, or a name, of which the first address is used.
+    :returns: the protocol.
+    :raises OSError: if it cannot be opened.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        is_ipv6 = ipaddress.ip_address(host).version == 6
+        family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
+    except ValueError:
+        infos = await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM)
+        family, _, _, _, (host, *_) = infos[0]
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SERVER_BUFFER_BYTES
+        )
+        await loop.sock_connect(sock, (host, port))
+        _, protocol = await loop.create_connection(protocol_factory, sock=sock)
+    except BaseException:
+        sock.close()
+        raise
+    return protocol
+
+
 def limit_send_buffer(transport, max_bytes):
     """Limit the send buffers of a transport and of its socket."""
     transport.set_write_buffer_limits(high=max_bytes)
