Count the head of a call until it is answered

Callers saw a process near its memory limit at calls with long headers: the head counted only until it was parsed, while the call keeps it as parsed, as forwarded and as sent, and servers echo ids.

The head of a call counts eight times until the answer has been written.

--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -30,8 +30,10 @@
 MAX_HEAD_BYTES = 128 * 1024
 # A body is held as it was read and as it is sent to a server.
 BODY_COPIES = 2
-# A head is parsed to text and kept as bytes.
+# A head is parsed to text and kept as bytes. That of a call is also kept as
+# it is forwarded and sent, and servers echo ids.
 HEAD_COPIES = 2
+CALL_HEAD_COPIES = 8
 _END_OF_HEAD = b'\r\n\r\n'
 _TOO_LARGE = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
@@ -335,16 +337,16 @@
             self._body.set_exception(web.RequestPayloadError('invalid body'))
         if begun:
             self._unanswered += begun
-            self._begin_body()
+            self._begin_body(self._head_bytes + len(piece))
         elif reads_body:
             self._count_body(len(piece))
         else:
             self._count_head(len(piece))
 
-    def _begin_body(self):
+    def _begin_body(self, head_bytes):
         self._mark_if_read()
         self._head_bytes = 0
-        self.ledger.hold(self, _Holding.HEAD, 0)
+        self.ledger.hold(self, _Holding.HEAD, head_bytes * CALL_HEAD_COPIES)
         message, self._body = self._messages[-1]
         self._body_bytes = 0
         self._body_left = None
--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -218,6 +218,7 @@
         self._calls.discard(connection)
         self._uploads.pop(connection, None)
         for holding in (
+            Holding.HEAD,
             Holding.UPLOAD,
             Holding.CALL,
             Holding.ANSWER,
