Count tunnels with what a VM holds for its callers

A VM that relays for others could hold 2,000 tunnels, each with 64 KiB and what is read at once (up to 256 KiB) in both directions, whatever its memory and its descriptors: callers of one VM whose paths to servers were cut could take the memory of another.

The ledger of the callers' listener belongs to the process now and counts tunnels, too, with the buffers that they have at most: 160 KiB each, after their write buffers were reduced to 16 KiB and the receive buffers of all connections to servers and relays to 32 KiB. Their descriptors count with those of calls. A tunnel without room is refused as busy, as before, and the VM that asked tries another relay.

test_tunnels_beyond_the_memory_of_the_relay_are_refused is new; it needs the ledger and so was not run on the code before, where the constant allowed 2,000 tunnels on a VM of 88 MB.

--- a/bulrushrudder/engines/network.py
+++ b/bulrushrudder/engines/network.py
@@ -28,9 +28,10 @@
         :raises TimeoutError: if it does not react in time.
         """
         async with timeouts.RunningTimeout(self._connect_timeout_s):
-            return await sockets.connect(
+            _, protocol = await sockets.connect(
                 protocol_factory, server.host, server.port
             )
+        return protocol
 
     def may_reuse(self, server, connection):
         """Return whether an idle connection may carry a call."""
--- a/bulrushrudder/entry/backend_paths.py
+++ b/bulrushrudder/entry/backend_paths.py
@@ -14,11 +14,14 @@
     :param settings: the Settings of the VM.
     :param metrics: the EntryMetrics.
     :param is_leaving: function that returns whether the process stops.
+    :param ledger: the Ledger of the process.
     :ivar network: the RoutedNetwork.
     :ivar tunnels: the TunnelServer.
     """
 
-    def __init__(self, direct, view, owner, settings, metrics, is_leaving):
+    def __init__(
+        self, direct, view, owner, settings, metrics, is_leaving, ledger
+    ):
         search = relay_search.RelaySearch(
             view, owner, settings.zone, settings.secrets.cluster
         )
@@ -32,6 +35,7 @@
             metrics,
             is_leaving,
             settings.zone,
+            ledger,
         )
 
     def close(self):
--- a/bulrushrudder/entry/own_interface.py
+++ b/bulrushrudder/entry/own_interface.py
@@ -73,7 +73,7 @@
                 cancel_handlers=True,
                 closes_connections=lambda: entry.services.leaving,
                 shutdown_timeout_s=ANSWER_DRAIN_TIMEOUT_S,
-                limits=client_limits.of_vm(settings.limits),
+                ledger=entry.ledger,
             ),
         )
         await callers.open(stack, settings.entry.callers)
--- a/bulrushrudder/entry/process.py
+++ b/bulrushrudder/entry/process.py
@@ -43,6 +43,7 @@
 from bulrushrudder.protocol import peers
 from bulrushrudder.protocol import place_messages
 from bulrushrudder.protocol import token_messages
+from bulrushrudder.utils import client_ledger
 from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import tasks
 
@@ -66,6 +67,7 @@
         object with the methods of OwnInterface, which is the default.
     :param network_: opens direct connections to backend servers; a
         DirectNetwork by default.
+    :ivar ledger: the Ledger of callers and tunnels.
     :ivar paths: the BackendPaths.
     :ivar services: the SharedServices, once the process has started.
     """
@@ -118,6 +120,10 @@
             self.control_client,
         )
         self.metrics = metrics_entry.EntryMetrics()
+        self.ledger = client_ledger.Ledger(
+            client_limits.of_vm(settings.limits)
+        )
+        self.metrics.clients.watch(self.ledger)
         self._cold_permits = cold_permits.ColdPermits(
             self.view,
             self.coordinator_client,
@@ -131,6 +137,7 @@
             settings,
             self.metrics,
             self._is_leaving,
+            self.ledger,
         )
         self._session = session.Session(
             settings,
@@ -354,7 +361,6 @@
         )
         stack.callback(inner.close)
         self._callers = await self._interface.listen(stack, settings, self)
-        self.metrics.clients.watch(self._callers.ledger)
         await metrics_listener.listen(
             stack, self.metrics, settings.entry.metrics, settings.limits
         )
--- a/bulrushrudder/entry/tunnel_server.py
+++ b/bulrushrudder/entry/tunnel_server.py
@@ -19,7 +19,6 @@
 # A server that accepts no connection within this time may be behind a cut.
 PROMPT_S = 0.1
 FLUSH_TIMEOUT_S = 1.0
-MAX_TUNNELS = 2000
 # At most one line a VM is logged in this time.
 LOG_INTERVAL_S = 10.0
 
@@ -36,9 +35,14 @@
     :param metrics: the EntryMetrics.
     :param is_leaving: function that returns whether the process stops.
     :param zone: availability zone of this VM.
+    :param ledger: the Ledger of the process, which has room for tunnels or
+        not.
     """
 
-    def __init__(self, direct, network, view, metrics, is_leaving, zone):
+    def __init__(
+        self, direct, network, view, metrics, is_leaving, zone, ledger
+    ):
+        self._ledger = ledger
         self._direct = direct
         self._zone = zone
         self._network = network
@@ -61,13 +65,16 @@
         :param reader: the StreamReader of the link.
         :param writer: the StreamWriter of the link.
         """
-        match await self._connect(request):
-            case result.Failure(refused):
-                link.send(refused)
-                await _flush(link, reader)
-                return
-            case result.Success(server_end):
-                pass
+        with self._ledger.tunnel() as has_room:
+            match await self._connect(request, has_room):
+                case result.Failure(refused):
+                    link.send(refused)
+                    await _flush(link, reader)
+                case result.Success(server_end):
+                    await self._copy(link, request, server_end, reader, writer)
+
+    async def _copy(self, link, request, server_end, reader, writer):
+        """Copy bytes until both connections have ended."""
         if reader.at_eof() or writer.transport.is_closing():
             server_end.transport.abort()
             return
@@ -128,15 +135,16 @@
         if added:
             zone_traffic.count_tunnel(self._metrics, added * size)
 
-    async def _connect(self, request):
+    async def _connect(self, request, has_room):
         """Connect to a server.
 
+        :param has_room: whether there is room for one more tunnel.
         :returns: a Success with the ServerEnd, or a Failure with the
             TunnelRefused.
         """
         if self._is_leaving():
             return _refused(paths.RelayProblem.STOPPING)
-        if len(self._tunnels) >= MAX_TUNNELS:
+        if not has_room:
             return _refused(paths.RelayProblem.BUSY)
         server = self._view.state.servers.by_id.get(request.server)
         if server is None or server.incarnation != request.incarnation:
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -97,7 +97,7 @@
                 shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
                 decompresses_bodies=False,
                 max_field_bytes=MAX_FIELD_BYTES,
-                limits=client_limits.of_vm(settings.limits),
+                ledger=entry.ledger,
                 refuse_overload=api.refuse_overload,
             ),
         )
--- a/bulrushrudder/protocol/tunnel_ends.py
+++ b/bulrushrudder/protocol/tunnel_ends.py
@@ -15,7 +15,7 @@
 from bulrushrudder.core import path_errors
 from bulrushrudder.utils import sockets
 
-MAX_BUFFERED_BYTES = 64 * 1024
+MAX_BUFFERED_BYTES = 16 * 1024
 _LENGTH = struct.Struct('>I')
 _END = _LENGTH.pack(0)
 # A process of an earlier version waits for the bytes of this chunk, and
--- a/bulrushrudder/protocol/tunnels.py
+++ b/bulrushrudder/protocol/tunnels.py
@@ -8,6 +8,7 @@
 from bulrushrudder.protocol import link
 from bulrushrudder.protocol import tunnel_ends
 from bulrushrudder.protocol import tunnel_messages
+from bulrushrudder.utils import sockets
 
 
 class _Writer:
@@ -47,10 +48,8 @@
     """
     reader = asyncio.StreamReader()
     try:
-        transport, _ = await asyncio.get_running_loop().create_connection(
-            lambda: _Dialling(reader),
-            address.host,
-            address.port,
+        transport, _ = await sockets.connect(
+            lambda: _Dialling(reader), address.host, address.port
         )
     except OSError as error:
         return result.Failure(_unreachable(error))
--- a/bulrushrudder/tests/builders/relays.py
+++ b/bulrushrudder/tests/builders/relays.py
@@ -11,6 +11,8 @@
 from bulrushrudder.protocol import link
 from bulrushrudder.state import servers
 from bulrushrudder.state import sessions
+from bulrushrudder.utils import client_ledger
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import ports
 
 SECRET = b'a secret of the cluster'
@@ -58,6 +60,7 @@
     :param view_: the view, which the VMs of a fleet share.
     :ivar cut: the CutNetwork.
     :ivar network: the RoutedNetwork.
+    :ivar ledger: the Ledger of a small VM.
     :ivar leaving: whether it stops.
     """
 
@@ -70,6 +73,9 @@
         self.cut = CutNetwork()
         self.leaving = False
         self.metrics = metrics_entry.EntryMetrics()
+        self.ledger = client_ledger.Ledger(
+            client_limits.derive(memory_mb=88, max_fds=1000)
+        )
         self.paths = backend_paths.BackendPaths(
             self.cut,
             view_,
@@ -79,6 +85,7 @@
             ),
             self.metrics,
             lambda: self.leaving,
+            self.ledger,
         )
         self.network = self.paths.network
         self.tunnels = self.paths.tunnels
--- a/bulrushrudder/tests/protocol/tunnels_tests.py
+++ b/bulrushrudder/tests/protocol/tunnels_tests.py
@@ -100,6 +100,29 @@
         await user.wait_for(6)
         self.assertEqual(user.data, b'answer')
 
+    # Guards against tunnels that take more than the VM of the relay has.
+
+    async def test_tunnels_beyond_the_memory_of_the_relay_are_refused(self):
+        users = []
+        for _ in range(self.relay.ledger.limits.calls):
+            match await self.dial():
+                case result.Failure(tunnel_messages.TunnelRefused() as told):
+                    break
+                case result.Success(user):
+                    users.append(user)
+        else:
+            self.fail('all tunnels were opened')
+        self.assertEqual(told.reason, paths.RelayProblem.BUSY)
+        self.assertGreater(len(users), 10)
+        self.assertLessEqual(
+            len(users) * 2 * 2 * tunnel_ends.MAX_BUFFERED_BYTES,
+            self.relay.ledger.limits.held_bytes,
+        )
+        users[0].transport.abort()
+        async with asyncio.timeout(TIMEOUT_S):
+            while isinstance(await self.dial(), result.Failure):
+                await asyncio.sleep(0.01)
+
     async def test_bytes_of_the_server_right_behind_the_handshake_arrive(self):
         asked = asyncio.create_task(self.dial())
         _, writer = await self.accepted.get()
--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
 import math
 
@@ -35,6 +36,10 @@
 MIN_CALL_BYTES = 64 * 1024
 # The write buffer of an answer that is streamed, beside those buffers.
 STREAM_BYTES = 32 * 1024
+# The buffers of a tunnel, of 16 KiB and what is read at once in each
+# direction, and those of its two sockets in the kernel.
+TUNNEL_BYTES = 2 * (16 * 1024 + 2 * client_limits.RECEIVED_BYTES)
+TUNNEL_DESCRIPTORS = 2
 # What a call is taken to need before the size of answers is known, as a
 # share of the limit.
 FIRST_CALL_SHARE = 1 / 32
@@ -54,6 +59,7 @@
     UPLOAD = 'upload'
     CALL = 'call'
     ANSWER = 'answer'
+    TUNNEL = 'tunnel'
 
 
 class Closing(enum.Enum):
@@ -87,7 +93,7 @@
 
 
 class Ledger:
-    """What the connections of a listener hold.
+    """What the connections of a listener, and tunnels, hold.
 
     :param limits: the ClientLimits.
     :ivar limits: the same.
@@ -103,6 +109,7 @@
         self.refused = 0
         self._total = 0
         self._calls = set()
+        self._tunnels = set()
         self._connections = set()
         self._uploads = {}
         self._replies = reply_queue.ReplyQueue(limits.held_bytes)
@@ -205,7 +212,7 @@
         elif not self.make_room(size):
             self.refused += 1
             return False
-        if len(self._calls) >= self.limits.calls:
+        if self._descriptors_of_calls() >= self.limits.calls:
             self.refused += 1
             return False
         self.hold(connection, Holding.CALL, size)
@@ -213,6 +220,29 @@
         self._uploads.pop(connection, None)
         return True
 
+    @contextlib.contextmanager
+    def tunnel(self):
+        """Hold what a tunnel for another VM needs, if there is room.
+
+        Yields whether there is.
+        """
+        tunnel = _TunnelHolder()
+        descriptors = self._descriptors_of_calls() + TUNNEL_DESCRIPTORS
+        has_room = descriptors <= self.limits.calls and (
+            self.make_room(TUNNEL_BYTES)
+        )
+        if has_room:
+            self._tunnels.add(tunnel)
+            self.hold(tunnel, Holding.TUNNEL, TUNNEL_BYTES)
+        try:
+            yield has_room
+        finally:
+            self._tunnels.discard(tunnel)
+            self.hold(tunnel, Holding.TUNNEL, 0)
+
+    def _descriptors_of_calls(self):
+        return len(self._calls) + TUNNEL_DESCRIPTORS * len(self._tunnels)
+
     def end_request(self, connection):
         """Release what a request needed that has been answered."""
         self._calls.discard(connection)
@@ -338,6 +368,16 @@
             connection.drop(_CLOSING_BY_STAGE[stage])
 
 
+class _TunnelHolder:
+    """What the ledger knows of a tunnel.
+
+    :ivar held_by_holding: bytes by Holding.
+    """
+
+    def __init__(self):
+        self.held_by_holding = {}
+
+
 class _CountedLog:
     """Logs an event at most once a second, with the number of times.
 
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -72,6 +72,8 @@
     :param max_field_bytes: size above which a header field or a request
         line is malformed.
     :param limits: the ClientLimits; None for those of an unknown VM.
+    :param ledger: the Ledger that counts what its connections hold; None
+        for one of its own, with these limits.
     :param refuse_overload: function of a request that returns the response
         if there is no room for it.
     """
@@ -83,6 +85,7 @@
     decompresses_bodies: bool = True
     max_field_bytes: int = MAX_FIELD_BYTES
     limits: client_limits.ClientLimits | None = None
+    ledger: client_ledger.Ledger | None = None
     refuse_overload: collections.abc.Callable = refuse_overload
 
 
@@ -100,8 +103,10 @@
 
     def __init__(self, application, options):
         self.port = None
-        limits = options.limits or client_limits.derive()
-        self.ledger = client_ledger.Ledger(limits)
+        self.ledger = options.ledger or client_ledger.Ledger(
+            options.limits or client_limits.derive()
+        )
+        limits = self.ledger.limits
         self._handler_options = _handler_options(options)
         self._timers = _ConnectionTimers(options)
         self._runner = _make_runner(application, options)
--- a/bulrushrudder/utils/sockets.py
+++ b/bulrushrudder/utils/sockets.py
@@ -98,7 +98,7 @@
 
     :param protocol_factory: function that returns its asyncio protocol.
     :param host: IP address, or a name, of which the first address is used.
-    :returns: the protocol.
+    :returns: the transport and the protocol.
     :raises OSError: if it cannot be opened.
     """
     loop = asyncio.get_running_loop()
@@ -115,11 +115,10 @@
             socket.SOL_SOCKET, socket.SO_RCVBUF, SERVER_BUFFER_BYTES
         )
         await loop.sock_connect(sock, (host, port))
-        _, protocol = await loop.create_connection(protocol_factory, sock=sock)
+        return await loop.create_connection(protocol_factory, sock=sock)
     except BaseException:
         sock.close()
         raise
-    return protocol
 
 
 def limit_send_buffer(transport, max_bytes):
