Hold no more for clients than a small VM has

A process on a VM of 70 MB took 12 MiB for what its clients may hold, twice what the VM has beside a process at rest. The minimum was meant for an upload of 4 MiB, but the oldest upload is read whatever the limit.

The minimum is 1 MiB now, enough for a few small calls.

test_small_vm_holds_no_more_than_it_has failed before (12 MiB where 3 are allowed) and passes.

--- a/bulrushrudder/tests/utils/client_connection_tests.py
+++ b/bulrushrudder/tests/utils/client_connection_tests.py
@@ -231,6 +231,15 @@
         self.assertLess(small.held_bytes, large.held_bytes)
         self.assertEqual((small.connections, small.calls), (562, 187))
 
+    # Guards against a minimum that a small VM does not have.
+
+    async def test_small_vm_holds_no_more_than_it_has(self):
+        limits = client_limits.derive(70, 1000, share=1.0)
+        spare_bytes = (70 - client_limits.REST_MB) * client_limits.MIB
+        self.assertLessEqual(limits.held_bytes, spare_bytes / 2)
+        tiny = client_limits.derive(32, 1000)
+        self.assertGreater(tiny.held_bytes, client_ledger.CONNECTION_BYTES)
+
     # Guards against listeners that each take what the whole VM has.
 
     async def test_listeners_of_a_process_share_its_vm(self):
--- a/bulrushrudder/utils/client_limits.py
+++ b/bulrushrudder/utils/client_limits.py
@@ -15,8 +15,9 @@
 # made while bytes are passed on, and memory that the allocator does not
 # return, take the rest.
 HELD_SHARE = 0.5
-# One upload of 4 MiB, counted twice, and as much again for other callers.
-MIN_HELD_BYTES = 12 * MIB
+# A few calls at a time, on a VM that has hardly more than a process at rest
+# needs. The oldest upload is read whatever the limit.
+MIN_HELD_BYTES = MIB
 DEFAULT_MEMORY_MB = 192
 # As long as an answer that is streamed waits for its client.
 UNREAD_S = 20.0
