--- a/bulrushrudder/tests/builders/crowd_case.py
+++ b/bulrushrudder/tests/builders/crowd_case.py
@@ -15,10 +15,11 @@
     """Checks what does not depend on the speed of the machine."""
 
     @contextlib.asynccontextmanager
-    async def crowd(self, machine, *ports):
+    async def crowd(self, machine, *ports, memory_mb=crowds.MEMORY_MB):
         """Check a process after the block, in which crowds meet it.
 
         :param ports: names of listeners.
+        :param memory_mb: memory of the machine.
         :returns: the ProcessWatch, and a Crowd at each listener.
         """
         watch = process_watch.ProcessWatch(machine.pid)
@@ -33,7 +34,7 @@
         self.assertIsNone(machine.exit_code)
         await watch.look(0.1)
         with self.subTest('memory'):
-            self.assertLess(watch.peak_mb, crowds.MEMORY_MB)
+            self.assertLess(watch.peak_mb, memory_mb)
 
     async def check(self, machine, port, max_fds=None, **crowd):
         """Check a process while one crowd stays connected.
--- a/bulrushrudder/tests/builders/crowds.py
+++ b/bulrushrudder/tests/builders/crowds.py
@@ -37,6 +37,23 @@
 PIECE_BYTES = 64 * 1024
 
 
+def uploads(size):
+    """Return a function that yields the beginning of a 4 MB upload.
+
+    :param size: bytes that are sent at once; the others come one by one.
+    """
+
+    def make_pieces():
+        attempt = f'{random.getrandbits(64):016x}'
+        yield head('/look/1', 4_000_000, attempt)
+        for _ in range(size // PIECE_BYTES):
+            yield b'a' * PIECE_BYTES
+        for _ in range(1000):
+            yield b'a'
+
+    return make_pieces
+
+
 def head(path, length, attempt, key=clients.KEY, method='POST', more=()):
     """Return the head of a call.
 
@@ -178,12 +195,19 @@
 
 
 @contextlib.asynccontextmanager
-async def system(max_fds=None, memory_mb=MEMORY_MB, draw=None, stream=None):
+async def system(
+    max_fds=None,
+    memory_mb=MEMORY_MB,
+    draw=None,
+    stream=None,
+    root=programs.ROOT,
+):
     """Start a control process, an entry and a server with large answers.
 
     :param max_fds: descriptors that both may have.
     :param draw: function of rng that returns the Work for a plain call.
     :param stream: the Work of a stream; None for no engines.
+    :param root: the checkout whose programs run.
     :returns: the Fleet.
     """
     async with contextlib.AsyncExitStack() as stack:
@@ -193,6 +217,7 @@
             pathlib.Path(folder),
             record.Record(io.StringIO()),
             rng,
+            root=root,
             controls=1,
             edges=1,
         )
@@ -221,7 +246,7 @@
         for server in started:
             await server.start()
             stack.callback(server.crash)
-        await _wait_until_ready(fleet)
+        await wait_until_ready(fleet.edges[0])
         yield fleet
 
 
@@ -230,9 +255,10 @@
     return servers.Server(fleet, rng, name, service, stage, SLOTS, draw)
 
 
-async def _wait_until_ready(fleet):
+async def wait_until_ready(machine):
+    """Wait until a machine answers an ordinary call."""
     async with asyncio.timeout(READY_TIMEOUT_S):
-        while (await ordinary(fleet.edges[0])).status != 200:
+        while (await ordinary(machine)).status != 200:
             await asyncio.sleep(0.1)
 
 
--- a/bulrushrudder/tests/platform/untrusted_clients_tests.py
+++ b/bulrushrudder/tests/platform/untrusted_clients_tests.py
@@ -4,30 +4,9 @@
 and its descriptors, and answers one ordinary call. None checks a time.
 """
 
-import itertools
-
 from bulrushrudder.tests.builders import crowd_case
 from bulrushrudder.tests.builders import crowds
 
-PIECE = b'a' * 65536
-
-
-def uploads(size):
-    """Return a function that sends the beginning of a 4 MB upload."""
-
-    def make_pieces():
-        attempt = f'{next(_NUMBERS):016x}'
-        yield crowds.head('/look/1', 4_000_000, attempt)
-        for _ in range(size // len(PIECE)):
-            yield PIECE
-        for _ in range(1000):
-            yield b'a'
-
-    return make_pieces
-
-
-_NUMBERS = itertools.count(1)
-
 
 class CrowdTests(crowd_case.CrowdCase):
     # Guards against calls sent ahead and answers that nobody reads.
@@ -56,7 +35,7 @@
                 fleet.edges[0],
                 'frontend',
                 count=40,
-                make_pieces=uploads(2_000_000),
+                make_pieces=crowds.uploads(2_000_000),
                 pause_s=0.01,
             )
 
@@ -107,7 +86,7 @@
                 'frontend',
                 max_fds=crowds.MAX_FDS,
                 count=400,
-                make_pieces=uploads(0),
+                make_pieces=crowds.uploads(0),
                 pause_s=0.05,
             )
 
@@ -118,6 +97,6 @@
                 'control_plane',
                 max_fds=crowds.MAX_FDS,
                 count=400,
-                make_pieces=uploads(0),
+                make_pieces=crowds.uploads(0),
                 pause_s=0.05,
             )
