Let some clients of the soak keep to no limit

Three clients of each run by hand leave answers unread, send heads without end, long ids and uploads that trickle, and reset connections, at all listeners of the entries, which have 128 MB. The rule MEMORY says that none holds more. A seed plays the same without them (--misbehaves=False); the suite has one short run with them.

--- a/bulrushrudder/tests/soak/__main__.py
+++ b/bulrushrudder/tests/soak/__main__.py
@@ -25,6 +25,7 @@
     server_faults=False,
     replacements=False,
     cuts=False,
+    misbehaves=True,
 ):
     """Play seeds and print a line for each.
 
@@ -38,6 +39,7 @@
     :param replacements: replace the machines of the core one after the
         other, and let everything go dark at the end.
     :param cuts: cut entries off from all servers.
+    :param misbehaves: let some clients keep to no limit.
     """
     plans = [
         soak.Plan(
@@ -50,6 +52,7 @@
             server_faults,
             replacements,
             cuts,
+            misbehaves,
         )
         for seed in range(first, first + count)
     ]
--- a/bulrushrudder/tests/soak/soak.py
+++ b/bulrushrudder/tests/soak/soak.py
@@ -18,6 +18,7 @@
 from bulrushrudder.tests.soak import going_on
 from bulrushrudder.tests.soak import hold_ups
 from bulrushrudder.tests.soak import http
+from bulrushrudder.tests.soak import misbehaving
 from bulrushrudder.tests.soak import operators
 from bulrushrudder.tests.soak import programs
 from bulrushrudder.tests.soak import record
@@ -66,6 +67,8 @@
         else is played.
     :param replacements: whether machines of the core are replaced one after
         the other until everything goes dark; takes as long as that takes.
+    :param misbehaves: whether some clients keep to no limit, before
+        machines with little memory.
     """
 
     seed: int
@@ -77,6 +80,7 @@
     server_faults: bool = False
     replacements: bool = False
     cuts: bool = False
+    misbehaves: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +124,11 @@
         edges = 3 if plan.cuts else 2
         fleet = programs.Fleet(folder, seen, rng, plan.root, controls, edges)
         fleet.cuts_paths = plan.cuts
+        if plan.misbehaves:
+            fleet.limits = {
+                'memory_mb': misbehaving.MEMORY_MB,
+                'max_fds': '',
+            }
         stack.callback(fleet.end)
         return asyncio.run(_Soak(plan, fleet, rng).run())
 
@@ -205,6 +214,8 @@
         tasks = [
             self._spawn(stack, client.run()) for client in self._clients()
         ]
+        if self._plan.misbehaves:
+            tasks += self._misbehave(stack)
         if self._plan.replacements:
             tasks.append(self._spawn(stack, self._core_play.read_all()))
             await self._core_play.run()
@@ -253,6 +264,22 @@
             for _ in range(count)
         ]
 
+    def _misbehave(self, stack):
+        """Start clients that keep to no limit, and the watch on memory.
+
+        They draw on their own, so that seeds play the same without them.
+        """
+        rng = random.Random(f'misbehaving {self._plan.seed}')
+        misbehaving_clients = [
+            misbehaving.Client(self._fleet, random.Random(rng.random()))
+            for _ in range(misbehaving.CLIENTS)
+        ]
+        tasks = [
+            self._spawn(stack, client.run()) for client in misbehaving_clients
+        ]
+        watching = misbehaving.watch_memory(self._fleet)
+        return [*tasks, self._spawn(stack, watching)]
+
     async def _recover(self):
         """Bring all machines back."""
         for machine in self._fleet.machines:
--- a/bulrushrudder/tests/soak/soak_tests.py
+++ b/bulrushrudder/tests/soak/soak_tests.py
@@ -20,6 +20,12 @@
     def test_rules_hold_while_everything_is_disrupted(self):
         self.check(seed=2, seconds=12.0)
 
+    # Guards against clients that keep to no limit and end a process, or
+    # break the promises made to others.
+
+    def test_rules_hold_beside_clients_that_keep_to_no_limit(self):
+        self.check(seed=3, seconds=10.0, misbehaves=True)
+
     # Guards against a system that does not start because the founder of
     # the log was killed before it had founded it.
 
