Accept links again as soon as a handshake has ended

After the bound on handshakes, peers that all dial at once, as after a restart of many, found a backlog of 8 and handshakes of a small VM accepted in steps of 8 each 50 ms; beyond, the kernel drops the opening packet, and the peer waits for a second and more. Found by its arithmetic.

The inner listener has a backlog of 128 and at least 32 handshakes at a time (4 and 3 MiB at the most on a VM of 88 MB, in the half that is not counted), and goes on accepting when one ends.

test_many_peers_open_links_at_the_same_time failed before (handshakes of 150 peers timed out) and passes.

--- a/bulrushrudder/protocol/handshake_room.py
+++ b/bulrushrudder/protocol/handshake_room.py
@@ -14,8 +14,10 @@
 RECEIVE_BUFFER_BYTES = 16 * 1024
 READER_BYTES = 16 * 1024
 HANDSHAKE_BYTES = 4 * RECEIVE_BUFFER_BYTES + 2 * READER_BYTES
-# The peers of a small deployment, all at once.
-MIN_HANDSHAKES = 8
+# After a restart, many peers dial at the same moment. Those that there is no
+# room for wait in the backlog, for some milliseconds.
+MIN_HANDSHAKES = 32
+BACKLOG = 128
 
 
 def limit_of(limits):
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -395,6 +395,7 @@
                 handshake = await link.handshake(secret, False)
             finally:
                 room.end(link)
+                listener.resume()
             if isinstance(handshake, result.Failure):
                 return
             if on_opened is not None:
@@ -413,7 +414,7 @@
 
     listener = acceptor.Acceptor(
         acceptor.Buffers(
-            handshake_room.RECEIVE_BUFFER_BYTES, None, limits.backlog
+            handshake_room.RECEIVE_BUFFER_BYTES, None, handshake_room.BACKLOG
         ),
         room,
         make_protocol,
--- a/bulrushrudder/tests/protocol/link_tests.py
+++ b/bulrushrudder/tests/protocol/link_tests.py
@@ -91,6 +91,14 @@
             while isinstance(await self.dial(), result.Failure):
                 await asyncio.sleep(handshake_room.GRACE_S)
 
+    # Guards against peers that wait for seconds when all dial at once.
+
+    async def test_many_peers_open_links_at_the_same_time(self):
+        dialling = [self.dial() for _ in range(150)]
+        async with asyncio.timeout(TIMEOUT_S):
+            for opened in await asyncio.gather(*dialling):
+                self.assertIsInstance(opened, result.Success)
+
     async def test_invalid_message_closes_only_its_link(self):
         for name, data in INVALID_FRAMES.items():
             with self.subTest(name):
--- a/bulrushrudder/utils/acceptor.py
+++ b/bulrushrudder/utils/acceptor.py
@@ -66,6 +66,7 @@
         self._make_protocol = make_protocol
         self._loop = asyncio.get_running_loop()
         self._sockets = []
+        self._timers_by_paused = {}
         self._accepting = set()
 
     def open(self, address):
@@ -91,6 +92,11 @@
             raise
         return self._sockets[0].getsockname()[1]
 
+    def resume(self):
+        """Accept at once what has waited for room."""
+        for opened in tuple(self._timers_by_paused):
+            self._watch(opened)
+
     def close(self):
         """Refuse new connections."""
         for opened in self._sockets:
@@ -132,9 +138,14 @@
 
     def _accept_later(self, opened, delay_s):
         self._loop.remove_reader(opened)
-        self._loop.call_later(delay_s, self._watch, opened)
+        self._timers_by_paused[opened] = self._loop.call_later(
+            delay_s, self._watch, opened
+        )
 
     def _watch(self, opened):
+        timer = self._timers_by_paused.pop(opened, None)
+        if timer is not None:
+            timer.cancel()
         if opened in self._sockets:
             self._loop.add_reader(opened, self._accept, opened)
 
