Limit the lengths of names in announcements of servers

A process that announces itself as a server could send a zone, an address or an id as long as a body of 64 KiB allows. They are replicated, and each VM keeps them until the lease of the announcement ends.

Longer ones are refused with a message that names the field: 200 characters, 300 for an address.

test_rejects_texts_that_are_too_long: four of its five cases failed before; the limit on versions stood.

--- a/bulrushrudder/platform/announcements.py
+++ b/bulrushrudder/platform/announcements.py
@@ -19,6 +19,10 @@
 # Integers on the log and on links have 64 bits.
 MAX_INTEGER = 2**63 - 1
 MAX_VERSION_LENGTH = 200
+# Announcements are replicated, and kept in memory on every VM.
+MAX_ID_LENGTH = 200
+MAX_NAME_LENGTH = 200
+MAX_ADDRESS_LENGTH = 300
 
 
 class AnnouncementModel(pydantic.BaseModel):
@@ -32,9 +36,9 @@
 
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
 
-    service: str
-    address: str
-    zone: str
+    service: str = pydantic.Field(max_length=MAX_NAME_LENGTH)
+    address: str = pydantic.Field(max_length=MAX_ADDRESS_LENGTH)
+    zone: str = pydantic.Field(max_length=MAX_NAME_LENGTH)
     version: str = pydantic.Field(default='', max_length=MAX_VERSION_LENGTH)
     slots: int = pydantic.Field(ge=1, le=MAX_INTEGER)
     state: str = pydantic.Field(pattern='^(ready|draining)$')
@@ -86,6 +90,11 @@
         servers.
     :returns: the Announcement, or an error message.
     """
+    if len(server_id) > MAX_ID_LENGTH:
+        return result.Failure(
+            f'the id has {len(server_id)} characters, at most '
+            f'{MAX_ID_LENGTH} are allowed'
+        )
     try:
         heartbeat = AnnouncementModel.model_validate_json(body)
     except pydantic.ValidationError as error:
--- a/bulrushrudder/tests/platform/announcements_tests.py
+++ b/bulrushrudder/tests/platform/announcements_tests.py
@@ -68,6 +68,17 @@
         parsed = read(builders.heartbeat(service='later'), {})
         self.assertIsInstance(parsed, result.Success)
 
+    # Guards against announcements that fill the memory of every VM.
+
+    def test_rejects_texts_that_are_too_long(self):
+        for name in ('service', 'address', 'zone', 'version'):
+            with self.subTest(name):
+                body = builders.heartbeat(**{name: 'a' * 1000 + ':80'})
+                self.assertIn(name, read(body, {}).failure())
+        long_id = 'i' * 1000
+        refused = announcements.read(long_id, builders.heartbeat(), SERVICES)
+        self.assertIn('1000 characters', refused.failure())
+
     def test_rejects_invalid_heartbeats(self):
         for body in (
             b'',
