--- a/bulrushrudder/tests/builders/crowds.py
+++ b/bulrushrudder/tests/builders/crowds.py
@@ -201,6 +201,7 @@
     draw=None,
     stream=None,
     root=programs.ROOT,
+    edges=1,
 ):
     """Start a control process, an entry and a server with large answers.
 
@@ -208,6 +209,7 @@
     :param draw: function of rng that returns the Work for a plain call.
     :param stream: the Work of a stream; None for no engines.
     :param root: the checkout whose programs run.
+    :param edges: number of entries; some may be cut off if there are more.
     :returns: the Fleet.
     """
     async with contextlib.AsyncExitStack() as stack:
@@ -219,8 +221,9 @@
             rng,
             root=root,
             controls=1,
-            edges=1,
+            edges=edges,
         )
+        fleet.cuts_paths = edges > 1
         stack.callback(fleet.end)
         fleet.limits = {
             'memory_mb': memory_mb,
@@ -246,7 +249,8 @@
         for server in started:
             await server.start()
             stack.callback(server.crash)
-        await wait_until_ready(fleet.edges[0])
+        for machine in fleet.edges:
+            await wait_until_ready(machine)
         yield fleet
 
 
--- a/bulrushrudder/tests/platform/untrusted_clients_in_changes_tests.py
+++ b/bulrushrudder/tests/platform/untrusted_clients_in_changes_tests.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import signal
 import tempfile
 
 from bulrushrudder.tests.builders import crowd_case
 from bulrushrudder.tests.builders import crowds
+from bulrushrudder.tests.soak import cuts
 from bulrushrudder.tests.soak import programs
 from bulrushrudder.tests.soak import versions_tests
 from bulrushrudder.tests.soak import works
@@ -92,6 +94,29 @@
         await self.check_change(LARGE_VM_MB, self.slow_servers)
 
 
+class RelayTests(crowd_case.CrowdCase):
+    # Guards against crowds whose calls take the memory of another VM.
+
+    async def test_crowds_at_an_entry_that_is_cut_off_and_at_its_relay(self):
+        async with crowds.system(edges=2) as fleet:
+            cut_off, relay = fleet.edges
+            severed = cuts.Cuts(fleet, random.Random(1))
+            try:
+                async with (
+                    self.crowd(relay, *PORTS) as (watch, *at_relay),
+                    self.crowd(cut_off, *PORTS) as (_, *at_cut_off),
+                ):
+                    severed.begin(cuts.Refuses(), [cut_off])
+                    gather(*at_cut_off)
+                    await watch.look(crowd_case.CROWD_S)
+                    gather(*at_relay)
+                    await watch.look(crowd_case.CROWD_S)
+                log = relay.log.read_text()
+            finally:
+                severed.close()
+        self.assertIn('"relaying"', log)
+
+
 class ReplacedProcessTests(crowd_case.CrowdCase):
     @contextlib.asynccontextmanager
     async def crowds_at(self, machine):
