--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -321,7 +321,7 @@
         lines.count()
 
     def _check_soon(self):
-        """Look for connections to close, again and again until room is."""
+        """Look for connections to close, repeatedly while room is short."""
         if self._recheck is None:
             self._recheck = asyncio.get_running_loop().call_later(
                 SEARCH_INTERVAL_S, self._check_again
--- a/bulrushrudder/utils/reply_queue.py
+++ b/bulrushrudder/utils/reply_queue.py
@@ -37,20 +37,15 @@
 
     :param max_bytes: limit on all that is held.
     :ivar reserve: bytes of it that are kept for the oldest answer.
+    :ivar waiting: number of answers that wait for room.
     """
 
     def __init__(self, max_bytes):
         self.reserve = int(max_bytes * RESERVE_SHARE)
+        self.waiting = 0
         self._max_bytes = max_bytes
         self._by_connection = {}
 
-    @property
-    def waiting(self):
-        """Return whether an answer waits for room."""
-        return any(
-            reply.waiter is not None for reply in self._by_connection.values()
-        )
-
     def update(self, connection, size, give_up):
         """Record the size of an answer so far.
 
@@ -81,9 +76,11 @@
         reply = self._by_connection[connection]
         reply.waits_since_s = min(reply.waits_since_s, loop.time())
         reply.waiter = loop.create_future()
+        self.waiting += 1
         try:
             await reply.waiter
         finally:
+            self.waiting -= 1
             reply.waiter = None
 
     def wake(self, held):
@@ -91,6 +88,8 @@
 
         :param held: bytes that are held in all.
         """
+        if not self.waiting:
+            return
         for connection, reply in self._by_connection.items():
             if not self.admits(connection, held):
                 return
