Bound what a configuration takes once it is parsed

An operator, or whoever reaches the listener of a control process, could end it with one request: an invalid configuration of 900 kB took 1.5 GB. Its validation collects all errors of all routes, of which one is reported; a body of 8 MB that is read in vain took 30 times its size besides.

Lists are validated up to their first error, and a configuration that may take more than the VM has for operators, by its number of values, is refused with 400 and both figures before it is parsed. 9 MiB on a VM of 88 MB are some 70,000 values, 89 MiB on one of 296 MB 730,000.

--- a/bulrushrudder/platform/configuration.py
+++ b/bulrushrudder/platform/configuration.py
@@ -1,6 +1,7 @@
 """Converts the platform's configuration into a Document."""
 
 import math
+import typing
 
 import pydantic
 from returns import result
@@ -32,6 +33,14 @@
 }
 
 
+def _items(**terms):
+    """Return a list field whose validation ends at the first error.
+
+    Only the first error is reported, and each takes a kilobyte and more.
+    """
+    return pydantic.Field(fail_fast=True, **terms)
+
+
 class _ConfigurationPart(pydantic.BaseModel):
     """Base of all parts of the configuration; ignores unknown fields."""
 
@@ -45,6 +54,9 @@
     weight: float = pydantic.Field(ge=0)
 
 
+_Shares = typing.Annotated[list[ShareModel], _items()]
+
+
 class RouteModel(_ConfigurationPart):
     """A route.
 
@@ -60,7 +72,7 @@
     target_latency_ms: float | None = None
     priority: int = DEFAULT_RANK
     service: str | None = None
-    split: list[ShareModel] | None = None
+    split: _Shares | None = None
     max_attempts: int = pydantic.Field(default=DEFAULT_ATTEMPTS, ge=1)
     public: bool = False
     resumable: bool = False
@@ -207,7 +219,7 @@
     """
 
     name: str
-    api_keys: list[str] = []
+    api_keys: list[str] = _items(default=[])
     priority: int | None = None
     unit: str | None = None
     uncached_tokens: int = pydantic.Field(default=0, ge=0)
@@ -238,10 +250,10 @@
     """The whole configuration."""
 
     version: int = pydantic.Field(ge=1)
-    routes: list[RouteModel]
-    services: list[ServiceModel]
+    routes: list[RouteModel] = _items()
+    services: list[ServiceModel] = _items()
     limits: BoundsModel | None = None
-    tenants: list[TenantModel] = []
+    tenants: list[TenantModel] = _items(default=[])
 
     @pydantic.model_validator(mode='after')
     def _check_references(self):
@@ -285,7 +297,7 @@
 class ServicesModel(_ConfigurationPart):
     """The services of a configuration."""
 
-    services: list[ServiceModel]
+    services: list[ServiceModel] = _items()
 
 
 def read_services(source):
@@ -306,12 +318,20 @@
     return {service.id: service for service in services}
 
 
-def read(source):
+def read(source, max_parsed_bytes=None):
     """Validate a configuration and convert it to data classes.
 
     :param source: the JSON body as bytes.
+    :param max_parsed_bytes: bytes that it may take once it is parsed; None
+        for no limit.
     :returns: the Document, or an error message.
     """
+    parsed_bytes = web.max_parsed_bytes(source)
+    if max_parsed_bytes is not None and parsed_bytes > max_parsed_bytes:
+        return result.Failure(
+            f'the configuration may take {parsed_bytes} bytes once it is '
+            f'parsed, this VM has {max_parsed_bytes} for it'
+        )
     try:
         model = ConfigurationModel.model_validate_json(source)
     except pydantic.ValidationError as error:
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -19,6 +19,7 @@
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
+from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import paced_response
 from bulrushrudder.utils import web as web_utils
 
@@ -37,9 +38,14 @@
     :param metrics: the ControlMetrics.
     :param knows_cold: whether the settings bound the requests to cold
         servers.
+    :param max_parsed_bytes: bytes that a configuration may take once it is
+        parsed; None for no limit.
     """
 
-    def __init__(self, control, metrics, knows_cold=False):
+    def __init__(
+        self, control, metrics, knows_cold=False, max_parsed_bytes=None
+    ):
+        self._max_parsed_bytes = max_parsed_bytes
         self._control = control
         self._metrics = metrics
         self._knows_cold = knows_cold
@@ -152,7 +158,7 @@
 
     async def _put_configuration(self, request):
         source = await request.read()
-        match configuration.read(source):
+        match configuration.read(source, self._max_parsed_bytes):
             case result.Failure(problem):
                 self._count_submission(
                     metrics_control.SubmissionOutcome.INVALID
@@ -209,7 +215,10 @@
     def application(self, control, settings, metrics):
         """Return the aiohttp application for runners and the operator."""
         return ControlApi(
-            control, metrics, settings.control.knows_cold
+            control,
+            metrics,
+            settings.control.knows_cold,
+            client_limits.of_vm(settings.limits).held_bytes,
         ).application()
 
     def order_client(self, stack):
--- a/bulrushrudder/tests/builders/crowds.py
+++ b/bulrushrudder/tests/builders/crowds.py
@@ -301,6 +301,17 @@
     return machine.exit_code
 
 
+async def put_configuration(machine, body):
+    """Send a configuration to a control process; return the Answer."""
+    return await http.call(
+        machine.address('control_plane'),
+        'PUT',
+        operators.PATH,
+        body,
+        timeout_s=ORDINARY_TIMEOUT_S,
+    )
+
+
 async def configuration(machine):
     """Read the configuration of a control process."""
     answer = await get(machine.address('control_plane'), operators.PATH)
--- a/bulrushrudder/tests/platform/untrusted_listeners_tests.py
+++ b/bulrushrudder/tests/platform/untrusted_listeners_tests.py
@@ -92,6 +92,20 @@
                 self.assertEqual(answer.status, 200)
 
 
+class InvalidBodiesTests(crowd_case.CrowdCase):
+    # Guards against bodies that take a thousand times their size once they
+    # are parsed, or in the errors that they cause.
+
+    async def test_invalid_configurations_leave_control_its_memory(self):
+        body = b'{"version":99,"routes":[' + b'{},' * 300_000 + b'{}]}'
+        async with crowds.system() as fleet:
+            machine = fleet.controls[0]
+            async with self.crowd(machine) as (watch,):
+                for _ in range(3):
+                    answer = await crowds.put_configuration(machine, body)
+                    self.assertEqual(answer.status, 400)
+
+
 class LogTests(crowd_case.CrowdCase):
     # Guards against a log that grows with what clients send.
 
--- a/bulrushrudder/utils/web.py
+++ b/bulrushrudder/utils/web.py
@@ -6,6 +6,8 @@
 from bulrushrudder.events import log
 from bulrushrudder.utils import http_listener
 
+# A parsed value, with what a table or a list adds for it.
+VALUE_BYTES = 128
 _PRESERVED_HEADERS = frozenset({'Allow', 'Retry-After'})
 
 
@@ -45,6 +47,16 @@
         return web.json_response({'problem': 'internal error'}, status=500)
 
 
+def max_parsed_bytes(body):
+    """Return how many bytes a JSON body takes at most once it is parsed.
+
+    :param body: bytes; each comma or bracket outside of texts stands for a
+        value, those inside of them count as well.
+    """
+    values = sum(map(body.count, (b',', b'[', b'{')))
+    return len(body) + VALUE_BYTES * values
+
+
 def format_first_error(error):
     """Return the first error of a pydantic ValidationError as text."""
     first = error.errors(include_url=False, include_input=False)[0]
