--- a/bulrushrudder/entry/service_calls.py
+++ b/bulrushrudder/entry/service_calls.py
@@ -26,7 +26,7 @@
 from bulrushrudder.lifecycle import suspicion
 from bulrushrudder.state import intents
 from bulrushrudder.state import suspect_parts
-from bulrushrudder.utils import client_connection
+from bulrushrudder.utils import answer_room
 
 CALL_ID_HEADER = 'Idempotency-Key'
 REPLAYED_HEADER = 'Idempotency-Replayed'
@@ -70,7 +70,7 @@
             body,
             admitted.route.target.timeout_s,
             request_id=request_id,
-            room=client_connection.answer_room(http_request),
+            room=answer_room.of_request(http_request),
         )
         service = admitted.route.target.service
         call_id = http_request.headers.get(CALL_ID_HEADER)
--- a/bulrushrudder/platform/entry_api.py
+++ b/bulrushrudder/platform/entry_api.py
@@ -26,8 +26,8 @@
 from bulrushrudder.platform import jobs as platform_jobs
 from bulrushrudder.platform import services as plain_services
 from bulrushrudder.platform import statements
+from bulrushrudder.utils import answer_room
 from bulrushrudder.utils import authentication
-from bulrushrudder.utils import client_connection
 from bulrushrudder.utils import client_limits
 from bulrushrudder.utils import http_listener
 from bulrushrudder.utils import web as web_utils
@@ -293,7 +293,7 @@
             request_id=request_headers.attempt,
             fingerprint=platform_jobs.fingerprint(forwarded_call, admitted),
             content=forwarded_call,
-            room=client_connection.answer_room(http_request),
+            room=answer_room.of_request(http_request),
         )
         sent = await self._service_calls.send(admitted, service_id, call)
         match sent:
--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -58,44 +58,6 @@
     request.protocol.hold_answer(size)
 
 
-def answer_room(request):
-    """Return the AnswerRoom of a request; None if there is no limit on it.
-
-    :param request: the aiohttp request.
-    """
-    if isinstance(request.protocol, ClientConnection):
-        return AnswerRoom(request.protocol)
-    return None
-
-
-class AnswerRoom:
-    """Where an answer is held while it is read from a server.
-
-    :param connection: the ClientConnection that gets it.
-    """
-
-    def __init__(self, connection):
-        self._connection = connection
-
-    @property
-    def is_open(self):
-        """Return whether the client is still connected."""
-        return self._connection.ledger.has(self._connection)
-
-    async def take(self, size, give_up):
-        """Hold what has been read so far; wait while there is no room.
-
-        :param size: bytes.
-        :param give_up: function that ends the reading of the answer.
-        """
-        connection = self._connection
-        await connection.ledger.hold_reply(connection, size, give_up)
-
-    def end_reading(self):
-        """Record that the answer has been read, or will not be."""
-        self._connection.ledger.end_reply(self._connection)
-
-
 class ClientConnection(web.RequestHandler, asyncio.BufferedProtocol):
     """The connection of an untrusted client.
 
--- a/bulrushrudder/utils/client_ledger.py
+++ b/bulrushrudder/utils/client_ledger.py
@@ -14,8 +14,8 @@
 import math
 
 from bulrushrudder.events import catalogue
-from bulrushrudder.events import log
 from bulrushrudder.utils import client_limits
+from bulrushrudder.utils import counted_log
 from bulrushrudder.utils import reply_queue
 
 # A client that takes or sends PROGRESS_BYTES in this time makes progress.
@@ -47,7 +47,6 @@
 # and at most this share of the limit.
 LATEST_WEIGHT = 0.1
 MAX_CALL_SHARE = 1 / 16
-LOG_INTERVAL_S = 1.0
 
 
 class Holding(enum.Enum):
@@ -117,7 +116,7 @@
         self._searched_s = -math.inf
         self._recheck = None
         self._logs_by_closing = {}
-        self._pauses = _CountedLog(catalogue.CLIENTS_WAIT)
+        self._pauses = counted_log.CountedLog(catalogue.CLIENTS_WAIT)
 
     @property
     def connections(self):
@@ -315,7 +314,7 @@
         self.closed_by_closing[closing] += 1
         lines = self._logs_by_closing.get(closing)
         if lines is None:
-            lines = self._logs_by_closing[closing] = _CountedLog(
+            lines = self._logs_by_closing[closing] = counted_log.CountedLog(
                 catalogue.CLIENTS_CLOSED, reason=closing.value
             )
         lines.count()
@@ -376,32 +375,3 @@
 
     def __init__(self):
         self.held_by_holding = {}
-
-
-class _CountedLog:
-    """Logs an event at most once a second, with the number of times.
-
-    :param event: the Event.
-    :param fields: fields of each line.
-    """
-
-    def __init__(self, event, **fields):
-        self._event = event
-        self._fields = fields
-        self._count = 0
-        self._timer = None
-
-    def count(self):
-        """Count one time."""
-        self._count += 1
-        if self._timer is None:
-            self._emit()
-
-    def _emit(self):
-        self._timer = None
-        if self._count:
-            log.emit(self._event, count=self._count, **self._fields)
-            self._count = 0
-            self._timer = asyncio.get_running_loop().call_later(
-                LOG_INTERVAL_S, self._emit
-            )
