Keep a connection while an answer is written on it

Callers saw an answer cut in its middle, at a process that stops and on connections whose idle time was over: the timer of a connection starts when its handler returns, before the answer is written, and closes the connection if the write buffer is empty at that moment. That may be so between two pieces, above all on a busy loop: a reader takes what has been written, and the timer is due before the next piece.

The timer now asks whether an answer is held, which is so until it has been written to its end.

--- a/bulrushrudder/tests/utils/http_listener_tests.py
+++ b/bulrushrudder/tests/utils/http_listener_tests.py
@@ -8,10 +8,20 @@
 
 from bulrushrudder.config import settings
 from bulrushrudder.utils import http_listener
+from bulrushrudder.utils import paced_response
 from bulrushrudder.utils import ports
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 TIMEOUT_S = 5.0
+PIECE_PAUSE_S = 0.05
+
+
+class HaltingResponse(paced_response.PacedResponse):
+    """A response each of whose pieces is taken before the next is written."""
+
+    async def write(self, data):
+        await super().write(data)
+        await asyncio.sleep(PIECE_PAUSE_S)
 
 
 class FailingSocket:
@@ -42,10 +52,10 @@
         self.closing = False
         self.idle_s = 60.0
 
-    async def listen(self, body=b'whole'):
+    async def listen(self, body=b'whole', respond=web.Response):
         async def answer(request):
             self.announced = request[http_listener.CLOSE_ANNOUNCED]
-            return web.Response(body=body)
+            return respond(body=body)
 
         app = web.Application()
         app.router.add_get('/', answer)
@@ -167,6 +177,20 @@
         await self.listener.stop_accepting()
         self.assertIn(b' 200 ', await self.read_head(reader))
 
+    # Guards against an answer that is cut while it is written, because its
+    # caller has taken all of it that was written so far.
+
+    async def test_answer_in_pieces_outlasts_the_time_to_linger(self):
+        self.closing = True
+        pieces = int(4 * http_listener.LINGER_S / PIECE_PAUSE_S)
+        body = b'x' * (pieces * paced_response.PIECE_BYTES)
+        await self.listen(body, HaltingResponse)
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        await self.read_head(reader)
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual(await reader.readexactly(len(body)), body)
+
     # Guards against a pipelined request that is dropped because the answer
     # before it takes long to read.
 
--- a/bulrushrudder/utils/http_listener.py
+++ b/bulrushrudder/utils/http_listener.py
@@ -272,8 +272,8 @@
 
     def _close_if_taken(self, protocol):
         """Close a connection once its caller has taken the answer."""
-        transport = protocol.transport
-        if transport is not None and transport.get_write_buffer_size():
+        # The write buffer may be empty between two pieces of an answer.
+        if protocol.transport is not None and protocol.has_unsent_data():
             self._wait_idle(protocol)
         else:
             self._close(protocol)
