Count the beginning of an answer as progress of its client

Callers with calls of more than a quarter of a second lost their answers when memory was short: the time in which an answer must be read counted from the end of the request, so that it was over when the answer began, and the connection was closed as unread some milliseconds later.

The time counts from the beginning of the answer, unless earlier answers on the connection are unread.

test_answer_that_has_just_begun_counts_as_progress failed before and passes.

--- a/bulrushrudder/tests/utils/client_connection_tests.py
+++ b/bulrushrudder/tests/utils/client_connection_tests.py
@@ -147,6 +147,26 @@
                 await asyncio.sleep(0.1)
         self.assertFalse(self.ledger.closed_by_closing)
 
+    # Guards against an answer that is closed as unread when it has just
+    # begun, because the call before it took long.
+
+    async def test_answer_that_has_just_begun_counts_as_progress(self):
+        await self.listen(b'x' * 3_000_000)
+        self.gate.clear()
+        _, writer = await self.connect()
+        writer.transport.pause_reading()
+        writer.write(REQUEST)
+        await self.wait_until(lambda: self.handled)
+        called_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(2 * client_ledger.HARD_GRACE_S)
+        self.gate.set()
+        (connection,) = self.ledger._connections
+        await self.wait_until(
+            lambda: connection.stage() is client_ledger.Stage.UNREAD
+        )
+        progressed_s = connection.progressed_s(0.0)
+        self.assertGreater(progressed_s, called_s + client_ledger.HARD_GRACE_S)
+
     # Guards against a crowd that keeps others from connecting for good.
 
     async def test_connection_is_accepted_once_idle_ones_are_closed(self):
--- a/bulrushrudder/utils/client_connection.py
+++ b/bulrushrudder/utils/client_connection.py
@@ -176,7 +176,11 @@
         return self.ledger.admit_call(self)
 
     def hold_answer(self, size):
-        """Hold an answer whose size is known, in the place of a guess."""
+        """Hold an answer whose size is known, in the place of a guess.
+
+        Its client gets the time to read it from now on.
+        """
+        self._mark_if_read()
         self.ledger.hold_answer(self, size)
 
     # What the transport calls.
