Give the relay of a test the ledger that it asks for

test_tunnel_counts_what_it_adds_to_the_direct_way could not make its relay since tunnels count in the ledger of the process. It counts crossings only and needs no ledger; its checks are unchanged.

--- a/bulrushrudder/tests/entry/zone_traffic_tests.py
+++ b/bulrushrudder/tests/entry/zone_traffic_tests.py
@@ -90,7 +90,13 @@
             with self.subTest(dialler=dialler, server=server):
                 metrics = self.metrics = entry.EntryMetrics()
                 relay = tunnel_server.TunnelServer(
-                    None, None, self.vms.view, metrics, None, ids.Zone('b')
+                    None,
+                    None,
+                    self.vms.view,
+                    metrics,
+                    None,
+                    ids.Zone('b'),
+                    ledger=None,
                 )
                 relay._count(ids.VmId(dialler), ids.ServerId(server), 1000)
                 expected = {('tunnel', 'lost_path'): added} if added else {}
