Send the log to an observer as fast as it reads it

Entry processes that started after many changes of a large configuration never got a configuration again and refused every call with 503.

The feed of a control process bounded a message by entries, 200, and not by bytes. With 140 versions of 358 routes it encoded 19 MB, more than a link carries (16 MiB); the link logged "message too large", and the feed gave up on that observer without closing the link. Any entry that starts is affected. A bound on each message alone would let all messages wait in the buffers of the process, for each observer.

A message now carries 256 KiB of commands, or one command that is larger. The next one follows when the link has room, one in each turn of the loop, so the unsent bytes of an observer stay within a message and the buffer of its transport. An observer whose link takes no message is removed from the feed and changes over to another control process.

The bytes and types of messages are unchanged.

--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -197,16 +197,26 @@
         self._driver.put(events.ReadIndexRequested(token))
         return await future
 
-    def commands_after(self, index, max_count):
+    def commands_after(self, index, max_count, max_bytes):
         """Return the encoded commands that follow an index.
 
         Entries without a command are represented by empty bytes.
 
         :param max_count: maximum number of entries.
+        :param max_bytes: maximum size of all commands together; a single
+            command may be larger.
         """
         max_count = min(max_count, self.index - index)
         entries = self.replica.log.after(index, max(max_count, 0))
-        return tuple(_command_of(entry) for entry in entries)
+        commands = []
+        size = 0
+        for entry in entries:
+            command = _command_of(entry)
+            size += len(command)
+            if commands and size > max_bytes:
+                break
+            commands.append(command)
+        return tuple(commands)
 
     def needs_snapshot(self, index):
         """Return whether to send the snapshot instead of entries.
--- a/bulrushrudder/control/server.py
+++ b/bulrushrudder/control/server.py
@@ -65,7 +65,7 @@
         """
         match message:
             case log_messages.Observe(index=index):
-                self._log_feed.add(link, index)
+                await self._log_feed.serve(link, index)
             case log_messages.FreshnessRequest(round=number, index=index):
                 self._leases.record_contact(link.peer, index, _now_s())
                 await self._confirm_view(link, number)
--- a/bulrushrudder/protocol/link.py
+++ b/bulrushrudder/protocol/link.py
@@ -145,6 +145,20 @@
         self._writer.write(frames.pack(body))
         return None
 
+    @property
+    def has_room(self):
+        """Return whether few bytes wait for the peer to read."""
+        transport = self._writer.transport
+        _, high_bytes = transport.get_write_buffer_limits()
+        return transport.get_write_buffer_size() <= high_bytes
+
+    async def wait_for_room(self):
+        """Wait until few bytes wait for the peer; close a broken link."""
+        try:
+            await self._writer.drain()
+        except OSError:
+            self.close()
+
     async def ask(self, message, timeout_s):
         """Send a request and wait for its response.
 
