--- a/bulrushrudder/consensus/leadership.py
+++ b/bulrushrudder/consensus/leadership.py
@@ -279,8 +279,7 @@
 def _limit_to_message(entries):
     size = 0
     for position, entry in enumerate(entries):
-        if isinstance(entry.payload, types.Command):
-            size += len(entry.payload.data)
+        size += types.size(entry)
         if size > MAX_BYTES_PER_MESSAGE and position:
             return tuple(entries[:position])
     return tuple(entries)
--- a/bulrushrudder/consensus/replica.py
+++ b/bulrushrudder/consensus/replica.py
@@ -15,6 +15,7 @@
 from bulrushrudder.consensus import types
 
 RETAINED_ENTRIES = 2000
+RETAINED_BYTES = 2 * 1024 * 1024
 
 
 class Replica:
@@ -27,15 +28,23 @@
     :param retained_entries: number of entries retained before a
         snapshot's index, so that members that lag slightly need no
         snapshot.
+    :param retained_bytes: maximum size of their commands.
     """
 
     def __init__(
-        self, identity, durable, draw, now_s, retained_entries=RETAINED_ENTRIES
+        self,
+        identity,
+        durable,
+        draw,
+        now_s,
+        retained_entries=RETAINED_ENTRIES,
+        retained_bytes=RETAINED_BYTES,
     ):
         self._core = core_types.Core(identity, durable, draw, now_s)
         self._follower = follower.Follower()
         self._discovery = discovery.Discovery()
         self._retained_entries = retained_entries
+        self._retained_bytes = retained_bytes
 
     @property
     def id(self):
@@ -103,6 +112,14 @@
             self._core.identity, addresses=addresses
         )
 
+    def compacted_bytes(self, index):
+        """Return the size of the log once a snapshot at an index is taken.
+
+        :returns: bytes of the commands that remain.
+        """
+        remaining = self._core.log.after(self._retained_after(index))
+        return sum(map(types.size, remaining))
+
     def is_responsive(self, member_id):
         """Return whether a member has responded to this leader recently."""
         return liveness.is_responsive(self._core, member_id)
@@ -194,13 +211,27 @@
             core.log.members(event.index),
             event.data,
         )
-        core.log.compact(snapshot, event.index - self._retained_entries)
+        core.log.compact(snapshot, self._retained_after(event.index))
         core.actions.append(
             actions.SaveSnapshot(
                 core.hard_state, snapshot, tuple(core.log.entries)
             )
         )
 
+    def _retained_after(self, index):
+        """Return the index after which a snapshot retains entries.
+
+        :param index: index of the snapshot.
+        """
+        first = max(index - self._retained_entries, 0)
+        lag = self._core.log.after(first, index - first)
+        size = 0
+        for entry in reversed(lag):
+            size += types.size(entry)
+            if size > self._retained_bytes:
+                return entry.index
+        return first
+
 
 def _advances_term(message, term):
     """Return whether a message ends this member's current term.
--- a/bulrushrudder/consensus/types.py
+++ b/bulrushrudder/consensus/types.py
@@ -98,6 +98,14 @@
 EMPTY_STATE = PersistentState(NO_HARD_STATE, NO_SNAPSHOT, ())
 
 
+def size(entry):
+    """Return the size of an entry's command in bytes, 0 without one."""
+    match entry.payload:
+        case Command(data=data):
+            return len(data)
+    return 0
+
+
 def voters(members):
     """Return the ids of the members that vote."""
     return [member.id for member in members if member.voter]
--- a/bulrushrudder/control/driver.py
+++ b/bulrushrudder/control/driver.py
@@ -9,6 +9,7 @@
 from bulrushrudder.consensus import actions
 from bulrushrudder.consensus import events
 from bulrushrudder.consensus import messages
+from bulrushrudder.consensus import types
 from bulrushrudder.events import catalogue
 from bulrushrudder.events import log
 from bulrushrudder.storage import errors
@@ -145,14 +146,14 @@
                     self._refuse(token, self._write_error)
                     return None
             case events.Received(message=messages.AppendRequest() as message):
-                if not self._reserve(_size(message.entries)):
+                if not self._reserve(sum(map(types.size, message.entries))):
                     heartbeat = dataclasses.replace(message, entries=())
                     return events.Received(heartbeat)
             case events.Received(message=messages.SnapshotChunk() as message):
                 if not self._store.has_free_space(2 * message.total):
                     return None
-            case events.SnapshotTaken(data=data):
-                log_bytes = self._store.log_bytes
+            case events.SnapshotTaken(index=index, data=data):
+                log_bytes = self._replica.compacted_bytes(index)
                 if not self._store.has_free_space(2 * len(data) + log_bytes):
                     return None
         return event
@@ -182,9 +183,5 @@
                 log.emit(catalogue.ALLOCATION_FAILED, detail=problem)
 
 
-def _size(entries):
-    return sum(len(getattr(e.payload, 'data', b'')) for e in entries)
-
-
 def _now_s():
     return asyncio.get_running_loop().time()
--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -10,6 +10,7 @@
 from bulrushrudder.consensus import core
 from bulrushrudder.consensus import events
 from bulrushrudder.consensus import types
+from bulrushrudder.control import compaction
 from bulrushrudder.control import driver
 from bulrushrudder.control import member_log
 from bulrushrudder.events import catalogue
@@ -27,11 +28,6 @@
 LEADERSHIP_TRANSFER_TIMEOUT_S = 2.0
 NO_ROOM = 'the disk of the leader is full; the change had no effect'
 NO_DISK = 'the disk of the leader takes no writes; the change had no effect'
-# A snapshot replaces the log after COMPACTION_ENTRIES entries, or after
-# MIN_COMPACTION_ENTRIES if the log is larger than COMPACTION_LOG_BYTES.
-COMPACTION_ENTRIES = 4000
-MIN_COMPACTION_ENTRIES = 500
-COMPACTION_LOG_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +71,6 @@
             self._refuse,
             on_failed,
         )
-        self._store = store
         self._tokens = itertools.count(1)
         self._queued_proposals = []
         self._futures_by_token = {}
@@ -84,7 +79,7 @@
         self._read_index_next = None
         self._applied_event = asyncio.Event()
         self._was_leader = False
-        self._compacted_index = replica.log.snapshot.index
+        self._compaction = compaction.Compaction(replica.log)
         if replica.log.snapshot.index:
             self.state.restore(_decode(replica.log.snapshot.data))
 
@@ -232,7 +227,7 @@
         if index + 1 < replica_log.first_index:
             return True
         missed = replica_log.after(index, replica_log.snapshot.index - index)
-        size = sum(len(_command_of(entry)) for entry in missed)
+        size = sum(map(types.size, missed))
         return size > len(replica_log.snapshot.data)
 
     async def announce_stop(self):
@@ -338,6 +333,8 @@
                 self._peers.send_or_drop(self._address_of(address), message)
             case actions.Apply(entries=entries):
                 self._apply(entries)
+            case actions.SaveSnapshot(snapshot=snapshot):
+                self._compaction.record_snapshot(snapshot, self.index)
             case actions.Restore(snapshot=snapshot):
                 self._restore(snapshot)
             case actions.ProposalAppended(token=token, first=first, term=term):
@@ -373,6 +370,7 @@
         self._on_committed()
 
     def _apply_one(self, entry):
+        self._compaction.record_applied(entry)
         match entry.payload:
             case types.Command(data=data):
                 return self.state.apply(entry.index, _decode(data))
@@ -418,14 +416,7 @@
         self._was_leader = is_ready_leader
 
     def _compact_if_long(self):
-        entry_count = self.index - max(
-            self._compacted_index, self.replica.log.snapshot.index
-        )
-        is_large = self._store.log_bytes > COMPACTION_LOG_BYTES
-        if entry_count >= COMPACTION_ENTRIES or (
-            is_large and entry_count >= MIN_COMPACTION_ENTRIES
-        ):
-            self._compacted_index = self.index
+        if self._compaction.is_due(self.index, _now_s()):
             data = codec.encode(self.state.snapshot())
             self._driver.put(events.SnapshotTaken(self.index, data))
 
--- a/bulrushrudder/tests/consensus/replica_tests.py
+++ b/bulrushrudder/tests/consensus/replica_tests.py
@@ -287,3 +287,33 @@
         if not leaders:
             return ()
         return group.processes_by_address[leaders[0]].replica.members
+
+
+class RetentionTests(unittest.TestCase):
+    def retained(self, sizes, retained_bytes):
+        """Return the indexes that a snapshot of the whole log retains."""
+        entries = [
+            types.Entry(index, 2, types.Command(bytes(size)))
+            for index, size in enumerate(sizes, 2)
+        ]
+        disk = disk_of_three('a', *entries)
+        identity = core.Identity(disk.id, disk.id, THREE)
+        member = replica.Replica(
+            identity,
+            disk.durable,
+            lambda: 0.0,
+            0.0,
+            retained_bytes=retained_bytes,
+        )
+        last = member.log.last_index
+        size = member.compacted_bytes(last)
+        member.handle(events.SnapshotTaken(last, b''), 0.0)
+        retained = [e for e in member.log.entries if e.index <= last]
+        self.assertEqual(size, sum(map(types.size, retained)))
+        return [e.index for e in retained]
+
+    def test_entries_before_a_snapshot_are_retained_up_to_a_size(self):
+        # Guards against a log that keeps thousands of large entries.
+        self.assertEqual(self.retained([10, 10, 10, 10], 25), [4, 5])
+        self.assertEqual(self.retained([10, 10, 10, 30], 25), [])
+        self.assertEqual(self.retained([10, 10], 25), [1, 2, 3])
--- a/bulrushrudder/tests/control/node_tests.py
+++ b/bulrushrudder/tests/control/node_tests.py
@@ -10,16 +10,20 @@
 
 from bulrushrudder.consensus import core
 from bulrushrudder.consensus import replica
+from bulrushrudder.control import compaction
 from bulrushrudder.control import node
 from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.storage import folder
+from bulrushrudder.storage import log_file
 from bulrushrudder.storage import store
 from bulrushrudder.tests.builders import fleet
+from bulrushrudder.tests.builders import observers
 from bulrushrudder.utils import tasks
 
 ADDRESS = '127.0.0.1:1'
 LARGE_BYTES = 2 * 1024 * 1024
+CONFIGURATION_BYTES = 512 * 1024
 
 
 @dataclasses.dataclass
@@ -138,6 +142,52 @@
             self.assertIsNotNone(await running.read_index())
             self.assertEqual(set(running.state.servers.by_id), present)
 
+    async def test_replaced_configurations_do_not_stay_on_the_disk(self):
+        # Guards against disks that fill with configurations that later ones
+        # have replaced, after which no change is acknowledged any more.
+        sizes = []
+        async with self.running_node() as running:
+            for version in range(1, 25):
+                outcome = await running.propose(
+                    observers.adoption(version, CONFIGURATION_BYTES)
+                )
+                self.assertIsInstance(outcome, results.Accepted)
+                sizes.append((self.path / 'log').stat().st_size)
+            self.assertGreater(running.replica.log.snapshot.index, 0)
+        bound = (
+            compaction.MIN_BYTES
+            + replica.RETAINED_BYTES
+            + log_file.ALLOCATION_BYTES
+            + 2 * CONFIGURATION_BYTES
+        )
+        self.assertLessEqual(max(sizes), bound)
+        async with self.running_node() as running:
+            self.assertIsNotNone(await running.read_index())
+            source = running.state.documents.source
+        self.assertEqual(
+            source, observers.adoption(24, CONFIGURATION_BYTES).source
+        )
+
+    async def test_snapshot_is_tried_again_when_the_disk_has_space(self):
+        # Guards against a log that is never replaced since the disk was full
+        # at the one moment at which a snapshot was due.
+        with (
+            mock.patch.object(compaction, 'RETRY_S', 0.1),
+            mock.patch.object(store.Store, 'has_free_space') as has_space,
+        ):
+            has_space.return_value = False
+            async with self.running_node() as running:
+                for version in range(1, 7):
+                    await running.propose(
+                        observers.adoption(version, CONFIGURATION_BYTES)
+                    )
+                await asyncio.sleep(0.3)
+                self.assertEqual(running.replica.log.snapshot.index, 0)
+                has_space.return_value = True
+                async with asyncio.timeout(5):
+                    while not running.replica.log.snapshot.index:
+                        await asyncio.sleep(0.02)
+
     async def test_proposal_ends_within_its_timeout(self):
         """The last try gets the time that is left, not a whole timeout."""
         async with self.running_node() as running:
--- a/bulrushrudder/tests/entry/control_client_tests.py
+++ b/bulrushrudder/tests/entry/control_client_tests.py
@@ -3,8 +3,8 @@
 import unittest
 from unittest import mock
 
+from bulrushrudder.control import compaction
 from bulrushrudder.control import log_feed
-from bulrushrudder.control import node
 from bulrushrudder.control import process
 from bulrushrudder.entry import control_client
 from bulrushrudder.tests.builders import control_fleet
@@ -47,7 +47,7 @@
     # of a transfer, which the next one begins anew, for ever.
 
     async def test_snapshot_that_takes_longer_than_the_failover(self):
-        with mock.patch.object(node, 'COMPACTION_ENTRIES', 2):
+        with mock.patch.object(compaction, 'MAX_ENTRIES', 2):
             await self.adopt(LARGE_BYTES)
             async with asyncio.timeout(TIMEOUT_S):
                 while not self.fleet.leader.node.replica.log.snapshot.index:
