Reject a change that is too large for a message

A command that does not fit into a message (16 MiB) was appended by the leader, and no other member ever got it: the link logs "message too large" and drops the message, and replication stops behind that entry. On its way to a leader elsewhere it was sent again each 50 ms for 4 s.

It is now rejected before it is appended, with its size; an operator gets 413 and not 503, which asks to come back. A configuration of 8 MiB, the largest body that is read, may reach the bound with its parsed form.

No configuration of that size was sent to running programs.

--- a/bulrushrudder/control/node.py
+++ b/bulrushrudder/control/node.py
@@ -17,6 +17,7 @@
 from bulrushrudder.events import log
 from bulrushrudder.protocol import codec
 from bulrushrudder.protocol import errors as link_errors
+from bulrushrudder.protocol import frames
 from bulrushrudder.protocol import log_messages
 from bulrushrudder.state import machine
 from bulrushrudder.state import results
@@ -26,6 +27,8 @@
 READ_INDEX_TIMEOUT_S = 1.5
 RETRY_INTERVAL_S = 0.05
 LEADERSHIP_TRANSFER_TIMEOUT_S = 2.0
+# Leaves room for the message that carries the command to other members.
+MAX_COMMAND_BYTES = frames.MAX_FRAME_BYTES - 64 * 1024
 NO_ROOM = 'the disk of the leader is full; the change had no effect'
 NO_DISK = 'the disk of the leader takes no writes; the change had no effect'
 
@@ -134,6 +137,11 @@
         :returns: the Outcome of the command.
         """
         data = codec.encode(command)
+        if len(data) > MAX_COMMAND_BYTES:
+            return results.Rejected(
+                f'the change has {len(data)} bytes in the log, more than '
+                f'{MAX_COMMAND_BYTES}'
+            )
         timeout_s = PROPOSE_TIMEOUT_S if timeout_s is None else timeout_s
         deadline_s = _now_s() + timeout_s
         while (left_s := deadline_s - _now_s()) > 0:
--- a/bulrushrudder/platform/control_api.py
+++ b/bulrushrudder/platform/control_api.py
@@ -192,6 +192,11 @@
                     operator=OPERATOR,
                 )
                 return web.json_response({'version': document.version})
+            case results.Rejected(problem=problem):
+                self._count_submission(
+                    metrics_control.SubmissionOutcome.INVALID
+                )
+                return _problem(413, problem)
         self._count_submission(metrics_control.SubmissionOutcome.UNAVAILABLE)
         return _problem(503, 'no leader accepted the configuration')
 
--- a/bulrushrudder/tests/control/node_tests.py
+++ b/bulrushrudder/tests/control/node_tests.py
@@ -188,6 +188,18 @@
                     while not running.replica.log.snapshot.index:
                         await asyncio.sleep(0.02)
 
+    async def test_command_too_large_for_a_message_is_rejected_at_once(self):
+        # Guards against an entry that no other member ever gets, and against
+        # a proposal that is repeated until its time is over.
+        async with self.running_node() as running:
+            await running.propose(join_command(1))
+            index = running.index
+            outcome = await running.propose(
+                observers.adoption(1, node.MAX_COMMAND_BYTES)
+            )
+            self.assertIsInstance(outcome, results.Rejected)
+            self.assertEqual(running.index, index)
+
     async def test_proposal_ends_within_its_timeout(self):
         """The last try gets the time that is left, not a whole timeout."""
         async with self.running_node() as running:
--- a/bulrushrudder/tests/platform/control_api_tests.py
+++ b/bulrushrudder/tests/platform/control_api_tests.py
@@ -11,6 +11,7 @@
 from bulrushrudder.protocol import codec
 from bulrushrudder.state import documents
 from bulrushrudder.state import machine
+from bulrushrudder.state import results
 from bulrushrudder.state import servers
 from bulrushrudder.tests.builders import platform
 
@@ -97,3 +98,28 @@
         )
         status, announced = await self.send_heartbeat(node)
         self.assertEqual((status, announced), (503, []))
+
+
+class ConfigurationTests(unittest.IsolatedAsyncioTestCase):
+    async def test_configuration_too_large_for_the_log_is_refused(self):
+        # Guards against a refusal that operators take for a lack of a
+        # leader, so that they send the same configuration again.
+        async def adopt_document(document, source, digest, operator):
+            return results.Rejected('the change has 17 MB in the log')
+
+        control = types.SimpleNamespace(
+            node=RestartedNode(), adopt_document=adopt_document
+        )
+        api = control_api.ControlApi(
+            control, metrics_control.ControlMetrics(), False
+        )
+        async with test_utils.TestClient(
+            test_utils.TestServer(api.application())
+        ) as client:
+            async with client.put(
+                '/bulrushrudder/config',
+                data=platform.encoded(platform.CONFIGURATION),
+            ) as response:
+                content = await response.json()
+        self.assertEqual(response.status, 413)
+        self.assertEqual(content['problem'], 'the change has 17 MB in the log')
