--- a/bulrushrudder/tests/soak/operators.py
+++ b/bulrushrudder/tests/soak/operators.py
@@ -71,6 +71,11 @@
         known = self.versions[-1].services_by_path
         return [f'{prefix}1' for prefix in known]
 
+    def add_idle_routes(self, count):
+        """Add routes that nobody asks for to the next versions."""
+        for number in range(count):
+            self._services_by_path[f'/idle{number}/'] = 'plain'
+
     async def send_first(self):
         """Send the first configuration until it is acknowledged."""
         version = self._next_version()
--- a/bulrushrudder/tests/soak/versions_tests.py
+++ b/bulrushrudder/tests/soak/versions_tests.py
@@ -19,6 +19,13 @@
 
 # The build in use before evacuations, cold servers and ranks.
 PREVIOUS_BUILD = '0c1f265'
+# The last build that sends a log as one message and keeps 500 entries of any
+# size.
+BUILD_OF_LONG_LOGS = '19284e0'
+IDLE_ROUTES = 350
+# Their commands exceed the size at which a snapshot replaces the log once a
+# second machine has been replaced.
+CHANGES_PER_MACHINE = 8
 # Servers of the soak stand in this zone.
 ZONE = 'a'
 ANSWER_TIMEOUT_S = 30.0
@@ -39,19 +46,17 @@
     )
 
 
-class VersionsTests(unittest.IsolatedAsyncioTestCase):
-    """Guards against messages and log entries that one build cannot read.
+class VersionsCase(unittest.IsolatedAsyncioTestCase):
+    """Programs of an earlier build, which a test replaces in turn."""
 
-    All machines are replaced in turn by this build and then by the previous
-    one again.
-    """
+    previous_build = PREVIOUS_BUILD
 
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         enter = self.stack.enter_context
         previous = pathlib.Path(enter(tempfile.TemporaryDirectory()))
-        check_out(PREVIOUS_BUILD, previous)
+        check_out(self.previous_build, previous)
         self.previous = previous
         rng = random.Random(1)
         self.fleet = programs.Fleet(
@@ -95,6 +100,14 @@
             status = await self.status(machine, expected)
             self.assertEqual(status, expected, machine.name)
 
+
+class VersionsTests(VersionsCase):
+    """Guards against messages and log entries that one build cannot read.
+
+    All machines are replaced in turn by this build and then by the previous
+    one again.
+    """
+
     async def order(self, method):
         """Evacuate or restore the zone of the servers."""
         path = f'/bulrushrudder/evacuations/{ZONE}'
@@ -128,5 +141,31 @@
         self.assertEqual(self.fleet.record.breaks, [])
 
 
+class LongLogsTests(VersionsCase):
+    """Guards against logs and snapshots that one build cannot take over.
+
+    This build replaces its log by a snapshot long before the earlier one, so
+    members and entries of either build catch up from the other's.
+    """
+
+    previous_build = BUILD_OF_LONG_LOGS
+
+    async def replace_all(self, root):
+        """Replace all machines in turn, with changes after each of them."""
+        for machine in self.fleet.machines:
+            await self.replace(machine, root)
+            for _ in range(CHANGES_PER_MACHINE):
+                await self.operator.change()
+                self.assertIsNotNone(self.operator.versions[-1].acked_s)
+            await self.check_calls(200)
+
+    async def test_members_are_replaced_between_large_configurations(self):
+        self.operator.add_idle_routes(IDLE_ROUTES)
+        await self.replace_all(programs.ROOT)
+        await self.replace_all(self.previous)
+        await self.operator.read_at_end()
+        self.assertEqual(self.fleet.record.breaks, [])
+
+
 if __name__ == '__main__':
     unittest.main()
