--- a/bulrushrudder/control/log_feed.py
+++ b/bulrushrudder/control/log_feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from bulrushrudder.consensus import types
 from bulrushrudder.protocol import log_messages
 
 MAX_ENTRIES_PER_MESSAGE = 200
@@ -24,7 +25,7 @@
     link: object
     index: int
     members: tuple[str, ...] = ()
-    snapshot: object = None
+    snapshot: types.Snapshot | None = None
     offset: int = 0
     behind: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
@@ -33,8 +34,7 @@
     """Sends committed commands and member addresses to observers.
 
     An observer gets the next message when its link has room for it, so that
-    a process never holds more than one message for an observer that reads
-    slowly.
+    one that reads slowly does not make the process hold the log once more.
 
     :param node: the Node.
     """
@@ -70,7 +70,7 @@
     def send_all(self):
         """Send new commands and addresses to all observers.
 
-        Those that lack more than one message get the others by and by.
+        Those that are behind get them later, one message at a time.
         """
         for observer in tuple(self._observers_by_link.values()):
             if not observer.behind.is_set():
--- a/bulrushrudder/entry/control_client.py
+++ b/bulrushrudder/entry/control_client.py
@@ -1,8 +1,8 @@
 """Follows the log and proposes commands through a control process.
 
-If a control process does not confirm freshness in time, and does not send
-a part of a snapshot or of a large entry either, the client
-switches to the next one, even if the link still looks alive.
+If a control process does not confirm freshness in time, the client
+switches to the next one, even if the link still looks alive. One that is
+sending a snapshot or a large entry is given the time to finish.
 """
 
 import asyncio
@@ -184,8 +184,8 @@
             await asyncio.sleep(FRESHNESS_INTERVAL_S)
             now_s = loop.time()
             self._report_freshness(now_s)
-            # What has arrived of a snapshot or a large entry would be sent
-            # once more by the next control process.
+            # The next control process would send a snapshot or a large entry
+            # from its beginning.
             heard_s = max(connected_s, self._chunk_s, link_.piece_s)
             if (
                 min(now_s - heard_s, self._view.age_s(now_s))
